--- /dev/null
+++ b/src/guavapin/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/src/guavapin/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail."""
--- /dev/null
+++ b/src/guavapin/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests with an idempotency key."""
--- /dev/null
+++ b/src/guavapin/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/guavapin/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per console command."""
--- /dev/null
+++ b/src/guavapin/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the daemons."""
--- /dev/null
+++ b/src/guavapin/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties under leases with fencing tokens."""
--- /dev/null
+++ b/src/guavapin/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet record and the pure commands that change it."""
--- /dev/null
+++ b/src/guavapin/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Slots, queues, quotas and adaptive concurrency; pure decisions."""
--- /dev/null
+++ b/src/guavapin/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and gauges of all tasks."""
--- /dev/null
+++ b/src/guavapin/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Named objects that operators edit, their TOML form and their consistency check."""
--- /dev/null
+++ b/src/guavapin/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' HTTP interface."""
--- /dev/null
+++ b/src/guavapin/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry processes and their membership."""
--- /dev/null
+++ b/src/guavapin/platform/messages.py
@@ -0,0 +1,237 @@
+"""Messages to and from the `platform` task.
+
+A sender fills `reply_to` with its own service name and `request_id` with a number
+of its own; the answer is a `Reply` with the same number. Any other front end to a
+key-value service with compare-and-swap, leases and watches can serve them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+NO_REVISION = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Get:
+    """Read one key. Answer: `Found`, `Missing` or a failure."""
+
+    reply_to: str
+    request_id: int
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write `value` if the key is at revision `expected`; 0 means it must not exist.
+
+    A `lease_id` ties the key to a lease, with which it is removed. Answer: `Written`,
+    `Conflict` or a failure.
+    """
+
+    reply_to: str
+    request_id: int
+    key: str
+    value: bytes
+    expected: int
+    lease_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Remove a key that is at revision `expected`. Answer as for `Put`."""
+
+    reply_to: str
+    request_id: int
+    key: str
+    expected: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListPrefix:
+    """List keys that begin with `prefix`. Answer: `Listed` or a failure."""
+
+    reply_to: str
+    request_id: int
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Wait for changes of keys under `prefix` after a revision, `wait_ms` at most.
+
+    One watch is one call at the platform. Answer: `Changed` (empty when none came in
+    time) or a failure.
+    """
+
+    reply_to: str
+    request_id: int
+    prefix: str
+    after_revision: int
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """Ask for a lease of `ttl_ms`. Answer: `Leased` or a failure."""
+
+    reply_to: str
+    request_id: int
+    ttl_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRenew:
+    """Renew a lease. Answer: `Leased`, `Missing` when it has lapsed, or a failure."""
+
+    reply_to: str
+    request_id: int
+    lease_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRevoke:
+    """End a lease and remove its keys. Answer: `Written` or a failure."""
+
+    reply_to: str
+    request_id: int
+    lease_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListHosts:
+    """Read the lagging list of live and leaving hosts. Answer: `Hosts` or a failure."""
+
+    reply_to: str
+    request_id: int
+
+
+PlatformRequest: TypeAlias = (
+    Get
+    | Put
+    | Delete
+    | ListPrefix
+    | Watch
+    | LeaseGrant
+    | LeaseRenew
+    | LeaseRevoke
+    | ListHosts
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """The key's value and revision."""
+
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """No such key or lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The write took effect at `revision`."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The write did not take effect; the key is at `revision`, 0 if it is absent."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRevision:
+    """A key with its newest revision; `deleted` tells that it was removed."""
+
+    key: str
+    revision: int
+    deleted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """The keys under a prefix and the revision of the store when they were read."""
+
+    keys: tuple[KeyRevision, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Changes under a watched prefix, and the revision from which to watch on."""
+
+    keys: tuple[KeyRevision, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leased:
+    """A lease is held for `ttl_ms` from when the request was sent."""
+
+    lease_id: str
+    ttl_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostState:
+    """One line of the platform's list: `state` is ``live`` or ``leaving``."""
+
+    host: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Hosts:
+    """The platform's list of hosts, which lags behind the truth."""
+
+    hosts: tuple[HostState, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """No answer came: the call may or may not have taken effect."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """The call did not reach the platform and has had no effect."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimited:
+    """The platform refused the call for its rate; it has had no effect."""
+
+
+PlatformOutcome: TypeAlias = (
+    Found
+    | Missing
+    | Written
+    | Conflict
+    | Listed
+    | Changed
+    | Leased
+    | Hosts
+    | Unknown
+    | NotSent
+    | RateLimited
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer to the request `request_id` of the receiving service."""
+
+    request_id: int
+    outcome: PlatformOutcome
--- /dev/null
+++ b/src/guavapin/publication/__init__.py
@@ -0,0 +1,1 @@
+"""Publication of the object set as one generation."""
--- /dev/null
+++ b/src/guavapin/retries/__init__.py
@@ -0,0 +1,1 @@
+"""When a request may be sent again; pure decisions."""
--- /dev/null
+++ b/src/guavapin/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream and health of upstreams; pure decisions."""
--- /dev/null
+++ b/src/guavapin/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a caller's request: front, exchanges, upstreams."""
--- /dev/null
+++ b/src/guavapin/serving/messages.py
@@ -0,0 +1,158 @@
+"""Messages between the tasks `front`, `exchanges` and `upstreams`.
+
+`request_id` and `attempt_id` are numbers that a process never uses twice. Header
+names are lower case; bodies are bytes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestReceived:
+    """From `front`: the head of a request; `body_follows` tells of `RequestBody`."""
+
+    request_id: int
+    method: str
+    target: str
+    headers: Headers
+    received_ms: int
+    body_follows: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestBody:
+    """A part of a request's body, in order; the last one has `is_last` set."""
+
+    request_id: int
+    data: bytes
+    is_last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """From `front`: the caller closed the connection before the end of the answer."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """To `front`: status and headers; `length` is -1 when it is not announced."""
+
+    request_id: int
+    status: int
+    headers: Headers
+    length: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBody:
+    """To `front`: a part of the answer's body."""
+
+    request_id: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """To `front`: the answer is whole."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBroken:
+    """To `front`: the answer broke off; the connection must be closed visibly."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class FlowControl:
+    """Ask the sender of a body to pause or go on; sent by whoever buffers it."""
+
+    id: int
+    is_paused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """To `upstreams`: send one request to one executor.
+
+    `first_byte_ms` bounds the time to the head of the answer and `progress_ms` the
+    time between two parts of it; 0 means no bound. `fresh_connection` is set for
+    non-idempotent requests, since libcurl resends a request by itself when a reused
+    connection dies before the first byte of the answer.
+    """
+
+    attempt_id: int
+    address: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    body_follows: bool
+    connect_ms: int
+    first_byte_ms: int
+    progress_ms: int
+    fresh_connection: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptRequestBody:
+    """To `upstreams`: a further part of the request's body."""
+
+    attempt_id: int
+    data: bytes
+    is_last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """To `upstreams`: end the attempt and close its connection; no answer follows."""
+
+    attempt_id: int
+
+
+class AttemptResult(Enum):
+    """How an attempt ended.
+
+    `NOT_SENT` is given only when no byte of the request left this process.
+    """
+
+    COMPLETE = "complete"
+    NOT_SENT = "not_sent"
+    FIRST_BYTE_TIMEOUT = "first_byte_timeout"
+    PROGRESS_TIMEOUT = "progress_timeout"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptHead:
+    """From `upstreams`: status and headers of the answer."""
+
+    attempt_id: int
+    status: int
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptBody:
+    """From `upstreams`: a part of the answer's body."""
+
+    attempt_id: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """From `upstreams`: the attempt has ended and its slot is free."""
+
+    attempt_id: int
+    result: AttemptResult
+    detail: str = ""
--- /dev/null
+++ b/src/guavapin/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes, read from TOML."""
--- /dev/null
+++ b/src/guavapin/waves/__init__.py
@@ -0,0 +1,1 @@
+"""Planning and running of maintenance waves; pure decisions."""
--- /dev/null
+++ b/src/guavapin_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks whose figures are recorded in ``docs/MEASUREMENTS.md``."""
--- /dev/null
+++ b/src/guavapin_demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the main job on real sockets."""
