Spread each pool of the sample sites over all zones

Cause: the pool index moved in step with the zone at four zones, so Mandali had four pools of ten hosts, each in one zone, and none for office services. Conclusion: the pool index advances within the zone.

--- a/src/guavapin_demo/sites.py
+++ b/src/guavapin_demo/sites.py
@@ -87,7 +87,7 @@
         index_in_zone = index // zone_count
         rack = f"{zone}-r{index_in_zone // HOSTS_PER_RACK + 1}"
         name = f"{zone}-h{index_in_zone + 1:02d}"
-        pool = site.services[(index // zone_count + index) % len(site.services)]
+        pool = site.services[(index_in_zone + index % zone_count) % len(site.services)]
         hosts[name] = Host(
             name=name,
             zone=zone,
