--- /dev/null
+++ b/src/guavapin/metrics/logs.py
@@ -0,0 +1,35 @@
+"""JSON log lines, one a change of state."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING
+
+from pythonjsonlogger.json import JsonFormatter
+
+if TYPE_CHECKING:
+    from typing import TextIO
+
+LOG_FIELDS = ("asctime", "levelname", "name", "message")
+
+
+def configure_logs(level: str, node: str, stream: TextIO | None = None) -> None:
+    """Send the log lines of all ``guavapin`` loggers to `stream` as JSON.
+
+    `level` is a name that `logging` knows; `node` is added to each line. Further
+    fields come from the ``extra`` of a call, for example
+    ``log.info("host drained", extra={"host": "h1", "generation": 7})``.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            list(LOG_FIELDS),
+            rename_fields={"asctime": "time", "levelname": "level"},
+            static_fields={"node": node},
+        )
+    )
+    root = logging.getLogger("guavapin")
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    root.propagate = False
