Add the platform client, its stand-in and a libcurl driver

The claims, the publication and the duties all need the platform's service. The client drives libcurl's multi interface from the selector of its loop; the driver is generic (guavapin.http.multi_driver), so that the upstreams task can use it too.

libcurl repeats a request by itself when a reused connection dies before the first byte of the answer. The client aborts the second transmission of a write in the prerequest callback instead of using FRESH_CONNECT, so that writes can reuse connections. The test with a server that closes on the second request sees the write once and a read twice.

--- /dev/null
+++ b/src/guavapin/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP plumbing shared by the tasks that send requests."""
--- /dev/null
+++ b/src/guavapin/platform/client.py
@@ -0,0 +1,264 @@
+"""The `platform` task: calls of the platform's service over libcurl."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pycurl
+
+from guavapin.http.multi_driver import MultiDriver
+from guavapin.http.multi_driver import MultiTimer
+from guavapin.kernel import Call
+from guavapin.kernel import Ok
+from guavapin.kernel import Outcome
+from guavapin.kernel.outcome import InvariantError
+from guavapin.platform.budget import TokenBucket
+from guavapin.platform.messages import NotSent
+from guavapin.platform.messages import PlatformOutcome
+from guavapin.platform.messages import PlatformRequest
+from guavapin.platform.messages import Reply
+from guavapin.platform.messages import Unknown
+from guavapin.platform.wire import HttpCall
+from guavapin.platform.wire import decode_answer
+from guavapin.platform.wire import encode_call
+
+if TYPE_CHECKING:
+    from guavapin.kernel import TaskContext
+    from guavapin.kernel import TimerHandle
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformConfig:
+    """Settings of the client.
+
+    `deadline_ms` bounds a call from its arrival at this task to its answer, to which
+    a watch adds its own waiting time. The rates bound this process's share of the
+    platform's limits. `max_waiting` calls wait for a token or a place in flight;
+    further ones are not sent.
+    """
+
+    url: str
+    zone: str = ""
+    deadline_ms: int = 2_000
+    connect_ms: int = 500
+    max_in_flight: int = 32
+    max_watches: int = 16
+    max_waiting: int = 1_024
+    writes_per_second: float = 60.0
+    reads_per_second: float = 250.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    req: PlatformRequest
+    call: HttpCall
+    due_ms: int
+    caller: Call | None
+
+
+@dataclass(frozen=True, slots=True)
+class _Retry:
+    """Timer message: look again at the waiting calls."""
+
+
+class _Transfer:
+    """A call in flight; collects the answer from libcurl's callbacks."""
+
+    def __init__(self, waiting: _Waiting) -> None:
+        self.waiting = waiting
+        self.starts = 0
+        self.revision = b""
+        self.body = bytearray()
+
+    def on_start(self, *_: object) -> int:
+        """Allow the first transmission only.
+
+        libcurl sends a request a second time when a reused connection dies before
+        the first byte of the answer. The first transmission of a write may have taken
+        effect, and the second would then report a conflict with it. libcurl calls
+        this function before each transmission; aborting the second one keeps
+        connections reusable, which ``FRESH_CONNECT`` would not.
+        """
+        self.starts += 1
+        if self.starts > 1 and self.waiting.call.is_write:
+            return int(pycurl.PREREQFUNC_ABORT)
+        return int(pycurl.PREREQFUNC_OK)
+
+    def on_header(self, line: bytes) -> None:
+        """Keep the revision."""
+        name, _, value = line.partition(b":")
+        if name.lower() == b"x-revision":
+            self.revision = value.strip()
+
+    def on_body(self, data: bytes) -> int:
+        """Collect the body; a short count makes libcurl abort the transfer."""
+        if len(self.body) + len(data) > MAX_ANSWER_BYTES:
+            return 0
+        self.body += data
+        return len(data)
+
+
+class PlatformTask:
+    """Service ``platform``: takes `PlatformRequest`, answers `Reply`.
+
+    A request sent with `Kernel.ask` is answered by its outcome in the future. A call
+    that never reached the wire is `NotSent`; one that did and got no answer, or one
+    outside the protocol, is `Unknown`. Nothing is repeated.
+    """
+
+    name = "platform"
+
+    def __init__(self, cfg: PlatformConfig) -> None:
+        self.counters: Counter[tuple[str, str]] = Counter()
+        self._cfg = cfg
+        # Watches wait apart, so that they cannot hold up reads when all are in use.
+        self._waiting: dict[str, deque[_Waiting]] = {
+            "write": deque(),
+            "read": deque(),
+            "watch": deque(),
+        }
+        self._transfers: dict[Any, _Transfer] = {}
+        self._watches = 0
+        self._timer: TimerHandle | None = None
+        self._idle: list[Any] = []
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Create the multi handle; no connection is made."""
+        self._context = context
+        self._driver = MultiDriver(context, self._on_done, self._cfg.max_in_flight)
+        self._buckets = {
+            True: self._bucket(self._cfg.writes_per_second),
+            False: self._bucket(self._cfg.reads_per_second),
+        }
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle a request or a timer."""
+        if isinstance(message, MultiTimer):
+            self._driver.on_timer()
+        elif isinstance(message, _Retry):
+            self._timer = None
+            self._send_waiting()
+        elif isinstance(message, Call):
+            self._accept(message.body, message)
+        else:
+            self._accept(message, None)
+
+    def stop(self) -> None:
+        """Abandon the calls in flight and answer those that wait."""
+        self._driver.close()
+        for queue in self._waiting.values():
+            while queue:
+                self._answer(queue.popleft(), NotSent("the platform client stopped"))
+        for transfer in self._transfers.values():
+            self._answer(transfer.waiting, Unknown("the platform client stopped"))
+        self._transfers.clear()
+
+    def _bucket(self, rate: float) -> TokenBucket:
+        burst = max(rate / 10, 1)
+        return TokenBucket(rate, burst, burst, self._context.now_ms())
+
+    def _accept(self, req: object, caller: Call | None) -> None:
+        if not isinstance(req, PlatformRequest):
+            raise InvariantError(f"not a platform request: {req!r}")
+        call = encode_call(req)
+        due_ms = self._context.now_ms() + self._cfg.deadline_ms
+        waiting = _Waiting(req, call, due_ms, caller)
+        if sum(map(len, self._waiting.values())) >= self._cfg.max_waiting:
+            self._answer(waiting, NotSent("too many calls wait"))
+            return
+        queue = "write" if call.is_write else "read"
+        self._waiting["watch" if call.kind == "watch" else queue].append(waiting)
+        self._send_waiting()
+
+    def _send_waiting(self) -> None:
+        now_ms = self._context.now_ms()
+        for name, queue in self._waiting.items():
+            is_write = name == "write"
+            while queue and queue[0].due_ms <= now_ms:
+                self._answer(queue.popleft(), NotSent("deadline passed in the queue"))
+            bucket = self._buckets[is_write].refilled(now_ms)
+            while queue and bucket.wait_ms() == 0 and self._has_room(queue[0]):
+                bucket = bucket.taken()
+                self._send(queue.popleft(), now_ms)
+            self._buckets[is_write] = bucket
+        self._schedule(now_ms)
+
+    def _has_room(self, waiting: _Waiting) -> bool:
+        if waiting.call.kind == "watch":
+            return self._watches < self._cfg.max_watches
+        return len(self._transfers) - self._watches < self._cfg.max_in_flight
+
+    def _schedule(self, now_ms: int) -> None:
+        """Set the timer for the next token or the next deadline in the queue."""
+        if self._timer is not None:
+            self._context.cancel_timer(self._timer)
+            self._timer = None
+        delays = []
+        for name, queue in self._waiting.items():
+            if queue:
+                delay_ms = queue[0].due_ms - now_ms
+                if self._has_room(queue[0]):
+                    delay_ms = min(delay_ms, self._buckets[name == "write"].wait_ms())
+                delays.append(max(delay_ms, 1))
+        if delays:
+            self._timer = self._context.set_timer(min(delays), _Retry())
+
+    def _send(self, waiting: _Waiting, now_ms: int) -> None:
+        transfer = _Transfer(waiting)
+        curl = self._idle.pop() if self._idle else pycurl.Curl()
+        self._set_up(curl, transfer, max(waiting.due_ms - now_ms, 1))
+        self._transfers[curl] = transfer
+        self._watches += waiting.call.kind == "watch"
+        self._driver.add(curl)
+
+    def _set_up(self, curl: Any, transfer: _Transfer, left_ms: int) -> None:
+        call = transfer.waiting.call
+        curl.reset()
+        curl.setopt(pycurl.URL, self._cfg.url + call.path)
+        curl.setopt(pycurl.CUSTOMREQUEST, call.method)
+        if call.method != "GET" and call.body:
+            curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+            curl.setopt(pycurl.POSTFIELDS, call.body)
+        headers = ["Expect:", "Content-Type: application/octet-stream"]
+        headers.append(f"Guavapin-Zone: {self._cfg.zone}")
+        curl.setopt(pycurl.HTTPHEADER, headers)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.TIMEOUT_MS, left_ms + call.wait_ms)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, min(self._cfg.connect_ms, left_ms))
+        curl.setopt(pycurl.PREREQFUNCTION, transfer.on_start)
+        curl.setopt(pycurl.HEADERFUNCTION, transfer.on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
+
+    def _on_done(self, curl: Any, code: int, detail: str) -> None:
+        transfer = self._transfers.pop(curl)
+        waiting = transfer.waiting
+        self._watches -= waiting.call.kind == "watch"
+        outcome: PlatformOutcome
+        if code == 0:
+            status = curl.getinfo(pycurl.RESPONSE_CODE)
+            body = bytes(transfer.body)
+            outcome = decode_answer(waiting.req, status, transfer.revision, body)
+        elif transfer.starts == 0:
+            outcome = NotSent(detail)
+        else:
+            outcome = Unknown(detail)
+        if len(self._idle) < self._cfg.max_in_flight:
+            self._idle.append(curl)
+        self._answer(waiting, outcome)
+        self._send_waiting()
+
+    def _answer(self, waiting: _Waiting, outcome: PlatformOutcome) -> None:
+        self.counters[waiting.call.kind, type(outcome).__name__] += 1
+        if waiting.caller is not None:
+            waiting.caller.fut.set_result(outcome)
+        else:
+            reply = Reply(waiting.req.request_id, outcome)
+            self._context.send(waiting.req.reply_to, reply)
--- /dev/null
+++ b/src/guavapin_standins/platform_wire.py
@@ -0,0 +1,114 @@
+"""Translates calls of the platform's HTTP protocol to the store and back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from guavapin.platform.messages import Conflict
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import KeyRevision
+from guavapin.platform.messages import Leased
+from guavapin.platform.messages import Missing
+from guavapin.platform.messages import Written
+from guavapin_standins.platform_store import MAX_VALUE_BYTES
+
+if TYPE_CHECKING:
+    from guavapin_standins.platform_store import PlatformStore
+
+READS = frozenset({"get", "list", "watch", "hosts"})
+_KINDS = {
+    ("GET", "kv"): "get",
+    ("PUT", "kv"): "put",
+    ("DELETE", "kv"): "delete",
+    ("GET", "watch"): "watch",
+    ("GET", "hosts"): "hosts",
+    ("POST", "leases"): "lease_grant",
+    ("PUT", "leases"): "lease_renew",
+    ("DELETE", "leases"): "lease_revoke",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class WireCall:
+    """One call: its kind, the key or lease in its path, its query and its body."""
+
+    kind: str
+    name: str
+    query: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class WireAnswer:
+    """Status, body and the ``X-Revision`` header of an answer."""
+
+    status: int
+    body: bytes = b""
+    revision: int | None = None
+
+
+def parse_call(method: str, path: str, query: dict[str, str], body: bytes) -> WireCall:
+    """Return the call; its kind is ``"unknown"`` if the path is not served."""
+    parts = path.split("/", 3)
+    resource = parts[2] if len(parts) > 2 and parts[1] == "v1" else ""
+    name = parts[3] if len(parts) > 3 else ""
+    kind = _KINDS.get((method, resource), "unknown")
+    if kind == "get" and not name and "prefix" in query:
+        kind = "list"
+    return WireCall(kind, name, query, body)
+
+
+def execute(store: PlatformStore, call: WireCall) -> WireAnswer:
+    """Run a call other than a watch; bad numbers in the query are answered with 400."""
+    try:
+        return _execute(store, call)
+    except (KeyError, ValueError):
+        return WireAnswer(400)
+
+
+def encode_changes(keys: tuple[KeyRevision, ...], revision: int) -> WireAnswer:
+    """Encode keys with their revisions."""
+    body = msgspec.json.encode(keys)
+    return WireAnswer(200, body, revision)
+
+
+def _execute(store: PlatformStore, call: WireCall) -> WireAnswer:
+    match call.kind:
+        case "get":
+            return _encode(store.get(call.name))
+        case "put" if len(call.body) > MAX_VALUE_BYTES:
+            return WireAnswer(413)
+        case "put":
+            expected = int(call.query["expect"])
+            lease = call.query.get("lease", "")
+            return _encode(store.put(call.name, call.body, expected, lease))
+        case "delete":
+            return _encode(store.delete(call.name, int(call.query["expect"])))
+        case "list":
+            keys = store.list_prefix(call.query["prefix"])
+            return encode_changes(keys, store.revision)
+        case "hosts":
+            return WireAnswer(200, msgspec.json.encode(store.hosts()))
+        case "lease_grant":
+            return _encode(store.grant(int(call.query["ttl_ms"])))
+        case "lease_renew":
+            return _encode(store.renew(call.name))
+        case "lease_revoke":
+            return _encode(store.revoke(call.name))
+    return WireAnswer(404)
+
+
+def _encode(outcome: Found | Missing | Written | Conflict | Leased) -> WireAnswer:
+    match outcome:
+        case Found(value, revision):
+            return WireAnswer(200, value, revision)
+        case Written(revision):
+            return WireAnswer(200, b"", revision)
+        case Conflict(revision):
+            return WireAnswer(409, b"", revision)
+        case Leased():
+            return WireAnswer(200, msgspec.json.encode(outcome))
+    return WireAnswer(404)
--- /dev/null
+++ b/tests/platform/test_client.py
@@ -0,0 +1,240 @@
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from guavapin.kernel import Kernel
+from guavapin.kernel import SystemClock
+from guavapin.platform.client import PlatformConfig
+from guavapin.platform.client import PlatformTask
+from guavapin.platform.messages import Changed
+from guavapin.platform.messages import Conflict
+from guavapin.platform.messages import Delete
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import Hosts
+from guavapin.platform.messages import HostState
+from guavapin.platform.messages import KeyRevision
+from guavapin.platform.messages import Leased
+from guavapin.platform.messages import LeaseGrant
+from guavapin.platform.messages import LeaseRenew
+from guavapin.platform.messages import LeaseRevoke
+from guavapin.platform.messages import Listed
+from guavapin.platform.messages import ListHosts
+from guavapin.platform.messages import ListPrefix
+from guavapin.platform.messages import Missing
+from guavapin.platform.messages import NotSent
+from guavapin.platform.messages import Put
+from guavapin.platform.messages import RateLimited
+from guavapin.platform.messages import Unknown
+from guavapin.platform.messages import Watch
+from guavapin.platform.messages import Written
+from guavapin_standins.platform import RunningPlatform
+from guavapin_standins.platform_controls import Faults
+from guavapin_standins.platform_controls import Limits
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Client:
+    def __init__(self, url: str, **settings: Any) -> None:
+        settings = {"deadline_ms": 400, "writes_per_second": 1e6} | settings
+        self.task = PlatformTask(
+            PlatformConfig(url, **{"reads_per_second": 1e6} | settings)
+        )
+        self.kernel = Kernel(SystemClock())
+        self.kernel.register(self.task)
+        self.kernel.start()
+
+    def begin(self, req: object) -> Any:
+        return self.kernel.ask("platform", req)
+
+    def call(self, req: object) -> Any:
+        return self.begin(req).result(5)
+
+    def put(self, key: str, value: bytes, expected: int = 0, lease: str = "") -> Any:
+        return self.call(Put("", 0, key, value, expected, lease))
+
+    def get(self, key: str) -> Any:
+        return self.call(Get("", 0, key))
+
+
+@pytest.fixture
+def platform() -> Iterator[RunningPlatform]:
+    with RunningPlatform(limits=Limits(1e6, 1e6), hosts_lag_ms=50) as running:
+        yield running
+
+
+@pytest.fixture
+def client(platform: RunningPlatform) -> Iterator[Client]:
+    client = Client(platform.url, zone="matane")
+    yield client
+    client.kernel.stop()
+
+
+def test_compare_and_swap_reports_who_won(client: Client) -> None:
+    # Guards against a write that replaces a value it has not seen.
+    first = client.put("a/b c?", b"\x00one")
+    assert isinstance(first, Written)
+    assert client.put("a/b c?", b"two") == Conflict(first.revision)
+    second = client.put("a/b c?", b"two", first.revision)
+    assert client.get("a/b c?") == Found(b"two", second.revision)
+    assert client.call(Delete("", 0, "a/b c?", first.revision)) == Conflict(
+        second.revision
+    )
+    assert isinstance(client.call(Delete("", 0, "a/b c?", second.revision)), Written)
+    assert client.get("a/b c?") == Missing()
+
+
+def test_lists_only_the_prefix_and_values_up_to_a_megabyte(client: Client) -> None:
+    # Guards against truncated values and against keys of a neighbouring prefix.
+    value = bytes(1_000_000)
+    written = client.put("p/1", value)
+    client.put("q/1", b"")
+    listed = client.call(ListPrefix("", 0, "p/"))
+    assert listed == Listed((KeyRevision("p/1", written.revision),), 2)
+    assert client.get("p/1").value == value
+    assert client.put("p/2", value + b"x") == Unknown(
+        "unexpected answer with status 413"
+    )
+
+
+def test_lapsed_lease_removes_its_keys_and_wakes_the_watch(client: Client) -> None:
+    # Guards against entries of dead holders that stay, and watches that miss them.
+    lease = client.call(LeaseGrant("", 0, 150))
+    assert isinstance(lease, Leased)
+    written = client.put("duty/planner", b"me", 0, lease.lease_id)
+    assert client.call(LeaseRenew("", 0, lease.lease_id)) == lease
+    changed = client.call(Watch("", 0, "duty/", written.revision, 2_000))
+    assert changed == Changed(
+        (KeyRevision("duty/planner", 3, deleted=True),), written.revision + 1
+    )
+    assert client.call(LeaseRenew("", 0, lease.lease_id)) == Missing()
+    assert client.put("duty/planner", b"me", 0, lease.lease_id) == Missing()
+
+
+def test_watch_waits_for_a_change_or_its_time(client: Client) -> None:
+    # Guards against a watch that spins or that blocks other calls.
+    assert client.call(Watch("", 0, "w/", 0, 50)) == Changed((), 0)
+    pending = client.begin(Watch("", 0, "w/", 0, 3_000))
+    client.put("x/1", b"")
+    written = client.put("w/1", b"")
+    assert pending.result(5).keys == (KeyRevision("w/1", written.revision),)
+
+
+def test_revoke_and_lagging_hosts(client: Client, platform: RunningPlatform) -> None:
+    # Guards against a host list that is taken for the present state.
+    lease = client.call(LeaseGrant("", 0, 60_000))
+    assert isinstance(client.call(LeaseRevoke("", 0, lease.lease_id)), Written)
+    platform.set_host("h1", "leaving")
+    assert client.call(ListHosts("", 0)) == Hosts(())
+    time.sleep(0.1)
+    assert client.call(ListHosts("", 0)) == Hosts((HostState("h1", "leaving"),))
+
+
+def test_lost_answer_is_unknown_and_refused_connection_not_sent(
+    client: Client, platform: RunningPlatform
+) -> None:
+    # Guards against taking a write that took effect for one that did not.
+    client.put("warm", b"")
+    platform.set_faults(Faults(lost_answers=1))
+    assert isinstance(client.put("k", b"v"), Unknown)
+    assert client.get("k") == Found(b"v", 2)
+    platform.set_faults(Faults(lost_requests=1))
+    assert isinstance(client.put("l", b"v"), Unknown)
+    assert client.get("l") == Missing()
+    platform.set_faults(Faults(outage="closed"))
+    # A reused connection may have died unnoticed, which is `Unknown`; a client
+    # without connections knows that nothing was sent.
+    assert isinstance(client.put("m", b"v"), NotSent | Unknown)
+    other = Client(platform.url)
+    assert isinstance(other.put("m", b"v"), NotSent)
+    other.kernel.stop()
+    platform.set_faults(Faults(outage="silent"))
+    assert isinstance(client.put("n", b"v"), Unknown)
+    platform.set_faults(Faults())
+    assert client.get("n") == Missing()
+
+
+def test_slow_platform_and_cut_off_zone(
+    client: Client, platform: RunningPlatform
+) -> None:
+    # Guards against calls without a deadline and cuts that reach other zones.
+    platform.set_faults(Faults(delay_ms=600))
+    assert isinstance(client.put("k", b"v"), Unknown)
+    platform.set_faults(Faults(cut_off_zones=("matane",)))
+    assert isinstance(client.get("k"), Unknown)
+    other = Client(platform.url, zone="gaspe")
+    assert isinstance(other.get("k"), Found)
+    other.kernel.stop()
+    assert platform.task.counters.by_zone["gaspe"] == 1
+
+
+def test_rate_limit_is_reported_and_own_rate_bounds_the_calls() -> None:
+    # Guards against one process using the platform's whole rate.
+    with RunningPlatform(limits=Limits(1, 1)) as platform:
+        client = Client(platform.url)
+        assert isinstance(client.put("a", b""), Written)
+        assert client.put("b", b"") == RateLimited()
+        client.kernel.stop()
+    with RunningPlatform(limits=Limits(1e6, 1e6)) as platform:
+        client = Client(platform.url, reads_per_second=50, deadline_ms=300)
+        futures = [client.begin(Get("", 0, "a")) for _ in range(60)]
+        outcomes = [fut.result(5) for fut in futures]
+        client.kernel.stop()
+        assert platform.task.counters.by_kind["get"] <= 5 + 50 * 0.4
+        assert outcomes.count(Missing()) >= 10
+        assert outcomes[-1] == NotSent("deadline passed in the queue")
+
+
+def test_calls_in_flight_and_waiting_are_bounded(platform: RunningPlatform) -> None:
+    # Guards against memory that grows while the platform does not answer.
+    platform.set_faults(Faults(outage="silent"))
+    client = Client(platform.url, max_in_flight=4, max_waiting=8)
+    futures = [client.begin(Get("", 0, "a")) for _ in range(20)]
+    outcomes = [fut.result(5) for fut in futures]
+    client.kernel.stop()
+    assert outcomes.count(NotSent("too many calls wait")) == 8
+    assert platform.task.counters.by_kind["get"] == 4
+
+
+def test_a_write_is_transmitted_once_on_a_reused_connection_that_dies() -> None:
+    # Guards against libcurl's own repetition: the second transmission of a write
+    # would report a conflict with the first.
+    received: list[bytes] = []
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=answer_once, args=(sock,), daemon=True).start()
+
+    def answer_once(sock: socket.socket) -> None:
+        """Answer the first request; read the second one and close."""
+        with sock:
+            received.append(sock.recv(65536))
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\nX-Revision: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            received.append(sock.recv(65536))
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    client = Client(f"http://127.0.0.1:{listener.getsockname()[1]}")
+    assert isinstance(client.put("a", b"1"), Written)
+    assert isinstance(client.put("b", b"2"), Unknown)
+    assert sum(b"/v1/kv/b" in data for data in received) == 1
+    assert isinstance(client.get("c"), Found)
+    assert isinstance(client.get("d"), Found)
+    assert sum(b"/v1/kv/d" in data for data in received) == 2
+    client.kernel.stop()
+    listener.close()
