--- /dev/null
+++ b/src/guavapin/settings/entry.py
@@ -0,0 +1,144 @@
+"""Settings of `guavapin-entry`, frozen, from one TOML file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.objects.fields import AddressRule
+from guavapin.objects.fields import NameRule
+from guavapin.objects.fields import WholeRule
+from guavapin.settings.parts import ADDRESS_RULES
+from guavapin.settings.parts import NODE_RULES
+from guavapin.settings.parts import OPERATORS_RULES
+from guavapin.settings.parts import PLATFORM_RULES
+from guavapin.settings.parts import ListenerSettings
+from guavapin.settings.parts import NodeSettings
+from guavapin.settings.parts import PlatformSettings
+from guavapin.settings.parts import check_operators
+from guavapin.settings.reader import SettingsFault
+from guavapin.settings.reader import SettingsReader
+from guavapin.settings.reader import TableRules
+from guavapin.settings.reader import read_file
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class SeedPeer:
+    """A peer known before any record of the platform has been read."""
+
+    name: str
+    zone: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeersSettings:
+    """The peer listener; `advertised_address` is what other peers dial."""
+
+    address: str
+    advertised_address: str = ""
+    seeds: tuple[SeedPeer, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EntryLimits:
+    """Bounds of one entry process.
+
+    `callers` connections are held at most, `requests` are in progress at most, and
+    `buffered_bytes` bounds the bodies held for them.
+    """
+
+    callers: int = 4_096
+    requests: int = 2_048
+    buffered_bytes: int = 64 * 1024 * 1024
+    header_bytes: int = 32 * 1024
+    idle_timeout_ms: int = 60_000
+    stop_timeout_ms: int = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """All settings of one entry process."""
+
+    node: NodeSettings
+    callers_address: str
+    operators: ListenerSettings
+    peers: PeersSettings
+    platform: PlatformSettings
+    limits: EntryLimits
+
+
+_TABLES = ("node", "callers", "operators", "peers", "platform", "limits")
+
+_PEERS_RULES = TableRules(
+    {
+        "address": AddressRule(),
+        "advertised_address": AddressRule(),
+    },
+    frozenset({"address"}),
+)
+
+_SEED_RULES = TableRules(
+    {"name": NameRule(), "zone": NameRule(), "address": AddressRule()},
+    frozenset({"name", "zone", "address"}),
+)
+
+_LIMITS_RULES = TableRules(
+    {
+        "callers": WholeRule(1, 100_000),
+        "requests": WholeRule(1, 100_000),
+        "buffered_bytes": WholeRule(1024 * 1024, 2**36),
+        "header_bytes": WholeRule(1024, 1024 * 1024),
+        "idle_timeout_ms": WholeRule(100, 3_600_000),
+        "stop_timeout_ms": WholeRule(0, 3_600_000),
+    }
+)
+
+
+def load_entry(path: Path) -> EntrySettings | tuple[SettingsFault, ...]:
+    """Return the settings in the file `path`, or every error in it."""
+    content = read_file(path)
+    if isinstance(content, SettingsFault):
+        return (content,)
+    return parse_entry(content, str(path))
+
+
+def parse_entry(
+    text: str | bytes, file: str
+) -> EntrySettings | tuple[SettingsFault, ...]:
+    """Return the settings in `text`, or every error; `file` is named in errors."""
+    reader = SettingsReader(file, text, _TABLES)
+    node = reader.table("node", NODE_RULES)
+    callers = reader.table(
+        "callers", TableRules(ADDRESS_RULES, frozenset(ADDRESS_RULES))
+    )
+    operators = reader.table("operators", OPERATORS_RULES)
+    seeds = reader.tables("peers", "seed", _SEED_RULES)
+    peers = reader.table("peers", _PEERS_RULES, ignored=("seed",))
+    platform = reader.table("platform", PLATFORM_RULES)
+    limits = reader.table("limits", _LIMITS_RULES)
+    if reader.faults:
+        return tuple(reader.faults)
+    settings = EntrySettings(
+        node=NodeSettings(**node),
+        callers_address=callers["address"],
+        operators=ListenerSettings(**operators),
+        peers=PeersSettings(**peers, seeds=tuple(SeedPeer(**item) for item in seeds)),
+        platform=PlatformSettings(**platform),
+        limits=EntryLimits(**limits),
+    )
+    check_operators(reader, settings.operators)
+    _check_seeds(reader, settings.peers.seeds)
+    return tuple(reader.faults) if reader.faults else settings
+
+
+def _check_seeds(reader: SettingsReader, seeds: tuple[SeedPeer, ...]) -> None:
+    names: set[str] = set()
+    for index, seed in enumerate(seeds):
+        if seed.name in names:
+            table = f"peers.seed.{index}"
+            reader.fault(table, "name", repr(seed.name), "a name used once")
+        names.add(seed.name)
--- /dev/null
+++ b/src/guavapin/settings/parts.py
@@ -0,0 +1,112 @@
+"""The parts of settings that both daemons have, and the rules of their tables."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.objects.fields import AddressRule
+from guavapin.objects.fields import ChoiceRule
+from guavapin.objects.fields import FieldRule
+from guavapin.objects.fields import NameRule
+from guavapin.objects.fields import TextRule
+from guavapin.objects.fields import WholeRule
+from guavapin.objects.fields import split_address
+from guavapin.settings.reader import TableRules
+
+if TYPE_CHECKING:
+    from guavapin.settings.reader import SettingsReader
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+_FILE = TextRule("a path of a file", 4_096)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Who this process is; `seat` numbers the entry processes of a zone from 0."""
+
+    name: str
+    zone: str
+    seat: int
+    log_level: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerSettings:
+    """Operators' listener; loopback only unless certificate and key are given."""
+
+    address: str
+    token_file: str = ""
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+    tls_client_ca_file: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """The platform's key-value service and the limits of the calls to it."""
+
+    address: str
+    timeout_ms: int = 2_000
+    calls_per_second: int = 50
+    calls_in_flight: int = 32
+
+
+NODE_RULES = TableRules(
+    {
+        "name": NameRule(),
+        "zone": NameRule(),
+        "seat": WholeRule(0, 63),
+        "log_level": ChoiceRule(LOG_LEVELS),
+    },
+    frozenset({"name", "zone", "seat"}),
+)
+
+OPERATORS_RULES = TableRules(
+    {
+        "address": AddressRule(),
+        "token_file": _FILE,
+        "tls_certificate_file": _FILE,
+        "tls_key_file": _FILE,
+        "tls_client_ca_file": _FILE,
+    },
+    frozenset({"address"}),
+)
+
+PLATFORM_RULES = TableRules(
+    {
+        "address": AddressRule(),
+        "timeout_ms": WholeRule(10, 60_000),
+        "calls_per_second": WholeRule(1, 10_000),
+        "calls_in_flight": WholeRule(1, 1_000),
+    },
+    frozenset({"address"}),
+)
+
+ADDRESS_RULES: dict[str, FieldRule] = {"address": AddressRule()}
+
+
+def check_operators(reader: SettingsReader, operators: ListenerSettings) -> None:
+    """Report an operators' listener that would be open without protection."""
+    if bool(operators.tls_certificate_file) != bool(operators.tls_key_file):
+        has_certificate = bool(operators.tls_certificate_file)
+        key = "tls_key_file" if has_certificate else "tls_certificate_file"
+        expected = "tls_certificate_file and tls_key_file together"
+        reader.fault("operators", key, "missing", expected)
+    if operators.tls_client_ca_file and not operators.tls_certificate_file:
+        expected = "tls_certificate_file and tls_key_file with tls_client_ca_file"
+        reader.fault("operators", "tls_certificate_file", "missing", expected)
+    if not (operators.token_file or operators.tls_client_ca_file):
+        expected = "token_file or tls_client_ca_file"
+        reader.fault("operators", "token_file", "missing", expected)
+    if not operators.tls_certificate_file and not is_loopback(operators.address):
+        expected = "a loopback address, or tls_certificate_file and tls_key_file"
+        reader.fault("operators", "address", repr(operators.address), expected)
+
+
+def is_loopback(address: str) -> bool:
+    """Return whether ``IP:PORT`` is a loopback address."""
+    parts = split_address(address)
+    return parts is not None and ipaddress.ip_address(parts[0]).is_loopback
