--- /dev/null
+++ b/src/guavapin/fleet/job.py
@@ -0,0 +1,65 @@
+"""What the fleet writer remembers about the command that it executes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.objects.model import ObjectSet
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+    from typing import Any
+
+    from guavapin.fleet.commands import FleetCommand
+    from guavapin.fleet.settling import LostWrite
+    from guavapin.fleet.state import FleetState
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A command in execution; `lost` is set while an answer is outstanding."""
+
+    command: FleetCommand
+    fut: Future[Any] | None = None
+    reply_to: str = ""
+    request_id: int = 0
+    conflicts: int = 0
+    lost: LostWrite | None = None
+    lost_since_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PendingWrite:
+    """A compare-and-swap that waits for its answer."""
+
+    state: FleetState
+    expected: int
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Timer: read the record again to settle a lost answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriterCounters:
+    """Counters of the writer since its start."""
+
+    applied: int = 0
+    refused: int = 0
+    conflicts: int = 0
+    lost_answers: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What commands are judged by besides the record."""
+
+    objects: ObjectSet = field(default_factory=ObjectSet)
+    generation: int = 0
+    listed: frozenset[str] = frozenset()
+    listed_at_ms: int | None = None
+    down: frozenset[str] = frozenset()
--- a/src/guavapin/fleet/state.py
+++ b/src/guavapin/fleet/state.py
@@ -82,7 +82,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AuditEntry:
-    """One change or action; `sequence` rises by one and is never used twice."""
+    """One change or action; `sequence` rises by one and is never used twice.
+
+    `command_id` identifies the command that made the change, so that a writer whose
+    answer was lost can tell whether its write took effect.
+    """
 
     sequence: int
     wall_ms: int
@@ -93,6 +97,7 @@
     old: str = ""
     new: str = ""
     reason: str = ""
+    command_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
