Add the callers' front, the upstreams task and the stand-in

Cause: requests had no way in from callers and none out to upstreams. Change: `front` serves HTTP/1.1 with httptools on the kernel's loop, `upstreams` drives libcurl's multi interface with socket_action from the same selector, and the upstream stand-in records what it ran by request identity. `AttemptHead.is_closing` and `FlowControl.is_attempt` are new: the first keeps the upstream's `Connection: close` visible after hop-by-hop headers are removed, the second tells request numbers from attempt numbers, which are counted apart.

--- /dev/null
+++ b/src/guavapin/serving/attempt_handle.py
@@ -0,0 +1,302 @@
+"""One libcurl handle: sends an attempt and turns callbacks into messages."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import pycurl
+
+from guavapin.serving.hop_headers import connection_options
+from guavapin.serving.hop_headers import end_to_end
+from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptHead
+from guavapin.serving.messages import AttemptResult
+
+if TYPE_CHECKING:
+    from guavapin.serving.messages import StartAttempt
+    from guavapin.serving.upstreams_config import UpstreamsConfig
+
+# Water marks of a request body that waits for the upstream (design, section 6.8).
+LOW_WATER_BYTES = 65_536
+HIGH_WATER_BYTES = 262_144
+# Most that one attempt delivers before the other messages of the loop are handled;
+# otherwise a fast upstream could pass the high water mark before the pause arrives.
+TURN_BYTES = 65_536
+
+# libcurl's own header, or left out because it frames the body itself.
+REPLACED = frozenset((b"content-length", b"expect"))
+
+NO_CONNECTION = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_OPERATION_TIMEDOUT,
+        pycurl.E_URL_MALFORMAT,
+    )
+)
+
+
+class AttemptOwner(Protocol):
+    """What a handle needs of the task that owns it."""
+
+    def forward(self, message: object) -> None:
+        """Send a message to `exchanges`."""
+        ...
+
+    def on_head(self, handle: AttemptHandle) -> None:
+        """Take note that the head of the answer has arrived."""
+        ...
+
+    def on_progress(self, handle: AttemptHandle) -> None:
+        """Take note of a part of the answer."""
+        ...
+
+    def on_turn_over(self, handle: AttemptHandle) -> None:
+        """Take note that the answer is paused until `resume_turn`."""
+        ...
+
+    def on_body_wanted(self, handle: AttemptHandle) -> None:
+        """Take note that the request waits for its caller's body."""
+        ...
+
+    def pause_request(self, attempt_id: int, is_paused: bool) -> None:
+        """Ask for the request's body to pause or to go on."""
+        ...
+
+
+class AttemptHandle:
+    """A libcurl easy handle that is used for one attempt after another."""
+
+    is_waiting_for_body: bool
+    _body_bytes: int
+    _is_request_paused: bool
+
+    def __init__(self, cfg: UpstreamsConfig, owner: AttemptOwner) -> None:
+        self.attempt_id = 0
+        self.curl = pycurl.Curl()
+        self.start: StartAttempt
+        self.is_head_done = False
+        self.is_answer_paused = False
+        self.is_turn_over = False
+        self._owner = owner
+        self._reset_state()
+        self._set_constants(cfg)
+
+    def prepare(self, start: StartAttempt) -> None:
+        """Set the handle up for `start`; raises pycurl.error if libcurl refuses."""
+        self._reset_state()
+        self.attempt_id = start.attempt_id
+        self.start = start
+        curl = self.curl
+        curl.setopt(pycurl.URL, f"http://{start.address}/")
+        curl.setopt(pycurl.REQUEST_TARGET, start.target)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, start.connect_ms)
+        # libcurl resends a request when a reused connection dies before the first
+        # byte of the answer; on a fresh connection it never does. The connection is
+        # not kept, or each such request would add one to the idle connections.
+        curl.setopt(pycurl.FRESH_CONNECT, int(start.fresh_connection))
+        curl.setopt(pycurl.FORBID_REUSE, int(start.fresh_connection))
+        self._set_body(start)
+        curl.setopt(pycurl.HTTPHEADER, self._header_lines(start))
+
+    def add_body(self, data: bytes, is_last: bool) -> None:
+        """Add a part of the request's body."""
+        if data:
+            self._body.append(data)
+            self._body_bytes += len(data)
+        self._is_body_whole = is_last
+        if self._body_bytes > HIGH_WATER_BYTES and not self._is_request_paused:
+            self._is_request_paused = True
+            self._owner.pause_request(self.attempt_id, True)
+        if self.is_waiting_for_body:
+            self.is_waiting_for_body = False
+            self._apply_pauses()
+
+    def pause_answer(self, is_paused: bool) -> None:
+        """Stop or continue to read the answer."""
+        if is_paused != self.is_answer_paused:
+            self.is_answer_paused = is_paused
+            self._apply_pauses()
+
+    def resume_turn(self) -> None:
+        """Continue to read after the messages of the last turn are handled."""
+        self._turn_bytes = 0
+        if self.is_turn_over:
+            self.is_turn_over = False
+            if not self.is_answer_paused:
+                self._apply_pauses()
+
+    def result(self, code: int) -> AttemptResult:
+        """Return the result for libcurl's `code`, 0 if the transfer ended well."""
+        if code == 0:
+            return AttemptResult.COMPLETE if self._is_framed() else AttemptResult.BROKEN
+        if code in NO_CONNECTION and not self.has_sent():
+            return AttemptResult.NOT_SENT
+        return AttemptResult.BROKEN
+
+    def has_sent(self) -> bool:
+        """Whether any byte of the request may have left this process."""
+        # The size counts over all connections of the transfer: one whose resend fails
+        # to connect has been sent before.
+        return bool(
+            self.curl.getinfo(pycurl.REQUEST_SIZE)
+            or self.curl.getinfo(pycurl.PRETRANSFER_TIME) > 0
+        )
+
+    def release(self) -> None:
+        """Drop what belongs to the attempt."""
+        self._reset_state()
+        self.attempt_id = 0
+
+    def _reset_state(self) -> None:
+        self.is_head_done = False
+        self.is_answer_paused = False
+        self.is_turn_over = False
+        self.is_waiting_for_body = False
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._turn_bytes = 0
+        self._body: deque[bytes] = deque()
+        self._body_bytes = 0
+        self._is_body_whole = False
+        self._is_request_paused = False
+        self._has_length = False
+
+    def _set_constants(self, cfg: UpstreamsConfig) -> None:
+        curl = self.curl
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.FOLLOWLOCATION, 0)
+        # An empty proxy also disables the proxies of the environment.
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.USERAGENT, "")
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.TCP_KEEPALIVE, 1)
+        curl.setopt(pycurl.TCP_KEEPIDLE, cfg.keepalive_idle_s)
+        curl.setopt(pycurl.TCP_KEEPINTVL, cfg.keepalive_interval_s)
+        curl.setopt(pycurl.MAXAGE_CONN, cfg.max_idle_s)
+        curl.setopt(pycurl.MAXLIFETIME_CONN, cfg.max_age_s)
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
+        curl.setopt(pycurl.READFUNCTION, self._on_read)
+
+    def _set_body(self, start: StartAttempt) -> None:
+        curl = self.curl
+        # HTTPGET undoes what the last attempt set for its body.
+        curl.setopt(pycurl.NOBODY, 0)
+        curl.setopt(pycurl.UPLOAD, 0)
+        curl.setopt(pycurl.HTTPGET, 1)
+        if start.body_follows:
+            curl.setopt(pycurl.UPLOAD, 1)
+            curl.setopt(pycurl.INFILESIZE_LARGE, _announced_length(start))
+            if start.body:
+                self._body.append(start.body)
+                self._body_bytes = len(start.body)
+        elif start.body or start.method in ("POST", "PUT", "PATCH"):
+            curl.setopt(pycurl.POSTFIELDS, start.body)
+        elif start.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        curl.setopt(pycurl.CUSTOMREQUEST, start.method)
+
+    def _header_lines(self, start: StartAttempt) -> list[bytes]:
+        headers = end_to_end(start.headers)
+        lines = [
+            name + b": " + value if value else name + b";"
+            for name, value in headers
+            if name not in REPLACED
+        ]
+        # A name without a value keeps libcurl from adding a header of its own.
+        names = {name for name, _ in headers}
+        lines.append(b"Expect:")
+        if b"accept" not in names:
+            lines.append(b"Accept:")
+        if b"content-type" not in names:
+            lines.append(b"Content-Type:")
+        return lines
+
+    def _on_header(self, line: bytes) -> None:
+        if self.is_head_done:
+            return
+        line = line.rstrip(b"\r\n")
+        if not line:
+            if self._status >= 200:
+                self._end_head()
+            return
+        if line.startswith(b"HTTP/"):
+            self._status = int(line.split(None, 2)[1])
+            self._headers = []
+            return
+        name, _, value = line.partition(b":")
+        self._headers.append((name.strip().lower(), value.strip()))
+
+    def _end_head(self) -> None:
+        self.is_head_done = True
+        raw = tuple(self._headers)
+        is_closing = False
+        for name, _ in raw:
+            if name == b"content-length" or name == b"transfer-encoding":
+                self._has_length = True
+            elif name == b"connection":
+                is_closing = b"close" in connection_options(raw)
+        self._owner.forward(
+            AttemptHead(self.attempt_id, self._status, end_to_end(raw), is_closing)
+        )
+        self._owner.on_head(self)
+
+    def _on_body(self, data: bytes) -> int | None:
+        if self.is_answer_paused or self.is_turn_over:
+            return int(pycurl.WRITEFUNC_PAUSE)
+        if self._turn_bytes >= TURN_BYTES:
+            self.is_turn_over = True
+            self._owner.on_turn_over(self)
+            return int(pycurl.WRITEFUNC_PAUSE)
+        self._turn_bytes += len(data)
+        self._owner.forward(AttemptBody(self.attempt_id, data))
+        self._owner.on_progress(self)
+        return None
+
+    def _on_read(self, size: int) -> bytes | int:
+        if not self._body:
+            if self._is_body_whole:
+                return b""
+            self.is_waiting_for_body = True
+            self._owner.on_body_wanted(self)
+            return int(pycurl.READFUNC_PAUSE)
+        data = self._body.popleft()
+        if len(data) > size:
+            self._body.appendleft(data[size:])
+            data = data[:size]
+        self._body_bytes -= len(data)
+        if self._is_request_paused and self._body_bytes < LOW_WATER_BYTES:
+            self._is_request_paused = False
+            self._owner.pause_request(self.attempt_id, False)
+        return data
+
+    def _apply_pauses(self) -> None:
+        pauses = pycurl.PAUSE_CONT
+        if self.is_answer_paused or self.is_turn_over:
+            pauses |= pycurl.PAUSE_RECV
+        if self.is_waiting_for_body:
+            pauses |= pycurl.PAUSE_SEND
+        self.curl.pause(pauses)
+
+    def _is_framed(self) -> bool:
+        # The end of a body without length or chunks cannot be told from a connection
+        # that broke off, so such an answer is never presented as whole.
+        return (
+            self._has_length
+            or self.start.method == "HEAD"
+            or self._status in (204, 304)
+            or not self.is_head_done
+        )
+
+
+def _announced_length(start: StartAttempt) -> int:
+    for name, value in start.headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return -1
--- /dev/null
+++ b/src/guavapin/serving/caller_connection.py
@@ -0,0 +1,336 @@
+"""One connection of a caller: its socket, parser, output buffer and request."""
+
+from __future__ import annotations
+
+import socket
+import ssl
+import struct
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from guavapin.serving.answer_encoder import CONTINUE
+from guavapin.serving.answer_encoder import AnswerEncoder
+from guavapin.serving.answer_encoder import plain_answer
+from guavapin.serving.hop_headers import end_to_end
+from guavapin.serving.messages import RequestBody
+from guavapin.serving.messages import RequestReceived
+from guavapin.serving.request_parser import BodyPart
+from guavapin.serving.request_parser import ParseFault
+from guavapin.serving.request_parser import RequestHead
+from guavapin.serving.request_parser import RequestParser
+
+if TYPE_CHECKING:
+    from guavapin.serving.messages import AnswerHead
+
+READ_BYTES = 65_536
+# Water marks of the output buffer (design, section 6.8).
+LOW_WATER_BYTES = 65_536
+HIGH_WATER_BYTES = 262_144
+# A repeated TLS write has to start with the same bytes, so writes are small.
+TLS_WRITE_BYTES = 16_384
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the task that owns it."""
+
+    @property
+    def max_head_bytes(self) -> int:
+        """Return the bound on the head of a request."""
+        ...
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether connections end with their request."""
+        ...
+
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+        ...
+
+    def open_request(self, conn: CallerConnection) -> int:
+        """Register a request of `conn` and return its id."""
+        ...
+
+    def close_request(self, conn: CallerConnection, is_caller_gone: bool) -> None:
+        """Forget the request of `conn`; `is_caller_gone` if its answer is not whole."""
+        ...
+
+    def forward(self, message: object) -> None:
+        """Send a message to `exchanges`."""
+        ...
+
+    def answer_local(self, target: str) -> tuple[int, str] | None:
+        """Return status and text for a target that the front answers itself."""
+        ...
+
+    def pause_answer(self, request_id: int, is_paused: bool) -> None:
+        """Ask for the answer to pause or to go on."""
+        ...
+
+
+class CallerConnection:
+    """State of one connection; one request at a time.
+
+    `is_closed` is set once the socket is to be closed by the owner, who calls
+    `settle` after every step.
+    """
+
+    def __init__(self, conn_id: int, sock: socket.socket, owner: ConnectionOwner):
+        self.conn_id = conn_id
+        self.sock = sock
+        self.fd = sock.fileno()
+        self.request_id = 0
+        self.is_closed = False
+        self.is_body_paused = False
+        self.is_lingering = False
+        self.is_handshaking = isinstance(sock, ssl.SSLSocket)
+        self.wants_write = False
+        self.watched_events = 0
+        self.deadline_kind = ""
+        self.out = bytearray()
+        self.parser = RequestParser(owner.max_head_bytes)
+        self._owner = owner
+        self._encoder: AnswerEncoder | None = None
+        self._is_request_read = True
+        self._is_answer_ended = False
+        self._is_head_sent = False
+        self._is_answer_paused = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress, or part of one or its answer is left."""
+        return bool(
+            self._encoder is not None or self.out or not self.parser.is_between_requests
+        )
+
+    @property
+    def is_reading_head(self) -> bool:
+        """Whether the head of a request has begun but not ended."""
+        return self._encoder is None and not self.parser.is_between_requests
+
+    @property
+    def is_waiting_for_answer(self) -> bool:
+        """Whether only `exchanges` can take the request further."""
+        return self.request_id != 0 and not self.out and self._is_request_read
+
+    @property
+    def wants_read(self) -> bool:
+        """Whether more bytes may be read; pipelined requests wait in the socket."""
+        if self.is_lingering or self.is_handshaking:
+            return True
+        return not self.parser.events and not self.is_body_paused
+
+    def read(self) -> None:
+        """Read what the socket has, and act on it."""
+        while not self.is_closed and self.wants_read:
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except (BlockingIOError, ssl.SSLWantReadError):
+                return
+            except ssl.SSLWantWriteError:
+                self.wants_write = True
+                return
+            except OSError:
+                data = b""
+            if not data:
+                self.close()
+                return
+            if self.is_lingering:
+                return
+            self.parser.feed(data)
+            self.advance()
+            if not (isinstance(self.sock, ssl.SSLSocket) and self.sock.pending()):
+                return
+
+    def advance(self) -> None:
+        """Take parsed events as far as the request in progress allows."""
+        events = self.parser.events
+        while events and not self.is_closed and not self.is_lingering:
+            event = events[0]
+            if isinstance(event, BodyPart):
+                events.popleft()
+                self._on_body(event)
+            elif self._encoder is not None:
+                if isinstance(event, RequestHead) or self._is_request_read:
+                    return
+                events.popleft()
+                self._on_fault(event)
+            elif isinstance(event, ParseFault):
+                events.popleft()
+                self._on_fault(event)
+            else:
+                events.popleft()
+                self._on_head(event)
+
+    def answer_head(self, message: AnswerHead) -> None:
+        """Queue the head of the answer."""
+        encoder = self._encoder
+        if encoder is None or self._is_head_sent:
+            return
+        if self._owner.is_stopping or not self._is_request_read:
+            encoder.closes = True
+        self._is_head_sent = True
+        self.out += encoder.head(message.status, message.headers, message.length)
+
+    def answer_body(self, data: bytes) -> None:
+        """Queue a part of the body and ask for a pause above the high water mark."""
+        encoder = self._encoder
+        if encoder is None:
+            return
+        encoded = encoder.body(data)
+        if encoded is None:
+            self.break_answer()
+            return
+        self.out += encoded
+        if len(self.out) > HIGH_WATER_BYTES and not self._is_answer_paused:
+            self._is_answer_paused = True
+            self._owner.pause_answer(self.request_id, True)
+
+    def answer_end(self) -> None:
+        """Complete the answer; the connection is free once it is written."""
+        encoder = self._encoder
+        encoded = encoder.end() if encoder is not None and self._is_head_sent else None
+        self._forget_request()
+        if encoded is None:
+            self.break_answer()
+            return
+        self.out += encoded
+        self._is_answer_ended = True
+        self.flush()
+
+    def break_answer(self, is_ended: bool = False) -> None:
+        """Close the connection so that the caller sees that the answer is not whole.
+
+        `is_ended` tells that `exchanges` knows already.
+        """
+        if is_ended:
+            self._forget_request()
+        encoder = self._encoder
+        if encoder is not None and encoder.ends_with_connection:
+            # The end of the connection would look like the end of the body.
+            linger = struct.pack("ii", 1, 0)
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.out.clear()
+        self._send()
+        self.close()
+
+    def flush(self) -> None:
+        """Write what the socket takes, and end the request when all is written."""
+        self._send()
+        if self.is_closed:
+            return
+        if self._is_answer_paused and len(self.out) < LOW_WATER_BYTES:
+            self._is_answer_paused = False
+            if self.request_id:
+                self._owner.pause_answer(self.request_id, False)
+        if self.out or not self._is_answer_ended:
+            return
+        self._end_request()
+
+    def close(self) -> None:
+        """Give the connection up; the owner closes the socket in `settle`."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        if self.request_id:
+            self._owner.close_request(self, is_caller_gone=True)
+            self.request_id = 0
+
+    def refuse(self, status: int, text: str) -> None:
+        """Answer on the front's own account and close the connection afterwards."""
+        if self._is_head_sent:
+            self.break_answer()
+            return
+        if self.request_id:
+            self._owner.close_request(self, is_caller_gone=True)
+            self.request_id = 0
+        encoder = self._encoder or AnswerEncoder("GET", False, True)
+        encoder.closes = True
+        self._encoder = encoder
+        self._is_head_sent = True
+        self._is_request_read = False
+        self.out += plain_answer(encoder, status, text)
+        self._is_answer_ended = True
+        self.flush()
+
+    def _forget_request(self) -> None:
+        if self.request_id:
+            self._owner.close_request(self, is_caller_gone=False)
+            self.request_id = 0
+
+    def _on_head(self, head: RequestHead) -> None:
+        closes = not head.keep_alive or self._owner.is_stopping
+        self._encoder = AnswerEncoder(head.method, head.is_http_10, closes)
+        self._is_request_read = not head.body_follows
+        self._is_answer_ended = False
+        self._is_head_sent = False
+        local = self._owner.answer_local(head.target)
+        if local is not None:
+            self._answer_local(*local)
+            return
+        self.request_id = self._owner.open_request(self)
+        self._owner.forward(
+            RequestReceived(
+                request_id=self.request_id,
+                method=head.method,
+                target=head.target,
+                headers=end_to_end(head.headers),
+                received_ms=self._owner.now_ms(),
+                body_follows=head.body_follows,
+            )
+        )
+        if head.expects_continue and head.body_follows:
+            self.out += CONTINUE
+            self.flush()
+
+    def _answer_local(self, status: int, text: str) -> None:
+        encoder = self._encoder
+        assert encoder is not None
+        if not self._is_request_read:
+            encoder.closes = True
+        self.out += plain_answer(encoder, status, text)
+        self._is_head_sent = True
+        self._is_answer_ended = True
+        self.flush()
+
+    def _on_body(self, part: BodyPart) -> None:
+        if part.is_last:
+            self._is_request_read = True
+        if self.request_id:
+            self._owner.forward(RequestBody(self.request_id, part.data, part.is_last))
+
+    def _on_fault(self, fault: ParseFault) -> None:
+        self.refuse(fault.status, fault.detail)
+
+    def _send(self) -> None:
+        out = self.out
+        while out:
+            try:
+                if isinstance(self.sock, ssl.SSLSocket):
+                    sent = self.sock.send(bytes(out[:TLS_WRITE_BYTES]))
+                else:
+                    sent = self.sock.send(out)
+            except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
+                break
+            except OSError:
+                self.close()
+                return
+            del out[:sent]
+        self.wants_write = bool(out)
+
+    def _end_request(self) -> None:
+        encoder, self._encoder = self._encoder, None
+        self._is_answer_ended = False
+        self.is_body_paused = False
+        if encoder is not None and not encoder.closes and not self._owner.is_stopping:
+            return
+        if self._is_request_read and not self.parser.events:
+            self.close()
+            return
+        # Closing with unread bytes would reset the connection, and the caller could
+        # lose the answer; what it still sends is read and dropped for a while.
+        self.is_lingering = True
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
--- /dev/null
+++ b/src/guavapin/serving/front.py
@@ -0,0 +1,346 @@
+"""The task `front`: callers' HTTP/1.1 on a non-blocking listener."""
+
+from __future__ import annotations
+
+import itertools
+import selectors
+import socket
+import ssl
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel import Call
+from guavapin.kernel import Ok
+from guavapin.kernel import Reason
+from guavapin.kernel import Refused
+from guavapin.serving.caller_connection import CallerConnection
+from guavapin.serving.caller_listener import CallerListener
+from guavapin.serving.deadlines import DeadlineTimer
+from guavapin.serving.messages import AnswerBody
+from guavapin.serving.messages import AnswerBroken
+from guavapin.serving.messages import AnswerEnd
+from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import CallerGone
+from guavapin.serving.messages import FlowControl
+from guavapin.serving.messages import GetCounts
+from guavapin.serving.messages import SetReady
+from guavapin.serving.messages import StopAccepting
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+    from typing import Any
+
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
+    from guavapin.serving.front_config import FrontConfig
+
+LINGER_MS = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class _DeadlinePassed:
+    """Timer: a deadline may have passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class _ResumeAccepting:
+    """Timer: try to accept again."""
+
+
+@dataclass(frozen=True, slots=True)
+class _FlushAnswer:
+    """To itself, behind the messages already queued: write what has gathered."""
+
+    request_id: int
+
+
+class FrontTask:
+    """Service `front`; `port` is the port in use once started."""
+
+    name = "front"
+
+    def __init__(self, cfg: FrontConfig) -> None:
+        self.port = cfg.port
+        self.max_head_bytes = cfg.max_head_bytes
+        self.is_stopping = False
+        self.counts: Counter[str] = Counter()
+        self._cfg = cfg
+        self._is_ready = False
+        self._tls: ssl.SSLContext | None = None
+        self._conns: dict[int, CallerConnection] = {}
+        self._by_request: dict[int, CallerConnection] = {}
+        self._conn_ids = itertools.count(1)
+        self._request_ids = itertools.count(1)
+        self._stop_futs: list[Future[Any]] = []
+        self._unflushed: set[int] = set()
+        self._context: TaskContext
+        self._deadlines: DeadlineTimer
+        self._listener: CallerListener
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Open the listener; refused if the address or the TLS files cannot be used."""
+        self._context = context
+        self._deadlines = DeadlineTimer(context, _DeadlinePassed())
+        self._listener = CallerListener(context, _ResumeAccepting(), self._open)
+        cfg = self._cfg
+        try:
+            if cfg.certificate_file:
+                self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+                self._tls.minimum_version = ssl.TLSVersion.TLSv1_2
+                self._tls.load_cert_chain(cfg.certificate_file, cfg.key_file or None)
+            self.port = self._listener.open(cfg.address, cfg.port)
+        except OSError as exc:
+            where = f"{cfg.address}:{cfg.port}"
+            return Refused(Reason.UNREACHABLE, f"cannot listen on {where}: {exc}")
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._listener.close()
+        for conn in list(self._conns.values()):
+            conn.close()
+            self.settle(conn)
+
+    def handle(self, message: object) -> None:
+        """Handle a message of `exchanges`, the process or a timer."""
+        match message:
+            case AnswerHead() | AnswerBody() | AnswerEnd() | AnswerBroken():
+                self._on_answer(message)
+            case _FlushAnswer(request_id):
+                self._on_flush(request_id)
+            case FlowControl(request_id, is_paused):
+                self._on_flow_control(request_id, is_paused)
+            case _DeadlinePassed():
+                self._on_deadlines()
+            case _ResumeAccepting():
+                self._listener.resume()
+            case SetReady(is_ready):
+                self._is_ready = is_ready
+            case StopAccepting():
+                self._stop_accepting()
+            case Call(StopAccepting(), fut):
+                self._stop_futs.append(fut)
+                self._stop_accepting()
+            case Call(GetCounts(), fut):
+                fut.set_result(self._read_counts())
+
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+        return self._context.now_ms()
+
+    def open_request(self, conn: CallerConnection) -> int:
+        """Register a request of `conn` and return its id."""
+        request_id = next(self._request_ids)
+        self._by_request[request_id] = conn
+        self.counts["requests"] += 1
+        return request_id
+
+    def close_request(self, conn: CallerConnection, is_caller_gone: bool) -> None:
+        """Forget the request of `conn`, and report a caller that is gone."""
+        self._by_request.pop(conn.request_id, None)
+        self._unflushed.discard(conn.request_id)
+        if is_caller_gone:
+            self.counts["callers_gone"] += 1
+            self.forward(CallerGone(conn.request_id))
+
+    def forward(self, message: object) -> None:
+        """Send a message to `exchanges`."""
+        self._context.send("exchanges", message)
+
+    def answer_local(self, target: str) -> tuple[int, str] | None:
+        """Answer the load balancer's health checks."""
+        path = target.partition("?")[0]
+        if path == "/healthz":
+            return 200, "ok"
+        if path == "/readyz":
+            if self._is_ready and not self.is_stopping:
+                return 200, "ready"
+            return 503, "not ready"
+        return None
+
+    def pause_answer(self, request_id: int, is_paused: bool) -> None:
+        """Ask `exchanges` to pause the answer or to go on."""
+        self.counts["answer_pauses"] += is_paused
+        self.forward(FlowControl(request_id, is_paused))
+
+    def settle(self, conn: CallerConnection) -> None:
+        """Bring watches and deadlines in line with the state of `conn`."""
+        if conn.is_closed:
+            self._close(conn)
+            return
+        events = 0
+        if conn.wants_read:
+            events = selectors.EVENT_READ
+        if conn.wants_write:
+            events |= selectors.EVENT_WRITE
+        if events != conn.watched_events:
+            self._watch(conn, events)
+        self._set_deadline(conn)
+
+    def _on_answer(
+        self, message: AnswerHead | AnswerBody | AnswerEnd | AnswerBroken
+    ) -> None:
+        conn = self._by_request.get(message.request_id)
+        if conn is None:
+            self.counts["late_messages"] += 1
+            return
+        match message:
+            case AnswerHead(request_id):
+                conn.answer_head(message)
+                self._flush_later(request_id)
+                return
+            case AnswerBody(request_id, data):
+                conn.answer_body(data)
+                if not conn.is_closed:
+                    self._flush_later(request_id)
+                    return
+            case AnswerEnd():
+                conn.answer_end()
+                self._next_request(conn)
+            case AnswerBroken():
+                self.counts["broken_answers"] += 1
+                conn.break_answer(is_ended=True)
+        self.settle(conn)
+
+    def _flush_later(self, request_id: int) -> None:
+        # Head, body and end of a short answer are usually queued together; one write
+        # for all of them costs a third of the system calls.
+        if request_id not in self._unflushed:
+            self._unflushed.add(request_id)
+            self._context.send(self.name, _FlushAnswer(request_id))
+
+    def _on_flush(self, request_id: int) -> None:
+        self._unflushed.discard(request_id)
+        conn = self._by_request.get(request_id)
+        if conn is not None:
+            conn.flush()
+            self.settle(conn)
+
+    def _on_flow_control(self, request_id: int, is_paused: bool) -> None:
+        conn = self._by_request.get(request_id)
+        if conn is not None:
+            conn.is_body_paused = is_paused
+            if not is_paused:
+                conn.read()
+            self.settle(conn)
+
+    def _on_ready(self, conn: CallerConnection, events: int) -> None:
+        if conn.is_handshaking:
+            self._handshake(conn)
+            return
+        if events & selectors.EVENT_WRITE:
+            conn.flush()
+            self._next_request(conn)
+        if events & selectors.EVENT_READ and conn.wants_read:
+            conn.read()
+        self.settle(conn)
+
+    def _next_request(self, conn: CallerConnection) -> None:
+        if conn.parser.events:
+            conn.advance()
+
+    def _handshake(self, conn: CallerConnection) -> None:
+        assert isinstance(conn.sock, ssl.SSLSocket)
+        conn.wants_write = False
+        try:
+            conn.sock.do_handshake()
+        except ssl.SSLWantReadError:
+            pass
+        except ssl.SSLWantWriteError:
+            conn.wants_write = True
+        except OSError:
+            self.counts["failed_handshakes"] += 1
+            conn.close()
+        else:
+            conn.is_handshaking = False
+            conn.read()
+        self.settle(conn)
+
+    def _open(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._tls is not None:
+            sock = self._tls.wrap_socket(
+                sock, server_side=True, do_handshake_on_connect=False
+            )
+        conn = CallerConnection(next(self._conn_ids), sock, self)
+        self._conns[conn.conn_id] = conn
+        self.counts["connections"] += 1
+        self.settle(conn)
+        if len(self._conns) >= self._cfg.max_connections:
+            self._listener.pause()
+
+    def _close(self, conn: CallerConnection) -> None:
+        if self._conns.pop(conn.conn_id, None) is None:
+            return
+        self._deadlines.discard(conn.conn_id)
+        self._context.unwatch(conn.fd)
+        conn.sock.close()
+        if len(self._conns) < self._cfg.max_connections:
+            self._listener.resume()
+        self._resolve_stop()
+
+    def _watch(self, conn: CallerConnection, events: int) -> None:
+        conn.watched_events = events
+        if events:
+            self._context.watch(
+                conn.fd, events, lambda ready: self._on_ready(conn, ready)
+            )
+        else:
+            self._context.unwatch(conn.fd)
+
+    def _set_deadline(self, conn: CallerConnection) -> None:
+        if conn.is_lingering:
+            kind, delay_ms = "linger", LINGER_MS
+        elif conn.is_handshaking or conn.is_reading_head:
+            kind, delay_ms = "head", self._cfg.header_timeout_ms
+        elif conn.is_waiting_for_answer or conn.is_body_paused:
+            conn.deadline_kind = ""
+            self._deadlines.discard(conn.conn_id)
+            return
+        else:
+            kind, delay_ms = "progress", self._cfg.idle_timeout_ms
+        # A head that arrives byte by byte must not move its deadline.
+        if kind != conn.deadline_kind or kind == "progress":
+            conn.deadline_kind = kind
+            self._deadlines.set(conn.conn_id, delay_ms)
+
+    def _on_deadlines(self) -> None:
+        for conn_id in self._deadlines.pop_due():
+            conn = self._conns.get(conn_id)
+            if conn is None:
+                continue
+            self.counts["timeouts"] += 1
+            if conn.is_busy and not (conn.out or conn.is_lingering):
+                conn.refuse(408, "request not received in time")
+            else:
+                conn.close()
+            self.settle(conn)
+
+    def _stop_accepting(self) -> None:
+        # Connections that wait in the listener's queue would be reset by closing it.
+        self._listener.accept_waiting()
+        self.is_stopping = True
+        self._listener.close()
+        for conn in list(self._conns.values()):
+            if not conn.is_busy and not conn.is_handshaking:
+                conn.read()
+            if not conn.is_busy and not conn.is_lingering:
+                conn.close()
+            self.settle(conn)
+        self._resolve_stop()
+
+    def _resolve_stop(self) -> None:
+        if any(not conn.is_lingering for conn in self._conns.values()):
+            return
+        futs, self._stop_futs = self._stop_futs, []
+        for fut in futs:
+            fut.set_result(Ok(None))
+
+    def _read_counts(self) -> dict[str, int]:
+        return {
+            **self.counts,
+            "open_connections": len(self._conns),
+            "requests_in_progress": len(self._by_request),
+        }
--- /dev/null
+++ b/src/guavapin/serving/front_config.py
@@ -0,0 +1,24 @@
+"""Settings of the task `front`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class FrontConfig:
+    """Address, bounds and TLS files of the callers' listener.
+
+    `idle_timeout_ms` bounds the time between requests, between parts of a request's
+    body and between two writes that make progress; `header_timeout_ms` bounds the
+    time from the first byte of a head to its end.
+    """
+
+    address: str = "127.0.0.1"
+    port: int = 0
+    max_connections: int = 2_048
+    max_head_bytes: int = 32_768
+    idle_timeout_ms: int = 60_000
+    header_timeout_ms: int = 10_000
+    certificate_file: str = ""
+    key_file: str = ""
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -74,10 +74,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowControl:
-    """Ask the sender of a body to pause or go on; sent by whoever buffers it."""
+    """Ask the sender of a body to pause or go on; sent by whoever buffers it.
+
+    Request and attempt numbers are counted apart, so that `exchanges` needs
+    `is_attempt` to tell what `id` means.
+    """
 
     id: int
     is_paused: bool
+    is_attempt: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,11 +139,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptHead:
-    """From `upstreams`: status and headers of the answer."""
+    """From `upstreams`: status and end-to-end headers of the answer.
+
+    `is_closing` tells that the upstream sent ``Connection: close``, which is removed
+    from `headers` as hop-by-hop.
+    """
 
     attempt_id: int
     status: int
     headers: Headers
+    is_closing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,3 +166,23 @@
     attempt_id: int
     result: AttemptResult
     detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class SetReady:
+    """To `front`: what ``/readyz`` answers from now on."""
+
+    is_ready: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StopAccepting:
+    """To `front`: close the listener and idle connections, finish the rest.
+
+    As a `Call`, its future resolves to `Ok` when the last request has ended.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class GetCounts:
+    """To `front` or `upstreams`, as a `Call`: the reply is a dict of counters."""
--- /dev/null
+++ b/src/guavapin/serving/request_parser.py
@@ -0,0 +1,222 @@
+"""Parses the requests of one connection into events."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+import httptools
+
+from guavapin.serving.hop_headers import connection_options
+
+if TYPE_CHECKING:
+    from guavapin.serving.messages import Headers
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """The head of a request, with all its headers."""
+
+    method: str
+    target: str
+    headers: Headers
+    body_follows: bool
+    keep_alive: bool
+    is_http_10: bool
+    expects_continue: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BodyPart:
+    """A part of a request's body."""
+
+    data: bytes
+    is_last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ParseFault:
+    """The connection cannot be understood any further; `status` is the answer."""
+
+    status: int
+    detail: str
+
+
+Event: TypeAlias = RequestHead | BodyPart | ParseFault
+
+
+class RequestParser:
+    """Feeds bytes to the C parser and queues what it finds in `events`.
+
+    The C parser rejects ambiguous framing (both ``Content-Length`` and
+    ``Transfer-Encoding``, repeated lengths, bare line feeds, folded headers); requests
+    that two parsers could take apart differently are the base of request smuggling.
+    """
+
+    def __init__(self, max_head_bytes: int) -> None:
+        self.events: deque[Event] = deque()
+        self._max_head_bytes = max_head_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._quiet_bytes = 0
+        self._has_fault = False
+        self._parts: list[bytes] = []
+        self._reset()
+
+    @property
+    def is_between_requests(self) -> bool:
+        """Whether no byte of a further request has been read."""
+        return self._is_idle and not self.events
+
+    def feed(self, data: bytes) -> None:
+        """Parse `data`; after a fault everything is ignored."""
+        if self._has_fault:
+            return
+        before = len(self.events)
+        rest = data
+        while rest and not self._has_fault:
+            rest = self._feed_once(rest)
+        self._flush_body()
+        self._check_quiet(len(data), len(self.events) > before)
+
+    def _feed_once(self, data: bytes) -> bytes:
+        """Parse `data` up to a request for an upgrade; return what follows it."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            # An upgrade may be ignored (RFC 9110, 7.8); the C parser stops here.
+            self._parser = httptools.HttpRequestParser(self)
+            return data[exc.args[0] :]
+        except httptools.HttpParserInvalidMethodError:
+            self._fault(501, "method not supported")
+        except httptools.HttpParserError as exc:
+            self._fault(400, str(exc) or "malformed request")
+        return b""
+
+    def on_message_begin(self) -> None:
+        self._reset()
+        self._is_idle = False
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Headers after the head are trailers, which are dropped.
+        if not self._is_head_done:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self._is_head_done = True
+        if self._has_fault:
+            return
+        self._flush_body()
+        event = self._read_head()
+        if isinstance(event, ParseFault):
+            self._fault(event.status, event.detail)
+            return
+        self._body_follows = event.body_follows
+        self.events.append(event)
+
+    def on_body(self, data: bytes) -> None:
+        self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        self._is_idle = True
+        if self._body_follows and not self._has_fault:
+            self.events.append(BodyPart(b"".join(self._parts), True))
+        self._parts = []
+
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._parts = []
+        self._is_head_done = False
+        self._is_idle = True
+        self._body_follows = False
+
+    def _read_head(self) -> RequestHead | ParseFault:
+        headers = tuple(self._headers)
+        version = self._parser.get_http_version()
+        if version not in ("1.1", "1.0"):
+            return ParseFault(505, "only HTTP/1.1 and HTTP/1.0 are supported")
+        if self._head_bytes() > self._max_head_bytes:
+            return ParseFault(431, "request head too large")
+        hosts = length = chunked = 0
+        expects_continue = False
+        for name, value in headers:
+            if name == b"host":
+                hosts += 1
+            elif name == b"content-length":
+                length = int(value)
+            elif name == b"transfer-encoding":
+                chunked += 1
+                if value.lower() != b"chunked" or chunked > 1 or version == "1.0":
+                    return ParseFault(501, "transfer encoding not supported")
+            elif name == b"expect":
+                expects_continue = value.lower() == b"100-continue"
+        if hosts > 1 or (not hosts and version == "1.1"):
+            return ParseFault(400, "exactly one Host header is needed")
+        method = self._parser.get_method().decode("ascii")
+        target = _origin_form(method, self._url)
+        if target is None:
+            return ParseFault(400, "request target not supported")
+        body_follows = bool(length or chunked)
+        if body_follows and self._parser.should_upgrade():
+            # The C parser does not parse the body of a request that asks for an
+            # upgrade, so its bytes would be taken for the next request.
+            return ParseFault(501, "upgrade with a body is not supported")
+        return RequestHead(
+            method=method,
+            target=target,
+            headers=headers,
+            body_follows=body_follows,
+            keep_alive=self._keep_alive(headers, version),
+            is_http_10=version == "1.0",
+            expects_continue=expects_continue and version == "1.1",
+        )
+
+    def _keep_alive(self, headers: Headers, version: str) -> bool:
+        options = connection_options(headers)
+        if version == "1.0":
+            return b"keep-alive" in options and b"close" not in options
+        return b"close" not in options
+
+    def _head_bytes(self) -> int:
+        return len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
+
+    def _flush_body(self) -> None:
+        if self._parts and not self._has_fault:
+            self.events.append(BodyPart(b"".join(self._parts), False))
+            self._parts = []
+
+    def _check_quiet(self, length: int, has_events: bool) -> None:
+        # Counts bytes that led to nothing: an endless head, trailer or extension.
+        self._quiet_bytes = 0 if has_events else self._quiet_bytes + length
+        if self._quiet_bytes > self._max_head_bytes:
+            self._fault(431, "request head too large")
+
+    def _fault(self, status: int, detail: str) -> None:
+        if not self._has_fault:
+            self._has_fault = True
+            self._parts = []
+            self.events.append(ParseFault(status, detail))
+
+
+def _origin_form(method: str, url: bytes) -> str | None:
+    """Return the target as a path, or None if it is not one.
+
+    The absolute form must be accepted (RFC 9112, 3.2.2); its authority is dropped in
+    favour of ``Host``.
+    """
+    target = url.decode("latin-1")
+    if method == "CONNECT":
+        return None
+    if target.startswith("/") or (target == "*" and method == "OPTIONS"):
+        return target
+    scheme, separator, rest = target.partition("://")
+    if not separator or scheme.lower() not in ("http", "https"):
+        return None
+    authority = rest.replace("?", "/").partition("/")[0]
+    path = rest[len(authority) :]
+    return path if path.startswith("/") else f"/{path}"
--- /dev/null
+++ b/src/guavapin/serving/upstreams_config.py
@@ -0,0 +1,24 @@
+"""Settings of the task `upstreams`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamsConfig:
+    """Bounds on connections to upstreams.
+
+    `host_connections` is this process's share of the connections that an executor
+    takes (64, divided among the seats of the zone); above it libcurl closes an idle
+    connection or lets the attempt wait. `max_age_s` and `max_idle_s` bound how long a
+    connection is reused.
+    """
+
+    host_connections: int = 8
+    max_connections: int = 1_024
+    max_age_s: int = 300
+    max_idle_s: int = 30
+    keepalive_idle_s: int = 15
+    keepalive_interval_s: int = 5
+    idle_handles: int = 256
--- /dev/null
+++ b/src/guavapin_standins/upstream_messages.py
@@ -0,0 +1,71 @@
+"""Switches and record of the upstream stand-in."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How the stand-in behaves from now on.
+
+    `cut_body_bytes` closes the connection after that many bytes of an answer's body,
+    `close_unanswered` is how many requests run and are then closed without an answer,
+    `is_silent` stops reading and writing on all connections that are open when it is
+    set, while new ones work.
+    """
+
+    fails: bool = False
+    is_silent: bool = False
+    cut_body_bytes: int = -1
+    slow_ms: int = 0
+    is_leaving: bool = False
+    close_unanswered: int = 0
+    is_chunked: bool = False
+    is_unframed: bool = False
+    resets: bool = False
+    part_bytes: int = 0
+    part_interval_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SetBehaviour:
+    """Replace the behaviour; also accepted as a `Call`, answered with None."""
+
+    behaviour: Behaviour
+
+
+@dataclass(frozen=True, slots=True)
+class GetRecord:
+    """As a `Call`: the reply is a `Record`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One run of a request."""
+
+    request_identity: str
+    idempotency_key: str
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """What the stand-in has seen; `violations` counts work above its limits."""
+
+    runs: tuple[Run, ...] = ()
+    highest_running: int = 0
+    highest_connections: int = 0
+    open_connections: int = 0
+    running: int = 0
+    violations: int = 0
+    abandoned: int = 0
+    bytes_written: int = 0
+
+    def count_by_identity(self) -> Counter[str]:
+        """Return how often each request identity was run."""
+        return Counter(run.request_identity for run in self.runs)
