Fix faults of the front and of NOT_SENT found by failure tests

Cause: tests that bring about each failure found four faults. A refused connection was reported as BROKEN, since this libcurl sets PRETRANSFER_TIME also for transfers that never connected. A refusal on a connection that had answered before was cut off without an answer. An answer above its announced length, and one broken off before its head, reset the connection. Change: NOT_SENT now rests on libcurl's pre-request callback and on the request size; the state of an answer is cleared with it; only answers whose end is the end of the connection are broken off by a reset.

--- a/src/guavapin/serving/answer_encoder.py
+++ b/src/guavapin/serving/answer_encoder.py
@@ -21,17 +21,29 @@
 class AnswerEncoder:
     """Framing of one answer; `closes` tells whether its end closes the connection.
 
+    `ends_with_connection` is set when the caller takes the end of the connection as
+    the end of the body.
+
     A body without an announced length is sent in chunks, so that the caller can tell
     a whole answer from a broken one. Callers of HTTP/1.0 know no chunks; for them the
     end of the connection ends the body.
     """
 
-    __slots__ = ("_has_body", "_is_chunked", "_left", "closes", "is_http_10", "method")
+    __slots__ = (
+        "_has_body",
+        "_is_chunked",
+        "_left",
+        "closes",
+        "ends_with_connection",
+        "is_http_10",
+        "method",
+    )
 
     def __init__(self, method: str, is_http_10: bool, closes: bool) -> None:
         self.method = method
         self.is_http_10 = is_http_10
         self.closes = closes
+        self.ends_with_connection = False
         self._has_body = True
         self._is_chunked = False
         self._left = -1
@@ -67,9 +79,9 @@
         if self._is_chunked:
             return b"%x\r\n%b\r\n" % (len(data), data)
         if self._left >= 0:
-            self._left -= len(data)
-            if self._left < 0:
+            if len(data) > self._left:
                 return None
+            self._left -= len(data)
         return data
 
     def end(self) -> bytes | None:
@@ -80,11 +92,6 @@
             return LAST_CHUNK
         return None if self._left > 0 else b""
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether a caller takes the end of the connection as the end of the body."""
-        return self._has_body and not self._is_chunked and self._left < 0
-
     def _framing(self, status: int, length: int) -> bytes:
         if length >= 0 and status >= 200 and status != 204:
             self._left = length
@@ -93,6 +100,7 @@
             return b""
         if self.is_http_10:
             self.closes = True
+            self.ends_with_connection = True
             return b""
         self._is_chunked = True
         return b"transfer-encoding: chunked\r\n"
--- a/src/guavapin/serving/attempt_handle.py
+++ b/src/guavapin/serving/attempt_handle.py
@@ -138,12 +138,9 @@
 
     def has_sent(self) -> bool:
         """Whether any byte of the request may have left this process."""
-        # The size counts over all connections of the transfer: one whose resend fails
-        # to connect has been sent before.
-        return bool(
-            self.curl.getinfo(pycurl.REQUEST_SIZE)
-            or self.curl.getinfo(pycurl.PRETRANSFER_TIME) > 0
-        )
+        # libcurl reports both over all connections of the transfer: a request whose
+        # resend fails to connect has been sent before.
+        return self._is_connected or bool(self.curl.getinfo(pycurl.REQUEST_SIZE))
 
     def release(self) -> None:
         """Drop what belongs to the attempt."""
@@ -163,6 +160,7 @@
         self._is_body_whole = False
         self._is_request_paused = False
         self._has_length = False
+        self._is_connected = False
 
     def _set_constants(self, cfg: UpstreamsConfig) -> None:
         curl = self.curl
@@ -180,6 +178,7 @@
         curl.setopt(pycurl.TCP_KEEPINTVL, cfg.keepalive_interval_s)
         curl.setopt(pycurl.MAXAGE_CONN, cfg.max_idle_s)
         curl.setopt(pycurl.MAXLIFETIME_CONN, cfg.max_age_s)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
         curl.setopt(pycurl.READFUNCTION, self._on_read)
@@ -218,6 +217,10 @@
             lines.append(b"Content-Type:")
         return lines
 
+    def _on_connected(self, *addresses: object) -> int:
+        self._is_connected = True
+        return int(pycurl.PREREQFUNC_OK)
+
     def _on_header(self, line: bytes) -> None:
         if self.is_head_done:
             return
--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -321,6 +321,7 @@
     def _end_request(self) -> None:
         encoder, self._encoder = self._encoder, None
         self._is_answer_ended = False
+        self._is_head_sent = False
         self.is_body_paused = False
         if encoder is not None and not encoder.closes and not self._owner.is_stopping:
             return
--- a/tests/serving/conftest.py
+++ b/tests/serving/conftest.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from guavapin.serving.front_config import FrontConfig
 from tests.serving.support import Path
 
 if TYPE_CHECKING:
@@ -15,3 +16,17 @@
     path = Path()
     yield path
     path.close()
+
+
+@pytest.fixture
+def small_path() -> Iterator[Path]:
+    """Return a path with small bounds at the front."""
+    cfg = FrontConfig(
+        max_connections=2,
+        max_head_bytes=2_000,
+        idle_timeout_ms=300,
+        header_timeout_ms=200,
+    )
+    path = Path(cfg)
+    yield path
+    path.close()
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
-from guavapin.kernel import Call
 from guavapin.kernel import Kernel
 from guavapin.kernel import Ok
 from guavapin.kernel import SystemClock
@@ -46,6 +46,7 @@
     from guavapin.kernel import TaskContext
 
 WAIT_S = 10
+T = TypeVar("T")
 
 
 class PassThrough:
@@ -57,7 +58,7 @@
         self.address = ""
         self.bounds = {"connect_ms": 2_000, "first_byte_ms": 5_000, "progress_ms": 0}
         self.fresh: bool | None = None
-        self.results: list[AttemptEnded] = []
+        self.is_mute = False
         self.received: list[object] = []
         self._attempts: dict[int, int] = {}
         self._requests: dict[int, int] = {}
@@ -72,10 +73,9 @@
         pass
 
     def handle(self, message: object) -> None:
-        if isinstance(message, Call):
-            message.fut.set_result(message.body(self))
-            return
         self.received.append(message)
+        if self.is_mute:
+            return
         send = self._context.send
         match message:
             case RequestReceived():
@@ -125,7 +125,6 @@
         self._context.send("upstreams", start)
 
     def _on_ended(self, message: AttemptEnded) -> None:
-        self.results.append(message)
         request_id = self._requests.pop(message.attempt_id, None)
         if request_id is None:
             return
@@ -172,8 +171,26 @@
         counts: dict[str, int] = self.kernel.ask(service, GetCounts()).result(WAIT_S)
         return counts
 
-    def in_exchanges(self, function: Callable[[PassThrough], object]) -> object:
-        return self.kernel.ask("exchanges", function).result(WAIT_S)
+    def mute_exchanges(self) -> None:
+        """Let the test itself answer requests, with `to_front`."""
+        self.exchanges.is_mute = True
+
+    def to_front(self, *messages: object) -> None:
+        for message in messages:
+            self.kernel.deliver("front", message)
+
+    def received(self, kind: type[T], count: int = 1) -> list[T]:
+        """Wait until `exchanges` has received `count` messages of a kind."""
+
+        def found() -> list[T]:
+            return [m for m in list(self.exchanges.received) if isinstance(m, kind)]
+
+        wait_until(lambda: len(found()) >= count)
+        return found()
+
+    def results(self, count: int = 1) -> list[AttemptResult]:
+        """Wait until `count` attempts have ended."""
+        return [ended.result for ended in self.received(AttemptEnded, count)]
 
 
 def wait_until(condition: Callable[[], bool], timeout_s: float = WAIT_S) -> None:
