Bound memory per request and finish what a planned stop finds

Cause: tests of slow readers, planned stops and TLS found that an answer grew to 539,846 bytes past the 256 KB mark before its pause arrived, that connections in the listener's queue were reset by a stop while the front was at its connection bound, and that an unusable certificate was reported as an unusable address. Change: one attempt delivers at most 32 KB before the other messages of the loop are handled; closing the listener first accepts its queue; the refusal names the certificate file. The counters keep the largest buffer. Conclusion: buffers are bounded per request; the bound is in the tests.

--- a/src/guavapin/serving/attempt_handle.py
+++ b/src/guavapin/serving/attempt_handle.py
@@ -23,7 +23,7 @@
 HIGH_WATER_BYTES = 262_144
 # Most that one attempt delivers before the other messages of the loop are handled;
 # otherwise a fast upstream could pass the high water mark before the pause arrives.
-TURN_BYTES = 65_536
+TURN_BYTES = 32_768
 
 # libcurl's own header, or left out because it frames the body itself.
 REPLACED = frozenset((b"content-length", b"expect"))
@@ -65,6 +65,10 @@
         """Ask for the request's body to pause or to go on."""
         ...
 
+    def note_body(self, size_bytes: int) -> None:
+        """Take note of a waiting body above the high water mark."""
+        ...
+
 
 class AttemptHandle:
     """A libcurl easy handle that is used for one attempt after another."""
@@ -107,9 +111,11 @@
             self._body.append(data)
             self._body_bytes += len(data)
         self._is_body_whole = is_last
-        if self._body_bytes > HIGH_WATER_BYTES and not self._is_request_paused:
-            self._is_request_paused = True
-            self._owner.pause_request(self.attempt_id, True)
+        if self._body_bytes > HIGH_WATER_BYTES:
+            self._owner.note_body(self._body_bytes)
+            if not self._is_request_paused:
+                self._is_request_paused = True
+                self._owner.pause_request(self.attempt_id, True)
         if self.is_waiting_for_body:
             self.is_waiting_for_body = False
             self._apply_pauses()
@@ -253,7 +259,7 @@
     def _on_body(self, data: bytes) -> int | None:
         if self.is_answer_paused or self.is_turn_over:
             return int(pycurl.WRITEFUNC_PAUSE)
-        if self._turn_bytes >= TURN_BYTES:
+        if self._turn_bytes and self._turn_bytes + len(data) > TURN_BYTES:
             self.is_turn_over = True
             self._owner.on_turn_over(self)
             return int(pycurl.WRITEFUNC_PAUSE)
--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -67,6 +67,10 @@
         """Ask for the answer to pause or to go on."""
         ...
 
+    def note_output(self, size_bytes: int) -> None:
+        """Take note of an output buffer above the high water mark."""
+        ...
+
 
 class CallerConnection:
     """State of one connection; one request at a time.
@@ -182,9 +186,11 @@
             self.break_answer()
             return
         self.out += encoded
-        if len(self.out) > HIGH_WATER_BYTES and not self._is_answer_paused:
-            self._is_answer_paused = True
-            self._owner.pause_answer(self.request_id, True)
+        if len(self.out) > HIGH_WATER_BYTES:
+            self._owner.note_output(len(self.out))
+            if not self._is_answer_paused:
+                self._is_answer_paused = True
+                self._owner.pause_answer(self.request_id, True)
 
     def answer_end(self) -> None:
         """Complete the answer; the connection is free once it is written."""
--- a/src/guavapin/serving/caller_listener.py
+++ b/src/guavapin/serving/caller_listener.py
@@ -70,27 +70,32 @@
             self._is_watched = False
             self._context.unwatch(self._socket.fileno())
 
-    def accept_waiting(self) -> None:
-        """Accept what is queued now, at most a fixed number."""
-        for _ in range(ACCEPTS_PER_EVENT):
-            if self._socket is None or not self._is_watched:
-                return
-            try:
-                sock, _ = self._socket.accept()
-            except BlockingIOError:
-                return
-            except OSError:
-                self.pause()
-                self._context.set_timer(ACCEPT_PAUSE_MS, self._resume_message)
-                return
-            self._on_socket(sock)
-
     def close(self) -> None:
-        """Close the socket; connections still queued are reset."""
+        """Accept what is queued, which closing would reset, and close the socket."""
+        if self._socket is None:
+            return
         self.pause()
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+        for _ in range(socket.SOMAXCONN):
+            if not self._accept():
+                break
+        self._socket.close()
+        self._socket = None
 
     def _on_ready(self, events: int) -> None:
-        self.accept_waiting()
+        for _ in range(ACCEPTS_PER_EVENT):
+            if not self._is_watched or not self._accept():
+                return
+
+    def _accept(self) -> bool:
+        """Hand on one connection; False when none is waiting."""
+        assert self._socket is not None
+        try:
+            sock, _ = self._socket.accept()
+        except BlockingIOError:
+            return False
+        except OSError:
+            self.pause()
+            self._context.set_timer(ACCEPT_PAUSE_MS, self._resume_message)
+            return False
+        self._on_socket(sock)
+        return True
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -84,11 +84,15 @@
         self._deadlines = DeadlineTimer(context, _DeadlinePassed())
         self._listener = CallerListener(context, _ResumeAccepting(), self._open)
         cfg = self._cfg
-        try:
-            if cfg.certificate_file:
-                self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-                self._tls.minimum_version = ssl.TLSVersion.TLSv1_2
+        if cfg.certificate_file:
+            self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            self._tls.minimum_version = ssl.TLSVersion.TLSv1_2
+            try:
                 self._tls.load_cert_chain(cfg.certificate_file, cfg.key_file or None)
+            except OSError as exc:
+                detail = f"cannot use certificate {cfg.certificate_file!r}: {exc}"
+                return Refused(Reason.BAD_INPUT, detail)
+        try:
             self.port = self._listener.open(cfg.address, cfg.port)
         except OSError as exc:
             where = f"{cfg.address}:{cfg.port}"
@@ -164,6 +168,11 @@
         self.counts["answer_pauses"] += is_paused
         self.forward(FlowControl(request_id, is_paused))
 
+    def note_output(self, size_bytes: int) -> None:
+        """Keep the largest output buffer seen."""
+        if size_bytes > self.counts["largest_output_bytes"]:
+            self.counts["largest_output_bytes"] = size_bytes
+
     def settle(self, conn: CallerConnection) -> None:
         """Bring watches and deadlines in line with the state of `conn`."""
         if conn.is_closed:
@@ -319,10 +328,8 @@
             self.settle(conn)
 
     def _stop_accepting(self) -> None:
-        # Connections that wait in the listener's queue would be reset by closing it.
-        self._listener.accept_waiting()
-        self.is_stopping = True
         self._listener.close()
+        self.is_stopping = True
         for conn in list(self._conns.values()):
             if not conn.is_busy and not conn.is_handshaking:
                 conn.read()
--- a/src/guavapin/serving/upstreams.py
+++ b/src/guavapin/serving/upstreams.py
@@ -137,6 +137,11 @@
         self.counts["request_pauses"] += is_paused
         self.forward(FlowControl(attempt_id, is_paused, is_attempt=True))
 
+    def note_body(self, size_bytes: int) -> None:
+        """Keep the largest waiting request body seen."""
+        if size_bytes > self.counts["largest_body_bytes"]:
+            self.counts["largest_body_bytes"] = size_bytes
+
     def _on_start(self, start: StartAttempt) -> None:
         handle = self._idle.pop() if self._idle else AttemptHandle(self._cfg, self)
         self.counts["attempts"] += 1
--- a/tests/serving/support.py
+++ b/tests/serving/support.py
@@ -214,7 +214,7 @@
     def __init__(self, port: int, sock: socket.socket | None = None) -> None:
         self.sock = sock or socket.create_connection(("127.0.0.1", port), WAIT_S)
         self.sock.settimeout(WAIT_S)
-        self.buffer = b""
+        self.buffer = bytearray()
 
     def send(self, data: bytes) -> None:
         self.sock.sendall(data)
@@ -267,13 +267,15 @@
         while end not in self.buffer:
             self._more()
         cut = self.buffer.index(end) + len(end)
-        data, self.buffer = self.buffer[:cut], self.buffer[cut:]
+        data = bytes(self.buffer[:cut])
+        del self.buffer[:cut]
         return data
 
     def _exactly(self, size: int) -> bytes:
         while len(self.buffer) < size:
             self._more()
-        data, self.buffer = self.buffer[:size], self.buffer[size:]
+        data = bytes(self.buffer[:size])
+        del self.buffer[:size]
         return data
 
     def _more(self) -> None:
--- /dev/null
+++ b/tests/serving/test_flow_control.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+import threading
+import time
+
+from guavapin.serving.attempt_handle import TURN_BYTES
+from guavapin.serving.caller_connection import HIGH_WATER_BYTES
+from guavapin.serving.caller_connection import READ_BYTES
+from guavapin.serving.messages import AttemptResult
+from tests.serving.support import Caller
+from tests.serving.support import wait_until
+
+# The pause takes four messages from the front back to `upstreams`, and each turn of
+# the loop may add one part in the meantime.
+PAUSE_MESSAGES = 4
+SIZE = 60_000_000
+
+
+def settled(read):
+    """Wait until a counter has stopped moving, and return it."""
+    last = -1
+    while (value := read()) != last:
+        last = value
+        time.sleep(0.2)
+    return value
+
+
+def test_slow_reader_bounds_the_memory_of_its_answer(path):
+    path.exchanges.bounds["progress_ms"] = 1_000
+    caller = path.connect()
+    caller.send(
+        b"GET /a HTTP/1.1\r\nHost: t\r\nGuavapin-Answer-Bytes: %d\r\n\r\n" % SIZE
+    )
+    written = settled(lambda: path.record().bytes_written)
+    assert written < SIZE
+    assert path.counts()["answer_pauses"] >= 1
+    # A pause by the caller is not the upstream's silence: the progress bound must not
+    # end the attempt.
+    time.sleep(1.5)
+    assert path.connect().get("/other").status == 200
+    answer = caller.read_answer()
+    assert len(answer.body) == SIZE
+    limit = HIGH_WATER_BYTES + PAUSE_MESSAGES * TURN_BYTES
+    assert path.counts()["largest_output_bytes"] <= limit
+    assert path.results(2) == [AttemptResult.COMPLETE] * 2
+
+
+def test_many_slow_readers_bound_their_memory(path):
+    callers = [path.connect() for _ in range(8)]
+    for caller in callers:
+        caller.send(
+            b"GET /a HTTP/1.1\r\nHost: t\r\nGuavapin-Answer-Bytes: 20000000\r\n\r\n"
+        )
+    settled(lambda: path.record().bytes_written)
+    for caller in callers:
+        assert len(caller.read_answer().body) == 20_000_000
+    limit = HIGH_WATER_BYTES + PAUSE_MESSAGES * TURN_BYTES
+    assert path.counts()["largest_output_bytes"] <= limit
+
+
+def test_slow_upstream_bounds_the_memory_of_a_request(path):
+    path.exchanges.bounds["first_byte_ms"] = 0
+    path.exchanges.fresh = False
+    path.connect().get("/warm")
+    path.behave(is_silent=True)
+    sent = []
+    caller = path.connect()
+
+    def send(caller: Caller) -> None:
+        head = b"PUT /a HTTP/1.1\r\nHost: t\r\nContent-Length: %d\r\n\r\n" % SIZE
+        caller.sock.settimeout(None)
+        caller.send(head)
+        part = b"a" * 100_000
+        try:
+            for _ in range(SIZE // len(part)):
+                caller.send(part)
+                sent.append(len(part))
+        except OSError:
+            return
+
+    thread = threading.Thread(target=send, args=(caller,))
+    thread.start()
+    wait_until(lambda: path.counts("upstreams").get("request_pauses", 0) >= 1)
+    assert settled(lambda: sum(sent)) < SIZE
+    limit = HIGH_WATER_BYTES + PAUSE_MESSAGES * READ_BYTES
+    assert path.counts("upstreams")["largest_body_bytes"] <= limit
+    caller.sock.shutdown(2)
+    thread.join(10)
+    # While its body is paused the connection is not read, so the caller's leaving is
+    # seen only when the attempt ends; the silent upstream does not hold up others.
+    assert path.connect().get("/new").status == 200
+
+
+def test_request_body_goes_on_after_a_pause(path):
+    caller = path.connect()
+    body = b"a" * 5_000_000
+    assert caller.ask("PUT", "/a", body, Guavapin_Run_Ms="50").status == 200
+    assert path.record().runs[0].body_bytes == len(body)
--- /dev/null
+++ b/tests/serving/test_tls.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import socket
+import ssl
+
+import pytest
+
+from guavapin.kernel import Kernel
+from guavapin.kernel import Refused
+from guavapin.kernel import SystemClock
+from guavapin.serving.front import FrontTask
+from guavapin.serving.front_config import FrontConfig
+from guavapin.serving.messages import StopAccepting
+from tests.serving.support import WAIT_S
+from tests.serving.support import Caller
+from tests.serving.support import PassThrough
+from tests.serving.support import Path
+from tests.serving.support import wait_until
+
+FILES = pathlib.Path(__file__).parent / "tls"
+CERTIFICATE = str(FILES / "certificate.pem")
+
+
+@pytest.fixture
+def tls_path():
+    cfg = FrontConfig(
+        certificate_file=CERTIFICATE,
+        key_file=str(FILES / "key.pem"),
+        header_timeout_ms=300,
+    )
+    path = Path(cfg)
+    yield path
+    path.close()
+
+
+def connect(path):
+    context = ssl.create_default_context(cafile=CERTIFICATE)
+    sock = socket.create_connection(("127.0.0.1", path.front.port), WAIT_S)
+    return Caller(0, context.wrap_socket(sock, server_hostname="localhost"))
+
+
+def test_requests_and_large_bodies_pass_over_tls(tls_path):
+    caller = connect(tls_path)
+    assert caller.get("/a").body == b"/a"
+    body = b"b" * 1_000_000
+    answer = caller.ask("PUT", "/", body, Guavapin_Answer_Bytes="3000000")
+    assert answer.body == b"x" * 3_000_000
+    assert tls_path.record().runs[1].body_bytes == len(body)
+
+
+def test_silent_and_failing_handshakes_do_not_hold_others_up(tls_path):
+    silent = tls_path.connect()
+    plain = tls_path.connect()
+    plain.send(b"GET / HTTP/1.1\r\nHost: t\r\n\r\n")
+    assert connect(tls_path).get("/a").status == 200
+    # What follows is an alert of the TLS layer or a reset, but never an answer.
+    with contextlib.suppress(ConnectionError):
+        while data := plain.sock.recv(100):
+            assert not data.startswith(b"HTTP/")
+    assert silent.is_closed()
+    assert tls_path.counts()["failed_handshakes"] == 1
+
+
+def test_slow_reader_over_tls_gets_the_whole_answer(tls_path):
+    caller = connect(tls_path)
+    caller.send(b"GET / HTTP/1.1\r\nHost: t\r\nGuavapin-Answer-Bytes: 30000000\r\n\r\n")
+    wait_until(lambda: tls_path.counts().get("answer_pauses", 0) >= 1)
+    assert len(caller.read_answer().body) == 30_000_000
+
+
+def test_body_larger_than_one_read_is_not_left_in_the_tls_layer(tls_path):
+    # Decrypted bytes inside the TLS layer do not make the socket readable.
+    tls_path.mute_exchanges()
+    caller = connect(tls_path)
+    body = b"c" * 200_000
+    caller.send(b"PUT / HTTP/1.1\r\nHost: t\r\nContent-Length: 200000\r\n\r\n" + body)
+    wait_until(
+        lambda: (
+            sum(
+                len(m.data)
+                for m in list(tls_path.exchanges.received)
+                if hasattr(m, "data")
+            )
+            == len(body)
+        )
+    )
+
+
+def test_disconnect_and_stop_over_tls(tls_path):
+    caller = connect(tls_path)
+    caller.send(b"GET / HTTP/1.1\r\nHost: t\r\nGuavapin-Run-Ms: 60000\r\n\r\n")
+    wait_until(lambda: tls_path.record().running == 1)
+    caller.close()
+    wait_until(lambda: tls_path.record().running == 0)
+    idle = connect(tls_path)
+    assert idle.get("/").status == 200
+    tls_path.kernel.ask("front", StopAccepting()).result(WAIT_S)
+    with pytest.raises((ssl.SSLEOFError, EOFError, ConnectionError)):
+        idle.get("/")
+
+
+def test_unusable_certificate_is_refused_at_start():
+    kernel = Kernel(SystemClock())
+    kernel.register(PassThrough())
+    kernel.register(FrontTask(FrontConfig(certificate_file=__file__)))
+    outcome = kernel.start()
+    assert isinstance(outcome, Refused)
+    assert __file__ in outcome.detail
