--- a/src/guavapin/serving/attempt_handle.py
+++ b/src/guavapin/serving/attempt_handle.py
@@ -23,7 +23,7 @@
 HIGH_WATER_BYTES = 262_144
 # Most that one attempt delivers before the other messages of the loop are handled;
 # otherwise a fast upstream could pass the high water mark before the pause arrives.
-TURN_BYTES = 65_536
+TURN_BYTES = 32_768
 
 # libcurl's own header, or left out because it frames the body itself.
 REPLACED = frozenset((b"content-length", b"expect"))
@@ -65,6 +65,10 @@
         """Ask for the request's body to pause or to go on."""
         ...
 
+    def note_body(self, size_bytes: int) -> None:
+        """Take note of a waiting body above the high water mark."""
+        ...
+
 
 class AttemptHandle:
     """A libcurl easy handle that is used for one attempt after another."""
@@ -107,9 +111,11 @@
             self._body.append(data)
             self._body_bytes += len(data)
         self._is_body_whole = is_last
-        if self._body_bytes > HIGH_WATER_BYTES and not self._is_request_paused:
-            self._is_request_paused = True
-            self._owner.pause_request(self.attempt_id, True)
+        if self._body_bytes > HIGH_WATER_BYTES:
+            self._owner.note_body(self._body_bytes)
+            if not self._is_request_paused:
+                self._is_request_paused = True
+                self._owner.pause_request(self.attempt_id, True)
         if self.is_waiting_for_body:
             self.is_waiting_for_body = False
             self._apply_pauses()
@@ -138,12 +144,9 @@
 
     def has_sent(self) -> bool:
         """Whether any byte of the request may have left this process."""
-        # The size counts over all connections of the transfer: one whose resend fails
-        # to connect has been sent before.
-        return bool(
-            self.curl.getinfo(pycurl.REQUEST_SIZE)
-            or self.curl.getinfo(pycurl.PRETRANSFER_TIME) > 0
-        )
+        # libcurl reports both over all connections of the transfer: a request whose
+        # resend fails to connect has been sent before.
+        return self._is_connected or bool(self.curl.getinfo(pycurl.REQUEST_SIZE))
 
     def release(self) -> None:
         """Drop what belongs to the attempt."""
@@ -163,6 +166,7 @@
         self._is_body_whole = False
         self._is_request_paused = False
         self._has_length = False
+        self._is_connected = False
 
     def _set_constants(self, cfg: UpstreamsConfig) -> None:
         curl = self.curl
@@ -180,6 +184,7 @@
         curl.setopt(pycurl.TCP_KEEPINTVL, cfg.keepalive_interval_s)
         curl.setopt(pycurl.MAXAGE_CONN, cfg.max_idle_s)
         curl.setopt(pycurl.MAXLIFETIME_CONN, cfg.max_age_s)
+        curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_body)
         curl.setopt(pycurl.READFUNCTION, self._on_read)
@@ -218,6 +223,10 @@
             lines.append(b"Content-Type:")
         return lines
 
+    def _on_connected(self, *addresses: object) -> int:
+        self._is_connected = True
+        return int(pycurl.PREREQFUNC_OK)
+
     def _on_header(self, line: bytes) -> None:
         if self.is_head_done:
             return
@@ -250,7 +259,7 @@
     def _on_body(self, data: bytes) -> int | None:
         if self.is_answer_paused or self.is_turn_over:
             return int(pycurl.WRITEFUNC_PAUSE)
-        if self._turn_bytes >= TURN_BYTES:
+        if self._turn_bytes and self._turn_bytes + len(data) > TURN_BYTES:
             self.is_turn_over = True
             self._owner.on_turn_over(self)
             return int(pycurl.WRITEFUNC_PAUSE)
