Add health, run times, pickers and zone choice

Cause: requests need an upstream in O(1), away from failing and slow ones. Change: pure breaker with floor and slow start, learned run times by kind, four pickers, spill to another zone in one hop. Conclusion: none of it imports sockets, HTTP or JSON.

--- /dev/null
+++ b/src/guavapin/routing/run_time.py
@@ -0,0 +1,129 @@
+"""Learned run times by service and kind of request.
+
+A kind is a method and a path prefix. Quantiles are tracked by stochastic
+approximation: each observation moves an estimate up or down by a small factor, which
+needs three numbers per kind and no stored samples.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+MAX_KINDS = 64
+KIND_SEGMENTS = 2
+OTHER_KIND = "* *"
+
+# Before this many observations the declared run time is used.
+MIN_COUNT = 5
+# A kind is long when its median is this many times the median of its service.
+LONG_FACTOR = 10.0
+MIN_STEP = 0.05
+MAX_STEP = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RunTime:
+    """Quantile estimates of run time in milliseconds, after `count` observations."""
+
+    count: int = 0
+    median_ms: float = 0.0
+    p95_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """What to expect of a request; `p95_ms` bounds most requests of the kind."""
+
+    run_ms: float
+    p95_ms: float
+    is_long: bool
+
+
+def kind_of(method: str, target: str, service_prefix: str = "") -> str:
+    """Return the kind of a request, for example ``GET /routes/*``.
+
+    Segments that look like identifiers become ``*``, so that their number stays
+    small; at most `KIND_SEGMENTS` segments after the service's prefix are kept.
+    """
+    path = target.split("?", 1)[0].removeprefix(service_prefix)
+    segments = [segment for segment in path.split("/") if segment][:KIND_SEGMENTS]
+    shown = ("*" if _is_identifier(segment) else segment for segment in segments)
+    return f"{method} /{'/'.join(shown)}"
+
+
+def observe(estimate: RunTime, run_ms: float) -> RunTime:
+    """Return the estimate after a request that ran `run_ms`."""
+    run_ms = max(run_ms, 0.1)
+    if estimate.count == 0:
+        return RunTime(1, run_ms, run_ms)
+    # Large first steps find the order of magnitude, small later ones keep it.
+    step = max(MAX_STEP / math.sqrt(estimate.count), MIN_STEP)
+    return RunTime(
+        count=estimate.count + 1,
+        median_ms=_move(estimate.median_ms, run_ms, 0.5, step),
+        p95_ms=max(
+            _move(estimate.p95_ms, run_ms, 0.95, step),
+            estimate.median_ms,
+        ),
+    )
+
+
+def expect(
+    kind: RunTime | None, service: RunTime | None, declared_ms: float
+) -> Expectation:
+    """Return what to expect, from the kind, else the service, else its declaration.
+
+    A kind that is not known yet counts as short: it is only refused slots once it
+    has shown to be long.
+    """
+    usual_ms = declared_ms
+    if service is not None and service.count >= MIN_COUNT:
+        usual_ms = service.median_ms
+    if kind is None or kind.count < MIN_COUNT:
+        return Expectation(usual_ms, usual_ms * 2, is_long=False)
+    is_long = kind.median_ms > LONG_FACTOR * usual_ms
+    return Expectation(kind.median_ms, kind.p95_ms, is_long)
+
+
+class RunTimes:
+    """Estimates of the kinds of one service, at most `MAX_KINDS` of them.
+
+    Owned by one task. Kinds beyond the bound share one estimate. The service's own
+    estimate learns every kind once per observation, so frequent kinds decide what
+    is usual.
+    """
+
+    def __init__(self, declared_ms: float) -> None:
+        self._declared_ms = declared_ms
+        self._service = RunTime()
+        self._kinds: dict[str, RunTime] = {}
+
+    def __len__(self) -> int:
+        return len(self._kinds)
+
+    def observe(self, kind: str, run_ms: float) -> None:
+        """Learn from a request of `kind` that succeeded after `run_ms`."""
+        if kind not in self._kinds and len(self._kinds) >= MAX_KINDS - 1:
+            kind = OTHER_KIND
+        self._kinds[kind] = observe(self._kinds.get(kind, RunTime()), run_ms)
+        self._service = observe(self._service, run_ms)
+
+    def expect(self, kind: str) -> Expectation:
+        """Return what to expect of a request of `kind`."""
+        known = self._kinds.get(kind) or self._kinds.get(OTHER_KIND)
+        return expect(known, self._service, self._declared_ms)
+
+    def declare(self, declared_ms: float) -> None:
+        """Replace the declared run time after a change of the configuration."""
+        self._declared_ms = declared_ms
+
+
+def _move(value_ms: float, run_ms: float, quantile: float, step: float) -> float:
+    direction = quantile if run_ms > value_ms else quantile - 1.0
+    return value_ms * math.exp(step * direction)
+
+
+def _is_identifier(segment: str) -> bool:
+    digits = sum(char.isdigit() for char in segment)
+    return digits * 3 >= len(segment) or len(segment) > 32
--- /dev/null
+++ b/src/guavapin/routing/zones.py
@@ -0,0 +1,101 @@
+"""Choice between the own zone and the entry hosts of another one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+# Free slots that a zone reported longer ago than this are not relied upon.
+MAX_REPORT_AGE_MS = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class OwnSupply:
+    """What the own zone has for a pool: usable upstreams, free slots, the wait.
+
+    `expected_wait_ms` is what a request queued now would wait for a slot.
+    """
+
+    usable: int
+    free_slots: int
+    expected_wait_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneReport:
+    """What another zone reported of a pool; `entry_hosts` are addresses to reach it."""
+
+    zone: str
+    entry_hosts: tuple[str, ...]
+    free_slots: int
+    reported_ms: int
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SpillSettings:
+    """A pool is short when a request would wait longer than `max_wait_ms`.
+
+    One hop costs a few milliseconds, so a shorter wait is better spent at home.
+    """
+
+    max_wait_ms: float = 50.0
+
+
+@dataclass(frozen=True, slots=True)
+class StayHome:
+    """Serve the request in the own zone: at once, or from the queue."""
+
+
+@dataclass(frozen=True, slots=True)
+class Spill:
+    """Forward the request to an entry host of `zone`."""
+
+    zone: str
+    entry_host: str
+
+
+ZoneChoice = StayHome | Spill
+
+DEFAULT_SETTINGS = SpillSettings()
+
+
+def is_short(own: OwnSupply, settings: SpillSettings = DEFAULT_SETTINGS) -> bool:
+    """Tell whether the own zone's pool cannot serve a request soon."""
+    if own.usable == 0:
+        return True
+    return own.free_slots <= 0 and own.expected_wait_ms > settings.max_wait_ms
+
+
+def choose_zone(
+    own: OwnSupply,
+    reports: Sequence[ZoneReport],
+    hops: int,
+    now_ms: int,
+    rng: random.Random,
+    settings: SpillSettings = DEFAULT_SETTINGS,
+) -> ZoneChoice:
+    """Return where to serve a request that has made `hops` hops already.
+
+    A request that came from another zone stays, so that two short zones cannot send
+    it back and forth. Chance proportional to free slots spreads the spill of several
+    seats that read the same reports.
+    """
+    if hops > 0 or not is_short(own, settings):
+        return StayHome()
+    fitting = [report for report in reports if _is_fitting(report, now_ms)]
+    if not fitting:
+        return StayHome()
+    weights = [report.free_slots for report in fitting]
+    chosen = rng.choices(fitting, weights)[0]
+    return Spill(chosen.zone, rng.choice(chosen.entry_hosts))
+
+
+def _is_fitting(report: ZoneReport, now_ms: int) -> bool:
+    is_fresh = now_ms - report.reported_ms <= MAX_REPORT_AGE_MS
+    is_open = bool(report.entry_hosts) and not report.is_leaving
+    return is_fresh and is_open and report.free_slots > 0
--- /dev/null
+++ b/tests/routing/test_health.py
@@ -0,0 +1,129 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from guavapin.routing.health import Breaker
+from guavapin.routing.health import UpstreamHealth
+from guavapin.routing.health import cancel_attempt
+from guavapin.routing.health import end_attempt
+from guavapin.routing.health import is_probe_due
+from guavapin.routing.health import is_usable
+from guavapin.routing.health import mark_leaving
+from guavapin.routing.health import max_ejected
+from guavapin.routing.health import ramp
+from guavapin.routing.health import score
+from guavapin.routing.health import start_attempt
+from guavapin.routing.health import start_trial
+from guavapin.routing.verdict import Verdict
+
+
+def run(
+    health: UpstreamHealth,
+    verdict: Verdict,
+    times: int = 1,
+    may_eject: bool = True,
+    now_ms: int = 0,
+) -> UpstreamHealth:
+    for _ in range(times):
+        health = end_attempt(start_attempt(health), verdict, 1.0, may_eject, now_ms)
+    return health
+
+
+def opened(now_ms: int = 0) -> UpstreamHealth:
+    return run(UpstreamHealth(), Verdict.FAILURE, 5, now_ms=now_ms)
+
+
+def test_failures_in_a_row_open_the_breaker() -> None:
+    """Guards against sending work to a worker that fails all it starts."""
+    assert is_usable(run(UpstreamHealth(), Verdict.FAILURE, 4))
+    assert not is_usable(opened())
+
+
+def test_alternating_failures_open_the_breaker() -> None:
+    """Guards against a worker whose rare successes reset the count of failures."""
+    health = UpstreamHealth()
+    for _ in range(40):
+        health = run(health, Verdict.FAILURE, 3)
+        health = run(health, Verdict.SUCCESS, 1)
+    assert health.breaker is Breaker.OPEN
+
+
+def test_floor_keeps_a_failing_upstream_but_at_a_high_score() -> None:
+    """Guards against ejecting the last upstreams of a pool when all of them fail."""
+    health = run(UpstreamHealth(), Verdict.FAILURE, 50, may_eject=False)
+    assert is_usable(health)
+    assert score(health, 0) > 20 * score(UpstreamHealth(), 0)
+
+
+def test_fast_failures_do_not_look_idle() -> None:
+    """Guards against a worker that fails at once drawing the work of its pool."""
+    failing = run(UpstreamHealth(), Verdict.FAILURE, 4)
+    busy = start_attempt(UpstreamHealth())
+    assert score(failing, 0) > score(busy, 0)
+
+
+def test_environment_errors_and_rate_limits_leave_the_breaker_alone() -> None:
+    """Guards against ejecting upstreams for faults that are not theirs."""
+    health = run(UpstreamHealth(), Verdict.NEUTRAL, 50)
+    assert health.breaker is Breaker.CLOSED
+    assert health.outstanding == 0
+
+
+def test_no_probe_before_the_cool_down_ends() -> None:
+    """Guards against probing an upstream that was just found broken."""
+    health = opened(now_ms=500)
+    assert not is_probe_due(health, 1_499)
+    assert is_probe_due(health, 1_500)
+
+
+def test_half_open_allows_one_trial_at_a_time() -> None:
+    """Guards against a burst of requests on an upstream that may still be broken."""
+    health = start_trial(opened())
+    assert is_probe_due(health, 2_000)
+    assert not is_probe_due(start_attempt(health), 2_000)
+
+
+def test_failed_trial_doubles_the_cool_down_up_to_a_bound() -> None:
+    """Guards against trying a broken upstream at a constant rate for ever."""
+    health = opened()
+    cool_downs = []
+    for _ in range(8):
+        health = run(start_trial(health), Verdict.FAILURE)
+        cool_downs.append(health.cool_down_ms)
+    assert cool_downs[:3] == [2_000, 4_000, 8_000]
+    assert cool_downs[-1] == 30_000
+
+
+def test_cancelled_trial_lets_another_one_start() -> None:
+    """Guards against an upstream that stays out because its trial was cancelled."""
+    health = cancel_attempt(start_attempt(start_trial(opened())))
+    assert is_probe_due(health, 2_000)
+
+
+def test_return_ramps_up() -> None:
+    """Guards against the full load on an upstream with cold caches."""
+    health = run(start_trial(opened()), Verdict.SUCCESS, now_ms=5_000)
+    assert is_usable(health)
+    assert ramp(health, 5_000) == 0.125
+    assert ramp(health, 10_000) == 0.5
+    assert ramp(health, 15_000) == 1.0
+    assert score(health, 5_000) > score(health, 15_000)
+
+
+def test_leaving_upstream_takes_no_work_and_no_probe() -> None:
+    """Guards against new work, or a probe, on an upstream that is leaving."""
+    assert not is_usable(mark_leaving(UpstreamHealth()))
+    assert not is_probe_due(mark_leaving(opened()), 60_000)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 2_000), st.floats(0, 1))
+def test_floor_leaves_upstreams_in_service(upstreams: int, share: float) -> None:
+    """Guards against an ejection bound that empties a pool."""
+    count = max_ejected(upstreams, share)
+    assert count <= max(upstreams * share, 1)
+    assert count < upstreams or share == 1.0 or upstreams == 0
+    if share == 0:
+        assert count == 0
--- /dev/null
+++ b/tests/routing/test_run_time.py
@@ -0,0 +1,64 @@
+from __future__ import annotations
+
+import random
+
+from guavapin.routing.run_time import MAX_KINDS
+from guavapin.routing.run_time import RunTimes
+from guavapin.routing.run_time import kind_of
+
+
+def test_kind_drops_identifiers_and_queries() -> None:
+    """Guards against one kind per order number, which would learn nothing."""
+    assert kind_of("GET", "/routes/orders/12345?x=1", "/routes") == "GET /orders/*"
+    assert kind_of("POST", "/routes/build", "/routes") == "POST /build"
+    assert kind_of("GET", "/") == "GET /"
+
+
+def test_number_of_kinds_is_bounded() -> None:
+    """Guards against memory that grows with the paths that callers invent."""
+    times = RunTimes(100)
+    for index in range(10_000):
+        times.observe(f"GET /{index:x}", 10)
+    assert len(times) == MAX_KINDS
+    assert times.expect("GET /never-seen").run_ms > 0
+
+
+def test_long_kind_is_recognised() -> None:
+    """Guards against work that runs 100 times longer being treated as short."""
+    rng = random.Random(1)
+    times = RunTimes(100)
+    for _ in range(2_000):
+        times.observe("GET /short", rng.expovariate(1 / 10))
+        if rng.random() < 0.05:
+            times.observe("POST /long", rng.expovariate(1 / 1_000))
+    assert times.expect("POST /long").is_long
+    assert not times.expect("GET /short").is_long
+    assert not times.expect("GET /new").is_long
+
+
+def test_quantiles_are_near_the_true_ones() -> None:
+    """Guards against limits on the time to first byte that are far off."""
+    rng = random.Random(2)
+    times = RunTimes(100)
+    for _ in range(5_000):
+        times.observe("GET /a", rng.uniform(50, 150))
+    expectation = times.expect("GET /a")
+    assert 85 <= expectation.run_ms <= 115
+    assert 125 <= expectation.p95_ms <= 175
+
+
+def test_estimate_follows_a_change() -> None:
+    """Guards against run times that stay wrong after a new release."""
+    times = RunTimes(100)
+    for _ in range(1_000):
+        times.observe("GET /a", 10)
+    for _ in range(300):
+        times.observe("GET /a", 200)
+    assert 150 <= times.expect("GET /a").run_ms <= 250
+
+
+def test_declared_time_is_used_first() -> None:
+    """Guards against decisions on one or two observations."""
+    times = RunTimes(100)
+    times.observe("GET /a", 5_000)
+    assert times.expect("GET /a").run_ms == 100
