--- /dev/null
+++ b/src/guavapin/limits/loans.py
@@ -0,0 +1,127 @@
+"""The loan protocol between two seats: request, grant, return, expiry."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.limits.slots import Asked
+from guavapin.limits.slots import Borrowed
+from guavapin.limits.slots import Lent
+from guavapin.limits.slots import LoanGrant
+from guavapin.limits.slots import LoanId
+from guavapin.limits.slots import LoanRequest
+from guavapin.limits.slots import LoanReturn
+from guavapin.limits.slots import free_own
+
+if TYPE_CHECKING:
+    from guavapin.limits.slots import LoanSettings
+    from guavapin.limits.slots import SlotState
+
+
+def request_loan(
+    state: SlotState, settings: LoanSettings, now_ms: int
+) -> tuple[SlotState, LoanRequest | None]:
+    """Ask for one slot, unless a request is pending already."""
+    state = drop_expired(state, settings, now_ms)
+    if state.asked:
+        return state, None
+    number = state.next_number
+    message = LoanRequest(
+        state.upstream, state.seat, state.incarnation, number, settings.duration_ms
+    )
+    asked = Asked(number, now_ms)
+    return replace(state, next_number=number + 1, asked=(asked,)), message
+
+
+def on_request(
+    state: SlotState,
+    message: LoanRequest,
+    settings: LoanSettings,
+    now_ms: int,
+    reserve_own: int = 1,
+) -> tuple[SlotState, LoanGrant | None]:
+    """Lend a slot when more than `reserve_own` are idle.
+
+    A duplicated request may lend twice; the borrower gives the second one back.
+    """
+    state = drop_expired(state, settings, now_ms)
+    if message.seat == state.seat or free_own(state, now_ms) <= reserve_own:
+        return state, None
+    duration_ms = min(message.duration_ms, settings.duration_ms)
+    loan_id = LoanId(state.seat, state.incarnation, state.next_number)
+    lent = Lent(loan_id, now_ms + duration_ms + settings.grace_ms)
+    grant = LoanGrant(
+        state.upstream,
+        message.seat,
+        message.incarnation,
+        message.number,
+        loan_id,
+        duration_ms,
+    )
+    state = replace(state, next_number=state.next_number + 1, lent=(*state.lent, lent))
+    return state, grant
+
+
+def on_grant(
+    state: SlotState, message: LoanGrant, now_ms: int
+) -> tuple[SlotState, LoanReturn | None]:
+    """Take a loan, or return one that answers no pending request.
+
+    A duplicate of a loan in hand is ignored: returning it would free a used slot.
+    """
+    if any(loan.loan_id == message.loan_id for loan in state.borrowed):
+        return state, None
+    refused = LoanReturn(state.upstream, message.loan_id)
+    if (message.seat, message.incarnation) != (state.seat, state.incarnation):
+        return state, refused
+    pending = [asked for asked in state.asked if asked.number == message.number]
+    if not pending:
+        return state, refused
+    until_ms = pending[0].sent_ms + message.duration_ms
+    state = replace(state, asked=())
+    if until_ms <= now_ms:
+        return state, refused
+    loan = Borrowed(message.loan_id, until_ms, in_use=False, idle_ms=now_ms)
+    return replace(state, borrowed=(*state.borrowed, loan)), None
+
+
+def on_return(state: SlotState, message: LoanReturn) -> SlotState:
+    """Take back a slot; a repeated or unknown return changes nothing."""
+    lent = tuple(loan for loan in state.lent if loan.loan_id != message.loan_id)
+    return replace(state, lent=lent)
+
+
+def return_idle(
+    state: SlotState, settings: LoanSettings, now_ms: int
+) -> tuple[SlotState, tuple[LoanReturn, ...]]:
+    """Give back the borrowed slots that have been idle for `idle_return_ms`."""
+    idle = tuple(
+        loan
+        for loan in state.borrowed
+        if not loan.in_use and now_ms - loan.idle_ms >= settings.idle_return_ms
+    )
+    kept = tuple(loan for loan in state.borrowed if loan not in idle)
+    returns = tuple(LoanReturn(state.upstream, loan.loan_id) for loan in idle)
+    return replace(state, borrowed=kept), returns
+
+
+def drop_expired(state: SlotState, settings: LoanSettings, now_ms: int) -> SlotState:
+    """Forget loans that have ended and requests that got no answer.
+
+    A borrowed slot in use is kept until its request ends: the request's deadline
+    lies within the loan, so this takes no longer than the loan.
+    """
+    return replace(
+        state,
+        lent=tuple(loan for loan in state.lent if now_ms < loan.until_ms),
+        borrowed=tuple(
+            loan for loan in state.borrowed if loan.in_use or now_ms < loan.until_ms
+        ),
+        asked=tuple(
+            asked
+            for asked in state.asked
+            if now_ms - asked.sent_ms < settings.request_ttl_ms
+        ),
+        former=tuple(item for item in state.former if now_ms < item.until_ms),
+    )
--- /dev/null
+++ b/src/guavapin/limits/queue.py
@@ -0,0 +1,185 @@
+"""The bounded queue of the requests that wait for a slot of one service."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request that waits; `deadline_ms` bounds its end, `run_ms` is expected."""
+
+    request_id: int
+    deadline_ms: int
+    run_ms: float = 0.0
+    is_urgent: bool = False
+    is_long: bool = False
+    team: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class QueueSettings:
+    """Bounds of a queue.
+
+    While ordinary requests wait, at most `urgent_in_row` urgent ones start before
+    one of them does, so they keep a share of the starts under any urgent load.
+    `urgent_reserve` places are kept for urgent requests when the queue is full.
+    """
+
+    limit: int = 256
+    urgent_in_row: int = 8
+    urgent_reserve: int = 16
+
+
+class Lane(Enum):
+    """Requests of equal treatment, served in order of arrival."""
+
+    URGENT_SHORT = "urgent_short"
+    URGENT_LONG = "urgent_long"
+    SHORT = "short"
+    LONG = "long"
+
+
+DEFAULT_SETTINGS = QueueSettings()
+
+
+def lane_of(waiting: Waiting) -> Lane:
+    """Return the lane of a request."""
+    if waiting.is_urgent:
+        return Lane.URGENT_LONG if waiting.is_long else Lane.URGENT_SHORT
+    return Lane.LONG if waiting.is_long else Lane.SHORT
+
+
+def expected_wait_ms(ahead: int, slots: int, run_ms: float) -> float:
+    """Return the wait behind `ahead` requests on `slots` slots of `run_ms` each."""
+    if slots <= 0:
+        return 0.0 if ahead == 0 else float("inf")
+    return ahead * run_ms / slots
+
+
+class WaitQueue:
+    """Lanes by urgency and expected length; every operation costs O(1).
+
+    Owned by one task. Long requests have lanes of their own, so that one that may
+    not start yet does not hold up the short ones behind it. Requests of a team that
+    has reached its `max_slots` are parked until one of its requests ends.
+    """
+
+    def __init__(self, settings: QueueSettings = DEFAULT_SETTINGS) -> None:
+        self._settings = settings
+        self._lanes: dict[Lane, OrderedDict[int, Waiting]] = {
+            lane: OrderedDict() for lane in Lane
+        }
+        self._parked: dict[str, OrderedDict[int, Waiting]] = {}
+        self._places: dict[int, OrderedDict[int, Waiting]] = {}
+        self._urgent_in_row = 0
+
+    def __len__(self) -> int:
+        return len(self._places)
+
+    def __contains__(self, request_id: object) -> bool:
+        return request_id in self._places
+
+    def ahead_of(self, waiting: Waiting) -> int:
+        """Return how many requests would start before `waiting` if it came now."""
+        lanes = self._lanes
+        if waiting.is_urgent:
+            same = Lane.URGENT_LONG if waiting.is_long else Lane.URGENT_SHORT
+            return len(lanes[same])
+        same = Lane.LONG if waiting.is_long else Lane.SHORT
+        urgent = Lane.URGENT_LONG if waiting.is_long else Lane.URGENT_SHORT
+        return len(lanes[same]) + len(lanes[urgent])
+
+    def push(
+        self, waiting: Waiting, wait_ms: float, now_ms: int, is_parked: bool = False
+    ) -> Outcome[None]:
+        """Queue a request, or refuse it at once as not run.
+
+        `wait_ms` is the expected wait. It is refused when the queue is full or when
+        it could not be answered by its deadline.
+        """
+        if len(self._places) >= self._bound(waiting.is_urgent):
+            return Refused(
+                Reason.OVERLOADED, f"queue holds {len(self._places)} requests"
+            )
+        if now_ms + wait_ms + waiting.run_ms > waiting.deadline_ms:
+            return Refused(
+                Reason.DEADLINE,
+                f"expected wait {wait_ms:.0f} ms and run {waiting.run_ms:.0f} ms, "
+                f"deadline in {waiting.deadline_ms - now_ms} ms",
+            )
+        self._place(waiting, is_parked)
+        return Ok(None)
+
+    def cancel(self, request_id: int) -> Waiting | None:
+        """Remove a request; returns None when it does not wait."""
+        place = self._places.pop(request_id, None)
+        return None if place is None else self._take(place, request_id)
+
+    def pop(self, now_ms: int, allow_long: bool = True) -> Waiting | None:
+        """Return the next request to start, without those past their deadline.
+
+        Those stay for the owner's timer to refuse, which cancels them. `allow_long`
+        is false while long work uses all the slots it may.
+        """
+        lane = self._next_lane(allow_long)
+        if lane is None:
+            return None
+        place = self._lanes[lane]
+        waiting = place.popitem(last=False)[1]
+        del self._places[waiting.request_id]
+        is_urgent = lane in (Lane.URGENT_SHORT, Lane.URGENT_LONG)
+        self._urgent_in_row = self._urgent_in_row + 1 if is_urgent else 0
+        return waiting
+
+    def unpark(self, team: str) -> Waiting | None:
+        """Move the oldest parked request of `team` into its lane, and return it."""
+        parked = self._parked.get(team)
+        if not parked:
+            return None
+        waiting = parked.popitem(last=False)[1]
+        if not parked:
+            del self._parked[team]
+        self._place(waiting, is_parked=False)
+        return waiting
+
+    def _bound(self, is_urgent: bool) -> int:
+        settings = self._settings
+        return settings.limit + (settings.urgent_reserve if is_urgent else 0)
+
+    def _place(self, waiting: Waiting, is_parked: bool) -> None:
+        place = self._lanes[lane_of(waiting)]
+        if is_parked:
+            place = self._parked.setdefault(waiting.team, OrderedDict())
+        place[waiting.request_id] = waiting
+        self._places[waiting.request_id] = place
+
+    def _take(self, place: OrderedDict[int, Waiting], request_id: int) -> Waiting:
+        waiting = place.pop(request_id)
+        if not place and self._parked.get(waiting.team) is place:
+            del self._parked[waiting.team]
+        return waiting
+
+    def _next_lane(self, allow_long: bool) -> Lane | None:
+        urgent = self._first(Lane.URGENT_SHORT, Lane.URGENT_LONG, allow_long)
+        rest = self._first(Lane.SHORT, Lane.LONG, allow_long)
+        if urgent is None or rest is None:
+            return urgent or rest
+        is_starving = self._urgent_in_row >= self._settings.urgent_in_row
+        return rest if is_starving else urgent
+
+    def _first(self, short: Lane, long: Lane, allow_long: bool) -> Lane | None:
+        """Return the lane of the two whose head came first, by request id."""
+        heads = [
+            (next(iter(self._lanes[lane])), lane)
+            for lane in (short, long)
+            if self._lanes[lane] and (allow_long or lane is short)
+        ]
+        return min(heads, key=lambda head: head[0])[1] if heads else None
