Add claims of idempotency keys with one record a key

A non-idempotent request must run at most once although answers of the platform get lost, claimants die or pause, and writes take effect late. The claim store is a state machine a key; the task only carries out its actions. A claim is granted when the platform confirmed this process's write or shows this process's claim id; a write without an answer is repeated unchanged. Records are written under a lease of their retention, which saves the third write a request that a delete would cost.

--- /dev/null
+++ b/src/guavapin/claims/record.py
@@ -0,0 +1,86 @@
+"""The claim of a key as the platform keeps it, and its encoding."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from guavapin.claims.messages import ClaimOutcome
+from guavapin.claims.messages import Headers
+from guavapin.claims.messages import OutcomeUnknown
+from guavapin.claims.messages import RecordedAnswer
+
+# Larger answers are not kept: the platform holds values up to 1 MB, and a day of
+# answers has to fit it.
+MAX_ANSWER_BYTES = 256 * 1024
+
+
+class ClaimState(Enum):
+    """State of a claim; only `RELEASED` lets another claimant take the key."""
+
+    CLAIMED = "c"
+    ANSWERED = "a"
+    UNKNOWN = "u"
+    RELEASED = "r"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """Who claimed a key, for which request content, and what came of it.
+
+    `detail` explains `UNKNOWN`. A released claim stays as a record: a delayed copy of
+    a write that expects the key to be absent can then never take effect.
+    """
+
+    state: ClaimState
+    claim_id: str
+    digest: bytes
+    status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+    detail: str = ""
+
+
+_DECODER = msgspec.msgpack.Decoder(ClaimRecord)
+
+
+def encode_record(record: ClaimRecord) -> bytes:
+    """Return the platform value of a record."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode_record(value: bytes) -> ClaimRecord | None:
+    """Return the record, or None if the value is not one; never raises."""
+    try:
+        return _DECODER.decode(value)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
+
+
+def answered(
+    claim_id: str, digest: bytes, status: int, headers: Headers, body: bytes
+) -> ClaimRecord:
+    """Return the record of an answer, without the answer if it is too large.
+
+    The size counts the header names and values with the body.
+    """
+    size = len(body) + sum(len(name) + len(value) for name, value in headers)
+    if size > MAX_ANSWER_BYTES:
+        return unknown(claim_id, digest, f"answer of {size} bytes too large to repeat")
+    return ClaimRecord(
+        ClaimState.ANSWERED, claim_id, digest, status, tuple(headers), body
+    )
+
+
+def unknown(claim_id: str, digest: bytes, detail: str) -> ClaimRecord:
+    """Return the record of an unknown outcome."""
+    return ClaimRecord(ClaimState.UNKNOWN, claim_id, digest, detail=detail)
+
+
+def outcome_of(record: ClaimRecord) -> ClaimOutcome:
+    """Return what another request with the key of a settled record is told."""
+    if record.state is ClaimState.ANSWERED:
+        return RecordedAnswer(record.status, record.headers, record.body)
+    return OutcomeUnknown(record.detail or "the first request's outcome is unknown")
--- /dev/null
+++ b/src/guavapin/claims/task.py
@@ -0,0 +1,91 @@
+"""The `claims` task: carries out what its claim store decides."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.claims.messages import ClaimKey
+from guavapin.claims.messages import RecordAnswer
+from guavapin.claims.messages import RecordUnknown
+from guavapin.claims.messages import ReleaseClaim
+from guavapin.claims.record_store import RecordStore
+from guavapin.claims.store import SERVICE
+from guavapin.claims.store import CallPlatform
+from guavapin.claims.store import ClaimsConfig
+from guavapin.claims.store import Tell
+from guavapin.claims.store import Wake
+from guavapin.claims.store import WakeAfter
+from guavapin.kernel import Call
+from guavapin.kernel import Ok
+from guavapin.kernel import Outcome
+from guavapin.kernel.outcome import InvariantError
+from guavapin.platform.messages import Reply
+
+if TYPE_CHECKING:
+    from guavapin.claims.store import Actions
+    from guavapin.claims.store import ClaimStore
+    from guavapin.kernel import TaskContext
+
+
+@dataclass(frozen=True, slots=True)
+class ReadCounters:
+    """Ask for the store's counters, sent as a `Call`."""
+
+
+class ClaimsTask:
+    """Service ``claims``; requires ``platform`` and answers to `reply_to`.
+
+    Without a store it keeps one record a key, under a process id drawn at random:
+    claim ids must never repeat, also not after a restart.
+    """
+
+    name = SERVICE
+
+    def __init__(
+        self,
+        cfg: ClaimsConfig,
+        store: ClaimStore | None = None,
+        reply_to: str = "exchanges",
+    ) -> None:
+        self._store = store or RecordStore(cfg, secrets.token_hex(8))
+        self._reply_to = reply_to
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Begin; the platform need not be reachable."""
+        self._context = context
+        self._run(self._store.on_start(context.now_ms()))
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle a message of `claims.messages`, a platform reply or a wake-up."""
+        now_ms = self._context.now_ms()
+        match message:
+            case Reply(request_id, outcome):
+                self._run(self._store.on_reply(request_id, outcome, now_ms))
+            case ClaimKey():
+                self._run(self._store.on_claim(message, now_ms))
+            case RecordAnswer() | RecordUnknown():
+                self._run(self._store.on_outcome(message, now_ms))
+            case ReleaseClaim():
+                self._run(self._store.on_release(message, now_ms))
+            case Wake():
+                self._run(self._store.on_wake(message, now_ms))
+            case Call(ReadCounters(), fut):
+                fut.set_result(self._store.counters())
+            case _:
+                raise InvariantError(f"not a message to claims: {message!r}")
+
+    def stop(self) -> None:
+        """Nothing is open; claims without an outcome stay claimed."""
+
+    def _run(self, actions: Actions) -> None:
+        for action in actions:
+            match action:
+                case CallPlatform(request):
+                    self._context.send("platform", request)
+                case WakeAfter(delay_ms, wake):
+                    self._context.set_timer(delay_ms, wake)
+                case Tell(answer):
+                    self._context.send(self._reply_to, answer)
--- /dev/null
+++ b/tests/claims/world.py
@@ -0,0 +1,244 @@
+"""Several claim stores against one platform, with every event chosen by the test."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.claims.messages import ClaimGranted
+from guavapin.claims.messages import ClaimKey
+from guavapin.claims.messages import ClaimOutcome
+from guavapin.claims.messages import ClaimRefused
+from guavapin.claims.messages import NotRun
+from guavapin.claims.messages import RecordAnswer
+from guavapin.claims.messages import RecordedAnswer
+from guavapin.claims.messages import RecordUnknown
+from guavapin.claims.messages import ReleaseClaim
+from guavapin.claims.store import CallPlatform
+from guavapin.claims.store import Tell
+from guavapin.claims.store import Wake
+from guavapin.claims.store import WakeAfter
+from guavapin.kernel import ManualClock
+from guavapin.platform.messages import Changed
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import LeaseGrant
+from guavapin.platform.messages import Listed
+from guavapin.platform.messages import ListPrefix
+from guavapin.platform.messages import NotSent
+from guavapin.platform.messages import PlatformOutcome
+from guavapin.platform.messages import PlatformRequest
+from guavapin.platform.messages import Put
+from guavapin.platform.messages import RateLimited
+from guavapin.platform.messages import Unknown
+from guavapin.platform.messages import Watch
+from guavapin_standins.platform_store import PlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavapin.claims.store import Actions
+    from guavapin.claims.store import ClaimStore
+
+
+@dataclass
+class Process:
+    store: ClaimStore
+    is_alive: bool = True
+    wakes: list[tuple[int, Wake]] = field(default_factory=list)
+    calls: list[PlatformRequest] = field(default_factory=list)
+    answers: list[tuple[int, PlatformOutcome]] = field(default_factory=list)
+
+
+@dataclass
+class Request:
+    process: int
+    claim: ClaimKey
+    told: ClaimOutcome | None = None
+    is_granted: bool = False
+    finished: object = None
+
+
+class World:
+    """Processes, the platform and what is in the network between them.
+
+    `late` holds writes whose sender has got `Unknown` and that the platform has not
+    seen yet; they may take effect at any later time.
+    """
+
+    def __init__(self, make: Callable[[str], ClaimStore], processes: int) -> None:
+        self.clock = ManualClock(1_000)
+        self.platform = PlatformStore(self.clock)
+        self.requests: dict[int, Request] = {}
+        self.late: list[PlatformRequest] = []
+        self.writes = 0
+        self.processes = [Process(make(f"p{i}")) for i in range(processes)]
+        for index, process in enumerate(self.processes):
+            self.run(index, process.store.on_start(self.clock.now_ms()))
+
+    def claim(
+        self, process: int, key: str, digest: bytes = b"d", wait_ms: int = 5_000
+    ) -> int:
+        """A request with `key` arrives; return its id."""
+        request_id = len(self.requests) + 1
+        deadline_ms = self.clock.now_ms() + wait_ms
+        claim = ClaimKey(request_id, "renewals", key, digest, deadline_ms)
+        self.requests[request_id] = Request(process, claim)
+        now_ms = self.clock.now_ms()
+        self.run(process, self.processes[process].store.on_claim(claim, now_ms))
+        return request_id
+
+    def finish(
+        self, request_id: int, msg: RecordAnswer | RecordUnknown | ReleaseClaim
+    ) -> None:
+        """The exchange of a request ends."""
+        req = self.requests[request_id]
+        store, now_ms = self.processes[req.process].store, self.clock.now_ms()
+        if isinstance(msg, ReleaseClaim):
+            req.finished = msg
+            self.run(req.process, store.on_release(msg, now_ms))
+        else:
+            assert req.is_granted and req.finished is None
+            req.finished = msg
+            self.run(req.process, store.on_outcome(msg, now_ms))
+
+    def execute(self, process: int, index: int = 0, fault: str = "") -> None:
+        """The platform handles a call in flight, or a fault befalls it."""
+        caller = self.processes[process]
+        req = caller.calls.pop(index)
+        outcome: PlatformOutcome
+        if fault == "not_sent":
+            outcome = NotSent("refused")
+        elif fault == "limited":
+            outcome = RateLimited()
+        elif fault == "late":
+            self.late.append(req)
+            outcome = Unknown("timed out")
+        elif fault == "lost":
+            self.apply(req)
+            outcome = Unknown("timed out")
+        else:
+            outcome = self.apply(req)
+        caller.answers.append((req.request_id, outcome))
+
+    def apply(self, req: PlatformRequest) -> PlatformOutcome:
+        """Let the platform handle a call."""
+        match req:
+            case Get(key=key):
+                return self.platform.get(key)
+            case Put():
+                self.writes += 1
+                return self.platform.put(req.key, req.value, req.expected, req.lease_id)
+            case Watch(prefix=prefix, after_revision=after):
+                keys = self.platform.changes(prefix, after)
+                return Changed(keys, self.platform.revision)
+            case ListPrefix(prefix=prefix):
+                keys = self.platform.list_prefix(prefix)
+                return Listed(keys, self.platform.revision)
+            case LeaseGrant(ttl_ms=ttl_ms):
+                return self.platform.grant(ttl_ms)
+        raise AssertionError(f"claims do not use {req!r}")
+
+    def deliver(self, process: int, index: int = 0) -> None:
+        """A process gets an answer of the platform."""
+        target = self.processes[process]
+        call_id, outcome = target.answers.pop(index)
+        now_ms = self.clock.now_ms()
+        self.run(process, target.store.on_reply(call_id, outcome, now_ms))
+
+    def wake(self, process: int, index: int = 0) -> None:
+        """A timer fires, at its time or later."""
+        target = self.processes[process]
+        due_ms, wake = target.wakes.pop(index)
+        self.clock.advance(max(due_ms - self.clock.now_ms(), 0))
+        self.run(process, target.store.on_wake(wake, self.clock.now_ms()))
+
+    def die(self, process: int) -> None:
+        """A process ends; its calls may still reach the platform."""
+        dead = self.processes[process]
+        self.late.extend(dead.calls)
+        dead.is_alive = False
+        dead.calls, dead.answers, dead.wakes = [], [], []
+
+    def exchange(self, process: int, fault: str = "") -> None:
+        """Carry out all calls of a process, each with its answer."""
+        target = self.processes[process]
+        for _ in range(200):
+            if target.answers:
+                self.deliver(process)
+            elif target.calls:
+                self.execute(process, fault=fault)
+            else:
+                return
+
+    def run_until(self, end_ms: int, fault: str = "") -> None:
+        """Carry out all calls and timers up to a time, in the order of time."""
+        for _ in range(20_000):
+            for index in range(len(self.processes)):
+                self.exchange(index, fault)
+            due = [
+                (due_ms, index, position)
+                for index, process in enumerate(self.processes)
+                for position, (due_ms, _) in enumerate(process.wakes)
+            ]
+            if not due or min(due)[0] > end_ms:
+                break
+            _, index, position = min(due)
+            self.wake(index, position)
+        self.clock.advance(max(end_ms - self.clock.now_ms(), 0))
+
+    def run_for(self, delta_ms: int, fault: str = "") -> None:
+        """`run_until` a time from now."""
+        self.run_until(self.clock.now_ms() + delta_ms, fault)
+
+    def run(self, process: int, actions: Actions) -> None:
+        """Carry out the actions of a process."""
+        target = self.processes[process]
+        for action in actions:
+            match action:
+                case CallPlatform(request):
+                    target.calls.append(request)
+                case WakeAfter(delay_ms, wake):
+                    target.wakes.append((self.clock.now_ms() + delay_ms, wake))
+                case Tell(ClaimGranted(request_id)):
+                    self._grant(request_id)
+                case Tell(ClaimRefused(request_id, outcome)):
+                    self._refuse(request_id, outcome)
+
+    def _grant(self, request_id: int) -> None:
+        req = self.requests[request_id]
+        assert req.told is None and not req.is_granted, "answered twice"
+        for other in self.requests.values():
+            if other.claim.key == req.claim.key and other.is_granted:
+                assert isinstance(other.finished, ReleaseClaim), "key granted twice"
+        req.is_granted = True
+
+    def _refuse(self, request_id: int, outcome: ClaimOutcome) -> None:
+        req = self.requests[request_id]
+        assert req.told is None and not req.is_granted, "answered twice"
+        req.told = outcome
+        if isinstance(outcome, RecordedAnswer):
+            answers = [
+                (msg.status, msg.headers, msg.body)
+                for other in self.requests.values()
+                if other.claim.key == req.claim.key
+                and isinstance(msg := other.finished, RecordAnswer)
+            ]
+            assert (outcome.status, outcome.headers, outcome.body) in answers
+        if isinstance(outcome, NotRun):
+            assert not req.is_granted
+
+
+def answer_to(request_id: int) -> RecordAnswer:
+    """Return an answer that differs from all others."""
+    return RecordAnswer(request_id, 201, ((b"x", b"%d" % request_id),), b"done")
+
+
+def due_now(world: World, process: int) -> None:
+    """Make all timers of a process due, as after a long pause of it."""
+    target = world.processes[process]
+    target.wakes = [(world.clock.now_ms(), wake) for _, wake in target.wakes]
+
+
+__all__ = ["Process", "Request", "World", "answer_to", "due_now", "replace"]
