Add the peers task, its messages and the membership

Entry processes must tell one another of generations, leaving upstreams and slot loans without a call to the platform.

Each process has one Pull0 listener and one Push0 per peer; receives are driven by the readiness descriptor on the loop and sends never block. A message is dropped and counted when there is no connection, so that nothing is delivered minutes late after a partition. Heartbeats tell whether the receiver is heard; a connection that went silent is dialled anew after 5 s.

--- /dev/null
+++ b/src/guavapin/peers/membership.py
@@ -0,0 +1,238 @@
+"""Who the peers are and which of them are alive; pure functions over frozen data."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.objects.fields import is_name
+from guavapin.objects.fields import split_address
+from guavapin.peers.messages import Heartbeat
+from guavapin.peers.messages import Member
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+HEARTBEAT_MS = 500
+SUSPECT_MS = 1_500
+GONE_MS = 5_000
+# A learned peer that stays gone is no longer dialled; seeds are dialled for ever.
+FORGET_MS = 600_000
+# Time for a new connection to carry heartbeats both ways before it counts as silent.
+REDIAL_MS = 5_000
+MAX_PEERS = 256
+MAX_COUNTER = 2**62
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRecord:
+    """A known peer: where to dial it and what was heard from it.
+
+    `member` is None until its first heartbeat. `heard_ms` is when the last heartbeat
+    came or, before any, when the peer became known. `acknowledged_ms` is when the
+    peer last told that it hears this process, or when the peer was last dialled.
+    """
+
+    address: PeerAddress
+    is_seed: bool
+    heard_ms: int
+    acknowledged_ms: int
+    member: Member | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """The known peers by name; `own_name` is never among them."""
+
+    own_name: str
+    own_zone: str
+    own_seat: int
+    peers: dict[str, PeerRecord] = field(default_factory=dict)
+
+
+def add_peers(
+    state: Membership, peers: Iterable[PeerAddress], now_ms: int, is_seed: bool = False
+) -> Membership:
+    """Return the state with new peers; a known peer keeps the address it told."""
+    known = dict(state.peers)
+    for peer in peers:
+        if peer.name == state.own_name or len(known) >= MAX_PEERS:
+            continue
+        if not is_name(peer.name) or split_address(peer.address) is None:
+            continue
+        record = known.get(peer.name)
+        if record is None:
+            known[peer.name] = PeerRecord(peer, is_seed, now_ms, now_ms)
+        elif record.member is None or record.member.status is MemberStatus.GONE:
+            known[peer.name] = dataclasses.replace(record, address=peer)
+    return dataclasses.replace(state, peers=known)
+
+
+def on_heartbeat(
+    state: Membership, sender: str, beat: Heartbeat, now_ms: int
+) -> Membership:
+    """Return the state after a heartbeat; a stale or malformed one changes nothing.
+
+    A lower incarnation is stale, unless the peer is gone: a restarted process whose
+    wall clock was set back must be able to return.
+    """
+    if sender == state.own_name or not _is_well_formed(beat):
+        return state
+    record = state.peers.get(sender)
+    if record is None and len(state.peers) >= MAX_PEERS:
+        return state
+    old = None if record is None else record.member
+    if old is not None and _is_stale(old, beat):
+        return state
+    address = PeerAddress(sender, beat.zone, beat.address)
+    member = Member(
+        name=sender,
+        zone=beat.zone,
+        seat=beat.seat,
+        address=beat.address,
+        incarnation=beat.incarnation,
+        status=MemberStatus.ALIVE,
+        generation=beat.generation,
+        fleet_revision=beat.fleet_revision,
+    )
+    moved = record is None or record.address.address != beat.address
+    hears_us = beat.hears_you or moved
+    updated = PeerRecord(
+        address=address,
+        is_seed=record is not None and record.is_seed,
+        heard_ms=now_ms,
+        acknowledged_ms=now_ms
+        if hears_us or record is None
+        else record.acknowledged_ms,
+        member=member,
+    )
+    return _with(state, sender, updated)
+
+
+def on_leaving(state: Membership, sender: str, incarnation: int) -> Membership:
+    """Return the state after a notice of leaving of the present incarnation."""
+    record = state.peers.get(sender)
+    if record is None or record.member is None:
+        return state
+    if record.member.incarnation != incarnation:
+        return state
+    return _with_status(state, record, record.member, MemberStatus.LEAVING)
+
+
+def on_tick(state: Membership, now_ms: int) -> Membership:
+    """Return the state with silent peers suspect, gone or forgotten."""
+    for name, record in tuple(state.peers.items()):
+        silence_ms = now_ms - record.heard_ms
+        if silence_ms >= FORGET_MS and not record.is_seed:
+            peers = {key: item for key, item in state.peers.items() if key != name}
+            state = dataclasses.replace(state, peers=peers)
+            continue
+        member = record.member
+        if member is None:
+            continue
+        status = _status_after(member.status, silence_ms)
+        if status is not member.status:
+            state = _with_status(state, record, member, status)
+    return state
+
+
+def silent_connections(state: Membership, now_ms: int) -> tuple[str, ...]:
+    """Return the peers to dial anew: their connection carries nothing any more."""
+    return tuple(
+        name
+        for name, record in state.peers.items()
+        if now_ms - record.acknowledged_ms >= REDIAL_MS
+    )
+
+
+def on_dialled(state: Membership, name: str, now_ms: int) -> Membership:
+    """Return the state after a peer was dialled anew."""
+    record = state.peers.get(name)
+    if record is None:
+        return state
+    return _with(state, name, dataclasses.replace(record, acknowledged_ms=now_ms))
+
+
+def members_of(state: Membership) -> tuple[Member, ...]:
+    """Return all peers that have been heard from, by name."""
+    return tuple(
+        record.member
+        for _, record in sorted(state.peers.items())
+        if record.member is not None
+    )
+
+
+def live_names(state: Membership, zone: str = "") -> tuple[str, ...]:
+    """Return the names of the live peers, of one zone if `zone` is given."""
+    return tuple(
+        member.name
+        for member in members_of(state)
+        if member.status is MemberStatus.ALIVE and zone in ("", member.zone)
+    )
+
+
+def hears(state: Membership, name: str) -> bool:
+    """Return whether heartbeats of the peer arrive."""
+    record = state.peers.get(name)
+    if record is None or record.member is None:
+        return False
+    return record.member.status in (MemberStatus.ALIVE, MemberStatus.LEAVING)
+
+
+def has_lowest_seat(
+    own_name: str, own_zone: str, own_seat: int, members: Iterable[Member]
+) -> bool:
+    """Return whether no live peer of the zone has a lower seat.
+
+    Of two processes that claim one seat, the one with the lesser name counts as lower.
+    A suspect peer does not count, so that a zone is without a watch for at most
+    `SUSPECT_MS`; two watches do no harm.
+    """
+    return not any(
+        member.zone == own_zone
+        and member.status is MemberStatus.ALIVE
+        and (member.seat, member.name) < (own_seat, own_name)
+        for member in members
+    )
+
+
+def _is_well_formed(beat: Heartbeat) -> bool:
+    numbers = (beat.incarnation, beat.seat, beat.generation, beat.fleet_revision)
+    return (
+        all(0 <= number <= MAX_COUNTER for number in numbers)
+        and is_name(beat.zone)
+        and split_address(beat.address) is not None
+    )
+
+
+def _is_stale(member: Member, beat: Heartbeat) -> bool:
+    if member.status is MemberStatus.GONE:
+        return False
+    if member.status is MemberStatus.LEAVING:
+        return beat.incarnation <= member.incarnation
+    return beat.incarnation < member.incarnation
+
+
+def _status_after(status: MemberStatus, silence_ms: int) -> MemberStatus:
+    if silence_ms >= GONE_MS:
+        return MemberStatus.GONE
+    if silence_ms >= SUSPECT_MS and status is MemberStatus.ALIVE:
+        return MemberStatus.SUSPECT
+    return status
+
+
+def _with(state: Membership, name: str, record: PeerRecord) -> Membership:
+    return dataclasses.replace(state, peers={**state.peers, name: record})
+
+
+def _with_status(
+    state: Membership, record: PeerRecord, member: Member, status: MemberStatus
+) -> Membership:
+    updated = dataclasses.replace(
+        record, member=dataclasses.replace(member, status=status)
+    )
+    return _with(state, member.name, updated)
--- /dev/null
+++ b/src/guavapin/peers/task.py
@@ -0,0 +1,346 @@
+"""The `peers` task: one listener, one outgoing connection per peer, heartbeats."""
+
+from __future__ import annotations
+
+import selectors
+import time
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Protocol
+
+import pynng
+
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.kernel.task import Call
+from guavapin.peers import membership
+from guavapin.peers.codec import MAX_MESSAGE_BYTES
+from guavapin.peers.codec import decode
+from guavapin.peers.codec import encode
+from guavapin.peers.membership import HEARTBEAT_MS
+from guavapin.peers.membership import Membership
+from guavapin.peers.messages import AddPeers
+from guavapin.peers.messages import AnnounceFleetRevision
+from guavapin.peers.messages import AnnounceGeneration
+from guavapin.peers.messages import AnnounceLeaving
+from guavapin.peers.messages import Heartbeat
+from guavapin.peers.messages import KnownPeers
+from guavapin.peers.messages import Leaving
+from guavapin.peers.messages import Member
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerAddress
+from guavapin.peers.messages import PeerBody
+from guavapin.peers.messages import PeerMessage
+from guavapin.peers.messages import PeersStatus
+from guavapin.peers.messages import QueryPeers
+from guavapin.peers.messages import SendToAll
+from guavapin.peers.messages import SendToPeer
+from guavapin.peers.messages import SendToZone
+from guavapin.peers.messages import SubscribeMembership
+from guavapin.peers.messages import SubscribePeerMessages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from guavapin.kernel.task import TaskContext
+
+# A full buffer means that the peer does not keep up; later messages are dropped.
+SEND_BUFFER_MESSAGES = 128
+RECEIVE_BUFFER_MESSAGES = 1_024
+RECONNECT_LEAST_MS = 50
+RECONNECT_MOST_MS = 1_000
+# Bounds the work of one readiness event; the descriptor stays readable.
+MESSAGES_PER_EVENT = 128
+KNOWN_PEERS_TICKS = 20
+# The first heartbeats are lost while connections are being made, so a process that
+# starts sends them faster.
+START_TICKS = 10
+START_HEARTBEAT_MS = 100
+# Closing a socket discards what its transport has not written yet.
+LINGER_MS = 50
+
+
+class PeerFilter(Protocol):
+    """Decides whether a message may pass; tests cut peers off with it."""
+
+    def allows(self, sender: str, receiver: str) -> bool:
+        """Return whether `sender` reaches `receiver`."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class OpenFilter:
+    """Lets every message pass."""
+
+    def allows(self, sender: str, receiver: str) -> bool:
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class PeersConfig:
+    """Who this process is, where it listens and which peers it knows.
+
+    `advertised_address` is what others dial; empty for the listener's own address.
+    """
+
+    name: str
+    zone: str
+    seat: int
+    address: str
+    advertised_address: str = ""
+    seeds: tuple[PeerAddress, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Time to send heartbeats."""
+
+
+class PeersTask:
+    """Sends and receives messages of peers and keeps the membership.
+
+    Sends never block: a message to a peer without a connection, or whose buffer is
+    full, is dropped and counted.
+    """
+
+    name = "peers"
+
+    def __init__(self, cfg: PeersConfig, peer_filter: PeerFilter | None = None) -> None:
+        self._cfg = cfg
+        self._filter: PeerFilter = OpenFilter() if peer_filter is None else peer_filter
+        self._state = Membership(cfg.name, cfg.zone, cfg.seat)
+        self._reported: tuple[Member, ...] = ()
+        self._subscribers: dict[type, list[str]] = {}
+        self._watchers: list[str] = []
+        self._outgoing: dict[str, tuple[str, Any]] = {}
+        self._introduced: set[str] = set()
+        self._generation = 0
+        self._fleet_revision = 0
+        self._incarnation = 0
+        self._ticks = 0
+        self._is_leaving = False
+        self._listener: Any = None
+        self.address = cfg.address
+        self.counters: Counter[str] = Counter()
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Open the listener and dial the seeds."""
+        self._context = context
+        self._incarnation = max(context.clock.wall_ms(), 1)
+        socket = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
+        socket.recv_max_size = MAX_MESSAGE_BYTES
+        try:
+            listener = socket.listen(f"tcp://{self._cfg.address}")
+        except pynng.NNGException as exc:
+            socket.close()
+            detail = f"peer listener {self._cfg.address}: {exc}"
+            return Refused(Reason.START_FAILED, detail)
+        self._listener = socket
+        # A configured port of 0 is replaced by the one that the system chose.
+        self.address = self._cfg.advertised_address or str(listener.local_address)
+        context.watch(socket.recv_fd, selectors.EVENT_READ, self._on_readable)
+        now_ms = context.now_ms()
+        self._state = membership.add_peers(self._state, self._cfg.seeds, now_ms, True)
+        self._tick()
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle a message of another service or the timer."""
+        match message:
+            case _Tick():
+                self._tick()
+            case SendToPeer(peer, body):
+                self._send((peer,), body)
+            case SendToZone(body):
+                self._send(membership.live_names(self._state, self._cfg.zone), body)
+            case SendToAll(body):
+                self._send(membership.live_names(self._state), body)
+            case SubscribePeerMessages(service, types):
+                for cls in types:
+                    self._subscribers.setdefault(cls, []).append(service)
+            case SubscribeMembership(service):
+                self._watchers.append(service)
+                self._context.send(service, MembershipChanged(self._reported))
+            case AnnounceGeneration(generation):
+                self._generation = generation
+            case AnnounceFleetRevision(revision):
+                self._fleet_revision = revision
+            case AnnounceLeaving():
+                self._leave()
+            case AddPeers(peers):
+                now_ms = self._context.now_ms()
+                self._state = membership.add_peers(self._state, peers, now_ms)
+                self._connect()
+            case Call(QueryPeers(), fut):
+                members = membership.members_of(self._state)
+                fut.set_result(PeersStatus(members, dict(self.counters)))
+            case _:
+                self.counters["unexpected_messages"] += 1
+
+    def stop(self) -> None:
+        """Tell the peers and close all sockets; blocks for `LINGER_MS` at most."""
+        if not self._is_leaving and self._outgoing:
+            self._leave()
+            time.sleep(LINGER_MS / 1_000)
+        if self._listener is not None:
+            self._context.unwatch(self._listener.recv_fd)
+            self._listener.close()
+        for _, socket in self._outgoing.values():
+            socket.close()
+        self._outgoing.clear()
+
+    def _leave(self) -> None:
+        self._is_leaving = True
+        self._send(tuple(self._outgoing), Leaving(self._incarnation))
+
+    def _tick(self) -> None:
+        now_ms = self._context.now_ms()
+        self._state = membership.on_tick(self._state, now_ms)
+        for name in membership.silent_connections(self._state, now_ms):
+            self._close(name)
+            self._state = membership.on_dialled(self._state, name, now_ms)
+            self.counters["redials"] += 1
+        self._connect()
+        for name in self._state.peers:
+            self._send((name,), self._heartbeat_for(name))
+        self._ticks += 1
+        if self._ticks % KNOWN_PEERS_TICKS == 1:
+            self._introduced.clear()
+        self._introduce()
+        self._report()
+        is_starting = self._ticks <= START_TICKS
+        delay_ms = START_HEARTBEAT_MS if is_starting else HEARTBEAT_MS
+        self._context.set_timer(delay_ms, _Tick())
+
+    def _heartbeat_for(self, name: str) -> Heartbeat:
+        return Heartbeat(
+            incarnation=self._incarnation,
+            zone=self._cfg.zone,
+            seat=self._cfg.seat,
+            address=self.address,
+            generation=self._generation,
+            fleet_revision=self._fleet_revision,
+            hears_you=membership.hears(self._state, name),
+        )
+
+    def _introduce(self) -> None:
+        """Tell the known peers to the connected ones that were not told lately."""
+        receivers = [
+            name
+            for name in membership.live_names(self._state)
+            if name not in self._introduced and self._outgoing[name][1].pipes
+        ]
+        if not receivers:
+            return
+        self._introduced.update(receivers)
+        known = tuple(
+            PeerAddress(member.name, member.zone, member.address)
+            for member in membership.members_of(self._state)
+            if member.status is MemberStatus.ALIVE
+        )
+        self._send(receivers, KnownPeers(known))
+
+    def _connect(self) -> None:
+        for name, record in self._state.peers.items():
+            address = record.address.address
+            if name in self._outgoing and self._outgoing[name][0] == address:
+                continue
+            self._close(name)
+            socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+            socket.reconnect_time_min = RECONNECT_LEAST_MS
+            socket.reconnect_time_max = RECONNECT_MOST_MS
+            socket.dial(f"tcp://{address}", block=False)
+            self._outgoing[name] = (address, socket)
+        for name in self._outgoing.keys() - self._state.peers.keys():
+            self._close(name)
+
+    def _close(self, name: str) -> None:
+        self._introduced.discard(name)
+        former = self._outgoing.pop(name, None)
+        if former is not None:
+            former[1].close()
+
+    def _send(self, receivers: Iterable[str], body: PeerBody) -> None:
+        encoded = encode(self._cfg.name, body)
+        if isinstance(encoded, Refused):
+            self.counters["too_large"] += 1
+            return
+        for name in receivers:
+            entry = self._outgoing.get(name)
+            if entry is None or not self._filter.allows(self._cfg.name, name):
+                self.counters["not_connected"] += 1
+                continue
+            self._send_bytes(entry[1], encoded.value)
+
+    def _send_bytes(self, socket: Any, data: bytes) -> None:
+        # Nothing is queued for a peer that is not connected: a message that arrives
+        # when the connection returns minutes later would mislead the peer.
+        if not socket.pipes:
+            self.counters["not_connected"] += 1
+            return
+        try:
+            socket.send(data, block=False)
+        except pynng.TryAgain:
+            self.counters["buffer_full"] += 1
+        except pynng.NNGException:
+            self.counters["send_errors"] += 1
+        else:
+            self.counters["sent"] += 1
+            self.counters["sent_bytes"] += len(data)
+
+    def _on_readable(self, events: int) -> None:
+        for _ in range(MESSAGES_PER_EVENT):
+            try:
+                data = self._listener.recv(block=False)
+            except pynng.TryAgain:
+                break
+            except pynng.NNGException:
+                self.counters["receive_errors"] += 1
+                break
+            self._receive(data)
+        self._report()
+
+    def _receive(self, data: bytes) -> None:
+        self.counters["received"] += 1
+        self.counters["received_bytes"] += len(data)
+        decoded = decode(data)
+        if isinstance(decoded, Refused):
+            self.counters["malformed"] += 1
+            return
+        sender, body = decoded.value.sender, decoded.value.message
+        if sender == self._cfg.name or not self._filter.allows(sender, self._cfg.name):
+            self.counters["filtered"] += 1
+            return
+        now_ms = self._context.now_ms()
+        match body:
+            case Heartbeat():
+                self._on_heartbeat(sender, body, now_ms)
+            case Leaving(incarnation):
+                self._state = membership.on_leaving(self._state, sender, incarnation)
+            case KnownPeers(peers):
+                self._state = membership.add_peers(self._state, peers, now_ms)
+                self._connect()
+        for service in self._subscribers.get(type(body), ()):
+            self._context.send(service, PeerMessage(sender, body))
+
+    def _on_heartbeat(self, sender: str, beat: Heartbeat, now_ms: int) -> None:
+        is_new = not membership.hears(self._state, sender)
+        self._state = membership.on_heartbeat(self._state, sender, beat, now_ms)
+        if not is_new or not membership.hears(self._state, sender):
+            return
+        self._connect()
+        self._send((sender,), self._heartbeat_for(sender))
+        self._introduce()
+
+    def _report(self) -> None:
+        members = membership.members_of(self._state)
+        if members == self._reported:
+            return
+        self._reported = members
+        for service in self._watchers:
+            self._context.send(service, MembershipChanged(members))
--- /dev/null
+++ b/tests/peers/test_task.py
@@ -0,0 +1,162 @@
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import pynng
+import pytest
+
+from guavapin.kernel import Kernel
+from guavapin.kernel import Ok
+from guavapin.kernel import Outcome
+from guavapin.kernel import Reason
+from guavapin.kernel import Refused
+from guavapin.kernel import SystemClock
+from guavapin.kernel import TaskContext
+from guavapin.peers.messages import ChunkAnswer
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerAddress
+from guavapin.peers.messages import PeerMessage
+from guavapin.peers.messages import PeersStatus
+from guavapin.peers.messages import QueryPeers
+from guavapin.peers.messages import Relay
+from guavapin.peers.messages import SendToPeer
+from guavapin.peers.messages import SendToZone
+from guavapin.peers.messages import SubscribePeerMessages
+from guavapin.peers.task import PeersConfig
+from guavapin.peers.task import PeersTask
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WAIT_S = 10.0
+
+
+class Listener:
+    name = "listener"
+
+    def __init__(self) -> None:
+        self.received: list[object] = []
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        types = (Relay, ChunkAnswer)
+        context.send("peers", SubscribePeerMessages(self.name, types))
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        self.received.append(message)
+
+    def stop(self) -> None:
+        pass
+
+
+class CutFilter:
+    def __init__(self) -> None:
+        self.cut: set[str] = set()
+
+    def allows(self, sender: str, receiver: str) -> bool:
+        return sender not in self.cut and receiver not in self.cut
+
+
+class Node:
+    def __init__(self, name: str, zone: str, seeds: tuple[PeerAddress, ...]) -> None:
+        self.filter = CutFilter()
+        cfg = PeersConfig(name, zone, 0, "127.0.0.1:0", seeds=seeds)
+        self.task = PeersTask(cfg, self.filter)
+        self.listener = Listener()
+        self.kernel = Kernel(SystemClock())
+        self.kernel.register(self.task)
+        self.kernel.register(self.listener, requires=("peers",))
+        assert self.kernel.start() == Ok(None)
+
+    def status(self) -> PeersStatus:
+        status = self.kernel.ask("peers", QueryPeers()).result(WAIT_S)
+        assert isinstance(status, PeersStatus)
+        return status
+
+    def alive(self) -> set[str]:
+        members = self.status().members
+        return {item.name for item in members if item.status is MemberStatus.ALIVE}
+
+
+def wait_until(condition: Callable[[], bool]) -> None:
+    end = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < end, "condition not reached in time"
+        time.sleep(0.02)
+
+
+def connected(nodes: list[Node]) -> list[Node]:
+    """Wait until each node hears all others, so that no message is lost."""
+    count = len(nodes) - 1
+    wait_until(lambda: all(len(node.alive()) == count for node in nodes))
+    return nodes
+
+
+@pytest.fixture
+def nodes():
+    first = Node("a", "east", ())
+    seed = PeerAddress("a", "east", first.task.address)
+    started = [first, Node("b", "east", (seed,)), Node("c", "west", (seed,))]
+    yield started
+    for node in started:
+        assert node.kernel.stop() == ()
+
+
+def test_peers_find_each_other_through_one_seed_and_exchange_messages(nodes):
+    a, b, c = connected(nodes)
+    b.kernel.deliver("peers", SendToPeer("c", Relay("t", b"direct")))
+    wait_until(lambda: c.listener.received != [])
+    assert c.listener.received == [PeerMessage("b", Relay("t", b"direct"))]
+    a.kernel.deliver("peers", SendToZone(Relay("t", b"zone")))
+    wait_until(lambda: b.listener.received != [])
+    assert b.listener.received == [PeerMessage("a", Relay("t", b"zone"))]
+    assert len(c.listener.received) == 1
+
+
+def test_burst_beyond_one_readiness_event_arrives_completely(nodes):
+    # The descriptor must stay readable while messages are left in the socket.
+    a, b, _ = connected(nodes)
+    data = bytes(200_000)
+    for index in range(300):
+        if index % 50 == 0:
+            wait_until(lambda count=index: len(b.listener.received) == count)
+        a.kernel.deliver("peers", SendToPeer("b", ChunkAnswer(str(index), data)))
+    wait_until(lambda: len(b.listener.received) == 300)
+
+
+def test_cut_peers_lose_and_find_each_other(nodes):
+    a, b, _ = connected(nodes)
+    b.filter.cut.add("a")
+    wait_until(lambda: "b" not in a.alive() and "a" not in b.alive())
+    assert "c" in a.alive()
+    b.filter.cut.clear()
+    wait_until(lambda: "b" in a.alive() and "a" in b.alive())
+
+
+def test_stopped_peer_is_known_to_leave_before_it_is_silent(nodes):
+    a, b, _ = connected(nodes)
+    b.kernel.stop()
+    start = time.monotonic()
+    wait_until(lambda: "b" not in a.alive())
+    assert time.monotonic() - start < 1.0
+
+
+def test_malformed_and_oversized_messages_are_dropped(nodes):
+    a, b, _ = connected(nodes)
+    with pynng.Push0() as socket:
+        socket.dial(f"tcp://{a.task.address}", block=True)
+        socket.send(b"\x00garbage")
+        wait_until(lambda: a.status().counters.get("malformed") == 1)
+        socket.send(bytes(2 * 1024 * 1024))
+    b.kernel.deliver("peers", SendToPeer("a", Relay("t", b"after")))
+    wait_until(lambda: a.listener.received != [])
+
+
+def test_used_port_is_a_refused_start():
+    first = Node("a", "east", ())
+    kernel = Kernel(SystemClock())
+    kernel.register(PeersTask(PeersConfig("b", "east", 1, first.task.address)))
+    outcome = kernel.start()
+    assert isinstance(outcome, Refused) and outcome.reason is Reason.START_FAILED
+    first.kernel.stop()
