Add the configuration task, the head and the chunks

Every entry host must put an accepted generation in force within seconds with calls to the platform that grow with zones, not hosts.

The lowest live seat of a zone watches the head and offers it to its zone; heartbeats carry generations for the rest and all read the head at 20 to 40 s. Chunks are named by digest, fetched from whoever offered the head, then from the platform, and a head is adopted only above the generation in force.

--- /dev/null
+++ b/src/guavapin/publication/configuration.py
@@ -0,0 +1,270 @@
+"""The `configuration` task: follows the head and keeps the configuration in force."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.kernel.task import Call
+from guavapin.peers.membership import has_lowest_seat
+from guavapin.peers.messages import AnnounceGeneration
+from guavapin.peers.messages import ChunkAnswer
+from guavapin.peers.messages import ChunkRequest
+from guavapin.peers.messages import GenerationOffer
+from guavapin.peers.messages import GenerationRequest
+from guavapin.peers.messages import Member
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerMessage
+from guavapin.peers.messages import SendToPeer
+from guavapin.peers.messages import SendToZone
+from guavapin.peers.messages import SubscribeMembership
+from guavapin.peers.messages import SubscribePeerMessages
+from guavapin.platform.messages import Reply
+from guavapin.publication import follower
+from guavapin.publication.follower import PLATFORM
+from guavapin.publication.follower import Adopt
+from guavapin.publication.follower import AskChunk
+from guavapin.publication.follower import Count
+from guavapin.publication.follower import Follower
+from guavapin.publication.follower import ReadHead
+from guavapin.publication.head import decode_head
+from guavapin.publication.head import encode_head
+from guavapin.publication.head_source import ChunkRead
+from guavapin.publication.head_source import HeadMissing
+from guavapin.publication.head_source import HeadRead
+from guavapin.publication.head_source import HeadSource
+from guavapin.publication.head_source import RetryRead
+from guavapin.publication.head_source import SlowRead
+from guavapin.publication.head_source import SourceEvent
+from guavapin.publication.head_source import StartWatch
+from guavapin.publication.messages import ConfigurationAdopted
+from guavapin.publication.messages import ConfigurationStatus
+from guavapin.publication.messages import GetConfiguration
+from guavapin.publication.messages import PeerGeneration
+from guavapin.publication.messages import QueryConfiguration
+from guavapin.publication.messages import SubscribeConfiguration
+
+if TYPE_CHECKING:
+    from guavapin.kernel.task import TaskContext
+
+FETCH_TICK_MS = 100
+# One peer is asked for a newer head at a time; the next one after this time.
+ASK_AGAIN_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationConfig:
+    """Who this process is, as its peers know it, and the seed of its jitter."""
+
+    name: str
+    zone: str
+    seat: int
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _FetchTick:
+    """Time to look for overdue fetches."""
+
+
+@dataclass(frozen=True, slots=True)
+class _AskAgain:
+    """Time to look whether a peer still has a newer generation."""
+
+
+class ConfigurationTask:
+    """Adopts new generations, serves them to peers and tells the subscribers.
+
+    It works without the platform as long as a peer has a configuration, and keeps the
+    one in force when it is cut off from both.
+    """
+
+    name = "configuration"
+
+    def __init__(self, cfg: ConfigurationConfig) -> None:
+        self._cfg = cfg
+        self._source = HeadSource(self.name, f"{cfg.name}/{cfg.seed}")
+        self._state = Follower()
+        self._adopted: ConfigurationAdopted | None = None
+        self._adopted_ms = 0
+        self._members: tuple[Member, ...] = ()
+        self._subscribers: list[str] = []
+        self._is_ticking = False
+        self._is_asking = False
+        self._last_asked = ""
+        self.counters: Counter[str] = Counter()
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Subscribe to the peers and read the head."""
+        self._context = context
+        types = (GenerationOffer, GenerationRequest, ChunkRequest, ChunkAnswer)
+        context.send("peers", SubscribePeerMessages(self.name, types))
+        context.send("peers", SubscribeMembership(self.name))
+        self._source.start(context)
+        self._on_members(())
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle a message of another service or a timer."""
+        match message:
+            case Reply(request_id, outcome):
+                self._on_source(self._source.on_reply(request_id, outcome))
+            case SlowRead() | RetryRead() | StartWatch():
+                self._source.on_timer(message)
+            case PeerMessage(sender, body):
+                self._on_peer(sender, body)
+            case MembershipChanged(members):
+                self._on_members(members)
+            case _FetchTick():
+                self._is_ticking = False
+                self._apply(*follower.on_tick(self._state, self._context.now_ms()))
+            case _AskAgain():
+                self._is_asking = False
+                self._ask_newer()
+            case SubscribeConfiguration(service):
+                self._subscribers.append(service)
+                if self._adopted is not None:
+                    self._context.send(service, self._adopted)
+            case Call(GetConfiguration(), fut):
+                missing = Refused(Reason.MISSING, "no configuration is in force yet")
+                known = self._adopted
+                fut.set_result(missing if known is None else Ok(known))
+            case Call(QueryConfiguration(), fut):
+                fut.set_result(self._status())
+            case _:
+                self.counters["unexpected_messages"] += 1
+
+    def stop(self) -> None:
+        """Close nothing: the task owns no socket."""
+
+    def _on_source(self, event: SourceEvent | None) -> None:
+        match event:
+            case HeadRead(value):
+                self._on_head(value, PLATFORM)
+            case HeadMissing():
+                if self._adopted is None:
+                    self._source.read_head_later()
+            case ChunkRead(digest, data):
+                self._on_chunk(digest, data, PLATFORM)
+
+    def _on_head(self, value: bytes, source: str) -> None:
+        decoded = decode_head(value)
+        if isinstance(decoded, Refused):
+            self.counters["heads_malformed"] += 1
+            return
+        now_ms = self._context.now_ms()
+        self._apply(*follower.on_head(self._state, decoded.value, source, now_ms))
+
+    def _on_chunk(self, digest: str, data: bytes | None, source: str) -> None:
+        now_ms = self._context.now_ms()
+        self._apply(*follower.on_chunk(self._state, digest, data, source, now_ms))
+
+    def _on_members(self, members: tuple[Member, ...]) -> None:
+        self._members = members
+        cfg = self._cfg
+        is_lowest = has_lowest_seat(cfg.name, cfg.zone, cfg.seat, members)
+        self._source.set_watcher(is_lowest)
+        self._ask_newer()
+
+    def _ask_newer(self) -> None:
+        """Ask one peer with a newer generation for its head, preferably a near one."""
+        target = self._state.target
+        known = self._state.generation if target is None else target.generation
+        newer = [
+            member
+            for member in self._members
+            if member.status is MemberStatus.ALIVE and member.generation > known
+        ]
+        if self._is_asking or not newer:
+            return
+        # The peer that was asked last comes last, since it may not have answered.
+        chosen = min(
+            newer,
+            key=lambda member: (
+                member.name == self._last_asked,
+                member.zone != self._cfg.zone,
+                -member.generation,
+                member.name,
+            ),
+        )
+        self._is_asking = True
+        self._last_asked = chosen.name
+        self._context.set_timer(ASK_AGAIN_MS, _AskAgain())
+        request = GenerationRequest(known)
+        self._context.send("peers", SendToPeer(chosen.name, request))
+
+    def _on_peer(self, sender: str, body: object) -> None:
+        match body:
+            case GenerationOffer(_, head):
+                self._on_head(head, sender)
+            case GenerationRequest(above):
+                self._offer(sender, above)
+            case ChunkRequest(digest):
+                data = self._state.chunks.get(digest, b"")
+                answer = ChunkAnswer(digest, data)
+                self._context.send("peers", SendToPeer(sender, answer))
+            case ChunkAnswer(digest, data):
+                self._on_chunk(digest, data or None, sender)
+
+    def _offer(self, peer: str, above: int) -> None:
+        head = self._state.head
+        if head is None or head.generation <= above:
+            return
+        offer = GenerationOffer(head.generation, encode_head(head))
+        self._context.send("peers", SendToPeer(peer, offer))
+
+    def _apply(self, state: Follower, actions: tuple[follower.Action, ...]) -> None:
+        self._state = state
+        for action in actions:
+            match action:
+                case AskChunk(digest, source) if source == PLATFORM:
+                    self._source.read_chunk(digest)
+                case AskChunk(digest, source):
+                    self.counters["chunks_asked_of_peers"] += 1
+                    request = SendToPeer(source, ChunkRequest(digest))
+                    self._context.send("peers", request)
+                case Adopt():
+                    self._adopt(action)
+                case ReadHead():
+                    self._source.read_head_later()
+                case Count(counter):
+                    self.counters[counter] += 1
+        if self._state.target is not None and not self._is_ticking:
+            self._is_ticking = True
+            self._context.set_timer(FETCH_TICK_MS, _FetchTick())
+
+    def _adopt(self, action: Adopt) -> None:
+        generation = action.head.generation
+        self._adopted = ConfigurationAdopted(generation, action.objects)
+        self._adopted_ms = self._context.clock.wall_ms()
+        self.counters["adoptions"] += 1
+        self._context.send("peers", AnnounceGeneration(generation))
+        if action.source == PLATFORM:
+            offer = GenerationOffer(generation, encode_head(action.head))
+            self._context.send("peers", SendToZone(offer))
+        for service in self._subscribers:
+            self._context.send(service, self._adopted)
+
+    def _status(self) -> ConfigurationStatus:
+        head, target = self._state.head, self._state.target
+        return ConfigurationStatus(
+            generation=self._state.generation,
+            publication_id="" if head is None else head.publication_id,
+            author="" if head is None else head.author,
+            adopted_ms=self._adopted_ms,
+            target=0 if target is None else target.generation,
+            is_watching=self._source.is_watch_open,
+            peers=tuple(
+                PeerGeneration(
+                    member.name, member.zone, member.status.value, member.generation
+                )
+                for member in self._members
+            ),
+            counters=dict(self.counters + self._source.counters),
+        )
--- /dev/null
+++ b/src/guavapin/publication/head_source.py
@@ -0,0 +1,209 @@
+"""Reads and watches the head and reads chunks at the platform, for one task.
+
+Reads are never doubled: a read that is wanted while one is under way follows it.
+Failures are repeated after a jittered, rising delay.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from guavapin.platform.messages import Changed
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import Missing
+from guavapin.platform.messages import PlatformOutcome
+from guavapin.platform.messages import Watch
+from guavapin.publication.head import HEAD_KEY
+from guavapin.publication.head import chunk_key
+
+if TYPE_CHECKING:
+    from guavapin.kernel.task import TaskContext
+
+SLOW_READ_MS = 30_000
+WATCH_MS = 30_000
+# Heartbeats arrive within this time of a start, so that only one seat of a zone
+# begins to watch.
+FIRST_WATCH_MS = 1_500
+RETRY_LEAST_MS = 200
+RETRY_MOST_MS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class SlowRead:
+    """Timer: read the head without a cause."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRead:
+    """Timer: read the head after a failure."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartWatch:
+    """Timer: the head may be watched from now on."""
+
+
+SourceTimer: TypeAlias = SlowRead | RetryRead | StartWatch
+
+
+@dataclass(frozen=True, slots=True)
+class HeadRead:
+    """The platform's head."""
+
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HeadMissing:
+    """The platform has no head."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChunkRead:
+    """A chunk, or None if the platform did not give it."""
+
+    digest: str
+    data: bytes | None
+
+
+SourceEvent: TypeAlias = HeadRead | HeadMissing | ChunkRead
+
+
+class HeadSource:
+    """The calls of one service to the platform; used on that service's loop only."""
+
+    def __init__(self, service: str, seed: str) -> None:
+        self._service = service
+        # Jitter only: this generator never decides what is adopted.
+        self._random = random.Random(seed)
+        self._requests: dict[int, Get | Watch] = {}
+        self._next_request_id = 1
+        self._revision = 0
+        self._read_failures = 0
+        self._is_reading = False
+        self._must_read_again = False
+        self._is_retry_due = False
+        self._is_watcher = False
+        self._may_watch = False
+        self._watch_failures = 0
+        self.is_watch_open = False
+        self.counters: Counter[str] = Counter()
+
+    def start(self, context: TaskContext) -> None:
+        """Read the head and set the timers of later reads and of the watch."""
+        self._context = context
+        self.read_head()
+        context.set_timer(FIRST_WATCH_MS, StartWatch())
+        context.set_timer(self._jittered(SLOW_READ_MS), SlowRead())
+
+    def on_timer(self, timer: SourceTimer) -> None:
+        """Handle a timer of this object, which the task delivers."""
+        match timer:
+            case SlowRead():
+                self.read_head()
+                self._context.set_timer(self._jittered(SLOW_READ_MS), SlowRead())
+            case RetryRead():
+                self._is_retry_due = False
+                self.read_head()
+            case StartWatch():
+                self._may_watch = True
+                self._watch()
+
+    def set_watcher(self, is_watcher: bool) -> None:
+        """Begin to watch the head, or stop when the watch under way ends."""
+        self._is_watcher = is_watcher
+        self._watch()
+
+    def read_head(self) -> None:
+        """Read the head, once more if a read is under way."""
+        if self._is_reading:
+            self._must_read_again = True
+            return
+        self._is_reading = True
+        self.counters["head_reads"] += 1
+        self._call(Get(self._service, self._next_request_id, HEAD_KEY))
+
+    def read_head_later(self) -> None:
+        """Read the head after a delay that rises with each failure."""
+        if self._is_retry_due:
+            return
+        self._is_retry_due = True
+        self._read_failures += 1
+        self._context.set_timer(self._backoff(self._read_failures), RetryRead())
+
+    def read_chunk(self, digest: str) -> None:
+        """Read a chunk."""
+        self.counters["chunk_reads"] += 1
+        self._call(Get(self._service, self._next_request_id, chunk_key(digest)))
+
+    def on_reply(self, request_id: int, outcome: PlatformOutcome) -> SourceEvent | None:
+        """Return what a reply brings, or None."""
+        request = self._requests.pop(request_id, None)
+        if isinstance(request, Watch):
+            self._on_watch(outcome)
+            return None
+        if request is None:
+            self.counters["unexpected_replies"] += 1
+            return None
+        if request.key == HEAD_KEY:
+            return self._on_head(outcome)
+        data = outcome.value if isinstance(outcome, Found) else None
+        return ChunkRead(request.key.rpartition("/")[2], data)
+
+    def _on_head(self, outcome: PlatformOutcome) -> SourceEvent | None:
+        self._is_reading = False
+        if self._must_read_again:
+            self._must_read_again = False
+            self.read_head()
+        match outcome:
+            case Found(value, revision):
+                self._read_failures = 0
+                self._revision = max(self._revision, revision)
+                return HeadRead(value)
+            case Missing():
+                self.counters["heads_missing"] += 1
+                return HeadMissing()
+            case _:
+                self.counters["head_reads_failed"] += 1
+                self.read_head_later()
+                return None
+
+    def _watch(self) -> None:
+        if self.is_watch_open or not self._may_watch or not self._is_watcher:
+            return
+        self.is_watch_open = True
+        self.counters["watches"] += 1
+        request_id = self._next_request_id
+        after = self._revision
+        self._call(Watch(self._service, request_id, HEAD_KEY, after, WATCH_MS))
+
+    def _on_watch(self, outcome: PlatformOutcome) -> None:
+        self.is_watch_open = False
+        if isinstance(outcome, Changed):
+            self._watch_failures = 0
+            self._revision = max(self._revision, outcome.revision)
+            if outcome.keys:
+                self.read_head()
+            self._watch()
+            return
+        self._watch_failures += 1
+        self.counters["watches_failed"] += 1
+        self._may_watch = False
+        self._context.set_timer(self._backoff(self._watch_failures), StartWatch())
+
+    def _call(self, request: Get | Watch) -> None:
+        self._requests[request.request_id] = request
+        self._next_request_id += 1
+        self._context.send("platform", request)
+
+    def _backoff(self, failures: int) -> int:
+        ceiling_ms = min(RETRY_LEAST_MS * 2 ** min(failures, 10), RETRY_MOST_MS)
+        return self._random.randint(RETRY_LEAST_MS, ceiling_ms)
+
+    def _jittered(self, delay_ms: int) -> int:
+        return self._random.randint(delay_ms * 2 // 3, delay_ms * 4 // 3)
