--- /dev/null
+++ b/src/guavapin/objects/check_waves.py
@@ -0,0 +1,126 @@
+"""Checks of maintenance waves: hosts, order and whether the window suffices."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from guavapin.objects.model import Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from guavapin.objects.index import PoolView
+    from guavapin.objects.model import Host
+    from guavapin.objects.model import MaintenanceWave
+    from guavapin.objects.model import ObjectSet
+
+KIND = "maintenance_wave"
+
+
+def check_waves(objects: ObjectSet, views: Mapping[str, PoolView]) -> Iterator[Fault]:
+    """Report waves without hosts, in a cycle, or that cannot end in their window."""
+    yield from _check_cycles(objects.waves)
+    bounds: dict[str, int] = {}
+    for name, wave in objects.waves.items():
+        hosts = _hosts_by_pool(wave, views)
+        if not hosts:
+            expected = "pools and racks that have hosts"
+            yield Fault(KIND, name, "pools", "no host matches", expected)
+            continue
+        blocked = [pool for pool in hosts if views[pool].size <= views[pool].required]
+        for pool in blocked:
+            found = f"pool {pool!r}, whose budget needs all {views[pool].size} hosts"
+            yield Fault(KIND, name, "pools", found, "a budget that spares one host")
+        if not blocked:
+            bounds[name] = bound_ms(wave, hosts, views)
+    yield from _check_windows(objects.waves, bounds)
+
+
+def bound_ms(
+    wave: MaintenanceWave,
+    hosts: Mapping[str, tuple[Host, ...]],
+    views: Mapping[str, PoolView],
+) -> int:
+    """Return how long the wave may take if each host uses up its timeouts.
+
+    Hosts go in rounds. Their number is at least that of the tightest bound: hosts at
+    once, the budget of a pool, or its bound per zone or rack.
+    """
+    total = sum(map(len, hosts.values()))
+    rounds = [_ceil(total, wave.max_at_once)]
+    for pool, members in hosts.items():
+        view = views[pool]
+        rounds.append(_ceil(len(members), view.size - view.required))
+        budget = view.budget
+        if budget is None:
+            continue
+        zones = Counter(host.zone for host in members)
+        racks = Counter(host.rack for host in members)
+        rounds.append(_domain_rounds(zones.values(), budget.max_down_per_zone))
+        rounds.append(_domain_rounds(racks.values(), budget.max_down_per_rack))
+    return max(rounds) * (wave.drain_timeout_ms + wave.reboot_timeout_ms)
+
+
+def _hosts_by_pool(
+    wave: MaintenanceWave, views: Mapping[str, PoolView]
+) -> dict[str, tuple[Host, ...]]:
+    racks = frozenset(wave.racks)
+    found = {}
+    for pool in wave.pools or views:
+        if pool not in views:
+            continue
+        hosts = views[pool].hosts
+        members = tuple(host for host in hosts if not racks or host.rack in racks)
+        if members:
+            found[pool] = members
+    return found
+
+
+def _check_windows(
+    waves: Mapping[str, MaintenanceWave], bounds: Mapping[str, int]
+) -> Iterator[Fault]:
+    for name, needed_ms in bounds.items():
+        wave = waves[name]
+        if needed_ms > wave.window_length_ms:
+            found = f"{wave.window_length_ms}, but the hosts may take {needed_ms}"
+            expected = f"at least {needed_ms}, or more hosts at once"
+            yield Fault(KIND, name, "window_length_ms", found, expected)
+        former = waves.get(wave.after)
+        if former is None or wave.after not in bounds:
+            continue
+        if not (former.window_start_ms and wave.window_start_ms):
+            continue
+        start_ms = max(
+            wave.window_start_ms, former.window_start_ms + bounds[wave.after]
+        )
+        end_ms = wave.window_start_ms + wave.window_length_ms
+        if start_ms + needed_ms > end_ms >= wave.window_start_ms + needed_ms:
+            found = f"{wave.after!r}, which may last until {start_ms}"
+            expected = f"an end by {end_ms - needed_ms}, or a longer window"
+            yield Fault(KIND, name, "after", found, expected)
+
+
+def _check_cycles(waves: Mapping[str, MaintenanceWave]) -> Iterator[Fault]:
+    done: set[str] = set()
+    for name in sorted(waves):
+        path: dict[str, int] = {}
+        step = name
+        while step in waves and step not in done and step not in path:
+            path[step] = len(path)
+            step = waves[step].after
+        if step in path:
+            cycle = [item for item, place in path.items() if place >= path[step]]
+            found = " after ".join((*cycle, step))
+            yield Fault(KIND, min(cycle), "after", found, "no cycle")
+        done.update(path)
+
+
+def _domain_rounds(counts: Iterable[int], at_once: int) -> int:
+    return _ceil(max(counts), at_once) if at_once else 0
+
+
+def _ceil(count: int, at_once: int) -> int:
+    return -(-count // at_once)
