--- /dev/null
+++ b/tests/claims/test_decoders.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from guavapin.claims.record import ClaimRecord
+from guavapin.claims.record import ClaimState
+from guavapin.claims.record import decode_record
+from guavapin.claims.record import encode_record
+
+RECORDS = st.builds(
+    ClaimRecord,
+    state=st.sampled_from(ClaimState),
+    claim_id=st.text(),
+    digest=st.binary(),
+    status=st.integers(100, 599),
+    headers=st.lists(st.tuples(st.binary(), st.binary())).map(tuple),
+    body=st.binary(),
+    detail=st.text(),
+)
+
+
+@settings(derandomize=True, max_examples=500)
+@given(st.binary() | st.recursive(st.integers() | st.text(), st.lists))
+def test_arbitrary_values_never_raise(value: object) -> None:
+    # Guards against a value of the platform that ends the process.
+    data = value if isinstance(value, bytes) else msgspec.msgpack.encode(str(value))
+    decode_record(data)
+    decode_record(b"\x91" * 200 + data)
+
+
+def test_deep_nesting_does_not_raise() -> None:
+    # Guards against a value that exhausts the decoder's recursion.
+    assert decode_record(b"\x91" * 500_000) is None
+    assert decode_record(b"\x81\xa1z" + b"\x91" * 500_000) is None
+
+
+@settings(derandomize=True, max_examples=300)
+@given(RECORDS, st.integers(0, 200), st.binary(min_size=1, max_size=3))
+def test_records_survive_and_damaged_ones_do_not_raise(
+    record: ClaimRecord, position: int, damage: bytes
+) -> None:
+    # Guards against an encoding that loses a part of an answer.
+    value = encode_record(record)
+    assert decode_record(value) == record
+    position %= len(value)
+    decode_record(value[:position] + damage + value[position + len(damage) :])
+    assert decode_record(value[:-1]) is None
