Add a batched claim log as a second claim store

One record a key costs two writes a keyed request, and the platform takes several hundred writes a second for all entry hosts. The log writes claims and outcomes of many keys to the next sequence number of a partition; the create-if-absent orders the writers, a loser reads the winner's batch.

Result: the same interleavings and fault cases pass for both stores, apart from the retention and the refusal at once during an outage, which only the record store has.

--- /dev/null
+++ b/src/guavapin/claims/log_partition.py
@@ -0,0 +1,115 @@
+"""The head of a partition's log: one write or one read at a time.
+
+A batch is created at the next sequence number if that is absent. A conflict shows
+that another process wrote it; the reader catches up and tries the number after the
+last. A write without an answer is repeated unchanged until its number is settled.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from guavapin.claims.log_batch import decode_batch
+from guavapin.platform.messages import Conflict
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Missing
+from guavapin.platform.messages import Unknown
+from guavapin.platform.messages import Written
+
+if TYPE_CHECKING:
+    from guavapin.claims.log_batch import Batch
+    from guavapin.platform.messages import PlatformOutcome
+
+
+class HeadPhase(Enum):
+    """IDLE has no call; READING catches up with the log."""
+
+    IDLE = "idle"
+    WRITING = "writing"
+    READING = "reading"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class LogHead:
+    """`sequence` is the next number that this process has not seen."""
+
+    sequence: int = 1
+    phase: HeadPhase = HeadPhase.IDLE
+    batch: Batch | None = None
+    may_be_written: bool = False
+    tries: int = 0
+
+
+class HeadStep(Enum):
+    """What the store does next."""
+
+    NOTHING = "nothing"
+    CALL = "call"
+    PAUSE = "pause"
+    CAUGHT_UP = "caught_up"
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A batch that is now part of the log at `sequence`; `is_own` if written here."""
+
+    batch: Batch
+    sequence: int
+    is_own: bool
+
+
+HeadResult: TypeAlias = tuple[LogHead, Applied | None, HeadStep]
+
+
+def read(head: LogHead) -> LogHead:
+    """Begin to catch up."""
+    return replace(head, phase=HeadPhase.READING, tries=0)
+
+
+def write(head: LogHead, batch: Batch) -> LogHead:
+    """Begin to write a batch."""
+    return replace(head, phase=HeadPhase.WRITING, batch=batch, tries=0)
+
+
+def on_reply(head: LogHead, outcome: PlatformOutcome) -> HeadResult:
+    """Handle the answer to the head's call."""
+    match head.phase, outcome:
+        case HeadPhase.WRITING, Written():
+            return _advance(head, head.batch, is_own=True)
+        case HeadPhase.WRITING, Conflict():
+            return read(head), None, HeadStep.CALL
+        case HeadPhase.WRITING, Unknown():
+            left = replace(head, may_be_written=True, tries=head.tries + 1)
+            return left, None, HeadStep.PAUSE
+        case HeadPhase.READING, Found(value, _):
+            found = decode_batch(value)
+            if found is None:
+                return replace(head, phase=HeadPhase.BROKEN), None, HeadStep.CAUGHT_UP
+            is_own = head.batch is not None and found.batch_id == head.batch.batch_id
+            return _advance(head, found, is_own=is_own)
+        case HeadPhase.READING, Missing():
+            return replace(head, phase=HeadPhase.IDLE), None, HeadStep.CAUGHT_UP
+    if head.phase in (HeadPhase.WRITING, HeadPhase.READING):
+        return replace(head, tries=head.tries + 1), None, HeadStep.PAUSE
+    return head, None, HeadStep.NOTHING
+
+
+def _advance(head: LogHead, batch: Batch | None, *, is_own: bool) -> HeadResult:
+    """Take over the batch at the present number and go to the next."""
+    assert batch is not None, "a write has a batch"
+    applied = Applied(batch, head.sequence, is_own)
+    was_reading = head.phase is HeadPhase.READING
+    left = replace(
+        head,
+        sequence=head.sequence + 1,
+        phase=HeadPhase.READING if was_reading else HeadPhase.IDLE,
+        batch=None if is_own else head.batch,
+        may_be_written=False,
+        tries=0,
+    )
+    return left, applied, HeadStep.CALL if was_reading else HeadStep.CAUGHT_UP
--- /dev/null
+++ b/src/guavapin/claims/log_store.py
@@ -0,0 +1,331 @@
+"""Claim store with a log a partition: claims of many keys in one write.
+
+Kept for comparison with `RecordStore`; see ``docs/measurements/claims.md``. Its index
+holds every key of the log, segments are not compacted, and a restart reads the whole
+log, so that it is not fit for use as it is.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.claims.key_state import Requester
+from guavapin.claims.log_batch import IndexEntry
+from guavapin.claims.log_batch import LogEntry
+from guavapin.claims.log_batch import applies
+from guavapin.claims.log_batch import decode_batch
+from guavapin.claims.log_batch import index_entry
+from guavapin.claims.log_writer import LogWriter
+from guavapin.claims.log_writer import segment_key
+from guavapin.claims.messages import ClaimGranted
+from guavapin.claims.messages import ClaimOutcome
+from guavapin.claims.messages import ClaimRefused
+from guavapin.claims.messages import KeyReused
+from guavapin.claims.messages import NotRun
+from guavapin.claims.messages import OutcomeUnknown
+from guavapin.claims.messages import RecordAnswer
+from guavapin.claims.messages import RecordUnknown
+from guavapin.claims.record import ClaimRecord
+from guavapin.claims.record import ClaimState
+from guavapin.claims.record import answered
+from guavapin.claims.record import outcome_of
+from guavapin.claims.record import unknown
+from guavapin.claims.store import SERVICE
+from guavapin.claims.store import Action
+from guavapin.claims.store import Actions
+from guavapin.claims.store import CallPlatform
+from guavapin.claims.store import ClaimsConfig
+from guavapin.claims.store import Tell
+from guavapin.claims.store import Wake
+from guavapin.claims.store import WakeAfter
+from guavapin.claims.store import WakeKind
+from guavapin.claims.store import key_hash
+from guavapin.kernel.outcome import Reason
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+
+if TYPE_CHECKING:
+    from guavapin.claims.log_partition import Applied
+    from guavapin.claims.messages import ClaimKey
+    from guavapin.claims.messages import ReleaseClaim
+    from guavapin.platform.messages import PlatformOutcome
+
+BROKEN = "the claim log is not readable"
+
+
+@dataclass(frozen=True, slots=True)
+class _LocalKey:
+    """Requests of this process for a key.
+
+    `is_pending` holds while its claim is not logged; `record` is an outcome that is
+    not logged yet.
+    """
+
+    claim_id: str
+    digest: bytes
+    requesters: tuple[Requester, ...]
+    holder: int | None = None
+    is_pending: bool = False
+    record: ClaimRecord | None = None
+
+
+class LogStore:
+    """Variant (b) of `ClaimStore`, with one partition.
+
+    `linger_ms` delays a write so that more entries join it; 0 writes as soon as the
+    former write is done.
+    """
+
+    def __init__(self, cfg: ClaimsConfig, process_id: str, linger_ms: int = 0) -> None:
+        self._cfg = cfg
+        self._process_id = process_id
+        self._log = LogWriter(cfg, process_id, linger_ms)
+        self._index: dict[str, IndexEntry] = {}
+        self._keys: dict[str, _LocalKey] = {}
+        self._paths: dict[int, str] = {}
+        self._fetches: dict[int, str] = {}
+
+    def on_start(self, now_ms: int) -> Actions:
+        """Read the log."""
+        return self._log.catch_up()
+
+    def on_claim(self, req: ClaimKey, now_ms: int) -> Actions:
+        """Claim the key or wait for its holder."""
+        key = key_hash(req.service, req.key)
+        local = self._keys.get(key)
+        refusal = self._admit(local, req.digest)
+        if refusal is not None:
+            return (Tell(ClaimRefused(req.request_id, refusal)),)
+        give_up_ms = min(now_ms + self._cfg.patience_ms, req.deadline_ms)
+        requester = Requester(req.request_id, give_up_ms, req.deadline_ms)
+        self._paths[req.request_id] = key
+        expiry = Wake(WakeKind.EXPIRE, req.request_id)
+        delays = sorted({give_up_ms - now_ms, req.deadline_ms - now_ms})
+        wakes = tuple(WakeAfter(max(delay, 0), expiry) for delay in delays)
+        if local is not None:
+            requesters = (*local.requesters, requester)
+            self._keys[key] = replace(local, requesters=requesters)
+            return wakes
+        claim_id = f"{self._process_id}-{self._log.next_number()}"
+        self._keys[key] = _LocalKey(claim_id, req.digest, (requester,))
+        return (*self._consider(key), *self._log.flush(), *wakes)
+
+    def on_outcome(self, msg: RecordAnswer | RecordUnknown, now_ms: int) -> Actions:
+        """Log the outcome and tell the requests that wait for it here."""
+        key = self._paths.get(msg.request_id, "")
+        local = self._keys.get(key)
+        if local is None or local.holder != msg.request_id:
+            return ()
+        if isinstance(msg, RecordUnknown):
+            record = unknown(local.claim_id, local.digest, msg.detail)
+        else:
+            record = answered(
+                local.claim_id, local.digest, msg.status, msg.headers, msg.body
+            )
+        told = self._refuse(local.requesters, outcome_of(record))
+        self._keys[key] = replace(local, requesters=(), holder=None, record=record)
+        self._log.pending[key] = record
+        return (*told, *self._log.flush())
+
+    def on_release(self, msg: ReleaseClaim, now_ms: int) -> Actions:
+        """Release a claim whose request was not sent, or forget one that waits."""
+        key = self._paths.pop(msg.request_id, "")
+        local = self._keys.get(key)
+        if local is None:
+            return ()
+        if local.holder != msg.request_id:
+            return self._withdraw(key, local, msg.request_id)
+        return (*self._hold(key, replace(local, holder=None)), *self._log.flush())
+
+    def on_reply(self, call_id: int, outcome: PlatformOutcome, now_ms: int) -> Actions:
+        """Handle the answer to a call."""
+        if call_id in self._fetches:
+            return self._on_fetched(self._fetches.pop(call_id), outcome)
+        if not self._log.owns(call_id):
+            return ()
+        applied, calls, has_ended = self._log.on_reply(call_id, outcome)
+        actions = list(calls)
+        if applied is not None:
+            actions.extend(self._apply(applied))
+        if has_ended:
+            actions.extend(self._on_caught_up())
+        return tuple(actions)
+
+    def on_wake(self, wake: Wake, now_ms: int) -> Actions:
+        """Handle a retry, the end of a linger or of a request's time."""
+        if isinstance(wake.subject, int):
+            return self._on_expire(wake.subject, now_ms)
+        return self._log.on_wake(wake)
+
+    def counters(self) -> dict[str, int]:
+        """Return counters, with the sizes of the index and of the local keys."""
+        present = {"keys": len(self._keys), "index": len(self._index)}
+        return dict(self._log.counters) | present
+
+    def _admit(self, local: _LocalKey | None, digest: bytes) -> ClaimOutcome | None:
+        if self._log.is_broken:
+            return NotRun(Reason.CUT_OFF, BROKEN)
+        if local is None:
+            if len(self._keys) < self._cfg.max_keys:
+                return None
+            return NotRun(Reason.OVERLOADED, "too many keys are being claimed")
+        if local.digest != digest:
+            return KeyReused()
+        return None if local.record is None else outcome_of(local.record)
+
+    def _consider(self, key: str) -> Actions:
+        """Decide by the index what to do for a key that this process does not hold."""
+        local, held = self._keys[key], self._index.get(key)
+        if held is None or held.state is ClaimState.RELEASED:
+            self._keys[key] = replace(local, is_pending=True)
+            self._log.pending[key] = ClaimRecord(
+                ClaimState.CLAIMED, local.claim_id, local.digest
+            )
+            return ()
+        if held.digest != local.digest:
+            return self._end(key, KeyReused())
+        self._keys[key] = replace(local, is_pending=False)
+        self._log.pending.pop(key, None)
+        if held.state is ClaimState.CLAIMED:
+            return self._follow()
+        call_id = self._log.next_number()
+        self._fetches[call_id] = key
+        return (CallPlatform(Get(SERVICE, call_id, segment_key(held.sequence))),)
+
+    def _on_fetched(self, key: str, outcome: PlatformOutcome) -> Actions:
+        if key not in self._keys:
+            return ()
+        batch = decode_batch(outcome.value) if isinstance(outcome, Found) else None
+        records = (
+            [] if batch is None else [e.record for e in batch.entries if e.key == key]
+        )
+        if not records:
+            return self._end(key, OutcomeUnknown("the record could not be read"))
+        return self._end(key, outcome_of(records[-1]))
+
+    def _apply(self, applied: Applied) -> Actions:
+        actions: list[Action] = []
+        for entry in applied.batch.entries:
+            is_valid = applies(self._index, entry)
+            if is_valid:
+                held = index_entry(entry.record, applied.sequence)
+                self._index[entry.key] = held
+            if entry.key in self._keys:
+                actions.extend(self._on_entry(entry, is_valid, applied.is_own))
+        return tuple(actions)
+
+    def _on_entry(self, entry: LogEntry, is_valid: bool, is_own: bool) -> Actions:
+        key, record = entry.key, entry.record
+        local = self._keys[key]
+        is_claim = record.state is ClaimState.CLAIMED
+        if is_own and is_claim:
+            if is_valid:
+                return self._hold(key, replace(local, is_pending=False))
+            return self._consider(key)
+        if is_own:
+            # An outcome is logged: nothing is left to do unless requests wait for a
+            # released key.
+            self._keys[key] = replace(local, record=None)
+            return self._consider(key) if local.requesters else self._drop(key)
+        if not is_valid or not local.requesters:
+            return ()
+        is_settled = record.state in (ClaimState.ANSWERED, ClaimState.UNKNOWN)
+        if is_settled and record.digest == local.digest:
+            return self._end(key, outcome_of(record))
+        return self._consider(key)
+
+    def _hold(self, key: str, local: _LocalKey) -> Actions:
+        """Grant a logged claim to the first request that waits, or release it."""
+        if not local.requesters:
+            self._keys[key] = local
+            self._log.pending[key] = ClaimRecord(
+                ClaimState.RELEASED, local.claim_id, local.digest
+            )
+            return ()
+        first, *rest = local.requesters
+        self._keys[key] = replace(
+            local, holder=first.request_id, requesters=tuple(rest)
+        )
+        return (Tell(ClaimGranted(first.request_id)),)
+
+    def _on_caught_up(self) -> Actions:
+        """Queue lost entries again, without claims on keys that are taken now."""
+        actions: list[Action] = []
+        for entry in self._log.take_lost():
+            actions.extend(self._again(entry))
+        if self._log.is_broken:
+            for key in list(self._keys):
+                actions.extend(self._end(key, OutcomeUnknown(BROKEN)))
+        return (*actions, *self._log.flush(), *self._follow())
+
+    def _again(self, entry: LogEntry) -> Actions:
+        local = self._keys.get(entry.key)
+        if local is None or entry.key in self._log.pending:
+            return ()
+        if entry.record.state is not ClaimState.CLAIMED:
+            self._log.pending[entry.key] = entry.record
+            return ()
+        if not local.requesters:
+            return self._drop(entry.key)
+        return self._consider(entry.key)
+
+    def _follow(self) -> Actions:
+        """Watch the log for as long as requests wait for other processes."""
+        is_followed = any(
+            local.requesters and not local.is_pending and local.holder is None
+            for local in self._keys.values()
+        )
+        return self._log.follow() if is_followed else ()
+
+    def _on_expire(self, request_id: int, now_ms: int) -> Actions:
+        key = self._paths.get(request_id, "")
+        local = self._keys.get(key)
+        requesters = () if local is None else local.requesters
+        requester = next((r for r in requesters if r.request_id == request_id), None)
+        if local is None or requester is None:
+            return ()
+        limit_ms = requester.give_up_ms if local.is_pending else requester.deadline_ms
+        if now_ms < limit_ms:
+            return ()
+        outcome: ClaimOutcome = OutcomeUnknown("the holder has no outcome yet")
+        if local.is_pending:
+            outcome = NotRun(Reason.CUT_OFF, "the platform did not confirm the claim")
+        told = self._refuse((requester,), outcome)
+        return (*told, *self._withdraw(key, local, request_id))
+
+    def _withdraw(self, key: str, local: _LocalKey, request_id: int) -> Actions:
+        rest = tuple(r for r in local.requesters if r.request_id != request_id)
+        self._keys[key] = replace(local, requesters=rest)
+        if rest or local.holder is not None or local.record is not None:
+            return ()
+        queued = self._log.pending.get(key)
+        if queued is not None and queued.state is ClaimState.CLAIMED:
+            del self._log.pending[key]
+            return self._drop(key)
+        is_written = local.is_pending or queued is not None
+        return () if is_written or self._holds(key, local) else self._drop(key)
+
+    def _holds(self, key: str, local: _LocalKey) -> bool:
+        held = self._index.get(key)
+        return held is not None and held.claim_id == local.claim_id
+
+    def _end(self, key: str, outcome: ClaimOutcome) -> Actions:
+        told = self._refuse(self._keys[key].requesters, outcome)
+        return (*told, *self._drop(key))
+
+    def _drop(self, key: str) -> Actions:
+        self._keys.pop(key, None)
+        self._log.pending.pop(key, None)
+        return ()
+
+    def _refuse(
+        self, requesters: tuple[Requester, ...], outcome: ClaimOutcome
+    ) -> Actions:
+        for requester in requesters:
+            self._paths.pop(requester.request_id, None)
+        return tuple(
+            Tell(ClaimRefused(requester.request_id, outcome))
+            for requester in requesters
+        )
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -14,6 +14,7 @@
 from guavapin.kernel.outcome import Reason
 from tests.claims.variants import VARIANTS
 from tests.claims.variants import Make
+from tests.claims.variants import record_store
 from tests.claims.world import World
 from tests.claims.world import answer_to
 from tests.claims.world import due_now
@@ -27,6 +28,14 @@
     return made
 
 
+@pytest.fixture
+def record_world() -> World:
+    """Two processes with the default store, which alone has these abilities."""
+    world = World(record_store, 2)
+    world.run_for(10)
+    return world
+
+
 @pytest.fixture
 def world(make: Make) -> World:
     world = World(make, 2)
@@ -193,9 +202,10 @@
 
 
 @pytest.mark.parametrize("fault", ["not_sent", "late", "lost", "limited"])
-def test_platform_down(world: World, fault: str) -> None:
+def test_platform_down(record_world: World, fault: str) -> None:
     # Guards against requests that wait for their whole deadline with a slot, and
     # against claims that stay although their request was refused as not run.
+    world = record_world
     first = world.claim(0, "k", wait_ms=60_000)
     world.run_for(2_000, fault)
     outcome = told(world, first)
@@ -254,8 +264,9 @@
     assert told(world, again[1]) == RecordedAnswer(200, (), bytes(256 * 1024))
 
 
-def test_claim_ends_with_its_retention(world: World) -> None:
+def test_claim_ends_with_its_retention(record_world: World) -> None:
     # Guards against records that are kept for ever, and for less than a day.
+    world = record_world
     first = hold(world)
     world.finish(first, answer_to(first))
     world.run_for(23 * 3_600_000)
@@ -268,6 +279,29 @@
     assert granted(world, third)
 
 
+def test_record_that_ends_before_it_is_read_is_claimed_anew(
+    record_world: World,
+) -> None:
+    # Guards against a grant without a write of one's own: two processes may see the
+    # record's absence at the same time.
+    world = record_world
+    first = hold(world)
+    both = [world.claim(1, "k"), world.claim(0, "l")]
+    world.execute(1)
+    world.deliver(1)
+    path = next(item.key for item in world.platform.list_prefix("claims/"))
+    revision = world.platform.get(path).revision
+    world.platform.delete(path, revision)
+    world.requests[first].finished = ReleaseClaim(first)
+    writes = world.writes
+    world.execute(1)
+    world.deliver(1)
+    assert not granted(world, both[0])
+    world.run_for(100)
+    assert granted(world, both[0])
+    assert world.writes == writes + 2
+
+
 def test_waiting_is_bounded_in_calls(world: World) -> None:
     # Guards against waiting requests that use up the platform's rate of reads.
     first = hold(world)
--- a/tests/claims/test_interleavings.py
+++ b/tests/claims/test_interleavings.py
@@ -10,7 +10,7 @@
 
 from guavapin.claims.messages import RecordUnknown
 from guavapin.claims.messages import ReleaseClaim
-from tests.claims.variants import VARIANTS
+from tests.claims.variants import ALL_VARIANTS
 from tests.claims.world import World
 from tests.claims.world import answer_to
 
@@ -62,7 +62,7 @@
     return events
 
 
-@pytest.mark.parametrize("make", VARIANTS)
+@pytest.mark.parametrize("make", ALL_VARIANTS)
 @settings(derandomize=True, max_examples=400, deadline=None)
 @given(
     processes=st.integers(1, 4),
--- a/tests/claims/variants.py
+++ b/tests/claims/variants.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from guavapin.claims.log_store import LogStore
 from guavapin.claims.record_store import RecordStore
 from guavapin.claims.store import ClaimsConfig
 from guavapin.claims.store import ClaimStore
@@ -19,4 +20,18 @@
     return RecordStore(CFG, process_id)
 
 
-VARIANTS = [pytest.param(record_store, id="record")]
+def log_store(process_id: str) -> ClaimStore:
+    return LogStore(CFG, process_id)
+
+
+def lingering_log_store(process_id: str) -> ClaimStore:
+    return LogStore(CFG, process_id, linger_ms=10)
+
+
+VARIANTS = [
+    pytest.param(record_store, id="record"),
+    pytest.param(log_store, id="log"),
+]
+# With a linger time the first call of an event comes later, so that the cases that
+# choose the fault of one call do not apply.
+ALL_VARIANTS = [*VARIANTS, pytest.param(lingering_log_store, id="log-lingering")]
