Add the publisher: merge, checks, audit, rollback, collection

Operators on any entry host change the same set at the same time; answers get lost and publishers are paused at any step.

A publication is a pure state machine: read head, read chunks, write chunks, write audit value, replace head by compare-and-swap. Changes are merged by object; a lost answer is resolved by repeating the same write and by the publication's id in the head. A rollback is a new generation. A chunk is removed only if it was written before the head that does not contain it, and publishers renew older chunks that they use again.

--- /dev/null
+++ b/src/guavapin/publication/audit.py
@@ -0,0 +1,122 @@
+"""The audit value of a publication: each object with its old and new value."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from guavapin.fleet.state import AuditEntry
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.objects.codec import object_table
+
+if TYPE_CHECKING:
+    from guavapin.objects.kinds import NamedObject
+    from guavapin.publication.messages import Change
+
+# Half of the largest value of the store; about 1,500 created hosts.
+MAX_AUDIT_BYTES = 512 * 1024
+MAX_VALUE_LENGTH = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class PublicationAudit:
+    """Who published which changes; written before the head that names its digest.
+
+    `previous` is the digest of the audit value of the generation before, so that the
+    values in force form a chain and one of a publication that failed is told apart.
+    `omitted` counts entries that the bound of the size left out.
+    """
+
+    generation: int
+    publication_id: str
+    base_generation: int
+    previous: str
+    entries: tuple[AuditEntry, ...]
+    omitted: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Authorship:
+    """Who changes, when (wall time) and why; `action` is the verb of the entries."""
+
+    author: str
+    wall_ms: int
+    reason: str
+    action: str
+
+
+def build_audit(
+    generation: int,
+    publication_id: str,
+    base_generation: int,
+    previous: str,
+    changes: tuple[Change, ...],
+    authorship: Authorship,
+) -> PublicationAudit:
+    """Return the audit value; the sequence of an entry counts from 1 in a generation.
+
+    Entries beyond `MAX_AUDIT_BYTES` are counted in `omitted`.
+    """
+    entries: list[AuditEntry] = []
+    size = 1_000
+    for change in changes:
+        entry = _entry(len(entries) + 1, generation, change, authorship)
+        size += len(msgspec.json.encode(entry)) + 1
+        if size > MAX_AUDIT_BYTES:
+            break
+        entries.append(entry)
+    return PublicationAudit(
+        generation=generation,
+        publication_id=publication_id,
+        base_generation=base_generation,
+        previous=previous,
+        entries=tuple(entries),
+        omitted=len(changes) - len(entries),
+    )
+
+
+def encode_audit(audit: PublicationAudit) -> bytes:
+    """Return the audit value as JSON."""
+    return msgspec.json.encode(audit)
+
+
+def decode_audit(data: bytes) -> Outcome[PublicationAudit]:
+    """Return the audit value in `data`, or `Refused(BAD_INPUT)`."""
+    try:
+        return Ok(_DECODER.decode(data))
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        return Refused(Reason.BAD_INPUT, f"audit value is malformed: {exc}")
+
+
+_DECODER = msgspec.json.Decoder(PublicationAudit)
+
+
+def _entry(
+    sequence: int, generation: int, change: Change, authorship: Authorship
+) -> AuditEntry:
+    return AuditEntry(
+        sequence=sequence,
+        wall_ms=authorship.wall_ms,
+        actor=authorship.author,
+        action=authorship.action,
+        object=f"{change.kind}/{change.name}",
+        generation=generation,
+        old=_text(change.old),
+        new=_text(change.new),
+        reason=authorship.reason,
+    )
+
+
+def _text(obj: NamedObject | None) -> str:
+    """Return the fields as JSON, cut to the bound; empty for no object."""
+    if obj is None:
+        return ""
+    text = msgspec.json.encode(object_table(obj)).decode()
+    if len(text) <= MAX_VALUE_LENGTH:
+        return text
+    return text[:MAX_VALUE_LENGTH] + f"... ({len(text)} characters)"
--- a/src/guavapin/publication/messages.py
+++ b/src/guavapin/publication/messages.py
@@ -168,3 +168,16 @@
     is_watching: bool
     peers: tuple[PeerGeneration, ...]
     counters: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class QueryPublisher:
+    """Asked as a `Call`; the reply is `PublisherStatus`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PublisherStatus:
+    """Publications in progress or waiting in this process, and its counters."""
+
+    waiting: int
+    counters: dict[str, int]
--- /dev/null
+++ b/src/guavapin/publication/plan.py
@@ -0,0 +1,190 @@
+"""Plans a publication: merges, checks and builds the values to write; pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.objects.model import ObjectSet
+from guavapin.publication.audit import Authorship
+from guavapin.publication.audit import build_audit
+from guavapin.publication.audit import encode_audit
+from guavapin.publication.head import Head
+from guavapin.publication.head import audit_key
+from guavapin.publication.head import chunk_key
+from guavapin.publication.head import digests_at
+from guavapin.publication.head import encode_head
+from guavapin.publication.head import next_head
+from guavapin.publication.merge import apply_changes
+from guavapin.publication.merge import diff
+from guavapin.publication.merge import validate
+from guavapin.publication.messages import Change
+from guavapin.publication.messages import Conflict
+from guavapin.publication.messages import Publish
+from guavapin.publication.messages import Published
+from guavapin.publication.messages import PublishRequest
+from guavapin.publication.messages import PublishResult
+from guavapin.publication.messages import PublishSet
+from guavapin.publication.messages import Rejected
+from guavapin.publication.messages import Rollback
+from guavapin.publication.snapshot import digest_of
+from guavapin.publication.snapshot import join
+from guavapin.publication.snapshot import split
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from guavapin.objects.model import Fault
+
+MAX_AUTHOR_LENGTH = 128
+MAX_REASON_LENGTH = 1_000
+# Leaves room under the store's limit of 1 MB.
+MAX_HEAD_BYTES = 900_000
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The values to write, in this order: chunks, audit value, head."""
+
+    head: Head
+    chunks: dict[str, bytes]
+    audit_key: str
+    audit_value: bytes
+    head_value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Stamp:
+    """What a plan takes from outside: identity, wall time and the check."""
+
+    publication_id: str
+    wall_ms: int
+    check: Callable[[ObjectSet], tuple[Fault, ...]]
+
+
+def refuse_request(request: PublishRequest) -> Refused | None:
+    """Return why a request is malformed whatever the head is, or None."""
+    if not 1 <= len(request.author) <= MAX_AUTHOR_LENGTH:
+        detail = f"author: expected 1 to {MAX_AUTHOR_LENGTH} characters"
+        return Refused(Reason.BAD_INPUT, detail)
+    if len(request.reason) > MAX_REASON_LENGTH:
+        detail = f"reason: expected at most {MAX_REASON_LENGTH} characters"
+        return Refused(Reason.BAD_INPUT, detail)
+    return validate(request.changes) if isinstance(request, Publish) else None
+
+
+def needed_digests(request: PublishRequest, head: Head | None) -> set[str] | Refused:
+    """Return the chunks that must be read to plan the request on top of `head`."""
+    present = 0 if head is None else head.generation
+    generations = {present}
+    if isinstance(request, PublishSet | Rollback):
+        generations.add(request.base_generation)
+    if isinstance(request, Rollback):
+        generations.add(request.generation)
+    if request.base_generation > present:
+        detail = f"base generation {request.base_generation} is above {present}"
+        return Refused(Reason.BAD_INPUT, detail)
+    found: set[str] = set()
+    for generation in generations - {0}:
+        digests = None if head is None else digests_at(head, generation)
+        if digests is None:
+            detail = f"the content of generation {generation} is no longer kept"
+            return Refused(Reason.MISSING, detail)
+        found.update(digests)
+    return found
+
+
+def make_plan(
+    request: PublishRequest,
+    head: Head | None,
+    chunks: Mapping[str, bytes],
+    stamp: Stamp,
+) -> Plan | PublishResult:
+    """Return the plan on top of `head`, or the result if there is nothing to write.
+
+    `chunks` holds at least the chunks of `needed_digests`.
+    """
+    current = _content(head, 0 if head is None else head.generation, chunks)
+    changes = _changes(request, head, chunks)
+    if isinstance(current, Refused):
+        return current
+    if isinstance(changes, Refused):
+        return changes
+    merged = apply_changes(current, changes)
+    if isinstance(merged, tuple):
+        author = "" if head is None else head.author
+        return Conflict(0 if head is None else head.generation, author, merged)
+    effective = diff(current, merged)
+    if not effective:
+        return Published(0 if head is None else head.generation)
+    faults = stamp.check(merged)
+    return (
+        Rejected(faults) if faults else _write(request, head, merged, stamp, effective)
+    )
+
+
+def _write(
+    request: PublishRequest,
+    head: Head | None,
+    merged: ObjectSet,
+    stamp: Stamp,
+    changes: tuple[Change, ...],
+) -> Plan | Refused:
+    generation = 1 if head is None else head.generation + 1
+    action = "rollback" if isinstance(request, Rollback) else "publish"
+    authorship = Authorship(request.author, stamp.wall_ms, request.reason, action)
+    audit = build_audit(
+        generation,
+        stamp.publication_id,
+        request.base_generation,
+        "" if head is None else head.audit_digest,
+        changes,
+        authorship,
+    )
+    audit_value = encode_audit(audit)
+    audit_digest = digest_of(audit_value)
+    chunks = split(merged)
+    following = next_head(
+        head, chunks, stamp.publication_id, audit_digest, request.author, stamp.wall_ms
+    )
+    head_value = encode_head(following)
+    if len(head_value) > MAX_HEAD_BYTES:
+        return Refused(Reason.TOO_LARGE, f"head of {len(head_value)} bytes")
+    present = set() if head is None else set(head.digests)
+    return Plan(
+        head=following,
+        chunks={
+            chunk_key(digest): data
+            for digest, data in chunks.items()
+            if digest not in present
+        },
+        audit_key=audit_key(generation, audit_digest),
+        audit_value=audit_value,
+        head_value=head_value,
+    )
+
+
+def _changes(
+    request: PublishRequest, head: Head | None, chunks: Mapping[str, bytes]
+) -> tuple[Change, ...] | Refused:
+    if isinstance(request, Publish):
+        return request.changes
+    base = _content(head, request.base_generation, chunks)
+    if isinstance(base, Refused):
+        return base
+    if isinstance(request, PublishSet):
+        return diff(base, request.objects)
+    target = _content(head, request.generation, chunks)
+    return target if isinstance(target, Refused) else diff(base, target)
+
+
+def _content(
+    head: Head | None, generation: int, chunks: Mapping[str, bytes]
+) -> ObjectSet | Refused:
+    if generation == 0 or head is None:
+        return ObjectSet()
+    joined = join(chunks[digest] for digest in digests_at(head, generation) or ())
+    return joined if isinstance(joined, Refused) else joined.value
--- /dev/null
+++ b/src/guavapin/publication/publisher.py
@@ -0,0 +1,323 @@
+"""The steps of one publication as a pure state machine.
+
+Read head, read chunks, write chunks, write audit value, replace head. Nothing is in
+force before the head is replaced; a publisher may be paused, repeated or abandoned
+at any step. The compare-and-swap of the head decides between publishers. A lost
+answer is resolved by repeating the same write, then by looking for the publication's
+id in the head.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.platform import messages as platform
+from guavapin.publication.head import HEAD_KEY
+from guavapin.publication.head import RECENT_PUBLICATIONS
+from guavapin.publication.head import Head
+from guavapin.publication.head import chunk_key
+from guavapin.publication.head import decode_head
+from guavapin.publication.head import generation_of
+from guavapin.publication.messages import Published
+from guavapin.publication.messages import PublishRequest
+from guavapin.publication.messages import PublishResult
+from guavapin.publication.plan import Plan
+from guavapin.publication.plan import Stamp
+from guavapin.publication.plan import make_plan
+from guavapin.publication.plan import needed_digests
+from guavapin.publication.snapshot import digest_of
+
+if TYPE_CHECKING:
+    from guavapin.platform.messages import PlatformOutcome
+
+# Each lost compare-and-swap means that another publisher succeeded.
+MAX_LOSSES = 50
+RETRY_LEAST_MS = 50
+RETRY_MOST_MS = 1_000
+
+
+class Stage(Enum):
+    """The step in progress."""
+
+    READ_HEAD = "read head"
+    READ_CHUNKS = "read chunks"
+    WRITE_CHUNKS = "write chunks"
+    WRITE_AUDIT = "write audit value"
+    WRITE_HEAD = "write head"
+    DONE = "done"
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """A call to the platform: a read of `key`, or a write if `value` is given."""
+
+    key: str
+    value: bytes | None = None
+    expected: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """State of one publication.
+
+    `pending` holds the operations not yet answered for good, `failures` counts failed
+    calls in a row. `is_in_flight` is set while a write of the head is unanswered,
+    `is_uncertain` while an earlier one may have taken effect. `floor` is a generation
+    known to have been in force. `audit` is the key and revision of the audit value of
+    the present attempt. `damaged_revision` is the revision of a head of which a chunk
+    could not be read.
+    """
+
+    request: PublishRequest
+    stamp: Stamp
+    floor: int = 0
+    stage: Stage = Stage.READ_HEAD
+    head: Head | None = None
+    head_revision: int = 0
+    chunks: dict[str, bytes] = field(default_factory=dict)
+    plan: Plan | None = None
+    pending: dict[int, Operation] = field(default_factory=dict)
+    next_operation: int = 1
+    losses: int = 0
+    failures: int = 0
+    is_in_flight: bool = False
+    is_uncertain: bool = False
+    audit: tuple[str, int] = ("", 0)
+    damaged_revision: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Perform:
+    """Carry out an operation and give its outcome to `on_outcome`."""
+
+    operation_id: int
+    operation: Operation
+
+
+@dataclass(frozen=True, slots=True)
+class PerformLater:
+    """Call `on_due` after `delay_ms`, to which the caller adds jitter."""
+
+    operation_id: int
+    delay_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """The job has ended with `result`."""
+
+    result: PublishResult
+
+
+@dataclass(frozen=True, slots=True)
+class DropAudit:
+    """Remove the audit value of an attempt that certainly did not take effect."""
+
+    key: str
+    revision: int
+
+
+Action: TypeAlias = Perform | PerformLater | Finish | DropAudit
+Step: TypeAlias = tuple[Job, tuple[Action, ...]]
+
+
+def begin(job: Job) -> Step:
+    """Read the head."""
+    job = dataclasses.replace(job, stage=Stage.READ_HEAD, pending={}, plan=None)
+    return _perform(job, [Operation(HEAD_KEY)])
+
+
+def on_due(job: Job, operation_id: int) -> Step:
+    """Repeat an operation that failed; one of an earlier attempt is ignored."""
+    operation = job.pending.get(operation_id)
+    if operation is None:
+        return job, ()
+    if _is_head_write(operation):
+        job = dataclasses.replace(job, is_in_flight=True)
+    return job, (Perform(operation_id, operation),)
+
+
+def on_outcome(job: Job, operation_id: int, outcome: PlatformOutcome) -> Step:
+    """Take the outcome of an operation; one of an earlier attempt is ignored."""
+    operation = job.pending.get(operation_id)
+    if operation is None:
+        return job, ()
+    match outcome:
+        case platform.Unknown() | platform.NotSent() | platform.RateLimited():
+            return _repeat(job, operation_id, operation, outcome)
+    pending = {key: item for key, item in job.pending.items() if key != operation_id}
+    job = dataclasses.replace(job, pending=pending, failures=0, is_in_flight=False)
+    if operation.value is None:
+        return _on_read(job, operation, outcome)
+    return _on_write(job, operation, outcome)
+
+
+def on_expired(job: Job) -> Step:
+    """End the job at its deadline; one that has ended is left as it is."""
+    if job.stage is Stage.DONE:
+        return job, ()
+    is_written = job.is_uncertain or job.is_in_flight
+    reason = Reason.OUTCOME_UNKNOWN if is_written else Reason.TIMEOUT
+    effect = "it may take effect" if is_written else "nothing was published"
+    detail = (
+        f"publication {job.stamp.publication_id} did not end in time at step "
+        f"{job.stage.value!r}; {effect}"
+    )
+    return _finish(job, Refused(reason, detail))
+
+
+def _repeat(
+    job: Job, operation_id: int, operation: Operation, outcome: PlatformOutcome
+) -> Step:
+    may_apply = _is_head_write(operation) and isinstance(outcome, platform.Unknown)
+    delay_ms = min(RETRY_LEAST_MS * 2 ** min(job.failures, 10), RETRY_MOST_MS)
+    job = dataclasses.replace(
+        job,
+        failures=job.failures + 1,
+        is_in_flight=False,
+        is_uncertain=job.is_uncertain or may_apply,
+    )
+    return job, (PerformLater(operation_id, delay_ms),)
+
+
+def _on_read(job: Job, operation: Operation, outcome: PlatformOutcome) -> Step:
+    if operation.key == HEAD_KEY:
+        return _on_head(job, outcome)
+    digest = operation.key.rpartition("/")[2]
+    if not isinstance(outcome, platform.Found) or digest_of(outcome.value) != digest:
+        # After a long pause the head is outdated and its chunks may be collected.
+        return begin(dataclasses.replace(job, damaged_revision=job.head_revision))
+    job = dataclasses.replace(job, chunks={**job.chunks, digest: outcome.value})
+    return (job, ()) if job.pending else _make_plan(job)
+
+
+def _on_head(job: Job, outcome: PlatformOutcome) -> Step:
+    head, revision = None, 0
+    if isinstance(outcome, platform.Found):
+        decoded = decode_head(outcome.value)
+        if isinstance(decoded, Refused):
+            return _finish(job, decoded)
+        head, revision = decoded.value, outcome.revision
+    present = 0 if head is None else head.generation
+    if present < job.floor:
+        detail = f"head at generation {present}, but {job.floor} was in force"
+        return _finish(job, Refused(Reason.CONFLICT, detail))
+    made = None if head is None else generation_of(head, job.stamp.publication_id)
+    if made is not None:
+        return _finish(job, Published(made))
+    if job.is_uncertain and present - job.floor > RECENT_PUBLICATIONS:
+        detail = f"publication {job.stamp.publication_id} is older than the history"
+        return _finish(job, Refused(Reason.OUTCOME_UNKNOWN, detail))
+    if revision == job.damaged_revision:
+        detail = f"a chunk of generation {present} is missing or damaged"
+        return _finish(job, Refused(Reason.MISSING, detail))
+    lost_key, lost_revision = job.audit
+    job, actions = _read_chunks(
+        dataclasses.replace(
+            job,
+            head=head,
+            head_revision=revision,
+            floor=present,
+            is_uncertain=False,
+            audit=("", 0),
+        )
+    )
+    return job, (DropAudit(lost_key, lost_revision), *actions) if lost_key else actions
+
+
+def _read_chunks(job: Job) -> Step:
+    needed = needed_digests(job.request, job.head)
+    if isinstance(needed, Refused):
+        return _finish(job, needed)
+    job = dataclasses.replace(job, stage=Stage.READ_CHUNKS)
+    missing = sorted(needed - job.chunks.keys())
+    if not missing:
+        return _make_plan(job)
+    return _perform(job, [Operation(chunk_key(digest)) for digest in missing])
+
+
+def _make_plan(job: Job) -> Step:
+    plan = make_plan(job.request, job.head, job.chunks, job.stamp)
+    if not isinstance(plan, Plan):
+        return _finish(job, plan)
+    job = dataclasses.replace(job, plan=plan, stage=Stage.WRITE_CHUNKS)
+    if not plan.chunks:
+        return _write_audit(job, plan)
+    writes = [Operation(key, value) for key, value in sorted(plan.chunks.items())]
+    return _perform(job, writes)
+
+
+def _write_audit(job: Job, plan: Plan) -> Step:
+    job = dataclasses.replace(job, stage=Stage.WRITE_AUDIT)
+    return _perform(job, [Operation(plan.audit_key, plan.audit_value)])
+
+
+def _write_head(job: Job, plan: Plan) -> Step:
+    job = dataclasses.replace(job, stage=Stage.WRITE_HEAD, is_in_flight=True)
+    return _perform(job, [Operation(HEAD_KEY, plan.head_value, job.head_revision)])
+
+
+def _on_write(job: Job, operation: Operation, outcome: PlatformOutcome) -> Step:
+    plan = job.plan
+    if plan is None:
+        return job, ()
+    if operation.key == HEAD_KEY:
+        return _on_head_written(job, plan, outcome)
+    if isinstance(outcome, platform.Conflict) and _must_touch(job, outcome.revision):
+        again = dataclasses.replace(operation, expected=outcome.revision)
+        return _perform(job, [again])
+    if job.pending:
+        return job, ()
+    if job.stage is Stage.WRITE_CHUNKS:
+        return _write_audit(job, plan)
+    if isinstance(outcome, platform.Written | platform.Conflict):
+        audit = (operation.key, outcome.revision)
+        job = dataclasses.replace(job, audit=audit)
+    return _write_head(job, plan)
+
+
+def _must_touch(job: Job, revision: int) -> bool:
+    """Return whether an existing chunk must be written anew.
+
+    Garbage collection spares values written after the head it read. A chunk that is
+    older may be removed at any moment, so the publisher renews its revision.
+    """
+    return revision < job.head_revision or revision == 0
+
+
+def _on_head_written(job: Job, plan: Plan, outcome: PlatformOutcome) -> Step:
+    if isinstance(outcome, platform.Written):
+        return _finish(job, Published(plan.head.generation))
+    if job.losses >= MAX_LOSSES:
+        detail = f"lost to other publishers {MAX_LOSSES} times"
+        return _finish(job, Refused(Reason.CONFLICT, detail))
+    # A conflict may be the answer to a repetition of a write that took effect.
+    job = dataclasses.replace(job, losses=job.losses + 1, is_uncertain=True)
+    return begin(job)
+
+
+def _is_head_write(operation: Operation) -> bool:
+    return operation.key == HEAD_KEY and operation.value is not None
+
+
+def _perform(job: Job, operations: list[Operation]) -> Step:
+    first = job.next_operation
+    numbered = dict(enumerate(operations, first))
+    job = dataclasses.replace(
+        job,
+        pending={**job.pending, **numbered},
+        next_operation=first + len(operations),
+    )
+    return job, tuple(Perform(key, item) for key, item in numbered.items())
+
+
+def _finish(job: Job, result: PublishResult) -> Step:
+    job = dataclasses.replace(job, stage=Stage.DONE, pending={})
+    return job, (Finish(result),)
--- /dev/null
+++ b/src/guavapin/publication/publisher_task.py
@@ -0,0 +1,317 @@
+"""The `publisher` task: runs publications one after another and collects chunks."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from collections import Counter
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.kernel.task import Call
+from guavapin.objects.check import check
+from guavapin.platform.messages import Delete
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import KeyRevision
+from guavapin.platform.messages import Listed
+from guavapin.platform.messages import ListPrefix
+from guavapin.platform.messages import Put
+from guavapin.platform.messages import Reply
+from guavapin.publication import publisher
+from guavapin.publication.collector import removable
+from guavapin.publication.head import CHUNK_PREFIX
+from guavapin.publication.head import HEAD_KEY
+from guavapin.publication.head import decode_head
+from guavapin.publication.messages import ConfigurationAdopted
+from guavapin.publication.messages import Publish
+from guavapin.publication.messages import Published
+from guavapin.publication.messages import PublisherStatus
+from guavapin.publication.messages import PublishRequest
+from guavapin.publication.messages import PublishResult
+from guavapin.publication.messages import PublishSet
+from guavapin.publication.messages import QueryPublisher
+from guavapin.publication.messages import Rollback
+from guavapin.publication.messages import SubscribeConfiguration
+from guavapin.publication.plan import Stamp
+from guavapin.publication.plan import refuse_request
+from guavapin.publication.publisher import DropAudit
+from guavapin.publication.publisher import Finish
+from guavapin.publication.publisher import Job
+from guavapin.publication.publisher import Operation
+from guavapin.publication.publisher import Perform
+from guavapin.publication.publisher import PerformLater
+from guavapin.publication.snapshot import split
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+
+    from guavapin.kernel.task import TaskContext
+    from guavapin.platform.messages import PlatformOutcome
+
+MAX_WAITING = 64
+DEADLINE_MS = 10_000
+COLLECT_EVERY_GENERATIONS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    number: int
+    request: PublishRequest
+    fut: Future[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class _Due:
+    number: int
+    operation_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class _Expired:
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class _JobCall:
+    number: int
+    operation_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class _CollectorList:
+    """The list of chunks was asked for."""
+
+
+@dataclass(frozen=True, slots=True)
+class _CollectorHead:
+    listed: tuple[KeyRevision, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Removal:
+    """A key is being removed; a failure leaves it for a later collection."""
+
+
+class PublisherTask:
+    """Takes `Publish`, `PublishSet` and `Rollback` as calls, one at a time.
+
+    Each request ends within `DEADLINE_MS` of its arrival.
+    """
+
+    name = "publisher"
+
+    def __init__(self, configuration: str = "configuration", seed: int = 0) -> None:
+        self._configuration = configuration
+        # Jitter of repetitions only.
+        self._random = random.Random(seed)
+        self._waiting: deque[_Waiting] = deque()
+        self._active: _Waiting | None = None
+        self._job: Job | None = None
+        self._known: dict[str, bytes] = {}
+        self._adopted: ConfigurationAdopted | None = None
+        self._floor = 0
+        self._numbers = 0
+        self._requests: dict[int, object] = {}
+        self._next_request_id = 1
+        self._is_collecting = False
+        self.counters: Counter[str] = Counter()
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Subscribe to the configuration in force."""
+        self._context = context
+        if self._configuration:
+            context.send(self._configuration, SubscribeConfiguration(self.name))
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle a call, a reply of the platform or a timer."""
+        match message:
+            case Call(Publish() | PublishSet() | Rollback() as request, fut):
+                self._accept(request, fut)
+            case Call(QueryPublisher(), fut):
+                waiting = len(self._waiting) + (self._active is not None)
+                fut.set_result(PublisherStatus(waiting, dict(self.counters)))
+            case Reply(request_id, outcome):
+                self._on_reply(request_id, outcome)
+            case _Due(number, operation_id):
+                if self._job is not None and self._is_active(number):
+                    self._apply(*publisher.on_due(self._job, operation_id))
+            case _Expired(number):
+                self._on_expired(number)
+            case ConfigurationAdopted(generation, _):
+                self._adopted = message
+                self._floor = max(self._floor, generation)
+            case _:
+                self.counters["unexpected_messages"] += 1
+
+    def stop(self) -> None:
+        """Refuse the requests that have not ended."""
+        refusal = Refused(Reason.STOPPING, "nothing was published")
+        while self._waiting:
+            self._waiting.popleft().fut.set_result(refusal)
+        if self._active is not None and self._job is not None:
+            _, actions = publisher.on_expired(self._job)
+            self._end(self._active, actions)
+
+    def _accept(self, request: PublishRequest, fut: Future[Any]) -> None:
+        if not fut.set_running_or_notify_cancel():
+            return
+        refusal = refuse_request(request)
+        if refusal is None and len(self._waiting) >= MAX_WAITING:
+            refusal = Refused(Reason.OVERLOADED, f"{MAX_WAITING} publications wait")
+        if refusal is not None:
+            fut.set_result(refusal)
+            return
+        self._numbers += 1
+        self._waiting.append(_Waiting(self._numbers, request, fut))
+        self._context.set_timer(DEADLINE_MS, _Expired(self._numbers))
+        self._begin_next()
+
+    def _begin_next(self) -> None:
+        if self._active is not None or not self._waiting:
+            return
+        self._active = self._waiting.popleft()
+        request = self._active.request
+        publication_id = request.publication_id or uuid.uuid4().hex
+        stamp = Stamp(publication_id, self._context.clock.wall_ms(), check)
+        job = Job(request, stamp, self._floor, chunks=self._known_chunks())
+        self._apply(*publisher.begin(job))
+
+    def _known_chunks(self) -> dict[str, bytes]:
+        """Return chunks that need not be read: of the last job and those in force."""
+        if self._adopted is not None:
+            self._known = {**self._known, **split(self._adopted.objects)}
+            self._adopted = None
+        return self._known
+
+    def _is_active(self, number: int) -> bool:
+        return self._active is not None and self._active.number == number
+
+    def _on_expired(self, number: int) -> None:
+        if self._job is not None and self._is_active(number):
+            self._apply(*publisher.on_expired(self._job))
+            return
+        for item in self._waiting:
+            if item.number == number:
+                self._waiting.remove(item)
+                detail = "other publications took too long; nothing was published"
+                item.fut.set_result(Refused(Reason.TIMEOUT, detail))
+                return
+
+    def _on_reply(self, request_id: int, outcome: PlatformOutcome) -> None:
+        match self._requests.pop(request_id, None):
+            case _JobCall(number, operation_id):
+                if self._job is not None and self._is_active(number):
+                    step = publisher.on_outcome(self._job, operation_id, outcome)
+                    self._apply(*step)
+            case _CollectorList():
+                self._on_listed(outcome)
+            case _CollectorHead(listed):
+                self._on_collector_head(listed, outcome)
+            case _Removal():
+                self.counters["removals"] += 1
+            case _:
+                self.counters["unexpected_replies"] += 1
+
+    def _apply(self, job: Job, actions: tuple[publisher.Action, ...]) -> None:
+        self._job = job
+        active = self._active
+        if active is None:
+            return
+        for action in actions:
+            match action:
+                case Perform(operation_id, operation):
+                    self._perform(_JobCall(active.number, operation_id), operation)
+                case PerformLater(operation_id, delay_ms):
+                    delay_ms += self._random.randint(0, delay_ms)
+                    due = _Due(active.number, operation_id)
+                    self._context.set_timer(delay_ms, due)
+                    self.counters["repetitions"] += 1
+                case DropAudit(key, revision):
+                    self.counters["lost_attempts"] += 1
+                    self._remove(KeyRevision(key, revision))
+        self._end(active, actions)
+
+    def _end(self, active: _Waiting, actions: tuple[publisher.Action, ...]) -> None:
+        for action in actions:
+            if isinstance(action, Finish):
+                self._keep_chunks()
+                self._active = self._job = None
+                self.counters[type(action.result).__name__.lower()] += 1
+                active.fut.set_result(action.result)
+                self._after(action.result)
+                self._begin_next()
+
+    def _keep_chunks(self) -> None:
+        job = self._job
+        if job is None or job.head is None:
+            return
+        planned = {} if job.plan is None else job.plan.chunks
+        known = {
+            **job.chunks,
+            **{key.removeprefix(CHUNK_PREFIX): data for key, data in planned.items()},
+        }
+        head = job.head if job.plan is None else job.plan.head
+        self._known = {item: known[item] for item in head.digests if item in known}
+
+    def _after(self, result: PublishResult) -> None:
+        if not isinstance(result, Published):
+            return
+        self._floor = max(self._floor, result.generation)
+        if result.generation % COLLECT_EVERY_GENERATIONS == 0:
+            self._collect()
+
+    def _collect(self) -> None:
+        if self._is_collecting:
+            return
+        self._is_collecting = True
+        request_id = self._remember(_CollectorList())
+        request = ListPrefix(self.name, request_id, CHUNK_PREFIX)
+        self._context.send("platform", request)
+
+    def _on_listed(self, outcome: PlatformOutcome) -> None:
+        if not isinstance(outcome, Listed):
+            self._is_collecting = False
+            return
+        request_id = self._remember(_CollectorHead(outcome.keys))
+        self._context.send("platform", Get(self.name, request_id, HEAD_KEY))
+
+    def _on_collector_head(
+        self, listed: tuple[KeyRevision, ...], outcome: PlatformOutcome
+    ) -> None:
+        self._is_collecting = False
+        if not isinstance(outcome, Found):
+            return
+        decoded = decode_head(outcome.value)
+        if isinstance(decoded, Refused):
+            return
+        for item in removable(listed, decoded.value, outcome.revision):
+            self._remove(item)
+
+    def _remove(self, item: KeyRevision) -> None:
+        request_id = self._remember(_Removal())
+        request = Delete(self.name, request_id, item.key, item.revision)
+        self._context.send("platform", request)
+
+    def _perform(self, call: _JobCall, operation: Operation) -> None:
+        request_id = self._remember(call)
+        key = operation.key
+        if operation.value is None:
+            self._context.send("platform", Get(self.name, request_id, key))
+            return
+        self.counters["bytes_written"] += len(operation.value)
+        request = Put(self.name, request_id, key, operation.value, operation.expected)
+        self._context.send("platform", request)
+
+    def _remember(self, purpose: object) -> int:
+        request_id = self._next_request_id
+        self._next_request_id += 1
+        self._requests[request_id] = purpose
+        return request_id
