--- a/src/guavapin/limits/queue.py
+++ b/src/guavapin/limits/queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
@@ -14,11 +15,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """A request that waits; `deadline_ms` bounds its end, `run_ms` is expected."""
+    """A request that waits; `deadline_ms` bounds its end, `run_ms` is expected.
+
+    Several services may share a pool and thus a queue; `limit` is the number of
+    requests of `service` that may wait in it.
+    """
 
     request_id: int
     deadline_ms: int
     run_ms: float = 0.0
+    service: str = ""
+    limit: int = 256
     is_urgent: bool = False
     is_long: bool = False
     team: str = ""
@@ -33,7 +40,6 @@
     `urgent_reserve` places are kept for urgent requests when the queue is full.
     """
 
-    limit: int = 256
     urgent_in_row: int = 8
     urgent_reserve: int = 16
 
@@ -77,8 +83,9 @@
         self._lanes: dict[Lane, OrderedDict[int, Waiting]] = {
             lane: OrderedDict() for lane in Lane
         }
-        self._parked: dict[str, OrderedDict[int, Waiting]] = {}
+        self._parked: dict[tuple[str, str], OrderedDict[int, Waiting]] = {}
         self._places: dict[int, OrderedDict[int, Waiting]] = {}
+        self._by_service: Counter[str] = Counter()
         self._urgent_in_row = 0
 
     def __len__(self) -> int:
@@ -105,16 +112,17 @@
         `wait_ms` is the expected wait. It is refused when the queue is full or when
         it could not be answered by its deadline.
         """
-        if len(self._places) >= self._bound(waiting.is_urgent):
-            return Refused(
-                Reason.OVERLOADED, f"queue holds {len(self._places)} requests"
-            )
+        count = self._by_service[waiting.service]
+        reserve = self._settings.urgent_reserve if waiting.is_urgent else 0
+        if count >= waiting.limit + reserve:
+            return Refused(Reason.OVERLOADED, f"queue holds {count} requests")
         if now_ms + wait_ms + waiting.run_ms > waiting.deadline_ms:
             return Refused(
                 Reason.DEADLINE,
                 f"expected wait {wait_ms:.0f} ms and run {waiting.run_ms:.0f} ms, "
                 f"deadline in {waiting.deadline_ms - now_ms} ms",
             )
+        self._by_service[waiting.service] += 1
         self._place(waiting, is_parked)
         return Ok(None)
 
@@ -123,11 +131,11 @@
         place = self._places.pop(request_id, None)
         return None if place is None else self._take(place, request_id)
 
-    def pop(self, now_ms: int, allow_long: bool = True) -> Waiting | None:
-        """Return the next request to start, without those past their deadline.
+    def pop(self, allow_long: bool = True) -> Waiting | None:
+        """Return the next request to start.
 
-        Those stay for the owner's timer to refuse, which cancels them. `allow_long`
-        is false while long work uses all the slots it may.
+        `allow_long` is false while long work uses all the slots it may. Requests past
+        their deadline are refused by the owner's timers, which cancel them.
         """
         lane = self._next_lane(allow_long)
         if lane is None:
@@ -135,36 +143,43 @@
         place = self._lanes[lane]
         waiting = place.popitem(last=False)[1]
         del self._places[waiting.request_id]
+        self._by_service[waiting.service] -= 1
         is_urgent = lane in (Lane.URGENT_SHORT, Lane.URGENT_LONG)
         self._urgent_in_row = self._urgent_in_row + 1 if is_urgent else 0
         return waiting
 
-    def unpark(self, team: str) -> Waiting | None:
-        """Move the oldest parked request of `team` into its lane, and return it."""
-        parked = self._parked.get(team)
+    def put_back(self, waiting: Waiting) -> None:
+        """Queue a request again at the head of its lane; it was popped but not started.
+
+        It is not refused, since it has been admitted already.
+        """
+        self._by_service[waiting.service] += 1
+        self._place(waiting, is_parked=False)
+        self._lanes[lane_of(waiting)].move_to_end(waiting.request_id, last=False)
+
+    def unpark(self, service: str, team: str) -> Waiting | None:
+        """Move the oldest parked request of a team into its lane, and return it."""
+        parked = self._parked.get((service, team))
         if not parked:
             return None
         waiting = parked.popitem(last=False)[1]
         if not parked:
-            del self._parked[team]
+            del self._parked[service, team]
         self._place(waiting, is_parked=False)
         return waiting
 
-    def _bound(self, is_urgent: bool) -> int:
-        settings = self._settings
-        return settings.limit + (settings.urgent_reserve if is_urgent else 0)
-
     def _place(self, waiting: Waiting, is_parked: bool) -> None:
         place = self._lanes[lane_of(waiting)]
         if is_parked:
-            place = self._parked.setdefault(waiting.team, OrderedDict())
+            place = self._parked.setdefault(_parking_of(waiting), OrderedDict())
         place[waiting.request_id] = waiting
         self._places[waiting.request_id] = place
 
     def _take(self, place: OrderedDict[int, Waiting], request_id: int) -> Waiting:
         waiting = place.pop(request_id)
-        if not place and self._parked.get(waiting.team) is place:
-            del self._parked[waiting.team]
+        self._by_service[waiting.service] -= 1
+        if not place and self._parked.get(_parking_of(waiting)) is place:
+            del self._parked[_parking_of(waiting)]
         return waiting
 
     def _next_lane(self, allow_long: bool) -> Lane | None:
@@ -183,3 +198,7 @@
             if self._lanes[lane] and (allow_long or lane is short)
         ]
         return min(heads, key=lambda head: head[0])[1] if heads else None
+
+
+def _parking_of(waiting: Waiting) -> tuple[str, str]:
+    return waiting.service, waiting.team
--- a/src/guavapin/routing/health.py
+++ b/src/guavapin/routing/health.py
@@ -98,40 +98,32 @@
     may_eject: bool,
     now_ms: int,
     settings: HealthSettings = DEFAULT_SETTINGS,
+    is_trial: bool = False,
 ) -> UpstreamHealth:
     """Record the end of an attempt.
 
     `slowness` is the answer time over the expected one; it counts only for
     successes, since a fast failure says nothing about speed. `may_eject` is false
-    when the pool's floor forbids to open another breaker.
+    when the pool's floor forbids to open another breaker. Only the trial decides
+    about a half-open breaker, not an attempt that started before it opened.
     """
-    health = replace(health, outstanding=max(health.outstanding - 1, 0))
-    return record_verdict(health, verdict, slowness, may_eject, now_ms, settings)
-
-
-def record_verdict(
-    health: UpstreamHealth,
-    verdict: Verdict,
-    slowness: float,
-    may_eject: bool,
-    now_ms: int,
-    settings: HealthSettings = DEFAULT_SETTINGS,
-) -> UpstreamHealth:
-    """Apply the verdict of an attempt or of a probe to the record."""
+    health = cancel_attempt(health, is_trial)
     if verdict is Verdict.NEUTRAL:
-        return replace(health, trial_running=False)
+        return health
     health = _learn(health, verdict, slowness, settings)
-    if health.breaker is Breaker.HALF_OPEN:
+    if is_trial and health.breaker is Breaker.HALF_OPEN:
         return _end_trial(health, verdict, now_ms, settings)
     if health.breaker is Breaker.CLOSED and may_eject and _must_open(health, settings):
-        return _open(health, settings.cool_down_ms, now_ms)
+        return _open(health, _first_cool_down_ms(health, now_ms, settings), now_ms)
     return health
 
 
-def cancel_attempt(health: UpstreamHealth) -> UpstreamHealth:
+def cancel_attempt(health: UpstreamHealth, is_trial: bool = False) -> UpstreamHealth:
     """Forget an attempt that the caller gave up; it says nothing about the upstream."""
     return replace(
-        health, outstanding=max(health.outstanding - 1, 0), trial_running=False
+        health,
+        outstanding=max(health.outstanding - 1, 0),
+        trial_running=health.trial_running and not is_trial,
     )
 
 
@@ -210,6 +202,19 @@
     return is_known and health.failure_share > settings.share_to_open
 
 
+def _first_cool_down_ms(
+    health: UpstreamHealth, now_ms: int, settings: HealthSettings
+) -> int:
+    """Return the cool-down of a breaker that opens after it was closed.
+
+    A worker may pass a trial and yet fail its work; one that fails again during slow
+    start stays out twice as long, or it would come back every second.
+    """
+    if ramp(health, now_ms, settings) < 1.0:
+        return min(health.cool_down_ms * 2, settings.max_cool_down_ms)
+    return settings.cool_down_ms
+
+
 def _open(health: UpstreamHealth, cool_down_ms: int, now_ms: int) -> UpstreamHealth:
     return replace(
         health,
--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -33,11 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Expectation:
-    """What to expect of a request; `p95_ms` bounds most requests of the kind."""
+    """What to expect of a request; `p95_ms` bounds most requests of the kind.
+
+    `is_known` is false until enough requests of the kind have been seen.
+    """
 
     run_ms: float
     p95_ms: float
     is_long: bool
+    is_known: bool = True
 
 
 def kind_of(method: str, target: str, service_prefix: str = "") -> str:
@@ -81,7 +85,7 @@
     if service is not None and service.count >= MIN_COUNT:
         usual_ms = service.median_ms
     if kind is None or kind.count < MIN_COUNT:
-        return Expectation(usual_ms, usual_ms * 2, is_long=False)
+        return Expectation(usual_ms, usual_ms * 2, is_long=False, is_known=False)
     is_long = kind.median_ms > LONG_FACTOR * usual_ms
     return Expectation(kind.median_ms, kind.p95_ms, is_long)
 
--- a/src/guavapin/serving/exchange.py
+++ b/src/guavapin/serving/exchange.py
@@ -12,25 +12,24 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
+from guavapin.retries.policy import IDEMPOTENT_METHODS
+from guavapin.retries.policy import EndedAttempt
+from guavapin.retries.policy import has_not_run
+from guavapin.retries.policy import may_repeat
+from guavapin.serving.exchange_head import OUTCOME
+from guavapin.serving.exchange_head import REASON
+from guavapin.serving.exchange_head import announced_length
 from guavapin.serving.messages import AnswerBody
 from guavapin.serving.messages import AnswerBroken
 from guavapin.serving.messages import AnswerEnd
 from guavapin.serving.messages import AnswerHead
 from guavapin.serving.messages import AttemptResult
-from guavapin.serving.messages import CancelAttempt
-from guavapin.serving.messages import StartAttempt
 
 if TYPE_CHECKING:
     from guavapin.objects.model import Service
-    from guavapin.serving.messages import AttemptBody
-    from guavapin.serving.messages import AttemptEnded
-    from guavapin.serving.messages import AttemptHead
+    from guavapin.routing.run_time import Expectation
     from guavapin.serving.messages import Headers
 
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-CONNECT_MS = 2_000
-FIRST_BYTE_MS = 10_000
-PROGRESS_MS = 10_000
 RETRY_AFTER_S = 1
 
 
@@ -48,7 +47,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """One request and where it stands; times are monotonic milliseconds."""
+    """One request and where it stands; times are monotonic milliseconds.
+
+    `key` is the idempotency key of a request that has to be claimed, else empty.
+    `may_have_run` is set once an attempt ended that may have run the request; only
+    without it may a refusal say that nothing ran.
+    """
 
     request_id: int
     service: Service
@@ -58,14 +62,27 @@
     received_ms: int
     deadline_ms: int
     body_follows: bool
+    expectation: Expectation
+    kind: str = ""
+    key: str = ""
+    team: str = ""
+    is_urgent: bool = False
+    hops: int = 0
     phase: Phase = Phase.QUEUED
     attempt_id: int = 0
     host: str = ""
+    attempts: int = 0
+    tried: tuple[str, ...] = ()
+    sent_ms: int = 0
+    status: int = 0
+    answer_bytes: int = 0
+    may_have_run: bool = False
+    is_claimed: bool = False
 
     @property
     def is_idempotent(self) -> bool:
         """Whether running the request twice has the same effect as once."""
-        return self.service.idempotent or self.method in SAFE_METHODS
+        return self.service.idempotent or self.method in IDEMPOTENT_METHODS
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,113 +93,248 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendToUpstreams:
-    """Send `message` to the task `upstreams`."""
+class CancelSend:
+    """Cancel the attempt in progress; its slot is free at once.
+
+    `is_late` tells that the request's deadline has passed.
+    """
+
+    attempt_id: int
+    is_late: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Claim the idempotency key; the slot stays reserved meanwhile."""
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to the host on which its slot is reserved."""
 
-    message: StartAttempt | CancelAttempt
+
+@dataclass(frozen=True, slots=True)
+class ReleaseClaim:
+    """Give the key up: the request has certainly not run."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordUnknown:
+    """Record that the outcome of the claimed request is unknown."""
 
 
-Action: TypeAlias = SendToFront | SendToUpstreams
+@dataclass(frozen=True, slots=True)
+class RecordAnswer:
+    """Record the whole answer under the claimed key."""
+
+
+Action: TypeAlias = (
+    SendToFront
+    | CancelSend
+    | Claim
+    | Send
+    | ReleaseClaim
+    | RecordUnknown
+    | RecordAnswer
+)
 Step: TypeAlias = tuple[Exchange, tuple[Action, ...]]
 
 
-def start_attempt(
-    exchange: Exchange, host: str, address: str, attempt_id: int, now_ms: int
+def with_key(exchange: Exchange, key: str) -> Exchange:
+    """Return the exchange with the key to claim; idempotent requests need no claim."""
+    return exchange if exchange.is_idempotent else replace(exchange, key=key)
+
+
+def on_admitted(exchange: Exchange, host: str) -> Step:
+    """A slot on `host` is reserved: claim the key first, or send at once."""
+    admitted = replace(exchange, phase=Phase.ADMITTED, host=host)
+    if exchange.key and not exchange.is_claimed:
+        return replace(admitted, phase=Phase.CLAIMING), (Claim(),)
+    return admitted, (Send(),)
+
+
+def on_claimed(exchange: Exchange) -> Step:
+    """The key is claimed by this process: send the request."""
+    if exchange.phase is not Phase.CLAIMING:
+        return exchange, ()
+    return replace(exchange, phase=Phase.ADMITTED, is_claimed=True), (Send(),)
+
+
+def on_claim_refused(exchange: Exchange, status: int, reason: str) -> Step:
+    """The key could not be claimed.
+
+    Only with status 504 may another request of the same key have run; with any other
+    the request did not run.
+    """
+    if exchange.phase is not Phase.CLAIMING:
+        return exchange, ()
+    outcome = "unknown" if status == 504 else "not-run"
+    return _done(exchange), refusal(exchange.request_id, status, outcome, reason)
+
+
+def on_recorded_answer(
+    exchange: Exchange, status: int, headers: Headers, body: bytes
 ) -> Step:
-    """Send the request to the executor at `address`, whose slot is reserved."""
-    remaining_ms = max(exchange.deadline_ms - now_ms, 1)
-    message = StartAttempt(
+    """The key has an answer already: give it to the caller, whole."""
+    if exchange.phase is not Phase.CLAIMING:
+        return exchange, ()
+    head = AnswerHead(exchange.request_id, status, headers, len(body))
+    return _done(exchange), _whole_answer(head, body)
+
+
+def on_recorded(exchange: Exchange) -> Step:
+    """The answer has been handed to the claims service."""
+    return (_done(exchange) if exchange.phase is Phase.RECORDED else exchange), ()
+
+
+def on_sent(exchange: Exchange, attempt_id: int, now_ms: int) -> Exchange:
+    """Record that an attempt has been started."""
+    return replace(
+        exchange,
+        phase=Phase.SENT,
         attempt_id=attempt_id,
-        address=address,
-        method=exchange.method,
-        target=exchange.target,
-        headers=exchange.headers,
-        body=b"",
-        body_follows=exchange.body_follows,
-        connect_ms=min(CONNECT_MS, remaining_ms),
-        first_byte_ms=min(FIRST_BYTE_MS, remaining_ms),
-        progress_ms=PROGRESS_MS,
-        fresh_connection=not exchange.is_idempotent,
+        attempts=exchange.attempts + 1,
+        tried=(*exchange.tried, exchange.host),
+        sent_ms=now_ms,
+        status=0,
+        answer_bytes=0,
     )
-    sent = replace(exchange, phase=Phase.SENT, attempt_id=attempt_id, host=host)
-    return sent, (SendToUpstreams(message),)
 
 
-def on_attempt_head(exchange: Exchange, event: AttemptHead) -> Step:
+def wants_retry(exchange: Exchange, ended: EndedAttempt, has_body: bool) -> bool:
+    """Tell whether a further attempt is safe and possible.
+
+    `has_body` tells whether the request's body can be sent again.
+    """
+    if exchange.phase is not Phase.SENT or not has_body:
+        return False
+    is_safe = exchange.is_idempotent
+    return may_repeat(ended, is_safe, exchange.attempts, answer_started=False)
+
+
+def on_retry(exchange: Exchange, ended: EndedAttempt) -> Exchange:
+    """Queue the request again after an attempt that did not succeed."""
+    may_have_run = exchange.may_have_run or not has_not_run(ended)
+    return replace(exchange, phase=Phase.QUEUED, host="", may_have_run=may_have_run)
+
+
+def on_answer_head(exchange: Exchange, status: int, headers: Headers) -> Step:
     """Pass the head of the answer on to the caller."""
-    if exchange.phase is not Phase.SENT or event.attempt_id != exchange.attempt_id:
+    if exchange.phase is not Phase.SENT:
         return exchange, ()
-    head = AnswerHead(
-        exchange.request_id,
-        event.status,
-        event.headers,
-        announced_length(event.headers),
-    )
-    return replace(exchange, phase=Phase.ANSWERING), (SendToFront(head),)
+    length = announced_length(headers)
+    head = AnswerHead(exchange.request_id, status, headers, length)
+    answering = replace(exchange, phase=Phase.ANSWERING, status=status)
+    return answering, (SendToFront(head),)
 
 
-def on_attempt_body(exchange: Exchange, event: AttemptBody) -> Step:
+def on_answer_body(exchange: Exchange, data: bytes) -> Step:
     """Pass a part of the body on to the caller."""
-    is_current = event.attempt_id == exchange.attempt_id
-    if exchange.phase is not Phase.ANSWERING or not is_current:
+    if exchange.phase is not Phase.ANSWERING:
         return exchange, ()
-    return exchange, (SendToFront(AnswerBody(exchange.request_id, event.data)),)
+    grown = replace(exchange, answer_bytes=exchange.answer_bytes + len(data))
+    return grown, (SendToFront(AnswerBody(exchange.request_id, data)),)
 
 
-def on_attempt_ended(exchange: Exchange, event: AttemptEnded) -> Step:
-    """End the answer, break it off, or refuse the request if nothing was sent."""
-    if event.attempt_id != exchange.attempt_id:
-        return exchange, ()
-    done = replace(exchange, phase=Phase.DONE)
+def on_attempt_ended(exchange: Exchange, ended: EndedAttempt, reason: str) -> Step:
+    """End the answer, break it off, or refuse the request; nothing is repeated."""
     if exchange.phase is Phase.ANSWERING:
-        if event.result is AttemptResult.COMPLETE:
-            return done, (SendToFront(AnswerEnd(exchange.request_id)),)
-        return done, (SendToFront(AnswerBroken(exchange.request_id)),)
-    if event.result is AttemptResult.NOT_SENT:
-        return done, refusal(
-            exchange.request_id, 503, "not-run", "upstream_unreachable"
-        )
-    return done, refusal(exchange.request_id, 504, "unknown", event.result.value)
+        return _end_answer(exchange, ended)
+    if exchange.phase is not Phase.SENT:
+        return exchange, ()
+    may_have_run = exchange.may_have_run or not has_not_run(ended)
+    ended_exchange = replace(exchange, may_have_run=may_have_run)
+    return refuse(ended_exchange, 503, reason)
+
+
+def refuse(exchange: Exchange, status: int, reason: str) -> Step:
+    """Refuse a request; if it may have run, the outcome is unknown and 504 is sent."""
+    outcome = "not-run"
+    claim: tuple[Action, ...] = (ReleaseClaim(),) if exchange.is_claimed else ()
+    if exchange.may_have_run:
+        status, outcome = 504, "unknown"
+        claim = (RecordUnknown(),) if exchange.is_claimed else ()
+    actions = refusal(exchange.request_id, status, outcome, reason)
+    return _done(exchange), (*actions, *claim)
 
 
 def on_caller_gone(exchange: Exchange) -> Step:
     """Cancel the attempt, so that its slot is free at once."""
-    done = replace(exchange, phase=Phase.DONE)
-    if exchange.phase in (Phase.SENT, Phase.ANSWERING):
-        return done, (SendToUpstreams(CancelAttempt(exchange.attempt_id)),)
-    return done, ()
+    return _done(exchange), _abandon(exchange)
 
 
 def on_deadline(exchange: Exchange) -> Step:
-    """Refuse a request that still waits; a sent one is bounded by its attempt."""
-    if exchange.phase is not Phase.QUEUED:
-        return exchange, ()
-    done = replace(exchange, phase=Phase.DONE)
-    return done, refusal(exchange.request_id, 503, "not-run", "deadline")
+    """Refuse the request, or break its answer off if that has begun."""
+    if exchange.phase is Phase.ANSWERING:
+        broken = SendToFront(AnswerBroken(exchange.request_id))
+        return _done(exchange), (broken, *_abandon(exchange))
+    if exchange.phase is Phase.SENT:
+        answer = refusal(exchange.request_id, 504, "unknown", "deadline")
+        return _done(exchange), (*answer, *_abandon(exchange, is_late=True))
+    return refuse(exchange, 503, "deadline")
+
+
+def on_body_too_large(exchange: Exchange) -> Step:
+    """Refuse a request whose body turned out larger than the service takes."""
+    if exchange.phase is Phase.SENT:
+        answer = refusal(exchange.request_id, 413, "unknown", "body_too_large")
+        return _done(exchange), (*answer, *_abandon(exchange))
+    if exchange.phase is Phase.ANSWERING:
+        return on_deadline(exchange)
+    return refuse(exchange, 413, "body_too_large")
 
 
 def refusal(
-    request_id: int, status: int, outcome: str, reason: str
+    request_id: int,
+    status: int,
+    outcome: str,
+    reason: str,
+    retry_after_s: int = RETRY_AFTER_S,
 ) -> tuple[Action, ...]:
     """Return a whole answer that refuses; `outcome` is ``not-run`` or ``unknown``."""
     body = f"{outcome}: {reason}\n".encode()
     headers: list[tuple[bytes, bytes]] = [
         (b"content-type", b"text/plain; charset=utf-8"),
-        (b"guavapin-outcome", outcome.encode()),
-        (b"guavapin-reason", reason.encode()),
+        (OUTCOME, outcome.encode()),
+        (REASON, reason.encode()),
     ]
     if status in (429, 503):
-        headers.append((b"retry-after", str(RETRY_AFTER_S).encode()))
+        headers.append((b"retry-after", str(retry_after_s).encode()))
+    return _whole_answer(
+        AnswerHead(request_id, status, tuple(headers), len(body)), body
+    )
+
+
+def _end_answer(exchange: Exchange, ended: EndedAttempt) -> Step:
+    if ended.result is not AttemptResult.COMPLETE:
+        claim = (RecordUnknown(),) if exchange.is_claimed else ()
+        broken = SendToFront(AnswerBroken(exchange.request_id))
+        return _done(exchange), (broken, *claim)
+    end = SendToFront(AnswerEnd(exchange.request_id))
+    if exchange.is_claimed:
+        return replace(exchange, phase=Phase.RECORDED), (end, RecordAnswer())
+    return _done(exchange), (end,)
+
+
+def _abandon(exchange: Exchange, is_late: bool = False) -> tuple[Action, ...]:
+    """Return the actions that end what is in progress, without an answer."""
+    if exchange.phase in (Phase.SENT, Phase.ANSWERING):
+        cancel = CancelSend(exchange.attempt_id, is_late)
+        return (cancel, RecordUnknown()) if exchange.is_claimed else (cancel,)
+    # A claim in progress may still succeed; releasing it covers both cases.
+    if exchange.is_claimed or exchange.phase is Phase.CLAIMING:
+        return (RecordUnknown() if exchange.may_have_run else ReleaseClaim(),)
+    return ()
+
+
+def _whole_answer(head: AnswerHead, body: bytes) -> tuple[Action, ...]:
+    request_id = head.request_id
     return (
-        SendToFront(AnswerHead(request_id, status, tuple(headers), len(body))),
+        SendToFront(head),
         SendToFront(AnswerBody(request_id, body)),
         SendToFront(AnswerEnd(request_id)),
     )
 
 
-def announced_length(headers: Headers) -> int:
-    """Return the value of Content-Length, -1 if it is absent or malformed."""
-    for name, value in headers:
-        if name == b"content-length" and value.isdigit():
-            return int(value)
-    return -1
+def _done(exchange: Exchange) -> Exchange:
+    return replace(exchange, phase=Phase.DONE)
--- /dev/null
+++ b/src/guavapin/serving/exchange_arrival.py
@@ -0,0 +1,82 @@
+"""What a request's arrival decides: its record, its place in the queue, its zone."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.limits.queue import Waiting
+from guavapin.routing.run_time import kind_of
+from guavapin.routing.zones import OwnSupply
+from guavapin.routing.zones import Spill
+from guavapin.routing.zones import choose_zone
+from guavapin.serving import exchange as machine
+from guavapin.serving.exchange import Exchange
+
+if TYPE_CHECKING:
+    from guavapin.objects.model import Service
+    from guavapin.serving.exchange_head import RequestHead
+    from guavapin.serving.exchange_router import ExchangeRouter
+    from guavapin.serving.messages import RequestReceived
+
+
+def build_exchange(
+    message: RequestReceived,
+    service: Service,
+    head: RequestHead,
+    router: ExchangeRouter,
+) -> Exchange:
+    """Return the record of a request that has just arrived."""
+    kind = kind_of(message.method, message.target, service.path_prefix)
+    timeout_ms = service.timeout_ms
+    if head.deadline_ms:
+        timeout_ms = min(timeout_ms, head.deadline_ms)
+    exchange = Exchange(
+        request_id=message.request_id,
+        service=service,
+        method=message.method,
+        target=message.target,
+        headers=message.headers,
+        received_ms=message.received_ms,
+        deadline_ms=message.received_ms + timeout_ms,
+        body_follows=message.body_follows,
+        expectation=router.services[service.name].run_times.expect(kind),
+        kind=kind,
+        team=head.team,
+        is_urgent=head.is_urgent,
+        hops=head.hops,
+    )
+    return machine.with_key(exchange, head.key)
+
+
+def waiting_of(exchange: Exchange) -> Waiting:
+    """Return what the queue needs to know of a request."""
+    return Waiting(
+        exchange.request_id,
+        exchange.deadline_ms,
+        exchange.expectation.run_ms,
+        exchange.service.name,
+        exchange.service.queue_limit,
+        exchange.is_urgent,
+        exchange.expectation.is_long,
+        exchange.team,
+    )
+
+
+def choose_entry_host(exchange: Exchange, router: ExchangeRouter, now_ms: int) -> str:
+    """Return the entry host of another zone to use, empty to serve in the own one.
+
+    A request with a key never leaves: the other entry host would claim it again.
+    """
+    reports = router.reports.get(exchange.service.pool, ())
+    if not reports or exchange.key:
+        return ""
+    queue = router.queues[exchange.service.pool]
+    own = OwnSupply(
+        queue.pool.usable_upstreams,
+        queue.pool.free_upstreams,
+        queue.expected_wait_ms(waiting_of(exchange)),
+    )
+    choice = choose_zone(
+        own, reports, exchange.hops, now_ms, router.rng, router.settings.spill
+    )
+    return choice.entry_host if isinstance(choice, Spill) else ""
--- /dev/null
+++ b/src/guavapin/serving/exchange_attempt.py
@@ -0,0 +1,127 @@
+"""One attempt: the message that starts it and what its end says; pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.routing.verdict import AttemptSummary
+from guavapin.routing.verdict import Verdict
+from guavapin.routing.verdict import classify_attempt
+from guavapin.serving.exchange_head import with_deadline
+from guavapin.serving.messages import StartAttempt
+
+if TYPE_CHECKING:
+    from guavapin.routing.run_time import Expectation
+    from guavapin.routing.verdict import VerdictRules
+    from guavapin.serving.exchange import Exchange
+    from guavapin.serving.exchange_pool import Placement
+    from guavapin.serving.messages import AttemptEnded
+
+CONNECT_MS = 2_000
+PROGRESS_MS = 10_000
+# The time to the first byte is bounded by this many times the learned 95th
+# percentile, with a floor for kinds that usually answer at once.
+FIRST_BYTE_FACTOR = 10
+FIRST_BYTE_FLOOR_MS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """An attempt in progress; `placement` is None for one to another zone.
+
+    `request_id` is 0 for an active probe.
+    """
+
+    attempt_id: int
+    request_id: int
+    pool: str
+    placement: Placement | None
+    sent_ms: int
+    expectation: Expectation
+    status: int = 0
+
+
+def build_start(
+    exchange: Exchange,
+    attempt: Attempt,
+    address: str,
+    body: tuple[bytes, bool],
+    now_ms: int,
+) -> StartAttempt:
+    """Return the message that sends `exchange`; `body` is the data and "is whole"."""
+    remaining_ms = max(exchange.deadline_ms - now_ms, 1)
+    hops = exchange.hops + (attempt.placement is None)
+    data, is_whole = body
+    return StartAttempt(
+        attempt_id=attempt.attempt_id,
+        address=address,
+        method=exchange.method,
+        target=exchange.target,
+        headers=with_deadline(exchange.headers, remaining_ms, hops),
+        body=data,
+        body_follows=not is_whole,
+        connect_ms=min(CONNECT_MS, remaining_ms),
+        first_byte_ms=first_byte_bound_ms(exchange.expectation, remaining_ms),
+        progress_ms=min(PROGRESS_MS, remaining_ms),
+        fresh_connection=not exchange.is_idempotent,
+    )
+
+
+def build_probe(attempt_id: int, address: str, timeout_ms: int) -> StartAttempt:
+    """Return an active probe; any answer that is not a server error passes it."""
+    return StartAttempt(
+        attempt_id=attempt_id,
+        address=address,
+        method="HEAD",
+        target="/",
+        headers=((b"host", address.encode()),),
+        body=b"",
+        body_follows=False,
+        connect_ms=timeout_ms,
+        first_byte_ms=timeout_ms,
+        progress_ms=timeout_ms,
+        fresh_connection=True,
+    )
+
+
+def first_byte_bound_ms(expectation: Expectation, remaining_ms: int) -> int:
+    """Return how long to wait for the head of the answer."""
+    if not expectation.is_known:
+        return remaining_ms
+    bound_ms = max(int(expectation.p95_ms * FIRST_BYTE_FACTOR), FIRST_BYTE_FLOOR_MS)
+    return min(bound_ms, remaining_ms)
+
+
+def verdict_of(
+    exchange: Exchange | None,
+    ended: AttemptEnded,
+    status: int,
+    rules: VerdictRules,
+) -> Verdict:
+    """Return what the end of an attempt says about its upstream."""
+    summary = AttemptSummary(
+        ended.result,
+        status,
+        exchange.answer_bytes if exchange else 0,
+        ended.detail,
+        expects_body=exchange is not None and exchange.method == "GET",
+    )
+    return classify_attempt(summary, rules)
+
+
+def verdict_at_deadline(attempt: Attempt, now_ms: int) -> Verdict | None:
+    """Return what a request's deadline says about the upstream that ran it.
+
+    A caller may set any deadline, so only an answer that is far later than usual
+    counts as a failure.
+    """
+    usual_ms = attempt.expectation.p95_ms
+    is_late = now_ms - attempt.sent_ms > max(2 * usual_ms, 1_000)
+    return Verdict.FAILURE if attempt.expectation.is_known and is_late else None
+
+
+def slowness_of(attempt: Attempt, now_ms: int) -> float:
+    """Return the run time relative to the expected one."""
+    run_ms = max(now_ms - attempt.sent_ms, 1)
+    return run_ms / max(attempt.expectation.run_ms, 1.0)
--- /dev/null
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -0,0 +1,99 @@
+"""The attempts in progress and what their ends teach."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.routing.run_time import Expectation
+from guavapin.routing.verdict import Verdict
+from guavapin.serving.exchange_attempt import Attempt
+from guavapin.serving.exchange_attempt import build_probe
+from guavapin.serving.exchange_attempt import build_start
+from guavapin.serving.exchange_attempt import slowness_of
+
+if TYPE_CHECKING:
+    from guavapin.serving.exchange import Exchange
+    from guavapin.serving.exchange_pool import Placement
+    from guavapin.serving.exchange_router import ExchangeRouter
+    from guavapin.serving.messages import StartAttempt
+
+PROBE_TIMEOUT_MS = 2_000
+# Answers of an error say nothing about the run time of the work.
+FIRST_ERROR = 400
+
+
+class AttemptTable:
+    """Attempts by id; ids are never reused. Owned by the task `exchanges`."""
+
+    def __init__(self, router: ExchangeRouter) -> None:
+        self._router = router
+        self._attempts: dict[int, Attempt] = {}
+        self._ids = itertools.count(1)
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def get(self, attempt_id: int) -> Attempt | None:
+        """Return the attempt, None when it has ended or never was."""
+        return self._attempts.get(attempt_id)
+
+    def start(
+        self,
+        exchange: Exchange,
+        placement: Placement | None,
+        address: str,
+        body: tuple[bytes, bool],
+        now_ms: int,
+    ) -> StartAttempt:
+        """Register an attempt and return the message that starts it."""
+        attempt = Attempt(
+            next(self._ids),
+            exchange.request_id,
+            exchange.service.pool,
+            placement,
+            now_ms,
+            exchange.expectation,
+        )
+        self._attempts[attempt.attempt_id] = attempt
+        return build_start(exchange, attempt, address, body, now_ms)
+
+    def probe(self, pool_name: str, now_ms: int) -> StartAttempt | None:
+        """Start an active probe of an upstream of the pool whose trial is due."""
+        pool = self._router.pools[pool_name]
+        placement = pool.place_probe(now_ms + PROBE_TIMEOUT_MS, now_ms)
+        if placement is None:
+            return None
+        usual = Expectation(1.0, PROBE_TIMEOUT_MS, is_long=False)
+        attempt = Attempt(next(self._ids), 0, pool_name, placement, now_ms, usual)
+        self._attempts[attempt.attempt_id] = attempt
+        return build_probe(attempt.attempt_id, placement.address, PROBE_TIMEOUT_MS)
+
+    def set_status(self, attempt_id: int, status: int) -> None:
+        """Note the status of the answer."""
+        self._attempts[attempt_id] = replace(self._attempts[attempt_id], status=status)
+
+    def end(
+        self,
+        attempt_id: int,
+        exchange: Exchange | None,
+        verdict: Verdict | None,
+        now_ms: int,
+    ) -> None:
+        """Forget an attempt, give its slot back and learn from its end."""
+        attempt = self._attempts.pop(attempt_id)
+        placement = attempt.placement
+        if placement is None:
+            return
+        is_probe = exchange is None
+        slowness = 1.0 if is_probe else slowness_of(attempt, now_ms)
+        pool = self._router.pools[attempt.pool]
+        pool.end(placement, verdict, slowness, now_ms)
+        if exchange is None:
+            return
+        run_ms = now_ms - attempt.sent_ms
+        self._router.queues[attempt.pool].learn(placement.is_long, run_ms)
+        if verdict is Verdict.SUCCESS and attempt.status < FIRST_ERROR:
+            service = self._router.services[exchange.service.name]
+            service.run_times.observe(exchange.kind, run_ms)
--- /dev/null
+++ b/src/guavapin/serving/exchange_bodies.py
@@ -0,0 +1,112 @@
+"""Request bodies that wait for a slot or may have to be sent again."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+# A queued request holds this much before its caller is paused (design, section 6.8).
+HIGH_WATER_BYTES = 262_144
+# A body up to this size is kept until the answer begins, so that a retry can send it.
+REPLAY_BYTES = 65_536
+
+# Part of the body by which a claim tells apart two requests with one key.
+CLAIM_BYTES = HIGH_WATER_BYTES
+
+
+@dataclass(slots=True)
+class _Body:
+    parts: deque[bytes] = field(default_factory=deque)
+    kept_bytes: int = 0
+    total_bytes: int = 0
+    is_whole: bool = False
+    is_sending: bool = False
+    is_cut: bool = False
+    is_paused: bool = False
+
+
+class RequestBodies:
+    """Parts of request bodies by request id. Owned by the task `exchanges`."""
+
+    def __init__(self) -> None:
+        self._bodies: dict[int, _Body] = {}
+
+    def open(self, request_id: int) -> None:
+        """Expect a body."""
+        self._bodies[request_id] = _Body()
+
+    def drop(self, request_id: int) -> None:
+        """Forget a body; unknown ids are ignored."""
+        self._bodies.pop(request_id, None)
+
+    def add(self, request_id: int, data: bytes, is_last: bool) -> int:
+        """Keep a part and return the size of the body so far, 0 if it is unknown."""
+        body = self._bodies.get(request_id)
+        if body is None:
+            return 0
+        body.total_bytes += len(data)
+        body.is_whole = body.is_whole or is_last
+        if body.is_cut:
+            return body.total_bytes
+        body.parts.append(data)
+        body.kept_bytes += len(data)
+        if body.is_sending and body.kept_bytes > REPLAY_BYTES:
+            self._cut(body)
+        return body.total_bytes
+
+    def must_pause(self, request_id: int) -> bool:
+        """Tell, once, that the caller has to be paused."""
+        body = self._bodies.get(request_id)
+        if body is None or body.is_sending or body.is_paused:
+            return False
+        body.is_paused = body.kept_bytes > HIGH_WATER_BYTES
+        return body.is_paused
+
+    def start(self, request_id: int) -> tuple[bytes, bool]:
+        """Return what has arrived and whether it is whole, for a new attempt."""
+        body = self._bodies.get(request_id)
+        if body is None:
+            return b"", True
+        data = b"".join(body.parts)
+        body.is_sending = True
+        if body.kept_bytes > REPLAY_BYTES:
+            self._cut(body)
+        return data, body.is_whole
+
+    def must_resume(self, request_id: int) -> bool:
+        """Tell, once, that a paused caller may go on."""
+        body = self._bodies.get(request_id)
+        if body is None or not body.is_paused:
+            return False
+        body.is_paused = False
+        return True
+
+    def claim_part(self, request_id: int) -> bytes | None:
+        """Return the beginning of the body that a claim covers, None while it is short.
+
+        It is the same for every repetition of the request: the whole body, or its
+        first `CLAIM_BYTES`.
+        """
+        body = self._bodies.get(request_id)
+        if body is None:
+            return b""
+        if not body.is_whole and body.kept_bytes < CLAIM_BYTES:
+            return None
+        return b"".join(body.parts)[:CLAIM_BYTES]
+
+    def stop(self, request_id: int) -> None:
+        """The attempt has ended; further parts wait for the next one."""
+        body = self._bodies.get(request_id)
+        if body is not None:
+            body.is_sending = False
+
+    def can_replay(self, request_id: int) -> bool:
+        """Tell whether the body can be sent from its beginning."""
+        body = self._bodies.get(request_id)
+        return body is None or not body.is_cut
+
+    def _cut(self, body: _Body) -> None:
+        body.parts.clear()
+        body.kept_bytes = 0
+        body.is_cut = True
--- /dev/null
+++ b/src/guavapin/serving/exchange_claims.py
@@ -0,0 +1,123 @@
+"""The claims of the requests in progress, towards the claims service."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.claims.messages import ClaimGranted
+from guavapin.claims.messages import ClaimKey
+from guavapin.claims.messages import KeyReused
+from guavapin.claims.messages import NotRun
+from guavapin.claims.messages import OutcomeUnknown
+from guavapin.claims.messages import RecordAnswer
+from guavapin.claims.messages import RecordedAnswer
+from guavapin.claims.messages import RecordUnknown
+from guavapin.claims.messages import ReleaseClaim
+from guavapin.serving import exchange as machine
+
+if TYPE_CHECKING:
+    from guavapin.claims.messages import ClaimAnswer
+    from guavapin.kernel import TaskContext
+    from guavapin.serving.exchange import Action
+    from guavapin.serving.exchange import Exchange
+    from guavapin.serving.exchange import Step
+    from guavapin.serving.messages import Headers
+
+# A larger answer is not recorded; a second request is told that the outcome is
+# unknown. Values of the platform's service hold at most 1 MB.
+MAX_ANSWER_BYTES = 262_144
+
+
+@dataclass(slots=True)
+class _Answer:
+    status: int
+    headers: Headers
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+class ClaimRequests:
+    """Sends claims and keeps the answers to record. A part of the task `exchanges`."""
+
+    def __init__(self, context: TaskContext, service: str) -> None:
+        self._context = context
+        self._service = service
+        self._answers: dict[int, _Answer] = {}
+
+    def claim(self, exchange: Exchange, body: bytes) -> str:
+        """Claim the key; returns a reason when there is no claims service.
+
+        `body` is what `RequestBodies.claim_part` returned.
+        """
+        if not self._service:
+            return "cut_off"
+        message = ClaimKey(
+            exchange.request_id,
+            exchange.service.name,
+            exchange.key,
+            _digest(exchange, body),
+            exchange.deadline_ms - int(exchange.expectation.run_ms),
+        )
+        self._context.send(self._service, message)
+        return ""
+
+    def open_answer(self, request_id: int, status: int, headers: Headers) -> None:
+        """Keep the answer of a claimed request from its head on."""
+        self._answers[request_id] = _Answer(status, headers)
+
+    def add_body(self, request_id: int, data: bytes) -> None:
+        """Keep a part of an answer's body, up to `MAX_ANSWER_BYTES` of it."""
+        answer = self._answers.get(request_id)
+        if answer is None:
+            return
+        answer.size += len(data)
+        if answer.size <= MAX_ANSWER_BYTES:
+            answer.parts.append(data)
+        else:
+            answer.parts.clear()
+
+    def carry_out(self, exchange: Exchange, action: Action) -> None:
+        """Tell the claims service how a claimed request ended."""
+        request_id = exchange.request_id
+        message: object = RecordUnknown(request_id)
+        answer = self._answers.get(request_id)
+        if isinstance(action, machine.ReleaseClaim):
+            message = ReleaseClaim(request_id)
+        elif isinstance(action, machine.RecordAnswer) and answer is not None:
+            if answer.size <= MAX_ANSWER_BYTES:
+                body = b"".join(answer.parts)
+                message = RecordAnswer(request_id, answer.status, answer.headers, body)
+            else:
+                message = RecordUnknown(request_id, "answer too large to record")
+        self._context.send(self._service, message)
+
+    def drop(self, request_id: int) -> None:
+        """Forget the answer of a request."""
+        self._answers.pop(request_id, None)
+
+
+def on_claim_answer(exchange: Exchange, answer: ClaimAnswer) -> Step:
+    """Return what the answer of the claims service means for the request."""
+    if isinstance(answer, ClaimGranted):
+        return machine.on_claimed(exchange)
+    match answer.outcome:
+        case RecordedAnswer(status, headers, body):
+            return machine.on_recorded_answer(exchange, status, headers, body)
+        case OutcomeUnknown():
+            return machine.on_claim_refused(exchange, 504, "outcome_unknown")
+        case NotRun(reason, _):
+            return machine.on_claim_refused(exchange, 503, reason.value)
+        case KeyReused():
+            return machine.on_claim_refused(exchange, 422, "key_reused")
+
+
+def _digest(exchange: Exchange, body: bytes) -> bytes:
+    """Return what tells two requests with one key apart."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (exchange.method.encode(), exchange.target.encode("latin-1"), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/src/guavapin/serving/exchange_flow.py
@@ -0,0 +1,321 @@
+"""The requests in progress: applies events to them and carries their actions out."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel import Refused
+from guavapin.retries.backoff import delay_ms
+from guavapin.routing.picker import PickRequest
+from guavapin.serving import exchange as machine
+from guavapin.serving.exchange import Phase
+from guavapin.serving.exchange_arrival import build_exchange
+from guavapin.serving.exchange_arrival import choose_entry_host
+from guavapin.serving.exchange_arrival import waiting_of
+from guavapin.serving.exchange_attempt import verdict_at_deadline
+from guavapin.serving.exchange_attempts import AttemptTable
+from guavapin.serving.exchange_bodies import RequestBodies
+from guavapin.serving.exchange_claims import ClaimRequests
+from guavapin.serving.exchange_head import read_head
+from guavapin.serving.exchange_teams import TeamSlots
+from guavapin.serving.messages import AttemptRequestBody
+from guavapin.serving.messages import CancelAttempt
+from guavapin.serving.messages import FlowControl
+
+if TYPE_CHECKING:
+    from guavapin.kernel import TaskContext
+    from guavapin.limits.queue import Waiting
+    from guavapin.retries.policy import EndedAttempt
+    from guavapin.routing.verdict import Verdict
+    from guavapin.serving.deadlines import DeadlineTimer
+    from guavapin.serving.exchange import Action
+    from guavapin.serving.exchange import Exchange
+    from guavapin.serving.exchange import Step
+    from guavapin.serving.exchange_pool import Placement
+    from guavapin.serving.exchange_router import ExchangeRouter
+    from guavapin.serving.messages import RequestBody
+    from guavapin.serving.messages import RequestReceived
+
+# Requests that cannot use any free slot now, for example a retry whose upstreams were
+# all tried; the next ones are looked at, but not the whole queue.
+MAX_SKIPPED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class RetryDue:
+    """Timer: the backoff of a request has passed."""
+
+    request_id: int
+
+
+class RequestFlow:
+    """Owns the `Exchange` records. A part of the task `exchanges`."""
+
+    def __init__(
+        self, context: TaskContext, router: ExchangeRouter, deadlines: DeadlineTimer
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.attempts = AttemptTable(router)
+        self.bodies = RequestBodies()
+        self.claims = ClaimRequests(context, router.settings.claims_service)
+        self._context = context
+        self._router = router
+        self._deadlines = deadlines
+        self._exchanges: dict[int, Exchange] = {}
+        self._placements: dict[int, Placement] = {}
+        self._claim_parts: dict[int, bytes] = {}
+        self._teams = TeamSlots(router)
+        self._due_pools: set[str] = set()
+        self._is_dispatching = False
+
+    def __len__(self) -> int:
+        return len(self._exchanges)
+
+    def get(self, request_id: int) -> Exchange | None:
+        """Return the record of a request in progress."""
+        return self._exchanges.get(request_id)
+
+    def on_received(self, message: RequestReceived) -> None:
+        """Admit a request to the queue or to another zone, or refuse it at once."""
+        service = self._router.match(message.headers, message.target)
+        if service is None:
+            self._refuse(message.request_id, 404, "no_such_service")
+            return
+        head = read_head(message.headers)
+        if head.body_bytes > service.max_body_bytes:
+            self._refuse(message.request_id, 413, "body_too_large")
+            return
+        state = self._router.services[service.name]
+        state.count_request()
+        wait_ms = state.take_token(head.team, self._context.now_ms())
+        if wait_ms > 0:
+            self._refuse(message.request_id, 429, "quota", math.ceil(wait_ms / 1_000))
+            return
+        exchange = build_exchange(message, service, head, self._router)
+        self._exchanges[exchange.request_id] = exchange
+        if message.body_follows:
+            self.bodies.open(exchange.request_id)
+        left_ms = exchange.deadline_ms - self._context.now_ms()
+        self._deadlines.set(exchange.request_id, max(left_ms, 0))
+        if exchange.key:
+            self._enqueue_keyed(exchange)
+        elif not self._spill(exchange):
+            self._enqueue(exchange)
+
+    def on_body(self, part: RequestBody) -> None:
+        """Forward a part of a body, or keep it until the request is sent."""
+        exchange = self._exchanges.get(part.request_id)
+        if exchange is None:
+            return
+        size = self.bodies.add(part.request_id, part.data, part.is_last)
+        if size > exchange.service.max_body_bytes:
+            self.apply(machine.on_body_too_large(exchange))
+        elif exchange.phase in (Phase.SENT, Phase.ANSWERING):
+            forward = AttemptRequestBody(exchange.attempt_id, part.data, part.is_last)
+            self._context.send("upstreams", forward)
+        else:
+            if self.bodies.must_pause(part.request_id):
+                self._context.send("front", FlowControl(part.request_id, True))
+            if exchange.key:
+                self._enqueue_keyed(exchange)
+
+    def on_deadline(self, request_id: int) -> None:
+        """End a request whose time is over."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            self.counts["deadlines"] += 1
+            self.apply(machine.on_deadline(exchange))
+
+    def on_retry_due(self, request_id: int) -> None:
+        """Queue a request again after its backoff."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None and exchange.phase is Phase.QUEUED:
+            self._enqueue(exchange, is_retry=True)
+
+    def try_retry(self, exchange: Exchange, ended: EndedAttempt) -> bool:
+        """Start the backoff of a retry if it is safe, within budget and in time.
+
+        The attempt must have ended already.
+        """
+        has_body = self.bodies.can_replay(exchange.request_id)
+        if not machine.wants_retry(exchange, ended, has_body):
+            return False
+        delay = delay_ms(
+            exchange.attempts, self._router.rng, self._router.settings.backoff
+        )
+        end_ms = self._context.now_ms() + delay + exchange.expectation.run_ms
+        if end_ms > exchange.deadline_ms:
+            return False
+        if not self._router.services[exchange.service.name].spend_retry():
+            self.counts["retries_over_budget"] += 1
+            return False
+        self.counts["retries"] += 1
+        self.bodies.stop(exchange.request_id)
+        self._exchanges[exchange.request_id] = machine.on_retry(exchange, ended)
+        self._context.set_timer(delay, RetryDue(exchange.request_id))
+        return True
+
+    def store(self, step: Step) -> None:
+        """Store the outcome of an event that frees nothing, and send its actions."""
+        exchange, actions = step
+        self._exchanges[exchange.request_id] = exchange
+        for action in actions:
+            self._act(exchange, action)
+
+    def apply(self, step: Step) -> None:
+        """Store the outcome of an event, carry its actions out, start what waits."""
+        exchange = step[0]
+        self.store(step)
+        if exchange.phase is Phase.DONE:
+            self._forget(exchange)
+        self.dispatch(exchange.service.pool)
+
+    def dispatch(self, pool_name: str) -> None:
+        """Start the requests that wait for the pool while it has room."""
+        self._due_pools.add(pool_name)
+        if self._is_dispatching:
+            return
+        self._is_dispatching = True
+        while self._due_pools:
+            self._dispatch_pool(self._due_pools.pop())
+        self._is_dispatching = False
+
+    def _dispatch_pool(self, pool_name: str) -> None:
+        queue = self._router.queues[pool_name]
+        pool, now_ms = queue.pool, self._context.now_ms()
+        skipped: list[Waiting] = []
+        while len(queue.waiting) and pool.can_place and len(skipped) < MAX_SKIPPED:
+            waiting = queue.waiting.pop(pool.allows_long())
+            if waiting is None:
+                break
+            exchange = self._exchanges[waiting.request_id]
+            if self._is_hopeless(exchange, now_ms):
+                self.counts["refused_late"] += 1
+                self.apply(machine.refuse(exchange, 503, "deadline"))
+                continue
+            request = PickRequest(waiting.is_long, exchange.tried)
+            placement = pool.place(
+                request,
+                exchange.deadline_ms,
+                exchange.is_idempotent,
+                now_ms,
+                self._router.rng,
+            )
+            if placement is None:
+                skipped.append(waiting)
+                continue
+            self._placements[exchange.request_id] = placement
+            self.apply(machine.on_admitted(exchange, placement.host))
+        for waiting in reversed(skipped):
+            queue.waiting.put_back(waiting)
+
+    def _is_hopeless(self, exchange: Exchange, now_ms: int) -> bool:
+        """Tell whether a request that has waited would end after its deadline."""
+        if not self._router.settings.refuses_early or now_ms <= exchange.received_ms:
+            return False
+        return now_ms + exchange.expectation.run_ms > exchange.deadline_ms
+
+    def _enqueue(self, exchange: Exchange, is_retry: bool = False) -> None:
+        waiting = waiting_of(exchange)
+        is_parked = not is_retry and self._teams.is_full(exchange)
+        queue = self._router.queues[exchange.service.pool]
+        outcome = queue.push(
+            waiting, exchange.expectation.p95_ms, self._context.now_ms(), is_parked
+        )
+        if isinstance(outcome, Refused):
+            self.counts[f"refused_{outcome.reason.value}"] += 1
+            self.apply(machine.refuse(exchange, 503, outcome.reason.value))
+            return
+        if not is_parked and not is_retry:
+            self._teams.hold(exchange.request_id, exchange.service.name, exchange.team)
+        self.dispatch(exchange.service.pool)
+
+    def _enqueue_keyed(self, exchange: Exchange) -> None:
+        """Queue a request with a key once the part of its body to claim has come."""
+        request_id = exchange.request_id
+        if exchange.phase is not Phase.QUEUED or request_id in self._claim_parts:
+            return
+        part = self.bodies.claim_part(request_id)
+        if part is not None:
+            self._claim_parts[request_id] = part
+            self._enqueue(exchange)
+
+    def _spill(self, exchange: Exchange) -> bool:
+        """Send a request to another zone if the own one is short."""
+        entry_host = choose_entry_host(exchange, self._router, self._context.now_ms())
+        if not entry_host:
+            return False
+        self.counts["spilled"] += 1
+        self.apply(machine.on_admitted(exchange, entry_host))
+        return True
+
+    def _act(self, exchange: Exchange, action: Action) -> None:
+        match action:
+            case machine.SendToFront(message):
+                self._context.send("front", message)
+            case machine.Send():
+                self._send(exchange)
+            case machine.CancelSend(attempt_id, is_late):
+                attempt = self.attempts.get(attempt_id)
+                now_ms = self._context.now_ms()
+                verdict = None
+                if is_late and attempt is not None:
+                    verdict = verdict_at_deadline(attempt, now_ms)
+                self.cancel(attempt_id, exchange, verdict)
+            case machine.Claim():
+                part = self._claim_parts[exchange.request_id]
+                refused = self.claims.claim(exchange, part)
+                if refused:
+                    self.apply(machine.on_claim_refused(exchange, 503, refused))
+            case machine.RecordAnswer():
+                self.claims.carry_out(exchange, action)
+                self.apply(machine.on_recorded(exchange))
+            case _:
+                self.claims.carry_out(exchange, action)
+
+    def _send(self, exchange: Exchange) -> None:
+        placement = self._placements.pop(exchange.request_id, None)
+        address = placement.address if placement else exchange.host
+        now_ms = self._context.now_ms()
+        body = self.bodies.start(exchange.request_id)
+        start = self.attempts.start(exchange, placement, address, body, now_ms)
+        sent = machine.on_sent(exchange, start.attempt_id, now_ms)
+        self._exchanges[exchange.request_id] = sent
+        self._context.send("upstreams", start)
+        if self.bodies.must_resume(exchange.request_id):
+            self._context.send("front", FlowControl(exchange.request_id, False))
+
+    def cancel(
+        self, attempt_id: int, exchange: Exchange, verdict: Verdict | None
+    ) -> None:
+        """Cancel an attempt in progress and free its slot."""
+        self._context.send("upstreams", CancelAttempt(attempt_id))
+        self.attempts.end(attempt_id, exchange, verdict, self._context.now_ms())
+
+    def _forget(self, exchange: Exchange) -> None:
+        request_id = exchange.request_id
+        if self._exchanges.pop(request_id, None) is None:
+            return
+        self._deadlines.discard(request_id)
+        self.bodies.drop(request_id)
+        self.claims.drop(request_id)
+        self._claim_parts.pop(request_id, None)
+        queue = self._router.queues[exchange.service.pool]
+        queue.waiting.cancel(request_id)
+        placement = self._placements.pop(request_id, None)
+        if placement is not None:
+            queue.pool.end(placement, None, 1.0, self._context.now_ms())
+        self._teams.free(request_id, queue.waiting)
+
+    def _refuse(
+        self, request_id: int, status: int, reason: str, retry_after_s: int = 1
+    ) -> None:
+        self.counts[f"refused_{reason}"] += 1
+        for action in machine.refusal(
+            request_id, status, "not-run", reason, retry_after_s
+        ):
+            if isinstance(action, machine.SendToFront):
+                self._context.send("front", action.message)
--- /dev/null
+++ b/src/guavapin/serving/exchange_loans.py
@@ -0,0 +1,89 @@
+"""Loans of slots between the seats of the zone, on the records of a pool."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.limits import loans
+from guavapin.limits.slots import LoanGrant
+from guavapin.limits.slots import LoanRequest
+from guavapin.serving.exchange_relay import SendToSeat
+from guavapin.serving.exchange_upstream import takes_work
+
+if TYPE_CHECKING:
+    import random
+
+    from guavapin.limits.slots import LoanReturn
+    from guavapin.serving.exchange_pool import ExchangePool
+    from guavapin.serving.exchange_settings import ExchangeSettings
+
+MAX_SAMPLES = 4
+
+
+def ask(
+    pool: ExchangePool,
+    seats: int,
+    settings: ExchangeSettings,
+    now_ms: int,
+    rng: random.Random,
+) -> SendToSeat | None:
+    """Ask a random other seat for a slot of a random upstream that takes work."""
+    hosts = pool.hosts
+    if seats < 2 or not hosts:
+        return None
+    for _ in range(MAX_SAMPLES):
+        host = hosts[int(rng.random() * len(hosts))]
+        record = pool.records.get(host)
+        if record is None or not takes_work(record):
+            continue
+        slots, request = loans.request_loan(record.slots, settings.loans, now_ms)
+        if request is None:
+            continue
+        pool.set_slots(host, slots, now_ms)
+        seat = rng.randrange(seats - 1)
+        return SendToSeat(seat + (seat >= settings.seat), request)
+    return None
+
+
+def receive(
+    pool: ExchangePool,
+    message: LoanRequest | LoanGrant | LoanReturn,
+    has_waiting: bool,
+    settings: ExchangeSettings,
+    now_ms: int,
+) -> SendToSeat | None:
+    """Handle a message of another seat, and return the answer to it if there is one.
+
+    Nothing is lent while requests wait here.
+    """
+    host = message.upstream
+    state = pool.records[host].slots
+    reply: SendToSeat | None = None
+    if isinstance(message, LoanRequest):
+        if has_waiting or not takes_work(pool.records[host]):
+            return None
+        state, grant = loans.on_request(state, message, settings.loans, now_ms)
+        reply = SendToSeat(message.seat, grant) if grant else None
+    elif isinstance(message, LoanGrant):
+        state, back = loans.on_grant(state, message, now_ms)
+        reply = SendToSeat(message.loan_id.seat, back) if back else None
+    else:
+        state = loans.on_return(state, message)
+    pool.set_slots(host, state, now_ms)
+    return reply
+
+
+def return_idle(
+    pool: ExchangePool, settings: ExchangeSettings, now_ms: int
+) -> list[SendToSeat]:
+    """Give back what has been borrowed and is not used."""
+    messages = []
+    for host in pool.changing_hosts():
+        state = pool.records[host].slots
+        if not state.borrowed:
+            continue
+        state, returns = loans.return_idle(state, settings.loans, now_ms)
+        if returns:
+            pool.set_slots(host, state, now_ms)
+        messages += [SendToSeat(item.loan_id.seat, item) for item in returns]
+    return messages
--- /dev/null
+++ b/src/guavapin/serving/exchange_peers.py
@@ -0,0 +1,120 @@
+"""The other entry processes: who holds which seat, and what other zones have."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerMessage
+from guavapin.peers.messages import Relay
+from guavapin.peers.messages import SendToAll
+from guavapin.peers.messages import SendToPeer
+from guavapin.peers.messages import SendToZone
+from guavapin.peers.messages import SubscribeMembership
+from guavapin.peers.messages import SubscribePeerMessages
+from guavapin.routing.zones import MAX_REPORT_AGE_MS
+from guavapin.routing.zones import ZoneReport
+from guavapin.serving.exchange_relay import TOPIC
+from guavapin.serving.exchange_relay import SupplyReport
+from guavapin.serving.exchange_relay import UpstreamLeaving
+from guavapin.serving.exchange_relay import decode_relay
+from guavapin.serving.exchange_relay import encode_relay
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from guavapin.kernel import TaskContext
+    from guavapin.serving.exchange_messages import PoolSupply
+    from guavapin.serving.exchange_relay import RelayMessage
+    from guavapin.serving.exchange_relay import SendToSeat
+    from guavapin.serving.exchange_settings import ExchangeSettings
+
+
+class ExchangePeers:
+    """Sends and receives relays. A part of the task `exchanges`.
+
+    Without a peers service, nothing is sent and each seat keeps to its own share.
+    """
+
+    def __init__(self, context: TaskContext, settings: ExchangeSettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._names: dict[int, str] = {}
+        self._reports: dict[str, tuple[SupplyReport, int]] = {}
+        if settings.peers_service:
+            self._send(SubscribePeerMessages(TOPIC, (Relay,)))
+            self._send(SubscribeMembership(TOPIC))
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether any other seat of the zone is live."""
+        return bool(self._names)
+
+    def on_membership(self, message: MembershipChanged) -> None:
+        """Take over who is live."""
+        live = [m for m in message.members if m.status is MemberStatus.ALIVE]
+        zone = self._settings.zone
+        self._names = {
+            member.seat: member.name for member in live if member.zone == zone
+        }
+        names = {m.name for m in live}
+        self._reports = {k: v for k, v in self._reports.items() if k in names}
+
+    def decode(self, message: PeerMessage) -> RelayMessage | None:
+        """Return the message of another `exchanges` task, None if it is not for us."""
+        relay = message.message
+        if not isinstance(relay, Relay) or relay.topic != TOPIC:
+            return None
+        decoded = decode_relay(relay)
+        if isinstance(decoded, SupplyReport):
+            self._reports[message.sender] = (decoded, self._context.now_ms())
+        return decoded
+
+    def send_to_seat(self, item: SendToSeat) -> None:
+        """Send to the process that holds a seat of the own zone, if it is live."""
+        name = self._names.get(item.seat)
+        if name is not None:
+            self._send(SendToPeer(name, encode_relay(item.message)))
+
+    def announce_leaving(self, host: str) -> None:
+        """Tell the seats of the own zone that an upstream is leaving."""
+        if self._settings.peers_service:
+            self._send(SendToZone(encode_relay(UpstreamLeaving(host))))
+
+    def report(self, supply: Mapping[str, PoolSupply]) -> None:
+        """Tell all peers what this seat has; only pools with free slots are named."""
+        if not self._settings.peers_service or not self._settings.callers_address:
+            return
+        free = {name: item.free_slots for name, item in supply.items()}
+        report = SupplyReport(
+            self._settings.zone,
+            self._settings.callers_address,
+            {name: count for name, count in free.items() if count > 0},
+        )
+        self._send(SendToAll(encode_relay(report)))
+
+    def zone_reports(self) -> dict[str, tuple[ZoneReport, ...]]:
+        """Return what other zones reported lately, by pool, one report per zone."""
+        now_ms = self._context.now_ms()
+        by_pool: dict[str, dict[str, ZoneReport]] = defaultdict(dict)
+        for report, received_ms in self._reports.values():
+            is_stale = now_ms - received_ms > MAX_REPORT_AGE_MS
+            if report.zone == self._settings.zone or is_stale:
+                continue
+            for pool, count in report.free_slots.items():
+                known = by_pool[pool].get(report.zone)
+                if known is None:
+                    known = ZoneReport(report.zone, (), 0, received_ms)
+                by_pool[pool][report.zone] = replace(
+                    known,
+                    entry_hosts=(*known.entry_hosts, report.address),
+                    free_slots=known.free_slots + count,
+                    reported_ms=min(known.reported_ms, received_ms),
+                )
+        return {pool: tuple(zones.values()) for pool, zones in by_pool.items()}
+
+    def _send(self, message: object) -> None:
+        self._context.send(self._settings.peers_service, message)
--- /dev/null
+++ b/src/guavapin/serving/exchange_queue.py
@@ -0,0 +1,62 @@
+"""The queue of one pool together with the wait to expect in it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.limits.queue import WaitQueue
+from guavapin.limits.queue import expected_wait_ms
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Outcome
+    from guavapin.limits.queue import Waiting
+    from guavapin.serving.exchange_pool import ExchangePool
+    from guavapin.serving.exchange_settings import ExchangeSettings
+
+SMOOTHING = 0.05
+
+
+class PoolQueue:
+    """Requests that wait for a slot of `pool`. Owned by the task `exchanges`."""
+
+    def __init__(self, pool: ExchangePool, settings: ExchangeSettings) -> None:
+        self.pool = pool
+        self.waiting = WaitQueue(settings.queue)
+        self._refuses_early = settings.refuses_early
+        self._mean_ms = {False: 0.0, True: 0.0}
+
+    def learn(self, is_long: bool, run_ms: float) -> None:
+        """Learn how long a slot is in use by short or long work."""
+        mean = self._mean_ms[is_long]
+        change = SMOOTHING * (run_ms - mean) if mean else run_ms
+        self._mean_ms[is_long] = mean + change
+
+    def expected_wait_ms(self, waiting: Waiting) -> float:
+        """Return the wait of a request that is queued now."""
+        ahead = self.waiting.ahead_of(waiting)
+        pool = self.pool
+        if ahead == 0 and pool.free_upstreams and self._is_allowed(waiting):
+            return 0.0
+        long_slots = int(pool.total_slots * pool.long_share)
+        slots = long_slots if waiting.is_long else pool.total_slots - pool.long_running
+        mean_ms = self._mean_ms[waiting.is_long] or waiting.run_ms
+        return expected_wait_ms(ahead + 1, max(slots, 1), mean_ms)
+
+    def push(
+        self, waiting: Waiting, p95_ms: float, now_ms: int, is_parked: bool
+    ) -> Outcome[None]:
+        """Queue a request, or refuse it at once as not run.
+
+        A request that has to wait is measured by the 95th percentile of its kind:
+        under overload, one that is started but ends too late is work lost.
+        """
+        wait_ms = self.expected_wait_ms(waiting)
+        if not self._refuses_early:
+            return self.waiting.push(replace(waiting, run_ms=0), 0, now_ms, is_parked)
+        if wait_ms > 0:
+            waiting = replace(waiting, run_ms=max(p95_ms, waiting.run_ms))
+        return self.waiting.push(waiting, wait_ms, now_ms, is_parked)
+
+    def _is_allowed(self, waiting: Waiting) -> bool:
+        return not waiting.is_long or self.pool.allows_long()
--- /dev/null
+++ b/src/guavapin/serving/exchange_router.py
@@ -0,0 +1,113 @@
+"""Pools, queues and services of the current route table."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from guavapin.serving.exchange_messages import PoolSupply
+from guavapin.serving.exchange_pool import ExchangePool
+from guavapin.serving.exchange_queue import PoolQueue
+from guavapin.serving.exchange_service import ServiceState
+from guavapin.serving.route_table import RouteTable
+from guavapin.serving.route_table import match_service
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from guavapin.objects.model import Service
+    from guavapin.routing.zones import ZoneReport
+    from guavapin.serving.exchange_settings import ExchangeSettings
+    from guavapin.serving.messages import Headers
+
+
+class ExchangeRouter:
+    """State by pool and by service. Owned by the task `exchanges`."""
+
+    def __init__(self, settings: ExchangeSettings, now_ms: int) -> None:
+        held_ms = 0 if settings.is_first_start else settings.loans.hold_off_ms
+        self.settings = settings
+        self.rng = random.Random(settings.seed)
+        self.pools: dict[str, ExchangePool] = {}
+        self.queues: dict[str, PoolQueue] = {}
+        self.services: dict[str, ServiceState] = {}
+        self.seats = 1
+        self.reports: Mapping[str, tuple[ZoneReport, ...]] = {}
+        self._held_off_until_ms = now_ms + held_ms
+        self._table = RouteTable()
+
+    def configure(self, table: RouteTable, now_ms: int) -> None:
+        """Apply a route table; a pool that is gone keeps its work in progress."""
+        self._table = table
+        self.seats = max(table.seats.get(self.settings.zone, 1), 1)
+        for name in {*table.pools, *self.pools}:
+            self._configure_pool(name, now_ms)
+        names = {service.name: service for service in table.services}
+        names.update({item.name: item for item in table.services_by_host.values()})
+        for service in names.values():
+            self._configure_service(service, now_ms)
+
+    def match(self, headers: Headers, target: str) -> Service | None:
+        """Return the service that a request is for."""
+        host = next((value for name, value in headers if name == b"host"), b"")
+        return match_service(self._table, host.decode("latin-1"), target)
+
+    def pool_of_host(self, host: str) -> ExchangePool | None:
+        """Return the pool that has a record of `host`, preferring its present one."""
+        holders = [pool for pool in self.pools.values() if host in pool.records]
+        for pool in holders:
+            if pool.records[host].upstream.takes_work:
+                return pool
+        return holders[0] if holders else None
+
+    def supply(self) -> dict[str, PoolSupply]:
+        """Return what this seat has of each pool."""
+        return {
+            name: PoolSupply(
+                pool.usable_upstreams,
+                pool.total_slots,
+                pool.running,
+                len(self.queues[name].waiting),
+            )
+            for name, pool in self.pools.items()
+        }
+
+    def _configure_pool(self, name: str, now_ms: int) -> None:
+        pool = self.pools.get(name)
+        if pool is None:
+            pool = ExchangePool(name, self.settings, self._held_off_until_ms)
+            self.pools[name] = pool
+            self.queues[name] = PoolQueue(pool, self.settings)
+        spec = self._table.pools.get(name)
+        members = [
+            upstream
+            for upstream in self._table.upstreams.get(name, ())
+            if upstream.zone == self.settings.zone
+        ]
+        slots = spec.slots if spec else 0
+        share = spec.max_ejected_share if spec else 0.0
+        pool.configure(members, slots, self.seats, share, now_ms)
+
+    def _configure_service(self, service: Service, now_ms: int) -> None:
+        state = self.services.get(service.name)
+        if state is None:
+            state = ServiceState(service, self.settings.budget)
+            self.services[service.name] = state
+        objects = self._table.objects
+        quotas = objects.quotas.values() if objects else ()
+        state.configure(
+            service,
+            [quota for quota in quotas if quota.service == service.name],
+            sum(self._table.seats.values()),
+            self._seat_number(),
+            now_ms,
+        )
+
+    def _seat_number(self) -> int:
+        """Return this seat's number among the seats of all zones."""
+        before = 0
+        for zone in sorted(self._table.seats):
+            if zone == self.settings.zone:
+                return before + self.settings.seat
+            before += self._table.seats[zone]
+        return self.settings.seat
--- /dev/null
+++ b/src/guavapin/serving/exchange_service.py
@@ -0,0 +1,96 @@
+"""What the task `exchanges` keeps per service: run times, retry budget, teams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.limits.quota import divide_quota
+from guavapin.limits.quota import full_bucket
+from guavapin.limits.quota import take_token
+from guavapin.retries.budget import RetryBudget
+from guavapin.retries.budget import earn
+from guavapin.retries.budget import spend
+from guavapin.routing.run_time import RunTimes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from guavapin.limits.quota import Bucket
+    from guavapin.limits.quota import SeatQuota
+    from guavapin.objects.model import Service
+    from guavapin.objects.model import TeamQuota
+    from guavapin.retries.budget import RetryBudgetSettings
+
+
+@dataclass(frozen=True, slots=True)
+class TeamState:
+    """Tokens and admitted requests of one team with a quota."""
+
+    quota: SeatQuota
+    bucket: Bucket
+    admitted: int = 0
+
+
+class ServiceState:
+    """State of one service at this seat. Owned by the task `exchanges`."""
+
+    def __init__(self, service: Service, budget: RetryBudgetSettings) -> None:
+        self.service = service
+        self.run_times = RunTimes(service.expected_run_ms)
+        self._budget = RetryBudget()
+        self._budget_settings = budget
+        self._teams: dict[str, TeamState] = {}
+
+    def configure(
+        self,
+        service: Service,
+        quotas: Iterable[TeamQuota],
+        seats: int,
+        seat: int,
+        now_ms: int,
+    ) -> None:
+        """Apply a configuration; buckets and counts of teams that stay are kept."""
+        self.service = service
+        self.run_times.declare(service.expected_run_ms)
+        teams = {}
+        for quota in quotas:
+            part = divide_quota(quota, seats, seat)
+            known = self._teams.get(quota.team)
+            if known is None:
+                known = TeamState(part, full_bucket(part, now_ms))
+            teams[quota.team] = replace(known, quota=part)
+        self._teams = teams
+
+    def take_token(self, team: str, now_ms: int) -> int:
+        """Return 0 if the team may make a request, else the wait in milliseconds."""
+        state = self._teams.get(team)
+        if state is None:
+            return 0
+        bucket, wait_ms = take_token(state.bucket, state.quota, now_ms)
+        self._teams[team] = replace(state, bucket=bucket)
+        return wait_ms
+
+    def is_team_full(self, team: str) -> bool:
+        """Tell whether the team has as many requests admitted as it has slots."""
+        state = self._teams.get(team)
+        if state is None or state.quota.max_slots == 0:
+            return False
+        return state.admitted >= state.quota.max_slots
+
+    def admit(self, team: str, change: int) -> None:
+        """Count a request of the team that holds one of its slots, or no longer."""
+        state = self._teams.get(team)
+        if state is not None:
+            admitted = max(state.admitted + change, 0)
+            self._teams[team] = replace(state, admitted=admitted)
+
+    def count_request(self) -> None:
+        """Let the request earn its share of a retry."""
+        self._budget = earn(self._budget, self._budget_settings)
+
+    def spend_retry(self) -> bool:
+        """Take one retry from the budget, if there is one."""
+        self._budget, granted = spend(self._budget)
+        return granted
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -2,47 +2,72 @@
 
 from __future__ import annotations
 
-import itertools
-from collections import Counter
-from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin.claims.messages import ClaimGranted
+from guavapin.claims.messages import ClaimRefused
+from guavapin.kernel import Call
 from guavapin.kernel import Ok
-from guavapin.serving.exchange import Exchange
+from guavapin.limits.slots import LoanGrant
+from guavapin.limits.slots import LoanRequest
+from guavapin.limits.slots import LoanReturn
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import PeerMessage
+from guavapin.retries.policy import EndedAttempt
+from guavapin.serving import exchange as machine
+from guavapin.serving import exchange_loans
+from guavapin.serving.deadlines import DeadlineTimer
 from guavapin.serving.exchange import Phase
-from guavapin.serving.exchange import SendToFront
-from guavapin.serving.exchange import on_attempt_body
-from guavapin.serving.exchange import on_attempt_ended
-from guavapin.serving.exchange import on_attempt_head
-from guavapin.serving.exchange import on_caller_gone
-from guavapin.serving.exchange import on_deadline
-from guavapin.serving.exchange import refusal
-from guavapin.serving.exchange import start_attempt
+from guavapin.serving.exchange_attempt import verdict_of
+from guavapin.serving.exchange_claims import on_claim_answer
+from guavapin.serving.exchange_flow import RequestFlow
+from guavapin.serving.exchange_flow import RetryDue
+from guavapin.serving.exchange_head import is_leaving
+from guavapin.serving.exchange_head import says_not_run
+from guavapin.serving.exchange_messages import GetSupply
+from guavapin.serving.exchange_peers import ExchangePeers
+from guavapin.serving.exchange_relay import SupplyReport
+from guavapin.serving.exchange_relay import UpstreamLeaving
+from guavapin.serving.exchange_router import ExchangeRouter
 from guavapin.serving.messages import AttemptBody
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptHead
-from guavapin.serving.messages import AttemptRequestBody
+from guavapin.serving.messages import AttemptResult
 from guavapin.serving.messages import CallerGone
+from guavapin.serving.messages import FlowControl
+from guavapin.serving.messages import GetCounts
 from guavapin.serving.messages import RequestBody
 from guavapin.serving.messages import RequestReceived
-from guavapin.serving.route_table import RouteTable
 from guavapin.serving.route_table import RouteTableChanged
-from guavapin.serving.route_table import match_service
 
 if TYPE_CHECKING:
     from guavapin.kernel import Outcome
     from guavapin.kernel import TaskContext
-    from guavapin.serving.exchange import Action
-    from guavapin.serving.exchange import Step
-    from guavapin.serving.route_table import Upstream
+    from guavapin.serving.exchange import Exchange
+    from guavapin.serving.exchange_attempt import Attempt
+    from guavapin.serving.exchange_settings import ExchangeSettings
+
+# Slow start, cool-downs and loans are looked at this often; requests do not wait for
+# it, since every end of an attempt starts the next one.
+TICK_MS = 250
+# A trial is carried by an idempotent request if one comes within this many ticks;
+# otherwise an active probe is sent.
+PROBE_AFTER_TICKS = 8
+MAX_LOANS_PER_TICK = 8
+# Free slots are reported to the other zones once a second: at 47 pools and 9 peers
+# this is about 6 KB/s.
+REPORT_TICKS = 4
 
 
 @dataclass(frozen=True, slots=True)
-class DeadlinePassed:
-    """Timer: the deadline of a request has passed."""
+class _DeadlinePassed:
+    """Timer: the deadline of a request may have passed."""
+
 
-    request_id: int
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Timer: time has passed."""
 
 
 class ExchangesTask:
@@ -50,156 +75,243 @@
 
     name = "exchanges"
 
-    def __init__(self, zone: str) -> None:
-        self._zone = zone
-        self._table = RouteTable()
-        self._exchanges: dict[int, Exchange] = {}
-        self._requests_by_attempt: dict[int, int] = {}
-        self._waiting: dict[str, deque[int]] = {}
-        self._early_bodies: dict[int, list[RequestBody]] = {}
-        self._outstanding: Counter[str] = Counter()
-        self._attempt_ids = itertools.count(1)
+    def __init__(self, settings: ExchangeSettings) -> None:
+        self._settings = settings
+        self._trial_ticks: dict[str, int] = {}
+        self._ticks = 0
         self._context: TaskContext
+        self._router: ExchangeRouter
+        self._flow: RequestFlow
+        self._peers: ExchangePeers
+        self._deadlines: DeadlineTimer
 
     def start(self, context: TaskContext) -> Outcome[None]:
-        """Keep the context; this task has no sockets."""
+        """Begin the hold-off of the seat; this task has no sockets."""
         self._context = context
+        self._deadlines = DeadlineTimer(context, _DeadlinePassed())
+        self._router = ExchangeRouter(self._settings, context.now_ms())
+        self._flow = RequestFlow(context, self._router, self._deadlines)
+        self._peers = ExchangePeers(context, self._settings)
+        context.set_timer(TICK_MS, _Tick())
         return Ok(None)
 
+    def stop(self) -> None:
+        """Nothing to close."""
+
     def handle(self, message: object) -> None:
-        """Handle one message of `front`, `upstreams`, the routes or a timer."""
+        """Handle one message of another task or a timer."""
         match message:
             case RequestReceived():
-                self._on_received(message)
+                self._flow.on_received(message)
             case RequestBody():
-                self._on_request_body(message)
-            case AttemptHead() | AttemptBody() | AttemptEnded():
-                self._on_attempt(message)
+                self._flow.on_body(message)
+            case AttemptHead():
+                self._on_head(message)
+            case AttemptBody():
+                self._on_body(message)
+            case AttemptEnded():
+                self._on_ended(message)
             case CallerGone(request_id):
-                exchange = self._exchanges.get(request_id)
+                exchange = self._flow.get(request_id)
                 if exchange is not None:
-                    self._apply(on_caller_gone(exchange))
-            case DeadlinePassed(request_id):
-                exchange = self._exchanges.get(request_id)
-                if exchange is not None:
-                    self._apply(on_deadline(exchange))
-            case RouteTableChanged(table):
-                self._table = table
-                for pool in list(self._waiting):
-                    self._assign_waiting(pool)
+                    self._flow.apply(machine.on_caller_gone(exchange))
+            case FlowControl():
+                self._on_flow_control(message)
+            case RetryDue(request_id):
+                self._flow.on_retry_due(request_id)
+            case _DeadlinePassed():
+                for request_id in self._deadlines.pop_due():
+                    self._flow.on_deadline(request_id)
+            case _:
+                self._handle_rare(message)
 
-    def stop(self) -> None:
-        """Nothing to close."""
+    def _handle_rare(self, message: object) -> None:
+        match message:
+            case _Tick():
+                self._on_tick()
+            case ClaimGranted() | ClaimRefused():
+                self._on_claim(message)
+            case PeerMessage():
+                self._on_peer(message)
+            case MembershipChanged():
+                self._peers.on_membership(message)
+            case RouteTableChanged(table):
+                self._router.configure(table, self._context.now_ms())
+                for name in self._router.pools:
+                    self._flow.dispatch(name)
+            case Call(GetSupply(), fut):
+                fut.set_result(self._router.supply())
+            case Call(GetCounts(), fut):
+                fut.set_result(self._read_counts())
 
-    def _on_received(self, message: RequestReceived) -> None:
-        host_header = next((v for k, v in message.headers if k == b"host"), b"")
-        service = match_service(
-            self._table, host_header.decode("latin-1"), message.target
-        )
-        if service is None:
-            self._act(refusal(message.request_id, 404, "not-run", "no_such_service"))
+    def _on_head(self, event: AttemptHead) -> None:
+        attempt = self._flow.attempts.get(event.attempt_id)
+        if attempt is None:
+            self._flow.counts["late_messages"] += 1
             return
-        exchange = Exchange(
-            request_id=message.request_id,
-            service=service,
-            method=message.method,
-            target=message.target,
-            headers=message.headers,
-            received_ms=message.received_ms,
-            deadline_ms=message.received_ms + service.timeout_ms,
-            body_follows=message.body_follows,
-        )
-        queue = self._waiting.setdefault(service.pool, deque())
-        if len(queue) >= service.queue_limit:
-            self._act(refusal(message.request_id, 503, "not-run", "queue_full"))
+        self._flow.attempts.set_status(event.attempt_id, event.status)
+        if attempt.placement is not None and is_leaving(
+            event.status, event.headers, event.is_closing
+        ):
+            self._announce_leaving(attempt.placement.host)
+        exchange = self._flow.get(attempt.request_id)
+        if exchange is None or self._retry_on_head(exchange, attempt, event):
             return
-        self._exchanges[message.request_id] = exchange
-        self._context.set_timer(service.timeout_ms, DeadlinePassed(message.request_id))
-        queue.append(message.request_id)
-        self._assign_waiting(service.pool)
-
-    def _assign_waiting(self, pool: str) -> None:
-        queue = self._waiting.get(pool, deque())
-        while queue:
-            exchange = self._exchanges.get(queue[0])
-            if exchange is None or exchange.phase is not Phase.QUEUED:
-                queue.popleft()
-                continue
-            upstream = self._pick(pool)
-            if upstream is None:
-                return
-            queue.popleft()
-            self._start(exchange, upstream)
-
-    def _pick(self, pool: str) -> Upstream | None:
-        spec = self._table.pools.get(pool)
-        members = self._table.upstreams.get(pool, ())
-        if spec is None:
-            return None
-        free = [
-            upstream
-            for upstream in members
-            if upstream.takes_work
-            and upstream.zone == self._zone
-            and self._outstanding[upstream.host] < spec.slots
-        ]
-        return min(free, key=lambda u: self._outstanding[u.host], default=None)
-
-    def _start(self, exchange: Exchange, upstream: Upstream) -> None:
-        attempt_id = next(self._attempt_ids)
-        self._outstanding[upstream.host] += 1
-        self._requests_by_attempt[attempt_id] = exchange.request_id
-        self._apply(
-            start_attempt(
-                exchange,
-                upstream.host,
-                upstream.address,
-                attempt_id,
-                self._context.now_ms(),
+        if exchange.is_claimed:
+            self._flow.claims.open_answer(
+                exchange.request_id, event.status, event.headers
             )
+        self._flow.apply(machine.on_answer_head(exchange, event.status, event.headers))
+
+    def _retry_on_head(
+        self, exchange: Exchange, attempt: Attempt, event: AttemptHead
+    ) -> bool:
+        """Try elsewhere when the status allows it; the answer is not read."""
+        is_peer = attempt.placement is None
+        ended = EndedAttempt(
+            AttemptResult.COMPLETE,
+            event.status,
+            is_refused_not_run=is_peer and says_not_run(event.headers),
         )
-        for part in self._early_bodies.pop(exchange.request_id, ()):
-            self._on_request_body(part)
+        if not self._flow.try_retry(exchange, ended):
+            return False
+        whole = AttemptEnded(event.attempt_id, AttemptResult.COMPLETE)
+        verdict = verdict_of(exchange, whole, event.status, self._settings.rules)
+        self._flow.cancel(event.attempt_id, exchange, verdict)
+        self._flow.dispatch(exchange.service.pool)
+        return True
 
-    def _on_request_body(self, part: RequestBody) -> None:
-        exchange = self._exchanges.get(part.request_id)
+    def _on_body(self, event: AttemptBody) -> None:
+        attempt = self._flow.attempts.get(event.attempt_id)
+        exchange = self._flow.get(attempt.request_id) if attempt else None
         if exchange is None:
+            self._flow.counts["late_messages"] += 1
             return
-        if exchange.phase is Phase.QUEUED:
-            self._early_bodies.setdefault(part.request_id, []).append(part)
+        self._flow.claims.add_body(exchange.request_id, event.data)
+        self._flow.store(machine.on_answer_body(exchange, event.data))
+
+    def _on_ended(self, event: AttemptEnded) -> None:
+        attempt = self._flow.attempts.get(event.attempt_id)
+        if attempt is None:
+            self._flow.counts["late_messages"] += 1
+            return
+        exchange = self._flow.get(attempt.request_id)
+        verdict = verdict_of(exchange, event, attempt.status, self._settings.rules)
+        now_ms = self._context.now_ms()
+        self._flow.attempts.end(event.attempt_id, exchange, verdict, now_ms)
+        self._flow.counts[f"attempts_{event.result.value}"] += 1
+        if exchange is None:
+            self._flow.dispatch(attempt.pool)
             return
-        forward = AttemptRequestBody(exchange.attempt_id, part.data, part.is_last)
-        self._context.send("upstreams", forward)
+        ended = EndedAttempt(event.result, attempt.status)
+        if self._flow.try_retry(exchange, ended):
+            self._flow.dispatch(attempt.pool)
+            return
+        reason = event.result.value
+        if event.result is AttemptResult.NOT_SENT:
+            reason = "upstream_unreachable"
+        self._flow.apply(machine.on_attempt_ended(exchange, ended, reason))
+
+    def _on_flow_control(self, message: FlowControl) -> None:
+        if message.is_attempt:
+            attempt = self._flow.attempts.get(message.id)
+            if attempt is not None and attempt.request_id:
+                forward = FlowControl(attempt.request_id, message.is_paused)
+                self._context.send("front", forward)
+            return
+        exchange = self._flow.get(message.id)
+        if exchange is not None and exchange.phase is Phase.ANSWERING:
+            forward = FlowControl(exchange.attempt_id, message.is_paused)
+            self._context.send("upstreams", forward)
 
-    def _on_attempt(self, event: AttemptHead | AttemptBody | AttemptEnded) -> None:
-        request_id = self._requests_by_attempt.get(event.attempt_id)
-        exchange = self._exchanges.get(request_id) if request_id is not None else None
+    def _on_claim(self, answer: ClaimGranted | ClaimRefused) -> None:
+        exchange = self._flow.get(answer.request_id)
         if exchange is None:
+            self._flow.counts["late_messages"] += 1
             return
-        match event:
-            case AttemptHead():
-                self._apply(on_attempt_head(exchange, event))
-            case AttemptBody():
-                self._apply(on_attempt_body(exchange, event))
-            case AttemptEnded():
-                self._apply(on_attempt_ended(exchange, event))
-
-    def _apply(self, step: Step) -> None:
-        exchange, actions = step
-        self._act(actions)
-        if exchange.phase is Phase.DONE:
-            self._forget(exchange)
-        else:
-            self._exchanges[exchange.request_id] = exchange
-
-    def _forget(self, exchange: Exchange) -> None:
-        self._exchanges.pop(exchange.request_id, None)
-        self._early_bodies.pop(exchange.request_id, None)
-        if self._requests_by_attempt.pop(exchange.attempt_id, None) is not None:
-            self._outstanding[exchange.host] -= 1
-            self._assign_waiting(exchange.service.pool)
-
-    def _act(self, actions: tuple[Action, ...]) -> None:
-        for action in actions:
-            target = "front" if isinstance(action, SendToFront) else "upstreams"
-            self._context.send(target, action.message)
+        self._flow.apply(on_claim_answer(exchange, answer))
+
+    def _on_peer(self, message: PeerMessage) -> None:
+        match self._peers.decode(message):
+            case LoanRequest() | LoanGrant() | LoanReturn() as loan:
+                self._on_loan(loan)
+            case UpstreamLeaving(host):
+                self._mark_leaving(host)
+            case SupplyReport():
+                self._router.reports = self._peers.zone_reports()
+
+    def _on_loan(self, message: LoanRequest | LoanGrant | LoanReturn) -> None:
+        pool = self._router.pool_of_host(message.upstream)
+        if pool is None:
+            return
+        has_waiting = bool(len(self._router.queues[pool.name].waiting))
+        now_ms = self._context.now_ms()
+        reply = exchange_loans.receive(
+            pool, message, has_waiting, self._settings, now_ms
+        )
+        if reply is not None:
+            self._peers.send_to_seat(reply)
+        self._flow.dispatch(pool.name)
+
+    def _on_tick(self) -> None:
+        self._context.set_timer(TICK_MS, _Tick())
+        now_ms = self._context.now_ms()
+        self._ticks += 1
+        if self._ticks % REPORT_TICKS == 0:
+            self._peers.report(self._router.supply())
+            self._router.reports = self._peers.zone_reports()
+        for name, pool in self._router.pools.items():
+            for message in exchange_loans.return_idle(pool, self._settings, now_ms):
+                self._peers.send_to_seat(message)
+            pool.tick(now_ms)
+            self._probe(name)
+            if len(self._router.queues[name].waiting):
+                self._flow.dispatch(name)
+                self._borrow(name)
+
+    def _borrow(self, pool_name: str) -> None:
+        """Ask for loans while requests wait, one slot of an upstream at a time."""
+        waiting = len(self._router.queues[pool_name].waiting)
+        if not self._peers.is_connected:
+            return
+        for _ in range(min(waiting, MAX_LOANS_PER_TICK)):
+            message = exchange_loans.ask(
+                self._router.pools[pool_name],
+                self._router.seats,
+                self._settings,
+                self._context.now_ms(),
+                self._router.rng,
+            )
+            if message is None:
+                return
+            self._peers.send_to_seat(message)
+
+    def _probe(self, pool_name: str) -> None:
+        if not self._router.pools[pool_name].due_trials:
+            self._trial_ticks.pop(pool_name, None)
+            return
+        ticks = self._trial_ticks.get(pool_name, 0) + 1
+        self._trial_ticks[pool_name] = ticks
+        if ticks < PROBE_AFTER_TICKS:
+            return
+        start = self._flow.attempts.probe(pool_name, self._context.now_ms())
+        if start is not None:
+            self._flow.counts["probes"] += 1
+            self._context.send("upstreams", start)
+
+    def _announce_leaving(self, host: str) -> None:
+        if self._mark_leaving(host):
+            self._peers.announce_leaving(host)
+
+    def _mark_leaving(self, host: str) -> bool:
+        pool = self._router.pool_of_host(host)
+        if pool is None:
+            return False
+        return pool.mark_leaving(host, self._context.now_ms())
+
+    def _read_counts(self) -> dict[str, int]:
+        return {
+            **self._flow.counts,
+            "requests_in_progress": len(self._flow),
+            "attempts_in_progress": len(self._flow.attempts),
+        }
