Add the composition root, relay, registration and entry daemon

Cause: the parts must be wired by name in one place. Change: compose_entry, the fleet relay, the registration at the platform, the readiness and route tasks, graceful drain; the kernel holds messages for services that have not started yet.

--- /dev/null
+++ b/src/guavapin/composition.py
@@ -0,0 +1,184 @@
+"""The composition root: creates the services of each daemon and wires them by name."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.claims.store import ClaimsConfig
+from guavapin.claims.task import ClaimsTask
+from guavapin.fleet.relay import FleetRelayConfig
+from guavapin.fleet.relay import FleetRelayTask
+from guavapin.fleet.view import FleetViewTask
+from guavapin.fleet.writer import FleetWriterTask
+from guavapin.kernel import Kernel
+from guavapin.kernel import Ok
+from guavapin.kernel import Refused
+from guavapin.kernel import SystemClock
+from guavapin.metrics.metrics import Metrics
+from guavapin.operators.access import AccessPolicy
+from guavapin.operators.access import load_tokens
+from guavapin.operators.app import OperatorsApp
+from guavapin.operators.routes import build_routes
+from guavapin.operators.server import OperatorsTask
+from guavapin.peers.messages import PeerAddress
+from guavapin.peers.registration import RegistrationTask
+from guavapin.peers.task import PeersConfig
+from guavapin.peers.task import PeersTask
+from guavapin.platform.client import PlatformConfig
+from guavapin.platform.client import PlatformTask
+from guavapin.publication.configuration import ConfigurationConfig
+from guavapin.publication.configuration import ConfigurationTask
+from guavapin.publication.in_force import InForceTask
+from guavapin.publication.publisher_task import PublisherTask
+from guavapin.serving.exchanges import ExchangesTask
+from guavapin.serving.front import FrontTask
+from guavapin.serving.front_config import FrontConfig
+from guavapin.serving.readiness import ReadinessTask
+from guavapin.serving.routes import RoutesTask
+from guavapin.serving.upstreams import UpstreamsTask
+from guavapin.serving.upstreams_config import UpstreamsConfig
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Clock
+    from guavapin.kernel import Outcome
+    from guavapin.peers.task import PeerFilter
+    from guavapin.settings.entry import EntrySettings
+    from guavapin.settings.parts import ListenerSettings
+    from guavapin.settings.parts import NodeSettings
+    from guavapin.settings.parts import PlatformSettings
+
+SERVING = "serving"
+CONTROL = "control"
+
+
+@dataclass(frozen=True, slots=True)
+class EntryProcess:
+    """The services of one `guavapin-entry`, registered but not started."""
+
+    kernel: Kernel
+    front: FrontTask
+    operators: OperatorsTask
+    metrics: Metrics
+
+
+def compose_entry(
+    cfg: EntrySettings,
+    clock: Clock | None = None,
+    peer_filter: PeerFilter | None = None,
+) -> Outcome[EntryProcess]:
+    """Return the services of an entry process; a bad token file is refused."""
+    access = build_access(cfg.operators)
+    if isinstance(access, Refused):
+        return access
+    kernel = Kernel(clock or SystemClock())
+    metrics = Metrics()
+    readiness = ReadinessTask()
+    front = FrontTask(_front_config(cfg))
+    app = OperatorsApp(
+        build_routes(kernel), access.value, metrics, lambda: readiness.is_ready
+    )
+    operators = OperatorsTask(cfg.operators, app)
+    _register_serving(kernel, cfg, front, readiness)
+    _register_entry_control(kernel, cfg, peer_filter)
+    kernel.register(InForceTask(cfg.node.name), CONTROL, ("configuration", "peers"))
+    kernel.register(
+        operators,
+        CONTROL,
+        ("publisher", "in_force", "fleet_writer", "configuration", "routes"),
+    )
+    return Ok(EntryProcess(kernel, front, operators, metrics))
+
+
+def build_access(cfg: ListenerSettings) -> Outcome[AccessPolicy]:
+    """Return who may call the operators' listener."""
+    if not cfg.token_file:
+        return Ok(AccessPolicy(requires_certificate=bool(cfg.tls_client_ca_file)))
+    tokens = load_tokens(cfg.token_file)
+    if isinstance(tokens, Refused):
+        return tokens
+    return Ok(AccessPolicy(tokens.value, bool(cfg.tls_client_ca_file)))
+
+
+def _register_serving(
+    kernel: Kernel, cfg: EntrySettings, front: FrontTask, readiness: ReadinessTask
+) -> None:
+    node = cfg.node
+    kernel.register(UpstreamsTask(UpstreamsConfig()), SERVING)
+    kernel.register(ExchangesTask(node.zone), SERVING, ("upstreams", "claims"))
+    kernel.register(front, SERVING, ("exchanges",))
+    kernel.register(readiness, SERVING, ("front",))
+
+
+def _register_entry_control(
+    kernel: Kernel, cfg: EntrySettings, peer_filter: PeerFilter | None
+) -> None:
+    node = cfg.node
+    kernel.register(PlatformTask(platform_config(cfg.platform, node)), CONTROL)
+    kernel.register(ClaimsTask(ClaimsConfig()), CONTROL, ("platform",))
+    kernel.register(PeersTask(_peers_config(cfg), peer_filter), CONTROL)
+    kernel.register(
+        ConfigurationTask(ConfigurationConfig(node.name, node.zone, node.seat)),
+        CONTROL,
+        ("platform", "peers"),
+    )
+    kernel.register(
+        RoutesTask(("exchanges", "readiness"), ("fleet_writer",)),
+        CONTROL,
+        ("configuration", "exchanges", "readiness", "fleet_writer"),
+    )
+    kernel.register(
+        FleetViewTask(("routes",), relay_to="fleet_relay"),
+        CONTROL,
+        ("platform", "routes"),
+    )
+    kernel.register(
+        FleetRelayTask(FleetRelayConfig(node.name, node.zone, node.seat)),
+        CONTROL,
+        ("peers", "fleet_view"),
+    )
+    kernel.register(FleetWriterTask(), CONTROL, ("platform",))
+    kernel.register(PublisherTask(), CONTROL, ("platform",))
+    kernel.register(RegistrationTask(_own_address(cfg)), CONTROL, ("platform", "peers"))
+
+
+def platform_config(cfg: PlatformSettings, node: NodeSettings) -> PlatformConfig:
+    """Return the client's settings; writes get a quarter of the calls."""
+    return PlatformConfig(
+        url=f"http://{cfg.address}",
+        zone=node.zone,
+        deadline_ms=cfg.timeout_ms,
+        max_in_flight=cfg.calls_in_flight,
+        writes_per_second=cfg.calls_per_second / 4,
+        reads_per_second=cfg.calls_per_second * 3 / 4,
+    )
+
+
+def _front_config(cfg: EntrySettings) -> FrontConfig:
+    host, _, port = cfg.callers_address.rpartition(":")
+    return FrontConfig(
+        address=host.strip("[]"),
+        port=int(port),
+        max_connections=cfg.limits.callers,
+        max_head_bytes=cfg.limits.header_bytes,
+        idle_timeout_ms=cfg.limits.idle_timeout_ms,
+    )
+
+
+def _peers_config(cfg: EntrySettings) -> PeersConfig:
+    seeds = tuple(
+        PeerAddress(seed.name, seed.zone, seed.address) for seed in cfg.peers.seeds
+    )
+    return PeersConfig(
+        name=cfg.node.name,
+        zone=cfg.node.zone,
+        seat=cfg.node.seat,
+        address=cfg.peers.address,
+        advertised_address=cfg.peers.advertised_address,
+        seeds=seeds,
+    )
+
+
+def _own_address(cfg: EntrySettings) -> PeerAddress:
+    address = cfg.peers.advertised_address or cfg.peers.address
+    return PeerAddress(cfg.node.name, cfg.node.zone, address)
--- /dev/null
+++ b/src/guavapin/console/commands/status.py
@@ -0,0 +1,74 @@
+"""``guavapin status``: whether every promise is kept now, and what is in hand."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.console.render import render_table
+
+if TYPE_CHECKING:
+    import argparse
+    from typing import Any
+
+    from guavapin.console.command import Console
+    from guavapin.console.exit_codes import ExitCode
+
+
+class StatusCommand:
+    """Show generations, budgets, disruptions and waves."""
+
+    name = "status"
+    summary = "show whether every promise is kept, and what is in hand"
+    description = """\
+Show the generation of each entry process, each pool's margin above its availability
+budget, the disruptions in progress and the waves with what they wait for.
+"""
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """No arguments."""
+
+    def run(self, args: argparse.Namespace, console: Console) -> ExitCode:
+        """Read and render the status."""
+        return console.finish(console.client.get("/operator/v1/status"), _as_table)
+
+
+def _as_table(body: Any) -> str:
+    parts = [_summary(body), _entries(body), _pools(body)]
+    if body["disruptions"]:
+        parts.append(_disruptions(body))
+    if body["waves"]:
+        parts.append(_waves(body))
+    return "\n\n".join(parts)
+
+
+def _summary(body: Any) -> str:
+    verdict = "all promises kept" if not body["broken"] else "; ".join(body["broken"])
+    return f"generation {body['generation']} by {body['author'] or '-'}: {verdict}"
+
+
+def _entries(body: Any) -> str:
+    rows = [
+        (entry["name"], entry["zone"], entry["status"], entry["generation"])
+        for entry in body["entries"]
+    ]
+    return render_table(("entry", "zone", "state", "generation"), rows)
+
+
+def _pools(body: Any) -> str:
+    columns = ("pool", "hosts", "available", "required", "margin")
+    rows = [tuple(pool[column] for column in columns[1:]) for pool in body["pools"]]
+    names = [pool["pool"] for pool in body["pools"]]
+    table = [(name, *row) for name, row in zip(names, rows, strict=True)]
+    return render_table(columns, table)
+
+
+def _disruptions(body: Any) -> str:
+    columns = ("host", "pool", "kind", "phase", "actor", "since")
+    rows = [tuple(item[column] for column in columns) for item in body["disruptions"]]
+    return render_table(columns, rows)
+
+
+def _waves(body: Any) -> str:
+    columns = ("wave", "status", "done", "failed", "detail")
+    rows = [tuple(item[column] for column in columns) for item in body["waves"]]
+    return render_table(columns, rows)
--- /dev/null
+++ b/src/guavapin/daemons/entry.py
@@ -0,0 +1,64 @@
+"""``guavapin-entry``: the serving daemon of an entry host."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from concurrent.futures import wait
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from guavapin.composition import compose_entry
+from guavapin.daemons.lifecycle import EXIT_BAD_SETTINGS
+from guavapin.daemons.lifecycle import run_daemon
+from guavapin.kernel.outcome import Refused
+from guavapin.metrics.logs import configure_logs
+from guavapin.peers.messages import AnnounceLeaving
+from guavapin.serving.messages import StopAccepting
+from guavapin.serving.readiness import BeginStop
+from guavapin.settings.entry import load_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from guavapin.composition import EntryProcess
+    from guavapin.settings.entry import EntrySettings
+
+DESCRIPTION = """\
+Serve callers on an entry host: routing, limits, retries, configuration, operators'
+interface. SIGTERM stops gracefully: /readyz fails first, requests in progress finish.
+"""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the daemon and return its exit code; 2 for faults in the settings."""
+    parser = argparse.ArgumentParser("guavapin-entry", description=DESCRIPTION)
+    parser.add_argument("--settings", type=Path, required=True, help="TOML file")
+    args = parser.parse_args(argv)
+    cfg = load_entry(args.settings)
+    if isinstance(cfg, tuple):
+        for fault in cfg:
+            print(f"guavapin-entry: {fault}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logs(cfg.node.log_level, cfg.node.name)
+    outcome = compose_entry(cfg)
+    if isinstance(outcome, Refused):
+        print(f"guavapin-entry: {outcome.detail}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    process = outcome.value
+    return run_daemon(process.kernel, lambda: drain_entry(process, cfg))
+
+
+def drain_entry(process: EntryProcess, cfg: EntrySettings) -> None:
+    """Become unready, let the balancer notice, finish the requests in progress."""
+    kernel = process.kernel
+    kernel.ask("readiness", BeginStop()).result()
+    kernel.deliver("peers", AnnounceLeaving())
+    # The balancer sends new connections until it has seen /readyz fail.
+    kernel.wait_for_failure(cfg.limits.unready_notice_ms)
+    fut = kernel.ask("front", StopAccepting())
+    wait([fut], cfg.limits.stop_timeout_ms / 1_000)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/guavapin/daemons/lifecycle.py
@@ -0,0 +1,66 @@
+"""Life of a daemon: start, wait for a signal or a failure, stop gracefully."""
+
+from __future__ import annotations
+
+import logging
+import os
+import selectors
+import signal
+import socket
+from typing import TYPE_CHECKING
+
+from guavapin.kernel.outcome import Refused
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavapin.kernel import Kernel
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+
+log = logging.getLogger("guavapin.daemon")
+
+
+def run_daemon(kernel: Kernel, drain: Callable[[], None]) -> int:
+    """Run `kernel` until SIGTERM or SIGINT and return the exit code.
+
+    `drain` finishes the work in progress before the services stop. A broken invariant
+    in any task ends the process with exit code 1.
+    """
+    receiver, sender = socket.socketpair()
+    sender.setblocking(False)
+    signal.set_wakeup_fd(sender.fileno())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _ignore)
+    outcome = kernel.start()
+    if isinstance(outcome, Refused):
+        log.error("start failed", extra={"reason": outcome.detail})
+        return EXIT_FAILED
+    log.info("started", extra={"pid": os.getpid()})
+    kernel.on_failure(lambda: sender.send(b"\0"))
+    _wait_readable(receiver)
+    failure = kernel.failure
+    if failure is not None:
+        log.error("broken invariant", extra={"failure": repr(failure)})
+        return EXIT_FAILED
+    log.info("stopping")
+    drain()
+    late = kernel.stop()
+    if late:
+        log.error("services did not stop in time", extra={"services": late})
+        return EXIT_FAILED
+    log.info("stopped")
+    return EXIT_DONE
+
+
+def _ignore(number: int, frame: object) -> None:
+    """Let the wake-up descriptor report the signal."""
+
+
+def _wait_readable(receiver: socket.socket) -> None:
+    with selectors.DefaultSelector() as selector:
+        selector.register(receiver, selectors.EVENT_READ)
+        while not selector.select():
+            pass
--- a/src/guavapin/kernel/kernel.py
+++ b/src/guavapin/kernel/kernel.py
@@ -81,6 +81,11 @@
         self._executor = ThreadPoolExecutor(MAX_LOOPS, thread_name_prefix="loop")
         self._loop_futs: list[Future[None]] = []
         self._failed = threading.Event()
+        self._failure_callback: Callable[[], object] | None = None
+        # Messages for services that have not started yet, in the order of their
+        # arrival; empty once all have started.
+        self._held: dict[str, list[object]] = {}
+        self._held_lock = threading.Lock()
 
     def register(
         self, task: Task, loop: str = "main", requires: tuple[str, ...] = ()
@@ -97,6 +102,7 @@
         order = self._start_order()
         if isinstance(order, Refused):
             return order
+        self._held = {name: [] for name in order.value}
         for loop in self._loops.values():
             fut = self._executor.submit(loop.run)
             fut.add_done_callback(self._on_loop_end)
@@ -107,6 +113,7 @@
                 self.stop()
                 return outcome
             self._started.append(name)
+            self._release_held(name)
         return Ok(None)
 
     def stop(self) -> tuple[str, ...]:
@@ -135,6 +142,8 @@
         target = self._services.get(service)
         if target is None:
             raise InvariantError(f"no service is named {service!r}")
+        if self._held and self._hold(service, message):
+            return
         if target.loop is sender:
             sender.post_local(target.task, message)
         else:
@@ -149,9 +158,34 @@
     def wait_for_failure(self, timeout_ms: int | None = None) -> BaseException | None:
         """Block until a loop fails or `timeout_ms` has passed; return the failure."""
         self._failed.wait(None if timeout_ms is None else timeout_ms / 1_000)
+        return self.failure
+
+    def on_failure(self, callback: Callable[[], object]) -> None:
+        """Call `callback` from the thread of the first loop that fails."""
+        self._failure_callback = callback
+        if self._failed.is_set():
+            callback()
+
+    @property
+    def failure(self) -> BaseException | None:
+        """Return the exception that ended a loop, None while all run."""
         failures = (loop.failure for loop in self._loops.values())
         return next((exc for exc in failures if exc is not None), None)
 
+    def _hold(self, service: str, message: object) -> bool:
+        with self._held_lock:
+            held = self._held.get(service)
+            if held is None:
+                return False
+            held.append(message)
+            return True
+
+    def _release_held(self, name: str) -> None:
+        service = self._services[name]
+        with self._held_lock:
+            for message in self._held.pop(name):
+                service.loop.post((service.task, message))
+
     def _start_service(self, name: str) -> Outcome[None]:
         service = self._services[name]
         context = _Context(self, service.task, service.loop)
@@ -184,6 +218,8 @@
     def _on_loop_end(self, fut: Future[None]) -> None:
         if fut.exception() is not None:
             self._failed.set()
+            if self._failure_callback is not None:
+                self._failure_callback()
 
     def _start_order(self) -> Outcome[tuple[str, ...]]:
         order: list[str] = []
--- /dev/null
+++ b/src/guavapin/serving/readiness.py
@@ -0,0 +1,64 @@
+"""The task `readiness`: whether this process should get callers' requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel import Call
+from guavapin.kernel import Ok
+from guavapin.serving.messages import SetReady
+from guavapin.serving.route_table import RouteTableChanged
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
+
+
+@dataclass(frozen=True, slots=True)
+class BeginStop:
+    """The process stops: not ready from now on. Also accepted as a `Call`."""
+
+
+class ReadinessTask:
+    """Service `readiness`: ready once there are routes to at least one upstream.
+
+    A process without configuration, or whose fleet record names no upstream, could
+    only refuse, so the balancer should not send to it.
+    """
+
+    name = "readiness"
+
+    def __init__(self) -> None:
+        self.is_ready = False
+        self._is_stopping = False
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Keep the context; not ready yet."""
+        self._context = context
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle new routes or the begin of a stop."""
+        match message:
+            case RouteTableChanged(table):
+                has_upstreams = any(table.upstreams.values())
+                self._set(table.generation > 0 and has_upstreams)
+            case BeginStop():
+                self._begin_stop()
+            case Call(BeginStop(), fut):
+                self._begin_stop()
+                fut.set_result(Ok(None))
+
+    def stop(self) -> None:
+        """Nothing to close."""
+
+    def _begin_stop(self) -> None:
+        self._is_stopping = True
+        self._set(False)
+
+    def _set(self, is_ready: bool) -> None:
+        is_ready = is_ready and not self._is_stopping
+        if is_ready != self.is_ready:
+            self.is_ready = is_ready
+            self._context.send("front", SetReady(is_ready))
--- a/src/guavapin/serving/routes.py
+++ b/src/guavapin/serving/routes.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
-from guavapin.fleet.messages import FleetChanged
+from guavapin.fleet.effective import FleetChanged
+from guavapin.fleet.messages import ObjectsUpdate
 from guavapin.kernel import Call
 from guavapin.kernel import Ok
 from guavapin.publication.messages import ConfigurationAdopted
+from guavapin.publication.messages import SubscribeConfiguration
 from guavapin.serving.route_table import RouteTable
 from guavapin.serving.route_table import RouteTableChanged
 from guavapin.serving.route_table import build_route_table
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from guavapin.fleet.effective import HostView
     from guavapin.kernel import Outcome
     from guavapin.kernel import TaskContext
     from guavapin.objects.model import ObjectSet
@@ -27,49 +29,44 @@
     """As a `Call`: the reply is the `RouteTable` in effect."""
 
 
-@dataclass(frozen=True, slots=True)
-class RoutesConfig:
-    """Services that get each new table, and those that get the objects alone."""
-
-    subscribers: tuple[str, ...] = ("exchanges",)
-
-
-@dataclass(frozen=True, slots=True)
-class _Placement:
-    pools: Mapping[str, str] = field(default_factory=dict)
-    out_of_service: frozenset[str] = frozenset()
-
-
 class RoutesTask:
-    """Service `routes`; sends `RouteTableChanged` when either input changes."""
+    """Service `routes`; sends `RouteTableChanged` when either input changes.
+
+    `subscribers` get each table, `objects_subscribers` an `ObjectsUpdate` for each
+    new configuration.
+    """
 
     name = "routes"
 
-    def __init__(self, cfg: RoutesConfig) -> None:
-        self._cfg = cfg
+    def __init__(
+        self,
+        subscribers: tuple[str, ...],
+        objects_subscribers: tuple[str, ...] = (),
+    ) -> None:
+        self._subscribers = subscribers
+        self._objects_subscribers = objects_subscribers
         self._objects: ObjectSet | None = None
         self._generation = 0
-        self._placement = _Placement()
+        self._hosts: Mapping[str, HostView] = {}
         self._table = RouteTable()
 
     def start(self, context: TaskContext) -> Outcome[None]:
-        """Keep the context; this task has no sockets."""
+        """Subscribe to the configuration."""
         self._context = context
+        context.send("configuration", SubscribeConfiguration(self.name))
         return Ok(None)
 
     def handle(self, message: object) -> None:
         """Handle a new configuration, a new fleet record or a question."""
         match message:
-            case ConfigurationAdopted():
-                self._objects = message.objects
-                self._generation = message.generation
+            case ConfigurationAdopted(generation, objects):
+                self._objects = objects
+                self._generation = generation
+                for service in self._objects_subscribers:
+                    self._context.send(service, ObjectsUpdate(objects, generation))
                 self._rebuild()
             case FleetChanged():
-                out = frozenset(
-                    host for host, state in message.hosts.items() if not state.takes_work
-                )
-                pools = {host: state.pool for host, state in message.hosts.items()}
-                self._placement = _Placement(pools, out)
+                self._hosts = message.hosts
                 self._rebuild()
             case Call(QueryRoutes(), fut):
                 fut.set_result(self._table)
@@ -83,8 +80,10 @@
         self._table = build_route_table(
             self._objects,
             self._generation,
-            self._placement.pools,
-            self._placement.out_of_service,
+            {name: view.pool for name, view in self._hosts.items()},
+            frozenset(
+                name for name, view in self._hosts.items() if not view.takes_new_work
+            ),
         )
-        for subscriber in self._cfg.subscribers:
+        for subscriber in self._subscribers:
             self._context.send(subscriber, RouteTableChanged(self._table))
--- a/src/guavapin/settings/entry.py
+++ b/src/guavapin/settings/entry.py
@@ -48,7 +48,9 @@
     """Bounds of one entry process.
 
     `callers` connections are held at most, `requests` are in progress at most, and
-    `buffered_bytes` bounds the bodies held for them.
+    `buffered_bytes` bounds the bodies held for them. A planned stop reports unready
+    for `unready_notice_ms` before it closes the listener, and then lets requests in
+    progress go on for `stop_timeout_ms`.
     """
 
     callers: int = 4_096
@@ -57,6 +59,7 @@
     header_bytes: int = 32 * 1024
     idle_timeout_ms: int = 60_000
     stop_timeout_ms: int = 60_000
+    unready_notice_ms: int = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +97,7 @@
         "header_bytes": WholeRule(1024, 1024 * 1024),
         "idle_timeout_ms": WholeRule(100, 3_600_000),
         "stop_timeout_ms": WholeRule(0, 3_600_000),
+        "unready_notice_ms": WholeRule(0, 600_000),
     }
 )
 
--- a/tests/kernel/test_event_loop.py
+++ b/tests/kernel/test_event_loop.py
@@ -169,3 +169,26 @@
     kernel.deliver("a", "go")
     assert isinstance(kernel.wait_for_failure(5_000), InvariantError)
     kernel.stop()
+
+
+def test_message_to_a_service_that_has_not_started_waits_for_its_start(kernel, log):
+    early = RecordingTask("early", log)
+    late = RecordingTask("late", log)
+    original_start = early.start
+
+    def start(context: TaskContext) -> Outcome[None]:
+        context.send("late", Note("first"))
+        return original_start(context)
+
+    early.start = start
+    late.on_message = lambda context, message: (
+        message.fut.set_result(None)
+        if isinstance(message, Call)
+        else log.append(f"got {message.text}")
+    )
+    kernel.register(early)
+    kernel.register(late, loop="other", requires=("early",))
+    kernel.start()
+    kernel.ask("late", "flush").result(5)
+    kernel.stop()
+    assert log[:3] == ["start early", "start late", "got first"]
