Add the fleet view of the serving daemon

Cause: routing needs the effective pool of each host and whether it takes new work, without one platform watch for each entry host. Change: fleet_view follows fleet/state by the zone's watch or a relay and the lagging host list; the choice of what to adopt is pure. Conclusion: a cut-off process keeps its last view and catches up by itself.

--- a/src/guavapin/fleet/messages.py
+++ b/src/guavapin/fleet/messages.py
@@ -58,3 +58,30 @@
 
     request_id: int
     outcome: Outcome[Applied]
+
+
+@dataclass(frozen=True, slots=True)
+class WatchRole:
+    """To `fleet_view`: whether this process holds the watch of its zone."""
+
+    is_holder: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRelayed:
+    """The fleet record, between `fleet_view` and the task that reaches the peers."""
+
+    revision: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingRelayed:
+    """The hosts listed as leaving, between `fleet_view` and the peers' task."""
+
+    hosts: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayWanted:
+    """To `fleet_view`: a peer has just appeared or lags; relay what is known."""
--- /dev/null
+++ b/src/guavapin/fleet/view.py
@@ -0,0 +1,230 @@
+"""The `fleet_view` service: follows the fleet record for the serving process."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from guavapin.fleet.effective import FollowedFleet
+from guavapin.fleet.effective import adopt_leaving
+from guavapin.fleet.effective import adopt_record
+from guavapin.fleet.effective import changes
+from guavapin.fleet.messages import FLEET_VIEW
+from guavapin.fleet.messages import LeavingRelayed
+from guavapin.fleet.messages import RecordRelayed
+from guavapin.fleet.messages import RelayWanted
+from guavapin.fleet.messages import WatchRole
+from guavapin.fleet.state import FLEET_KEY
+from guavapin.kernel.outcome import InvariantError
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.platform import messages as platform
+
+if TYPE_CHECKING:
+    from guavapin.kernel.task import TaskContext
+    from guavapin.kernel.task import TimerHandle
+
+PLATFORM = "platform"
+
+# A leaving host may take no new work after 3 s; the list lags by itself, so it is
+# read once a second by one process a zone.
+HOSTS_INTERVAL_MS = 1_000
+
+# Every process reads the record now and then, in case a relay was lost.
+READ_INTERVAL_MS = 30_000
+
+WATCH_WAIT_MS = 20_000
+
+# After a failed call the next one waits this long, with jitter, so that an outage
+# does not end in a burst of calls from all processes.
+RETRY_MS = 1_000
+
+
+class _Purpose(Enum):
+    READ = "read"
+    WATCH = "watch"
+    HOSTS = "hosts"
+
+
+@dataclass(frozen=True, slots=True)
+class _Due:
+    """Timer: make the call for this purpose."""
+
+    purpose: _Purpose
+
+
+@dataclass(frozen=True, slots=True)
+class ViewCounters:
+    """Counters of the view since its start."""
+
+    adopted: int = 0
+    stale: int = 0
+    failed_calls: int = 0
+
+
+class FleetViewTask:
+    """Keeps the newest fleet record and tells subscribers what changed.
+
+    The holder of the zone's watch follows the record and the list of hosts and relays
+    both to `relay_to`; the others get them from there and read the record slowly.
+    Without platform and peers the last view stays in effect.
+    """
+
+    def __init__(
+        self,
+        subscribers: tuple[str, ...],
+        relay_to: str = "",
+        seed: int = 0,
+        name: str = FLEET_VIEW,
+    ) -> None:
+        self.name = name
+        self.counters = ViewCounters()
+        self._subscribers = subscribers
+        self._relay_to = relay_to
+        self._random = random.Random(seed)
+        self._fleet = FollowedFleet()
+        self._value = b""
+        self._is_holder = False
+        self._pending: dict[int, _Purpose] = {}
+        self._timers: dict[_Purpose, TimerHandle] = {}
+        self._request_id = 0
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Read the record once and follow it from then on."""
+        self._context = context
+        self._call(_Purpose.READ)
+        self._call(_Purpose.HOSTS)
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Forget pending calls and timers."""
+        self._pending.clear()
+        for handle in self._timers.values():
+            self._context.cancel_timer(handle)
+        self._timers.clear()
+
+    def handle(self, message: object) -> None:
+        """Take an answer, a relay, a change of role or a timer."""
+        if isinstance(message, platform.Reply):
+            self._on_reply(message)
+        elif isinstance(message, RecordRelayed):
+            self._adopt(message.revision, message.value, is_relayed=True)
+        elif isinstance(message, LeavingRelayed):
+            self._take(adopt_leaving(self._fleet, message.hosts))
+        elif isinstance(message, RelayWanted):
+            self._relay()
+        elif isinstance(message, WatchRole):
+            self._set_role(message.is_holder)
+        elif isinstance(message, _Due):
+            self._timers.pop(message.purpose, None)
+            self._call(message.purpose)
+        else:
+            raise InvariantError(f"{self.name}: unexpected message {message!r}")
+
+    @property
+    def fleet(self) -> FollowedFleet:
+        """The view in effect."""
+        return self._fleet
+
+    def _set_role(self, is_holder: bool) -> None:
+        if is_holder == self._is_holder:
+            return
+        self._is_holder = is_holder
+        if is_holder:
+            self._call(_Purpose.WATCH)
+            self._call(_Purpose.HOSTS)
+
+    def _call(self, purpose: _Purpose) -> None:
+        if purpose in self._pending.values():
+            return
+        if purpose is _Purpose.WATCH and not self._is_holder:
+            return
+        self._request_id += 1
+        number = self._request_id
+        self._pending[number] = purpose
+        self._context.send(PLATFORM, self._request(purpose, number))
+
+    def _request(self, purpose: _Purpose, number: int) -> platform.PlatformRequest:
+        if purpose is _Purpose.READ:
+            return platform.Get(self.name, number, FLEET_KEY)
+        if purpose is _Purpose.HOSTS:
+            return platform.ListHosts(self.name, number)
+        return platform.Watch(
+            self.name, number, FLEET_KEY, self._fleet.revision, WATCH_WAIT_MS
+        )
+
+    def _on_reply(self, reply: platform.Reply) -> None:
+        purpose = self._pending.pop(reply.request_id, None)
+        if purpose is None:
+            return
+        match reply.outcome:
+            case platform.Found(value, revision):
+                self._adopt(revision, value, is_relayed=False)
+                self._read_later()
+            case platform.Missing():
+                self._read_later()
+            case platform.Changed(keys):
+                self._on_changed(keys)
+            case platform.Hosts(hosts):
+                self._on_hosts(hosts)
+            case _:
+                failed = self.counters.failed_calls + 1
+                self.counters = replace(self.counters, failed_calls=failed)
+                self._schedule(purpose, RETRY_MS)
+
+    def _read_later(self) -> None:
+        self._schedule(_Purpose.READ, READ_INTERVAL_MS)
+        if self._is_holder:
+            self._call(_Purpose.WATCH)
+
+    def _on_changed(self, keys: tuple[platform.KeyRevision, ...]) -> None:
+        """Read the record when it changed; the watch goes on after the read."""
+        is_newer = any(
+            item.key == FLEET_KEY and item.revision > self._fleet.revision
+            for item in keys
+        )
+        self._call(_Purpose.READ if is_newer else _Purpose.WATCH)
+
+    def _on_hosts(self, hosts: tuple[platform.HostState, ...]) -> None:
+        leaving = frozenset(item.host for item in hosts if item.state == "leaving")
+        fleet = adopt_leaving(self._fleet, leaving)
+        if fleet is not self._fleet and self._relay_to and self._is_holder:
+            self._context.send(self._relay_to, LeavingRelayed(leaving))
+        self._take(fleet)
+        interval_ms = HOSTS_INTERVAL_MS if self._is_holder else READ_INTERVAL_MS
+        self._schedule(_Purpose.HOSTS, interval_ms)
+
+    def _adopt(self, revision: int, value: bytes, is_relayed: bool) -> None:
+        fleet = adopt_record(self._fleet, revision, value)
+        if fleet is self._fleet:
+            self.counters = replace(self.counters, stale=self.counters.stale + 1)
+            return
+        self.counters = replace(self.counters, adopted=self.counters.adopted + 1)
+        self._value = value
+        self._take(fleet)
+        if self._is_holder and not is_relayed:
+            self._relay()
+
+    def _take(self, fleet: FollowedFleet) -> None:
+        old, self._fleet = self._fleet, fleet
+        message = changes(old, fleet)
+        if message is not None:
+            for service in self._subscribers:
+                self._context.send(service, message)
+
+    def _relay(self) -> None:
+        if self._relay_to and self._fleet.revision:
+            relayed = RecordRelayed(self._fleet.revision, self._value)
+            self._context.send(self._relay_to, relayed)
+            self._context.send(self._relay_to, LeavingRelayed(self._fleet.leaving))
+
+    def _schedule(self, purpose: _Purpose, delay_ms: int) -> None:
+        handle = self._timers.pop(purpose, None)
+        if handle is not None:
+            self._context.cancel_timer(handle)
+        if purpose is not _Purpose.HOSTS or not self._is_holder:
+            delay_ms = round(delay_ms * self._random.uniform(0.75, 1.25))
+        self._timers[purpose] = self._context.set_timer(delay_ms, _Due(purpose))
--- a/tests/fleet/platform_double.py
+++ b/tests/fleet/platform_double.py
@@ -37,6 +37,7 @@
         self.late: list[platform.PlatformRequest] = []
         self.before: Callable[[platform.PlatformRequest], None] | None = None
         self.calls = 0
+        self.watches: list[platform.Watch] = []
 
     def answer(self, req: platform.PlatformRequest) -> platform.PlatformOutcome:
         self.calls += 1
@@ -126,7 +127,10 @@
 
 
 def pump(harness: TaskHarness, task: Task, double: PlatformDouble) -> list[object]:
-    """Answer platform calls until none is left; return the other messages sent."""
+    """Answer platform calls but watches; return the other messages sent.
+
+    A watch is kept in `double.watches` until a test answers it.
+    """
     others = []
     while harness.sent:
         for sent in harness.take_sent():
@@ -135,6 +139,9 @@
                 continue
             request = sent.message
             assert isinstance(request, platform.PlatformRequest)
+            if isinstance(request, platform.Watch):
+                double.watches.append(request)
+                continue
             outcome = double.answer(request)
             task.handle(platform.Reply(request.request_id, outcome))
     return others
