Add duties under a lease, wave planning and lending of hosts

Cause: waves, moves and the spare must be run by one process at a time and go on after a takeover at any step. Change: a pure lease machine, DutyTask and FleetDutyTask; a pure machine for each host, a planner by pool, zone and budget, and notice of mass losses; need of a pool and lending with hysteresis; host actions behind a Protocol. Conclusion: the record alone carries a disruption from one holder to another.

--- /dev/null
+++ b/src/guavapin/capacity/lending.py
@@ -0,0 +1,170 @@
+"""Which hosts to lend between pools, with hysteresis and few moves; pure.
+
+A pool that is short first gets hosts that another pool has borrowed and no longer
+needs, then hosts of the spare. Hosts are not sent home between two peaks: since the
+queues peak in turn, the next borrower takes them directly, in one move instead of two.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.capacity.need import PoolNeed
+from guavapin.capacity.need import members_by_pool
+from guavapin.capacity.need import pool_needs
+from guavapin.fleet.actions import StartMove
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from guavapin.fleet.state import FleetState
+    from guavapin.objects.model import ObjectSet
+
+# Demand must exceed a pool's hosts for this long before hosts are moved, so that a
+# single late reading moves nothing.
+RAISE_MS = 2_000
+
+# Demand must stay below for this long before a borrowed host may leave.
+LOWER_MS = 10_000
+
+# A borrowed host goes home if nobody asks for it for this long; peaks come in turn,
+# so it is usually asked for earlier.
+RETURN_MS = 1_800_000
+
+
+@dataclass(frozen=True, slots=True)
+class LendingState:
+    """Since when each pool has been short, or has had more than it needs."""
+
+    short_since_ms: Mapping[str, int] = field(default_factory=dict)
+    ample_since_ms: Mapping[str, int] = field(default_factory=dict)
+
+
+def plan_lending(
+    lending: LendingState,
+    state: FleetState,
+    objects: ObjectSet,
+    demand: Mapping[str, float],
+    now_ms: int,
+) -> tuple[LendingState, tuple[StartMove, ...]]:
+    """Return the moves to start now; `demand` is in hosts, a missing pool has none."""
+    needs = pool_needs(state, objects)
+    members = members_by_pool(state)
+    wanted = {pool: _wanted(need, demand) for pool, need in needs.items()}
+    balance = {pool: len(members.get(pool, ())) - wanted[pool] for pool in wanted}
+    lending = _observe(lending, balance, now_ms)
+    borrowed = _borrowed(lending, state, objects, members, balance, now_ms)
+    lenders = borrowed + _spare(state, objects, members, balance, needs)
+    moves: list[StartMove] = []
+    for pool in sorted(balance, key=lambda name: (balance[name], name)):
+        since_ms = lending.short_since_ms.get(pool)
+        if since_ms is None or now_ms - since_ms < RAISE_MS:
+            continue
+        short = -balance[pool]
+        moves.extend(_borrow(pool, short, lenders, objects))
+    if not moves:
+        moves.extend(_send_home(lending, borrowed, state, objects, now_ms))
+    return lending, tuple(moves)
+
+
+def _wanted(need: PoolNeed, demand: Mapping[str, float]) -> int:
+    """The larger of what the pool must keep and what its load needs now."""
+    return max(need.budget, math.ceil(demand.get(need.pool, 0.0) - 1e-9))
+
+
+def _observe(
+    lending: LendingState, balance: Mapping[str, int], now_ms: int
+) -> LendingState:
+    short = {
+        pool: lending.short_since_ms.get(pool, now_ms)
+        for pool, hosts in balance.items()
+        if hosts < 0
+    }
+    ample = {
+        pool: lending.ample_since_ms.get(pool, now_ms)
+        for pool, hosts in balance.items()
+        if hosts > 0
+    }
+    return LendingState(short, ample)
+
+
+def _borrowed(
+    lending: LendingState,
+    state: FleetState,
+    objects: ObjectSet,
+    members: Mapping[str, tuple[str, ...]],
+    balance: Mapping[str, int],
+    now_ms: int,
+) -> list[str]:
+    """Return the borrowed hosts that their present pool no longer needs."""
+    borrowed: list[str] = []
+    for pool, since_ms in sorted(lending.ample_since_ms.items()):
+        if objects.pools[pool].is_spare or now_ms - since_ms < LOWER_MS:
+            continue
+        lent = [
+            name
+            for name in members.get(pool, ())
+            if name not in state.disruptions
+            and name in objects.hosts
+            and objects.hosts[name].pool != pool
+        ]
+        borrowed.extend(_spread(lent, objects, balance[pool]))
+    return borrowed
+
+
+def _spare(
+    state: FleetState,
+    objects: ObjectSet,
+    members: Mapping[str, tuple[str, ...]],
+    balance: Mapping[str, int],
+    needs: Mapping[str, PoolNeed],
+) -> list[str]:
+    """Return the hosts that the spare can lend beyond its own need."""
+    spare: list[str] = []
+    for pool in sorted(balance):
+        if not objects.pools[pool].is_spare:
+            continue
+        hosts = members.get(pool, ())
+        count = min(len(hosts) - needs[pool].floor, balance[pool])
+        free = [name for name in hosts if name not in state.disruptions]
+        spare.extend(_spread(free, objects, count))
+    return spare
+
+
+def _spread(hosts: list[str], objects: ObjectSet, count: int) -> list[str]:
+    """Return `count` hosts, from the zones with most hosts first."""
+    zones = Counter(objects.hosts[n].zone for n in hosts if n in objects.hosts)
+    known = sorted(
+        (name for name in hosts if name in objects.hosts),
+        key=lambda name: (-zones[objects.hosts[name].zone], name),
+    )
+    return known[: max(count, 0)]
+
+
+def _borrow(
+    pool: str, short: int, lenders: list[str], objects: ObjectSet
+) -> list[StartMove]:
+    """Take hosts for `pool`, its own hosts first since they are home there."""
+    lenders.sort(key=lambda name: objects.hosts[name].pool != pool)
+    taken, lenders[:short] = lenders[:short], []
+    return [StartMove(host, pool) for host in taken]
+
+
+def _send_home(
+    lending: LendingState,
+    borrowed: list[str],
+    state: FleetState,
+    objects: ObjectSet,
+    now_ms: int,
+) -> list[StartMove]:
+    """Return at most one borrowed host that nobody has asked for."""
+    for host in borrowed:
+        since_ms = lending.ample_since_ms.get(state.placements[host], now_ms)
+        home = objects.hosts[host].pool
+        if now_ms - since_ms >= RETURN_MS and home in objects.pools:
+            return [StartMove(host, home)]
+    return []
--- /dev/null
+++ b/src/guavapin/duties/decide.py
@@ -0,0 +1,196 @@
+"""What the holder of the fleet duty does next; pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.capacity.lending import LendingState
+from guavapin.capacity.lending import plan_lending
+from guavapin.duties.messages import HostStep
+from guavapin.fleet import actions
+from guavapin.fleet.budget import Liveness
+from guavapin.fleet.state import HostPhase
+from guavapin.fleet.state import WaveStatus
+from guavapin.fleet.wave_rules import hosts_in_wave
+from guavapin.waves import host_machine
+from guavapin.waves.losses import LossWatch
+from guavapin.waves.losses import is_mass_loss
+from guavapin.waves.planner import PlanInput
+from guavapin.waves.planner import plan_starts
+from guavapin.waves.planner import remaining_hosts
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from guavapin.fleet.state import Disruption
+    from guavapin.fleet.state import FleetState
+    from guavapin.objects.model import MaintenanceWave
+    from guavapin.objects.model import ObjectSet
+
+
+@dataclass(frozen=True, slots=True)
+class DutySituation:
+    """All that the duty decides by; `results` maps step ids to ended steps."""
+
+    state: FleetState
+    objects: ObjectSet
+    live: frozenset[str]
+    wall_ms: int
+    now_ms: int
+    results: Mapping[str, host_machine.StepResult]
+    losses: LossWatch = field(default_factory=LossWatch)
+    long_work: frozenset[str] = frozenset()
+    demand: Mapping[str, float] = field(default_factory=dict)
+    lending: LendingState = field(default_factory=LendingState)
+
+
+@dataclass(frozen=True, slots=True)
+class StepWanted:
+    """A step that should be under way on a host."""
+
+    step_id: str
+    host: str
+    step: HostStep
+
+
+@dataclass(frozen=True, slots=True)
+class DutyPlan:
+    """Changes in the order to try them, and the steps that should be under way.
+
+    The end of a disruption comes before the begin of another one, so that the places
+    in the budgets are free again first.
+    """
+
+    changes: tuple[host_machine.Change, ...]
+    steps: tuple[StepWanted, ...]
+    lending: LendingState
+
+
+def decide(situation: DutySituation) -> DutyPlan:
+    """Return what to change and which steps to keep under way."""
+    changes: list[host_machine.Change] = []
+    steps: list[StepWanted] = []
+    for host in sorted(situation.state.disruptions):
+        item = situation.state.disruptions[host]
+        wanted = host_machine.next_step(_host_situation(situation, item))
+        if isinstance(wanted, host_machine.Change):
+            changes.append(wanted)
+        elif isinstance(wanted, host_machine.Begin):
+            number = host_machine.step_id(item, wanted.step)
+            steps.append(StepWanted(number, host, wanted.step))
+    lending = situation.lending
+    if is_mass_loss(situation.losses, len(situation.state.placements)):
+        changes.extend(_stop_waves(situation))
+    else:
+        changes.extend(_wave_changes(situation))
+        changes.extend(_plan_starts(situation))
+        lending, moves = plan_lending(
+            lending,
+            situation.state,
+            situation.objects,
+            situation.demand,
+            situation.now_ms,
+        )
+        changes.extend(host_machine.Change(move, "demand") for move in moves)
+    changes.extend(_membership(situation))
+    return DutyPlan(tuple(changes), tuple(steps), lending)
+
+
+def _host_situation(
+    situation: DutySituation, item: Disruption
+) -> host_machine.HostSituation:
+    results = {}
+    for step in HostStep:
+        result = situation.results.get(host_machine.step_id(item, step))
+        if result is not None:
+            results[step] = result
+    wave = situation.objects.waves.get(item.wave)
+    progress = situation.state.waves.get(item.wave)
+    base = host_machine.HostSituation(
+        item,
+        results,
+        item.host in situation.live,
+        situation.wall_ms,
+        progress.status if progress is not None else None,
+    )
+    if wave is None:
+        return base
+    return host_machine.HostSituation(
+        item,
+        results,
+        base.is_live,
+        base.wall_ms,
+        base.wave_status,
+        wave.drain_timeout_ms,
+        wave.reboot_timeout_ms,
+    )
+
+
+def _stop_waves(situation: DutySituation) -> Iterator[host_machine.Change]:
+    lost = ", ".join(host for host, _ in situation.losses.lost[:5])
+    detail = f"{len(situation.losses.lost)} hosts lost at once: {lost}"
+    for name, progress in sorted(situation.state.waves.items()):
+        if progress.status is WaveStatus.RUNNING:
+            yield host_machine.Change(actions.StopWave(name, detail), detail)
+
+
+def _wave_changes(situation: DutySituation) -> Iterator[host_machine.Change]:
+    """Start waves whose window has opened, finish or stop those at their end."""
+    for name, wave in sorted(situation.objects.waves.items()):
+        progress = situation.state.waves.get(name)
+        if progress is None:
+            if _is_due(situation, wave):
+                yield host_machine.Change(actions.StartWave(name), "window has opened")
+        elif progress.status is WaveStatus.RUNNING:
+            yield from _end_of_wave(situation, wave, progress.started_ms)
+
+
+def _is_due(situation: DutySituation, wave: MaintenanceWave) -> bool:
+    before = situation.state.waves.get(wave.after)
+    if wave.after and (before is None or before.status is not WaveStatus.DONE):
+        return False
+    start_ms = wave.window_start_ms or situation.wall_ms
+    return start_ms <= situation.wall_ms < start_ms + wave.window_length_ms
+
+
+def _end_of_wave(
+    situation: DutySituation, wave: MaintenanceWave, started_ms: int
+) -> Iterator[host_machine.Change]:
+    items = hosts_in_wave(situation.state, wave.name)
+    if any(item.phase is not HostPhase.FAILED for item in items):
+        return
+    left = remaining_hosts(situation.state, situation.objects, wave)
+    end_ms = (wave.window_start_ms or started_ms) + wave.window_length_ms
+    if not left:
+        yield host_machine.Change(actions.FinishWave(wave.name))
+    elif situation.wall_ms >= end_ms:
+        detail = f"window ended with {len(left)} hosts left"
+        yield host_machine.Change(actions.StopWave(wave.name, detail), detail)
+
+
+def _plan_starts(situation: DutySituation) -> Iterator[host_machine.Change]:
+    plan = PlanInput(
+        situation.state,
+        situation.objects,
+        Liveness(situation.live),
+        situation.wall_ms,
+        situation.long_work,
+    )
+    for start in plan_starts(plan):
+        yield host_machine.Change(start)
+
+
+def _membership(situation: DutySituation) -> Iterator[host_machine.Change]:
+    """Admit declared hosts that are live; forget hosts that are gone."""
+    state, objects = situation.state, situation.objects
+    for name, host in objects.hosts.items():
+        if name not in state.placements and name in situation.live:
+            admit = actions.AdmitHost(name, host.pool)
+            yield host_machine.Change(admit, "declared")
+    for name in state.placements:
+        is_gone = name not in objects.hosts and name not in situation.live
+        if is_gone and name not in state.disruptions and objects.hosts:
+            yield host_machine.Change(actions.RemoveHost(name), "not declared")
--- /dev/null
+++ b/src/guavapin/duties/fleet_duty.py
@@ -0,0 +1,315 @@
+"""The `fleet_duty` service: runs waves, moves and the spare while it holds the duty."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.capacity.lending import LendingState
+from guavapin.duties.decide import DutySituation
+from guavapin.duties.decide import StepWanted
+from guavapin.duties.decide import decide
+from guavapin.duties.messages import FLEET_DUTY
+from guavapin.duties.messages import DoHostStep
+from guavapin.duties.messages import DutyHeld
+from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import GiveUpDuty
+from guavapin.duties.messages import HostStepDone
+from guavapin.duties.messages import LongWork
+from guavapin.duties.messages import PoolDemand
+from guavapin.fleet.actions import FleetAction
+from guavapin.fleet.actions import RaiseFence
+from guavapin.fleet.codec import decode_fleet
+from guavapin.fleet.commands import FleetCommand
+from guavapin.fleet.messages import FLEET_WRITER
+from guavapin.fleet.messages import Execute
+from guavapin.fleet.messages import Executed
+from guavapin.fleet.messages import HostsDown
+from guavapin.fleet.messages import ObjectsUpdate
+from guavapin.fleet.state import FLEET_KEY
+from guavapin.fleet.state import FleetState
+from guavapin.kernel.outcome import InvariantError
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.objects.model import ObjectSet
+from guavapin.platform import messages as platform
+from guavapin.waves.host_machine import Change
+from guavapin.waves.host_machine import StepResult
+from guavapin.waves.losses import LossWatch
+from guavapin.waves.losses import observe
+
+if TYPE_CHECKING:
+    from guavapin.duties.host_actions import HostActions
+    from guavapin.kernel.task import TaskContext
+
+PLATFORM = "platform"
+
+# One process reads record and host list this often: two calls a second.
+TICK_MS = 1_000
+
+# A refused change is tried again after this time; what refuses it, such as a budget,
+# changes over seconds.
+BACKOFF_MS = 5_000
+
+# A step without an answer is asked for again, in case the message was lost.
+STEP_REPEAT_MS = 15_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Timer: read the record and the list of hosts, then act."""
+
+
+class FleetDutyTask:
+    """Carries out the fleet duty; another process may do so at any other moment.
+
+    It keeps nothing that the record does not hold, except answers of steps, which it
+    asks for again after a takeover. No command is sent after the lease may have
+    lapsed, and the fence refuses one that is delayed on its way.
+    """
+
+    def __init__(
+        self, host_actions: HostActions, actor: str, name: str = FLEET_DUTY
+    ) -> None:
+        self.name = name
+        self._host_actions = host_actions
+        self._actor = actor
+        self._objects = ObjectSet()
+        self._down: frozenset[str] = frozenset()
+        self._held: DutyHeld | None = None
+        self._is_fence_raised = False
+        self._situation: DutySituation | None = None
+        self._listed: frozenset[str] | None = None
+        self._demand = PoolDemand({})
+        self._long_work = LongWork(frozenset())
+        self._losses = LossWatch()
+        self._lending = LendingState()
+        self._results: dict[str, StepResult] = {}
+        self._asked_ms: dict[str, int] = {}
+        self._refused_ms: dict[FleetAction, int] = {}
+        self._sent_action: FleetAction | None = None
+        self._request_id = 0
+        self._command_id = 0
+        self._reads: dict[int, type] = {}
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Begin to tick; nothing is done without the duty."""
+        self._context = context
+        self._context.set_timer(TICK_MS, _Tick())
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Stop acting; disruptions in progress go on at the next holder."""
+        self._lose()
+
+    def handle(self, message: object) -> None:
+        """Take a change of the duty, an answer or news."""
+        match message:
+            case _Tick():
+                self._context.set_timer(TICK_MS, _Tick())
+                self._read()
+            case platform.Reply():
+                self._on_reply(message)
+            case Executed():
+                self._on_executed(message)
+            case HostStepDone(step_id, is_ok, detail):
+                self._results[step_id] = StepResult(is_ok, detail)
+                self._act()
+            case DutyHeld():
+                self._on_held(message)
+            case DutyLost():
+                self._lose()
+            case ObjectsUpdate(objects):
+                self._objects = objects
+            case HostsDown(hosts):
+                self._down = hosts
+            case PoolDemand():
+                self._demand = message
+            case LongWork():
+                self._long_work = message
+            case _:
+                raise InvariantError(f"{self.name}: unexpected message {message!r}")
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the duty may be carried out now."""
+        now_ms = self._context.clock.now_ms()
+        return self._held is not None and now_ms < self._held.until_ms
+
+    def _on_held(self, held: DutyHeld) -> None:
+        is_new = self._held is None or self._held.token != held.token
+        self._held = held
+        if is_new:
+            self._is_fence_raised = False
+            self._situation = None
+            self._read()
+
+    def _lose(self) -> None:
+        self._held = None
+        self._is_fence_raised = False
+        self._situation = None
+        self._sent_action = None
+        self._losses = LossWatch()
+        self._lending = LendingState()
+        self._results.clear()
+        self._asked_ms.clear()
+        self._refused_ms.clear()
+        self._reads.clear()
+
+    def _read(self) -> None:
+        if not self.is_active or self._reads:
+            return
+        get, hosts = self._new_id(platform.Get), self._new_id(platform.ListHosts)
+        self._context.send(PLATFORM, platform.Get(self.name, get, FLEET_KEY))
+        self._context.send(PLATFORM, platform.ListHosts(self.name, hosts))
+
+    def _new_id(self, kind: type) -> int:
+        self._request_id += 1
+        self._reads[self._request_id] = kind
+        return self._request_id
+
+    def _on_reply(self, reply: platform.Reply) -> None:
+        kind = self._reads.pop(reply.request_id, None)
+        if kind is None or not self.is_active:
+            return
+        if kind is platform.ListHosts:
+            self._on_hosts(reply.outcome)
+        elif isinstance(reply.outcome, platform.Missing):
+            self._on_state(FleetState())
+        elif isinstance(reply.outcome, platform.Found):
+            decoded = decode_fleet(reply.outcome.value)
+            if isinstance(decoded, Ok):
+                self._on_state(decoded.value)
+        else:
+            self._situation = None
+        if not self._reads:
+            self._act()
+
+    def _on_hosts(self, outcome: platform.PlatformOutcome) -> None:
+        if not isinstance(outcome, platform.Hosts):
+            self._listed = None
+            return
+        live = frozenset(item.host for item in outcome.hosts if item.state == "live")
+        self._listed = live - self._down
+
+    def _on_state(self, state: FleetState) -> None:
+        now_ms, wall_ms = self._context.now_ms(), self._context.clock.wall_ms()
+        situation = self._situation
+        if situation is None:
+            situation = DutySituation(
+                state, self._objects, frozenset(), wall_ms, now_ms, self._results
+            )
+        self._situation = replace(situation, state=state)
+        self._forget_steps(state)
+
+    def _act(self) -> None:
+        """Send the next change, one at a time, and keep the steps under way."""
+        situation = self._situation
+        if situation is None or self._listed is None or not self.is_active:
+            return
+        if self._sent_action is not None:
+            return
+        if not self._is_fence_raised:
+            self._send(Change(RaiseFence()))
+            return
+        now_ms = self._context.now_ms()
+        situation = replace(
+            situation,
+            objects=self._objects,
+            live=self._listed,
+            now_ms=now_ms,
+            wall_ms=self._context.clock.wall_ms(),
+            losses=observe(self._losses, situation.state, self._listed, now_ms),
+            lending=self._lending,
+            demand=self._demand.hosts,
+            long_work=self._long_work.hosts,
+        )
+        plan = decide(situation)
+        self._losses, self._lending = situation.losses, plan.lending
+        for step in plan.steps:
+            if (
+                now_ms - self._asked_ms.get(step.step_id, -STEP_REPEAT_MS)
+                >= STEP_REPEAT_MS
+            ):
+                self._asked_ms[step.step_id] = now_ms
+                wanted = DoHostStep(self.name, step.step_id, step.host, step.step)
+                self._host_actions.begin(self._context, wanted)
+        for change in plan.changes:
+            if now_ms >= self._refused_ms.get(change.action, 0):
+                self._send(change)
+                return
+
+    def _begin_step(self, step: StepWanted, now_ms: int) -> None:
+        """Ask for a step once, and again after a while: lost, unfinished or failed."""
+        asked_ms = self._asked_ms.get(step.step_id)
+        if asked_ms is not None and now_ms - asked_ms < STEP_REPEAT_MS:
+            return
+        self._asked_ms[step.step_id] = now_ms
+        self._results.pop(step.step_id, None)
+        wanted = DoHostStep(self.name, step.step_id, step.host, step.step)
+        self._host_actions.begin(self._context, wanted)
+
+    def _send(self, change: Change) -> None:
+        assert self._held is not None
+        self._command_id += 1
+        token = self._held.token
+        command = FleetCommand(
+            f"fleet:{token}:{self._command_id}",
+            self._actor,
+            change.action,
+            token,
+            change.reason,
+        )
+        self._sent_action = change.action
+        execute = Execute(self.name, self._command_id, command)
+        self._context.send(FLEET_WRITER, execute)
+
+    def _on_executed(self, message: Executed) -> None:
+        if message.request_id != self._command_id or self._sent_action is None:
+            return
+        action, self._sent_action = self._sent_action, None
+        outcome = message.outcome
+        if isinstance(outcome, Ok):
+            self._on_state(outcome.value.state)
+            self._is_fence_raised = True
+        elif self._on_refused(action, outcome):
+            return
+        self._act()
+
+    def _on_refused(self, action: FleetAction, refused: Refused) -> bool:
+        """Return whether to stop acting until the record has been read again."""
+        if refused.reason is Reason.FENCED and self._held is not None:
+            duty, token = self._held.duty, self._held.token
+            self._lose()
+            self._context.send(f"duty_{duty}", GiveUpDuty(token))
+            return True
+        if isinstance(action, RaiseFence):
+            self._is_fence_raised = refused.reason is Reason.DUPLICATE
+            return not self._is_fence_raised
+        self._refused_ms[action] = self._context.now_ms() + BACKOFF_MS
+        is_stale = refused.reason in (
+            Reason.UNREACHABLE,
+            Reason.OUTCOME_UNKNOWN,
+            Reason.RATE_LIMITED,
+            Reason.CONFLICT,
+        )
+        if is_stale:
+            self._situation = None
+        return is_stale
+
+    def _forget_steps(self, state: FleetState) -> None:
+        """Drop answers and refusals that no longer belong to a disruption."""
+        prefixes = {
+            f"{item.host}:{item.kind.value}:{item.phase.value}:{item.since_ms}:"
+            for item in state.disruptions.values()
+        }
+        for known in (self._results, self._asked_ms):
+            for step_id in list(known):
+                if step_id.rpartition(":")[0] + ":" not in prefixes:
+                    del known[step_id]
+        now_ms = self._context.now_ms()
+        for action in [a for a, until in self._refused_ms.items() if until <= now_ms]:
+            del self._refused_ms[action]
--- /dev/null
+++ b/src/guavapin/duties/lease.py
@@ -0,0 +1,184 @@
+"""The lease of a duty as a pure state machine.
+
+The key ``duty/NAME`` is created under a lease; the revision of its creation is the
+fencing token. A holder believes in its lease only until `MARGIN_MS` before the lease
+can lapse, counted by its own clock from when the last confirmed call was sent.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+from typing import TypeAlias
+
+from guavapin.platform import messages as platform
+
+LEASE_MS = 5_000
+RENEW_MS = 1_500
+
+# Covers the difference in rate of two clocks and the time from the check to the call.
+MARGIN_MS = 500
+
+# A lapse is noticed at most one poll after it: 5 s + 1.5 s + three calls is within the
+# 10 s allowed for a takeover.
+POLL_MS = 1_500
+
+
+class LeasePhase(Enum):
+    """Step of acquiring or holding a duty."""
+
+    IDLE = "idle"
+    READING = "reading"
+    GRANTING = "granting"
+    CLAIMING = "claiming"
+    RESOLVING = "resolving"
+    HELD = "held"
+
+
+@dataclass(frozen=True, slots=True)
+class DutyLease:
+    """State of one process towards one duty.
+
+    `holder` differs between processes and starts. `granted_ms` and `confirmed_ms` are
+    the times at which the calls that granted or renewed the lease were sent.
+    """
+
+    duty: str
+    holder: str
+    phase: LeasePhase = LeasePhase.IDLE
+    lease_id: str = ""
+    token: int = 0
+    confirmed_ms: int = 0
+    sent_ms: int = 0
+
+    @property
+    def key(self) -> str:
+        """The platform key of the duty."""
+        return f"duty/{self.duty}"
+
+    @property
+    def value(self) -> bytes:
+        """What this holder writes; the lease id makes it unique for each attempt."""
+        return f"{self.holder} {self.lease_id}".encode()
+
+    @property
+    def until_ms(self) -> int:
+        """Until when the holder may act, by its own clock."""
+        return self.confirmed_ms + LEASE_MS - MARGIN_MS
+
+    def is_held(self, now_ms: int) -> bool:
+        """Whether the duty may be carried out now."""
+        return self.phase is LeasePhase.HELD and now_ms < self.until_ms
+
+
+@dataclass(frozen=True, slots=True)
+class ReadKey:
+    """Read the duty's key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Ask for a lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Create the duty's key under the lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Renew the lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class Revoke:
+    """End a lease that is not used any more."""
+
+    lease_id: str
+
+
+LeaseAction: TypeAlias = ReadKey | Grant | Claim | Renew | Revoke
+Step: TypeAlias = tuple[DutyLease, tuple[LeaseAction, ...]]
+
+
+def tick(lease: DutyLease, now_ms: int) -> Step:
+    """Poll for a free duty, or renew or give up the held one."""
+    if lease.phase is LeasePhase.HELD:
+        if now_ms >= lease.until_ms:
+            return give_up(lease)
+        return replace(lease, sent_ms=now_ms), (Renew(),)
+    if lease.phase is LeasePhase.IDLE:
+        return replace(lease, phase=LeasePhase.READING, sent_ms=now_ms), (ReadKey(),)
+    return lease, ()
+
+
+def on_answer(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
+    """Take the answer to the one call outstanding."""
+    if lease.phase is LeasePhase.READING:
+        return _on_read(lease, outcome, now_ms)
+    if lease.phase is LeasePhase.GRANTING:
+        return _on_grant(lease, outcome, now_ms)
+    if lease.phase is LeasePhase.CLAIMING:
+        return _on_claim(lease, outcome, now_ms)
+    if lease.phase is LeasePhase.RESOLVING:
+        return _on_resolve(lease, outcome, now_ms)
+    if lease.phase is LeasePhase.HELD:
+        return _on_renew(lease, outcome, now_ms)
+    return lease, ()
+
+
+def give_up(lease: DutyLease) -> Step:
+    """Return to idle; the lease is revoked so that a successor need not wait."""
+    idle = DutyLease(lease.duty, lease.holder)
+    return idle, (Revoke(lease.lease_id),) if lease.lease_id else ()
+
+
+def _on_read(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
+    if isinstance(outcome, platform.Missing):
+        return replace(lease, phase=LeasePhase.GRANTING, sent_ms=now_ms), (Grant(),)
+    return give_up(lease)
+
+
+def _on_grant(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
+    if not isinstance(outcome, platform.Leased):
+        return give_up(lease)
+    granted = replace(
+        lease,
+        phase=LeasePhase.CLAIMING,
+        lease_id=outcome.lease_id,
+        confirmed_ms=lease.sent_ms,
+        sent_ms=now_ms,
+    )
+    return granted, (Claim(),)
+
+
+def _on_claim(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
+    if isinstance(outcome, platform.Written):
+        return _hold(lease, outcome.revision, now_ms)
+    if isinstance(outcome, platform.Unknown):
+        return replace(lease, phase=LeasePhase.RESOLVING), (ReadKey(),)
+    return give_up(lease)
+
+
+def _on_resolve(
+    lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int
+) -> Step:
+    """Settle a claim whose answer was lost by reading who holds the key."""
+    if isinstance(outcome, platform.Found) and outcome.value == lease.value:
+        return _hold(lease, outcome.revision, now_ms)
+    return give_up(lease)
+
+
+def _hold(lease: DutyLease, token: int, now_ms: int) -> Step:
+    held = replace(lease, phase=LeasePhase.HELD, token=token, sent_ms=now_ms)
+    return (held, ()) if now_ms < held.until_ms else give_up(held)
+
+
+def _on_renew(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
+    if isinstance(outcome, platform.Leased):
+        lease = replace(lease, confirmed_ms=lease.sent_ms)
+    elif isinstance(outcome, platform.Missing):
+        return give_up(lease)
+    return (lease, ()) if now_ms < lease.until_ms else give_up(lease)
--- /dev/null
+++ b/src/guavapin/duties/task.py
@@ -0,0 +1,143 @@
+"""A task that competes for one duty and tells its worker while it holds it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.duties import lease as machine
+from guavapin.duties.lease import DutyLease
+from guavapin.duties.messages import DutyHeld
+from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import GiveUpDuty
+from guavapin.kernel.outcome import InvariantError
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.platform import messages as platform
+
+if TYPE_CHECKING:
+    from guavapin.kernel.task import TaskContext
+
+PLATFORM = "platform"
+
+# An expired lease is noticed by the holder within this time even without an answer.
+CHECK_MS = 250
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Timer: poll or renew."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Check:
+    """Timer: give up if the lease was not confirmed in time."""
+
+
+class DutyTask:
+    """Owns the lease of `duty`; `workers` are the services that carry it out.
+
+    `holder` must differ between processes and between starts of one process.
+    """
+
+    def __init__(
+        self, duty: str, holder: str, workers: tuple[str, ...], seed: int = 0
+    ) -> None:
+        self.name = f"duty_{duty}"
+        self._workers = workers
+        self._lease = DutyLease(duty, holder)
+        self._random = random.Random(seed)
+        self._request_id = 0
+        self._awaited = 0
+        self._told_until_ms = 0
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Begin to compete for the duty."""
+        self._context = context
+        self._tick()
+        self._context.set_timer(CHECK_MS, _Check())
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Give the duty up at once, so that another process takes over."""
+        self._take(machine.give_up(self._lease))
+
+    def handle(self, message: object) -> None:
+        """Take a timer or an answer of the platform."""
+        if isinstance(message, _Tick):
+            self._tick()
+        elif isinstance(message, GiveUpDuty):
+            if message.token == self._lease.token:
+                self._take(machine.give_up(self._lease))
+        elif isinstance(message, _Check):
+            self._check()
+        elif isinstance(message, platform.Reply):
+            if message.request_id == self._awaited:
+                now_ms = self._context.clock.now_ms()
+                self._take(machine.on_answer(self._lease, message.outcome, now_ms))
+        else:
+            raise InvariantError(f"{self.name}: unexpected message {message!r}")
+
+    def _tick(self) -> None:
+        self._take(machine.tick(self._lease, self._context.clock.now_ms()))
+        is_held = self._lease.phase is machine.LeasePhase.HELD
+        delay_ms = machine.RENEW_MS if is_held else machine.POLL_MS
+        if not is_held:
+            delay_ms = round(delay_ms * self._random.uniform(0.6, 1.0))
+        self._context.set_timer(delay_ms, _Tick())
+
+    def _check(self) -> None:
+        now_ms = self._context.clock.now_ms()
+        is_held = self._lease.phase is machine.LeasePhase.HELD
+        if is_held and not self._lease.is_held(now_ms):
+            self._take(machine.give_up(self._lease))
+        self._context.set_timer(CHECK_MS, _Check())
+
+    def _take(self, step: machine.Step) -> None:
+        old, (self._lease, actions) = self._lease, step
+        for action in actions:
+            self._do(action)
+        if self._lease.phase is machine.LeasePhase.HELD:
+            self._tell_held()
+        elif old.phase is machine.LeasePhase.HELD:
+            self._told_until_ms = 0
+            self._tell(DutyLost(old.duty))
+
+    def _tell_held(self) -> None:
+        lease = self._lease
+        if lease.until_ms > self._told_until_ms:
+            self._told_until_ms = lease.until_ms
+            self._tell(DutyHeld(lease.duty, lease.token, lease.until_ms))
+
+    def _tell(self, message: DutyHeld | DutyLost) -> None:
+        for worker in self._workers:
+            self._context.send(worker, message)
+
+    def _do(self, action: machine.LeaseAction) -> None:
+        self._request_id += 1
+        number, lease = self._request_id, self._lease
+        request: platform.PlatformRequest
+        match action:
+            case machine.Revoke(lease_id):
+                # No answer is awaited; without the call the lease lapses by itself.
+                request = platform.LeaseRevoke(self.name, number, lease_id)
+                self._context.send(PLATFORM, request)
+                return
+            case machine.ReadKey():
+                request = platform.Get(self.name, number, lease.key)
+            case machine.Grant():
+                request = platform.LeaseGrant(self.name, number, machine.LEASE_MS)
+            case machine.Claim():
+                request = platform.Put(
+                    self.name,
+                    number,
+                    lease.key,
+                    lease.value,
+                    platform.NO_REVISION,
+                    lease.lease_id,
+                )
+            case machine.Renew():
+                request = platform.LeaseRenew(self.name, number, lease.lease_id)
+        self._awaited = number
+        self._context.send(PLATFORM, request)
--- /dev/null
+++ b/src/guavapin/waves/host_machine.py
@@ -0,0 +1,183 @@
+"""The next step of one host in a planned disruption; pure.
+
+The phase and its begin stand in the fleet record, so whoever holds the duty goes on
+from there. What is known of steps on the host is only a cache of answers.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from guavapin.duties.messages import HostStep
+from guavapin.fleet import actions
+from guavapin.fleet.state import Disruption
+from guavapin.fleet.state import DisruptionKind
+from guavapin.fleet.state import HostPhase
+from guavapin.fleet.state import WaveStatus
+
+# The time in which a returned host takes up its full share of work.
+SLOW_START_MS = 30_000
+
+# Used for drains and moves, which belong to no wave.
+DRAIN_TIMEOUT_MS = 600_000
+JOIN_TIMEOUT_MS = 600_000
+
+
+@dataclass(frozen=True, slots=True)
+class StepResult:
+    """How a step on a host ended."""
+
+    is_ok: bool
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HostSituation:
+    """A disruption and all that decides about its next step.
+
+    `results` holds the ended steps of the present phase.
+    """
+
+    item: Disruption
+    results: dict[HostStep, StepResult]
+    is_live: bool
+    wall_ms: int
+    wave_status: WaveStatus | None = None
+    drain_timeout_ms: int = DRAIN_TIMEOUT_MS
+    reboot_timeout_ms: int = JOIN_TIMEOUT_MS
+
+    @property
+    def elapsed_ms(self) -> int:
+        """Time since the phase began; a clock that steps back counts as none."""
+        return max(self.wall_ms - self.item.since_ms, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Begin a step on the host, or wait for its answer if it has begun."""
+
+    step: HostStep
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Change the fleet record."""
+
+    action: actions.FleetAction
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Nothing to do now."""
+
+
+NextStep: TypeAlias = Begin | Change | Wait
+
+
+def next_step(situation: HostSituation) -> NextStep:
+    """Return what to do next for one host."""
+    item = situation.item
+    if item.kind is DisruptionKind.DRAIN:
+        return _drain_step(situation)
+    if item.kind is DisruptionKind.MOVE:
+        return _move_step(situation)
+    return _wave_step(situation)
+
+
+def step_id(item: Disruption, step: HostStep) -> str:
+    """Return the identity of a step, the same for every holder of the duty."""
+    return (
+        f"{item.host}:{item.kind.value}:{item.phase.value}:{item.since_ms}:{step.value}"
+    )
+
+
+def _drain_step(situation: HostSituation) -> NextStep:
+    """An operator's drain waits for the work without bound."""
+    if situation.item.phase is not HostPhase.DRAINING:
+        return Wait()
+    if _is_ok(situation, HostStep.DRAIN):
+        return Change(actions.AdvanceDrain(situation.item.host), "work has ended")
+    return Begin(HostStep.DRAIN)
+
+
+def _move_step(situation: HostSituation) -> NextStep:
+    item = situation.item
+    forward = actions.AdvanceMove(item.host, item.phase)
+    if item.phase is HostPhase.DRAINING:
+        return _empty_host(situation, forward, actions.UndoMove(item.host))
+    if item.phase is HostPhase.RELEASED:
+        return Change(forward)
+    if _is_ok(situation, HostStep.JOIN) and situation.is_live:
+        return Change(forward, "ready in its new pool")
+    if situation.elapsed_ms >= situation.reboot_timeout_ms and situation.is_live:
+        return Change(actions.UndoMove(item.host), "did not join in time")
+    return Begin(HostStep.JOIN)
+
+
+def _wave_step(situation: HostSituation) -> NextStep:
+    item = situation.item
+    forward = actions.AdvanceWaveHost(item.host, item.phase)
+    if item.phase is HostPhase.DRAINING:
+        give_back = actions.ReturnWaveHost(item.host)
+        if situation.wave_status is WaveStatus.ABORTED:
+            return Change(give_back, "wave aborted")
+        return _empty_host(situation, forward, give_back)
+    if item.phase is HostPhase.REBOOTING:
+        return _maintain(situation, HostStep.REBOOT, forward)
+    if item.phase is HostPhase.CHECKING:
+        return _maintain(situation, HostStep.CHECK_HEALTH, forward)
+    if item.phase is HostPhase.RETURNING:
+        return _return_step(situation)
+    return Wait()
+
+
+def _empty_host(
+    situation: HostSituation,
+    forward: actions.FleetAction,
+    give_back: actions.FleetAction,
+) -> NextStep:
+    """Wait for the work, then checkpoint what is left; never cut work off."""
+    if _is_ok(situation, HostStep.DRAIN):
+        return Change(forward, "work has ended")
+    if situation.elapsed_ms < situation.drain_timeout_ms:
+        return Begin(HostStep.DRAIN)
+    if _is_ok(situation, HostStep.CHECKPOINT):
+        return Change(forward, "remaining work is checkpointed")
+    has_failed = HostStep.CHECKPOINT in situation.results
+    if has_failed or situation.elapsed_ms >= 2 * situation.drain_timeout_ms:
+        return Change(give_back, "work neither ended nor could be checkpointed")
+    return Begin(HostStep.CHECKPOINT)
+
+
+def _maintain(
+    situation: HostSituation, step: HostStep, forward: actions.FleetAction
+) -> NextStep:
+    if _is_ok(situation, step):
+        return Change(forward)
+    host = situation.item.host
+    failed = situation.results.get(step)
+    if failed is not None and step is HostStep.REBOOT:
+        return Change(actions.FinishWaveHost(host, is_healthy=False), failed.detail)
+    if situation.elapsed_ms >= situation.reboot_timeout_ms:
+        reason = f"{step.value} did not end in time"
+        return Change(actions.FinishWaveHost(host, is_healthy=False), reason)
+    return Begin(step)
+
+
+def _return_step(situation: HostSituation) -> NextStep:
+    host = situation.item.host
+    if situation.elapsed_ms < SLOW_START_MS:
+        return Wait()
+    if situation.is_live:
+        return Change(actions.FinishWaveHost(host, is_healthy=True))
+    if situation.elapsed_ms >= situation.reboot_timeout_ms:
+        reason = "lost during its return"
+        return Change(actions.FinishWaveHost(host, is_healthy=False), reason)
+    return Wait()
+
+
+def _is_ok(situation: HostSituation, step: HostStep) -> bool:
+    result = situation.results.get(step)
+    return result is not None and result.is_ok
--- /dev/null
+++ b/src/guavapin/waves/planner.py
@@ -0,0 +1,218 @@
+"""Which hosts to begin now in the waves that are running; pure.
+
+The earliest-started wave is planned first and a later one gets the places that are
+left in the budgets, so waves that together would break a budget follow each other.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.fleet.actions import StartWaveHost
+from guavapin.fleet.budget import PoolStatus
+from guavapin.fleet.budget import check_disruption
+from guavapin.fleet.budget import pool_statuses
+from guavapin.fleet.budget import required_available
+from guavapin.fleet.state import HostPhase
+from guavapin.fleet.state import WaveStatus
+from guavapin.fleet.wave_rules import hosts_in_wave
+from guavapin.fleet.wave_rules import is_in_scope
+from guavapin.fleet.wave_rules import is_in_window
+from guavapin.kernel.outcome import Ok
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from guavapin.fleet.budget import Liveness
+    from guavapin.fleet.state import FleetState
+    from guavapin.fleet.state import WaveProgress
+    from guavapin.objects.model import Host
+    from guavapin.objects.model import MaintenanceWave
+    from guavapin.objects.model import ObjectSet
+
+
+@dataclass(frozen=True, slots=True)
+class PlanInput:
+    """All that decides which hosts begin.
+
+    `long_work` names hosts whose running work is expected to take long; they come
+    last in their pool, so that the work can end by itself.
+    """
+
+    state: FleetState
+    objects: ObjectSet
+    liveness: Liveness
+    wall_ms: int
+    long_work: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class _Places:
+    """The statuses of the pools while a plan is made."""
+
+    statuses: dict[str, PoolStatus]
+    objects: ObjectSet
+    zones: Counter[str] = field(default_factory=Counter)
+
+    def take(self, host: Host, pool: str) -> bool:
+        """Take out `host` if the budget of its pool allows it."""
+        declared = self.objects.pools.get(pool)
+        budget = self.objects.budgets.get(declared.budget) if declared else None
+        if budget is None:
+            return False
+        outcome = check_disruption(self.statuses[pool], budget, host)
+        if isinstance(outcome, Ok):
+            self.statuses[pool] = outcome.value
+            self.zones[host.zone] += 1
+            return True
+        return False
+
+    def total(self, pool: str) -> int:
+        """Return how many hosts of `pool` the budget lets be down at once."""
+        declared = self.objects.pools.get(pool)
+        budget = self.objects.budgets.get(declared.budget) if declared else None
+        if budget is None:
+            return 0
+        status = self.statuses[pool]
+        return len(status.members) - required_available(budget, status.size)
+
+
+def plan_starts(plan: PlanInput) -> tuple[StartWaveHost, ...]:
+    """Return the hosts to begin now, in order; each stays within wave and budget."""
+    running = sorted(
+        (
+            progress
+            for progress in plan.state.waves.values()
+            if progress.status is WaveStatus.RUNNING
+            and progress.wave in plan.objects.waves
+        ),
+        key=lambda progress: (progress.started_ms, progress.wave),
+    )
+    if not running:
+        return ()
+    statuses = pool_statuses(plan.state, plan.objects, plan.liveness)
+    places = _Places(statuses, plan.objects)
+    for item in plan.state.disruptions.values():
+        held = plan.objects.hosts.get(item.host)
+        if held is not None:
+            places.zones[held.zone] += 1
+    starts: list[StartWaveHost] = []
+    taken: set[str] = set()
+    for progress in running:
+        wave = plan.objects.waves[progress.wave]
+        if _may_start(plan, wave, progress):
+            picked = _plan_wave(plan, wave, progress, places, taken)
+            taken.update(picked)
+            starts.extend(StartWaveHost(wave.name, host) for host in picked)
+    return tuple(starts)
+
+
+def remaining_hosts(
+    state: FleetState, objects: ObjectSet, wave: MaintenanceWave
+) -> tuple[str, ...]:
+    """Return the hosts of a wave that have not begun, been done or failed."""
+    progress = state.waves.get(wave.name)
+    ended = {*progress.done, *progress.failed} if progress is not None else set()
+    return tuple(
+        name
+        for name, host in objects.hosts.items()
+        if name in state.placements
+        and is_in_scope(wave, state.placements[name], host.rack)
+        and name not in ended
+        and not _is_held_by(state, name, wave.name)
+    )
+
+
+def _may_start(plan: PlanInput, wave: MaintenanceWave, progress: WaveProgress) -> bool:
+    before = plan.state.waves.get(wave.after)
+    if wave.after and (before is None or before.status is not WaveStatus.DONE):
+        return False
+    return is_in_window(wave, progress.started_ms, plan.wall_ms)
+
+
+def _plan_wave(
+    plan: PlanInput,
+    wave: MaintenanceWave,
+    progress: WaveProgress,
+    places: _Places,
+    taken: set[str],
+) -> list[str]:
+    """Pick hosts one by one from the pool that needs the most further rounds.
+
+    The roll-out cannot be shorter than the rounds of its slowest pool, so that pool
+    must never wait for another one.
+    """
+    in_progress = sum(
+        item.phase is not HostPhase.FAILED
+        for item in hosts_in_wave(plan.state, wave.name)
+    )
+    free = wave.max_at_once - in_progress
+    if free <= 0:
+        return []
+    queues = _queues(plan, wave, places, taken)
+    picked: list[str] = []
+    while free > 0 and queues:
+        pool = max(queues, key=lambda name: (_rounds(queues, places, name), name))
+        host = _pick(plan, queues[pool], pool, places)
+        if host is None:
+            del queues[pool]
+            continue
+        queues[pool].remove(host)
+        if not queues[pool]:
+            del queues[pool]
+        picked.append(host.name)
+        free -= 1
+    return picked
+
+
+def _queues(
+    plan: PlanInput, wave: MaintenanceWave, places: _Places, taken: set[str]
+) -> dict[str, list[Host]]:
+    """Return the hosts that may begin, by pool, in the order to try them."""
+    queues: dict[str, list[Host]] = {}
+    for name in remaining_hosts(plan.state, plan.objects, wave):
+        if name not in taken and name not in plan.state.disruptions:
+            pool = plan.state.placements[name]
+            queues.setdefault(pool, []).append(plan.objects.hosts[name])
+    for hosts in queues.values():
+        zones = Counter(host.zone for host in hosts)
+        hosts.sort(key=lambda host: _order(plan, places, zones, host))
+    return queues
+
+
+def _order(
+    plan: PlanInput, places: _Places, zones: Counter[str], host: Host
+) -> tuple[bool, int, int, int, str]:
+    """Long work last, then the zone in progress, then the zone with most to do.
+
+    Keeping to one zone at a time leaves the others whole, so losing a further zone
+    or rack meets as few planned disruptions as possible.
+    """
+    return (
+        host.name in plan.long_work,
+        -places.zones[host.zone],
+        -zones[host.zone],
+        plan.state.maintained_ms.get(host.name, 0),
+        host.name,
+    )
+
+
+def _rounds(queues: dict[str, list[Host]], places: _Places, pool: str) -> float:
+    return len(queues[pool]) / max(places.total(pool), 1)
+
+
+def _pick(
+    plan: PlanInput, hosts: Iterable[Host], pool: str, places: _Places
+) -> Host | None:
+    for host in hosts:
+        if host.name in plan.liveness.live and places.take(host, pool):
+            return host
+    return None
+
+
+def _is_held_by(state: FleetState, host: str, wave: str) -> bool:
+    item = state.disruptions.get(host)
+    return item is not None and item.wave == wave
--- /dev/null
+++ b/tests/duties/test_lease.py
@@ -0,0 +1,153 @@
+from __future__ import annotations
+
+import pytest
+
+from guavapin.duties import lease as machine
+from guavapin.duties.messages import DutyHeld
+from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import GiveUpDuty
+from guavapin.duties.task import DutyTask
+from guavapin.kernel.harness import TaskHarness
+from guavapin.platform import messages as platform
+from tests.fleet.platform_double import DROPPED
+from tests.fleet.platform_double import LATE
+from tests.fleet.platform_double import LOST
+from tests.fleet.platform_double import OK
+from tests.fleet.platform_double import PlatformDouble
+from tests.fleet.platform_double import pump
+
+
+class Rig:
+    """A competitor for the duty; the double lapses leases by `expire`."""
+
+    def __init__(self, double: PlatformDouble, name: str) -> None:
+        self.double = double
+        self.task = DutyTask("fleet", name, ("worker",), seed=len(name))
+        self.harness = TaskHarness(self.task)
+        self.news: list[object] = []
+
+    def start(self) -> None:
+        self.harness.start()
+        self.news += pump(self.harness, self.task, self.double)
+
+    def run(self, milliseconds: int, step_ms: int = 50) -> None:
+        for _ in range(milliseconds // step_ms):
+            self.harness.advance(step_ms)
+            self.news += pump(self.harness, self.task, self.double)
+
+    @property
+    def tokens(self) -> list[int]:
+        return [m.token for m in self.news if isinstance(m, DutyHeld)]
+
+    @property
+    def is_lost(self) -> bool:
+        return any(isinstance(message, DutyLost) for message in self.news)
+
+
+@pytest.fixture
+def double() -> PlatformDouble:
+    return PlatformDouble()
+
+
+@pytest.fixture
+def holder(double: PlatformDouble) -> Rig:
+    rig = Rig(double, "first")
+    rig.start()
+    return rig
+
+
+def test_token_is_the_revision_of_the_key(holder: Rig, double: PlatformDouble) -> None:
+    assert holder.tokens == [double.keys["duty/fleet"][1]]
+
+
+def test_second_process_does_not_get_a_held_duty(
+    holder: Rig, double: PlatformDouble
+) -> None:
+    second = Rig(double, "second")
+    second.start()
+    second.run(20_000)
+    assert second.tokens == []
+
+
+def test_takeover_within_10_s_with_a_higher_token(
+    holder: Rig, double: PlatformDouble
+) -> None:
+    """The first process dies right after a renewal; its lease lapses 5 s later."""
+    second = Rig(double, "second")
+    second.start()
+    second.run(machine.LEASE_MS)
+    for lease_id in list(double.leases):
+        double.lapse(lease_id)
+    second.run(10_000 - machine.LEASE_MS)
+    assert second.tokens and second.tokens[0] > holder.tokens[0]
+
+
+def test_unconfirmed_holder_gives_up_before_its_lease_can_lapse(
+    holder: Rig, double: PlatformDouble
+) -> None:
+    double.is_down = True
+    holder.run(machine.LEASE_MS - machine.MARGIN_MS - 100)
+    assert not holder.is_lost
+    holder.run(200)
+    assert holder.is_lost
+
+
+def test_paused_holder_gives_up_as_soon_as_it_wakes(holder: Rig) -> None:
+    holder.harness.clock.advance(60_000)
+    holder.harness.advance(1)
+    holder.news += pump(holder.harness, holder.task, holder.double)
+    assert holder.is_lost
+
+
+def test_late_answer_to_a_renewal_does_not_extend_the_lease(holder: Rig) -> None:
+    """The time counts from when the call was sent, not from when it was answered."""
+    lease = machine.DutyLease(
+        "fleet", "x", machine.LeasePhase.HELD, "lease-1", 3, confirmed_ms=0
+    )
+    renewing, _ = machine.tick(lease, 1_500)
+    held, _ = machine.on_answer(renewing, platform.Leased("lease-1", 5_000), 4_000)
+    assert held.until_ms == 1_500 + machine.LEASE_MS - machine.MARGIN_MS
+    late, _ = machine.on_answer(renewing, platform.Unknown("deadline"), 4_600)
+    assert late.phase is machine.LeasePhase.IDLE
+
+
+def test_renewals_keep_the_duty(holder: Rig) -> None:
+    holder.run(60_000)
+    assert not holder.is_lost and len(set(holder.tokens)) == 1
+
+
+def test_lapsed_lease_is_noticed_by_the_renewal(
+    holder: Rig, double: PlatformDouble
+) -> None:
+    double.lapse(next(iter(double.leases)))
+    holder.run(machine.RENEW_MS + 50)
+    assert holder.is_lost
+
+
+@pytest.mark.parametrize("fault", [LOST, DROPPED, LATE])
+def test_claim_whose_answer_is_lost_is_resolved_by_reading(
+    double: PlatformDouble, fault: str
+) -> None:
+    """A claim that took effect is used, any other one must not be believed."""
+    double.faults.extend([OK, fault])
+    rig = Rig(double, "first")
+    rig.start()
+    assert bool(rig.tokens) == (fault == LOST)
+    double.deliver_late()
+    rig.run(5_000)
+    assert rig.tokens
+    assert rig.tokens[-1] == double.keys["duty/fleet"][1]
+
+
+def test_stop_frees_the_duty_at_once(holder: Rig, double: PlatformDouble) -> None:
+    holder.task.stop()
+    pump(holder.harness, holder.task, double)
+    second = Rig(double, "second")
+    second.start()
+    assert second.tokens
+
+
+def test_fenced_worker_ends_the_duty(holder: Rig) -> None:
+    holder.task.handle(GiveUpDuty(holder.tokens[0]))
+    holder.news += pump(holder.harness, holder.task, holder.double)
+    assert holder.is_lost
