--- /dev/null
+++ b/src/guavapin/audit/archiver.py
@@ -0,0 +1,210 @@
+"""The `audit_archiver` service: outbox of the fleet record -> audit segments."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from guavapin.audit.segments import PREFIX
+from guavapin.audit.segments import decode_segment
+from guavapin.audit.segments import encode_segment
+from guavapin.audit.segments import expired_keys
+from guavapin.audit.segments import merge
+from guavapin.audit.segments import segment_key
+from guavapin.duties.messages import DutyHeld
+from guavapin.duties.messages import DutyLost
+from guavapin.fleet.actions import TrimOutbox
+from guavapin.fleet.codec import decode_fleet
+from guavapin.fleet.commands import KEPT_ENTRIES
+from guavapin.fleet.commands import FleetCommand
+from guavapin.fleet.messages import FLEET_WRITER
+from guavapin.fleet.messages import Execute
+from guavapin.fleet.messages import Executed
+from guavapin.fleet.state import FLEET_KEY
+from guavapin.kernel.outcome import InvariantError
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Refused
+from guavapin.platform import messages as platform
+
+if TYPE_CHECKING:
+    from guavapin.fleet.state import AuditEntry
+    from guavapin.kernel.task import TaskContext
+
+PLATFORM = "platform"
+AUDIT_ARCHIVER = "audit_archiver"
+
+# At most one segment is written in this time, whatever the rate of changes.
+INTERVAL_MS = 5_000
+
+# The outbox is trimmed in batches, since a trim is a change of the record itself.
+TRIM_ENTRIES = 64
+
+
+class _Step(Enum):
+    """The answer that is awaited."""
+
+    IDLE = "idle"
+    RECORD = "record"
+    SEGMENT = "segment"
+    WRITE = "write"
+    LIST = "list"
+    DELETE = "delete"
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Timer: archive what is new."""
+
+
+class AuditArchiverTask:
+    """Copies audit entries to segments, then trims them from the record.
+
+    Every step may be repeated: a segment is read, merged by sequence and written by
+    compare-and-swap, and the outbox is trimmed only up to entries that a confirmed
+    write holds. So a lost answer or a takeover leaves nothing out and nothing twice.
+    """
+
+    def __init__(self, actor: str, name: str = AUDIT_ARCHIVER) -> None:
+        self.name = name
+        self._actor = actor
+        self._held: DutyHeld | None = None
+        self._step = _Step.IDLE
+        self._pending: tuple[AuditEntry, ...] = ()
+        self._outbox_size = 0
+        self._archived = 0
+        self._last_key = ""
+        self._request_id = 0
+        self._batch: tuple[AuditEntry, ...] = ()
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Begin to tick; nothing is done without the duty."""
+        self._context = context
+        context.set_timer(INTERVAL_MS, _Tick())
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Stop; the next holder continues."""
+        self._held = None
+
+    def handle(self, message: object) -> None:
+        """Take a timer, an answer or a change of the duty."""
+        match message:
+            case _Tick():
+                self._context.set_timer(INTERVAL_MS, _Tick())
+                self._begin()
+            case platform.Reply(request_id, outcome):
+                if request_id == self._request_id:
+                    self._on_reply(outcome)
+            case DutyHeld():
+                if self._held is None or self._held.token != message.token:
+                    self._archived, self._last_key = 0, ""
+                self._held = message
+            case DutyLost():
+                self._held = None
+            case Executed():
+                return
+            case _:
+                raise InvariantError(f"{self.name}: unexpected message {message!r}")
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the duty may be carried out now."""
+        now_ms = self._context.clock.now_ms()
+        return self._held is not None and now_ms < self._held.until_ms
+
+    def _begin(self) -> None:
+        """Read the record; an answer still awaited is given up and ignored."""
+        if self.is_active:
+            self._ask(_Step.RECORD, platform.Get(self.name, self._next(), FLEET_KEY))
+
+    def _next(self) -> int:
+        self._request_id += 1
+        return self._request_id
+
+    def _ask(self, step: _Step, request: platform.PlatformRequest) -> None:
+        self._step = step
+        self._context.send(PLATFORM, request)
+
+    def _on_reply(self, outcome: platform.PlatformOutcome) -> None:
+        step, self._step = self._step, _Step.IDLE
+        if not self.is_active:
+            return
+        if step is _Step.RECORD:
+            self._on_record(outcome)
+        elif step is _Step.SEGMENT:
+            self._on_segment(outcome)
+        elif step is _Step.WRITE and isinstance(outcome, platform.Written):
+            self._on_archived()
+        elif step is _Step.LIST and isinstance(outcome, platform.Listed):
+            self._expire(outcome)
+
+    def _on_record(self, outcome: platform.PlatformOutcome) -> None:
+        if not isinstance(outcome, platform.Found):
+            return
+        decoded = decode_fleet(outcome.value)
+        if isinstance(decoded, Refused):
+            return
+        outbox = decoded.value.outbox
+        self._outbox_size = len(outbox)
+        self._pending = tuple(e for e in outbox if e.sequence > self._archived)
+        self._next_segment()
+
+    def _next_segment(self) -> None:
+        if not self._pending:
+            self._trim()
+            return
+        key = segment_key(self._pending[0].sequence)
+        self._batch = tuple(
+            entry for entry in self._pending if segment_key(entry.sequence) == key
+        )
+        self._ask(_Step.SEGMENT, platform.Get(self.name, self._next(), key))
+
+    def _on_segment(self, outcome: platform.PlatformOutcome) -> None:
+        key = segment_key(self._batch[0].sequence)
+        archived: tuple[AuditEntry, ...] = ()
+        revision = platform.NO_REVISION
+        if isinstance(outcome, platform.Found):
+            decoded = decode_segment(outcome.value)
+            if isinstance(decoded, Refused):
+                return
+            archived, revision = decoded.value, outcome.revision
+        elif not isinstance(outcome, platform.Missing):
+            return
+        merged = merge(archived, self._batch)
+        if merged == archived:
+            self._on_archived()
+            return
+        value = encode_segment(merged)
+        put = platform.Put(self.name, self._next(), key, value, revision)
+        self._ask(_Step.WRITE, put)
+
+    def _on_archived(self) -> None:
+        self._archived = self._batch[-1].sequence
+        self._pending = self._pending[len(self._batch) :]
+        self._next_segment()
+
+    def _trim(self) -> None:
+        if self._outbox_size >= KEPT_ENTRIES + TRIM_ENTRIES and self._held is not None:
+            token = self._held.token
+            command = FleetCommand(
+                f"archive:{token}:{self._next()}",
+                self._actor,
+                TrimOutbox(self._archived),
+                token,
+                "archived",
+            )
+            execute = Execute(self.name, self._request_id, command)
+            self._context.send(FLEET_WRITER, execute)
+        key = segment_key(self._archived)
+        if key != self._last_key:
+            self._last_key = key
+            self._ask(_Step.LIST, platform.ListPrefix(self.name, self._next(), PREFIX))
+
+    def _expire(self, listed: platform.Listed) -> None:
+        """Delete the oldest segments; answers are not awaited, the next list is."""
+        revisions = {item.key: item.revision for item in listed.keys}
+        for key in expired_keys(revisions):
+            delete = platform.Delete(self.name, self._next(), key, revisions[key])
+            self._ask(_Step.DELETE, delete)
