--- a/src/guavapin/capacity/lending.py
+++ b/src/guavapin/capacity/lending.py
@@ -29,7 +29,7 @@
 RAISE_MS = 2_000
 
 # Demand must stay below for this long before a borrowed host may leave.
-LOWER_MS = 10_000
+LOWER_MS = 5_000
 
 # A borrowed host goes home if nobody asks for it for this long; peaks come in turn,
 # so it is usually asked for earlier.
@@ -100,9 +100,14 @@
     balance: Mapping[str, int],
     now_ms: int,
 ) -> list[str]:
-    """Return the borrowed hosts that their present pool no longer needs."""
-    borrowed: list[str] = []
-    for pool, since_ms in sorted(lending.ample_since_ms.items()):
+    """Return the borrowed hosts that their present pool no longer needs.
+
+    Pools whose peak has ended lend before pools that only need a little less for a
+    moment, and those whose peak ended last come first: when queues take turns, they
+    will need their hosts again last.
+    """
+    offers: list[tuple[bool, int, str, list[str]]] = []
+    for pool, since_ms in lending.ample_since_ms.items():
         if objects.pools[pool].is_spare or now_ms - since_ms < LOWER_MS:
             continue
         lent = [
@@ -112,8 +117,10 @@
             and name in objects.hosts
             and objects.hosts[name].pool != pool
         ]
-        borrowed.extend(_spread(lent, objects, balance[pool]))
-    return borrowed
+        is_within_peak = balance[pool] < len(lent)
+        hosts = _spread(lent, objects, balance[pool])
+        offers.append((is_within_peak, -since_ms, pool, hosts))
+    return [host for _, _, _, hosts in sorted(offers) for host in hosts]
 
 
 def _spare(
--- /dev/null
+++ b/src/guavapin/capacity/spare.py
@@ -0,0 +1,54 @@
+"""How large the one shared spare must be; pure.
+
+The queues peak in turn, so the spare must cover the pools that peak together, not the
+sum of all. Its size follows the largest total overflow seen within about one turn of
+all queues, with a quantile instead of the maximum where many peaks overlap.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# Share of the time in which the spare must cover the whole overflow. Measured with
+# queues that take turns, 0.9 leaves under 2% of the overflow waiting and holds under
+# 1.25 times what a planner who knows the demand holds; 0.98 holds 1.35 times.
+COVERED_SHARE = 0.9
+
+# Totals older than this many observations are forgotten by halves, so that a spare
+# grown by one large peak shrinks again.
+HALF_LIFE = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class SpareSize:
+    """Weights of the total overflow seen, in hosts; `seen` counts observations."""
+
+    weights: Mapping[int, float] = field(default_factory=dict)
+    seen: int = 0
+
+
+def observe_overflow(size: SpareSize, overflow: Mapping[str, float]) -> SpareSize:
+    """Take the hosts that each pool needs beyond its own, at equal intervals."""
+    total = sum(math.ceil(hosts - 1e-9) for hosts in overflow.values() if hosts > 0)
+    weights = {**size.weights, total: size.weights.get(total, 0.0) + 1.0}
+    seen = size.seen + 1
+    if seen % HALF_LIFE == 0:
+        weights = {hosts: weight / 2 for hosts, weight in weights.items()}
+    return SpareSize(weights, seen)
+
+
+def spare_target(size: SpareSize, covered_share: float = COVERED_SHARE) -> int:
+    """Return how many hosts the shared spare must hold; 0 before any observation."""
+    bound = covered_share * sum(size.weights.values())
+    covered = 0.0
+    for hosts in sorted(size.weights):
+        covered += size.weights[hosts]
+        if covered >= bound - 1e-9:
+            return hosts
+    return 0
--- a/src/guavapin/waves/planner.py
+++ b/src/guavapin/waves/planner.py
@@ -185,7 +185,7 @@
 
 def _order(
     plan: PlanInput, places: _Places, zones: Counter[str], host: Host
-) -> tuple[bool, int, int, int, str]:
+) -> tuple[bool, int, int, str, int, str]:
     """Long work last, then the zone in progress, then the zone with most to do.
 
     Keeping to one zone at a time leaves the others whole, so losing a further zone
@@ -195,6 +195,7 @@
         host.name in plan.long_work,
         -places.zones[host.zone],
         -zones[host.zone],
+        host.zone,
         plan.state.maintained_ms.get(host.name, 0),
         host.name,
     )
