--- /dev/null
+++ b/src/guavapin_bench/pass_through.py
@@ -0,0 +1,81 @@
+"""Least possible `exchanges`: every request is one attempt at one upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.kernel import Ok
+from guavapin.serving.messages import AnswerBody
+from guavapin.serving.messages import AnswerBroken
+from guavapin.serving.messages import AnswerEnd
+from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptEnded
+from guavapin.serving.messages import AttemptHead
+from guavapin.serving.messages import AttemptRequestBody
+from guavapin.serving.messages import AttemptResult
+from guavapin.serving.messages import CallerGone
+from guavapin.serving.messages import CancelAttempt
+from guavapin.serving.messages import FlowControl
+from guavapin.serving.messages import RequestBody
+from guavapin.serving.messages import RequestReceived
+from guavapin.serving.messages import StartAttempt
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
+
+
+class PassThrough:
+    """Service `exchanges`; the attempt has the number of its request.
+
+    It decides nothing, so the bench shows the cost of `front` and `upstreams` alone.
+    """
+
+    name = "exchanges"
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Keep the context."""
+        self._context = context
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Nothing to close."""
+
+    def handle(self, message: object) -> None:
+        """Turn a message of one neighbour into one for the other."""
+        send = self._context.send
+        match message:
+            case AttemptHead(number, status, headers):
+                send("front", AnswerHead(number, status, headers))
+            case AttemptBody(number, data):
+                send("front", AnswerBody(number, data))
+            case AttemptEnded(number, result):
+                is_whole = result is AttemptResult.COMPLETE
+                send("front", AnswerEnd(number) if is_whole else AnswerBroken(number))
+            case RequestReceived():
+                send("upstreams", self._attempt(message))
+            case RequestBody(number, data, is_last):
+                send("upstreams", AttemptRequestBody(number, data, is_last))
+            case CallerGone(number):
+                send("upstreams", CancelAttempt(number))
+            case FlowControl(_, _, is_attempt):
+                send("front" if is_attempt else "upstreams", message)
+
+    def _attempt(self, request: RequestReceived) -> StartAttempt:
+        return StartAttempt(
+            attempt_id=request.request_id,
+            address=self._address,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=b"",
+            body_follows=request.body_follows,
+            connect_ms=2_000,
+            first_byte_ms=10_000,
+            progress_ms=10_000,
+            fresh_connection=request.method == "POST",
+        )
