--- a/src/guavapin/claims/key_machine.py
+++ b/src/guavapin/claims/key_machine.py
@@ -169,7 +169,9 @@
             return _paused(replace(state, may_be_written=True))
     is_limited = isinstance(outcome, RateLimited)
     reason = Reason.OVERLOADED if is_limited else Reason.CUT_OFF
-    left = replace(state, tries=state.tries + 1, delayed_by=reason)
+    # A platform at its rate limit gets fewer calls than one that lost a call.
+    tries = state.tries + (3 if is_limited else 1)
+    left = replace(state, tries=tries, delayed_by=reason)
     return _if_needed(left, Pause())
 
 
--- a/src/guavapin/claims/record_store.py
+++ b/src/guavapin/claims/record_store.py
@@ -78,6 +78,7 @@
         self._current: dict[str, int] = {}
         self._watches: set[int] = set()
         self._leaseless: set[str] = set()
+        self._claiming: set[str] = set()
         self._settling_bytes = 0
         self._last_number = 0
         self._retention = Retention()
@@ -192,7 +193,8 @@
             if state.phase is Phase.CLAIMING:
                 return NotRun(Reason.OVERLOADED, "too many requests with this key")
             return OutcomeUnknown("too many requests wait for the one with this key")
-        if len(self._keys) >= self._cfg.max_keys:
+        is_full = len(self._keys) >= self._cfg.max_keys
+        if is_full or len(self._claiming) >= self._cfg.max_claiming:
             return NotRun(Reason.OVERLOADED, "too many keys are being claimed")
         if not self._reachability.allows(now_ms):
             return NotRun(Reason.CUT_OFF, "the platform does not answer")
@@ -227,6 +229,10 @@
             self._keys[path] = state
         else:
             self._forget(path, former)
+        if state is not None and state.phase in (Phase.CLAIMING, Phase.READING):
+            self._claiming.add(path)
+        else:
+            self._claiming.discard(path)
         actions: list[Action] = []
         for effect in effects:
             actions.extend(self._act(path, state, effect, now_ms))
@@ -234,6 +240,7 @@
 
     def _forget(self, path: str, state: KeyState | None) -> None:
         self._keys.pop(path, None)
+        self._claiming.discard(path)
         self._current.pop(path, None)
         self._leaseless.discard(path)
         if state is not None and state.record is not None:
--- a/src/guavapin/claims/store.py
+++ b/src/guavapin/claims/store.py
@@ -34,7 +34,9 @@
     """Settings of the claims.
 
     `patience_ms` bounds how long a request waits for the platform before it is
-    refused as not run, since it holds an upstream's slot meanwhile. `settle_ms`
+    refused as not run, since it holds an upstream's slot meanwhile. `max_claiming`
+    bounds the keys whose claim the platform has not confirmed; further requests are
+    refused at once, so that a slow platform does not collect slots. `settle_ms`
     bounds how long an outcome or a release is offered to a platform that does not
     answer, and `max_settling_bytes` the memory of such outcomes. A record is kept
     from `retention_ms` to `retention_ms + lease_span_ms` after its last write.
@@ -45,6 +47,7 @@
     max_backoff_ms: int = 1_000
     settle_ms: int = 600_000
     max_keys: int = 4_096
+    max_claiming: int = 64
     max_waiters: int = 64
     max_watches: int = 12
     watch_ms: int = 20_000
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -327,3 +327,19 @@
     for _ in range(3):
         world.claim(0, "k0")
     assert isinstance(told(world, 7), OutcomeUnknown)
+
+
+def test_unconfirmed_claims_are_bounded() -> None:
+    # Guards against a slow platform that collects the slots of all upstreams.
+    cfg = ClaimsConfig(max_claiming=3)
+    world = World(lambda process_id: RecordStore(cfg, process_id), 1)
+    for number in range(4):
+        world.claim(0, f"k{number}")
+    refused = told(world, 4)
+    assert isinstance(refused, NotRun)
+    assert refused.reason is Reason.OVERLOADED
+    world.run_for(100)
+    assert [granted(world, item) for item in (1, 2, 3)] == [True] * 3
+    world.claim(0, "k5")
+    world.run_for(100)
+    assert granted(world, 5)
--- /dev/null
+++ b/tests/claims/test_task.py
@@ -0,0 +1,127 @@
+from __future__ import annotations
+
+import queue
+from typing import TYPE_CHECKING
+
+import pytest
+
+from guavapin.claims.messages import ClaimAnswer
+from guavapin.claims.messages import ClaimGranted
+from guavapin.claims.messages import ClaimKey
+from guavapin.claims.messages import ClaimRefused
+from guavapin.claims.messages import NotRun
+from guavapin.claims.messages import RecordAnswer
+from guavapin.claims.messages import RecordedAnswer
+from guavapin.claims.store import ClaimsConfig
+from guavapin.claims.task import ClaimsTask
+from guavapin.claims.task import ReadCounters
+from guavapin.kernel import Kernel
+from guavapin.kernel import Ok
+from guavapin.kernel import Outcome
+from guavapin.kernel import SystemClock
+from guavapin.kernel import TaskContext
+from guavapin.kernel.outcome import Reason
+from guavapin.platform.client import PlatformConfig
+from guavapin.platform.client import PlatformTask
+from guavapin_standins.platform import RunningPlatform
+from guavapin_standins.platform_controls import Faults
+from guavapin_standins.platform_controls import Limits
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class Exchanges:
+    name = "exchanges"
+
+    def __init__(self) -> None:
+        self.answers: queue.Queue[ClaimAnswer] = queue.Queue()
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        assert isinstance(message, ClaimGranted | ClaimRefused)
+        self.answers.put(message)
+
+    def stop(self) -> None:
+        return
+
+
+class EntryHost:
+    """The tasks `exchanges`, `claims` and `platform` of one entry host."""
+
+    def __init__(self, url: str, zone: str) -> None:
+        cfg = PlatformConfig(url, zone=zone, deadline_ms=300)
+        self.exchanges = Exchanges()
+        self.kernel = Kernel(SystemClock())
+        self.kernel.register(self.exchanges, loop="serving")
+        self.kernel.register(PlatformTask(cfg), loop="control")
+        claims = ClaimsTask(ClaimsConfig(patience_ms=1_000))
+        self.kernel.register(claims, loop="control", requires=("platform",))
+        self.kernel.start()
+
+    def claim(self, request_id: int, key: str, wait_ms: int = 5_000) -> None:
+        deadline_ms = self.kernel.clock.now_ms() + wait_ms
+        claim = ClaimKey(request_id, "renewals", key, b"d", deadline_ms)
+        self.kernel.deliver("claims", claim)
+
+    def answer(self) -> ClaimAnswer:
+        return self.exchanges.answers.get(timeout=10)
+
+
+@pytest.fixture
+def platform() -> Iterator[RunningPlatform]:
+    with RunningPlatform(limits=Limits(1e6, 1e6)) as running:
+        yield running
+
+
+@pytest.fixture
+def hosts(platform: RunningPlatform) -> Iterator[list[EntryHost]]:
+    hosts = [EntryHost(platform.url, zone) for zone in ("matane", "gaspe")]
+    yield hosts
+    for host in hosts:
+        host.kernel.stop()
+
+
+def test_repeated_request_at_another_host_over_http(
+    hosts: list[EntryHost], platform: RunningPlatform
+) -> None:
+    # Guards against stores that work in simulation only: lost answers of the claim
+    # and of the outcome, and a watch that brings the answer to the other host.
+    hosts[0].claim(1, "warm")
+    assert hosts[0].answer() == ClaimGranted(1)
+    platform.set_faults(Faults(lost_answers=1))
+    hosts[0].claim(2, "k")
+    assert hosts[0].answer() == ClaimGranted(2)
+    hosts[1].claim(3, "k")
+    hosts[1].claim(4, "k")
+    platform.set_faults(Faults(lost_answers=1))
+    answer = RecordAnswer(2, 201, ((b"content-type", b"text/plain"),), b"\x00renewed")
+    hosts[0].kernel.deliver("claims", answer)
+    recorded = RecordedAnswer(answer.status, answer.headers, answer.body)
+    assert hosts[1].answer() == ClaimRefused(3, recorded)
+    assert hosts[1].answer() == ClaimRefused(4, recorded)
+
+
+def test_zone_cut_off_from_the_platform(
+    hosts: list[EntryHost], platform: RunningPlatform
+) -> None:
+    # Guards against keyed requests that run, or hang, without the platform.
+    hosts[0].claim(1, "a")
+    assert hosts[0].answer() == ClaimGranted(1)
+    platform.set_faults(Faults(cut_off_zones=("matane",)))
+    hosts[0].claim(2, "k")
+    refused = hosts[0].answer()
+    assert isinstance(refused, ClaimRefused)
+    assert isinstance(refused.outcome, NotRun)
+    assert refused.outcome.reason is Reason.CUT_OFF
+    hosts[1].claim(3, "k")
+    assert hosts[1].answer() == ClaimGranted(3)
+    platform.set_faults(Faults())
+    hosts[0].claim(4, "l", wait_ms=8_000)
+    while isinstance(answer := hosts[0].answer(), ClaimRefused):
+        assert isinstance(answer.outcome, NotRun)
+        hosts[0].claim(answer.request_id + 1, "l", wait_ms=8_000)
+    counters = hosts[0].kernel.ask("claims", ReadCounters()).result(5)
+    assert counters["granted"] == 2
