Write outcomes of several claims in one page

The second write of one record a key keeps 300 keyed requests a second from fitting into 500 writes. A claim now names a page of its process; outcomes of up to 16 claims go into the page together, releases too, and answers above 16 KB stay in the key's own record. Claims are still one create-if-absent a key, so the wait before a request is sent does not change. A claim made again after a release gets a new id, since the page still shows the former one as released.

Conclusion: pages are the default.

--- /dev/null
+++ b/src/guavapin/claims/calls.py
@@ -0,0 +1,132 @@
+"""Platform calls of the claims: which key waits for which call, and the lease."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from guavapin.claims.retention import Retention
+from guavapin.claims.store import SERVICE
+from guavapin.claims.store import Actions
+from guavapin.claims.store import CallPlatform
+from guavapin.claims.store import ClaimsConfig
+from guavapin.claims.store import Wake
+from guavapin.claims.store import WakeAfter
+from guavapin.claims.store import WakeKind
+from guavapin.claims.store import backoff_ms
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import Leased
+from guavapin.platform.messages import LeaseGrant
+from guavapin.platform.messages import Put
+from guavapin.platform.messages import Watch
+
+if TYPE_CHECKING:
+    from guavapin.platform.messages import PlatformOutcome
+
+LEASE = "lease"
+
+
+class CallBook:
+    """Numbers the calls; each subject waits for one call or wake-up at a time.
+
+    A subject is the platform key that a state machine is about. Writes wait for the
+    lease of the retention if there is none.
+    """
+
+    def __init__(self, cfg: ClaimsConfig, process_id: str) -> None:
+        self.counters: Counter[str] = Counter()
+        self._cfg = cfg
+        self._process_id = process_id
+        self._last_number = 0
+        self._calls: dict[int, str] = {}
+        self._current: dict[str, int] = {}
+        self._watches: set[int] = set()
+        self._leaseless: set[str] = set()
+        self._retention = Retention()
+
+    def next_number(self) -> int:
+        """Return a number that was not used before."""
+        self._last_number += 1
+        return self._last_number
+
+    def read(self, subject: str, key: str) -> Actions:
+        """Read a key."""
+        return (CallPlatform(Get(SERVICE, self._open(subject), key)),)
+
+    def watch(self, subject: str, key: str, after: int, wait_ms: int) -> Actions:
+        """Watch a key, unless the watches of this process are all in use."""
+        if len(self._watches) >= self._cfg.max_watches:
+            return ()
+        call_id = self._open(subject)
+        self._watches.add(call_id)
+        return (CallPlatform(Watch(SERVICE, call_id, key, after, wait_ms)),)
+
+    def write(self, subject: str, value: bytes, expected: int, now_ms: int) -> Actions:
+        """Compare and swap the subject's own key."""
+        lease_id = self._retention.lease_at(now_ms)
+        if not lease_id:
+            self._leaseless.add(subject)
+            return self.ask_lease(now_ms)
+        call_id = self._open(subject)
+        put = Put(SERVICE, call_id, subject, value, expected, lease_id)
+        return (CallPlatform(put),)
+
+    def pause(self, subject: str, delay_ms: int) -> Actions:
+        """Wake the subject later."""
+        turn = self.next_number()
+        self._current[subject] = turn
+        return (WakeAfter(delay_ms, Wake(WakeKind.RETRY, subject, turn)),)
+
+    def back_off(self, subject: str, tries: int, salt: str) -> Actions:
+        """Wake the subject after a delay that grows with `tries`."""
+        return self.pause(subject, backoff_ms(self._cfg, tries, salt))
+
+    def take(self, call_id: int) -> tuple[str, bool]:
+        """Return the subject of a call and whether it still waits for this call."""
+        self._watches.discard(call_id)
+        subject = self._calls.pop(call_id, "")
+        return subject, self._current.get(subject) == call_id
+
+    def is_current(self, subject: str, turn: int) -> bool:
+        """Whether the subject waits for this wake-up."""
+        return self._current.get(subject) == turn
+
+    def forget(self, subject: str) -> None:
+        """Drop a subject; answers that still come for it are ignored."""
+        self._current.pop(subject, None)
+        self._leaseless.discard(subject)
+
+    def lease_lapsed(self) -> None:
+        """The platform did not know the lease: ask for a new one at the next write."""
+        self._retention = self._retention.lapsed()
+
+    def ask_lease(self, now_ms: int) -> Actions:
+        """Ask for a lease unless that is under way."""
+        if self._retention.asked_ms is not None:
+            return ()
+        self._retention = self._retention.asked(now_ms)
+        ttl_ms = self._cfg.retention_ms + self._cfg.lease_span_ms
+        return (CallPlatform(LeaseGrant(SERVICE, self._open(LEASE), ttl_ms)),)
+
+    def ask_lease_again(self, now_ms: int) -> Actions:
+        """Ask after a failure; called for the wake-up of kind `LEASE`."""
+        self._retention = self._retention.unasked()
+        return self.ask_lease(now_ms)
+
+    def on_lease(self, outcome: PlatformOutcome) -> tuple[tuple[str, ...], Actions]:
+        """Return the subjects that waited, which can write now or must wait on."""
+        waiting = tuple(sorted(self._leaseless))
+        if isinstance(outcome, Leased):
+            self._leaseless.clear()
+            span_ms = self._cfg.lease_span_ms
+            self._retention = self._retention.granted(outcome.lease_id, span_ms)
+            return waiting, ()
+        self.counters["lease_failures"] += 1
+        delay_ms = backoff_ms(self._cfg, 3, self._process_id)
+        return waiting, (WakeAfter(delay_ms, Wake(WakeKind.LEASE)),)
+
+    def _open(self, subject: str) -> int:
+        call_id = self.next_number()
+        self._calls[call_id] = subject
+        self._current[subject] = call_id
+        return call_id
--- a/src/guavapin/claims/key_machine.py
+++ b/src/guavapin/claims/key_machine.py
@@ -15,8 +15,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from guavapin.claims.key_state import Decide
-from guavapin.claims.key_state import Effect
 from guavapin.claims.key_state import Follow
 from guavapin.claims.key_state import KeyState
 from guavapin.claims.key_state import Pause
@@ -24,13 +22,21 @@
 from guavapin.claims.key_state import Read
 from guavapin.claims.key_state import Requester
 from guavapin.claims.key_state import Step
-from guavapin.claims.key_state import Write
-from guavapin.claims.messages import ClaimGranted
+from guavapin.claims.key_steps import claim_again
+from guavapin.claims.key_steps import claim_write
+from guavapin.claims.key_steps import hold
+from guavapin.claims.key_steps import if_needed
+from guavapin.claims.key_steps import is_unwanted
+from guavapin.claims.key_steps import paused
+from guavapin.claims.key_steps import refuse
+from guavapin.claims.key_steps import refuse_all
+from guavapin.claims.key_steps import renamed
+from guavapin.claims.key_steps import settle_write
 from guavapin.claims.messages import ClaimOutcome
-from guavapin.claims.messages import ClaimRefused
 from guavapin.claims.messages import KeyReused
 from guavapin.claims.messages import NotRun
 from guavapin.claims.messages import OutcomeUnknown
+from guavapin.claims.outcome_page import decode_page
 from guavapin.claims.record import ClaimRecord
 from guavapin.claims.record import ClaimState
 from guavapin.claims.record import decode_record
@@ -55,15 +61,15 @@
 def begin(claim_id: str, digest: bytes, requester: Requester, until_ms: int) -> Step:
     """Start to claim a key for its first request."""
     state = KeyState(Phase.CLAIMING, claim_id, digest, (requester,), until_ms=until_ms)
-    return state, (_claim_write(state),)
+    return state, (claim_write(state),)
 
 
 def join(state: KeyState, digest: bytes, requester: Requester) -> Step:
     """Add a further request for the key."""
     if digest != state.digest:
-        return state, (_refuse(requester, KeyReused()),)
+        return state, (refuse(requester, KeyReused()),)
     if state.record is not None:
-        return state, (_refuse(requester, outcome_of(state.record)),)
+        return state, (refuse(requester, outcome_of(state.record)),)
     return replace(state, requesters=(*state.requesters, requester)), ()
 
 
@@ -77,6 +83,8 @@
             return _on_claim_reply(state, outcome, settle_ms)
         case Phase.READING:
             return _on_read_reply(state, outcome, settle_ms)
+        case Phase.READING_PAGE:
+            return _on_page_reply(state, outcome)
         case Phase.FOLLOWING:
             return _on_follow_reply(state, outcome)
         case Phase.SETTLING:
@@ -89,16 +97,18 @@
 def on_retry(state: KeyState, now_ms: int) -> Step:
     """Repeat the state's platform call after a pause."""
     if state.phase is Phase.FOLLOWING:
-        return replace(state, phase=Phase.READING), (Read(),)
+        return _read_followed(state)
     if is_unwanted(state) or (not state.requesters and now_ms >= state.until_ms):
         return None, ()
     match state.phase:
         case Phase.CLAIMING:
-            return state, (_claim_write(state),)
+            return state, (claim_write(state),)
         case Phase.READING:
             return state, (Read(),)
+        case Phase.READING_PAGE:
+            return _read_followed(state)
         case Phase.SETTLING | Phase.RELEASING:
-            return state, (_settle_write(state),)
+            return state, (settle_write(state),)
     return state, ()
 
 
@@ -117,7 +127,7 @@
     if not is_unclaimed:
         outcome = OutcomeUnknown("the request that holds the key has no outcome yet")
     left, effects = withdraw(state, request_id)
-    return left, (_refuse(requester, outcome), *effects)
+    return left, (refuse(requester, outcome), *effects)
 
 
 def withdraw(state: KeyState, request_id: int) -> Step:
@@ -126,7 +136,7 @@
     left = replace(state, requesters=rest)
     if rest or state.phase in (Phase.HELD, Phase.SETTLING, Phase.RELEASING):
         return left, ()
-    if state.phase is Phase.FOLLOWING:
+    if state.phase in (Phase.FOLLOWING, Phase.READING_PAGE):
         return None, ()
     # The claim may have been written, or its write may be under way: it has to be
     # found and released, or the key would stay claimed for a request never sent.
@@ -144,35 +154,36 @@
         tries=0,
         until_ms=settle_ms,
     )
-    told = tuple(_refuse(item, outcome_of(record)) for item in state.requesters)
-    return left, (*told, _settle_write(left))
+    told = tuple(refuse(item, outcome_of(record)) for item in state.requesters)
+    return left, (*told, settle_write(left))
 
 
 def on_release(state: KeyState, settle_ms: int) -> Step:
     """Give the claim of a request that was not sent to the next one, or release it."""
-    return _hold(replace(state, holder=None), state.revision, settle_ms)
+    return hold(replace(state, holder=None), state.revision, settle_ms)
 
 
-def is_unwanted(state: KeyState) -> bool:
-    """Whether nobody waits and no claim of this process is or may be written."""
-    is_open = state.phase in (Phase.CLAIMING, Phase.READING)
-    return is_open and not state.requesters and not state.may_be_written
+def on_settled(state: KeyState) -> Step:
+    """The outcome or the release is in the claim's page."""
+    if state.phase is Phase.RELEASING:
+        return claim_again(renamed(state), state.revision)
+    return None, ()
 
 
 def _on_claim_reply(state: KeyState, outcome: PlatformOutcome, settle_ms: int) -> Step:
     match outcome:
         case Written(revision):
-            return _hold(state, revision, settle_ms)
+            return hold(state, revision, settle_ms)
         case Conflict():
-            return _if_needed(replace(state, phase=Phase.READING, tries=0), Read())
+            return if_needed(replace(state, phase=Phase.READING, tries=0), Read())
         case Unknown():
-            return _paused(replace(state, may_be_written=True))
+            return paused(replace(state, may_be_written=True))
     is_limited = isinstance(outcome, RateLimited)
     reason = Reason.OVERLOADED if is_limited else Reason.CUT_OFF
     # A platform at its rate limit gets fewer calls than one that lost a call.
     tries = state.tries + (3 if is_limited else 1)
     left = replace(state, tries=tries, delayed_by=reason)
-    return _if_needed(left, Pause())
+    return if_needed(left, Pause())
 
 
 def _on_read_reply(state: KeyState, outcome: PlatformOutcome, settle_ms: int) -> Step:
@@ -180,37 +191,81 @@
         case Found(value, revision):
             return _on_record(state, decode_record(value), revision, settle_ms)
         case Missing():
-            return _claim_again(state, 0)
-    return _if_needed(replace(state, tries=state.tries + 1), Pause())
+            return claim_again(state, 0)
+    return if_needed(replace(state, tries=state.tries + 1), Pause())
 
 
 def _on_record(
     state: KeyState, record: ClaimRecord | None, revision: int, settle_ms: int
 ) -> Step:
     if record is None:
-        return _refuse_all(state, OutcomeUnknown("the key's record is not readable"))
+        return refuse_all(state, OutcomeUnknown("the key's record is not readable"))
     if record.state is ClaimState.RELEASED:
-        return _claim_again(state, revision)
+        return claim_again(state, revision)
     if record.claim_id == state.claim_id and record.state is ClaimState.CLAIMED:
-        return _hold(state, revision, settle_ms)
+        return hold(state, revision, settle_ms)
     if record.digest != state.digest:
-        return _refuse_all(state, KeyReused())
+        return refuse_all(state, KeyReused())
     if record.state is not ClaimState.CLAIMED:
-        return _refuse_all(state, outcome_of(record))
+        return refuse_all(state, outcome_of(record))
     if not state.requesters:
         return None, ()
     tries = state.tries + 1 if revision == state.revision else 0
-    left = replace(state, phase=Phase.FOLLOWING, revision=revision, tries=tries)
-    return replace(left, may_be_written=False), (Follow(revision),)
+    left = replace(
+        state,
+        phase=Phase.FOLLOWING,
+        revision=revision,
+        tries=tries,
+        may_be_written=False,
+        page=record.page,
+        other_claim_id=record.claim_id,
+    )
+    return _read_followed(left) if record.page else (left, (Follow(revision),))
+
+
+def _on_page_reply(state: KeyState, outcome: PlatformOutcome) -> Step:
+    following = replace(state, phase=Phase.FOLLOWING, tries=state.tries + 1)
+    match outcome:
+        case Missing():
+            return following, (Follow(state.revision, state.page),)
+        case Found(value, revision):
+            page = decode_page(value)
+        case _:
+            return paused(state)
+    if page is None:
+        return refuse_all(state, OutcomeUnknown("the key's outcome is not readable"))
+    record = page.get(state.other_claim_id)
+    is_new = revision != state.page_revision
+    left = replace(state, page_revision=revision, tries=0 if is_new else state.tries)
+    if record is None or (record.state is ClaimState.CLAIMED and not is_new):
+        left = replace(left, phase=Phase.FOLLOWING, tries=left.tries + 1)
+        return left, (Follow(revision, state.page),)
+    if record.state is ClaimState.CLAIMED:
+        # The outcome is too large for the page and is in the key's own record.
+        return replace(left, phase=Phase.READING), (Read(),)
+    if record.state is ClaimState.RELEASED:
+        return claim_again(state, state.revision)
+    return refuse_all(state, outcome_of(record))
 
 
 def _on_follow_reply(state: KeyState, outcome: PlatformOutcome) -> Step:
     match outcome:
         case Changed(keys=()):
-            return state, (Follow(state.revision),)
+            after = max(state.page_revision, state.revision)
+            return state, (Follow(after, state.page),)
+        case Changed(keys=keys) if state.page and keys[-1].deleted:
+            # The page's retention is over, so its watch would end at once each time;
+            # the key's record may be gone, too.
+            return paused(replace(state, page=""))
         case Changed():
-            return replace(state, phase=Phase.READING), (Read(),)
-    return _paused(state)
+            return _read_followed(state)
+    return paused(state)
+
+
+def _read_followed(state: KeyState) -> Step:
+    """Read where the outcome of the other claimant will appear."""
+    phase = Phase.READING_PAGE if state.page else Phase.READING
+    return replace(state, phase=phase), (Read(state.page),)
 
 
 def _on_settle_reply(state: KeyState, outcome: PlatformOutcome) -> Step:
@@ -218,68 +273,15 @@
     # record's retention is over; nobody else replaces a record in state CLAIMED.
     if isinstance(outcome, Written | Conflict):
         return None, ()
-    return _paused(state)
+    return paused(state)
 
 
 def _on_release_reply(state: KeyState, outcome: PlatformOutcome) -> Step:
     match outcome:
         case Written(revision):
-            return _claim_again(state, revision)
+            return claim_again(renamed(state), revision)
         case Conflict() if state.requesters:
             return replace(state, phase=Phase.READING, tries=0), (Read(),)
         case Conflict():
             return None, ()
-    return _paused(state)
-
-
-def _hold(state: KeyState, revision: int, settle_ms: int) -> Step:
-    """Grant the claim to the first request that waits, or release it."""
-    held = replace(
-        state, revision=revision, may_be_written=False, tries=0, until_ms=settle_ms
-    )
-    if not state.requesters:
-        left = replace(held, phase=Phase.RELEASING)
-        return left, (_settle_write(left),)
-    first, *rest = state.requesters
-    left = replace(
-        held, phase=Phase.HELD, holder=first.request_id, requesters=tuple(rest)
-    )
-    return left, (Decide(ClaimGranted(first.request_id)),)
-
-
-def _claim_again(state: KeyState, expected: int) -> Step:
-    """Claim a key that nobody holds, unless nobody wants it any more."""
-    left = replace(state, phase=Phase.CLAIMING, expected=expected, tries=0)
-    # A released record keeps delayed copies of the claim's write without effect, so
-    # only an absent one has to be claimed to find out.
-    if not left.requesters and (expected or not left.may_be_written):
-        return None, ()
-    return left, (_claim_write(left),)
-
-
-def _if_needed(state: KeyState, effect: Effect) -> Step:
-    return (None, ()) if is_unwanted(state) else (state, (effect,))
-
-
-def _paused(state: KeyState) -> Step:
-    return replace(state, tries=state.tries + 1), (Pause(),)
-
-
-def _refuse_all(state: KeyState, outcome: ClaimOutcome) -> Step:
-    return None, tuple(_refuse(item, outcome) for item in state.requesters)
-
-
-def _refuse(requester: Requester, outcome: ClaimOutcome) -> Decide:
-    return Decide(ClaimRefused(requester.request_id, outcome))
-
-
-def _claim_write(state: KeyState) -> Write:
-    record = ClaimRecord(ClaimState.CLAIMED, state.claim_id, state.digest)
-    return Write(record, state.expected)
-
-
-def _settle_write(state: KeyState) -> Write:
-    record = state.record
-    if record is None:
-        record = ClaimRecord(ClaimState.RELEASED, state.claim_id, state.digest)
-    return Write(record, state.revision)
+    return paused(state)
--- a/src/guavapin/claims/key_state.py
+++ b/src/guavapin/claims/key_state.py
@@ -18,12 +18,14 @@
     """What this process does about a key.
 
     CLAIMING repeats one compare-and-swap until its result is known, READING reads
-    the record after a conflict, HELD waits for the request that was granted, SETTLING
-    and RELEASING write what came of it, FOLLOWING waits for another claimant.
+    the record after a conflict, READING_PAGE its claimant's outcomes, HELD waits for
+    the request that was granted, SETTLING and RELEASING write what came of it,
+    FOLLOWING waits for another claimant.
     """
 
     CLAIMING = "claiming"
     READING = "reading"
+    READING_PAGE = "reading_page"
     HELD = "held"
     SETTLING = "settling"
     RELEASING = "releasing"
@@ -44,9 +46,10 @@
     """All requests for one key have the digest `digest`.
 
     `expected` is the revision that the claim's compare-and-swap expects, `revision`
-    that of the record when it was last seen. `may_be_written` tells that a write of
-    the claim got no answer. `delayed_by` is why the last call failed. `until_ms`
-    bounds work that nobody waits for.
+    that of the record when it was last seen. `page` and `other_claim_id` are those of
+    another claimant that is followed, `page_revision` that of its page.
+    `may_be_written` tells that a write of the claim got no answer. `delayed_by` is
+    why the last call failed. `until_ms` bounds work that nobody waits for.
     """
 
     phase: Phase
@@ -56,6 +59,9 @@
     holder: int | None = None
     expected: int = 0
     revision: int = 0
+    page: str = ""
+    page_revision: int = 0
+    other_claim_id: str = ""
     may_be_written: bool = False
     record: ClaimRecord | None = None
     tries: int = 0
@@ -71,16 +77,27 @@
     expected: int
 
 
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Write what came of the claim, in its page or at a revision of the record."""
+
+    record: ClaimRecord
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Read:
-    """Read the key's record."""
+    """Read the key's record, or a page."""
+
+    page: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Follow:
-    """Learn of changes of the key's record after a revision."""
+    """Learn of changes of the key's record, or of a page, after a revision."""
 
     after_revision: int
+    page: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +112,6 @@
     answer: ClaimAnswer
 
 
-Effect: TypeAlias = Write | Read | Follow | Pause | Decide
+Effect: TypeAlias = Write | Settle | Read | Follow | Pause | Decide
 # A key without state needs nothing more.
 Step: TypeAlias = tuple[KeyState | None, tuple[Effect, ...]]
--- /dev/null
+++ b/src/guavapin/claims/outcome_page.py
@@ -0,0 +1,128 @@
+"""A page of outcomes: those of several claims of one process in one value.
+
+A claim names its page, so that others know where its outcome will appear. Only the
+process that opened a page writes it. A write without an answer is repeated with the
+same entries: an earlier copy of it may be what a conflict shows, and entries added
+meanwhile would then be taken for written.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from guavapin.claims.record import ClaimRecord
+from guavapin.platform.messages import Conflict
+from guavapin.platform.messages import Written
+
+if TYPE_CHECKING:
+    from guavapin.platform.messages import PlatformOutcome
+
+# Bounds a page to 16 answers of 16 KB, well below the platform's 1 MB.
+MAX_CLAIMS = 16
+MAX_ENTRY_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """`entries[:written]` are at the platform; `sending` are in the present write.
+
+    `open_claims` counts claims without an outcome here. `is_busy` holds from the
+    first unwritten entry until all are written.
+    """
+
+    accepts_until_ms: int
+    assigned: int = 0
+    open_claims: int = 0
+    revision: int = 0
+    entries: tuple[ClaimRecord, ...] = ()
+    written: int = 0
+    sending: int = 0
+    is_busy: bool = False
+    tries: int = 0
+    until_ms: int = 0
+
+
+class PageStep(Enum):
+    """What comes next for a page."""
+
+    IDLE = "idle"
+    WRITE = "write"
+    LINGER = "linger"
+    PAUSE = "pause"
+
+
+_DECODER = msgspec.msgpack.Decoder(tuple[ClaimRecord, ...])
+
+
+def encode_page(entries: tuple[ClaimRecord, ...]) -> bytes:
+    """Return the platform value of a page."""
+    return msgspec.msgpack.encode(entries)
+
+
+def decode_page(value: bytes) -> dict[str, ClaimRecord] | None:
+    """Return the records by claim id, or None if the value is no page."""
+    try:
+        return {record.claim_id: record for record in _DECODER.decode(value)}
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
+
+
+def accepts(page: Page, now_ms: int) -> bool:
+    """Whether a further claim may name this page."""
+    return now_ms < page.accepts_until_ms and page.assigned < MAX_CLAIMS
+
+
+def assign(page: Page) -> Page:
+    """Add a claim that names this page."""
+    return replace(page, assigned=page.assigned + 1, open_claims=page.open_claims + 1)
+
+
+def abandon(page: Page) -> Page:
+    """Remove a claim that will have no outcome."""
+    return replace(page, open_claims=page.open_claims - 1)
+
+
+def add(page: Page, record: ClaimRecord, until_ms: int) -> tuple[Page, PageStep]:
+    """Add an outcome; it is written at once if the page waits for no other."""
+    left = replace(
+        page,
+        open_claims=page.open_claims - 1,
+        entries=(*page.entries, record),
+        is_busy=True,
+        until_ms=until_ms,
+    )
+    if page.is_busy:
+        return left, PageStep.IDLE
+    return left, _next_write(left)
+
+
+def send(page: Page) -> Page:
+    """Begin a write, or repeat the one whose result is not known."""
+    sending = page.sending if page.sending > page.written else len(page.entries)
+    return replace(page, sending=sending)
+
+
+def on_reply(page: Page, outcome: PlatformOutcome) -> tuple[Page, PageStep]:
+    """Handle the answer to a write; `written` rises if it took effect."""
+    if not isinstance(outcome, Written | Conflict):
+        return replace(page, tries=page.tries + 1), PageStep.PAUSE
+    left = replace(
+        page, revision=outcome.revision, written=page.sending, sending=0, tries=0
+    )
+    if left.written < len(left.entries):
+        return left, _next_write(left)
+    return replace(left, is_busy=False), PageStep.IDLE
+
+
+def is_finished(page: Page, now_ms: int) -> bool:
+    """Whether nothing more will happen to the page."""
+    return not page.is_busy and not page.open_claims and not accepts(page, now_ms)
+
+
+def _next_write(page: Page) -> PageStep:
+    return PageStep.LINGER if page.open_claims else PageStep.WRITE
--- a/src/guavapin/claims/record.py
+++ b/src/guavapin/claims/record.py
@@ -30,8 +30,10 @@
 class ClaimRecord:
     """Who claimed a key, for which request content, and what came of it.
 
-    `detail` explains `UNKNOWN`. A released claim stays as a record: a delayed copy of
-    a write that expects the key to be absent can then never take effect.
+    `detail` explains `UNKNOWN`. `page` is the platform key at which the outcome of a
+    claim appears, if not in this record. A released claim stays as a record: a
+    delayed copy of a write that expects the key to be absent can then never take
+    effect.
     """
 
     state: ClaimState
@@ -41,6 +43,7 @@
     headers: Headers = ()
     body: bytes = b""
     detail: str = ""
+    page: str = ""
 
 
 _DECODER = msgspec.msgpack.Decoder(ClaimRecord)
@@ -74,6 +77,11 @@
     )
 
 
+def record_bytes(record: ClaimRecord) -> int:
+    """Return the size of a record's answer."""
+    return len(record.body) + sum(len(a) + len(b) for a, b in record.headers)
+
+
 def unknown(claim_id: str, digest: bytes, detail: str) -> ClaimRecord:
     """Return the record of an unknown outcome."""
     return ClaimRecord(ClaimState.UNKNOWN, claim_id, digest, detail=detail)
--- a/src/guavapin/claims/record_store.py
+++ b/src/guavapin/claims/record_store.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from guavapin.claims import key_machine
+from guavapin.claims.calls import LEASE
+from guavapin.claims.calls import CallBook
 from guavapin.claims.key_state import Decide
 from guavapin.claims.key_state import Follow
 from guavapin.claims.key_state import KeyState
@@ -18,76 +21,71 @@
 from guavapin.claims.key_state import Phase
 from guavapin.claims.key_state import Read
 from guavapin.claims.key_state import Requester
+from guavapin.claims.key_state import Settle
 from guavapin.claims.key_state import Write
+from guavapin.claims.key_steps import is_unwanted
 from guavapin.claims.messages import ClaimGranted
 from guavapin.claims.messages import ClaimRefused
 from guavapin.claims.messages import NotRun
 from guavapin.claims.messages import OutcomeUnknown
 from guavapin.claims.messages import RecordAnswer
 from guavapin.claims.messages import RecordUnknown
+from guavapin.claims.outcome_page import MAX_ENTRY_BYTES
+from guavapin.claims.outcome_pages import PREFIX
+from guavapin.claims.outcome_pages import OutcomePages
 from guavapin.claims.reachability import Reachability
+from guavapin.claims.record import ClaimRecord
+from guavapin.claims.record import ClaimState
 from guavapin.claims.record import answered
 from guavapin.claims.record import encode_record
+from guavapin.claims.record import record_bytes
 from guavapin.claims.record import unknown
-from guavapin.claims.retention import Retention
-from guavapin.claims.store import SERVICE
 from guavapin.claims.store import Action
 from guavapin.claims.store import Actions
-from guavapin.claims.store import CallPlatform
 from guavapin.claims.store import ClaimsConfig
 from guavapin.claims.store import Tell
 from guavapin.claims.store import Wake
 from guavapin.claims.store import WakeAfter
 from guavapin.claims.store import WakeKind
-from guavapin.claims.store import backoff_ms
 from guavapin.claims.store import key_hash
 from guavapin.kernel.outcome import Reason
-from guavapin.platform.messages import Get
 from guavapin.platform.messages import Leased
-from guavapin.platform.messages import LeaseGrant
 from guavapin.platform.messages import Missing
 from guavapin.platform.messages import NotSent
-from guavapin.platform.messages import Put
 from guavapin.platform.messages import Unknown
-from guavapin.platform.messages import Watch
 
 if TYPE_CHECKING:
     from guavapin.claims.key_state import Effect
     from guavapin.claims.key_state import Step
     from guavapin.claims.messages import ClaimKey
     from guavapin.claims.messages import ReleaseClaim
-    from guavapin.claims.record import ClaimRecord
     from guavapin.platform.messages import PlatformOutcome
 
-LEASE_PATH = "lease"
-
 
 class RecordStore:
-    """Variant (a) of `ClaimStore`.
+    """Variant (a) of `ClaimStore`, by default with outcomes in pages.
 
-    `process_id` must differ for every process that ever ran; claim ids begin with it.
+    `process_id` must differ for every process that ever ran; claim ids and pages
+    begin with it.
     """
 
     def __init__(self, cfg: ClaimsConfig, process_id: str) -> None:
         self._cfg = cfg
         self._process_id = process_id
+        self._calls = CallBook(cfg, process_id)
+        self._pages = OutcomePages(cfg, process_id, self._calls)
         self._keys: dict[str, KeyState] = {}
         self._paths: dict[int, str] = {}
-        self._calls: dict[int, str] = {}
-        # The call whose answer, or the wake-up that, moves a key on.
-        self._current: dict[str, int] = {}
-        self._watches: set[int] = set()
-        self._leaseless: set[str] = set()
+        # Keys whose outcome waits for a page to be written, by claim id.
+        self._in_pages: dict[str, str] = {}
         self._claiming: set[str] = set()
         self._settling_bytes = 0
-        self._last_number = 0
-        self._retention = Retention()
         self._reachability = Reachability()
         self._counters: Counter[str] = Counter()
 
     def on_start(self, now_ms: int) -> Actions:
         """Ask for the lease, so that the first request need not wait for it."""
-        return self._ask_lease(now_ms)
+        return self._calls.ask_lease(now_ms)
 
     def on_claim(self, req: ClaimKey, now_ms: int) -> Actions:
         """Claim the key or wait for its holder."""
@@ -101,7 +99,7 @@
         requester = Requester(req.request_id, give_up_ms, req.deadline_ms)
         self._paths[req.request_id] = path
         if state is None:
-            claim_id = f"{self._process_id}-{self._next_number()}"
+            claim_id = f"{self._process_id}-{self._calls.next_number()}"
             until_ms = now_ms + self._cfg.settle_ms
             step = key_machine.begin(claim_id, req.digest, requester, until_ms)
         else:
@@ -139,49 +137,55 @@
 
     def on_reply(self, call_id: int, outcome: PlatformOutcome, now_ms: int) -> Actions:
         """Handle the answer to a call."""
-        path = self._calls.pop(call_id, None)
-        if path is None:
+        subject, is_current = self._calls.take(call_id)
+        if not subject:
             return ()
         is_answered = not isinstance(outcome, Unknown | NotSent)
         self._reachability = self._reachability.after(
             is_answered=is_answered, now_ms=now_ms
         )
         self._counters[type(outcome).__name__] += 1
-        if path == LEASE_PATH:
-            return self._on_lease(outcome, now_ms)
-        self._watches.discard(call_id)
-        state = self._keys.get(path)
-        if state is None or self._current.get(path) != call_id:
+        if not is_current:
             return ()
-        if isinstance(outcome, Missing) and state.phase is not Phase.READING:
-            self._retention = self._retention.lapsed()
+        if subject == LEASE:
+            return self._on_lease(outcome, now_ms)
+        if subject.startswith(PREFIX):
+            if isinstance(outcome, Missing):
+                self._calls.lease_lapsed()
+            claim_ids, actions = self._pages.on_reply(subject, outcome, now_ms)
+            return (*actions, *self._on_settled(claim_ids, now_ms))
+        state = self._keys[subject]
+        is_read = state.phase in (Phase.READING, Phase.READING_PAGE)
+        if isinstance(outcome, Missing) and not is_read:
+            self._calls.lease_lapsed()
         settle_ms = now_ms + self._cfg.settle_ms
         step = key_machine.on_reply(state, outcome, settle_ms)
-        return self._apply(path, step, now_ms)
+        told: Actions = ()
+        if state.phase is Phase.SETTLING and step[0] is None and self._cfg.has_pages:
+            # Tells those who follow the page to read the key's record.
+            claimed = ClaimRecord(ClaimState.CLAIMED, state.claim_id, state.digest)
+            told = self._pages.add(claimed, now_ms)
+        return (*told, *self._apply(subject, step, now_ms))
 
     def on_wake(self, wake: Wake, now_ms: int) -> Actions:
         """Handle a retry or the end of a request's time."""
         if wake.kind is WakeKind.LEASE:
-            self._retention = self._retention.unasked()
-            return self._ask_lease(now_ms)
-        path = wake.subject
-        if isinstance(path, int):
-            request_id = path
-            path = self._paths.get(request_id, "")
+            return self._calls.ask_lease_again(now_ms)
+        if isinstance(wake.subject, int):
+            path = self._paths.get(wake.subject, "")
             state = self._keys.get(path)
             if state is None:
                 return ()
-            step = key_machine.on_expire(state, request_id, now_ms)
+            step = key_machine.on_expire(state, wake.subject, now_ms)
             return self._apply(path, step, now_ms)
-        state = self._keys.get(path)
-        if state is None or self._current.get(path) != wake.turn:
+        if not self._calls.is_current(wake.subject, wake.turn):
             return ()
-        return self._apply(path, key_machine.on_retry(state, now_ms), now_ms)
+        return self._retry(wake.subject, now_ms)
 
     def counters(self) -> dict[str, int]:
-        """Return counters, with the number of keys and calls at present."""
-        present = {"keys": len(self._keys), "calls": len(self._calls)}
-        return dict(self._counters) | present
+        """Return counters, with the number of keys and pages at present."""
+        present = {"keys": len(self._keys), "pages": len(self._pages)}
+        return dict(self._counters) | dict(self._calls.counters) | present
 
     def _admit(
         self, state: KeyState | None, now_ms: int
@@ -228,7 +232,7 @@
         if state is not None:
             self._keys[path] = state
         else:
-            self._forget(path, former)
+            self._forget(path, former, now_ms)
         if state is not None and state.phase in (Phase.CLAIMING, Phase.READING):
             self._claiming.add(path)
         else:
@@ -238,13 +242,15 @@
             actions.extend(self._act(path, state, effect, now_ms))
         return tuple(actions)
 
-    def _forget(self, path: str, state: KeyState | None) -> None:
+    def _forget(self, path: str, state: KeyState | None, now_ms: int) -> None:
         self._keys.pop(path, None)
         self._claiming.discard(path)
-        self._current.pop(path, None)
-        self._leaseless.discard(path)
-        if state is not None and state.record is not None:
-            self._settling_bytes -= len(state.record.body)
+        self._calls.forget(path)
+        if state is not None:
+            self._pages.abandon(state.claim_id, now_ms)
+            self._in_pages.pop(state.claim_id, None)
+            if state.record is not None:
+                self._settling_bytes -= len(state.record.body)
 
     def _act(
         self, path: str, state: KeyState | None, effect: Effect, now_ms: int
@@ -254,18 +260,21 @@
         assert state is not None, "only decisions follow the end of a key's state"
         match effect:
             case Write(record, expected):
+                if self._cfg.has_pages:
+                    page = self._pages.assign(record.claim_id, now_ms)
+                    record = replace(record, page=page)
                 return self._write(path, record, expected, now_ms)
-            case Read():
-                call_id = self._call(path)
-                return (CallPlatform(Get(SERVICE, call_id, path)),)
-            case Follow(revision) if len(self._watches) < self._cfg.max_watches:
+            case Settle(record, revision):
+                return self._settle(path, record, revision, now_ms)
+            case Read(page):
+                return self._calls.read(path, page or path)
+            case Follow(revision, page):
                 last_ms = max(item.deadline_ms for item in state.requesters)
                 wait_ms = max(min(self._cfg.watch_ms, last_ms - now_ms), 1)
-                call_id = self._call(path)
-                self._watches.add(call_id)
-                return (CallPlatform(Watch(SERVICE, call_id, path, revision, wait_ms)),)
-            case Follow() | Pause():
-                return (self._retry_later(path, state),)
+                watch = self._calls.watch(path, page or path, revision, wait_ms)
+                return watch or self._calls.back_off(path, state.tries, state.claim_id)
+            case Pause():
+                return self._calls.back_off(path, state.tries, state.claim_id)
         return ()
 
     def _tell(self, effect: Decide) -> Actions:
@@ -277,55 +286,48 @@
             self._counters[type(answer.outcome).__name__] += 1
         return (Tell(answer),)
 
-    def _retry_later(self, path: str, state: KeyState) -> WakeAfter:
-        turn = self._next_number()
-        self._current[path] = turn
-        delay_ms = backoff_ms(self._cfg, state.tries, state.claim_id)
-        return WakeAfter(delay_ms, Wake(WakeKind.RETRY, path, turn))
-
     def _write(
         self, path: str, record: ClaimRecord, expected: int, now_ms: int
     ) -> Actions:
-        lease_id = self._retention.lease_at(now_ms)
-        if not lease_id:
-            self._leaseless.add(path)
-            return self._ask_lease(now_ms)
-        value = encode_record(record)
-        call_id = self._call(path)
-        return (CallPlatform(Put(SERVICE, call_id, path, value, expected, lease_id)),)
+        return self._calls.write(path, encode_record(record), expected, now_ms)
 
-    def _call(self, path: str) -> int:
-        call_id = self._next_number()
-        self._calls[call_id] = path
-        self._current[path] = call_id
-        return call_id
+    def _settle(
+        self, path: str, record: ClaimRecord, revision: int, now_ms: int
+    ) -> Actions:
+        """Write an outcome to the claim's page, a large one to the key's record."""
+        if not self._cfg.has_pages:
+            return self._write(path, record, revision, now_ms)
+        if record_bytes(record) <= MAX_ENTRY_BYTES:
+            self._in_pages[record.claim_id] = path
+            return self._pages.add(record, now_ms)
+        return self._write(path, record, revision, now_ms)
 
-    def _next_number(self) -> int:
-        self._last_number += 1
-        return self._last_number
+    def _on_settled(self, claim_ids: tuple[str, ...], now_ms: int) -> Actions:
+        actions: list[Action] = []
+        for claim_id in claim_ids:
+            path = self._in_pages.pop(claim_id, "")
+            if path:
+                step = key_machine.on_settled(self._keys[path])
+                actions.extend(self._apply(path, step, now_ms))
+        return tuple(actions)
 
-    def _ask_lease(self, now_ms: int) -> Actions:
-        if self._retention.asked_ms is not None:
-            return ()
-        self._retention = self._retention.asked(now_ms)
-        ttl_ms = self._cfg.retention_ms + self._cfg.lease_span_ms
-        call_id = self._call(LEASE_PATH)
-        return (CallPlatform(LeaseGrant(SERVICE, call_id, ttl_ms)),)
+    def _retry(self, subject: str, now_ms: int) -> Actions:
+        if subject.startswith(PREFIX):
+            lost, actions = self._pages.on_wake(subject, now_ms)
+            for claim_id in lost:
+                path = self._in_pages.pop(claim_id, "")
+                self._forget(path, self._keys.get(path), now_ms)
+            return actions
+        step = key_machine.on_retry(self._keys[subject], now_ms)
+        return self._apply(subject, step, now_ms)
 
     def _on_lease(self, outcome: PlatformOutcome, now_ms: int) -> Actions:
-        paths, self._leaseless = sorted(self._leaseless), set()
-        if not isinstance(outcome, Leased):
-            self._counters["lease_failures"] += 1
-            self._leaseless.update(paths)
-            for path in paths:
-                if key_machine.is_unwanted(self._keys[path]):
-                    self._forget(path, self._keys[path])
-            delay_ms = backoff_ms(self._cfg, 3, self._process_id)
-            return (WakeAfter(delay_ms, Wake(WakeKind.LEASE)),)
-        span_ms = self._cfg.lease_span_ms
-        self._retention = self._retention.granted(outcome.lease_id, span_ms)
-        actions: list[Action] = []
-        for path in paths:
-            step = key_machine.on_retry(self._keys[path], now_ms)
-            actions.extend(self._apply(path, step, now_ms))
-        return tuple(actions)
+        waiting, actions = self._calls.on_lease(outcome)
+        if isinstance(outcome, Leased):
+            retried = (self._retry(subject, now_ms) for subject in waiting)
+            return tuple(action for each in retried for action in each)
+        for subject in waiting:
+            state = self._keys.get(subject)
+            if state is not None and is_unwanted(state):
+                self._forget(subject, state, now_ms)
+        return actions
--- a/src/guavapin/claims/store.py
+++ b/src/guavapin/claims/store.py
@@ -38,7 +38,9 @@
     bounds the keys whose claim the platform has not confirmed; further requests are
     refused at once, so that a slow platform does not collect slots. `settle_ms`
     bounds how long an outcome or a release is offered to a platform that does not
-    answer, and `max_settling_bytes` the memory of such outcomes. A record is kept
+    answer, and `max_settling_bytes` the memory of such outcomes. With `has_pages`
+    outcomes are written for several keys at once, in a page that takes claims for
+    `page_open_ms` and waits `page_linger_ms` for further outcomes. A record is kept
     from `retention_ms` to `retention_ms + lease_span_ms` after its last write.
     """
 
@@ -51,6 +53,9 @@
     max_waiters: int = 64
     max_watches: int = 12
     watch_ms: int = 20_000
+    has_pages: bool = True
+    page_open_ms: int = 250
+    page_linger_ms: int = 100
     max_settling_bytes: int = 32 * 1024 * 1024
     retention_ms: int = 24 * HOUR_MS
     lease_span_ms: int = 600_000
--- a/src/guavapin_bench/claims.py
+++ b/src/guavapin_bench/claims.py
@@ -1,6 +1,7 @@
 """Compares the claim stores: ``python -m guavapin_bench.claims --seed N``.
 
-All variants get the same requests in the same run; ratios are to one record a key.
+All variants get the same requests in the same run; ratios are to one record a key
+without pages.
 Time is simulated, so the figures do not depend on the machine.
 """
 
@@ -20,6 +21,7 @@
 
 Make: TypeAlias = Callable[[str], ClaimStore]
 CFG = ClaimsConfig()
+PLAIN = ClaimsConfig(has_pages=False)
 RATES = (10, 100, 300)
 PROCESSES = (1, 4, 8)
 
@@ -30,7 +32,8 @@
 
 
 VARIANTS: dict[str, Make] = {
-    "(a) record": lambda process_id: RecordStore(CFG, process_id),
+    "(a) record": lambda process_id: RecordStore(PLAIN, process_id),
+    "(a) with pages": lambda process_id: RecordStore(CFG, process_id),
     "(b) log": log_store(0),
     "(b) log 20 ms": log_store(20),
     "(b) log 100 ms": log_store(100),
