--- a/src/guavapin/platform/client.py
+++ b/src/guavapin/platform/client.py
@@ -258,7 +258,9 @@
     def _answer(self, waiting: _Waiting, outcome: PlatformOutcome) -> None:
         self.counters[waiting.call.kind, type(outcome).__name__] += 1
         if waiting.caller is not None:
-            waiting.caller.fut.set_result(outcome)
+            # A caller that gave up may have cancelled the future.
+            if waiting.caller.fut.set_running_or_notify_cancel():
+                waiting.caller.fut.set_result(outcome)
         else:
             reply = Reply(waiting.req.request_id, outcome)
             self._context.send(waiting.req.reply_to, reply)
--- a/src/guavapin_standins/platform.py
+++ b/src/guavapin_standins/platform.py
@@ -191,7 +191,11 @@
         )
 
     def _serve(self, conn: HttpConnection, req: HttpRequest) -> None:
-        url = urlsplit(req.target)
+        try:
+            url = urlsplit(req.target)
+        except ValueError:
+            conn.answer(400, (), b"")
+            return
         query = {name: values[-1] for name, values in parse_qs(url.query).items()}
         call = parse_call(req.method, unquote(url.path), query, req.body)
         if url.path.startswith("/standin/"):
@@ -295,7 +299,7 @@
         if path == "/standin/faults" and req.method == "PUT":
             try:
                 self._set_faults(msgspec.json.decode(req.body, type=Faults))
-            except msgspec.ValidationError as exc:
+            except msgspec.MsgspecError as exc:
                 return 400, (), str(exc).encode()
             return 200, (), b""
         if path.startswith("/standin/hosts/") and req.method == "PUT":
--- a/tests/platform/test_client.py
+++ b/tests/platform/test_client.py
@@ -204,6 +204,15 @@
     assert platform.task.counters.by_kind["get"] == 4
 
 
+def test_cancelled_call_does_not_end_the_client(
+    client: Client, platform: RunningPlatform
+) -> None:
+    # Guards against an operator's request that gave up and takes the loop with it.
+    platform.set_faults(Faults(delay_ms=50))
+    assert client.begin(Get("", 0, "a")).cancel()
+    assert client.get("a") == Missing()
+
+
 def test_a_write_is_transmitted_once_on_a_reused_connection_that_dies() -> None:
     # Guards against libcurl's own repetition: the second transmission of a write
     # would report a conflict with the first.
