--- a/src/guavapin/limits/slots.py
+++ b/src/guavapin/limits/slots.py
@@ -157,14 +157,18 @@
     """Return what the seat may use of its own at `now_ms`."""
     if now_ms < state.held_off_until_ms:
         return 0
+    if not state.former:
+        return state.share
     former = [item.share for item in state.former if now_ms < item.until_ms]
-    return min(state.share, *former) if former else state.share
+    return min([state.share, *former])
 
 
 def free_own(state: SlotState, now_ms: int) -> int:
     """Return the own slots that are neither used nor lent; may be negative."""
-    lent = sum(now_ms < loan.until_ms for loan in state.lent)
-    return effective_share(state, now_ms) - state.used - lent
+    free = effective_share(state, now_ms) - state.used
+    if state.lent:
+        free -= sum(now_ms < loan.until_ms for loan in state.lent)
+    return free
 
 
 def reserve(
--- a/src/guavapin/retries/policy.py
+++ b/src/guavapin/retries/policy.py
@@ -12,8 +12,10 @@
 
 # RFC 9110, section 9.2.2.
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-# An overloaded or leaving upstream; 500 usually repeats and is left to the caller.
-REPEATABLE_STATUSES = frozenset({502, 503, 504})
+# A worker that fails everything answers 500; its callers see nothing of it when
+# idempotent requests are tried elsewhere. Where every upstream answers 500, the retry
+# budget bounds the extra load.
+REPEATABLE_STATUSES = frozenset({500, 502, 503, 504})
 MAX_ATTEMPTS = 3
 
 
--- a/src/guavapin/routing/health.py
+++ b/src/guavapin/routing/health.py
@@ -183,8 +183,7 @@
     weight = settings.smoothing
     learned = health.slowness
     if not failed:
-        # A single outlier of 100 times must not exclude an upstream for minutes.
-        learned += weight * (min(slowness, 10.0) - learned)
+        learned += weight * (slowness - learned)
     share = health.failure_share + weight * (float(failed) - health.failure_share)
     return replace(
         health,
--- a/src/guavapin/routing/verdict.py
+++ b/src/guavapin/routing/verdict.py
@@ -9,7 +9,6 @@
 
 RATE_LIMITED = 429
 NO_CONTENT = 204
-NOT_MODIFIED = 304
 SERVER_ERRORS = 500
 
 # Prefix of `AttemptEnded.detail` when this process or its host was at fault: no
@@ -43,13 +42,13 @@
 class AttemptSummary:
     """What is known of an ended attempt; `status` is 0 when no head arrived.
 
-    `body_bytes` counts the answer's body. `expects_body` is false for methods and
-    services whose successful answer may be empty.
+    `has_body` tells whether the answer had any body. `expects_body` is false for
+    methods and services whose successful answer may be empty.
     """
 
     result: AttemptResult
     status: int = 0
-    body_bytes: int = 0
+    has_body: bool = False
     detail: str = ""
     expects_body: bool = False
 
@@ -77,4 +76,4 @@
 
 def _is_empty_success(summary: AttemptSummary) -> bool:
     is_success = 200 <= summary.status < 300 and summary.status != NO_CONTENT
-    return is_success and summary.expects_body and summary.body_bytes == 0
+    return is_success and summary.expects_body and not summary.has_body
--- a/src/guavapin/serving/exchange.py
+++ b/src/guavapin/serving/exchange.py
@@ -75,7 +75,7 @@
     tried: tuple[str, ...] = ()
     sent_ms: int = 0
     status: int = 0
-    answer_bytes: int = 0
+    has_answer_body: bool = False
     may_have_run: bool = False
     is_claimed: bool = False
 
@@ -197,7 +197,7 @@
         tried=(*exchange.tried, exchange.host),
         sent_ms=now_ms,
         status=0,
-        answer_bytes=0,
+        has_answer_body=False,
     )
 
 
@@ -232,8 +232,9 @@
     """Pass a part of the body on to the caller."""
     if exchange.phase is not Phase.ANSWERING:
         return exchange, ()
-    grown = replace(exchange, answer_bytes=exchange.answer_bytes + len(data))
-    return grown, (SendToFront(AnswerBody(exchange.request_id, data)),)
+    if not exchange.has_answer_body and data:
+        exchange = replace(exchange, has_answer_body=True)
+    return exchange, (SendToFront(AnswerBody(exchange.request_id, data)),)
 
 
 def on_attempt_ended(exchange: Exchange, ended: EndedAttempt, reason: str) -> Step:
--- a/src/guavapin/serving/exchange_attempt.py
+++ b/src/guavapin/serving/exchange_attempt.py
@@ -24,6 +24,10 @@
 # percentile, with a floor for kinds that usually answer at once.
 FIRST_BYTE_FACTOR = 10
 FIRST_BYTE_FLOOR_MS = 5_000
+# The bound of the task `upstreams` lies this far behind the deadline, as a last resort.
+DEADLINE_SLACK_MS = 1_000
+# A kind that is not known yet counts as late after this time.
+UNKNOWN_LATE_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +67,7 @@
         body_follows=not is_whole,
         connect_ms=min(CONNECT_MS, remaining_ms),
         first_byte_ms=first_byte_bound_ms(exchange.expectation, remaining_ms),
-        progress_ms=min(PROGRESS_MS, remaining_ms),
+        progress_ms=PROGRESS_MS,
         fresh_connection=not exchange.is_idempotent,
     )
 
@@ -86,11 +90,18 @@
 
 
 def first_byte_bound_ms(expectation: Expectation, remaining_ms: int) -> int:
-    """Return how long to wait for the head of the answer."""
+    """Return how long to wait for the head of the answer.
+
+    Only a bound learned from the service may end an attempt as a failure of its
+    upstream. The request's deadline ends it first by a cancellation, since under
+    overload requests start shortly before their deadline: counted as failures, these
+    ejected healthy upstreams.
+    """
+    deadline_ms = remaining_ms + DEADLINE_SLACK_MS
     if not expectation.is_known:
-        return remaining_ms
+        return deadline_ms
     bound_ms = max(int(expectation.p95_ms * FIRST_BYTE_FACTOR), FIRST_BYTE_FLOOR_MS)
-    return min(bound_ms, remaining_ms)
+    return min(bound_ms, deadline_ms)
 
 
 def verdict_of(
@@ -103,7 +114,7 @@
     summary = AttemptSummary(
         ended.result,
         status,
-        exchange.answer_bytes if exchange else 0,
+        exchange is not None and exchange.has_answer_body,
         ended.detail,
         expects_body=exchange is not None and exchange.method == "GET",
     )
@@ -116,9 +127,11 @@
     A caller may set any deadline, so only an answer that is far later than usual
     counts as a failure.
     """
-    usual_ms = attempt.expectation.p95_ms
-    is_late = now_ms - attempt.sent_ms > max(2 * usual_ms, 1_000)
-    return Verdict.FAILURE if attempt.expectation.is_known and is_late else None
+    expectation = attempt.expectation
+    late_ms = max(2 * expectation.p95_ms, 1_000)
+    if not expectation.is_known:
+        late_ms = max(late_ms, UNKNOWN_LATE_MS)
+    return Verdict.FAILURE if now_ms - attempt.sent_ms > late_ms else None
 
 
 def slowness_of(attempt: Attempt, now_ms: int) -> float:
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -159,19 +159,22 @@
         return True
 
     def store(self, step: Step) -> None:
-        """Store the outcome of an event that frees nothing, and send its actions."""
+        """Store the outcome of an event that does not end the request."""
         exchange, actions = step
         self._exchanges[exchange.request_id] = exchange
         for action in actions:
             self._act(exchange, action)
 
     def apply(self, step: Step) -> None:
-        """Store the outcome of an event, carry its actions out, start what waits."""
+        """Store the outcome of an event and send its actions.
+
+        The end of a request starts those that wait for its pool.
+        """
         exchange = step[0]
         self.store(step)
         if exchange.phase is Phase.DONE:
             self._forget(exchange)
-        self.dispatch(exchange.service.pool)
+            self.dispatch(exchange.service.pool)
 
     def dispatch(self, pool_name: str) -> None:
         """Start the requests that wait for the pool while it has room."""
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -37,8 +37,10 @@
 # How long an upstream that announced its leaving is left alone when neither the list
 # nor an operator has confirmed it.
 LEAVING_MS = 60_000
-# Bounds what one attempt adds to the adaptive limit's mean.
-MAX_SLOWNESS = 10.0
+# Bounds what one attempt adds to the means of answer time. Long work that cannot be
+# told apart from short by its path would otherwise look like an overloaded upstream:
+# a bound of 10 with 5% long work took slots out of use.
+MAX_SLOWNESS = 3.0
 MAX_PICKS = 3
 
 
@@ -183,6 +185,7 @@
         self.running -= 1
         self.long_running -= placement.is_long
         limit = record.limit
+        slowness = min(slowness, MAX_SLOWNESS)
         if verdict is None:
             health = health_rules.cancel_attempt(record.health, placement.is_trial)
         else:
@@ -197,9 +200,8 @@
                 placement.is_trial,
             )
             if verdict is Verdict.SUCCESS and self._settings.adapts_limit:
-                bounded = min(slowness, MAX_SLOWNESS)
                 limit = concurrency.observe_answer(
-                    limit, bounded, record.health.outstanding
+                    limit, slowness, record.health.outstanding
                 )
         record = replace(
             record,
@@ -251,7 +253,7 @@
         self.total_slots += room - self._room.pop(host, 0)
         if exchange_upstream.takes_work(record):
             self._room[host] = room
-        has_room = exchange_upstream.has_room(record, settings, now_ms)
+        has_room = exchange_upstream.has_room(record, room, now_ms)
         _set_member(self._free, host, has_room)
         _set_member(self._long_free, host, has_room and host in self._long_hosts)
         is_due = health_rules.is_probe_due(record.health, now_ms)
--- a/src/guavapin/serving/exchange_upstream.py
+++ b/src/guavapin/serving/exchange_upstream.py
@@ -41,18 +41,22 @@
     """Return how many requests may run at once, by share, limit and slow start."""
     if not takes_work(record):
         return 0
-    share = slot_rules.effective_share(record.slots, now_ms)
-    lent = sum(now_ms < loan.until_ms for loan in record.slots.lent)
-    borrowed = sum(now_ms < loan.until_ms for loan in record.slots.borrowed)
-    total = min(share - lent + borrowed, concurrency.allowed(record.limit))
+    slots = record.slots
+    total = slot_rules.effective_share(slots, now_ms)
+    if slots.lent or slots.borrowed:
+        total -= sum(now_ms < loan.until_ms for loan in slots.lent)
+        total += sum(now_ms < loan.until_ms for loan in slots.borrowed)
+    total = min(total, concurrency.allowed(record.limit))
     if total <= 0:
         return 0
+    if record.health.returned_ms < 0:
+        return total
     return max(int(total * health_rules.ramp(record.health, now_ms, settings)), 1)
 
 
-def has_room(record: UpstreamRecord, settings: HealthSettings, now_ms: int) -> bool:
-    """Tell whether one more request may start on the upstream."""
-    if record.health.outstanding >= usable_slots(record, settings, now_ms):
+def has_room(record: UpstreamRecord, usable: int, now_ms: int) -> bool:
+    """Tell whether one more request may start; `usable` is from `usable_slots`."""
+    if record.health.outstanding >= usable:
         return False
     is_idle_loan = any(
         not loan.in_use and now_ms < loan.until_ms for loan in record.slots.borrowed
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -272,3 +272,42 @@
     rig.request(4)
     assert [start.address for start in rig.take(StartAttempt)] == ["h0:80"]
     assert supply(rig).running == 1
+
+
+def test_requests_cut_by_their_deadline_do_not_eject_their_upstream() -> None:
+    """Guards against healthy upstreams ejected under overload, when requests start
+    shortly before their deadline."""
+    rig = Rig(make_objects(hosts=2, slots=4))
+    for request_id in range(1, 61):
+        rig.request(request_id, guavapin_deadline_ms="150")
+        for start in rig.take(StartAttempt):
+            assert start.first_byte_ms > 150
+            if request_id <= 20:
+                rig.harness.advance(100)
+                rig.answer(start.attempt_id)
+        rig.harness.advance(200)
+    assert supply(rig).usable == 2
+
+
+def test_silent_upstream_is_ejected_by_deadlines() -> None:
+    """Guards against an upstream that never answers and stays in use."""
+    rig = Rig(make_objects(hosts=2, slots=4))
+    for request_id in range(1, 80):
+        rig.request(request_id, "POST", guavapin_deadline_ms="3000")
+        for start in rig.take(StartAttempt):
+            if start.address != "h0:80" and start.method == "POST":
+                rig.harness.advance(10)
+                rig.answer(start.attempt_id)
+        rig.harness.advance(500)
+    assert supply(rig).usable == 1
+
+
+def test_long_work_with_the_path_of_short_work_keeps_the_slots_in_use() -> None:
+    """Guards against an adaptive limit that takes 100 times longer work for load."""
+    rig = Rig(make_objects(hosts=1, slots=8))
+    for request_id in range(1, 600):
+        rig.request(request_id)
+        for start in rig.take(StartAttempt):
+            rig.harness.advance(1_000 if request_id % 20 == 0 else 10)
+            rig.answer(start.attempt_id)
+    assert supply(rig).total_slots == 8
