--- a/src/guavapin/routing/indexed_set.py
+++ b/src/guavapin/routing/indexed_set.py
@@ -49,3 +49,10 @@
         if last != name:
             self._items[position] = last
             self._positions[last] = position
+
+    def set_member(self, name: str, is_member: bool) -> None:
+        """Insert or remove `name`."""
+        if is_member:
+            self.add(name)
+        else:
+            self.discard(name)
--- a/src/guavapin/serving/exchange.py
+++ b/src/guavapin/serving/exchange.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
-from guavapin.retries.policy import IDEMPOTENT_METHODS
 from guavapin.retries.policy import EndedAttempt
 from guavapin.retries.policy import has_not_run
 from guavapin.retries.policy import may_repeat
@@ -26,8 +25,7 @@
 from guavapin.serving.messages import AttemptResult
 
 if TYPE_CHECKING:
-    from guavapin.objects.model import Service
-    from guavapin.routing.run_time import Expectation
+    from guavapin.serving.exchange_request import CallerRequest
     from guavapin.serving.messages import Headers
 
 RETRY_AFTER_S = 1
@@ -47,42 +45,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Exchange:
-    """One request and where it stands; times are monotonic milliseconds.
+    """One request and where it stands.
 
-    `key` is the idempotency key of a request that has to be claimed, else empty.
     `may_have_run` is set once an attempt ended that may have run the request; only
-    without it may a refusal say that nothing ran.
+    without it may a refusal say that nothing ran. `tried` are the hosts of all
+    attempts so far, `attempt_id` is the last one.
     """
 
-    request_id: int
-    service: Service
-    method: str
-    target: str
-    headers: Headers
-    received_ms: int
-    deadline_ms: int
-    body_follows: bool
-    expectation: Expectation
-    kind: str = ""
-    key: str = ""
-    team: str = ""
-    is_urgent: bool = False
-    hops: int = 0
+    request: CallerRequest
     phase: Phase = Phase.QUEUED
     attempt_id: int = 0
     host: str = ""
-    attempts: int = 0
     tried: tuple[str, ...] = ()
-    sent_ms: int = 0
-    status: int = 0
     has_answer_body: bool = False
     may_have_run: bool = False
     is_claimed: bool = False
 
     @property
-    def is_idempotent(self) -> bool:
-        """Whether running the request twice has the same effect as once."""
-        return self.service.idempotent or self.method in IDEMPOTENT_METHODS
+    def request_id(self) -> int:
+        """Number of the request."""
+        return self.request.request_id
+
+    @property
+    def attempts(self) -> int:
+        """Number of attempts made."""
+        return len(self.tried)
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,15 +127,10 @@
 Step: TypeAlias = tuple[Exchange, tuple[Action, ...]]
 
 
-def with_key(exchange: Exchange, key: str) -> Exchange:
-    """Return the exchange with the key to claim; idempotent requests need no claim."""
-    return exchange if exchange.is_idempotent else replace(exchange, key=key)
-
-
 def on_admitted(exchange: Exchange, host: str) -> Step:
     """A slot on `host` is reserved: claim the key first, or send at once."""
     admitted = replace(exchange, phase=Phase.ADMITTED, host=host)
-    if exchange.key and not exchange.is_claimed:
+    if exchange.request.key and not exchange.is_claimed:
         return replace(admitted, phase=Phase.CLAIMING), (Claim(),)
     return admitted, (Send(),)
 
@@ -187,17 +169,13 @@
     return (_done(exchange) if exchange.phase is Phase.RECORDED else exchange), ()
 
 
-def on_sent(exchange: Exchange, attempt_id: int, now_ms: int) -> Exchange:
+def on_sent(exchange: Exchange, attempt_id: int) -> Exchange:
     """Record that an attempt has been started."""
     return replace(
         exchange,
         phase=Phase.SENT,
         attempt_id=attempt_id,
-        attempts=exchange.attempts + 1,
         tried=(*exchange.tried, exchange.host),
-        sent_ms=now_ms,
-        status=0,
-        has_answer_body=False,
     )
 
 
@@ -208,7 +186,7 @@
     """
     if exchange.phase is not Phase.SENT or not has_body:
         return False
-    is_safe = exchange.is_idempotent
+    is_safe = exchange.request.is_idempotent
     return may_repeat(ended, is_safe, exchange.attempts, answer_started=False)
 
 
@@ -224,7 +202,7 @@
         return exchange, ()
     length = announced_length(headers)
     head = AnswerHead(exchange.request_id, status, headers, length)
-    answering = replace(exchange, phase=Phase.ANSWERING, status=status)
+    answering = replace(exchange, phase=Phase.ANSWERING)
     return answering, (SendToFront(head),)
 
 
--- a/src/guavapin/serving/exchange_arrival.py
+++ b/src/guavapin/serving/exchange_arrival.py
@@ -5,12 +5,13 @@
 from typing import TYPE_CHECKING
 
 from guavapin.limits.queue import Waiting
+from guavapin.retries.policy import is_idempotent
 from guavapin.routing.run_time import kind_of
 from guavapin.routing.zones import OwnSupply
 from guavapin.routing.zones import Spill
 from guavapin.routing.zones import choose_zone
-from guavapin.serving import exchange as machine
 from guavapin.serving.exchange import Exchange
+from guavapin.serving.exchange_request import CallerRequest
 
 if TYPE_CHECKING:
     from guavapin.objects.model import Service
@@ -30,7 +31,7 @@
     timeout_ms = service.timeout_ms
     if head.deadline_ms:
         timeout_ms = min(timeout_ms, head.deadline_ms)
-    exchange = Exchange(
+    request = CallerRequest(
         request_id=message.request_id,
         service=service,
         method=message.method,
@@ -38,27 +39,29 @@
         headers=message.headers,
         received_ms=message.received_ms,
         deadline_ms=message.received_ms + timeout_ms,
-        body_follows=message.body_follows,
         expectation=router.services[service.name].run_times.expect(kind),
         kind=kind,
+        # Idempotent requests need no claim.
+        key="" if is_idempotent(message.method, service) else head.key,
         team=head.team,
         is_urgent=head.is_urgent,
         hops=head.hops,
     )
-    return machine.with_key(exchange, head.key)
+    return Exchange(request)
 
 
 def waiting_of(exchange: Exchange) -> Waiting:
     """Return what the queue needs to know of a request."""
+    request = exchange.request
     return Waiting(
-        exchange.request_id,
-        exchange.deadline_ms,
-        exchange.expectation.run_ms,
-        exchange.service.name,
-        exchange.service.queue_limit,
-        exchange.is_urgent,
-        exchange.expectation.is_long,
-        exchange.team,
+        request.request_id,
+        request.deadline_ms,
+        request.expectation.run_ms,
+        request.service.name,
+        request.service.queue_limit,
+        request.is_urgent,
+        request.expectation.is_long,
+        request.team,
     )
 
 
@@ -67,16 +70,16 @@
 
     A request with a key never leaves: the other entry host would claim it again.
     """
-    reports = router.reports.get(exchange.service.pool, ())
-    if not reports or exchange.key:
+    reports = router.reports.get(exchange.request.service.pool, ())
+    if not reports or exchange.request.key:
         return ""
-    queue = router.queues[exchange.service.pool]
+    queue = router.queues[exchange.request.service.pool]
     own = OwnSupply(
         queue.pool.usable_upstreams,
         queue.pool.free_upstreams,
         queue.expected_wait_ms(waiting_of(exchange)),
     )
     choice = choose_zone(
-        own, reports, exchange.hops, now_ms, router.rng, router.settings.spill
+        own, reports, exchange.request.hops, now_ms, router.rng, router.settings.spill
     )
     return choice.entry_host if isinstance(choice, Spill) else ""
--- a/src/guavapin/serving/exchange_attempt.py
+++ b/src/guavapin/serving/exchange_attempt.py
@@ -43,7 +43,6 @@
     placement: Placement | None
     sent_ms: int
     expectation: Expectation
-    status: int = 0
 
 
 def build_start(
@@ -54,21 +53,21 @@
     now_ms: int,
 ) -> StartAttempt:
     """Return the message that sends `exchange`; `body` is the data and "is whole"."""
-    remaining_ms = max(exchange.deadline_ms - now_ms, 1)
-    hops = exchange.hops + (attempt.placement is None)
+    remaining_ms = max(exchange.request.deadline_ms - now_ms, 1)
+    hops = exchange.request.hops + (attempt.placement is None)
     data, is_whole = body
     return StartAttempt(
         attempt_id=attempt.attempt_id,
         address=address,
-        method=exchange.method,
-        target=exchange.target,
-        headers=with_deadline(exchange.headers, remaining_ms, hops),
+        method=exchange.request.method,
+        target=exchange.request.target,
+        headers=with_deadline(exchange.request.headers, remaining_ms, hops),
         body=data,
         body_follows=not is_whole,
         connect_ms=min(CONNECT_MS, remaining_ms),
-        first_byte_ms=first_byte_bound_ms(exchange.expectation, remaining_ms),
+        first_byte_ms=first_byte_bound_ms(exchange.request.expectation, remaining_ms),
         progress_ms=PROGRESS_MS,
-        fresh_connection=not exchange.is_idempotent,
+        fresh_connection=not exchange.request.is_idempotent,
     )
 
 
@@ -116,7 +115,7 @@
         status,
         exchange is not None and exchange.has_answer_body,
         ended.detail,
-        expects_body=exchange is not None and exchange.method == "GET",
+        expects_body=exchange is not None and exchange.request.method == "GET",
     )
     return classify_attempt(summary, rules)
 
--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from guavapin.routing.run_time import Expectation
@@ -30,6 +29,7 @@
     def __init__(self, router: ExchangeRouter) -> None:
         self._router = router
         self._attempts: dict[int, Attempt] = {}
+        self._statuses: dict[int, int] = {}
         self._ids = itertools.count(1)
 
     def __len__(self) -> int:
@@ -51,10 +51,10 @@
         attempt = Attempt(
             next(self._ids),
             exchange.request_id,
-            exchange.service.pool,
+            exchange.request.service.pool,
             placement,
             now_ms,
-            exchange.expectation,
+            exchange.request.expectation,
         )
         self._attempts[attempt.attempt_id] = attempt
         return build_start(exchange, attempt, address, body, now_ms)
@@ -72,7 +72,11 @@
 
     def set_status(self, attempt_id: int, status: int) -> None:
         """Note the status of the answer."""
-        self._attempts[attempt_id] = replace(self._attempts[attempt_id], status=status)
+        self._statuses[attempt_id] = status
+
+    def status_of(self, attempt_id: int) -> int:
+        """Return the status of the answer, 0 before its head."""
+        return self._statuses.get(attempt_id, 0)
 
     def end(
         self,
@@ -83,6 +87,7 @@
     ) -> None:
         """Forget an attempt, give its slot back and learn from its end."""
         attempt = self._attempts.pop(attempt_id)
+        status = self._statuses.pop(attempt_id, 0)
         placement = attempt.placement
         if placement is None:
             return
@@ -94,6 +99,6 @@
             return
         run_ms = now_ms - attempt.sent_ms
         self._router.queues[attempt.pool].learn(placement.is_long, run_ms)
-        if verdict is Verdict.SUCCESS and attempt.status < FIRST_ERROR:
-            service = self._router.services[exchange.service.name]
-            service.run_times.observe(exchange.kind, run_ms)
+        if verdict is Verdict.SUCCESS and status < FIRST_ERROR:
+            service = self._router.services[exchange.request.service.name]
+            service.run_times.observe(exchange.request.kind, run_ms)
--- a/src/guavapin/serving/exchange_claims.py
+++ b/src/guavapin/serving/exchange_claims.py
@@ -56,10 +56,10 @@
             return "cut_off"
         message = ClaimKey(
             exchange.request_id,
-            exchange.service.name,
-            exchange.key,
+            exchange.request.service.name,
+            exchange.request.key,
             _digest(exchange, body),
-            exchange.deadline_ms - int(exchange.expectation.run_ms),
+            exchange.request.deadline_ms - int(exchange.request.expectation.run_ms),
         )
         self._context.send(self._service, message)
         return ""
@@ -117,7 +117,11 @@
 def _digest(exchange: Exchange, body: bytes) -> bytes:
     """Return what tells two requests with one key apart."""
     digest = hashlib.blake2b(digest_size=16)
-    for part in (exchange.method.encode(), exchange.target.encode("latin-1"), body):
+    for part in (
+        exchange.request.method.encode(),
+        exchange.request.target.encode("latin-1"),
+        body,
+    ):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -98,9 +98,9 @@
         self._exchanges[exchange.request_id] = exchange
         if message.body_follows:
             self.bodies.open(exchange.request_id)
-        left_ms = exchange.deadline_ms - self._context.now_ms()
+        left_ms = exchange.request.deadline_ms - self._context.now_ms()
         self._deadlines.set(exchange.request_id, max(left_ms, 0))
-        if exchange.key:
+        if exchange.request.key:
             self._enqueue_keyed(exchange)
         elif not self._spill(exchange):
             self._enqueue(exchange)
@@ -111,7 +111,7 @@
         if exchange is None:
             return
         size = self.bodies.add(part.request_id, part.data, part.is_last)
-        if size > exchange.service.max_body_bytes:
+        if size > exchange.request.service.max_body_bytes:
             self.apply(machine.on_body_too_large(exchange))
         elif exchange.phase in (Phase.SENT, Phase.ANSWERING):
             forward = AttemptRequestBody(exchange.attempt_id, part.data, part.is_last)
@@ -119,7 +119,7 @@
         else:
             if self.bodies.must_pause(part.request_id):
                 self._context.send("front", FlowControl(part.request_id, True))
-            if exchange.key:
+            if exchange.request.key:
                 self._enqueue_keyed(exchange)
 
     def on_deadline(self, request_id: int) -> None:
@@ -146,10 +146,10 @@
         delay = delay_ms(
             exchange.attempts, self._router.rng, self._router.settings.backoff
         )
-        end_ms = self._context.now_ms() + delay + exchange.expectation.run_ms
-        if end_ms > exchange.deadline_ms:
+        end_ms = self._context.now_ms() + delay + exchange.request.expectation.run_ms
+        if end_ms > exchange.request.deadline_ms:
             return False
-        if not self._router.services[exchange.service.name].spend_retry():
+        if not self._router.services[exchange.request.service.name].spend_retry():
             self.counts["retries_over_budget"] += 1
             return False
         self.counts["retries"] += 1
@@ -174,7 +174,7 @@
         self.store(step)
         if exchange.phase is Phase.DONE:
             self._forget(exchange)
-            self.dispatch(exchange.service.pool)
+            self.dispatch(exchange.request.service.pool)
 
     def dispatch(self, pool_name: str) -> None:
         """Start the requests that wait for the pool while it has room."""
@@ -202,8 +202,8 @@
             request = PickRequest(waiting.is_long, exchange.tried)
             placement = pool.place(
                 request,
-                exchange.deadline_ms,
-                exchange.is_idempotent,
+                exchange.request.deadline_ms,
+                exchange.request.is_idempotent,
                 now_ms,
                 self._router.rng,
             )
@@ -217,24 +217,36 @@
 
     def _is_hopeless(self, exchange: Exchange, now_ms: int) -> bool:
         """Tell whether a request that has waited would end after its deadline."""
-        if not self._router.settings.refuses_early or now_ms <= exchange.received_ms:
+        if (
+            not self._router.settings.refuses_early
+            or now_ms <= exchange.request.received_ms
+        ):
             return False
-        return now_ms + exchange.expectation.run_ms > exchange.deadline_ms
+        return (
+            now_ms + exchange.request.expectation.run_ms > exchange.request.deadline_ms
+        )
 
     def _enqueue(self, exchange: Exchange, is_retry: bool = False) -> None:
         waiting = waiting_of(exchange)
         is_parked = not is_retry and self._teams.is_full(exchange)
-        queue = self._router.queues[exchange.service.pool]
+        queue = self._router.queues[exchange.request.service.pool]
         outcome = queue.push(
-            waiting, exchange.expectation.p95_ms, self._context.now_ms(), is_parked
+            waiting,
+            exchange.request.expectation.p95_ms,
+            self._context.now_ms(),
+            is_parked,
         )
         if isinstance(outcome, Refused):
             self.counts[f"refused_{outcome.reason.value}"] += 1
             self.apply(machine.refuse(exchange, 503, outcome.reason.value))
             return
         if not is_parked and not is_retry:
-            self._teams.hold(exchange.request_id, exchange.service.name, exchange.team)
-        self.dispatch(exchange.service.pool)
+            self._teams.hold(
+                exchange.request_id,
+                exchange.request.service.name,
+                exchange.request.team,
+            )
+        self.dispatch(exchange.request.service.pool)
 
     def _enqueue_keyed(self, exchange: Exchange) -> None:
         """Queue a request with a key once the part of its body to claim has come."""
@@ -285,7 +297,7 @@
         now_ms = self._context.now_ms()
         body = self.bodies.start(exchange.request_id)
         start = self.attempts.start(exchange, placement, address, body, now_ms)
-        sent = machine.on_sent(exchange, start.attempt_id, now_ms)
+        sent = machine.on_sent(exchange, start.attempt_id)
         self._exchanges[exchange.request_id] = sent
         self._context.send("upstreams", start)
         if self.bodies.must_resume(exchange.request_id):
@@ -306,7 +318,7 @@
         self.bodies.drop(request_id)
         self.claims.drop(request_id)
         self._claim_parts.pop(request_id, None)
-        queue = self._router.queues[exchange.service.pool]
+        queue = self._router.queues[exchange.request.service.pool]
         queue.waiting.cancel(request_id)
         placement = self._placements.pop(request_id, None)
         if placement is not None:
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -254,12 +254,12 @@
         if exchange_upstream.takes_work(record):
             self._room[host] = room
         has_room = exchange_upstream.has_room(record, room, now_ms)
-        _set_member(self._free, host, has_room)
-        _set_member(self._long_free, host, has_room and host in self._long_hosts)
+        self._free.set_member(host, has_room)
+        self._long_free.set_member(host, has_room and host in self._long_hosts)
         is_due = health_rules.is_probe_due(record.health, now_ms)
-        _set_member(self._trials, host, is_due and record.upstream.takes_work)
+        self._trials.set_member(host, is_due and record.upstream.takes_work)
         changing = exchange_upstream.is_changing(record, settings, now_ms)
-        _set_member(self._changing, host, changing)
+        self._changing.set_member(host, changing)
         if record.health.breaker is Breaker.CLOSED:
             self._ejected.discard(host)
         else:
@@ -342,10 +342,3 @@
         self._ejected.discard(host)
         self._leaving_until_ms.pop(host, None)
         del self.records[host], self.health[host]
-
-
-def _set_member(names: IndexedSet, name: str, is_member: bool) -> None:
-    if is_member:
-        names.add(name)
-    else:
-        names.discard(name)
--- a/src/guavapin/serving/exchange_teams.py
+++ b/src/guavapin/serving/exchange_teams.py
@@ -23,7 +23,9 @@
 
     def is_full(self, exchange: Exchange) -> bool:
         """Tell whether the request has to be parked."""
-        return self._router.services[exchange.service.name].is_team_full(exchange.team)
+        return self._router.services[exchange.request.service.name].is_team_full(
+            exchange.request.team
+        )
 
     def hold(self, request_id: int, service: str, team: str) -> None:
         """Count a request that may start."""
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -178,7 +178,7 @@
         whole = AttemptEnded(event.attempt_id, AttemptResult.COMPLETE)
         verdict = verdict_of(exchange, whole, event.status, self._settings.rules)
         self._flow.cancel(event.attempt_id, exchange, verdict)
-        self._flow.dispatch(exchange.service.pool)
+        self._flow.dispatch(exchange.request.service.pool)
         return True
 
     def _on_body(self, event: AttemptBody) -> None:
@@ -196,14 +196,15 @@
             self._flow.counts["late_messages"] += 1
             return
         exchange = self._flow.get(attempt.request_id)
-        verdict = verdict_of(exchange, event, attempt.status, self._settings.rules)
+        status = self._flow.attempts.status_of(event.attempt_id)
+        verdict = verdict_of(exchange, event, status, self._settings.rules)
         now_ms = self._context.now_ms()
         self._flow.attempts.end(event.attempt_id, exchange, verdict, now_ms)
         self._flow.counts[f"attempts_{event.result.value}"] += 1
         if exchange is None:
             self._flow.dispatch(attempt.pool)
             return
-        ended = EndedAttempt(event.result, attempt.status)
+        ended = EndedAttempt(event.result, status)
         if self._flow.try_retry(exchange, ended):
             self._flow.dispatch(attempt.pool)
             return
