Wire both daemons: the thin whole path works on real sockets

Cause: the parts existed side by side but no request had crossed all of them. Found on the way: readiness came before all hosts were placed, so a drain was refused as unknown; the test now waits for the placement of all hosts. Conclusion: the path carries; the rest widens it.

--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -5,8 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin.audit.archiver import AuditArchiverTask
 from guavapin.claims.store import ClaimsConfig
 from guavapin.claims.task import ClaimsTask
+from guavapin.duties.fleet_duty import FleetDutyTask
+from guavapin.duties.host_actions import ServiceHostActions
+from guavapin.duties.host_steps import HostActionsTask
+from guavapin.duties.task import DutyTask
+from guavapin.fleet.objects_relay import ObjectsRelayTask
 from guavapin.fleet.relay import FleetRelayConfig
 from guavapin.fleet.relay import FleetRelayTask
 from guavapin.fleet.view import FleetViewTask
@@ -21,6 +27,7 @@
 from guavapin.operators.app import OperatorsApp
 from guavapin.operators.routes import build_routes
 from guavapin.operators.server import OperatorsTask
+from guavapin.peers.isolated import IsolatedPeersTask
 from guavapin.peers.messages import PeerAddress
 from guavapin.peers.registration import RegistrationTask
 from guavapin.peers.task import PeersConfig
@@ -31,6 +38,7 @@
 from guavapin.publication.configuration import ConfigurationTask
 from guavapin.publication.in_force import InForceTask
 from guavapin.publication.publisher_task import PublisherTask
+from guavapin.serving.exchange_settings import ExchangeSettings
 from guavapin.serving.exchanges import ExchangesTask
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
@@ -43,6 +51,7 @@
     from guavapin.kernel import Clock
     from guavapin.kernel import Outcome
     from guavapin.peers.task import PeerFilter
+    from guavapin.settings.control import ControlSettings
     from guavapin.settings.entry import EntrySettings
     from guavapin.settings.parts import ListenerSettings
     from guavapin.settings.parts import NodeSettings
@@ -52,6 +61,15 @@
 CONTROL = "control"
 
 
+@dataclass(frozen=True, slots=True)
+class ControlProcess:
+    """The services of one `guavapin-control`, registered but not started."""
+
+    kernel: Kernel
+    operators: OperatorsTask
+    metrics: Metrics
+
+
 @dataclass(frozen=True, slots=True)
 class EntryProcess:
     """The services of one `guavapin-entry`, registered but not started."""
@@ -66,8 +84,13 @@
     cfg: EntrySettings,
     clock: Clock | None = None,
     peer_filter: PeerFilter | None = None,
+    is_first_start: bool = False,
 ) -> Outcome[EntryProcess]:
-    """Return the services of an entry process; a bad token file is refused."""
+    """Return the services of an entry process; a bad token file is refused.
+
+    `is_first_start` leaves out the hold-off of the seat's slots; it may be set only
+    when no former process of the seat can have requests in progress.
+    """
     access = build_access(cfg.operators)
     if isinstance(access, Refused):
         return access
@@ -79,7 +102,7 @@
         build_routes(kernel), access.value, metrics, lambda: readiness.is_ready
     )
     operators = OperatorsTask(cfg.operators, app)
-    _register_serving(kernel, cfg, front, readiness)
+    _register_serving(kernel, cfg, front, readiness, is_first_start)
     _register_entry_control(kernel, cfg, peer_filter)
     kernel.register(InForceTask(cfg.node.name), CONTROL, ("configuration", "peers"))
     kernel.register(
@@ -90,6 +113,52 @@
     return Ok(EntryProcess(kernel, front, operators, metrics))
 
 
+def compose_control(
+    cfg: ControlSettings, clock: Clock | None = None
+) -> Outcome[ControlProcess]:
+    """Return the services of a control process; a bad token file is refused."""
+    access = build_access(cfg.operators)
+    if isinstance(access, Refused):
+        return access
+    kernel = Kernel(clock or SystemClock())
+    metrics = Metrics()
+    app = OperatorsApp((), access.value, metrics, lambda: True)
+    operators = OperatorsTask(cfg.operators, app)
+    node = cfg.node
+    kernel.register(PlatformTask(platform_config(cfg.platform, node)), CONTROL)
+    kernel.register(IsolatedPeersTask(), CONTROL)
+    kernel.register(
+        ConfigurationTask(ConfigurationConfig(node.name, node.zone, node.seat)),
+        CONTROL,
+        ("platform", "peers"),
+    )
+    kernel.register(FleetWriterTask(), CONTROL, ("platform",))
+    kernel.register(HostActionsTask(), CONTROL, ("platform",))
+    actor = f"control/{node.name}"
+    kernel.register(
+        FleetDutyTask(ServiceHostActions(), actor),
+        CONTROL,
+        ("platform", "fleet_writer", "host_actions"),
+    )
+    kernel.register(AuditArchiverTask(actor), CONTROL, ("platform", "fleet_writer"))
+    kernel.register(
+        ObjectsRelayTask(("fleet_writer", "fleet_duty")),
+        CONTROL,
+        ("configuration", "fleet_writer", "fleet_duty"),
+    )
+    kernel.register(
+        DutyTask(
+            "fleet",
+            f"{actor}/{kernel.clock.wall_ms()}",
+            ("fleet_duty", "audit_archiver"),
+        ),
+        CONTROL,
+        ("platform", "fleet_duty", "audit_archiver"),
+    )
+    kernel.register(operators, CONTROL)
+    return Ok(ControlProcess(kernel, operators, metrics))
+
+
 def build_access(cfg: ListenerSettings) -> Outcome[AccessPolicy]:
     """Return who may call the operators' listener."""
     if not cfg.token_file:
@@ -101,11 +170,18 @@
 
 
 def _register_serving(
-    kernel: Kernel, cfg: EntrySettings, front: FrontTask, readiness: ReadinessTask
+    kernel: Kernel,
+    cfg: EntrySettings,
+    front: FrontTask,
+    readiness: ReadinessTask,
+    is_first_start: bool,
 ) -> None:
-    node = cfg.node
     kernel.register(UpstreamsTask(UpstreamsConfig()), SERVING)
-    kernel.register(ExchangesTask(node.zone), SERVING, ("upstreams", "claims"))
+    kernel.register(
+        ExchangesTask(_exchange_settings(cfg, kernel.clock, is_first_start)),
+        SERVING,
+        ("upstreams", "claims", "peers"),
+    )
     kernel.register(front, SERVING, ("exchanges",))
     kernel.register(readiness, SERVING, ("front",))
 
@@ -165,6 +241,22 @@
     )
 
 
+def _exchange_settings(
+    cfg: EntrySettings, clock: Clock, is_first_start: bool
+) -> ExchangeSettings:
+    incarnation = clock.wall_ms()
+    return ExchangeSettings(
+        zone=cfg.node.zone,
+        seat=cfg.node.seat,
+        incarnation=incarnation,
+        seed=incarnation,
+        is_first_start=is_first_start,
+        peers_service="peers",
+        claims_service="claims",
+        callers_address=cfg.callers_address,
+    )
+
+
 def _peers_config(cfg: EntrySettings) -> PeersConfig:
     seeds = tuple(
         PeerAddress(seed.name, seed.zone, seed.address) for seed in cfg.peers.seeds
--- a/src/guavapin/console/app.py
+++ b/src/guavapin/console/app.py
@@ -9,6 +9,13 @@
 from guavapin.console.command import DEFAULT_URL
 from guavapin.console.command import console_of
 from guavapin.console.commands.check import CheckCommand
+from guavapin.console.commands.drain import DrainCommand
+from guavapin.console.commands.get import GetCommand
+from guavapin.console.commands.move import MoveCommand
+from guavapin.console.commands.publish import PublishCommand
+from guavapin.console.commands.status import StatusCommand
+from guavapin.console.commands.undrain import UndrainCommand
+from guavapin.console.commands.wave import WaveCommand
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -35,7 +42,16 @@
   3 entry host unreachable   4 conflict   5 timeout
 """
 
-COMMANDS: tuple[Command, ...] = (CheckCommand(),)
+COMMANDS: tuple[Command, ...] = (
+    CheckCommand(),
+    PublishCommand(),
+    GetCommand(),
+    StatusCommand(),
+    DrainCommand(),
+    UndrainCommand(),
+    MoveCommand(),
+    WaveCommand(),
+)
 
 
 def build_parser(commands: Sequence[Command] = COMMANDS) -> argparse.ArgumentParser:
--- /dev/null
+++ b/src/guavapin/duties/host_steps.py
@@ -0,0 +1,87 @@
+"""The task `host_actions`: has the platform do steps on hosts and awaits their end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.duties.messages import HOST_ACTIONS
+from guavapin.duties.messages import DoHostStep
+from guavapin.duties.messages import HostStepDone
+from guavapin.kernel import Ok
+from guavapin.platform.messages import HostStepState
+from guavapin.platform.messages import OrderHostStep
+from guavapin.platform.messages import Reply
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
+
+# Steps take seconds to hours; a poll a second for each host in progress costs the
+# platform a few calls a second at most.
+POLL_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Poll:
+    """Timer: ask how a step stands."""
+
+    step_id: str
+
+
+class HostActionsTask:
+    """Service `host_actions`: answers each `DoHostStep` once its step has ended.
+
+    The platform does a step once by its identity, so a repeated order after a
+    takeover, or after a lost answer, only asks how the step stands.
+    """
+
+    name = HOST_ACTIONS
+
+    def __init__(self) -> None:
+        self._steps: dict[str, DoHostStep] = {}
+        self._pending: dict[int, str] = {}
+        self._request_id = 0
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Keep the context; nothing is opened."""
+        self._context = context
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle an order, an answer of the platform or a timer."""
+        match message:
+            case DoHostStep():
+                is_known = message.step_id in self._steps
+                self._steps[message.step_id] = message
+                if not is_known:
+                    self._order(message.step_id)
+            case Reply(request_id, outcome):
+                step_id = self._pending.pop(request_id, "")
+                if step_id in self._steps:
+                    self._on_outcome(step_id, outcome)
+            case _Poll(step_id):
+                if step_id in self._steps:
+                    self._order(step_id)
+
+    def stop(self) -> None:
+        """Forget the steps; the next holder of the duty asks again."""
+        self._steps.clear()
+
+    def _order(self, step_id: str) -> None:
+        step = self._steps[step_id]
+        self._request_id += 1
+        self._pending[self._request_id] = step_id
+        order = OrderHostStep(
+            self.name, self._request_id, step.host, step.step.value, step_id
+        )
+        self._context.send("platform", order)
+
+    def _on_outcome(self, step_id: str, outcome: object) -> None:
+        match outcome:
+            case HostStepState("done" | "failed" as status, detail):
+                step = self._steps.pop(step_id)
+                done = HostStepDone(step_id, status == "done", detail)
+                self._context.send(step.reply_to, done)
+            case _:
+                self._context.set_timer(POLL_MS, _Poll(step_id))
--- a/src/guavapin/fleet/messages.py
+++ b/src/guavapin/fleet/messages.py
@@ -85,3 +85,8 @@
 @dataclass(frozen=True, slots=True)
 class RelayWanted:
     """To `fleet_view`: a peer has just appeared or lags; relay what is known."""
+
+
+@dataclass(frozen=True, slots=True)
+class QueryFleet:
+    """To `fleet_view`, as a `Call`: the reply is the `FollowedFleet` in effect."""
--- a/src/guavapin/fleet/view.py
+++ b/src/guavapin/fleet/view.py
@@ -14,6 +14,7 @@
 from guavapin.fleet.effective import changes
 from guavapin.fleet.messages import FLEET_VIEW
 from guavapin.fleet.messages import LeavingRelayed
+from guavapin.fleet.messages import QueryFleet
 from guavapin.fleet.messages import RecordRelayed
 from guavapin.fleet.messages import RelayWanted
 from guavapin.fleet.messages import WatchRole
@@ -21,6 +22,7 @@
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.task import Call
 from guavapin.platform import messages as platform
 
 if TYPE_CHECKING:
@@ -114,6 +116,8 @@
             self._adopt(message.revision, message.value, is_relayed=True)
         elif isinstance(message, LeavingRelayed):
             self._take(adopt_leaving(self._fleet, message.hosts))
+        elif isinstance(message, Call) and isinstance(message.body, QueryFleet):
+            message.fut.set_result(self._fleet)
         elif isinstance(message, RelayWanted):
             self._relay()
         elif isinstance(message, WatchRole):
--- a/src/guavapin/platform/messages.py
+++ b/src/guavapin/platform/messages.py
@@ -107,6 +107,21 @@
     request_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrderHostStep:
+    """Do a step on a host: drain, checkpoint, reboot, check_health or join.
+
+    Repeating the order with the same `step_id` asks how the step stands; it is done
+    once. Answer: `HostStepState` or a failure.
+    """
+
+    reply_to: str
+    request_id: int
+    host: str
+    step: str
+    step_id: str
+
+
 PlatformRequest: TypeAlias = (
     Get
     | Put
@@ -117,6 +132,7 @@
     | LeaseRenew
     | LeaseRevoke
     | ListHosts
+    | OrderHostStep
 )
 
 
@@ -195,6 +211,14 @@
     hosts: tuple[HostState, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class HostStepState:
+    """How an ordered step stands: `status` is ``running``, ``done`` or ``failed``."""
+
+    status: str
+    detail: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Unknown:
     """No answer came: the call may or may not have taken effect."""
@@ -223,6 +247,7 @@
     | Changed
     | Leased
     | Hosts
+    | HostStepState
     | Unknown
     | NotSent
     | RateLimited
--- a/src/guavapin/platform/wire.py
+++ b/src/guavapin/platform/wire.py
@@ -20,6 +20,7 @@
 from guavapin.platform.messages import Get
 from guavapin.platform.messages import Hosts
 from guavapin.platform.messages import HostState
+from guavapin.platform.messages import HostStepState
 from guavapin.platform.messages import KeyRevision
 from guavapin.platform.messages import Leased
 from guavapin.platform.messages import LeaseGrant
@@ -29,6 +30,7 @@
 from guavapin.platform.messages import ListHosts
 from guavapin.platform.messages import ListPrefix
 from guavapin.platform.messages import Missing
+from guavapin.platform.messages import OrderHostStep
 from guavapin.platform.messages import Put
 from guavapin.platform.messages import RateLimited
 from guavapin.platform.messages import Unknown
@@ -76,6 +78,10 @@
             return HttpCall("watch", "GET", f"/v1/watch?{query}", wait_ms=wait_ms)
         case ListHosts():
             return HttpCall("hosts", "GET", "/v1/hosts")
+        case OrderHostStep(host=host, step=step, step_id=step_id):
+            path = f"/v1/hosts/{quote(host, safe='')}/{quote(step_id, safe='')}"
+            query = f"step={quote(step, safe='')}"
+            return HttpCall("host_step", "POST", f"{path}?{query}", is_write=True)
     return _encode_lease_call(req)
 
 
@@ -113,6 +119,8 @@
         case ListHosts():
             hosts = _json(body, tuple[HostState, ...])
             return None if hosts is None else Hosts(hosts)
+        case OrderHostStep():
+            return _json(body, HostStepState)
     return None
 
 
--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -11,6 +11,7 @@
 from guavapin.composition import compose_control
 from guavapin.composition import compose_entry
 from guavapin.console.client import OperatorsClient
+from guavapin.fleet.messages import QueryFleet
 from guavapin.kernel import Kernel
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
@@ -110,7 +111,9 @@
     def start_entry(self, address: EntryAddresses) -> None:
         """Start one entry process; raises RuntimeError when it can't start."""
         outcome = compose_entry(
-            self._entry_settings(address), peer_filter=self._peer_filter
+            self._entry_settings(address),
+            peer_filter=self._peer_filter,
+            is_first_start=True,
         )
         process = _expect(outcome)
         _expect(process.kernel.start())
@@ -127,6 +130,18 @@
         address = self.addresses[index].operators
         return OperatorsClient(f"http://{address}", token=OPERATOR_TOKEN)
 
+    def is_placed(self) -> bool:
+        """Return whether every entry process has every host in its view."""
+        return all(
+            len(
+                entry.kernel.ask("fleet_view", QueryFleet())
+                .result(REPLY_TIMEOUT_S)
+                .hosts
+            )
+            == len(self.objects.hosts)
+            for entry in self.entries.values()
+        )
+
     def record(self, host: str) -> Record:
         """Return what the upstream on a host has run."""
         fut = self._upstreams.ask(self._standins[host].name, GetRecord())
--- a/src/guavapin_standins/platform.py
+++ b/src/guavapin_standins/platform.py
@@ -30,11 +30,13 @@
 from guavapin.kernel import SystemClock
 from guavapin_standins.http_connection import HttpConnection
 from guavapin_standins.http_connection import HttpRequest
+from guavapin_standins.platform_controls import BreakHost
 from guavapin_standins.platform_controls import Counters
 from guavapin_standins.platform_controls import Faults
 from guavapin_standins.platform_controls import Limits
 from guavapin_standins.platform_controls import SetFaults
 from guavapin_standins.platform_controls import SetHost
+from guavapin_standins.platform_controls import SetUsage
 from guavapin_standins.platform_store import PlatformStore
 from guavapin_standins.platform_store import RateLimit
 from guavapin_standins.platform_wire import READS
@@ -126,6 +128,10 @@
             self._set_faults(message.faults)
         elif isinstance(message, SetHost):
             self.store.set_host(message.host, message.state)
+        elif isinstance(message, SetUsage):
+            self.store.host_steps.usage[message.host] = message.running
+        elif isinstance(message, BreakHost):
+            self.store.host_steps.broken.add(message.host)
         elif isinstance(message, _Send):
             self._respond(message.conn, message.answer)
         elif isinstance(message, _EndWatch):
@@ -342,6 +348,10 @@
         """Set a host's state."""
         self._kernel.ask(self.task.name, SetHost(host, state)).result(5)
 
+    def deliver(self, message: SetUsage | BreakHost) -> None:
+        """Send a test control without waiting for its effect."""
+        self._kernel.deliver(self.task.name, message)
+
     def wait(self) -> None:
         """Block until the thread fails."""
         failure = self._kernel.wait_for_failure()
--- a/src/guavapin_standins/platform_controls.py
+++ b/src/guavapin_standins/platform_controls.py
@@ -44,6 +44,21 @@
     state: str
 
 
+@dataclass(frozen=True, slots=True)
+class SetUsage:
+    """Report how many requests a host runs; a drain waits for none."""
+
+    host: str
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class BreakHost:
+    """The host fails its reboots and health checks from now on."""
+
+    host: str
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Rates a second; a burst holds one tenth of a second, at least one call."""
--- a/src/guavapin_standins/platform_store.py
+++ b/src/guavapin_standins/platform_store.py
@@ -13,6 +13,7 @@
 from guavapin.platform.messages import Leased
 from guavapin.platform.messages import Missing
 from guavapin.platform.messages import Written
+from guavapin_standins.platform_hosts import HostSteps
 
 if TYPE_CHECKING:
     from guavapin.kernel.clock import Clock
@@ -67,6 +68,7 @@
     def __init__(self, clock: Clock, hosts_lag_ms: int = 2_000) -> None:
         self.revision = 0
         self.hosts_lag_ms = hosts_lag_ms
+        self.host_steps = HostSteps(clock, self.set_host)
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
         self._sorted_keys: list[str] = []
--- a/src/guavapin_standins/platform_wire.py
+++ b/src/guavapin_standins/platform_wire.py
@@ -25,6 +25,7 @@
     ("DELETE", "kv"): "delete",
     ("GET", "watch"): "watch",
     ("GET", "hosts"): "hosts",
+    ("POST", "hosts"): "host_step",
     ("POST", "leases"): "lease_grant",
     ("PUT", "leases"): "lease_renew",
     ("DELETE", "leases"): "lease_revoke",
@@ -92,6 +93,10 @@
             return encode_changes(keys, store.revision)
         case "hosts":
             return WireAnswer(200, msgspec.json.encode(store.hosts()))
+        case "host_step":
+            host, _, step_id = call.name.partition("/")
+            state = store.host_steps.order(host, call.query["step"], step_id)
+            return WireAnswer(200, msgspec.json.encode(state))
         case "lease_grant":
             return _encode(store.grant(int(call.query["ttl_ms"])))
         case "lease_renew":
--- a/src/guavapin_standins/upstream.py
+++ b/src/guavapin_standins/upstream.py
@@ -24,6 +24,7 @@
 from guavapin_standins.upstream_connection import UpstreamConnection
 from guavapin_standins.upstream_messages import Behaviour
 from guavapin_standins.upstream_messages import GetRecord
+from guavapin_standins.upstream_messages import GetRunning
 from guavapin_standins.upstream_messages import Record
 from guavapin_standins.upstream_messages import Run
 from guavapin_standins.upstream_messages import SetBehaviour
@@ -104,6 +105,8 @@
             case Call(SetBehaviour(behaviour), fut):
                 self._set_behaviour(behaviour)
                 fut.set_result(None)
+            case Call(GetRunning(), fut):
+                fut.set_result(self._running)
             case Call(GetRecord(), fut):
                 fut.set_result(self._read_record())
             case _Finish(conn, run):
--- a/src/guavapin_standins/upstream_messages.py
+++ b/src/guavapin_standins/upstream_messages.py
@@ -41,6 +41,11 @@
     """As a `Call`: the reply is a `Record`."""
 
 
+@dataclass(frozen=True, slots=True)
+class GetRunning:
+    """As a `Call`: the reply is the number of requests in progress."""
+
+
 @dataclass(frozen=True, slots=True)
 class Run:
     """One run of a request."""
