Stop the claims and the platform client without a failure

A timer of the claims could reach the platform client between its stop and the end of the loop; the client then used its closed multi handle, and the exception ended the loop. A stopped client now answers that nothing was sent, a stopped claims task ignores what comes.

--- a/src/guavapin/claims/task.py
+++ b/src/guavapin/claims/task.py
@@ -51,6 +51,7 @@
     ) -> None:
         self._store = store or RecordStore(cfg, secrets.token_hex(8))
         self._reply_to = reply_to
+        self._is_stopped = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Begin; the platform need not be reachable."""
@@ -60,6 +61,10 @@
 
     def handle(self, message: object) -> None:
         """Handle a message of `claims.messages`, a platform reply or a wake-up."""
+        if self._is_stopped:
+            if isinstance(message, Call):
+                message.fut.cancel()
+            return
         now_ms = self._context.now_ms()
         match message:
             case Reply(request_id, outcome):
@@ -73,12 +78,18 @@
             case Wake():
                 self._run(self._store.on_wake(message, now_ms))
             case Call(ReadCounters(), fut):
-                fut.set_result(self._store.counters())
+                if fut.set_running_or_notify_cancel():
+                    fut.set_result(self._store.counters())
             case _:
                 raise InvariantError(f"not a message to claims: {message!r}")
 
     def stop(self) -> None:
-        """Nothing is open; claims without an outcome stay claimed."""
+        """Ignore what comes later; claims without an outcome stay claimed.
+
+        A graceful shutdown first waits until the counter `keys` is 0, since outcomes
+        may wait for a page or for the platform.
+        """
+        self._is_stopped = True
 
     def _run(self, actions: Actions) -> None:
         for action in actions:
--- a/src/guavapin/platform/client.py
+++ b/src/guavapin/platform/client.py
@@ -127,6 +127,7 @@
         self._watches = 0
         self._timer: TimerHandle | None = None
         self._idle: list[Any] = []
+        self._is_stopped = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Create the multi handle; no connection is made."""
@@ -141,7 +142,8 @@
     def handle(self, message: object) -> None:
         """Handle a request or a timer."""
         if isinstance(message, MultiTimer):
-            self._driver.on_timer()
+            if not self._is_stopped:
+                self._driver.on_timer()
         elif isinstance(message, _Retry):
             self._timer = None
             self._send_waiting()
@@ -152,6 +154,7 @@
 
     def stop(self) -> None:
         """Abandon the calls in flight and answer those that wait."""
+        self._is_stopped = True
         self._driver.close()
         for queue in self._waiting.values():
             while queue:
@@ -170,6 +173,10 @@
         call = encode_call(req)
         due_ms = self._context.now_ms() + self._cfg.deadline_ms
         waiting = _Waiting(req, call, due_ms, caller)
+        if self._is_stopped:
+            # Other services of the loop may not have stopped yet.
+            self._answer(waiting, NotSent("the platform client stopped"))
+            return
         if sum(map(len, self._waiting.values())) >= self._cfg.max_waiting:
             self._answer(waiting, NotSent("too many calls wait"))
             return
--- a/tests/claims/test_task.py
+++ b/tests/claims/test_task.py
@@ -15,14 +15,19 @@
 from guavapin.claims.store import ClaimsConfig
 from guavapin.claims.task import ClaimsTask
 from guavapin.claims.task import ReadCounters
+from guavapin.http.multi_driver import MultiTimer
 from guavapin.kernel import Kernel
 from guavapin.kernel import Ok
 from guavapin.kernel import Outcome
 from guavapin.kernel import SystemClock
 from guavapin.kernel import TaskContext
+from guavapin.kernel.harness import TaskHarness
 from guavapin.kernel.outcome import Reason
 from guavapin.platform.client import PlatformConfig
 from guavapin.platform.client import PlatformTask
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import NotSent
+from guavapin.platform.messages import Reply
 from guavapin_standins.platform import RunningPlatform
 from guavapin_standins.platform_controls import Faults
 from guavapin_standins.platform_controls import Limits
@@ -125,3 +130,62 @@
         hosts[0].claim(answer.request_id + 1, "l", wait_ms=8_000)
     counters = hosts[0].kernel.ask("claims", ReadCounters()).result(5)
     assert counters["granted"] == 2
+
+
+def test_slow_platform_then_outage_then_recovery(
+    hosts: list[EntryHost], platform: RunningPlatform
+) -> None:
+    # Guards against slowness taken for an outage, and an outcome that an outage loses.
+    hosts[0].claim(1, "warm")
+    assert hosts[0].answer() == ClaimGranted(1)
+    platform.set_faults(Faults(delay_ms=100))
+    hosts[0].claim(2, "k")
+    assert hosts[0].answer() == ClaimGranted(2)
+    platform.set_faults(Faults(outage="silent"))
+    answer = RecordAnswer(2, 200, (), b"done during the outage")
+    hosts[0].kernel.deliver("claims", answer)
+    hosts[0].claim(3, "k")
+    recorded = RecordedAnswer(answer.status, answer.headers, answer.body)
+    assert hosts[0].answer() == ClaimRefused(3, recorded)
+    hosts[1].claim(4, "l")
+    refused = hosts[1].answer()
+    assert isinstance(refused, ClaimRefused)
+    assert isinstance(refused.outcome, NotRun)
+    platform.set_faults(Faults())
+    hosts[1].claim(5, "k")
+    while isinstance(got := hosts[1].answer(), ClaimRefused):
+        if got.outcome == recorded:
+            return
+        assert isinstance(got.outcome, NotRun)
+        hosts[1].claim(got.request_id + 1, "k")
+    raise AssertionError("a key with a recorded answer was granted")
+
+
+@pytest.mark.parametrize("fault", [Faults(outage="silent"), Faults(outage="closed")])
+def test_stop_with_work_in_flight(platform: RunningPlatform, fault: Faults) -> None:
+    # Guards against a shutdown that ends with a failure of the loop.
+    host = EntryHost(platform.url, "matane")
+    host.claim(1, "warm")
+    assert host.answer() == ClaimGranted(1)
+    platform.set_faults(fault)
+    for number in range(2, 60):
+        host.claim(number, f"k{number}")
+    assert host.kernel.ask("claims", ReadCounters()).result(5)["keys"] >= 1
+    host.kernel.ask("platform", Get("", 0, "a"))
+    assert host.kernel.stop() == ()
+    assert host.kernel.wait_for_failure(0) is None
+
+
+def test_calls_after_the_stop_are_not_sent(platform: RunningPlatform) -> None:
+    # Guards against a timer of another service that uses the closed client.
+    client = PlatformTask(PlatformConfig(platform.url))
+    harness = TaskHarness(client)
+    harness.start()
+    client.handle(Get("claims", 1, "a"))
+    client.stop()
+    client.handle(Get("claims", 2, "a"))
+    client.handle(MultiTimer())
+    replies = [sent.message for sent in harness.take_sent()]
+    assert [reply.request_id for reply in replies if isinstance(reply, Reply)] == [1, 2]
+    assert isinstance(replies[1], Reply)
+    assert isinstance(replies[1].outcome, NotSent)
