--- a/tests/peers/test_task.py
+++ b/tests/peers/test_task.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import contextlib
+import socket
+import threading
 import time
 from typing import TYPE_CHECKING
 
@@ -59,9 +62,16 @@
 
 
 class Node:
-    def __init__(self, name: str, zone: str, seeds: tuple[PeerAddress, ...]) -> None:
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        seeds: tuple[PeerAddress, ...],
+        address: str = "127.0.0.1:0",
+        advertised: str = "",
+    ) -> None:
         self.filter = CutFilter()
-        cfg = PeersConfig(name, zone, 0, "127.0.0.1:0", seeds=seeds)
+        cfg = PeersConfig(name, zone, 0, address, advertised, seeds)
         self.task = PeersTask(cfg, self.filter)
         self.listener = Listener()
         self.kernel = Kernel(SystemClock())
@@ -79,6 +89,40 @@
         return {item.name for item in members if item.status is MemberStatus.ALIVE}
 
 
+class SilentRelay:
+    """Forwards connections; those made before `go_silent` then carry nothing."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target = target
+        self.silent: set[int] = set()
+        self.connections: list[socket.socket] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def go_silent(self) -> None:
+        self.silent.update(id(item) for item in self.connections)
+
+    def close(self) -> None:
+        for item in (self.listener, *self.connections):
+            item.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self.listener.accept()
+                far = socket.create_connection(self.target)
+                self.connections += [near, far]
+                for pair in ((near, far), (far, near)):
+                    threading.Thread(target=self._copy, args=pair, daemon=True).start()
+
+    def _copy(self, source: socket.socket, sink: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                if id(source) not in self.silent:
+                    sink.sendall(data)
+
+
 def wait_until(condition: Callable[[], bool]) -> None:
     end = time.monotonic() + WAIT_S
     while not condition():
@@ -153,6 +197,31 @@
     wait_until(lambda: a.listener.received != [])
 
 
+@pytest.fixture
+def relayed_nodes():
+    """Two nodes, of which the second is reached through a relay."""
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port = probe.getsockname()[1]
+    relay = SilentRelay(("127.0.0.1", port))
+    seed = PeerAddress("b", "east", relay.address)
+    b = Node("b", "east", (), f"127.0.0.1:{port}", relay.address)
+    a = Node("a", "east", (seed,))
+    yield a, b, relay
+    for node in (a, b):
+        node.kernel.stop()
+    relay.close()
+
+
+def test_connection_that_goes_silent_is_replaced(relayed_nodes):
+    # The connection stays open and carries nothing; only a new one works.
+    a, b, relay = relayed_nodes
+    connected([a, b])
+    relay.go_silent()
+    wait_until(lambda: b.alive() == set())
+    wait_until(lambda: b.alive() == {"a"})
+    assert a.status().counters["redials"] == 1
+
+
 def test_used_port_is_a_refused_start():
     first = Node("a", "east", ())
     kernel = Kernel(SystemClock())
