Return draining hosts to pools that fall below their budget

Cause: a host lost after a drain has begun added up with the drain, a stopped wave still rebooted its draining hosts, and a lost answer could keep a process from a duty for ever. Ended waves that are no longer declared stayed in the record. Conclusion: unplanned losses are met by giving planned ones back.

--- a/src/guavapin/duties/decide.py
+++ b/src/guavapin/duties/decide.py
@@ -11,6 +11,8 @@
 from guavapin.duties.messages import HostStep
 from guavapin.fleet import actions
 from guavapin.fleet.budget import Liveness
+from guavapin.fleet.budget import pool_statuses
+from guavapin.fleet.budget import required_available
 from guavapin.fleet.state import HostPhase
 from guavapin.fleet.state import WaveStatus
 from guavapin.fleet.wave_rules import hosts_in_wave
@@ -73,9 +75,11 @@
     """Return what to change and which steps to keep under way."""
     changes: list[host_machine.Change] = []
     steps: list[StepWanted] = []
+    short = _short_pools(situation)
     for host in sorted(situation.state.disruptions):
         item = situation.state.disruptions[host]
-        wanted = host_machine.next_step(_host_situation(situation, item))
+        is_short = item.pool in short
+        wanted = host_machine.next_step(_host_situation(situation, item, is_short))
         if isinstance(wanted, host_machine.Change):
             changes.append(wanted)
         elif isinstance(wanted, host_machine.Begin):
@@ -99,8 +103,25 @@
     return DutyPlan(tuple(changes), tuple(steps), lending)
 
 
+def _short_pools(situation: DutySituation) -> set[str]:
+    """Return the pools that are below their budgets and have hosts held by plan."""
+    held = {item.pool for item in situation.state.disruptions.values()}
+    if not held:
+        return set()
+    objects, live = situation.objects, Liveness(situation.live)
+    short = set()
+    for name, status in pool_statuses(situation.state, objects, live).items():
+        pool = objects.pools.get(name)
+        budget = objects.budgets.get(pool.budget) if pool is not None else None
+        if name not in held or budget is None:
+            continue
+        if status.available < required_available(budget, status.size):
+            short.add(name)
+    return short
+
+
 def _host_situation(
-    situation: DutySituation, item: Disruption
+    situation: DutySituation, item: Disruption, is_pool_short: bool
 ) -> host_machine.HostSituation:
     results = {}
     for step in HostStep:
@@ -109,23 +130,19 @@
             results[step] = result
     wave = situation.objects.waves.get(item.wave)
     progress = situation.state.waves.get(item.wave)
-    base = host_machine.HostSituation(
-        item,
-        results,
-        item.host in situation.live,
-        situation.wall_ms,
-        progress.status if progress is not None else None,
-    )
-    if wave is None:
-        return base
     return host_machine.HostSituation(
-        item,
-        results,
-        base.is_live,
-        base.wall_ms,
-        base.wave_status,
-        wave.drain_timeout_ms,
-        wave.reboot_timeout_ms,
+        item=item,
+        results=results,
+        is_live=item.host in situation.live,
+        wall_ms=situation.wall_ms,
+        wave_status=progress.status if progress else None,
+        drain_timeout_ms=(
+            wave.drain_timeout_ms if wave else host_machine.DRAIN_TIMEOUT_MS
+        ),
+        reboot_timeout_ms=(
+            wave.reboot_timeout_ms if wave else host_machine.JOIN_TIMEOUT_MS
+        ),
+        is_pool_short=is_pool_short,
     )
 
 
--- a/src/guavapin/duties/lease.py
+++ b/src/guavapin/duties/lease.py
@@ -111,7 +111,8 @@
         return replace(lease, sent_ms=now_ms), (Renew(),)
     if lease.phase is LeasePhase.IDLE:
         return replace(lease, phase=LeasePhase.READING, sent_ms=now_ms), (ReadKey(),)
-    return lease, ()
+    # A lease asked for this long ago is worthless, whatever the answer will be.
+    return (lease, ()) if now_ms - lease.sent_ms < LEASE_MS else give_up(lease)
 
 
 def on_answer(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
--- a/src/guavapin/fleet/wave_rules.py
+++ b/src/guavapin/fleet/wave_rules.py
@@ -46,7 +46,11 @@
 
 
 def start_wave(action: StartWave, situation: Situation) -> Outcome[Change]:
-    """Start a declared wave that is not in progress."""
+    """Start a declared wave that is not in progress.
+
+    The progress of waves that have ended and are no longer declared is dropped, since
+    the record must stay small.
+    """
     state = situation.state
     if action.wave not in situation.objects.waves:
         return Refused(Reason.MISSING, f"wave {action.wave!r} is not declared")
@@ -57,7 +61,15 @@
         detail = f"wave {action.wave!r} still has hosts in progress"
         return Refused(Reason.CONFLICT, detail)
     started = WaveProgress(action.wave, WaveStatus.RUNNING, situation.wall_ms)
-    return Ok(_update(situation, started, "wave.start"))
+    change = _update(situation, started, "wave.start")
+    waves = {
+        name: progress
+        for name, progress in change.state.waves.items()
+        if name in situation.objects.waves
+        or progress.status in _ACTIVE
+        or hosts_in_wave(state, name)
+    }
+    return Ok(replace(change, state=replace(change.state, waves=waves)))
 
 
 def pause_wave(action: PauseWave, situation: Situation) -> Outcome[Change]:
--- a/src/guavapin/waves/host_machine.py
+++ b/src/guavapin/waves/host_machine.py
@@ -36,7 +36,8 @@
 class HostSituation:
     """A disruption and all that decides about its next step.
 
-    `results` holds the ended steps of the present phase.
+    `results` holds the ended steps of the present phase. `is_pool_short` tells that
+    the pool is below its budget, since hosts were lost after the disruption began.
     """
 
     item: Disruption
@@ -46,6 +47,7 @@
     wave_status: WaveStatus | None = None
     drain_timeout_ms: int = DRAIN_TIMEOUT_MS
     reboot_timeout_ms: int = JOIN_TIMEOUT_MS
+    is_pool_short: bool = False
 
     @property
     def elapsed_ms(self) -> int:
@@ -121,8 +123,8 @@
     forward = actions.AdvanceWaveHost(item.host, item.phase)
     if item.phase is HostPhase.DRAINING:
         give_back = actions.ReturnWaveHost(item.host)
-        if situation.wave_status is WaveStatus.ABORTED:
-            return Change(give_back, "wave aborted")
+        if situation.wave_status in (WaveStatus.ABORTED, WaveStatus.STOPPED):
+            return Change(give_back, f"wave {situation.wave_status.value}")
         return _empty_host(situation, forward, give_back)
     if item.phase is HostPhase.REBOOTING:
         return _maintain(situation, HostStep.REBOOT, forward)
@@ -139,6 +141,8 @@
     give_back: actions.FleetAction,
 ) -> NextStep:
     """Wait for the work, then checkpoint what is left; never cut work off."""
+    if situation.is_pool_short:
+        return Change(give_back, "the pool is below its budget")
     if _is_ok(situation, HostStep.DRAIN):
         return Change(forward, "work has ended")
     if situation.elapsed_ms < situation.drain_timeout_ms:
--- a/src/guavapin_bench/fleet.py
+++ b/src/guavapin_bench/fleet.py
@@ -15,6 +15,8 @@
 from typing import TYPE_CHECKING
 
 from guavapin.capacity.report import capacity_reports
+from guavapin.duties.decide import DutySituation
+from guavapin.duties.decide import decide
 from guavapin.fleet.budget import Liveness
 from guavapin.fleet.budget import pool_statuses
 from guavapin.fleet.budget import required_available
@@ -26,8 +28,10 @@
 from guavapin.fleet.state import HostPhase
 from guavapin.fleet.state import WaveProgress
 from guavapin.fleet.state import WaveStatus
+from guavapin.objects.model import DAY_MS
 from guavapin.objects.model import MaintenanceWave
 from guavapin.objects.model import ObjectSet
+from guavapin.waves.host_machine import SLOW_START_MS
 from guavapin.waves.planner import PlanInput
 from guavapin.waves.planner import plan_starts
 from guavapin_bench.fleet_demand import Demand
@@ -171,6 +175,14 @@
     )
 
 
+def _slowest_days(objects: ObjectSet) -> float:
+    """Return the days of a wave of 4 at once whose hosts use up all their time."""
+    wave = MaintenanceWave("full")
+    bounded = replace(objects, waves={"full": wave})
+    length = 2 * wave.drain_timeout_ms + 2 * wave.reboot_timeout_ms + SLOW_START_MS
+    return roll_out_ms(bounded, dict.fromkeys(objects.hosts, length)) / DAY_MS
+
+
 def _time_ms(function: Callable[[], object], rounds: int = 5) -> float:
     """Return the median of `rounds` runs, in ms."""
     times = []
@@ -200,10 +212,13 @@
         state, live = placed(objects), Liveness(frozenset(objects.hosts))
         plan = PlanInput(state, objects, live, 0)
         row["plan_ms"] = _time_ms(lambda plan=plan: plan_starts(plan))  # type: ignore[misc]
+        situation = DutySituation(state, objects, live.live, 0, 0, {})
+        row["decide_ms"] = _time_ms(lambda s=situation: decide(s))  # type: ignore[misc]
         row["report_ms"] = _time_ms(
             lambda s=state, o=objects, v=live: capacity_reports(s, o, v)  # type: ignore[misc]
         )
         row["state_bytes"] = len(encode_fleet(full_record(objects)))
+        row["three_weeks_days"] = _slowest_days(objects)
         figures[name] = row
     for name, pools, own in (("gagnon", 5, 6), ("mandali", 5, 8), ("fleet", 47, 23)):
         demand = take_turns(pools, own, 4_000 if pools < 10 else 1_000, rng)
--- a/tests/duties/test_fleet_duty.py
+++ b/tests/duties/test_fleet_duty.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -174,6 +175,21 @@
     assert cluster.state.disruptions == {}, "hosts in progress reach a safe end"
 
 
+def test_host_lost_during_a_drain_brings_the_draining_host_back() -> None:
+    cluster = wave_cluster(wave=replace(WAVE, max_at_once=2, pools=("a",)))
+    cluster.silent = {(host, HostStep.DRAIN) for host in cluster.objects.hosts}
+    cluster.run(6_000)
+    assert len(cluster.state.disruptions) == 2
+    spare = sorted(set(["a0", "a1", "a2", "a3"]) - set(cluster.state.disruptions))
+    cluster.double.hosts[spare[0]] = "gone"
+    cluster.run(6_000)
+    assert len(cluster.state.disruptions) <= 1
+    cluster.double.hosts[spare[0]] = "live"
+    cluster.silent.clear()
+    cluster.run(4 * MINUTE_MS)
+    assert cluster.state.waves["w"].status is WaveStatus.DONE
+
+
 def test_nothing_begins_while_the_platform_is_down_and_all_ends_after() -> None:
     cluster = wave_cluster(processes=2)
     cluster.run(10_000)
--- a/tests/duties/test_lease.py
+++ b/tests/duties/test_lease.py
@@ -151,3 +151,11 @@
     holder.task.handle(GiveUpDuty(holder.tokens[0]))
     holder.news += pump(holder.harness, holder.task, holder.double)
     assert holder.is_lost
+
+
+def test_acquisition_without_an_answer_begins_again() -> None:
+    """An answer that never comes must not keep the process from the duty for ever."""
+    lease, _ = machine.tick(machine.DutyLease("fleet", "x"), 0)
+    assert machine.tick(lease, machine.LEASE_MS - 1)[0] == lease
+    again, _ = machine.tick(lease, machine.LEASE_MS)
+    assert again.phase is machine.LeasePhase.IDLE
--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -9,6 +9,7 @@
 from guavapin.fleet.state import AuditEntry
 from guavapin.fleet.state import FleetState
 from guavapin.fleet.state import HostPhase
+from guavapin.fleet.state import WaveProgress
 from guavapin.fleet.state import WaveStatus
 from guavapin.kernel import Outcome
 from guavapin.kernel import Reason
@@ -165,6 +166,15 @@
     must(run(state, actions.StartWave("w"), OBJECTS))
 
 
+def test_progress_of_undeclared_waves_is_dropped_once_they_ended() -> None:
+    """Otherwise the record would grow with every wave that was ever declared."""
+    state = placed(OBJECTS)
+    for name, status in (("old", WaveStatus.DONE), ("on", WaveStatus.RUNNING)):
+        state.waves[name] = WaveProgress(name, status, 0, done=("a0",))
+    state = must(run(state, actions.StartWave("w"), OBJECTS))
+    assert set(state.waves) == {"on", "w"}
+
+
 def test_fence_only_rises_and_refuses_lower_tokens() -> None:
     state = must(run(placed(OBJECTS), actions.RaiseFence(), OBJECTS, token=8))
     assert state.fence == 8
--- a/tests/waves/test_host_machine.py
+++ b/tests/waves/test_host_machine.py
@@ -112,3 +112,16 @@
     later = replace(WAVE_HOST, since_ms=2_000)
     ids = {step_id(item, HostStep.DRAIN) for item in (WAVE_HOST, later)}
     assert len(ids) == 2
+
+
+@pytest.mark.parametrize("status", [WaveStatus.ABORTED, WaveStatus.STOPPED])
+def test_ended_wave_returns_draining_hosts(status: WaveStatus) -> None:
+    step = next_step(situation(HostPhase.DRAINING, wave_status=status, drain=OK))
+    assert isinstance(step, Change) and step.action == actions.ReturnWaveHost("h")
+
+
+def test_draining_host_is_returned_to_a_pool_below_its_budget() -> None:
+    """Hosts lost after the drain began must not add up with it."""
+    short = replace(situation(HostPhase.DRAINING, drain=OK), is_pool_short=True)
+    step = next_step(short)
+    assert isinstance(step, Change) and step.action == actions.ReturnWaveHost("h")
