Let a spare without a budget lend its last host

Cause: the need of a pool counted its largest rack even where the budget promises nothing, so one spare host stayed unused while a pool was short. Change: the rack counts only for pools with a budget.

--- a/src/guavapin/capacity/need.py
+++ b/src/guavapin/capacity/need.py
@@ -21,7 +21,8 @@
     """The parts of a pool's need, in hosts.
 
     `budget` must stay available, `rack` covers the loss of the rack that holds most
-    of the pool's hosts, `maintenance` those taken out by plan, `burst` a peak.
+    of the pool's hosts, `maintenance` those taken out by plan, `burst` a peak. A pool
+    without a budget promises nothing that the loss of a rack could break.
     """
 
     pool: str
@@ -65,7 +66,7 @@
         needs[pool.name] = PoolNeed(
             pool.name,
             required,
-            _largest_rack(objects, hosts),
+            _largest_rack(objects, hosts) if required else 0,
             maintenance[pool.name],
             pool.burst_hosts,
         )
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -124,6 +124,14 @@
     assert need.total == 8
 
 
+def test_spare_without_a_budget_can_lend_its_last_host() -> None:
+    budgets = {"x": BUDGET, "none": AvailabilityBudget("none")}
+    pools = {**OBJECTS.pools, "s": replace(OBJECTS.pools["s"], budget="none")}
+    lender = Lender(replace(OBJECTS, budgets=budgets, pools=pools))
+    lender.run(10_000, a=12.0)
+    assert (lender.count("a"), lender.count("s")) == (12, 0)
+
+
 def test_running_wave_keeps_one_host_of_each_pool_in_hand() -> None:
     state = placed(OBJECTS)
     state.waves["w"] = WaveProgress("w", WaveStatus.RUNNING, 0)
