Hold a moved host off and never reuse a loan number

Cause: two faults found by reading. A host that changed pools while in use had a second record with a full share. A host that left a pool and returned counted its loans from 1 again, so that a late message about an old loan could match a new one. Change: a host that is in use under another pool is held off; loan numbers start from the time of the record.

--- a/src/guavapin/serving/exchange_attempt.py
+++ b/src/guavapin/serving/exchange_attempt.py
@@ -15,7 +15,7 @@
     from guavapin.routing.run_time import Expectation
     from guavapin.routing.verdict import VerdictRules
     from guavapin.serving.exchange import Exchange
-    from guavapin.serving.exchange_pool import Placement
+    from guavapin.serving.exchange_upstream import Placement
     from guavapin.serving.messages import AttemptEnded
 
 CONNECT_MS = 2_000
--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from guavapin.serving.exchange import Exchange
-    from guavapin.serving.exchange_pool import Placement
     from guavapin.serving.exchange_router import ExchangeRouter
+    from guavapin.serving.exchange_upstream import Placement
     from guavapin.serving.messages import StartAttempt
 
 PROBE_TIMEOUT_MS = 2_000
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -34,8 +34,8 @@
     from guavapin.serving.exchange import Action
     from guavapin.serving.exchange import Exchange
     from guavapin.serving.exchange import Step
-    from guavapin.serving.exchange_pool import Placement
     from guavapin.serving.exchange_router import ExchangeRouter
+    from guavapin.serving.exchange_upstream import Placement
     from guavapin.serving.messages import RequestBody
     from guavapin.serving.messages import RequestReceived
 
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -7,54 +7,37 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from guavapin.limits import concurrency
 from guavapin.limits import loans
 from guavapin.limits import slots as slot_rules
 from guavapin.limits.shares import seat_share
-from guavapin.limits.slots import SlotState
 from guavapin.routing import health as health_rules
 from guavapin.routing.health import Breaker
 from guavapin.routing.health import UpstreamHealth
 from guavapin.routing.indexed_set import IndexedSet
 from guavapin.routing.picker import PickRequest
 from guavapin.routing.picker import long_work_upstreams
-from guavapin.routing.verdict import Verdict
 from guavapin.serving import exchange_upstream
-from guavapin.serving.exchange_upstream import UpstreamRecord
+from guavapin.serving.exchange_upstream import Placement
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
-    from guavapin.limits.slots import Slot
+    from guavapin.limits.slots import SlotState
+    from guavapin.routing.verdict import Verdict
     from guavapin.serving.exchange_settings import ExchangeSettings
+    from guavapin.serving.exchange_upstream import UpstreamRecord
     from guavapin.serving.route_table import Upstream
 
 # How long an upstream that announced its leaving is left alone when neither the list
 # nor an operator has confirmed it.
 LEAVING_MS = 60_000
-# Bounds what one attempt adds to the means of answer time. Long work that cannot be
-# told apart from short by its path would otherwise look like an overloaded upstream:
-# a bound of 10 with 5% long work took slots out of use.
-MAX_SLOWNESS = 3.0
 MAX_PICKS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """A reserved slot on a host, for one attempt."""
-
-    host: str
-    address: str
-    slot: Slot
-    is_long: bool
-    is_trial: bool = False
-
-
 class ExchangePool:
     """Upstreams of one pool; `records` and `health` are keyed by host."""
 
@@ -86,14 +69,22 @@
         slots: int,
         seats: int,
         max_ejected_share: float,
+        busy_elsewhere: frozenset[str],
         now_ms: int,
     ) -> None:
-        """Apply a route table; hosts that left the pool are kept while in use."""
+        """Apply a route table; hosts that left the pool are kept while in use.
+
+        A new host in `busy_elsewhere` is in use by this seat under another pool, so
+        its slots are held off until that use must have ended.
+        """
         self._max_ejected_share = max_ejected_share
         present = {upstream.host: upstream for upstream in upstreams}
         for host, upstream in present.items():
             share = seat_share(slots, seats, self._settings.seat, host)
-            self._add_or_change(upstream, share, slots, now_ms)
+            held_ms = self._held_off_until_ms
+            if host in busy_elsewhere:
+                held_ms = max(held_ms, now_ms + self._settings.loans.hold_off_ms)
+            self._add_or_change(upstream, share, slots, held_ms, now_ms)
         for host in list(self.records):
             if host not in present:
                 self._remove(host, now_ms)
@@ -184,31 +175,14 @@
             return
         self.running -= 1
         self.long_running -= placement.is_long
-        limit = record.limit
-        slowness = min(slowness, MAX_SLOWNESS)
-        if verdict is None:
-            health = health_rules.cancel_attempt(record.health, placement.is_trial)
-        else:
-            may_eject = self._settings.ejects and self._may_eject()
-            health = health_rules.end_attempt(
-                record.health,
-                verdict,
-                slowness,
-                may_eject,
-                now_ms,
-                self._settings.health,
-                placement.is_trial,
-            )
-            if verdict is Verdict.SUCCESS and self._settings.adapts_limit:
-                limit = concurrency.observe_answer(
-                    limit, slowness, record.health.outstanding
-                )
-        record = replace(
+        record = exchange_upstream.after_attempt(
             record,
-            health=health,
-            limit=limit,
-            slots=slot_rules.release(record.slots, placement.slot, now_ms),
-            long_running=record.long_running - placement.is_long,
+            placement,
+            verdict,
+            slowness,
+            self._may_eject(),
+            self._settings,
+            now_ms,
         )
         self._store(placement.host, record, now_ms)
 
@@ -238,6 +212,14 @@
             slots = loans.drop_expired(record.slots, self._settings.loans, now_ms)
             self._store(host, replace(record, slots=slots), now_ms)
 
+    def busy_hosts(self) -> frozenset[str]:
+        """Return the hosts on which attempts run or loans are out."""
+        return frozenset(
+            host
+            for host, record in self.records.items()
+            if exchange_upstream.is_in_use(record)
+        )
+
     def changing_hosts(self) -> tuple[str, ...]:
         """Return the hosts whose room changes by the passing of time."""
         return tuple(self._changing.items)
@@ -266,6 +248,8 @@
             self._ejected.add(host)
 
     def _may_eject(self) -> bool:
+        if not self._settings.ejects:
+            return False
         allowed = health_rules.max_ejected(len(self.records), self._max_ejected_share)
         return len(self._ejected) < allowed
 
@@ -308,20 +292,19 @@
         self.refresh(host, now_ms)
 
     def _add_or_change(
-        self, upstream: Upstream, share: int, declared: int, now_ms: int
+        self,
+        upstream: Upstream,
+        share: int,
+        declared: int,
+        held_off_until_ms: int,
+        now_ms: int,
     ) -> None:
         settings = self._settings
         record = self.records.get(upstream.host)
         if record is None:
-            slots = SlotState(
-                upstream.host,
-                settings.seat,
-                settings.incarnation,
-                share,
-                self._held_off_until_ms,
+            record = exchange_upstream.new_record(
+                upstream, settings, share, declared, held_off_until_ms, now_ms
             )
-            limit = concurrency.new_limit(declared)
-            record = UpstreamRecord(upstream, UpstreamHealth(), slots, limit)
         else:
             slots = slot_rules.change_share(record.slots, share, settings.loans, now_ms)
             record = exchange_upstream.with_limit(
@@ -332,7 +315,7 @@
     def _remove(self, host: str, now_ms: int) -> None:
         """Take a host out; its record stays while attempts run or loans are out."""
         record = self.records[host]
-        if record.health.outstanding or record.slots.lent or record.slots.borrowed:
+        if exchange_upstream.is_in_use(record):
             upstream = replace(record.upstream, takes_work=False)
             self._store(host, replace(record, upstream=upstream), now_ms)
             return
--- a/src/guavapin/serving/exchange_router.py
+++ b/src/guavapin/serving/exchange_router.py
@@ -86,7 +86,10 @@
         ]
         slots = spec.slots if spec else 0
         share = spec.max_ejected_share if spec else 0.0
-        pool.configure(members, slots, self.seats, share, now_ms)
+        busy = (item.busy_hosts() for item in self.pools.values() if item is not pool)
+        pool.configure(
+            members, slots, self.seats, share, frozenset().union(*busy), now_ms
+        )
 
     def _configure_service(self, service: Service, now_ms: int) -> None:
         state = self.services.get(service.name)
--- a/src/guavapin/serving/exchange_upstream.py
+++ b/src/guavapin/serving/exchange_upstream.py
@@ -8,16 +8,40 @@
 
 from guavapin.limits import concurrency
 from guavapin.limits import slots as slot_rules
+from guavapin.limits.slots import SlotState
 from guavapin.routing import health as health_rules
+from guavapin.routing.health import UpstreamHealth
+from guavapin.routing.verdict import Verdict
 
 if TYPE_CHECKING:
     from guavapin.limits.concurrency import ConcurrencyLimit
-    from guavapin.limits.slots import SlotState
+    from guavapin.limits.slots import Slot
     from guavapin.routing.health import HealthSettings
-    from guavapin.routing.health import UpstreamHealth
+    from guavapin.serving.exchange_settings import ExchangeSettings
     from guavapin.serving.route_table import Upstream
 
 
+# Bounds what one attempt adds to the means of answer time. Long work that cannot be
+# told apart from short by its path would otherwise look like an overloaded upstream:
+# a bound of 10 with 5% long work took slots out of use.
+MAX_SLOWNESS = 3.0
+# Loans are numbered from the time at which the record was made: a host that leaves and
+# returns gets a new record, and a late message about a loan of the old one must not
+# match a loan of the new one.
+NUMBER_BITS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """A reserved slot on a host, for one attempt."""
+
+    host: str
+    address: str
+    slot: Slot
+    is_long: bool
+    is_trial: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamRecord:
     """All that this seat knows of one upstream.
@@ -79,3 +103,66 @@
     if declared == record.limit.declared:
         return record
     return replace(record, limit=concurrency.new_limit(declared))
+
+
+def new_record(
+    upstream: Upstream,
+    settings: ExchangeSettings,
+    share: int,
+    declared: int,
+    held_off_until_ms: int,
+    now_ms: int,
+) -> UpstreamRecord:
+    """Return the record of an upstream of which nothing is known."""
+    slots = SlotState(
+        upstream.host,
+        settings.seat,
+        settings.incarnation,
+        share,
+        held_off_until_ms,
+        next_number=(now_ms << NUMBER_BITS) + 1,
+    )
+    limit = concurrency.new_limit(declared)
+    return UpstreamRecord(upstream, UpstreamHealth(), slots, limit)
+
+
+def after_attempt(
+    record: UpstreamRecord,
+    placement: Placement,
+    verdict: Verdict | None,
+    slowness: float,
+    may_eject: bool,
+    settings: ExchangeSettings,
+    now_ms: int,
+) -> UpstreamRecord:
+    """Return the record after an attempt; `verdict` is None if it was cancelled."""
+    limit, health = record.limit, record.health
+    slowness = min(slowness, MAX_SLOWNESS)
+    if verdict is None:
+        health = health_rules.cancel_attempt(health, placement.is_trial)
+    else:
+        health = health_rules.end_attempt(
+            health,
+            verdict,
+            slowness,
+            may_eject,
+            now_ms,
+            settings.health,
+            placement.is_trial,
+        )
+        if verdict is Verdict.SUCCESS and settings.adapts_limit:
+            outstanding = record.health.outstanding
+            limit = concurrency.observe_answer(limit, slowness, outstanding)
+    return replace(
+        record,
+        health=health,
+        limit=limit,
+        slots=slot_rules.release(record.slots, placement.slot, now_ms),
+        long_running=record.long_running - placement.is_long,
+    )
+
+
+def is_in_use(record: UpstreamRecord) -> bool:
+    """Tell whether attempts run on the upstream or loans of its slots are out."""
+    slots = record.slots
+    return bool(record.health.outstanding or slots.lent or slots.borrowed)
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from guavapin.kernel import Call
 from guavapin.limits.slots import LoanSettings
+from guavapin.objects.model import Service
 from guavapin.objects.model import TeamQuota
 from guavapin.peers.messages import Member
 from guavapin.peers.messages import MembershipChanged
@@ -311,3 +313,38 @@
             rig.harness.advance(1_000 if request_id % 20 == 0 else 10)
             rig.answer(start.attempt_id)
     assert supply(rig).total_slots == 8
+
+
+def test_moved_host_is_held_off_while_its_old_pool_uses_it() -> None:
+    """Guards against more than the slots of a host that changes pools while in use."""
+    objects = make_objects(hosts=1, slots=1)
+    rig = Rig(objects)
+    rig.request(1)
+    assert len(rig.take(StartAttempt)) == 1
+    other = replace(objects.pools["p"], name="q")
+    rig.configure(
+        replace(
+            objects,
+            hosts={"h0": replace(objects.hosts["h0"], pool="q")},
+            pools={**objects.pools, "q": other},
+            services={
+                **objects.services,
+                "t": Service("t", "q", path_prefix="/t"),
+            },
+        )
+    )
+    rig.request(2, target="/t/x")
+    rig.harness.advance(1_000)
+    assert rig.take(StartAttempt) == []
+
+
+def test_loan_of_a_host_that_left_and_returned_gets_a_new_number() -> None:
+    """Guards against a late message about an old loan that matches a new one."""
+    objects = make_objects(hosts=2)
+    rig = Rig(objects)
+    before = rig.task._router.pools["p"].records["h1"].slots.next_number
+    rig.harness.advance(1_000)
+    rig.configure(make_objects(hosts=1))
+    rig.configure(objects)
+    after = rig.task._router.pools["p"].records["h1"].slots.next_number
+    assert after > before + 1_000
