--- a/src/guavapin_bench/entry_process.py
+++ b/src/guavapin_bench/entry_process.py
@@ -19,6 +19,7 @@
 from guavapin.kernel import SystemClock
 from guavapin.objects.model import Pool
 from guavapin.objects.model import Service
+from guavapin.serving.exchange_settings import ExchangeSettings
 from guavapin.serving.exchanges import ExchangesTask
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
@@ -96,7 +97,8 @@
         if kind == "adapters":
             kernel.register(PassThrough(upstream), loop="serving")
         else:
-            kernel.register(ExchangesTask("zone"), loop="serving")
+            settings = ExchangeSettings("zone", is_first_start=True)
+            kernel.register(ExchangesTask(settings), loop="serving")
         cfg = UpstreamsConfig(host_connections=SLOTS, max_connections=SLOTS)
         kernel.register(UpstreamsTask(cfg), loop="serving")
     kernel.register(front, loop="serving", requires=("exchanges",))
