Move deadlines of requests only when they come up

Change: a step only notes its time; a deadline that comes up is moved if there was progress since. The deadlines of connections have a module.

--- a/src/guavapin/serving/attempt_handle.py
+++ b/src/guavapin/serving/attempt_handle.py
@@ -45,12 +45,12 @@
         """Send a message to `exchanges`."""
         ...
 
-    def on_head(self, handle: AttemptHandle) -> None:
-        """Take note that the head of the answer has arrived."""
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
         ...
 
-    def on_progress(self, handle: AttemptHandle) -> None:
-        """Take note of a part of the answer."""
+    def on_head(self, handle: AttemptHandle) -> None:
+        """Take note that the head of the answer has arrived."""
         ...
 
     def on_turn_over(self, handle: AttemptHandle) -> None:
@@ -79,6 +79,7 @@
 
     def __init__(self, cfg: UpstreamsConfig, owner: AttemptOwner) -> None:
         self.attempt_id = 0
+        self.active_ms = 0
         self.curl = pycurl.Curl()
         self.start: StartAttempt
         self.is_head_done = False
@@ -93,6 +94,7 @@
         self._reset_state()
         self.attempt_id = start.attempt_id
         self.start = start
+        self.active_ms = self._owner.now_ms()
         curl = self.curl
         curl.setopt(pycurl.URL, f"http://{start.address}/")
         curl.setopt(pycurl.REQUEST_TARGET, start.target)
@@ -254,6 +256,7 @@
         self._owner.forward(
             AttemptHead(self.attempt_id, self._status, end_to_end(raw), is_closing)
         )
+        self.active_ms = self._owner.now_ms()
         self._owner.on_head(self)
 
     def _on_body(self, data: bytes) -> int | None:
@@ -265,7 +268,7 @@
             return int(pycurl.WRITEFUNC_PAUSE)
         self._turn_bytes += len(data)
         self._owner.forward(AttemptBody(self.attempt_id, data))
-        self._owner.on_progress(self)
+        self.active_ms = self._owner.now_ms()
         return None
 
     def _on_read(self, size: int) -> bytes | int:
--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -91,6 +91,7 @@
         self.wants_write = False
         self.watched_events = 0
         self.deadline_kind = ""
+        self.active_ms = 0
         self.out = bytearray()
         self.parser = RequestParser(owner.max_head_bytes)
         self._owner = owner
--- /dev/null
+++ b/src/guavapin/serving/connection_deadlines.py
@@ -0,0 +1,71 @@
+"""Deadlines of the callers' connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.serving.deadlines import DeadlineTimer
+
+if TYPE_CHECKING:
+    from guavapin.kernel import TaskContext
+    from guavapin.serving.caller_connection import CallerConnection
+    from guavapin.serving.front_config import FrontConfig
+
+LINGER_MS = 2_000
+
+
+class ConnectionDeadlines:
+    """Bounds how long a connection may be quiet, by what it is doing.
+
+    A request only notes the time of its progress; the deadline is moved when it comes
+    up, so that requests that end in time cost no change of a timer.
+    """
+
+    def __init__(self, context: TaskContext, message: object, cfg: FrontConfig) -> None:
+        self._context = context
+        self._timer = DeadlineTimer(context, message)
+        self._bounds_ms = {
+            "linger": LINGER_MS,
+            "head": cfg.header_timeout_ms,
+            "progress": cfg.idle_timeout_ms,
+        }
+
+    def note(self, conn: CallerConnection) -> None:
+        """Take note of a step of `conn`."""
+        if conn.is_lingering:
+            kind = "linger"
+        elif conn.is_handshaking or conn.is_reading_head:
+            kind = "head"
+        else:
+            kind = "progress"
+        if kind != conn.deadline_kind:
+            conn.deadline_kind = kind
+            conn.active_ms = self._context.now_ms()
+            self._timer.set(conn.conn_id, self._bounds_ms[kind])
+        elif kind == "progress":
+            # A head that arrives byte by byte must not move its deadline.
+            conn.active_ms = self._context.now_ms()
+
+    def discard(self, conn: CallerConnection) -> None:
+        """Forget a closed connection."""
+        self._timer.discard(conn.conn_id)
+
+    def pop_expired(self, conns: dict[int, CallerConnection]) -> list[CallerConnection]:
+        """Return the connections that were quiet for too long."""
+        now_ms = self._context.now_ms()
+        expired = []
+        for conn_id in self._timer.pop_due():
+            conn = conns[conn_id]
+            due_ms = self._due_ms(conn, now_ms)
+            if due_ms > now_ms:
+                self._timer.set(conn_id, due_ms - now_ms)
+            else:
+                expired.append(conn)
+        return expired
+
+    def _due_ms(self, conn: CallerConnection, now_ms: int) -> int:
+        bound_ms = self._bounds_ms[conn.deadline_kind]
+        is_progress = conn.deadline_kind == "progress"
+        if is_progress and (conn.is_waiting_for_answer or conn.is_body_paused):
+            return now_ms + bound_ms
+        return conn.active_ms + bound_ms
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -16,7 +16,7 @@
 from guavapin.kernel import Refused
 from guavapin.serving.caller_connection import CallerConnection
 from guavapin.serving.caller_listener import CallerListener
-from guavapin.serving.deadlines import DeadlineTimer
+from guavapin.serving.connection_deadlines import ConnectionDeadlines
 from guavapin.serving.messages import AnswerBody
 from guavapin.serving.messages import AnswerBroken
 from guavapin.serving.messages import AnswerEnd
@@ -35,8 +35,6 @@
     from guavapin.kernel import TaskContext
     from guavapin.serving.front_config import FrontConfig
 
-LINGER_MS = 2_000
-
 
 @dataclass(frozen=True, slots=True)
 class _DeadlinePassed:
@@ -75,13 +73,13 @@
         self._stop_futs: list[Future[Any]] = []
         self._unflushed: set[int] = set()
         self._context: TaskContext
-        self._deadlines: DeadlineTimer
+        self._deadlines: ConnectionDeadlines
         self._listener: CallerListener
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Open the listener; refused if the address or the TLS files cannot be used."""
         self._context = context
-        self._deadlines = DeadlineTimer(context, _DeadlinePassed())
+        self._deadlines = ConnectionDeadlines(context, _DeadlinePassed(), self._cfg)
         self._listener = CallerListener(context, _ResumeAccepting(), self._open)
         cfg = self._cfg
         if cfg.certificate_file:
@@ -185,7 +183,7 @@
             events |= selectors.EVENT_WRITE
         if events != conn.watched_events:
             self._watch(conn, events)
-        self._set_deadline(conn)
+        self._deadlines.note(conn)
 
     def _on_answer(
         self, message: AnswerHead | AnswerBody | AnswerEnd | AnswerBroken
@@ -283,7 +281,7 @@
     def _close(self, conn: CallerConnection) -> None:
         if self._conns.pop(conn.conn_id, None) is None:
             return
-        self._deadlines.discard(conn.conn_id)
+        self._deadlines.discard(conn)
         self._context.unwatch(conn.fd)
         conn.sock.close()
         if len(self._conns) < self._cfg.max_connections:
@@ -299,27 +297,8 @@
         else:
             self._context.unwatch(conn.fd)
 
-    def _set_deadline(self, conn: CallerConnection) -> None:
-        if conn.is_lingering:
-            kind, delay_ms = "linger", LINGER_MS
-        elif conn.is_handshaking or conn.is_reading_head:
-            kind, delay_ms = "head", self._cfg.header_timeout_ms
-        elif conn.is_waiting_for_answer or conn.is_body_paused:
-            conn.deadline_kind = ""
-            self._deadlines.discard(conn.conn_id)
-            return
-        else:
-            kind, delay_ms = "progress", self._cfg.idle_timeout_ms
-        # A head that arrives byte by byte must not move its deadline.
-        if kind != conn.deadline_kind or kind == "progress":
-            conn.deadline_kind = kind
-            self._deadlines.set(conn.conn_id, delay_ms)
-
     def _on_deadlines(self) -> None:
-        for conn_id in self._deadlines.pop_due():
-            conn = self._conns.get(conn_id)
-            if conn is None:
-                continue
+        for conn in self._deadlines.pop_expired(self._conns):
             self.counts["timeouts"] += 1
             if conn.is_busy and not (conn.out or conn.is_lingering):
                 conn.refuse(408, "request not received in time")
--- a/src/guavapin/serving/upstreams.py
+++ b/src/guavapin/serving/upstreams.py
@@ -112,17 +112,22 @@
                 counts = {**self.counts, "attempts_in_progress": len(self._attempts)}
                 fut.set_result(counts)
 
+    def now_ms(self) -> int:
+        """Return monotonic time in milliseconds."""
+        return self._context.now_ms()
+
     def forward(self, message: object) -> None:
         """Send a message to `exchanges`."""
         self._context.send("exchanges", message)
 
     def on_head(self, handle: AttemptHandle) -> None:
-        """Bound the time to the first part of the body."""
-        self._set_deadline(handle)
+        """Bound the time to the first part of the body.
 
-    def on_progress(self, handle: AttemptHandle) -> None:
-        """Bound the time to the next part of the body."""
-        self._set_deadline(handle)
+        A deadline that moves later is only moved when it comes up.
+        """
+        start = handle.start
+        if not start.first_byte_ms or start.progress_ms < start.first_byte_ms:
+            self._set_deadline(handle)
 
     def on_turn_over(self, handle: AttemptHandle) -> None:
         """Read on after the messages that are queued now."""
@@ -191,18 +196,29 @@
             self._run_due()
 
     def _set_deadline(self, handle: AttemptHandle) -> None:
-        start = handle.start
-        delay_ms = start.progress_ms if handle.is_head_done else start.first_byte_ms
-        is_caller_awaited = handle.is_answer_paused or handle.is_waiting_for_body
-        if delay_ms <= 0 or is_caller_awaited:
-            self._deadlines.discard(handle.attempt_id)
+        handle.active_ms = self._context.now_ms()
+        bound_ms = self._bound_ms(handle)
+        if bound_ms > 0:
+            self._deadlines.set(handle.attempt_id, bound_ms)
         else:
-            self._deadlines.set(handle.attempt_id, delay_ms)
+            self._deadlines.discard(handle.attempt_id)
+
+    def _bound_ms(self, handle: AttemptHandle) -> int:
+        """Return the time allowed without progress; 0 if it is not bounded now."""
+        if handle.is_answer_paused or handle.is_waiting_for_body:
+            return 0
+        start = handle.start
+        return start.progress_ms if handle.is_head_done else start.first_byte_ms
 
     def _on_deadlines(self) -> None:
+        now_ms = self._context.now_ms()
         for attempt_id in self._deadlines.pop_due():
             handle = self._attempts.get(attempt_id)
-            if handle is None:
+            bound_ms = self._bound_ms(handle) if handle is not None else 0
+            if handle is None or bound_ms <= 0:
+                continue
+            if handle.active_ms + bound_ms > now_ms:
+                self._deadlines.set(attempt_id, handle.active_ms + bound_ms - now_ms)
                 continue
             if handle.is_head_done:
                 result = AttemptResult.PROGRESS_TIMEOUT
--- a/tests/serving/exchange_support.py
+++ b/tests/serving/exchange_support.py
@@ -38,9 +38,7 @@
     names = [f"h{index}" for index in range(hosts)]
     return ObjectSet(
         zones={"a": AvailabilityZone("a", "r", seats)},
-        hosts={
-            name: Host(name, "a", f"r-{name}", "p", f"{name}:80") for name in names
-        },
+        hosts={name: Host(name, "a", f"r-{name}", "p", f"{name}:80") for name in names},
         pools={"p": Pool("p", "b", slots=slots, max_ejected_share=0.5)},
         services={"s": Service("s", "p", path_prefix="/s", **service)},
         quotas={quota.name: quota for quota in quotas},
