--- a/src/guavapin_bench/entry_process.py
+++ b/src/guavapin_bench/entry_process.py
@@ -97,7 +97,7 @@
         if kind == "adapters":
             kernel.register(PassThrough(upstream), loop="serving")
         else:
-            settings = ExchangeSettings(zone="zone", is_first_start=True)
+            settings = ExchangeSettings("zone", is_first_start=True)
             kernel.register(ExchangesTask(settings), loop="serving")
         cfg = UpstreamsConfig(host_connections=SLOTS, max_connections=SLOTS)
         kernel.register(UpstreamsTask(cfg), loop="serving")
