Add the demo, status, capacity, explain and audit

Cause: operators must see whether every promise is kept, and the main job must be shown on real sockets.

--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.audit.archiver import AuditArchiverTask
+from guavapin.audit.reader import AuditReaderTask
 from guavapin.claims.store import ClaimsConfig
 from guavapin.claims.task import ClaimsTask
 from guavapin.duties.fleet_duty import FleetDutyTask
@@ -99,17 +100,18 @@
     readiness = ReadinessTask()
     front = FrontTask(_front_config(cfg))
     app = OperatorsApp(
-        build_routes(kernel), access.value, metrics, lambda: readiness.is_ready
+        build_routes(kernel, cfg.node, kernel.clock),
+        access.value,
+        metrics,
+        lambda: readiness.is_ready,
     )
     operators = OperatorsTask(cfg.operators, app)
     _register_serving(kernel, cfg, front, readiness, is_first_start)
     _register_entry_control(kernel, cfg, peer_filter)
     kernel.register(InForceTask(cfg.node.name), CONTROL, ("configuration", "peers"))
-    kernel.register(
-        operators,
-        CONTROL,
-        ("publisher", "in_force", "fleet_writer", "configuration", "routes"),
-    )
+    kernel.register(AuditReaderTask(), CONTROL, ("platform",))
+    asked = ("publisher", "in_force", "fleet_writer", "configuration", "audit_reader")
+    kernel.register(operators, CONTROL, asked)
     return Ok(EntryProcess(kernel, front, operators, metrics))
 
 
--- a/src/guavapin/console/app.py
+++ b/src/guavapin/console/app.py
@@ -8,8 +8,11 @@
 
 from guavapin.console.command import DEFAULT_URL
 from guavapin.console.command import console_of
+from guavapin.console.commands.audit import AuditCommand
+from guavapin.console.commands.capacity import CapacityCommand
 from guavapin.console.commands.check import CheckCommand
 from guavapin.console.commands.drain import DrainCommand
+from guavapin.console.commands.explain import ExplainCommand
 from guavapin.console.commands.get import GetCommand
 from guavapin.console.commands.move import MoveCommand
 from guavapin.console.commands.publish import PublishCommand
@@ -51,6 +54,9 @@
     UndrainCommand(),
     MoveCommand(),
     WaveCommand(),
+    AuditCommand(),
+    CapacityCommand(),
+    ExplainCommand(),
 )
 
 
--- /dev/null
+++ b/src/guavapin/console/commands/audit.py
@@ -0,0 +1,71 @@
+"""``guavapin audit``: who changed what, when and why."""
+
+from __future__ import annotations
+
+from datetime import UTC
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+from guavapin.console.render import render_table
+
+if TYPE_CHECKING:
+    import argparse
+    from typing import Any
+
+    from guavapin.console.command import Console
+    from guavapin.console.exit_codes import ExitCode
+
+FILTERS = ("actor", "action", "object")
+MAX_CELL = 40
+
+
+class AuditCommand:
+    """Read the audit trail."""
+
+    name = "audit"
+    summary = "show who changed what, when and why"
+    description = """\
+Show the audit trail, newest first: publications and every action on the fleet, of
+operators and of the system itself. Filters combine; an action also matches by the
+part before its dot ("move" matches "move.start").
+"""
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the filters."""
+        for name in FILTERS:
+            parser.add_argument(f"--{name}", default="", help=f"only this {name}")
+        parser.add_argument("--since-ms", type=int, default=0, help="wall time")
+        parser.add_argument("--until-ms", type=int, default=0, help="wall time")
+        parser.add_argument("--limit", type=int, default=50)
+
+    def run(self, args: argparse.Namespace, console: Console) -> ExitCode:
+        """Read and render the entries."""
+        query = {name: getattr(args, name) for name in FILTERS}
+        query |= {
+            "since_ms": str(max(args.since_ms, 0)),
+            "until_ms": str(max(args.until_ms, 0)),
+            "limit": str(max(args.limit, 1)),
+        }
+        return console.finish(console.client.get("/operator/v1/audit", query), _table)
+
+
+def _table(body: Any) -> str:
+    columns = ("time", "actor", "action", "object", "generation", "change", "reason")
+    return render_table(columns, [_row(entry) for entry in body["entries"]])
+
+
+def _row(entry: Any) -> tuple[object, ...]:
+    moment = datetime.fromtimestamp(entry["wall_ms"] / 1_000, UTC)
+    return (
+        moment.strftime("%Y-%m-%d %H:%M:%S"),
+        entry["actor"],
+        entry["action"],
+        entry["object"],
+        entry["generation"],
+        f"{_cut(entry['old'])} -> {_cut(entry['new'])}",
+        _cut(entry["reason"]),
+    )
+
+
+def _cut(text: str) -> str:
+    return text if len(text) <= MAX_CELL else text[: MAX_CELL - 3] + "..."
--- a/src/guavapin/console/commands/status.py
+++ b/src/guavapin/console/commands/status.py
@@ -56,15 +56,13 @@
 
 def _pools(body: Any) -> str:
     columns = ("pool", "hosts", "available", "required", "margin")
-    rows = [tuple(pool[column] for column in columns[1:]) for pool in body["pools"]]
-    names = [pool["pool"] for pool in body["pools"]]
-    table = [(name, *row) for name, row in zip(names, rows, strict=True)]
-    return render_table(columns, table)
+    rows = [tuple(line[column] for column in columns) for line in body["pools"]]
+    return render_table(columns, rows)
 
 
 def _disruptions(body: Any) -> str:
-    columns = ("host", "pool", "kind", "phase", "actor", "since")
-    rows = [tuple(item[column] for column in columns) for item in body["disruptions"]]
+    columns = ("host", "pool", "kind", "phase", "actor", "for_ms")
+    rows = [tuple(line[column] for column in columns) for line in body["disruptions"]]
     return render_table(columns, rows)
 
 
--- a/src/guavapin/operators/configuration_calls.py
+++ b/src/guavapin/operators/configuration_calls.py
@@ -1,4 +1,4 @@
-"""Operators' calls on the configuration: status, objects, publication."""
+"""Operators' calls on the configuration: objects, publication, rollback."""
 
 from __future__ import annotations
 
@@ -22,7 +22,6 @@
 from guavapin.publication.messages import GetConfiguration
 from guavapin.publication.messages import Published
 from guavapin.publication.messages import PublishSet
-from guavapin.publication.messages import QueryConfiguration
 from guavapin.publication.messages import Rejected
 from guavapin.publication.messages import Rollback
 
@@ -78,18 +77,11 @@
 
 
 class ConfigurationCalls:
-    """Handlers of ``/status``, ``/objects``, ``/publish`` and ``/rollback``."""
+    """Handlers of ``/objects``, ``/publish`` and ``/rollback``."""
 
     def __init__(self, asker: Asker) -> None:
         self._asker = asker
 
-    def read_status(self, call: OperatorCall) -> ApiAnswer:
-        """Return the generation of this process and of its peers."""
-        status = await_reply(self._asker.ask("configuration", QueryConfiguration()))
-        if isinstance(status, Refused):
-            return answer_refused(status)
-        return ApiAnswer(200, status)
-
     def read_objects(self, call: OperatorCall) -> ApiAnswer:
         """Return the objects in force."""
         reply = await_reply(self._asker.ask("configuration", GetConfiguration()))
--- /dev/null
+++ b/src/guavapin/operators/publication_trail.py
@@ -0,0 +1,77 @@
+"""Reads the audit values of publications, from the newest generation back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.audit.query import matches
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+from guavapin.operators.api import await_reply
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import Missing
+from guavapin.publication.audit import decode_audit
+from guavapin.publication.head import HEAD_KEY
+from guavapin.publication.head import audit_key
+from guavapin.publication.head import decode_head
+
+if TYPE_CHECKING:
+    from guavapin.audit.query import AuditQuery
+    from guavapin.fleet.state import AuditEntry
+    from guavapin.kernel.outcome import Outcome
+    from guavapin.operators.api import Asker
+
+# Bounds the calls to the platform of one query.
+MAX_GENERATIONS = 64
+
+
+class PublicationTrail:
+    """Each audit value names the one before it, so only values in force are read."""
+
+    def __init__(self, asker: Asker) -> None:
+        self._asker = asker
+
+    def read(self, query: AuditQuery) -> Outcome[tuple[AuditEntry, ...]]:
+        """Return matching entries of at most `MAX_GENERATIONS` generations."""
+        value = self._get(HEAD_KEY)
+        if isinstance(value, Refused):
+            return value
+        if value.value is None:
+            return Ok(())
+        head = decode_head(value.value)
+        if isinstance(head, Refused):
+            return head
+        found: list[AuditEntry] = []
+        generation, digest = head.value.generation, head.value.audit_digest
+        for _ in range(MAX_GENERATIONS):
+            if not digest or len(found) >= query.bounded_limit:
+                break
+            step = self._read_one(generation, digest)
+            if step is None:
+                break
+            entries, digest = step
+            found.extend(entry for entry in entries if matches(query, entry))
+            generation -= 1
+        return Ok(tuple(found))
+
+    def _read_one(
+        self, generation: int, digest: str
+    ) -> tuple[tuple[AuditEntry, ...], str] | None:
+        value = self._get(audit_key(generation, digest))
+        if isinstance(value, Refused) or value.value is None:
+            return None
+        audit = decode_audit(value.value)
+        if isinstance(audit, Refused):
+            return None
+        return audit.value.entries, audit.value.previous
+
+    def _get(self, key: str) -> Outcome[bytes | None]:
+        match await_reply(self._asker.ask("platform", Get("", 0, key))):
+            case Found(value):
+                return Ok(value)
+            case Missing():
+                return Ok(None)
+            case outcome:
+                return Refused(Reason.UNREACHABLE, f"platform: {outcome}")
--- a/src/guavapin/operators/routes.py
+++ b/src/guavapin/operators/routes.py
@@ -7,17 +7,24 @@
 from guavapin.operators.app import Route
 from guavapin.operators.configuration_calls import ConfigurationCalls
 from guavapin.operators.fleet_calls import FleetCalls
+from guavapin.operators.report_calls import ReportCalls
 
 if TYPE_CHECKING:
+    from guavapin.kernel import Clock
     from guavapin.operators.api import Asker
+    from guavapin.settings.parts import NodeSettings
 
 
-def build_routes(asker: Asker) -> tuple[Route, ...]:
+def build_routes(asker: Asker, node: NodeSettings, clock: Clock) -> tuple[Route, ...]:
     """Return the routes, whose handlers ask services through `asker`."""
     configuration = ConfigurationCalls(asker)
     fleet = FleetCalls(asker)
+    reports = ReportCalls(asker, node, clock)
     return (
-        Route("GET", "/status", configuration.read_status),
+        Route("GET", "/status", reports.read_status),
+        Route("GET", "/capacity", reports.read_capacity),
+        Route("GET", "/explain/<kind>/<name>", reports.explain),
+        Route("GET", "/audit", reports.read_audit),
         Route("GET", "/objects", configuration.read_objects),
         Route("POST", "/publish", configuration.publish),
         Route("POST", "/rollback", configuration.roll_back),
--- /dev/null
+++ b/src/guavapin/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What operators are told of the state of the fleet; pure."""
--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -25,6 +25,7 @@
 from guavapin.settings.parts import NodeSettings
 from guavapin.settings.parts import PlatformSettings
 from guavapin_demo.sites import build_objects
+from guavapin_demo.usage import UsageTask
 from guavapin_standins.platform import RunningPlatform
 from guavapin_standins.upstream import UpstreamStandin
 from guavapin_standins.upstream_messages import GetRecord
@@ -71,14 +72,19 @@
     """
 
     def __init__(
-        self, site: Site, folder: Path, peer_filter: PeerFilter | None = None
+        self,
+        site: Site,
+        folder: Path,
+        peer_filter: PeerFilter | None = None,
+        objects: ObjectSet | None = None,
+        hosts_lag_ms: int = 2_000,
     ) -> None:
         self.site = site
-        self.platform = RunningPlatform()
+        self.platform = RunningPlatform(hosts_lag_ms=hosts_lag_ms)
         self.entries: dict[str, EntryProcess] = {}
         self.controls: dict[str, ControlProcess] = {}
         self.addresses = _allocate_addresses(site)
-        self.objects: ObjectSet = build_objects(site)
+        self.objects = objects or build_objects(site)
         self._peer_filter = peer_filter
         self._token_file = folder / "tokens"
         self._upstreams = Kernel(SystemClock())
@@ -160,6 +166,8 @@
             loop = f"upstreams-{index // UPSTREAMS_PER_LOOP}"
             self._upstreams.register(standin, loop)
             self._standins[name] = standin
+        services = {name: standin.name for name, standin in self._standins.items()}
+        self._upstreams.register(UsageTask(services, self.platform), "usage")
         _expect(self._upstreams.start())
         hosts = {
             name: replace(host, address=f"127.0.0.1:{self._standins[name].port}")
--- /dev/null
+++ b/src/guavapin_demo/run.py
@@ -0,0 +1,225 @@
+"""The course of the demo: load, a wave, a move, a change, a cut, the verdict."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import threading
+from concurrent.futures import wait
+from dataclasses import dataclass
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from guavapin.audit.query import AuditQuery
+from guavapin.fleet.messages import QueryFleet
+from guavapin.fleet.state import WaveStatus
+from guavapin.kernel import Kernel
+from guavapin.kernel import SystemClock
+from guavapin.kernel.outcome import Refused
+from guavapin.objects.codec import encode_text
+from guavapin.objects.model import MaintenanceWave
+from guavapin.operators.configuration_calls import PublishBody
+from guavapin_demo.callers import CallersTask
+from guavapin_demo.callers import RunLoad
+from guavapin_demo.callers import SetEntries
+from guavapin_demo.demand import DemandPlan
+from guavapin_demo.demand import plan_requests
+from guavapin_demo.embedded import EmbeddedSite
+from guavapin_demo.observer import GetObserved
+from guavapin_demo.observer import ObserverTask
+from guavapin_demo.report import Observations
+from guavapin_demo.report import build_report
+from guavapin_standins.platform_controls import Faults
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from concurrent.futures import Future
+    from typing import Any
+
+    from guavapin.objects.model import ObjectSet
+    from guavapin_demo.report import DemoReport
+    from guavapin_demo.sites import Site
+
+WAVE = "rack-maintenance"
+LOAD_MS = 30_000
+TURN_MS = 3_000
+WAIT_MS = 20_000
+CUT_MS = 5_000
+REPLY_TIMEOUT_S = 60
+STEP_MS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happens `at_ms` after the start of the load."""
+
+    at_ms: int
+    text: str
+    act: Callable[[], None]
+
+
+class DemoRun:
+    """One run; `show` gets a line for each thing that happens."""
+
+    def __init__(self, site: Site, seed: int, show: Callable[[str], None]) -> None:
+        self._site_sizes = site
+        self._rng = random.Random(seed)
+        self._show = show
+        self._clock = SystemClock()
+        self._pause = threading.Event()
+        self._in_force_ms = 0
+        self._generation = 0
+
+    def run(self) -> DemoReport:
+        """Run the demo and judge it."""
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            EmbeddedSite(
+                self._site_sizes, Path(folder), hosts_lag_ms=500
+            ) as self._site,
+        ):
+            self._objects = self._with_wave(self._site.objects)
+            self._publish_first()
+            self._callers = self._start_callers()
+            try:
+                return self._run_load()
+            finally:
+                self._callers.stop()
+
+    def _with_wave(self, objects: ObjectSet) -> ObjectSet:
+        rack = self._rng.choice(sorted({host.rack for host in objects.hosts.values()}))
+        wave = MaintenanceWave(WAVE, racks=(rack,), max_at_once=2)
+        return replace(objects, waves={WAVE: wave})
+
+    def _publish_first(self) -> None:
+        self._show(
+            f"{self._site_sizes.name}: {len(self._objects.hosts)} hosts, "
+            f"{len(self._site.entries)} entry processes"
+        )
+        waited_ms = self._publish("first publication")
+        self._show(f"published the sample configuration, in force after {waited_ms} ms")
+        self._await(self._site.is_placed, "every host is placed in its pool")
+
+    def _start_callers(self) -> Kernel:
+        kernel = Kernel(self._clock)
+        kernel.register(CallersTask(), loop="callers")
+        kernel.register(ObserverTask(self._site), loop="observer")
+        kernel.start()
+        addresses = tuple(address.callers for address in self._site.addresses)
+        kernel.deliver("callers", SetEntries(addresses))
+        return kernel
+
+    def _run_load(self) -> DemoReport:
+        plan = DemandPlan(self._site_sizes.services, LOAD_MS, TURN_MS)
+        requests = plan_requests(plan, self._rng)
+        self._show(f"load: {len(requests)} requests, queues take turns at 5 times mean")
+        started_ms = self._clock.now_ms()
+        fut = self._callers.ask("callers", RunLoad(requests))
+        for event in self._events():
+            delay_ms = started_ms + event.at_ms - self._clock.now_ms()
+            wait([fut], max(delay_ms, 0) / 1_000)
+            event.act()
+            self._show(f"{event.at_ms / 1_000:5.1f} s  {event.text}")
+        return self._judge(fut, plan, started_ms)
+
+    def _events(self) -> tuple[Event, ...]:
+        zone = self._site_sizes.zones[-1]
+        move = self._choose_move()
+        cut = Faults(cut_off_zones=(zone,))
+        set_faults = self._site.platform.set_faults
+        return (
+            Event(2_000, "wave over one rack started", self._start_wave),
+            Event(
+                8_000,
+                f"host {move[0]} moves to pool {move[1]}",
+                lambda: self._post(f"/hosts/{move[0]}/move", {"pool": move[1]}),
+            ),
+            Event(12_000, "a change was published", self._publish_change),
+            Event(
+                16_000,
+                f"zone {zone} cut off from the platform",
+                lambda: set_faults(cut),
+            ),
+            Event(
+                16_000 + CUT_MS,
+                f"zone {zone} reaches the platform again",
+                lambda: set_faults(Faults()),
+            ),
+        )
+
+    def _choose_move(self) -> tuple[str, str]:
+        spare = self._site_sizes.spare
+        rack = self._objects.waves[WAVE].racks[0]
+        host = next(
+            host.name
+            for host in self._objects.hosts.values()
+            if host.pool == spare and host.rack != rack
+        )
+        return host, self._site_sizes.services[0]
+
+    def _start_wave(self) -> None:
+        self._wave_started_ms = self._clock.now_ms()
+        self._wave_done_ms = -1
+        self._post(f"/waves/{WAVE}/start", {})
+
+    def _publish_change(self) -> None:
+        pool = self._objects.pools[self._site_sizes.services[1]]
+        changed = replace(pool, max_ejected_share=0.4)
+        pools = {**self._objects.pools, pool.name: changed}
+        self._objects = replace(self._objects, pools=pools)
+        self._in_force_ms = self._publish("allow more ejections")
+
+    def _publish(self, reason: str) -> int:
+        body = PublishBody(
+            self._generation, encode_text(self._objects), reason, wait_ms=WAIT_MS
+        )
+        started_ms = self._clock.now_ms()
+        answer = self._post("/publish", body)
+        self._generation = int(answer["generation"])
+        return self._clock.now_ms() - started_ms
+
+    def _post(self, path: str, body: object) -> Any:
+        outcome = self._site.client().post(f"/operator/v1{path}", body)
+        if isinstance(outcome, Refused):
+            raise RuntimeError(f"{path}: {outcome}")
+        if outcome.value.status >= 400:
+            raise RuntimeError(f"{path}: {outcome.value.body}")
+        return outcome.value.body
+
+    def _judge(self, fut: Future[Any], plan: DemandPlan, started_ms: int) -> DemoReport:
+        rollout_ms = self._await_wave(started_ms)
+        records = fut.result(REPLY_TIMEOUT_S)
+        observed = self._callers.ask("observer", GetObserved()).result(REPLY_TIMEOUT_S)
+        entry = next(iter(self._site.entries.values())).kernel
+        moves = entry.ask("audit_reader", AuditQuery(action="move.start", limit=1_000))
+        seen = Observations(
+            margins=observed.margins,
+            in_force_ms=self._in_force_ms,
+            rollout_ms=rollout_ms,
+            host_moves=len(moves.result(REPLY_TIMEOUT_S).value),
+            spare_host_hours=observed.spare_host_hours,
+        )
+        upstreams = [self._site.record(host) for host in self._objects.hosts]
+        return build_report(records, upstreams, seen, plan.run_ms * 2)
+
+    def _await_wave(self, started_ms: int) -> int:
+        def is_done() -> bool:
+            entry = next(iter(self._site.entries.values())).kernel
+            fleet = entry.ask("fleet_view", QueryFleet()).result(REPLY_TIMEOUT_S)
+            progress = fleet.state.waves.get(WAVE)
+            return progress is not None and progress.status is WaveStatus.DONE
+
+        if not self._await(is_done, "the wave has ended"):
+            return -1
+        return self._clock.now_ms() - self._wave_started_ms
+
+    def _await(self, condition: Callable[[], bool], text: str) -> bool:
+        deadline_ms = self._clock.now_ms() + WAIT_MS
+        while not condition():
+            if self._clock.now_ms() > deadline_ms:
+                self._show(f"not within {WAIT_MS / 1_000:.0f} s: {text}")
+                return False
+            self._pause.wait(STEP_MS / 1_000)
+        self._show(text)
+        return True
--- a/src/guavapin_standins/platform.py
+++ b/src/guavapin_standins/platform.py
@@ -16,6 +16,7 @@
 from guavapin.kernel import SystemClock
 from guavapin_standins.platform_controls import BreakHost
 from guavapin_standins.platform_controls import Faults
+from guavapin_standins.platform_controls import GetLiveHosts
 from guavapin_standins.platform_controls import Limits
 from guavapin_standins.platform_controls import SetFaults
 from guavapin_standins.platform_controls import SetHost
@@ -57,6 +58,13 @@
         """Set a host's state."""
         self._kernel.ask(self.task.name, SetHost(host, state)).result(5)
 
+    def live_hosts(self) -> frozenset[str]:
+        """Return the hosts that are live now."""
+        hosts: frozenset[str] = self._kernel.ask(self.task.name, GetLiveHosts()).result(
+            5
+        )
+        return hosts
+
     def deliver(self, message: SetUsage | BreakHost) -> None:
         """Send a test control without waiting for its effect."""
         self._kernel.deliver(self.task.name, message)
--- a/src/guavapin_standins/platform_controls.py
+++ b/src/guavapin_standins/platform_controls.py
@@ -44,6 +44,11 @@
     state: str
 
 
+@dataclass(frozen=True, slots=True)
+class GetLiveHosts:
+    """As a `Call`: the reply is the set of hosts that are live now."""
+
+
 @dataclass(frozen=True, slots=True)
 class SetUsage:
     """Report how many requests a host runs; a drain waits for none."""
--- a/src/guavapin_standins/platform_store.py
+++ b/src/guavapin_standins/platform_store.py
@@ -195,6 +195,12 @@
                 shown.append(HostState(host, past[-1]))
         return tuple(shown)
 
+    def live_now(self) -> frozenset[str]:
+        """Return the hosts that are live now, without the lag of `hosts`."""
+        return frozenset(
+            host for host, states in self._hosts.items() if states[-1][1] == "live"
+        )
+
     def _end_lease(self, lease_id: str) -> None:
         del self._leases[lease_id]
         for key in sorted(self._lease_keys.pop(lease_id)):
--- a/src/guavapin_standins/platform_task.py
+++ b/src/guavapin_standins/platform_task.py
@@ -23,6 +23,7 @@
 from guavapin_standins.platform_controls import BreakHost
 from guavapin_standins.platform_controls import Counters
 from guavapin_standins.platform_controls import Faults
+from guavapin_standins.platform_controls import GetLiveHosts
 from guavapin_standins.platform_controls import Limits
 from guavapin_standins.platform_controls import SetFaults
 from guavapin_standins.platform_controls import SetHost
@@ -111,7 +112,9 @@
 
     def handle(self, message: object) -> None:
         """Handle timers and test controls."""
-        if isinstance(message, Call):
+        if isinstance(message, Call) and isinstance(message.body, GetLiveHosts):
+            message.fut.set_result(self.store.live_now())
+        elif isinstance(message, Call):
             self.handle(message.body)
             message.fut.set_result(True)
         elif isinstance(message, SetFaults):
