Refuse empty sets; report a seat that is claimed twice

An empty file, or a rollback to before the first generation, passed the check and would have taken all pools out of service; the publisher refuses a set without objects. A cancelled future would have ended the loop of the task that answers it; it is dropped. Two live processes with one seat would both use its slots; the peers task counts this.

--- a/src/guavapin/peers/membership.py
+++ b/src/guavapin/peers/membership.py
@@ -203,6 +203,15 @@
     )
 
 
+def has_seat_conflict(state: Membership) -> bool:
+    """Return whether a live peer claims the own seat: both would use its slots."""
+    return any(
+        member.status is MemberStatus.ALIVE
+        and (member.zone, member.seat) == (state.own_zone, state.own_seat)
+        for member in members_of(state)
+    )
+
+
 def _is_well_formed(beat: Heartbeat, known_address: str) -> bool:
     """Return whether the fields are in range; a known address is not parsed again."""
     numbers = (beat.incarnation, beat.seat, beat.generation, beat.fleet_revision)
--- a/src/guavapin/peers/task.py
+++ b/src/guavapin/peers/task.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import Protocol
 
 import pynng
 
@@ -21,6 +20,9 @@
 from guavapin.peers.codec import MAX_MESSAGE_BYTES
 from guavapin.peers.codec import decode
 from guavapin.peers.codec import encode
+from guavapin.peers.config import OpenFilter
+from guavapin.peers.config import PeerFilter
+from guavapin.peers.config import PeersConfig
 from guavapin.peers.membership import HEARTBEAT_MS
 from guavapin.peers.membership import Membership
 from guavapin.peers.messages import AddPeers
@@ -63,37 +65,6 @@
 LINGER_MS = 50
 
 
-class PeerFilter(Protocol):
-    """Decides whether a message may pass; tests cut peers off with it."""
-
-    def allows(self, sender: str, receiver: str) -> bool:
-        """Return whether `sender` reaches `receiver`."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class OpenFilter:
-    """Lets every message pass."""
-
-    def allows(self, sender: str, receiver: str) -> bool:
-        return True
-
-
-@dataclass(frozen=True, slots=True)
-class PeersConfig:
-    """Who this process is, where it listens and which peers it knows.
-
-    `advertised_address` is what others dial; empty for the listener's own address.
-    """
-
-    name: str
-    zone: str
-    seat: int
-    address: str
-    advertised_address: str = ""
-    seeds: tuple[PeerAddress, ...] = ()
-
-
 @dataclass(frozen=True, slots=True)
 class _Tick:
     """Time to send heartbeats."""
@@ -175,8 +146,8 @@
                 self._state = membership.add_peers(self._state, peers, now_ms)
                 self._connect()
             case Call(QueryPeers(), fut):
-                members = membership.members_of(self._state)
-                fut.set_result(PeersStatus(members, dict(self.counters)))
+                if fut.set_running_or_notify_cancel():
+                    fut.set_result(self._status())
             case _:
                 self.counters["unexpected_messages"] += 1
 
@@ -215,6 +186,10 @@
         delay_ms = START_HEARTBEAT_MS if is_starting else HEARTBEAT_MS
         self._context.set_timer(delay_ms, _Tick())
 
+    def _status(self) -> PeersStatus:
+        members = membership.members_of(self._state)
+        return PeersStatus(members, dict(self.counters))
+
     def _heartbeat_for(self, name: str) -> Heartbeat:
         return Heartbeat(
             incarnation=self._incarnation,
@@ -343,5 +318,7 @@
         if members == self._reported:
             return
         self._reported = members
+        if membership.has_seat_conflict(self._state):
+            self.counters["seat_conflicts"] += 1
         for service in self._watchers:
             self._context.send(service, MembershipChanged(members))
--- a/src/guavapin/publication/configuration.py
+++ b/src/guavapin/publication/configuration.py
@@ -132,11 +132,11 @@
                 if self._adopted is not None:
                     self._context.send(service, self._adopted)
             case Call(GetConfiguration(), fut):
-                missing = Refused(Reason.MISSING, "no configuration is in force yet")
-                known = self._adopted
-                fut.set_result(missing if known is None else Ok(known))
+                if fut.set_running_or_notify_cancel():
+                    fut.set_result(self._in_force())
             case Call(QueryConfiguration(), fut):
-                fut.set_result(self._status())
+                if fut.set_running_or_notify_cancel():
+                    fut.set_result(self._status())
             case _:
                 self.counters["unexpected_messages"] += 1
 
@@ -251,6 +251,11 @@
         for service in self._subscribers:
             self._context.send(service, self._adopted)
 
+    def _in_force(self) -> Outcome[ConfigurationAdopted]:
+        if self._adopted is None:
+            return Refused(Reason.MISSING, "no configuration is in force yet")
+        return Ok(self._adopted)
+
     def _status(self) -> ConfigurationStatus:
         head, target = self._state.head, self._state.target
         return ConfigurationStatus(
--- a/src/guavapin/publication/plan.py
+++ b/src/guavapin/publication/plan.py
@@ -7,6 +7,7 @@
 
 from guavapin.kernel.outcome import Reason
 from guavapin.kernel.outcome import Refused
+from guavapin.objects.kinds import count_objects
 from guavapin.objects.model import ObjectSet
 from guavapin.publication.audit import Authorship
 from guavapin.publication.audit import build_audit
@@ -120,6 +121,9 @@
     effective = diff(current, merged)
     if not effective:
         return Published(0 if head is None else head.generation)
+    if not count_objects(merged):
+        # An empty file or the generation before the first would stop all service.
+        return Refused(Reason.BAD_INPUT, "no object would be left")
     faults = stamp.check(merged)
     return (
         Rejected(faults) if faults else _write(request, head, merged, stamp, effective)
--- a/src/guavapin/publication/publisher_task.py
+++ b/src/guavapin/publication/publisher_task.py
@@ -115,6 +115,7 @@
         self._active: _Waiting | None = None
         self._job: Job | None = None
         self._known: dict[str, bytes] = {}
+        self._known_generation = 0
         self._adopted: ConfigurationAdopted | None = None
         self._floor = 0
         self._numbers = 0
@@ -136,8 +137,9 @@
             case Call(Publish() | PublishSet() | Rollback() as request, fut):
                 self._accept(request, fut)
             case Call(QueryPublisher(), fut):
-                waiting = len(self._waiting) + (self._active is not None)
-                fut.set_result(PublisherStatus(waiting, dict(self.counters)))
+                if fut.set_running_or_notify_cancel():
+                    waiting = len(self._waiting) + (self._active is not None)
+                    fut.set_result(PublisherStatus(waiting, dict(self.counters)))
             case Reply(request_id, outcome):
                 self._on_reply(request_id, outcome)
             case _Due(number, operation_id):
@@ -186,9 +188,10 @@
 
     def _known_chunks(self) -> dict[str, bytes]:
         """Return chunks that need not be read: of the last job and those in force."""
-        if self._adopted is not None:
-            self._known = {**self._known, **split(self._adopted.objects)}
-            self._adopted = None
+        adopted, self._adopted = self._adopted, None
+        if adopted is not None and adopted.generation > self._known_generation:
+            self._known = {**self._known, **split(adopted.objects)}
+            self._known_generation = adopted.generation
         return self._known
 
     def _is_active(self, number: int) -> bool:
@@ -260,6 +263,7 @@
         }
         head = job.head if job.plan is None else job.plan.head
         self._known = {item: known[item] for item in head.digests if item in known}
+        self._known_generation = head.generation
 
     def _after(self, result: PublishResult) -> None:
         if not isinstance(result, Published):
--- a/src/guavapin_bench/publication.py
+++ b/src/guavapin_bench/publication.py
@@ -19,9 +19,9 @@
 from guavapin.kernel import Outcome
 from guavapin.kernel import SystemClock
 from guavapin.objects.check import check
+from guavapin.peers.config import PeersConfig
 from guavapin.peers.messages import PeerAddress
 from guavapin.peers.messages import QueryPeers
-from guavapin.peers.task import PeersConfig
 from guavapin.peers.task import PeersTask
 from guavapin.publication.configuration import ConfigurationConfig
 from guavapin.publication.configuration import ConfigurationTask
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -99,6 +99,15 @@
     assert membership.on_heartbeat(state, "b", beat, 5) == state
 
 
+def test_live_peer_with_the_own_seat_is_a_conflict(state):
+    twin = dataclasses.replace(BEAT, seat=0)
+    state = membership.on_heartbeat(state, "b", BEAT, 0)
+    assert not membership.has_seat_conflict(state)
+    state = membership.on_heartbeat(state, "b", twin, 0)
+    assert membership.has_seat_conflict(state)
+    assert not membership.has_seat_conflict(membership.on_tick(state, 2_000))
+
+
 def test_only_the_lowest_live_seat_of_the_zone_watches(state):
     def is_lowest(seat: int) -> bool:
         members = membership.members_of(state)
--- a/tests/peers/test_task.py
+++ b/tests/peers/test_task.py
@@ -16,6 +16,7 @@
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
 from guavapin.kernel import TaskContext
+from guavapin.peers.config import PeersConfig
 from guavapin.peers.messages import ChunkAnswer
 from guavapin.peers.messages import MemberStatus
 from guavapin.peers.messages import PeerAddress
@@ -26,7 +27,6 @@
 from guavapin.peers.messages import SendToPeer
 from guavapin.peers.messages import SendToZone
 from guavapin.peers.messages import SubscribePeerMessages
-from guavapin.peers.task import PeersConfig
 from guavapin.peers.task import PeersTask
 
 if TYPE_CHECKING:
--- a/tests/publication/test_configuration.py
+++ b/tests/publication/test_configuration.py
@@ -220,6 +220,16 @@
     assert node.status().counters["heads_malformed"] == 1
 
 
+def test_call_that_was_cancelled_is_not_answered(store):
+    # Setting the result of a cancelled future raises and would end the loop.
+    node = Node(store)
+    for message in (QueryConfiguration(), GetConfiguration()):
+        fut: Future[object] = Future()
+        fut.cancel()
+        node.give(Call(message, fut))
+    assert node.adopted == []
+
+
 def test_status_names_the_generation_of_each_peer(store):
     put_generation(store, 0)
     node = Node(store)
--- a/tests/publication/test_distribution.py
+++ b/tests/publication/test_distribution.py
@@ -10,8 +10,8 @@
 from guavapin.kernel import Kernel
 from guavapin.kernel import Ok
 from guavapin.kernel import SystemClock
+from guavapin.peers.config import PeersConfig
 from guavapin.peers.messages import PeerAddress
-from guavapin.peers.task import PeersConfig
 from guavapin.peers.task import PeersTask
 from guavapin.platform.messages import NotSent
 from guavapin.platform.messages import Reply
--- a/tests/publication/test_publisher.py
+++ b/tests/publication/test_publisher.py
@@ -220,6 +220,18 @@
     assert (hosts[HOST].cores, hosts[OTHER].cores) == (8, 4)
 
 
+@pytest.mark.parametrize(
+    "request_",
+    [PublishSet(1, ObjectSet(), "author", ""), Rollback(1, 0, "author", "")],
+    ids=["empty set", "rollback to nothing"],
+)
+def test_set_without_objects_is_refused(store, request_):
+    # An empty file by mistake must not take all pools out of service.
+    result = Runner(store, request_, "a").run()
+    assert isinstance(result, Refused) and result.reason is Reason.BAD_INPUT
+    assert head_in(store).generation == 1
+
+
 def test_base_above_the_head_is_refused(store):
     result = Runner(store, set_cores(HOST, 8, base=9), "a").run()
     assert isinstance(result, Refused) and result.reason is Reason.BAD_INPUT
