--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -28,10 +28,10 @@
 from guavapin.operators.app import OperatorsApp
 from guavapin.operators.routes import build_routes
 from guavapin.operators.server import OperatorsTask
+from guavapin.peers.config import PeersConfig
 from guavapin.peers.isolated import IsolatedPeersTask
 from guavapin.peers.messages import PeerAddress
 from guavapin.peers.registration import RegistrationTask
-from guavapin.peers.task import PeersConfig
 from guavapin.peers.task import PeersTask
 from guavapin.platform.client import PlatformConfig
 from guavapin.platform.client import PlatformTask
@@ -51,7 +51,7 @@
 if TYPE_CHECKING:
     from guavapin.kernel import Clock
     from guavapin.kernel import Outcome
-    from guavapin.peers.task import PeerFilter
+    from guavapin.peers.config import PeerFilter
     from guavapin.settings.control import ControlSettings
     from guavapin.settings.entry import EntrySettings
     from guavapin.settings.parts import ListenerSettings
--- a/src/guavapin/peers/registration.py
+++ b/src/guavapin/peers/registration.py
@@ -1,25 +1,26 @@
-"""The task `registration`: this process's record at the platform, and those of others.
+"""The `registration` task: keeps this process's record and reads those of others.
 
-The record ``entry/NAME`` is tied to a lease, so it goes when the process goes. Peers
-that are read there are dialled besides those of the settings.
+Records are found at ``entry/NAME``. They let a process find its peers when all of its
+seeds have been replaced; heartbeats, not records, tell who is alive.
 """
 
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from guavapin.kernel import Ok
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
 from guavapin.peers.messages import AddPeers
 from guavapin.peers.messages import PeerAddress
-from guavapin.platform.messages import NO_REVISION
 from guavapin.platform.messages import Conflict
 from guavapin.platform.messages import Found
 from guavapin.platform.messages import Get
+from guavapin.platform.messages import KeyRevision
 from guavapin.platform.messages import Leased
 from guavapin.platform.messages import LeaseGrant
 from guavapin.platform.messages import LeaseRenew
@@ -29,137 +30,168 @@
 from guavapin.platform.messages import Missing
 from guavapin.platform.messages import Put
 from guavapin.platform.messages import Reply
+from guavapin.platform.messages import Written
 
 if TYPE_CHECKING:
-    from guavapin.kernel import Outcome
-    from guavapin.kernel import TaskContext
+    from guavapin.kernel.task import TaskContext
     from guavapin.platform.messages import PlatformOutcome
+    from guavapin.platform.messages import PlatformRequest
 
 ENTRY_PREFIX = "entry/"
 LEASE_MS = 10_000
 RENEW_MS = 3_000
 LIST_MS = 30_000
-PLATFORM = "platform"
-
-
-class _Purpose(Enum):
-    GRANT = "grant"
-    RENEW = "renew"
-    WRITE = "write"
-    LIST = "list"
-    READ = "read"
+RETRY_LEAST_MS = 500
+RETRY_MOST_MS = 2_000
+# Bounds the calls after a list that shows many new records.
+MAX_READS = 32
 
 
 @dataclass(frozen=True, slots=True)
-class _RenewDue:
-    """Timer: renew the lease, or get a new one."""
+class _Renew:
+    """Time to renew the lease, or to ask for one."""
 
 
 @dataclass(frozen=True, slots=True)
-class _ListDue:
-    """Timer: read the records of others."""
+class _List:
+    """Time to list the records."""
 
 
 class RegistrationTask:
-    """Service `registration`; `own` is what others dial."""
+    """Registers the own address under a lease and tells `peers` the others'."""
 
     name = "registration"
 
     def __init__(self, own: PeerAddress, seed: int = 0) -> None:
         self._own = own
+        # Jitter only.
         self._random = random.Random(f"{own.name}/{seed}")
+        self._key = ENTRY_PREFIX + own.name
+        self._value = msgspec.json.encode(own)
         self._lease_id = ""
-        self._known: set[str] = {ENTRY_PREFIX + own.name}
-        self._pending: dict[int, _Purpose] = {}
-        self._request_id = 0
+        self._known: dict[str, int] = {}
+        self._requests: dict[int, PlatformRequest] = {}
+        self._next_request_id = 1
+        self.counters: Counter[str] = Counter()
 
     def start(self, context: TaskContext) -> Outcome[None]:
-        """Ask for a lease and for the records of others."""
+        """Ask for a lease and list the records."""
         self._context = context
         self._renew()
         self._list()
         return Ok(None)
 
     def handle(self, message: object) -> None:
-        """Handle an answer of the platform or a timer."""
+        """Handle a reply of the platform or a timer."""
         match message:
             case Reply(request_id, outcome):
-                purpose = self._pending.pop(request_id, None)
-                if purpose is not None:
-                    self._on_reply(purpose, outcome)
-            case _RenewDue():
+                request = self._requests.pop(request_id, None)
+                if request is not None:
+                    self._on_reply(request, outcome)
+            case _Renew():
                 self._renew()
-            case _ListDue():
+            case _List():
                 self._list()
+            case _:
+                self.counters["unexpected_messages"] += 1
 
     def stop(self) -> None:
-        """Give the lease back, so that the record goes at once."""
+        """Give the lease up, with which the record is removed."""
         if self._lease_id:
-            number = self._next_number()
-            revoke = LeaseRevoke(self.name, number, self._lease_id)
-            self._context.send(PLATFORM, revoke)
+            self._call(LeaseRevoke(self.name, self._next_request_id, self._lease_id))
 
     def _renew(self) -> None:
-        number = self._next_number()
+        request_id = self._next_request_id
         if self._lease_id:
-            self._pending[number] = _Purpose.RENEW
-            renew = LeaseRenew(self.name, number, self._lease_id)
-            self._context.send(PLATFORM, renew)
+            self._call(LeaseRenew(self.name, request_id, self._lease_id))
         else:
-            self._pending[number] = _Purpose.GRANT
-            self._context.send(PLATFORM, LeaseGrant(self.name, number, LEASE_MS))
-        self._context.set_timer(self._jitter(RENEW_MS), _RenewDue())
+            self._call(LeaseGrant(self.name, request_id, LEASE_MS))
 
     def _list(self) -> None:
-        number = self._next_number()
-        self._pending[number] = _Purpose.LIST
-        self._context.send(PLATFORM, ListPrefix(self.name, number, ENTRY_PREFIX))
-        self._context.set_timer(self._jitter(LIST_MS), _ListDue())
+        self._call(ListPrefix(self.name, self._next_request_id, ENTRY_PREFIX))
+        delay_ms = self._random.randint(LIST_MS * 2 // 3, LIST_MS * 4 // 3)
+        self._context.set_timer(delay_ms, _List())
+
+    def _on_reply(self, request: PlatformRequest, outcome: PlatformOutcome) -> None:
+        match request:
+            case LeaseGrant() | LeaseRenew():
+                self._on_lease(outcome)
+            case Put():
+                self._on_written(outcome)
+            case ListPrefix():
+                self._on_listed(outcome)
+            case Get(_, _, key):
+                self._on_record(key, outcome)
+
+    def _on_lease(self, outcome: PlatformOutcome) -> None:
+        match outcome:
+            case Leased(lease_id):
+                is_new = lease_id != self._lease_id
+                self._lease_id = lease_id
+                if is_new:
+                    self._write(0)
+                else:
+                    self._context.set_timer(RENEW_MS, _Renew())
+            case Missing():
+                self.counters["leases_lost"] += 1
+                self._lease_id = ""
+                self._renew_later()
+            case _:
+                self._renew_later()
 
     def _write(self, expected: int) -> None:
-        number = self._next_number()
-        self._pending[number] = _Purpose.WRITE
-        key = ENTRY_PREFIX + self._own.name
-        value = msgspec.json.encode(self._own)
-        self._context.send(
-            PLATFORM, Put(self.name, number, key, value, expected, self._lease_id)
+        request_id = self._next_request_id
+        lease_id = self._lease_id
+        self._call(
+            Put(self.name, request_id, self._key, self._value, expected, lease_id)
         )
 
-    def _read(self, key: str) -> None:
-        number = self._next_number()
-        self._pending[number] = _Purpose.READ
-        self._context.send(PLATFORM, Get(self.name, number, key))
-
-    def _on_reply(self, purpose: _Purpose, outcome: PlatformOutcome) -> None:
-        match purpose, outcome:
-            case _Purpose.GRANT, Leased(lease_id):
-                self._lease_id = lease_id
-                self._write(NO_REVISION)
-            case _Purpose.RENEW, Missing():
-                self._lease_id = ""
-                self._renew()
-            case _Purpose.WRITE, Conflict(revision):
-                # A record of a former process of this name stands until its lease
-                # lapses; the newer process replaces it.
+    def _on_written(self, outcome: PlatformOutcome) -> None:
+        match outcome:
+            case Written():
+                self._context.set_timer(RENEW_MS, _Renew())
+            case Conflict(revision):
+                # The record of a former process of this name, or the write itself.
                 self._write(revision)
-            case _Purpose.LIST, Listed(keys):
-                for item in keys:
-                    if item.key not in self._known:
-                        self._read(item.key)
-            case _Purpose.READ, Found(value):
-                self._on_record(value)
-
-    def _on_record(self, value: bytes) -> None:
+            case _:
+                self._lease_id = ""
+                self._renew_later()
+
+    def _renew_later(self) -> None:
+        self.counters["failures"] += 1
+        delay_ms = self._random.randint(RETRY_LEAST_MS, RETRY_MOST_MS)
+        self._context.set_timer(delay_ms, _Renew())
+
+    def _on_listed(self, outcome: PlatformOutcome) -> None:
+        if not isinstance(outcome, Listed):
+            return
+        present = {item.key for item in outcome.keys}
+        if self._lease_id and self._key not in present:
+            # Removed with the lease of another process of this name: the next renewal
+            # asks for a new lease and writes the record again.
+            self._lease_id = ""
+        self._known = {key: at for key, at in self._known.items() if key in present}
+        unread = [item for item in outcome.keys if self._is_unread(item)]
+        for item in unread[:MAX_READS]:
+            self._known[item.key] = item.revision
+            self._call(Get(self.name, self._next_request_id, item.key))
+
+    def _is_unread(self, item: KeyRevision) -> bool:
+        return item.key != self._key and self._known.get(item.key) != item.revision
+
+    def _on_record(self, key: str, outcome: PlatformOutcome) -> None:
+        if not isinstance(outcome, Found):
+            self._known.pop(key, None)
+            return
         try:
-            peer = msgspec.json.decode(value, type=PeerAddress)
-        except msgspec.DecodeError:
+            peer = msgspec.json.decode(outcome.value, type=PeerAddress)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            self.counters["malformed_records"] += 1
             return
-        self._known.add(ENTRY_PREFIX + peer.name)
-        self._context.send("peers", AddPeers((peer,)))
-
-    def _next_number(self) -> int:
-        self._request_id += 1
-        return self._request_id
+        if ENTRY_PREFIX + peer.name == key:
+            self._context.send("peers", AddPeers((peer,)))
 
-    def _jitter(self, delay_ms: int) -> int:
-        return int(delay_ms * self._random.uniform(0.8, 1.2))
+    def _call(self, request: PlatformRequest) -> None:
+        self._requests[request.request_id] = request
+        self._next_request_id += 1
+        self._context.send("platform", request)
--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -39,7 +39,7 @@
     from guavapin.composition import EntryProcess
     from guavapin.kernel import Outcome
     from guavapin.objects.model import ObjectSet
-    from guavapin.peers.task import PeerFilter
+    from guavapin.peers.config import PeerFilter
     from guavapin_demo.sites import Site
     from guavapin_standins.upstream_messages import Behaviour
     from guavapin_standins.upstream_messages import Record
