Read the fleet record only when it has changed

Cause: at 1,100 hosts the record is 48 KB and the host list about 36 KB. The duty read both every second, the writer the record for every command and the archiver every 5 s, above the 14 KB/s allowed for a node. Conclusion: traffic follows changes; bytes per second are not measured yet.

--- a/src/guavapin/duties/fleet_duty.py
+++ b/src/guavapin/duties/fleet_duty.py
@@ -47,9 +47,15 @@
 
 PLATFORM = "platform"
 
-# One process reads record and host list this often: two calls a second.
+# One process asks for the record's revision this often, and for the host list too in
+# small fleets.
 TICK_MS = 1_000
 
+# A list of 1,100 hosts is about 36 KB and the control traffic of a node is bounded to
+# 14 KB/s, so large fleets are listed less often.
+LARGE_FLEET_HOSTS = 400
+LARGE_FLEET_LIST_MS = 5_000
+
 # A refused change is tried again after this time; what refuses it, such as a budget,
 # changes over seconds.
 BACKOFF_MS = 5_000
@@ -82,7 +88,9 @@
         self._held: DutyHeld | None = None
         self._is_fence_raised = False
         self._situation: DutySituation | None = None
+        self._revision = platform.NO_REVISION
         self._listed: frozenset[str] | None = None
+        self._listed_ms = 0
         self._demand = PoolDemand({})
         self._long_work = LongWork(frozenset())
         self._losses = LossWatch()
@@ -162,9 +170,17 @@
     def _read(self) -> None:
         if not self.is_active or self._reads:
             return
-        get, hosts = self._new_id(platform.Get), self._new_id(platform.ListHosts)
-        self._context.send(PLATFORM, platform.Get(self.name, get, FLEET_KEY))
-        self._context.send(PLATFORM, platform.ListHosts(self.name, hosts))
+        number = self._new_id(platform.ListPrefix)
+        request = platform.ListPrefix(self.name, number, FLEET_KEY)
+        self._context.send(PLATFORM, request)
+        if self._is_list_due():
+            number = self._new_id(platform.ListHosts)
+            self._context.send(PLATFORM, platform.ListHosts(self.name, number))
+
+    def _is_list_due(self) -> bool:
+        if self._listed is None or len(self._objects.hosts) < LARGE_FLEET_HOSTS:
+            return True
+        return self._context.now_ms() - self._listed_ms >= LARGE_FLEET_LIST_MS
 
     def _new_id(self, kind: type) -> int:
         self._request_id += 1
@@ -177,25 +193,42 @@
             return
         if kind is platform.ListHosts:
             self._on_hosts(reply.outcome)
-        elif isinstance(reply.outcome, platform.Missing):
-            self._on_state(FleetState())
-        elif isinstance(reply.outcome, platform.Found):
-            decoded = decode_fleet(reply.outcome.value)
-            if isinstance(decoded, Ok):
-                self._on_state(decoded.value)
         else:
-            self._situation = None
+            self._on_record(reply.outcome)
         if not self._reads:
             self._act()
 
+    def _on_record(self, outcome: platform.PlatformOutcome) -> None:
+        """Take the record's revision, and read the record only if it has changed."""
+        if isinstance(outcome, platform.Listed):
+            known = {item.key: item.revision for item in outcome.keys}
+            revision = known.get(FLEET_KEY, platform.NO_REVISION)
+            if self._situation is None or revision > self._revision:
+                number = self._new_id(platform.Get)
+                get = platform.Get(self.name, number, FLEET_KEY)
+                self._context.send(PLATFORM, get)
+        elif isinstance(outcome, platform.Missing):
+            self._on_state(FleetState(), platform.NO_REVISION)
+        elif isinstance(outcome, platform.Found):
+            decoded = decode_fleet(outcome.value)
+            if isinstance(decoded, Ok):
+                self._on_state(decoded.value, outcome.revision)
+        else:
+            self._situation = None
+
     def _on_hosts(self, outcome: platform.PlatformOutcome) -> None:
         if not isinstance(outcome, platform.Hosts):
             self._listed = None
             return
         live = frozenset(item.host for item in outcome.hosts if item.state == "live")
         self._listed = live - self._down
+        self._listed_ms = self._context.now_ms()
 
-    def _on_state(self, state: FleetState) -> None:
+    def _on_state(self, state: FleetState, revision: int) -> None:
+        """Take a record, unless a newer one is known from an own write."""
+        if self._situation is not None and revision < self._revision:
+            return
+        self._revision = revision
         now_ms, wall_ms = self._context.now_ms(), self._context.clock.wall_ms()
         situation = self._situation
         if situation is None:
@@ -273,7 +306,7 @@
         action, self._sent_action = self._sent_action, None
         outcome = message.outcome
         if isinstance(outcome, Ok):
-            self._on_state(outcome.value.state)
+            self._on_state(outcome.value.state, outcome.value.revision)
             self._is_fence_raised = True
         elif self._on_refused(action, outcome):
             return
--- a/src/guavapin/fleet/job.py
+++ b/src/guavapin/fleet/job.py
@@ -19,13 +19,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Job:
-    """A command in execution; `lost` is set while an answer is outstanding."""
+    """A command in execution.
+
+    `lost` is set while an answer is outstanding, `is_cached` while the command is
+    judged by the record as this process wrote it last.
+    """
 
     command: FleetCommand
     fut: Future[Any] | None = None
     reply_to: str = ""
     request_id: int = 0
     conflicts: int = 0
+    is_cached: bool = False
     lost: LostWrite | None = None
     lost_since_ms: int = 0
 
--- a/src/guavapin/fleet/view.py
+++ b/src/guavapin/fleet/view.py
@@ -33,6 +33,11 @@
 # read once a second by one process a zone.
 HOSTS_INTERVAL_MS = 1_000
 
+# A list of 1,100 hosts is about 36 KB and the control traffic of a node is bounded, so
+# large fleets are listed less often, still within the 3 s.
+LARGE_FLEET_HOSTS = 400
+LARGE_FLEET_INTERVAL_MS = 2_000
+
 # Every process reads the record now and then, in case a relay was lost.
 READ_INTERVAL_MS = 30_000
 
@@ -194,7 +199,10 @@
         if fleet is not self._fleet and self._relay_to and self._is_holder:
             self._context.send(self._relay_to, LeavingRelayed(leaving))
         self._take(fleet)
-        interval_ms = HOSTS_INTERVAL_MS if self._is_holder else READ_INTERVAL_MS
+        interval_ms = READ_INTERVAL_MS
+        if self._is_holder:
+            is_large = len(hosts) >= LARGE_FLEET_HOSTS
+            interval_ms = LARGE_FLEET_INTERVAL_MS if is_large else HOSTS_INTERVAL_MS
         self._schedule(_Purpose.HOSTS, interval_ms)
 
     def _adopt(self, revision: int, value: bytes, is_relayed: bool) -> None:
--- a/src/guavapin/fleet/writer.py
+++ b/src/guavapin/fleet/writer.py
@@ -60,9 +60,11 @@
 class FleetWriterTask:
     """Executes one command at a time: read, apply, compare-and-swap.
 
-    A conflict is retried on a new read. A lost answer is settled by the command id in
-    the record's audit entries before anything is written again, so no command is
-    applied twice. A command is refused at once when the platform cannot be reached.
+    A command is first tried on the record as this process wrote it last, which saves
+    a read of the whole record. A conflict or a refusal is judged again on a new read.
+    A lost answer is settled by the command id in the record's audit entries before
+    anything is written again, so no command is applied twice. A command is refused at
+    once when the platform cannot be reached.
     """
 
     def __init__(self, name: str = FLEET_WRITER) -> None:
@@ -73,6 +75,7 @@
         self._job: Job | None = None
         self._write: PendingWrite | None = None
         self._read: tuple[FleetState, int] | None = None
+        self._newest: tuple[FleetState, int] | None = None
         self._request_id = 0
 
     def start(self, context: TaskContext) -> Outcome[None]:
@@ -129,8 +132,13 @@
 
     def _next_job(self) -> None:
         self._job = self._waiting.popleft() if self._waiting else None
-        if self._job is not None:
+        if self._job is None:
+            return
+        if self._newest is None:
             self._read_record()
+        else:
+            self._job = replace(self._job, is_cached=True)
+            self._judge(self._job, *self._newest)
 
     def _on_reply(self, reply: platform.Reply) -> None:
         if self._job is None or reply.request_id != self._request_id:
@@ -147,6 +155,9 @@
             self._on_read(self._job, outcome)
 
     def _read_record(self) -> None:
+        self._newest = None
+        if self._job is not None:
+            self._job = replace(self._job, is_cached=False)
         request_id = self._new_id()
         self._context.send(PLATFORM, platform.Get(self.name, request_id, FLEET_KEY))
 
@@ -222,8 +233,10 @@
         self._context.send(PLATFORM, put)
 
     def _refuse(self, job: Job, refused: Refused) -> None:
-        """Answer a refusal, unless an earlier write of the command may still land."""
-        if job.lost is not None:
+        """Answer a refusal, unless the record is old or a lost write may still land."""
+        if job.is_cached:
+            self._read_record()
+        elif job.lost is not None:
             self._wait_to_settle(job)
         else:
             self._finish(refused)
@@ -233,10 +246,12 @@
     ) -> None:
         match outcome:
             case platform.Written(revision):
+                self._newest = (written.state, revision)
                 self._finish(Ok(Applied(written.sequence, revision, written.state)))
             case platform.Conflict():
                 self._on_conflict(job)
             case platform.Unknown():
+                self._newest = None
                 self._on_lost(job, written)
             case platform.RateLimited() | platform.NotSent():
                 if job.lost is not None:
@@ -259,7 +274,7 @@
     def _on_lost(self, job: Job, written: PendingWrite) -> None:
         lost_answers = self.counters.lost_answers + 1
         self.counters = replace(self.counters, lost_answers=lost_answers)
-        lost = LostWrite(job.command.command_id, written.expected, written.sequence)
+        lost = LostWrite(written.expected, written.sequence)
         if job.lost is None:
             job = replace(job, lost=lost, lost_since_ms=self._context.now_ms())
         self._wait_to_settle(replace(job, lost=lost))
