Admit hosts before waves of a new fleet start

Cause: with an empty record a wave found no hosts left and was done at once; seen when the tasks ran on a kernel with an in-memory platform. Change: no wave is started or finished while declared live hosts are not admitted. Conclusion: membership comes before waves.

--- a/src/guavapin/duties/decide.py
+++ b/src/guavapin/duties/decide.py
@@ -86,10 +86,14 @@
             number = host_machine.step_id(item, wanted.step)
             steps.append(StepWanted(number, host, wanted.step))
     lending = situation.lending
+    membership = tuple(_membership(situation))
+    changes.extend(membership)
     if is_mass_loss(situation.losses, len(situation.state.placements)):
         changes.extend(_stop_waves(situation))
     else:
-        changes.extend(_wave_changes(situation))
+        # A wave that began before its hosts are admitted would end at once.
+        if not membership:
+            changes.extend(_wave_changes(situation))
         changes.extend(_plan_starts(situation))
         lending, moves = plan_lending(
             lending,
@@ -99,7 +103,6 @@
             situation.now_ms,
         )
         changes.extend(host_machine.Change(move, "demand") for move in moves)
-    changes.extend(_membership(situation))
     return DutyPlan(tuple(changes), tuple(steps), lending)
 
 
--- a/src/guavapin_bench/fleet.py
+++ b/src/guavapin_bench/fleet.py
@@ -193,33 +193,57 @@
     return sorted(times)[rounds // 2]
 
 
-def measure(seed: int) -> dict[str, dict[str, float]]:
-    """Return all figures, by subject."""
-    rng = random.Random(seed)
-    figures: dict[str, dict[str, float]] = {}
+def measure_sizes(rng: random.Random) -> dict[str, dict[str, float]]:
+    """Return roll-out, planning times and size of the record at four sizes."""
     sets = {
         "gagnon": with_wave(build_objects(GAGNON)),
         "mandali": with_wave(build_objects(MANDALI)),
         "fleet-300": with_wave(build_fleet(300, 13)),
         "fleet-1100": with_wave(build_fleet()),
     }
-    for name, objects in sets.items():
-        row = {}
-        for label, spread in (("equal", 0.0), ("varied", 0.5)):
-            lengths = durations(objects, rng, spread)
-            bound = lower_bound_ms(objects, lengths)
-            row[f"{label}_ratio"] = roll_out_ms(objects, lengths) / bound
-        state, live = placed(objects), Liveness(frozenset(objects.hosts))
-        plan = PlanInput(state, objects, live, 0)
-        row["plan_ms"] = _time_ms(lambda plan=plan: plan_starts(plan))  # type: ignore[misc]
-        situation = DutySituation(state, objects, live.live, 0, 0, {})
-        row["decide_ms"] = _time_ms(lambda s=situation: decide(s))  # type: ignore[misc]
-        row["report_ms"] = _time_ms(
-            lambda s=state, o=objects, v=live: capacity_reports(s, o, v)  # type: ignore[misc]
+    return {name: _measure_size(objects, rng) for name, objects in sets.items()}
+
+
+def _measure_size(objects: ObjectSet, rng: random.Random) -> dict[str, float]:
+    row: dict[str, float] = {}
+    for label, spread in (("equal", 0.0), ("varied", 0.5)):
+        lengths = durations(objects, rng, spread)
+        bound = lower_bound_ms(objects, lengths)
+        row[f"{label}_ratio"] = roll_out_ms(objects, lengths) / bound
+    state, live = placed(objects), Liveness(frozenset(objects.hosts))
+    plan = PlanInput(state, objects, live, 0)
+    first = DutySituation(state, objects, live.live, 0, 0, {})
+    row["plan_ms"] = _time_ms(lambda: plan_starts(plan))
+    row["decide_ms"] = _time_ms(lambda: decide(first))
+    row["steady_ms"] = _steady_ms(objects)
+    row["report_ms"] = _time_ms(lambda: capacity_reports(state, objects, live))
+    row["state_bytes"] = len(encode_fleet(full_record(objects)))
+    row["three_weeks_days"] = _slowest_days(objects)
+    return row
+
+
+def _steady_ms(objects: ObjectSet) -> float:
+    """Return the time of a turn with all places of a wave of 4 at once taken."""
+    bounded = with_wave(objects, MaintenanceWave("full").max_at_once)
+    state = placed(bounded)
+    for name in sorted(bounded.hosts)[:4]:
+        item = Disruption(
+            name,
+            bounded.hosts[name].pool,
+            DisruptionKind.WAVE,
+            HostPhase.DRAINING,
+            "bench",
+            0,
+            wave="full",
         )
-        row["state_bytes"] = len(encode_fleet(full_record(objects)))
-        row["three_weeks_days"] = _slowest_days(objects)
-        figures[name] = row
+        state.disruptions[name] = item
+    live = frozenset(bounded.hosts)
+    return _time_ms(lambda: decide(DutySituation(state, bounded, live, 0, 0, {})))
+
+
+def measure_demand(rng: random.Random) -> dict[str, dict[str, float]]:
+    """Return spare and moves at both sites and at the two-year size."""
+    figures = {}
     for name, pools, own in (("gagnon", 5, 6), ("mandali", 5, 8), ("fleet", 47, 23)):
         demand = take_turns(pools, own, 4_000 if pools < 10 else 1_000, rng)
         hours = spare_hours(demand)
@@ -244,7 +268,9 @@
     parser = argparse.ArgumentParser(prog="guavapin_bench.fleet")
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
-    print(json.dumps({"seed": args.seed, **measure(args.seed)}, indent=2))
+    rng = random.Random(args.seed)
+    figures = {**measure_sizes(rng), **measure_demand(rng)}
+    print(json.dumps({"seed": args.seed, **figures}, indent=2))
 
 
 if __name__ == "__main__":
--- a/tests/duties/test_fleet_duty.py
+++ b/tests/duties/test_fleet_duty.py
@@ -11,6 +11,7 @@
 from guavapin.duties.messages import PoolDemand
 from guavapin.fleet import actions
 from guavapin.fleet.messages import Execute
+from guavapin.fleet.state import FLEET_KEY
 from guavapin.fleet.state import DisruptionKind
 from guavapin.fleet.state import HostPhase
 from guavapin.fleet.state import WaveStatus
@@ -274,6 +275,18 @@
     assert "old" not in cluster.state.placements
 
 
+def test_wave_of_a_new_fleet_waits_for_its_hosts() -> None:
+    """With an empty record a wave found no hosts left and was done at once."""
+    cluster = wave_cluster()
+    del cluster.double.keys[FLEET_KEY]
+    for process in cluster.processes:
+        process.advance(500)
+    cluster.run(4 * MINUTE_MS)
+    progress = cluster.state.waves["w"]
+    assert progress.status is WaveStatus.DONE
+    assert sorted(progress.done) == sorted(cluster.objects.hosts)
+
+
 def test_steps_of_one_phase_keep_their_identity_over_a_takeover() -> None:
     """The second holder must not reboot a host that is rebooting already."""
     cluster = wave_cluster(processes=2)
