Set libcurl's options only when they change

Cause: every attempt set eleven options on its handle, most of them to the value they had. Change: a handle keeps what its address, connect bound, freshness and method are set to; the target and the headers are set for each attempt.

--- a/src/guavapin/serving/attempt_handle.py
+++ b/src/guavapin/serving/attempt_handle.py
@@ -25,6 +25,8 @@
 # otherwise a fast upstream could pass the high water mark before the pause arrives.
 TURN_BYTES = 32_768
 
+METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+
 # libcurl's own header, or left out because it frames the body itself.
 REPLACED = frozenset((b"content-length", b"expect"))
 
@@ -86,24 +88,35 @@
         self.is_answer_paused = False
         self.is_turn_over = False
         self._owner = owner
+        # What the options of the handle are set to; setting them costs 1 us each.
+        self._address = ""
+        self._connect_ms = -1
+        self._is_fresh: bool | None = None
+        self._bodiless_method = ""
         self._reset_state()
         self._set_constants(cfg)
 
     def prepare(self, start: StartAttempt) -> None:
         """Set the handle up for `start`; raises pycurl.error if libcurl refuses."""
-        self._reset_state()
         self.attempt_id = start.attempt_id
         self.start = start
         self.active_ms = self._owner.now_ms()
         curl = self.curl
-        curl.setopt(pycurl.URL, f"http://{start.address}/")
         curl.setopt(pycurl.REQUEST_TARGET, start.target)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, start.connect_ms)
+        if start.address != self._address:
+            self._address = ""
+            curl.setopt(pycurl.URL, f"http://{start.address}/")
+            self._address = start.address
+        if start.connect_ms != self._connect_ms:
+            curl.setopt(pycurl.CONNECTTIMEOUT_MS, start.connect_ms)
+            self._connect_ms = start.connect_ms
         # libcurl resends a request when a reused connection dies before the first
         # byte of the answer; on a fresh connection it never does. The connection is
         # not kept, or each such request would add one to the idle connections.
-        curl.setopt(pycurl.FRESH_CONNECT, int(start.fresh_connection))
-        curl.setopt(pycurl.FORBID_REUSE, int(start.fresh_connection))
+        if start.fresh_connection is not self._is_fresh:
+            curl.setopt(pycurl.FRESH_CONNECT, int(start.fresh_connection))
+            curl.setopt(pycurl.FORBID_REUSE, int(start.fresh_connection))
+            self._is_fresh = start.fresh_connection
         self._set_body(start)
         curl.setopt(pycurl.HTTPHEADER, self._header_lines(start))
 
@@ -193,6 +206,12 @@
 
     def _set_body(self, start: StartAttempt) -> None:
         curl = self.curl
+        has_body = bool(
+            start.body_follows or start.body or start.method in METHODS_WITH_BODY
+        )
+        if not has_body and start.method == self._bodiless_method:
+            return
+        self._bodiless_method = ""
         # HTTPGET undoes what the last attempt set for its body.
         curl.setopt(pycurl.NOBODY, 0)
         curl.setopt(pycurl.UPLOAD, 0)
@@ -203,11 +222,13 @@
             if start.body:
                 self._body.append(start.body)
                 self._body_bytes = len(start.body)
-        elif start.body or start.method in ("POST", "PUT", "PATCH"):
+        elif has_body:
             curl.setopt(pycurl.POSTFIELDS, start.body)
         elif start.method == "HEAD":
             curl.setopt(pycurl.NOBODY, 1)
         curl.setopt(pycurl.CUSTOMREQUEST, start.method)
+        if not has_body:
+            self._bodiless_method = start.method
 
     def _header_lines(self, start: StartAttempt) -> list[bytes]:
         headers = end_to_end(start.headers)
