Dispatch the front's messages by type

Cause: four messages of an answer walked a chain of class patterns each, and the options of `Connection` were read for requests without it.

--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -17,6 +17,7 @@
 from guavapin.serving.caller_connection import CallerConnection
 from guavapin.serving.caller_listener import CallerListener
 from guavapin.serving.connection_deadlines import ConnectionDeadlines
+from guavapin.serving.front_config import tls_context
 from guavapin.serving.messages import AnswerBody
 from guavapin.serving.messages import AnswerBroken
 from guavapin.serving.messages import AnswerEnd
@@ -28,6 +29,7 @@
 from guavapin.serving.messages import StopAccepting
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from concurrent.futures import Future
     from typing import Any
 
@@ -72,6 +74,21 @@
         self._request_ids = itertools.count(1)
         self._stop_futs: list[Future[Any]] = []
         self._unflushed: set[int] = set()
+        # A lookup by type costs less than a chain of class patterns, which is walked
+        # for each of the four messages of an answer.
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            AnswerHead: self._on_answer_head,
+            AnswerBody: self._on_answer_body,
+            AnswerEnd: self._on_answer_end,
+            AnswerBroken: self._on_answer_broken,
+            FlowControl: self._on_flow_control,
+            SetReady: self._on_set_ready,
+            StopAccepting: lambda message: self._stop_accepting(),
+            Call: self._on_call,
+            _FlushAnswer: self._on_flush,
+            _DeadlinePassed: self._on_deadlines,
+            _ResumeAccepting: lambda message: self._listener.resume(),
+        }
         self._context: TaskContext
         self._deadlines: ConnectionDeadlines
         self._listener: CallerListener
@@ -82,14 +99,11 @@
         self._deadlines = ConnectionDeadlines(context, _DeadlinePassed(), self._cfg)
         self._listener = CallerListener(context, _ResumeAccepting(), self._open)
         cfg = self._cfg
-        if cfg.certificate_file:
-            self._tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-            self._tls.minimum_version = ssl.TLSVersion.TLSv1_2
-            try:
-                self._tls.load_cert_chain(cfg.certificate_file, cfg.key_file or None)
-            except OSError as exc:
-                detail = f"cannot use certificate {cfg.certificate_file!r}: {exc}"
-                return Refused(Reason.BAD_INPUT, detail)
+        try:
+            self._tls = tls_context(cfg)
+        except OSError as exc:
+            detail = f"cannot use certificate {cfg.certificate_file!r}: {exc}"
+            return Refused(Reason.BAD_INPUT, detail)
         try:
             self.port = self._listener.open(cfg.address, cfg.port)
         except OSError as exc:
@@ -106,27 +120,21 @@
 
     def handle(self, message: object) -> None:
         """Handle a message of `exchanges`, the process or a timer."""
-        match message:
-            case AnswerHead() | AnswerBody() | AnswerEnd() | AnswerBroken():
-                self._on_answer(message)
-            case _FlushAnswer(request_id):
-                self._on_flush(request_id)
-            case FlowControl(request_id, is_paused):
-                self._on_flow_control(request_id, is_paused)
-            case _DeadlinePassed():
-                self._on_deadlines()
-            case _ResumeAccepting():
-                self._listener.resume()
-            case SetReady(is_ready):
-                self._is_ready = is_ready
-            case StopAccepting():
-                self._stop_accepting()
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+    def _on_call(self, call: Call) -> None:
+        match call:
             case Call(StopAccepting(), fut):
                 self._stop_futs.append(fut)
                 self._stop_accepting()
             case Call(GetCounts(), fut):
                 fut.set_result(self._read_counts())
 
+    def _on_set_ready(self, message: SetReady) -> None:
+        self._is_ready = message.is_ready
+
     def now_ms(self) -> int:
         """Return monotonic time in milliseconds."""
         return self._context.now_ms()
@@ -185,30 +193,41 @@
             self._watch(conn, events)
         self._deadlines.note(conn)
 
-    def _on_answer(
-        self, message: AnswerHead | AnswerBody | AnswerEnd | AnswerBroken
-    ) -> None:
-        conn = self._by_request.get(message.request_id)
+    def _answering(self, request_id: int) -> CallerConnection | None:
+        conn = self._by_request.get(request_id)
         if conn is None:
             self.counts["late_messages"] += 1
+        return conn
+
+    def _on_answer_head(self, message: AnswerHead) -> None:
+        conn = self._answering(message.request_id)
+        if conn is not None:
+            conn.answer_head(message)
+            self._flush_later(message.request_id)
+
+    def _on_answer_body(self, message: AnswerBody) -> None:
+        conn = self._answering(message.request_id)
+        if conn is None:
             return
-        match message:
-            case AnswerHead(request_id):
-                conn.answer_head(message)
-                self._flush_later(request_id)
-                return
-            case AnswerBody(request_id, data):
-                conn.answer_body(data)
-                if not conn.is_closed:
-                    self._flush_later(request_id)
-                    return
-            case AnswerEnd():
-                conn.answer_end()
-                self._next_request(conn)
-            case AnswerBroken():
-                self.counts["broken_answers"] += 1
-                conn.break_answer(is_ended=True)
-        self.settle(conn)
+        conn.answer_body(message.data)
+        if conn.is_closed:
+            self.settle(conn)
+        else:
+            self._flush_later(message.request_id)
+
+    def _on_answer_end(self, message: AnswerEnd) -> None:
+        conn = self._answering(message.request_id)
+        if conn is not None:
+            conn.answer_end()
+            conn.advance()
+            self.settle(conn)
+
+    def _on_answer_broken(self, message: AnswerBroken) -> None:
+        conn = self._answering(message.request_id)
+        if conn is not None:
+            self.counts["broken_answers"] += 1
+            conn.break_answer(is_ended=True)
+            self.settle(conn)
 
     def _flush_later(self, request_id: int) -> None:
         # Head, body and end of a short answer are usually queued together; one write
@@ -217,18 +236,19 @@
             self._unflushed.add(request_id)
             self._context.send(self.name, _FlushAnswer(request_id))
 
-    def _on_flush(self, request_id: int) -> None:
+    def _on_flush(self, message: _FlushAnswer) -> None:
+        request_id = message.request_id
         self._unflushed.discard(request_id)
         conn = self._by_request.get(request_id)
         if conn is not None:
             conn.flush()
             self.settle(conn)
 
-    def _on_flow_control(self, request_id: int, is_paused: bool) -> None:
-        conn = self._by_request.get(request_id)
+    def _on_flow_control(self, message: FlowControl) -> None:
+        conn = self._by_request.get(message.id)
         if conn is not None:
-            conn.is_body_paused = is_paused
-            if not is_paused:
+            conn.is_body_paused = message.is_paused
+            if not message.is_paused:
                 conn.read()
             self.settle(conn)
 
@@ -238,15 +258,11 @@
             return
         if events & selectors.EVENT_WRITE:
             conn.flush()
-            self._next_request(conn)
+            conn.advance()
         if events & selectors.EVENT_READ and conn.wants_read:
             conn.read()
         self.settle(conn)
 
-    def _next_request(self, conn: CallerConnection) -> None:
-        if conn.parser.events:
-            conn.advance()
-
     def _handshake(self, conn: CallerConnection) -> None:
         assert isinstance(conn.sock, ssl.SSLSocket)
         conn.wants_write = False
@@ -297,7 +313,7 @@
         else:
             self._context.unwatch(conn.fd)
 
-    def _on_deadlines(self) -> None:
+    def _on_deadlines(self, message: _DeadlinePassed) -> None:
         for conn in self._deadlines.pop_expired(self._conns):
             self.counts["timeouts"] += 1
             if conn.is_busy and not (conn.out or conn.is_lingering):
--- a/src/guavapin/serving/front_config.py
+++ b/src/guavapin/serving/front_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from dataclasses import dataclass
 
 
@@ -22,3 +23,16 @@
     header_timeout_ms: int = 10_000
     certificate_file: str = ""
     key_file: str = ""
+
+
+def tls_context(cfg: FrontConfig) -> ssl.SSLContext | None:
+    """Return the TLS context, None without a certificate; raises OSError on bad files.
+
+    The TLS layer's own errors are OSErrors.
+    """
+    if not cfg.certificate_file:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(cfg.certificate_file, cfg.key_file or None)
+    return context
--- a/src/guavapin/serving/request_parser.py
+++ b/src/guavapin/serving/request_parser.py
@@ -144,6 +144,7 @@
             return ParseFault(431, "request head too large")
         hosts = length = chunked = 0
         expects_continue = False
+        options: frozenset[bytes] = frozenset()
         for name, value in headers:
             if name == b"host":
                 hosts += 1
@@ -155,6 +156,8 @@
                     return ParseFault(501, "transfer encoding not supported")
             elif name == b"expect":
                 expects_continue = value.lower() == b"100-continue"
+            elif name == b"connection":
+                options = connection_options(headers)
         if hosts > 1 or (not hosts and version == "1.1"):
             return ParseFault(400, "exactly one Host header is needed")
         method = self._parser.get_method().decode("ascii")
@@ -171,17 +174,11 @@
             target=target,
             headers=headers,
             body_follows=body_follows,
-            keep_alive=self._keep_alive(headers, version),
+            keep_alive=_keeps_alive(options, version),
             is_http_10=version == "1.0",
             expects_continue=expects_continue and version == "1.1",
         )
 
-    def _keep_alive(self, headers: Headers, version: str) -> bool:
-        options = connection_options(headers)
-        if version == "1.0":
-            return b"keep-alive" in options and b"close" not in options
-        return b"close" not in options
-
     def _head_bytes(self) -> int:
         return len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
 
@@ -203,6 +200,12 @@
             self.events.append(ParseFault(status, detail))
 
 
+def _keeps_alive(options: frozenset[bytes], version: str) -> bool:
+    if version == "1.0":
+        return b"keep-alive" in options and b"close" not in options
+    return b"close" not in options
+
+
 def _origin_form(method: str, url: bytes) -> str | None:
     """Return the target as a path, or None if it is not one.
 
