--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -45,6 +45,8 @@
 from guavapin.serving.front_config import FrontConfig
 from guavapin.serving.readiness import ReadinessTask
 from guavapin.serving.routes import RoutesTask
+from guavapin.serving.seat import SeatConfig
+from guavapin.serving.seat import SeatTask
 from guavapin.serving.upstreams import UpstreamsTask
 from guavapin.serving.upstreams_config import UpstreamsConfig
 
@@ -85,13 +87,8 @@
     cfg: EntrySettings,
     clock: Clock | None = None,
     peer_filter: PeerFilter | None = None,
-    is_first_start: bool = False,
 ) -> Outcome[EntryProcess]:
-    """Return the services of an entry process; a bad token file is refused.
-
-    `is_first_start` leaves out the hold-off of the seat's slots; it may be set only
-    when no former process of the seat can have requests in progress.
-    """
+    """Return the services of an entry process; a bad token file is refused."""
     access = build_access(cfg.operators)
     if isinstance(access, Refused):
         return access
@@ -106,8 +103,11 @@
         lambda: readiness.is_ready,
     )
     operators = OperatorsTask(cfg.operators, app)
-    _register_serving(kernel, cfg, front, readiness, is_first_start)
+    incarnation = kernel.clock.wall_ms()
+    _register_serving(kernel, cfg, front, readiness, incarnation)
     _register_entry_control(kernel, cfg, peer_filter)
+    seat = SeatConfig(cfg.node.name, cfg.node.zone, cfg.node.seat, incarnation)
+    kernel.register(SeatTask(seat), CONTROL, ("platform", "exchanges"))
     kernel.register(InForceTask(cfg.node.name), CONTROL, ("configuration", "peers"))
     kernel.register(AuditReaderTask(), CONTROL, ("platform",))
     asked = ("publisher", "in_force", "fleet_writer", "configuration", "audit_reader")
@@ -176,11 +176,11 @@
     cfg: EntrySettings,
     front: FrontTask,
     readiness: ReadinessTask,
-    is_first_start: bool,
+    incarnation: int,
 ) -> None:
     kernel.register(UpstreamsTask(UpstreamsConfig()), SERVING)
     kernel.register(
-        ExchangesTask(_exchange_settings(cfg, kernel.clock, is_first_start)),
+        ExchangesTask(_exchange_settings(cfg, incarnation)),
         SERVING,
         ("upstreams", "claims", "peers"),
     )
@@ -243,16 +243,12 @@
     )
 
 
-def _exchange_settings(
-    cfg: EntrySettings, clock: Clock, is_first_start: bool
-) -> ExchangeSettings:
-    incarnation = clock.wall_ms()
+def _exchange_settings(cfg: EntrySettings, incarnation: int) -> ExchangeSettings:
     return ExchangeSettings(
         zone=cfg.node.zone,
         seat=cfg.node.seat,
         incarnation=incarnation,
         seed=incarnation,
-        is_first_start=is_first_start,
         peers_service="peers",
         claims_service="claims",
         callers_address=cfg.callers_address,
--- a/src/guavapin/daemons/entry.py
+++ b/src/guavapin/daemons/entry.py
@@ -8,14 +8,17 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from guavapin.claims.task import ReadCounters
 from guavapin.composition import compose_entry
 from guavapin.daemons.lifecycle import EXIT_BAD_SETTINGS
 from guavapin.daemons.lifecycle import run_daemon
 from guavapin.kernel.outcome import Refused
 from guavapin.metrics.logs import configure_logs
 from guavapin.peers.messages import AnnounceLeaving
+from guavapin.serving.exchange_messages import AwaitLoansReturned
 from guavapin.serving.messages import StopAccepting
 from guavapin.serving.readiness import BeginStop
+from guavapin.serving.seat import ReleaseSeat
 from guavapin.settings.entry import load_entry
 
 if TYPE_CHECKING:
@@ -24,6 +27,9 @@
     from guavapin.composition import EntryProcess
     from guavapin.settings.entry import EntrySettings
 
+RELEASE_TIMEOUT_MS = 3_000
+CLAIMS_POLL_MS = 100
+
 DESCRIPTION = """\
 Serve callers on an entry host: routing, limits, retries, configuration, operators'
 interface. SIGTERM stops gracefully: /readyz fails first, requests in progress finish.
@@ -57,7 +63,33 @@
     # The balancer sends new connections until it has seen /readyz fail.
     kernel.wait_for_failure(cfg.limits.unready_notice_ms)
     fut = kernel.ask("front", StopAccepting())
-    wait([fut], cfg.limits.stop_timeout_ms / 1_000)
+    done, _ = wait([fut], cfg.limits.stop_timeout_ms / 1_000)
+    if done:
+        await_claims(process, cfg)
+        release_seat(process, cfg)
+
+
+def await_claims(process: EntryProcess, cfg: EntrySettings) -> None:
+    """Wait until the outcomes of claimed requests are recorded at the platform.
+
+    One that is not recorded would be unknown to a caller that repeats the request.
+    """
+    kernel = process.kernel
+    deadline_ms = kernel.clock.now_ms() + cfg.limits.stop_timeout_ms
+    while kernel.clock.now_ms() < deadline_ms:
+        counters = kernel.ask("claims", ReadCounters()).result()
+        if not counters.get("keys"):
+            return
+        kernel.wait_for_failure(CLAIMS_POLL_MS)
+
+
+def release_seat(process: EntryProcess, cfg: EntrySettings) -> None:
+    """Record that the seat's slots are free, so that its next process need not wait."""
+    kernel = process.kernel
+    returned = kernel.ask("exchanges", AwaitLoansReturned())
+    done, _ = wait([returned], cfg.limits.stop_timeout_ms / 1_000)
+    if done:
+        wait([kernel.ask("seat", ReleaseSeat())], RELEASE_TIMEOUT_MS / 1_000)
 
 
 if __name__ == "__main__":
--- a/src/guavapin/serving/exchange_messages.py
+++ b/src/guavapin/serving/exchange_messages.py
@@ -23,3 +23,13 @@
     def free_slots(self) -> int:
         """Slots that another zone's requests could use now."""
         return max(self.total_slots - self.running - self.waiting, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class EndHoldOff:
+    """No former process of this seat can have requests or loans in use any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitLoansReturned:
+    """As a `Call`: lend nothing more; the reply comes when nothing is lent out."""
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -95,6 +95,14 @@
         for host in list(self.records):
             self.refresh(host, now_ms)
 
+    def end_hold_off(self, held_ms: int, now_ms: int) -> None:
+        """Lift the hold-off of the start, which ends at `held_ms`, and no other."""
+        self._held_off_until_ms = now_ms
+        for host, record in list(self.records.items()):
+            if record.slots.held_off_until_ms == held_ms:
+                slots = replace(record.slots, held_off_until_ms=now_ms)
+                self.set_slots(host, slots, now_ms)
+
     @property
     def long_share(self) -> float:
         """Part of the slots that long work may use."""
--- a/src/guavapin/serving/exchange_router.py
+++ b/src/guavapin/serving/exchange_router.py
@@ -60,6 +60,21 @@
                 return pool
         return holders[0] if holders else None
 
+    def end_hold_off(self, now_ms: int) -> None:
+        """Use the seat's share from now on; a former process has let go of it."""
+        held_ms, self._held_off_until_ms = self._held_off_until_ms, now_ms
+        for pool in self.pools.values():
+            pool.end_hold_off(held_ms, now_ms)
+
+    def lent_slots(self, now_ms: int) -> int:
+        """Return how many slots other seats have on loan."""
+        return sum(
+            now_ms < loan.until_ms
+            for pool in self.pools.values()
+            for record in pool.records.values()
+            for loan in record.slots.lent
+        )
+
     def supply(self) -> dict[str, PoolSupply]:
         """Return what this seat has of each pool."""
         return {
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 from guavapin.claims.messages import ClaimGranted
 from guavapin.claims.messages import ClaimRefused
@@ -25,6 +26,8 @@
 from guavapin.serving.exchange_flow import RetryDue
 from guavapin.serving.exchange_head import is_leaving
 from guavapin.serving.exchange_head import says_not_run
+from guavapin.serving.exchange_messages import AwaitLoansReturned
+from guavapin.serving.exchange_messages import EndHoldOff
 from guavapin.serving.exchange_messages import GetSupply
 from guavapin.serving.exchange_peers import ExchangePeers
 from guavapin.serving.exchange_relay import SupplyReport
@@ -42,6 +45,8 @@
 from guavapin.serving.route_table import RouteTableChanged
 
 if TYPE_CHECKING:
+    from concurrent.futures import Future
+
     from guavapin.kernel import Outcome
     from guavapin.kernel import TaskContext
     from guavapin.serving.exchange import Exchange
@@ -79,6 +84,7 @@
         self._settings = settings
         self._trial_ticks: dict[str, int] = {}
         self._ticks = 0
+        self._returning: list[Future[Any]] = []
         self._context: TaskContext
         self._router: ExchangeRouter
         self._flow: RequestFlow
@@ -139,6 +145,12 @@
                 self._router.configure(table, self._context.now_ms())
                 for name in self._router.pools:
                     self._flow.dispatch(name)
+            case EndHoldOff():
+                self._router.end_hold_off(self._context.now_ms())
+                for name in self._router.pools:
+                    self._flow.dispatch(name)
+            case Call(AwaitLoansReturned(), fut):
+                self._returning.append(fut)
             case Call(GetSupply(), fut):
                 fut.set_result(self._router.supply())
             case Call(GetCounts(), fut):
@@ -243,7 +255,7 @@
 
     def _on_loan(self, message: LoanRequest | LoanGrant | LoanReturn) -> None:
         pool = self._router.pool_of_host(message.upstream)
-        if pool is None:
+        if pool is None or (self._returning and isinstance(message, LoanRequest)):
             return
         has_waiting = bool(len(self._router.queues[pool.name].waiting))
         now_ms = self._context.now_ms()
@@ -269,6 +281,10 @@
             if len(self._router.queues[name].waiting):
                 self._flow.dispatch(name)
                 self._borrow(name)
+        if self._returning and not self._router.lent_slots(now_ms):
+            for fut in self._returning:
+                fut.set_result(Ok(None))
+            self._returning.clear()
 
     def _borrow(self, pool_name: str) -> None:
         """Ask for loans while requests wait, one slot of an upstream at a time."""
--- /dev/null
+++ b/src/guavapin/serving/seat.py
@@ -0,0 +1,167 @@
+"""The task `seat`: takes the entry seat at the platform, and releases it at the end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from guavapin.kernel import Call
+from guavapin.kernel import Ok
+from guavapin.kernel import Refused
+from guavapin.platform.messages import NO_REVISION
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import Missing
+from guavapin.platform.messages import Put
+from guavapin.platform.messages import Reply
+from guavapin.platform.messages import Written
+from guavapin.serving.exchange_messages import EndHoldOff
+from guavapin.serving.seat_record import decode_seat
+from guavapin.serving.seat_record import encode_seat
+from guavapin.serving.seat_record import seat_key
+from guavapin.serving.seat_record import take_seat
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
+    from guavapin.platform.messages import PlatformOutcome
+    from guavapin.serving.seat_record import SeatRecord
+
+RETRY_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseSeat:
+    """As a `Call`: all slots are let go of; the reply is `Ok` once that is recorded."""
+
+
+@dataclass(frozen=True, slots=True)
+class SeatConfig:
+    """The seat of this process; `incarnation` differs for every process."""
+
+    name: str
+    zone: str
+    seat: int
+    incarnation: int
+
+
+class _Step(Enum):
+    READING = "reading"
+    TAKING = "taking"
+    HELD = "held"
+    RELEASING = "releasing"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class _Retry:
+    """Timer: read the record again."""
+
+
+class SeatTask:
+    """Service `seat`; ends the hold-off of `exchanges` if the seat was free.
+
+    Without the platform the hold-off runs its course. A record that another process
+    takes over is left alone.
+    """
+
+    name = "seat"
+
+    def __init__(self, cfg: SeatConfig) -> None:
+        self._cfg = cfg
+        self._key = seat_key(cfg.zone, cfg.seat)
+        self._step = _Step.READING
+        self._record: SeatRecord | None = None
+        self._revision = NO_REVISION
+        self._request_id = 0
+        self._releases: list[Future[Any]] = []
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Read the record of the seat."""
+        self._context = context
+        self._read()
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle an answer of the platform, the timer or the release."""
+        match message:
+            case Reply(request_id, outcome):
+                if request_id == self._request_id:
+                    self._on_reply(outcome)
+            case _Retry():
+                self._read()
+            case Call(ReleaseSeat(), fut):
+                self._releases.append(fut)
+                self._release()
+
+    def stop(self) -> None:
+        """Answer releases that the platform did not confirm."""
+        self._end()
+
+    def _read(self) -> None:
+        self._request_id += 1
+        self._context.send("platform", Get(self.name, self._request_id, self._key))
+
+    def _write(self, record: SeatRecord) -> None:
+        self._request_id += 1
+        self._record = record
+        put = Put(
+            self.name, self._request_id, self._key, encode_seat(record), self._revision
+        )
+        self._context.send("platform", put)
+
+    def _on_reply(self, outcome: PlatformOutcome) -> None:
+        match self._step, outcome:
+            case _Step.READING, Missing():
+                self._take(None, NO_REVISION)
+            case _Step.READING, Found(value, revision):
+                decoded = decode_seat(value)
+                known = None if isinstance(decoded, Refused) else decoded.value
+                self._on_record(known, revision)
+            case _Step.TAKING, Written(revision):
+                self._hold(revision)
+            case _Step.RELEASING, _:
+                self._end()
+            case _:
+                # Includes a write without an answer: the record tells how it went.
+                self._step = _Step.READING
+                self._context.set_timer(RETRY_MS, _Retry())
+
+    def _on_record(self, known: SeatRecord | None, revision: int) -> None:
+        is_own = known is not None and known.incarnation == self._cfg.incarnation
+        if known is not None and is_own:
+            self._record = known
+            self._hold(revision)
+            return
+        # A malformed record tells nothing, so the seat counts as not released.
+        former = known or take_seat(None, "", 0)
+        self._take(former, revision)
+
+    def _take(self, former: SeatRecord | None, revision: int) -> None:
+        self._step = _Step.TAKING
+        self._revision = revision
+        self._write(take_seat(former, self._cfg.name, self._cfg.incarnation))
+
+    def _hold(self, revision: int) -> None:
+        self._step = _Step.HELD
+        self._revision = revision
+        if self._record is not None and self._record.is_clean:
+            self._context.send("exchanges", EndHoldOff())
+
+    def _release(self) -> None:
+        if self._step is not _Step.HELD or self._record is None:
+            self._end()
+            return
+        self._step = _Step.RELEASING
+        self._write(replace(self._record, is_released=True))
+
+    def _end(self) -> None:
+        self._step = _Step.ENDED
+        for fut in self._releases:
+            fut.set_result(Ok(None))
+        self._releases.clear()
--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -119,7 +119,6 @@
         outcome = compose_entry(
             self._entry_settings(address),
             peer_filter=self._peer_filter,
-            is_first_start=True,
         )
         process = _expect(outcome)
         _expect(process.kernel.start())
--- /dev/null
+++ b/tests/daemons/test_daemons.py
@@ -0,0 +1,211 @@
+"""The daemons as processes: settings, whole path, graceful stop on SIGTERM."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import urllib.error
+import urllib.request
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from guavapin.console.client import OperatorsClient
+from guavapin.kernel import Ok
+from guavapin.operators.configuration_calls import PublishBody
+
+TOKEN = "test-operator-token"
+PAUSE = threading.Event()
+TIMEOUT_S = 60
+
+OBJECTS = """
+[availability_zone.east]
+region = "north"
+[availability_budget.small]
+min_available = 1
+[pool.renewals]
+budget = "small"
+[service.renewals]
+pool = "renewals"
+path_prefix = "/renewals"
+[host.h1]
+zone = "east"
+rack = "r1"
+pool = "renewals"
+address = "127.0.0.1:{upstream}"
+[host.h2]
+zone = "east"
+rack = "r2"
+pool = "renewals"
+address = "127.0.0.1:{second}"
+"""
+
+SETTINGS = """
+[node]
+name = "{name}"
+zone = "east"
+seat = 0
+[operators]
+address = "127.0.0.1:{operators}"
+token_file = "{tokens}"
+[platform]
+address = "127.0.0.1:{platform}"
+"""
+
+ENTRY = """
+[callers]
+address = "127.0.0.1:{callers}"
+[peers]
+address = "127.0.0.1:{peers}"
+[limits]
+unready_notice_ms = 300
+"""
+
+
+def free_ports(*names: str) -> dict[str, int]:
+    socks = {name: socket.socket() for name in names}
+    for sock in socks.values():
+        sock.bind(("127.0.0.1", 0))
+    ports = {name: sock.getsockname()[1] for name, sock in socks.items()}
+    for sock in socks.values():
+        sock.close()
+    return ports
+
+
+def wait_until(condition) -> None:
+    for _ in range(TIMEOUT_S * 20):
+        if condition():
+            return
+        PAUSE.wait(0.05)
+    raise AssertionError("condition did not come true")
+
+
+def status_of(port: int, path: str) -> int:
+    try:
+        return urllib.request.urlopen(f"http://127.0.0.1:{port}{path}").status
+    except urllib.error.HTTPError as exc:
+        return exc.code
+    except OSError:
+        return 0
+
+
+class Site:
+    def __init__(self, folder) -> None:
+        self.folder = folder
+        self.ports = free_ports(
+            "platform",
+            "upstream",
+            "second",
+            "callers",
+            "peers",
+            "operators",
+            "control",
+        )
+        self.processes: list[subprocess.Popen] = []
+        tokens = folder / "tokens"
+        tokens.write_text(f"ana {TOKEN}\n")
+        common = {"tokens": tokens, "platform": self.ports["platform"]}
+        entry = SETTINGS.format(
+            name="e0", operators=self.ports["operators"], **common
+        ) + ENTRY.format(**self.ports)
+        control = SETTINGS.format(name="c0", operators=self.ports["control"], **common)
+        (folder / "entry.toml").write_text(entry)
+        (folder / "control.toml").write_text(control)
+
+    def start(self, module: str, *args: str) -> subprocess.Popen:
+        process = subprocess.Popen([sys.executable, "-m", module, *args])
+        self.processes.append(process)
+        return process
+
+    def start_entry(self) -> subprocess.Popen:
+        path = self.folder / "entry.toml"
+        return self.start("guavapin.daemons.entry", "--settings", str(path))
+
+    def start_all(self) -> subprocess.Popen:
+        ports = self.ports
+        self.start("guavapin_standins.platform", "--port", str(ports["platform"]))
+        for name in ("upstream", "second"):
+            self.start("guavapin_standins.upstream", "--port", str(ports[name]))
+        for host in ("h1", "h2"):
+            wait_until(lambda host=host: self.set_live(host))
+        path = self.folder / "control.toml"
+        self.start("guavapin.daemons.control", "--settings", str(path))
+        entry = self.start_entry()
+        wait_until(lambda: status_of(ports["operators"], "/healthz") == 200)
+        return entry
+
+    def set_live(self, host: str) -> bool:
+        url = f"http://127.0.0.1:{self.ports['platform']}/standin/hosts/{host}"
+        req = urllib.request.Request(f"{url}?state=live", method="PUT")
+        try:
+            return urllib.request.urlopen(req).status == 200
+        except OSError:
+            return False
+
+    def publish(self) -> None:
+        client = OperatorsClient(f"http://127.0.0.1:{self.ports['operators']}", TOKEN)
+        body = PublishBody(0, OBJECTS.format(**self.ports), wait_ms=20_000)
+        outcome = client.post("/operator/v1/publish", body)
+        assert isinstance(outcome, Ok) and outcome.value.status == 200, outcome
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        wait_until(lambda: status_of(self.ports["callers"], "/readyz") == 200)
+
+    def request(self, target: str, run_ms: int) -> bytes:
+        url = f"http://127.0.0.1:{self.ports['callers']}{target}"
+        req = urllib.request.Request(url, headers={"Guavapin-Run-Ms": str(run_ms)})
+        return urllib.request.urlopen(req, timeout=TIMEOUT_S).read()
+
+    def stop_all(self) -> None:
+        for process in reversed(self.processes):
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+
+@pytest.fixture
+def site(tmp_path):
+    site = Site(tmp_path)
+    yield site
+    site.stop_all()
+
+
+def test_sigterm_becomes_unready_first_and_finishes_requests(site):
+    entry = site.start_all()
+    site.publish()
+    with ThreadPoolExecutor(1) as executor:
+        fut = executor.submit(site.request, "/renewals/long", 3_000)
+        PAUSE.wait(0.5)
+        entry.send_signal(signal.SIGTERM)
+        wait_until(lambda: status_of(site.ports["callers"], "/readyz") != 200)
+        assert not fut.done()
+        assert fut.result() == b"/renewals/long"
+    assert entry.wait(TIMEOUT_S) == 0
+
+
+def test_seat_released_by_a_graceful_stop_serves_at_once_when_it_starts_again(site):
+    entry = site.start_all()
+    site.publish()
+    entry.send_signal(signal.SIGTERM)
+    assert entry.wait(TIMEOUT_S) == 0
+    site.start_entry()
+    site.wait_ready()
+    # With the hold-off of an unreleased seat this would be refused as not run.
+    assert site.request("/renewals/again", 10) == b"/renewals/again"
+
+
+def test_faulty_settings_are_all_named_and_exit_with_2(tmp_path):
+    path = tmp_path / "entry.toml"
+    path.write_text('[node]\nname = "n"\nseat = "one"\nzome = "x"\n')
+    done = subprocess.run(
+        [sys.executable, "-m", "guavapin.daemons.entry", "--settings", str(path)],
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 2
+    for key in ("seat", "zome", "zone"):
+        assert f"[node] {key}" in done.stderr
