Wait for the entry hosts before a drained host counts as idle

Cause: an idle host could be rebooted at once, while an entry host that had not yet heard of the drain was sending it a request. Change: the end of work is asked for only 3.5 s after the drain began.

--- a/src/guavapin/waves/host_machine.py
+++ b/src/guavapin/waves/host_machine.py
@@ -19,6 +19,10 @@
 # The time in which a returned host takes up its full share of work.
 SLOW_START_MS = 30_000
 
+# Entry hosts learn within 3 s that a host takes no new work. That its work has ended
+# means nothing before, since new work may be on its way.
+PROPAGATION_MS = 3_500
+
 # Used for drains and moves, which belong to no wave.
 DRAIN_TIMEOUT_MS = 600_000
 JOIN_TIMEOUT_MS = 600_000
@@ -101,7 +105,7 @@
         return Wait()
     if _is_ok(situation, HostStep.DRAIN):
         return Change(actions.AdvanceDrain(situation.item.host), "work has ended")
-    return Begin(HostStep.DRAIN)
+    return _begin_drain(situation)
 
 
 def _move_step(situation: HostSituation) -> NextStep:
@@ -145,8 +149,8 @@
         return Change(give_back, "the pool is below its budget")
     if _is_ok(situation, HostStep.DRAIN):
         return Change(forward, "work has ended")
-    if situation.elapsed_ms < situation.drain_timeout_ms:
-        return Begin(HostStep.DRAIN)
+    if situation.elapsed_ms < max(situation.drain_timeout_ms, PROPAGATION_MS):
+        return _begin_drain(situation)
     if _is_ok(situation, HostStep.CHECKPOINT):
         return Change(forward, "remaining work is checkpointed")
     has_failed = HostStep.CHECKPOINT in situation.results
@@ -155,6 +159,12 @@
     return Begin(HostStep.CHECKPOINT)
 
 
+def _begin_drain(situation: HostSituation) -> NextStep:
+    if situation.elapsed_ms < PROPAGATION_MS:
+        return Wait()
+    return Begin(HostStep.DRAIN)
+
+
 def _maintain(
     situation: HostSituation, step: HostStep, forward: actions.FleetAction
 ) -> NextStep:
