Read headers of requests and answers with fewer steps

Cause: in a profile of the adapters the callback for each header line of an answer was the largest cost of one method in Python (0.34 s of 5 s), and the size of a request's head was summed for each request. Change: a header line is split first and only a line without a name is looked at again; the sum is made only if more bytes were read than a head may have, and stays exact.

--- a/src/guavapin/serving/attempt_handle.py
+++ b/src/guavapin/serving/attempt_handle.py
@@ -253,17 +253,14 @@
     def _on_header(self, line: bytes) -> None:
         if self.is_head_done:
             return
-        line = line.rstrip(b"\r\n")
-        if not line:
-            if self._status >= 200:
-                self._end_head()
-            return
-        if line.startswith(b"HTTP/"):
+        name, colon, value = line.partition(b":")
+        if colon and not line.startswith(b"HTTP/"):
+            self._headers.append((name.strip().lower(), value.strip()))
+        elif line.startswith(b"HTTP/"):
             self._status = int(line.split(None, 2)[1])
             self._headers = []
-            return
-        name, _, value = line.partition(b":")
-        self._headers.append((name.strip().lower(), value.strip()))
+        elif not line.strip() and self._status >= 200:
+            self._end_head()
 
     def _end_head(self) -> None:
         self.is_head_done = True
--- a/src/guavapin/serving/request_parser.py
+++ b/src/guavapin/serving/request_parser.py
@@ -60,6 +60,8 @@
         self._max_head_bytes = max_head_bytes
         self._parser = httptools.HttpRequestParser(self)
         self._quiet_bytes = 0
+        self._feed_bytes = 0
+        self._read_bytes = 0
         self._has_fault = False
         self._parts: list[bytes] = []
         self._reset()
@@ -74,6 +76,8 @@
         if self._has_fault:
             return
         before = len(self.events)
+        self._feed_bytes = len(data)
+        self._read_bytes += len(data)
         rest = data
         while rest and not self._has_fault:
             rest = self._feed_once(rest)
@@ -97,6 +101,8 @@
     def on_message_begin(self) -> None:
         self._reset()
         self._is_idle = False
+        # At least what the request has so far: the whole part it began in.
+        self._read_bytes = self._feed_bytes
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -140,7 +146,9 @@
         version = self._parser.get_http_version()
         if version not in ("1.1", "1.0"):
             return ParseFault(505, "only HTTP/1.1 and HTTP/1.0 are supported")
-        if self._head_bytes() > self._max_head_bytes:
+        # The sum is needed only when more was read than a head may have.
+        is_long = self._read_bytes > self._max_head_bytes
+        if is_long and self._head_bytes() > self._max_head_bytes:
             return ParseFault(431, "request head too large")
         hosts = length = chunked = 0
         expects_continue = False
--- a/tests/serving/test_front_requests.py
+++ b/tests/serving/test_front_requests.py
@@ -113,6 +113,14 @@
     assert caller.is_closed()
 
 
+def test_head_above_the_bound_is_refused_behind_another_request(small_path):
+    caller = small_path.connect()
+    caller.send(b"GET /healthz HTTP/1.1\r\nHost: t\r\n\r\nGET / HTTP/1.1\r\n")
+    assert caller.read_answer().status == 200
+    caller.send(b"Host: t\r\nLong: " + b"a" * 2_000 + b"\r\n\r\n")
+    assert caller.read_answer().status == 431
+
+
 def test_endless_trailer_is_refused(small_path):
     # The parser gathers a trailer without reporting it.
     small_path.mute_exchanges()
