Bound the time to the first byte by the slowest run seen

Change: the bound also covers four times the slowest run seen, and applies after 200 observations; tests run front, exchanges and upstreams together. Conclusion: a silent connection on a new kind is bounded by the deadline only.

--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -18,17 +18,23 @@
 MIN_COUNT = 5
 # A kind is long when its median is this many times the median of its service.
 LONG_FACTOR = 10.0
+# Halves the slowest run time seen over about 1,400 observations.
+SLOWEST_DECAY = 0.9995
 MIN_STEP = 0.05
 MAX_STEP = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class RunTime:
-    """Quantile estimates of run time in milliseconds, after `count` observations."""
+    """Quantile estimates of run time in milliseconds, after `count` observations.
+
+    `slowest_ms` is the longest run time seen; it decays slowly.
+    """
 
     count: int = 0
     median_ms: float = 0.0
     p95_ms: float = 0.0
+    slowest_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +48,8 @@
     p95_ms: float
     is_long: bool
     is_known: bool = True
+    slowest_ms: float = 0.0
+    count: int = 0
 
 
 def kind_of(method: str, target: str, service_prefix: str = "") -> str:
@@ -60,7 +68,7 @@
     """Return the estimate after a request that ran `run_ms`."""
     run_ms = max(run_ms, 0.1)
     if estimate.count == 0:
-        return RunTime(1, run_ms, run_ms)
+        return RunTime(1, run_ms, run_ms, run_ms)
     # Large first steps find the order of magnitude, small later ones keep it.
     step = max(MAX_STEP / math.sqrt(estimate.count), MIN_STEP)
     return RunTime(
@@ -70,6 +78,7 @@
             _move(estimate.p95_ms, run_ms, 0.95, step),
             estimate.median_ms,
         ),
+        slowest_ms=max(estimate.slowest_ms * SLOWEST_DECAY, run_ms),
     )
 
 
@@ -87,7 +96,13 @@
     if kind is None or kind.count < MIN_COUNT:
         return Expectation(usual_ms, usual_ms * 2, is_long=False, is_known=False)
     is_long = kind.median_ms > LONG_FACTOR * usual_ms
-    return Expectation(kind.median_ms, kind.p95_ms, is_long)
+    return Expectation(
+        kind.median_ms,
+        kind.p95_ms,
+        is_long,
+        slowest_ms=kind.slowest_ms,
+        count=kind.count,
+    )
 
 
 class RunTimes:
--- a/src/guavapin/serving/exchange_attempt.py
+++ b/src/guavapin/serving/exchange_attempt.py
@@ -20,10 +20,15 @@
 
 CONNECT_MS = 2_000
 PROGRESS_MS = 10_000
-# The time to the first byte is bounded by this many times the learned 95th
-# percentile, with a floor for kinds that usually answer at once.
+# The time to the first byte is bounded by the largest of these: a multiple of the 95th
+# percentile, a multiple of the slowest run seen, and a floor. A bound without the
+# slowest run cut off work that shares the path of work 100 times shorter.
 FIRST_BYTE_FACTOR = 10
+SLOWEST_FACTOR = 4
 FIRST_BYTE_FLOOR_MS = 5_000
+# With fewer observations, the slowest run may not have been seen: at 5% long work,
+# 200 observations miss it once in 30,000 times.
+MIN_OBSERVATIONS = 200
 # The bound of the task `upstreams` lies this far behind the deadline, as a last resort.
 DEADLINE_SLACK_MS = 1_000
 # A kind that is not known yet counts as late after this time.
@@ -97,10 +102,14 @@
     ejected healthy upstreams.
     """
     deadline_ms = remaining_ms + DEADLINE_SLACK_MS
-    if not expectation.is_known:
+    if expectation.count < MIN_OBSERVATIONS:
         return deadline_ms
-    bound_ms = max(int(expectation.p95_ms * FIRST_BYTE_FACTOR), FIRST_BYTE_FLOOR_MS)
-    return min(bound_ms, deadline_ms)
+    bound_ms = max(
+        expectation.p95_ms * FIRST_BYTE_FACTOR,
+        expectation.slowest_ms * SLOWEST_FACTOR,
+        FIRST_BYTE_FLOOR_MS,
+    )
+    return min(int(bound_ms), deadline_ms)
 
 
 def verdict_of(
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -348,3 +348,27 @@
     rig.configure(objects)
     after = rig.task._router.pools["p"].records["h1"].slots.next_number
     assert after > before + 1_000
+
+
+def test_long_work_with_the_path_of_short_work_is_not_cut_off() -> None:
+    """Guards against a bound learned from short work that ends long work early."""
+    rig = Rig(make_objects(hosts=1, slots=1, timeout_ms=120_000))
+    bounds = []
+    for request_id in range(1, 601):
+        rig.request(request_id)
+        start = rig.start_one()
+        bounds.append(start.first_byte_ms)
+        rig.harness.advance(10_000 if request_id % 20 == 0 else 100)
+        rig.answer(start.attempt_id)
+    assert min(bounds) > 20_000
+
+
+def test_time_to_the_first_byte_is_bounded_by_what_is_usual() -> None:
+    """Guards against a silent connection that holds its slot until the deadline."""
+    rig = Rig(make_objects(hosts=1, slots=1))
+    for request_id in range(1, 301):
+        rig.request(request_id)
+        rig.harness.advance(100)
+        rig.answer(rig.start_one().attempt_id)
+    rig.request(999)
+    assert rig.start_one().first_byte_ms == 5_000
