Check a run time estimate that refuses every request

Cause: after a pause of the entry process of 6 s the learned run time of a kind was 6 s, above the service's deadline of 3 s. Each further request was refused as not run, so no request could correct the estimate; the refusals went on until a restart. Ruled out: lost slots (none in use), open circuit breakers (all closed), the queue (empty), the claims service (the request had no key).

Change: when no request of a kind has succeeded for a second, one that would be refused is let through with an expectation of half its time. Kinds without any success share one such check, so invented paths get no attempts of their own.

A request whose caller gives it less time than it really runs is now tried once a second per kind and ends as unknown instead of not run.

--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -9,6 +9,7 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import replace
 
 MAX_KINDS = 64
 KIND_SEGMENTS = 2
@@ -20,6 +21,9 @@
 LONG_FACTOR = 10.0
 MIN_STEP = 0.05
 MAX_STEP = 1.0
+# A kind that is expected to take longer than its callers wait is refused, so nothing
+# is learned of it any more. One request of it is let through this often.
+RECHECK_MS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,14 +106,16 @@
         self._declared_ms = declared_ms
         self._service = RunTime()
         self._kinds: dict[str, RunTime] = {}
+        self._checked_ms: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._kinds)
 
-    def observe(self, kind: str, run_ms: float) -> None:
+    def observe(self, kind: str, run_ms: float, now_ms: int) -> None:
         """Learn from a request of `kind` that succeeded after `run_ms`."""
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS - 1:
             kind = OTHER_KIND
+        self._checked_ms[kind] = now_ms
         self._kinds[kind] = observe(self._kinds.get(kind, RunTime()), run_ms)
         self._service = observe(self._service, run_ms)
 
@@ -118,6 +124,23 @@
         known = self._kinds.get(kind) or self._kinds.get(OTHER_KIND)
         return expect(known, self._service, self._declared_ms)
 
+    def expect_within(self, kind: str, left_ms: int, now_ms: int) -> Expectation:
+        """Return what to expect of a request that has `left_ms` until its deadline.
+
+        An expectation beyond `left_ms` has the request refused. If no request of the
+        kind has succeeded for `RECHECK_MS`, one that would be refused gets an
+        expectation of half its time instead, so that its end can correct the estimate.
+        """
+        expected = self.expect(kind)
+        if expected.run_ms <= left_ms:
+            return expected
+        kind = kind if kind in self._kinds else OTHER_KIND
+        checked_ms = self._checked_ms.get(kind)
+        if checked_ms is not None and now_ms - checked_ms < RECHECK_MS:
+            return expected
+        self._checked_ms[kind] = now_ms
+        return replace(expected, run_ms=left_ms / 2, p95_ms=left_ms / 2)
+
     def declare(self, declared_ms: float) -> None:
         """Replace the declared run time after a change of the configuration."""
         self._declared_ms = declared_ms
--- a/src/guavapin/serving/exchange_arrival.py
+++ b/src/guavapin/serving/exchange_arrival.py
@@ -31,6 +31,7 @@
     timeout_ms = service.timeout_ms
     if head.deadline_ms:
         timeout_ms = min(timeout_ms, head.deadline_ms)
+    run_times = router.services[service.name].run_times
     request = CallerRequest(
         request_id=message.request_id,
         service=service,
@@ -39,7 +40,7 @@
         headers=message.headers,
         received_ms=message.received_ms,
         deadline_ms=message.received_ms + timeout_ms,
-        expectation=router.services[service.name].run_times.expect(kind),
+        expectation=run_times.expect_within(kind, timeout_ms, message.received_ms),
         kind=kind,
         # Idempotent requests need no claim.
         key="" if is_idempotent(message.method, service) else head.key,
--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -101,4 +101,4 @@
         self._router.queues[attempt.pool].learn(placement.is_long, run_ms)
         if verdict is Verdict.SUCCESS and status < FIRST_ERROR:
             service = self._router.services[exchange.request.service.name]
-            service.run_times.observe(exchange.request.kind, run_ms)
+            service.run_times.observe(exchange.request.kind, run_ms, now_ms)
