Repeat keyed requests of the demo with the same body

Cause: both requests with one idempotency key carried their own identity as body, so the second one had another content digest and was refused with 422 key_reused; no repetition was ever answered with the recorded answer. The product was ruled out: a key with another content must be refused. Change: the body is that of the key; the name of the callers' service can be given, so that several loads run side by side. Before: 1 of 2 requests with the key of a 15 s compilation was answered, the other got 422. Conclusion: a fault of the demo's callers only.

--- a/src/guavapin_demo/callers.py
+++ b/src/guavapin_demo/callers.py
@@ -79,11 +79,10 @@
 
 
 class CallersTask:
-    """Service ``callers``: an open loop, which never waits for answers to send."""
+    """Service `name`: an open loop, which never waits for answers to send."""
 
-    name = "callers"
-
-    def __init__(self) -> None:
+    def __init__(self, name: str = "callers") -> None:
+        self.name = name
         self.progress: Counter[Result] = Counter()
         self._entries: tuple[str, ...] = ()
         self._next_entry = 0
@@ -142,7 +141,7 @@
         curl.setopt(pycurl.HEADERFUNCTION, transfer.on_header)
         curl.setopt(pycurl.WRITEFUNCTION, transfer.body.extend)
         if request.method == "POST":
-            curl.setopt(pycurl.POSTFIELDS, request.identity)
+            curl.setopt(pycurl.POSTFIELDS, request_body(request))
             # A caller does not know of libcurl's own resending either.
             curl.setopt(pycurl.FRESH_CONNECT, 1)
         self._transfers[curl] = transfer
@@ -175,6 +174,14 @@
     return f"/{request.service}/{request.idempotency_key or request.identity}"
 
 
+def request_body(request: PlannedRequest) -> str:
+    """Return the body of a POST.
+
+    A key comes with one content, so that both requests with it have the same body.
+    """
+    return expected_target(request)
+
+
 def request_headers(request: PlannedRequest) -> list[str]:
     """Return the headers that identify a request to the upstream stand-in."""
     headers = [
