--- a/tests/publication/test_snapshot.py
+++ b/tests/publication/test_snapshot.py
@@ -10,6 +10,7 @@
 from guavapin.kernel.outcome import Refused
 from guavapin.objects.model import ObjectSet
 from guavapin.publication import head as heads
+from guavapin.publication.audit import decode_audit
 from guavapin.publication.head import Head
 from guavapin.publication.head import decode_head
 from guavapin.publication.head import digests_at
@@ -86,4 +87,5 @@
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_never_raise(data):
     assert isinstance(decode_head(data), Refused)
+    assert isinstance(decode_audit(data), Refused)
     assert isinstance(join((data,)), Ok | Refused)
