Lend by the load that entry processes report; mend the start of a failing kernel

Cause: the shared spare had no knowledge of demand, since no process reported its load. Change: each entry process writes its load every 5 s while it has any; the duty holder sums the fresh reports to hosts in demand. Platform writes: 0.2 a second for each loaded entry process.

--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -7,11 +7,13 @@
 
 from guavapin.audit.archiver import AuditArchiverTask
 from guavapin.audit.reader import AuditReaderTask
+from guavapin.capacity.load_report import LoadReportTask
 from guavapin.claims.store import ClaimsConfig
 from guavapin.claims.task import ClaimsTask
 from guavapin.duties.fleet_duty import FleetDutyTask
 from guavapin.duties.host_actions import ServiceHostActions
 from guavapin.duties.host_steps import HostActionsTask
+from guavapin.duties.pool_demand import PoolDemandTask
 from guavapin.duties.task import DutyTask
 from guavapin.fleet.objects_relay import ObjectsRelayTask
 from guavapin.fleet.relay import FleetRelayConfig
@@ -108,6 +110,8 @@
     _register_entry_control(kernel, cfg, peer_filter)
     seat = SeatConfig(cfg.node.name, cfg.node.zone, cfg.node.seat, incarnation)
     kernel.register(SeatTask(seat), CONTROL, ("platform", "exchanges"))
+    load_report = LoadReportTask(cfg.node.name)
+    kernel.register(load_report, CONTROL, ("platform", "exchanges"))
     kernel.register(InForceTask(cfg.node.name), CONTROL, ("configuration", "peers"))
     kernel.register(AuditReaderTask(), CONTROL, ("platform",))
     asked = ("publisher", "in_force", "fleet_writer", "configuration", "audit_reader")
@@ -144,19 +148,14 @@
     )
     kernel.register(AuditArchiverTask(actor), CONTROL, ("platform", "fleet_writer"))
     kernel.register(
-        ObjectsRelayTask(("fleet_writer", "fleet_duty")),
+        ObjectsRelayTask(("fleet_writer", "fleet_duty", "pool_demand")),
         CONTROL,
-        ("configuration", "fleet_writer", "fleet_duty"),
-    )
-    kernel.register(
-        DutyTask(
-            "fleet",
-            f"{actor}/{kernel.clock.wall_ms()}",
-            ("fleet_duty", "audit_archiver"),
-        ),
-        CONTROL,
-        ("platform", "fleet_duty", "audit_archiver"),
+        ("configuration", "fleet_writer", "fleet_duty", "pool_demand"),
     )
+    kernel.register(PoolDemandTask(), CONTROL, ("platform", "fleet_duty"))
+    workers = ("fleet_duty", "audit_archiver", "pool_demand")
+    duty = DutyTask("fleet", f"{actor}/{kernel.clock.wall_ms()}", workers)
+    kernel.register(duty, CONTROL, ("platform", *workers))
     kernel.register(operators, CONTROL)
     return Ok(ControlProcess(kernel, operators, metrics))
 
--- /dev/null
+++ b/src/guavapin/duties/pool_demand.py
@@ -0,0 +1,126 @@
+"""The task `pool_demand`: how many hosts the load of each pool needs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.capacity.load import LOAD_PREFIX
+from guavapin.capacity.load import LoadReport
+from guavapin.capacity.load import decode_load
+from guavapin.capacity.load import hosts_in_demand
+from guavapin.duties.messages import FLEET_DUTY
+from guavapin.duties.messages import DutyHeld
+from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import PoolDemand
+from guavapin.fleet.messages import ObjectsUpdate
+from guavapin.kernel import Ok
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Get
+from guavapin.platform.messages import Listed
+from guavapin.platform.messages import ListPrefix
+from guavapin.platform.messages import Reply
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
+    from guavapin.objects.model import ObjectSet
+    from guavapin.platform.messages import PlatformOutcome
+
+INTERVAL_MS = 5_000
+# A process that stopped leaves its last report; one that has not changed for this
+# long is not load any more.
+MAX_AGE_MS = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Timer: list the reports."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """A report, its revision and when this process saw it change."""
+
+    report: LoadReport
+    revision: int
+    seen_ms: int
+
+
+class PoolDemandTask:
+    """Service `pool_demand`; works only while this process holds the duty."""
+
+    name = "pool_demand"
+
+    def __init__(self) -> None:
+        self._objects: ObjectSet | None = None
+        self._is_held = False
+        self._is_ticking = False
+        self._reports: dict[str, _Known] = {}
+        self._reads: dict[int, str] = {}
+        self._request_id = 0
+
+    def start(self, context: TaskContext) -> Outcome[None]:
+        """Keep the context; nothing is read without the duty."""
+        self._context = context
+        return Ok(None)
+
+    def handle(self, message: object) -> None:
+        """Handle a change of the duty, the timer, an answer or new objects."""
+        match message:
+            case DutyHeld():
+                self._is_held = True
+                self._begin()
+            case DutyLost():
+                self._is_held = False
+                self._reports.clear()
+            case ObjectsUpdate(objects):
+                self._objects = objects
+            case _Tick():
+                self._is_ticking = False
+                self._tell()
+                self._begin()
+            case Reply(request_id, outcome):
+                self._on_reply(self._reads.pop(request_id, ""), outcome)
+
+    def stop(self) -> None:
+        """Nothing to close."""
+
+    def _begin(self) -> None:
+        if not self._is_held or self._is_ticking:
+            return
+        self._is_ticking = True
+        self._context.set_timer(INTERVAL_MS, _Tick())
+        number = self._next_read(LOAD_PREFIX)
+        self._context.send("platform", ListPrefix(self.name, number, LOAD_PREFIX))
+
+    def _on_reply(self, key: str, outcome: PlatformOutcome) -> None:
+        match outcome:
+            case Listed(keys):
+                for item in keys:
+                    known = self._reports.get(item.key)
+                    if known is None or known.revision != item.revision:
+                        number = self._next_read(item.key)
+                        self._context.send("platform", Get(self.name, number, item.key))
+            case Found(value, revision):
+                decoded = decode_load(value)
+                if isinstance(decoded, Ok):
+                    now_ms = self._context.now_ms()
+                    self._reports[key] = _Known(decoded.value, revision, now_ms)
+
+    def _tell(self) -> None:
+        if self._objects is None or not self._is_held:
+            return
+        oldest_ms = self._context.now_ms() - MAX_AGE_MS
+        fresh = [
+            known.report
+            for known in self._reports.values()
+            if known.seen_ms >= oldest_ms
+        ]
+        demand = PoolDemand(hosts_in_demand(fresh, self._objects))
+        self._context.send(FLEET_DUTY, demand)
+
+    def _next_read(self, key: str) -> int:
+        self._request_id += 1
+        self._reads[self._request_id] = key
+        return self._request_id
--- a/src/guavapin/kernel/kernel.py
+++ b/src/guavapin/kernel/kernel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from concurrent.futures import FIRST_COMPLETED
 from concurrent.futures import Future
 from concurrent.futures import ThreadPoolExecutor
 from concurrent.futures import wait
@@ -190,6 +191,13 @@
         service = self._services[name]
         context = _Context(self, service.task, service.loop)
         fut = self._run_on(service.loop, lambda: service.task.start(context))
+        # A loop that fails leaves the functions posted to it undone.
+        wait([fut, *self._loop_futs], return_when=FIRST_COMPLETED)
+        if not fut.done():
+            detail = (
+                f"service {name!r} was not started: a loop failed: {self.failure!r}"
+            )
+            return Refused(Reason.START_FAILED, detail)
         try:
             outcome = fut.result()
         except Exception as exc:
--- a/src/guavapin/serving/exchange_messages.py
+++ b/src/guavapin/serving/exchange_messages.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +29,20 @@
         return max(self.total_slots - self.running - self.waiting, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class ReportSupply:
+    """Send `SupplyReported` to the service `reply_to`."""
+
+    reply_to: str
+
+
+@dataclass(frozen=True, slots=True)
+class SupplyReported:
+    """What this seat has of each pool."""
+
+    pools: Mapping[str, PoolSupply]
+
+
 @dataclass(frozen=True, slots=True)
 class EndHoldOff:
     """No former process of this seat can have requests or loans in use any more."""
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -29,6 +29,8 @@
 from guavapin.serving.exchange_messages import AwaitLoansReturned
 from guavapin.serving.exchange_messages import EndHoldOff
 from guavapin.serving.exchange_messages import GetSupply
+from guavapin.serving.exchange_messages import ReportSupply
+from guavapin.serving.exchange_messages import SupplyReported
 from guavapin.serving.exchange_peers import ExchangePeers
 from guavapin.serving.exchange_relay import SupplyReport
 from guavapin.serving.exchange_relay import UpstreamLeaving
@@ -151,6 +153,9 @@
                     self._flow.dispatch(name)
             case Call(AwaitLoansReturned(), fut):
                 self._returning.append(fut)
+            case ReportSupply(reply_to):
+                supply = SupplyReported(self._router.supply())
+                self._context.send(reply_to, supply)
             case Call(GetSupply(), fut):
                 fut.set_result(self._router.supply())
             case Call(GetCounts(), fut):
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,30 @@
+"""Fixtures of all tests."""
+
+from __future__ import annotations
+
+import weakref
+
+import pytest
+
+from guavapin.kernel import Kernel
+
+
+@pytest.fixture(autouse=True, scope="session")
+def stop_forgotten_kernels():
+    """Stop kernels that a failed test left running.
+
+    Their loops run on an executor, which the interpreter joins at its exit, so a
+    forgotten kernel would keep the test run from ending.
+    """
+    kernels: weakref.WeakSet[Kernel] = weakref.WeakSet()
+    original = Kernel.start
+
+    def start(self: Kernel):
+        kernels.add(self)
+        return original(self)
+
+    Kernel.start = start
+    yield
+    Kernel.start = original
+    for kernel in list(kernels):
+        kernel.stop()
--- a/tests/kernel/test_event_loop.py
+++ b/tests/kernel/test_event_loop.py
@@ -192,3 +192,29 @@
     kernel.ask("late", "flush").result(5)
     kernel.stop()
     assert log[:3] == ["start early", "start late", "got first"]
+
+
+def test_loop_that_fails_during_the_start_does_not_block_it(kernel, log):
+    first = RecordingTask("first", log)
+    second = RecordingTask("second", log)
+
+    def fail(context: TaskContext, message: object) -> None:
+        raise InvariantError("broken")
+
+    original_start = second.start
+
+    def start(context: TaskContext) -> Outcome[None]:
+        context.send("first", Note("go"))
+        return original_start(context)
+
+    first.on_message = fail
+    second.start = start
+    third = RecordingTask("third", log)
+    kernel.register(first)
+    kernel.register(second, requires=("first",))
+    kernel.register(third, requires=("second",))
+    outcome = kernel.start()
+    if isinstance(outcome, Refused):
+        assert "broken" in outcome.detail
+    assert isinstance(kernel.wait_for_failure(5_000), InvariantError)
+    kernel.stop()
