--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -9,6 +9,7 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import replace
 
 MAX_KINDS = 64
 KIND_SEGMENTS = 2
@@ -18,17 +19,26 @@
 MIN_COUNT = 5
 # A kind is long when its median is this many times the median of its service.
 LONG_FACTOR = 10.0
+# Halves the slowest run time seen over about 1,400 observations.
+SLOWEST_DECAY = 0.9995
 MIN_STEP = 0.05
 MAX_STEP = 1.0
+# A kind that is expected to take longer than its callers wait is refused, so nothing
+# is learned of it any more. One request of it is let through this often.
+RECHECK_MS = 1_000
 
 
 @dataclass(frozen=True, slots=True)
 class RunTime:
-    """Quantile estimates of run time in milliseconds, after `count` observations."""
+    """Quantile estimates of run time in milliseconds, after `count` observations.
+
+    `slowest_ms` is the longest run time seen; it decays slowly.
+    """
 
     count: int = 0
     median_ms: float = 0.0
     p95_ms: float = 0.0
+    slowest_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +52,8 @@
     p95_ms: float
     is_long: bool
     is_known: bool = True
+    slowest_ms: float = 0.0
+    count: int = 0
 
 
 def kind_of(method: str, target: str, service_prefix: str = "") -> str:
@@ -60,7 +72,7 @@
     """Return the estimate after a request that ran `run_ms`."""
     run_ms = max(run_ms, 0.1)
     if estimate.count == 0:
-        return RunTime(1, run_ms, run_ms)
+        return RunTime(1, run_ms, run_ms, run_ms)
     # Large first steps find the order of magnitude, small later ones keep it.
     step = max(MAX_STEP / math.sqrt(estimate.count), MIN_STEP)
     return RunTime(
@@ -70,6 +82,7 @@
             _move(estimate.p95_ms, run_ms, 0.95, step),
             estimate.median_ms,
         ),
+        slowest_ms=max(estimate.slowest_ms * SLOWEST_DECAY, run_ms),
     )
 
 
@@ -87,7 +100,13 @@
     if kind is None or kind.count < MIN_COUNT:
         return Expectation(usual_ms, usual_ms * 2, is_long=False, is_known=False)
     is_long = kind.median_ms > LONG_FACTOR * usual_ms
-    return Expectation(kind.median_ms, kind.p95_ms, is_long)
+    return Expectation(
+        kind.median_ms,
+        kind.p95_ms,
+        is_long,
+        slowest_ms=kind.slowest_ms,
+        count=kind.count,
+    )
 
 
 class RunTimes:
@@ -102,14 +121,16 @@
         self._declared_ms = declared_ms
         self._service = RunTime()
         self._kinds: dict[str, RunTime] = {}
+        self._checked_ms: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._kinds)
 
-    def observe(self, kind: str, run_ms: float) -> None:
+    def observe(self, kind: str, run_ms: float, now_ms: int) -> None:
         """Learn from a request of `kind` that succeeded after `run_ms`."""
         if kind not in self._kinds and len(self._kinds) >= MAX_KINDS - 1:
             kind = OTHER_KIND
+        self._checked_ms[kind] = now_ms
         self._kinds[kind] = observe(self._kinds.get(kind, RunTime()), run_ms)
         self._service = observe(self._service, run_ms)
 
@@ -118,6 +139,23 @@
         known = self._kinds.get(kind) or self._kinds.get(OTHER_KIND)
         return expect(known, self._service, self._declared_ms)
 
+    def expect_within(self, kind: str, left_ms: int, now_ms: int) -> Expectation:
+        """Return what to expect of a request that has `left_ms` until its deadline.
+
+        An expectation beyond `left_ms` has the request refused. If no request of the
+        kind has succeeded for `RECHECK_MS`, one that would be refused gets an
+        expectation of half its time instead, so that its end can correct the estimate.
+        """
+        expected = self.expect(kind)
+        if expected.run_ms <= left_ms:
+            return expected
+        kind = kind if kind in self._kinds else OTHER_KIND
+        checked_ms = self._checked_ms.get(kind)
+        if checked_ms is not None and now_ms - checked_ms < RECHECK_MS:
+            return expected
+        self._checked_ms[kind] = now_ms
+        return replace(expected, run_ms=left_ms / 2, p95_ms=left_ms / 2)
+
     def declare(self, declared_ms: float) -> None:
         """Replace the declared run time after a change of the configuration."""
         self._declared_ms = declared_ms
--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from guavapin.serving.exchange import Exchange
-    from guavapin.serving.exchange_pool import Placement
     from guavapin.serving.exchange_router import ExchangeRouter
+    from guavapin.serving.exchange_upstream import Placement
     from guavapin.serving.messages import StartAttempt
 
 PROBE_TIMEOUT_MS = 2_000
@@ -101,4 +101,4 @@
         self._router.queues[attempt.pool].learn(placement.is_long, run_ms)
         if verdict is Verdict.SUCCESS and status < FIRST_ERROR:
             service = self._router.services[exchange.request.service.name]
-            service.run_times.observe(exchange.request.kind, run_ms)
+            service.run_times.observe(exchange.request.kind, run_ms, now_ms)
--- a/src/guavapin/waves/host_machine.py
+++ b/src/guavapin/waves/host_machine.py
@@ -19,6 +19,10 @@
 # The time in which a returned host takes up its full share of work.
 SLOW_START_MS = 30_000
 
+# Entry hosts learn within 3 s that a host takes no new work. That its work has ended
+# means nothing before, since new work may be on its way.
+PROPAGATION_MS = 3_500
+
 # Used for drains and moves, which belong to no wave.
 DRAIN_TIMEOUT_MS = 600_000
 JOIN_TIMEOUT_MS = 600_000
@@ -36,7 +40,8 @@
 class HostSituation:
     """A disruption and all that decides about its next step.
 
-    `results` holds the ended steps of the present phase.
+    `results` holds the ended steps of the present phase. `is_pool_short` tells that
+    the pool is below its budget, since hosts were lost after the disruption began.
     """
 
     item: Disruption
@@ -46,6 +51,7 @@
     wave_status: WaveStatus | None = None
     drain_timeout_ms: int = DRAIN_TIMEOUT_MS
     reboot_timeout_ms: int = JOIN_TIMEOUT_MS
+    is_pool_short: bool = False
 
     @property
     def elapsed_ms(self) -> int:
@@ -99,7 +105,7 @@
         return Wait()
     if _is_ok(situation, HostStep.DRAIN):
         return Change(actions.AdvanceDrain(situation.item.host), "work has ended")
-    return Begin(HostStep.DRAIN)
+    return _begin_drain(situation)
 
 
 def _move_step(situation: HostSituation) -> NextStep:
@@ -121,8 +127,8 @@
     forward = actions.AdvanceWaveHost(item.host, item.phase)
     if item.phase is HostPhase.DRAINING:
         give_back = actions.ReturnWaveHost(item.host)
-        if situation.wave_status is WaveStatus.ABORTED:
-            return Change(give_back, "wave aborted")
+        if situation.wave_status in (WaveStatus.ABORTED, WaveStatus.STOPPED):
+            return Change(give_back, f"wave {situation.wave_status.value}")
         return _empty_host(situation, forward, give_back)
     if item.phase is HostPhase.REBOOTING:
         return _maintain(situation, HostStep.REBOOT, forward)
@@ -139,10 +145,12 @@
     give_back: actions.FleetAction,
 ) -> NextStep:
     """Wait for the work, then checkpoint what is left; never cut work off."""
+    if situation.is_pool_short:
+        return Change(give_back, "the pool is below its budget")
     if _is_ok(situation, HostStep.DRAIN):
         return Change(forward, "work has ended")
-    if situation.elapsed_ms < situation.drain_timeout_ms:
-        return Begin(HostStep.DRAIN)
+    if situation.elapsed_ms < max(situation.drain_timeout_ms, PROPAGATION_MS):
+        return _begin_drain(situation)
     if _is_ok(situation, HostStep.CHECKPOINT):
         return Change(forward, "remaining work is checkpointed")
     has_failed = HostStep.CHECKPOINT in situation.results
@@ -151,6 +159,12 @@
     return Begin(HostStep.CHECKPOINT)
 
 
+def _begin_drain(situation: HostSituation) -> NextStep:
+    if situation.elapsed_ms < PROPAGATION_MS:
+        return Wait()
+    return Begin(HostStep.DRAIN)
+
+
 def _maintain(
     situation: HostSituation, step: HostStep, forward: actions.FleetAction
 ) -> NextStep:
--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -11,6 +11,7 @@
 from guavapin.composition import compose_control
 from guavapin.composition import compose_entry
 from guavapin.console.client import OperatorsClient
+from guavapin.fleet.messages import QueryFleet
 from guavapin.kernel import Kernel
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
@@ -24,6 +25,7 @@
 from guavapin.settings.parts import NodeSettings
 from guavapin.settings.parts import PlatformSettings
 from guavapin_demo.sites import build_objects
+from guavapin_demo.usage import UsageTask
 from guavapin_standins.platform import RunningPlatform
 from guavapin_standins.upstream import UpstreamStandin
 from guavapin_standins.upstream_messages import GetRecord
@@ -37,7 +39,7 @@
     from guavapin.composition import EntryProcess
     from guavapin.kernel import Outcome
     from guavapin.objects.model import ObjectSet
-    from guavapin.peers.task import PeerFilter
+    from guavapin.peers.config import PeerFilter
     from guavapin_demo.sites import Site
     from guavapin_standins.upstream_messages import Behaviour
     from guavapin_standins.upstream_messages import Record
@@ -70,14 +72,19 @@
     """
 
     def __init__(
-        self, site: Site, folder: Path, peer_filter: PeerFilter | None = None
+        self,
+        site: Site,
+        folder: Path,
+        peer_filter: PeerFilter | None = None,
+        objects: ObjectSet | None = None,
+        hosts_lag_ms: int = 2_000,
     ) -> None:
         self.site = site
-        self.platform = RunningPlatform()
+        self.platform = RunningPlatform(hosts_lag_ms=hosts_lag_ms)
         self.entries: dict[str, EntryProcess] = {}
         self.controls: dict[str, ControlProcess] = {}
         self.addresses = _allocate_addresses(site)
-        self.objects: ObjectSet = build_objects(site)
+        self.objects = objects or build_objects(site)
         self._peer_filter = peer_filter
         self._token_file = folder / "tokens"
         self._upstreams = Kernel(SystemClock())
@@ -110,7 +117,8 @@
     def start_entry(self, address: EntryAddresses) -> None:
         """Start one entry process; raises RuntimeError when it can't start."""
         outcome = compose_entry(
-            self._entry_settings(address), peer_filter=self._peer_filter
+            self._entry_settings(address),
+            peer_filter=self._peer_filter,
         )
         process = _expect(outcome)
         _expect(process.kernel.start())
@@ -127,6 +135,18 @@
         address = self.addresses[index].operators
         return OperatorsClient(f"http://{address}", token=OPERATOR_TOKEN)
 
+    def is_placed(self) -> bool:
+        """Return whether every entry process has every host in its view."""
+        return all(
+            len(
+                entry.kernel.ask("fleet_view", QueryFleet())
+                .result(REPLY_TIMEOUT_S)
+                .hosts
+            )
+            == len(self.objects.hosts)
+            for entry in self.entries.values()
+        )
+
     def record(self, host: str) -> Record:
         """Return what the upstream on a host has run."""
         fut = self._upstreams.ask(self._standins[host].name, GetRecord())
@@ -145,6 +165,8 @@
             loop = f"upstreams-{index // UPSTREAMS_PER_LOOP}"
             self._upstreams.register(standin, loop)
             self._standins[name] = standin
+        services = {name: standin.name for name, standin in self._standins.items()}
+        self._upstreams.register(UsageTask(services, self.platform), "usage")
         _expect(self._upstreams.start())
         hosts = {
             name: replace(host, address=f"127.0.0.1:{self._standins[name].port}")
--- a/src/guavapin_standins/platform_store.py
+++ b/src/guavapin_standins/platform_store.py
@@ -13,6 +13,7 @@
 from guavapin.platform.messages import Leased
 from guavapin.platform.messages import Missing
 from guavapin.platform.messages import Written
+from guavapin_standins.platform_hosts import HostSteps
 
 if TYPE_CHECKING:
     from guavapin.kernel.clock import Clock
@@ -67,6 +68,7 @@
     def __init__(self, clock: Clock, hosts_lag_ms: int = 2_000) -> None:
         self.revision = 0
         self.hosts_lag_ms = hosts_lag_ms
+        self.host_steps = HostSteps(clock, self.set_host)
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
         self._sorted_keys: list[str] = []
@@ -193,6 +195,12 @@
                 shown.append(HostState(host, past[-1]))
         return tuple(shown)
 
+    def live_now(self) -> frozenset[str]:
+        """Return the hosts that are live now, without the lag of `hosts`."""
+        return frozenset(
+            host for host, states in self._hosts.items() if states[-1][1] == "live"
+        )
+
     def _end_lease(self, lease_id: str) -> None:
         del self._leases[lease_id]
         for key in sorted(self._lease_keys.pop(lease_id)):
