Let hold-off and settling time cover the longest timeout

Cause: both were fixed at 55 s; with a service timeout above 47 s a restarted seat could reuse slots while long requests of its former process ran. Change: the route table's longest timeout plus 8 s is the lower bound of both. Conclusion: operators need not set either by hand.

--- a/src/guavapin/limits/slots.py
+++ b/src/guavapin/limits/slots.py
@@ -24,6 +24,9 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+# Covers the spread of a configuration to all connected seats (7 s).
+SPREAD_MS = 8_000
+
 
 @dataclass(frozen=True, slots=True)
 class LoanSettings:
@@ -42,6 +45,19 @@
     idle_return_ms: int = 500
 
 
+def covering_timeout(settings: LoanSettings, timeout_ms: int) -> LoanSettings:
+    """Return the settings with hold-off and settling time above `timeout_ms`.
+
+    `timeout_ms` is the longest time for which a request may run at an upstream.
+    """
+    needed_ms = timeout_ms + SPREAD_MS
+    return replace(
+        settings,
+        hold_off_ms=max(settings.hold_off_ms, needed_ms),
+        settle_ms=max(settings.settle_ms, needed_ms),
+    )
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class LoanId:
     """Identifies a loan: lending seat, its incarnation, a number within it."""
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -47,7 +47,7 @@
         self.name = name
         self.records: dict[str, UpstreamRecord] = {}
         self.health: dict[str, UpstreamHealth] = {}
-        self._settings = settings
+        self.settings = settings
         self._held_off_until_ms = held_off_until_ms
         self._free = IndexedSet()
         self._long_free = IndexedSet()
@@ -80,17 +80,17 @@
         self._max_ejected_share = max_ejected_share
         present = {upstream.host: upstream for upstream in upstreams}
         for host, upstream in present.items():
-            share = seat_share(slots, seats, self._settings.seat, host)
+            share = seat_share(slots, seats, self.settings.seat, host)
             held_ms = self._held_off_until_ms
             if host in busy_elsewhere:
-                held_ms = max(held_ms, now_ms + self._settings.loans.hold_off_ms)
+                held_ms = max(held_ms, now_ms + self.settings.loans.hold_off_ms)
             self._add_or_change(upstream, share, slots, held_ms, now_ms)
         for host in list(self.records):
             if host not in present:
                 self._remove(host, now_ms)
         self.hosts = tuple(present)
         self._long_hosts = frozenset(
-            long_work_upstreams(self.name, present, self._settings.long_share)
+            long_work_upstreams(self.name, present, self.settings.long_share)
         )
         for host in list(self.records):
             self.refresh(host, now_ms)
@@ -106,7 +106,7 @@
     @property
     def long_share(self) -> float:
         """Part of the slots that long work may use."""
-        return self._settings.long_share
+        return self.settings.long_share
 
     @property
     def free_upstreams(self) -> int:
@@ -130,7 +130,7 @@
 
     def allows_long(self) -> bool:
         """Tell whether long work may use one more slot."""
-        bound = max(int(self.total_slots * self._settings.long_share), 1)
+        bound = max(int(self.total_slots * self.settings.long_share), 1)
         return self.long_running < bound
 
     def place(
@@ -154,7 +154,7 @@
         if request.is_long and len(self._long_free):
             candidates = self._long_free.items
         for _ in range(MAX_PICKS):
-            host = self._settings.picker.pick(
+            host = self.settings.picker.pick(
                 candidates, self.health, request, now_ms, rng
             )
             if host is None:
@@ -189,7 +189,7 @@
             verdict,
             slowness,
             self._may_eject(),
-            self._settings,
+            self.settings,
             now_ms,
         )
         self._store(placement.host, record, now_ms)
@@ -214,10 +214,10 @@
                 health = replace(
                     health_rules.mark_leaving(record.health, False),
                     breaker=Breaker.HALF_OPEN,
-                    cool_down_ms=self._settings.health.cool_down_ms,
+                    cool_down_ms=self.settings.health.cool_down_ms,
                 )
                 record = replace(record, health=health)
-            slots = loans.drop_expired(record.slots, self._settings.loans, now_ms)
+            slots = loans.drop_expired(record.slots, self.settings.loans, now_ms)
             self._store(host, replace(record, slots=slots), now_ms)
 
     def busy_hosts(self) -> frozenset[str]:
@@ -238,7 +238,7 @@
 
     def refresh(self, host: str, now_ms: int) -> None:
         """Bring the sets of candidates in line with the record of `host`."""
-        record, settings = self.records[host], self._settings.health
+        record, settings = self.records[host], self.settings.health
         room = exchange_upstream.usable_slots(record, settings, now_ms)
         self.total_slots += room - self._room.pop(host, 0)
         if exchange_upstream.takes_work(record):
@@ -256,7 +256,7 @@
             self._ejected.add(host)
 
     def _may_eject(self) -> bool:
-        if not self._settings.ejects:
+        if not self.settings.ejects:
             return False
         allowed = health_rules.max_ejected(len(self.records), self._max_ejected_share)
         return len(self._ejected) < allowed
@@ -307,7 +307,7 @@
         held_off_until_ms: int,
         now_ms: int,
     ) -> None:
-        settings = self._settings
+        settings = self.settings
         record = self.records.get(upstream.host)
         if record is None:
             record = exchange_upstream.new_record(
--- a/src/guavapin/serving/exchange_router.py
+++ b/src/guavapin/serving/exchange_router.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavapin.limits.slots import covering_timeout
 from guavapin.serving.exchange_messages import PoolSupply
 from guavapin.serving.exchange_pool import ExchangePool
 from guavapin.serving.exchange_queue import PoolQueue
@@ -33,6 +35,7 @@
         self.services: dict[str, ServiceState] = {}
         self.seats = 1
         self.reports: Mapping[str, tuple[ZoneReport, ...]] = {}
+        self._started_ms = now_ms
         self._held_off_until_ms = now_ms + held_ms
         self._table = RouteTable()
 
@@ -40,10 +43,15 @@
         """Apply a route table; a pool that is gone keeps its work in progress."""
         self._table = table
         self.seats = max(table.seats.get(self.settings.zone, 1), 1)
-        for name in {*table.pools, *self.pools}:
-            self._configure_pool(name, now_ms)
         names = {service.name: service for service in table.services}
         names.update({item.name: item for item in table.services_by_host.values()})
+        timeouts = (service.timeout_ms for service in names.values())
+        loans = covering_timeout(self.settings.loans, max(timeouts, default=0))
+        self.settings = replace(self.settings, loans=loans)
+        if not self.pools and now_ms < self._held_off_until_ms:
+            self._held_off_until_ms = self._started_ms + loans.hold_off_ms
+        for name in {*table.pools, *self.pools}:
+            self._configure_pool(name, now_ms)
         for service in names.values():
             self._configure_service(service, now_ms)
 
@@ -93,6 +101,7 @@
             pool = ExchangePool(name, self.settings, self._held_off_until_ms)
             self.pools[name] = pool
             self.queues[name] = PoolQueue(pool, self.settings)
+        pool.settings = self.settings
         spec = self._table.pools.get(name)
         members = [
             upstream
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -372,3 +372,14 @@
         rig.answer(rig.start_one().attempt_id)
     rig.request(999)
     assert rig.start_one().first_byte_ms == 5_000
+
+
+def test_hold_off_covers_the_longest_timeout() -> None:
+    """Guards against slots reused while a long request of the former process runs."""
+    rig = Rig(make_objects(timeout_ms=100_000), is_first_start=False)
+    rig.harness.advance(20_000)
+    rig.request(1)
+    rig.harness.advance(80_000)
+    assert rig.take(StartAttempt) == []
+    rig.harness.advance(8_500)
+    assert len(rig.take(StartAttempt)) == 1
