Add the fault matrix with requests under every fault

Cause: faults were tested one by one next to each part; nothing showed which fault had been tried at which step.

Change: guavapin_matrix runs two entry processes with exchanges and claims in simulated time against an in-memory platform, upstreams that count runs by request and by key, and callers that repeat keyed requests. Guarantees 3 to 7 are checked from outside; each check is shown a broken part that makes it red.

--- /dev/null
+++ b/src/guavapin_matrix/callers.py
@@ -0,0 +1,128 @@
+"""Callers: what they asked, what they got, and that they repeat keyed requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from guavapin.serving.messages import AnswerBody
+from guavapin.serving.messages import AnswerBroken
+from guavapin.serving.messages import AnswerEnd
+from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import RequestReceived
+from guavapin_matrix.upstreams import KEY
+from guavapin_matrix.upstreams import TAG
+
+if TYPE_CHECKING:
+    from guavapin_matrix.simulation import Node
+    from guavapin_matrix.simulation import Simulation
+
+TIMEOUT_MS = 3_000
+REPEAT_MS = 200
+MAX_REPEATS = 3
+
+
+@dataclass
+class CallerRequest:
+    """One request of a caller and all that came back, in order."""
+
+    tag: str
+    node: Node
+    method: str
+    key: str
+    sent_ms: int
+    repeats: int = 0
+    heads: list[AnswerHead] = field(default_factory=list)
+    body: bytes = b""
+    ends: list[str] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    ended_ms: int = 0
+    is_gone: bool = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the caller holds an answer that claims to be complete."""
+        return self.ends == ["end"]
+
+    @property
+    def status(self) -> int:
+        """Return the status of the answer, 0 without one."""
+        return self.heads[0].status if self.heads else 0
+
+    @property
+    def outcome(self) -> str:
+        """Return ``not-run`` or ``unknown`` for a refusal, else nothing."""
+        headers = dict(self.heads[0].headers) if self.heads else {}
+        return headers.get(b"guavapin-outcome", b"").decode()
+
+
+class Callers:
+    """All callers; the service `front` of each entry process leads to them."""
+
+    def __init__(self, sim: Simulation, nodes: list[Node]) -> None:
+        self.requests: list[CallerRequest] = []
+        self._sim = sim
+        self._nodes = nodes
+
+    def ask(
+        self, node: Node, tag: str, method: str = "GET", key: str = "", repeats: int = 0
+    ) -> int:
+        """Send a request to an entry process; return its number."""
+        request = CallerRequest(tag, node, method, key, self._sim.now_ms(), repeats)
+        self.requests.append(request)
+        request_id = len(self.requests)
+        headers = [(TAG, tag.encode())]
+        if key:
+            headers.append((KEY, key.encode()))
+        received = RequestReceived(
+            request_id, method, "/s/x", tuple(headers), self._sim.now_ms(), False
+        )
+        if not node.is_alive:
+            request.ends.append("refused")
+            self._repeat(request)
+        else:
+            node.deliver("exchanges", received)
+        return request_id
+
+    def on_message(self, message: object) -> None:
+        """Take what `exchanges` sends to `front`."""
+        match message:
+            case AnswerHead(request_id):
+                request = self.requests[request_id - 1]
+                if request.heads or request.ends:
+                    request.faults.append("a second head")
+                request.heads.append(message)
+            case AnswerBody(request_id, data):
+                request = self.requests[request_id - 1]
+                if not request.heads or request.ends:
+                    request.faults.append("a body out of place")
+                request.body += data
+            case AnswerEnd(request_id):
+                self._on_end(self.requests[request_id - 1], "end")
+            case AnswerBroken(request_id):
+                self._on_end(self.requests[request_id - 1], "broken")
+
+    def on_process_died(self, node: Node) -> None:
+        """The connections of a process break."""
+        for request in list(self.requests):
+            if request.node is node and not request.ends and not request.is_gone:
+                self._on_end(request, "lost")
+
+    def _on_end(self, request: CallerRequest, end: str) -> None:
+        request.ends.append(end)
+        request.ended_ms = self._sim.now_ms()
+        if request.status != 200 or end != "end":
+            self._repeat(request)
+
+    def _repeat(self, request: CallerRequest) -> None:
+        """Ask again elsewhere with the same key, as the key is meant to be used."""
+        if not request.key or request.is_gone or request.repeats >= MAX_REPEATS:
+            return
+        others = [n for n in self._nodes if n is not request.node and n.is_alive]
+        node = others[0] if others else request.node
+        tag, repeats = f"{request.tag}'", request.repeats + 1
+        self._sim.after(
+            REPEAT_MS,
+            lambda: self.ask(node, tag, request.method, request.key, repeats),
+        )
--- /dev/null
+++ b/src/guavapin_matrix/platform.py
@@ -0,0 +1,159 @@
+"""The platform in memory: compare-and-swap, leases, watches, and calls that fail."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.platform import messages as platform
+from guavapin_standins.platform_store import PlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavapin.platform.messages import PlatformOutcome
+    from guavapin.platform.messages import PlatformRequest
+    from guavapin_matrix.simulation import Node
+    from guavapin_matrix.simulation import Simulation
+
+ANSWER_MS = 2
+# The client gives a call up after this time.
+DEADLINE_MS = 1_000
+# A slow platform carries calls out after the client has given them up.
+SLOW_MS = 1_200
+
+_WRITES = (platform.Put, platform.Delete, platform.LeaseGrant, platform.LeaseRenew)
+
+
+@dataclass
+class Link:
+    """The way of one process to the platform."""
+
+    is_cut: bool = False
+
+
+class FakePlatform:
+    """Serves the processes of a simulation.
+
+    `written` holds every value of every key in order; `on_write` is told of each.
+    `lost_answers` is the number of next compare-and-swaps whose answer is lost.
+    """
+
+    def __init__(self, sim: Simulation, hosts_lag_ms: int = 2_000) -> None:
+        self.store = PlatformStore(sim.clock, hosts_lag_ms)
+        self.is_down = False
+        self.is_slow = False
+        self.lost_answers = 0
+        self.written: list[tuple[str, bytes]] = []
+        self.on_write: Callable[[str, bytes], None] = lambda key, value: None
+        self._sim = sim
+        self._links: dict[str, Link] = {}
+        self._watches: list[tuple[Node, str, platform.Watch]] = []
+
+    def link(self, node: Node) -> Link:
+        """Return the link of a process."""
+        return self._links.setdefault(node.name, Link())
+
+    def call(self, node: Node, sender: str, request: PlatformRequest) -> None:
+        """Take a call of a task; the answer comes as a `Reply`."""
+        if self.is_down:
+            self._reply(node, sender, request, platform.NotSent("refused"))
+        elif self.link(node).is_cut:
+            self._give_up(node, sender, request)
+        elif isinstance(request, platform.Watch):
+            self._watch(node, sender, request)
+        elif self.is_slow:
+            self._sim.after(SLOW_MS, lambda: self._carry_out(request))
+            self._give_up(node, sender, request)
+        else:
+            self._sim.after(ANSWER_MS, lambda: self._answer(node, sender, request))
+
+    def value(self, key: str) -> bytes:
+        """Return the present value of a key, empty if there is none."""
+        found = self.store.get(key)
+        return found.value if isinstance(found, platform.Found) else b""
+
+    def _answer(self, node: Node, sender: str, request: PlatformRequest) -> None:
+        if self.is_down:
+            self._give_up(node, sender, request)
+            return
+        outcome = self._carry_out(request)
+        if self.lost_answers and isinstance(request, platform.Put):
+            self.lost_answers -= 1
+            self._give_up(node, sender, request)
+            return
+        self._reply(node, sender, request, outcome)
+
+    def _give_up(self, node: Node, sender: str, request: PlatformRequest) -> None:
+        unknown = platform.Unknown("no answer in time")
+        self._reply(node, sender, request, unknown, DEADLINE_MS)
+
+    def _reply(
+        self,
+        node: Node,
+        sender: str,
+        request: PlatformRequest,
+        outcome: PlatformOutcome,
+        delay_ms: int = ANSWER_MS,
+    ) -> None:
+        reply = platform.Reply(request.request_id, outcome)
+        self._sim.after(delay_ms, lambda: node.deliver(sender, reply))
+
+    def _carry_out(self, request: PlatformRequest) -> PlatformOutcome:
+        before = self.store.revision
+        outcome = self._apply(request)
+        if isinstance(request, platform.Put) and isinstance(outcome, platform.Written):
+            self.written.append((request.key, request.value))
+            self.on_write(request.key, request.value)
+        if self.store.revision != before:
+            self._wake_watches()
+        return outcome
+
+    def _apply(self, request: PlatformRequest) -> PlatformOutcome:
+        store = self.store
+        match request:
+            case platform.Get(key=key):
+                return store.get(key)
+            case platform.Put():
+                return store.put(
+                    request.key, request.value, request.expected, request.lease_id
+                )
+            case platform.Delete(key=key, expected=expected):
+                return store.delete(key, expected)
+            case platform.ListPrefix(prefix=prefix):
+                return platform.Listed(store.list_prefix(prefix), store.revision)
+            case platform.LeaseGrant(ttl_ms=ttl_ms):
+                return store.grant(ttl_ms)
+            case platform.LeaseRenew(lease_id=lease_id):
+                return store.renew(lease_id)
+            case platform.LeaseRevoke(lease_id=lease_id):
+                return store.revoke(lease_id)
+            case platform.ListHosts():
+                return platform.Hosts(store.hosts())
+            case _:
+                raise NotImplementedError(f"the matrix does not serve {request!r}")
+
+    def _watch(self, node: Node, sender: str, watch: platform.Watch) -> None:
+        item = (node, sender, watch)
+        self._watches.append(item)
+        self._sim.after(watch.wait_ms, lambda: self._end_watch(item))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        for item in tuple(self._watches):
+            _, _, watch = item
+            if self.store.changes(watch.prefix, watch.after_revision):
+                self._end_watch(item)
+
+    def _end_watch(self, item: tuple[Node, str, platform.Watch]) -> None:
+        if item not in self._watches:
+            return
+        node, sender, watch = item
+        if self.is_down or self.is_slow or self.link(node).is_cut:
+            self._watches.remove(item)
+            self._give_up(node, sender, watch)
+            return
+        self._watches.remove(item)
+        keys = self.store.changes(watch.prefix, watch.after_revision)
+        changed = platform.Changed(keys, self.store.revision)
+        self._reply(node, sender, watch, changed)
--- /dev/null
+++ b/src/guavapin_matrix/procedures.py
@@ -0,0 +1,12 @@
+"""The procedures of the matrix by name."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin_matrix.requests import Requests
+
+if TYPE_CHECKING:
+    from guavapin_matrix.cell import Procedure
+
+PROCEDURES: dict[str, Procedure] = {item.name: item for item in (Requests(),)}
--- /dev/null
+++ b/src/guavapin_matrix/request_checks.py
@@ -0,0 +1,91 @@
+"""Guarantees 3 to 7 as seen by callers and upstreams."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin_matrix.callers import TIMEOUT_MS
+from guavapin_matrix.upstreams import answer_body
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from guavapin_matrix.callers import CallerRequest
+    from guavapin_matrix.callers import Callers
+    from guavapin_matrix.upstreams import FakeUpstreams
+
+# Guarantee 6 of the design page.
+LEAVING_MS = 3_000
+# The timer of a deadline and one answer.
+LATE_MS = 100
+
+
+def check_answers(callers: Callers) -> Iterator[str]:
+    """Guarantee 3: one end, and an answer that claims to be whole is one's own."""
+    for request in callers.requests:
+        for fault in request.faults:
+            yield f"3: {request.tag} got {fault}"
+        if len(request.ends) > 1:
+            yield f"3: {request.tag} got {len(request.ends)} ends"
+        if not request.is_whole or not request.heads:
+            continue
+        length = request.heads[0].length
+        if length >= 0 and length != len(request.body):
+            yield f"3: {request.tag} got {len(request.body)} of {length} bytes as whole"
+        expected = answer_body(request.tag, request.key)
+        if request.status == 200 and request.body != expected:
+            yield f"3: {request.tag} got another answer: {request.body!r}"
+
+
+def check_ends(callers: Callers, pauses: list[tuple[str, int]]) -> Iterator[str]:
+    """Guarantee 3: each caller that stays learns how its request ended, in time.
+
+    A process that is paused answers only after its pause.
+    """
+    for request in callers.requests:
+        if request.is_gone:
+            continue
+        bound_ms = request.sent_ms + TIMEOUT_MS
+        for name, until_ms in pauses:
+            if name == request.node.name:
+                bound_ms = max(bound_ms, until_ms)
+        if not request.ends:
+            yield f"3: {request.tag} got no answer"
+        elif request.ended_ms > bound_ms + LATE_MS:
+            yield f"3: {request.tag} ended {request.ended_ms - bound_ms} ms late"
+
+
+def check_not_run(callers: Callers, upstreams: FakeUpstreams) -> Iterator[str]:
+    """Guarantee 4: what was refused as not run did not run."""
+    for request in callers.requests:
+        runs = upstreams.runs_by_tag[request.tag]
+        if request.outcome == "not-run" and runs:
+            yield f"4: {request.tag} was refused as not run but ran {runs} times"
+
+
+def check_at_most_once(callers: Callers, upstreams: FakeUpstreams) -> Iterator[str]:
+    """Guarantee 5: a non-idempotent request runs at most once, by key or by itself."""
+    for key, runs in upstreams.runs_by_key.items():
+        if runs > 1:
+            yield f"5: key {key} ran {runs} times"
+    for request in callers.requests:
+        runs = upstreams.runs_by_tag[request.tag]
+        if request.method == "POST" and runs > 1:
+            yield f"5: {request.tag} ran {runs} times"
+
+
+def check_leaving(upstreams: FakeUpstreams) -> Iterator[str]:
+    """Guarantee 6: a leaving host gets no new work after the bound."""
+    for start in upstreams.starts:
+        left_ms = upstreams.hosts[start.address].left_ms
+        if left_ms is not None and start.at_ms > left_ms + LEAVING_MS:
+            late_ms = start.at_ms - left_ms
+            yield f"6: {start.address} got {start.tag} {late_ms} ms after it left"
+
+
+def check_served(requests: list[CallerRequest]) -> Iterator[str]:
+    """Guarantee 7, and that the service recovers: these requests got their answer."""
+    for request in requests:
+        if not request.is_whole or request.status != 200:
+            got = request.outcome or request.ends or "nothing"
+            yield f"7: {request.tag} was not answered: {request.status} {got}"
--- /dev/null
+++ b/src/guavapin_matrix/simulation.py
@@ -0,0 +1,181 @@
+"""Processes of real tasks in simulated time; one thread, no sockets."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from guavapin.kernel.clock import ManualClock
+from guavapin.kernel.outcome import Refused
+from guavapin.kernel.task import TimerHandle
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavapin.kernel.task import Task
+
+START_MS = 1_000_000
+
+
+class Simulation:
+    """A queue of events in simulated time.
+
+    `observers` are called whenever a task uses its context or has handled a message,
+    so that a fault can also hit between two actions of one handler.
+    """
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(START_MS)
+        self.observers: list[Callable[[], None]] = []
+        self._events: list[tuple[int, int, Callable[[], object]]] = []
+        self._sequence = 0
+        self._is_observing = False
+
+    def now_ms(self) -> int:
+        """Return the simulated time."""
+        return self.clock.now_ms()
+
+    def after(self, delay_ms: int, act: Callable[[], object]) -> None:
+        """Call `act` after `delay_ms`; equal times keep their order."""
+        self._sequence += 1
+        due_ms = self.now_ms() + delay_ms
+        heapq.heappush(self._events, (due_ms, self._sequence, act))
+
+    def run(self, duration_ms: int) -> None:
+        """Carry out all events of the next `duration_ms`."""
+        end_ms = self.now_ms() + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            due_ms, _, act = heapq.heappop(self._events)
+            self.clock.advance(due_ms - self.now_ms())
+            act()
+        self.clock.advance(end_ms - self.now_ms())
+
+    def observe(self) -> None:
+        """Let the observers look; what they cause is not observed again."""
+        if self._is_observing:
+            return
+        self._is_observing = True
+        for observer in self.observers:
+            observer()
+        self._is_observing = False
+
+
+class Outside(Protocol):
+    """Receives what a process sends to services that it does not run."""
+
+    def on_sent(self, node: Node, sender: str, service: str, message: object) -> None:
+        """Take a message of task `sender` to `service`."""
+        ...
+
+
+class Node:
+    """A process: its tasks pause, wake and die together.
+
+    A pause in the middle of a handler holds back what the handler still sends.
+    """
+
+    def __init__(self, sim: Simulation, name: str, outside: Outside) -> None:
+        self.sim = sim
+        self.name = name
+        self.is_alive = True
+        self.is_paused = False
+        self._outside = outside
+        self._tasks: dict[str, Task] = {}
+        self._held: list[Callable[[], None]] = []
+
+    def add(self, task: Task) -> None:
+        """Run a task in this process."""
+        self._tasks[task.name] = task
+        outcome = task.start(NodeContext(self, task.name))
+        if isinstance(outcome, Refused):
+            raise RuntimeError(f"{task.name} did not start: {outcome}")
+
+    def deliver(self, service: str, message: object) -> None:
+        """Let a task handle a message, after the pause if there is one."""
+        if not self.is_alive:
+            return
+        if self.is_paused:
+            self._held.append(lambda: self.deliver(service, message))
+            return
+        self._tasks[service].handle(message)
+        self.sim.observe()
+
+    def send(self, sender: str, service: str, message: object) -> None:
+        """Take a message of a task."""
+        self.sim.observe()
+        if not self.is_alive:
+            return
+        if self.is_paused:
+            self._held.append(lambda: self._forward(sender, service, message))
+            return
+        self._forward(sender, service, message)
+
+    def pause(self, duration_ms: int) -> None:
+        """Let nothing happen in this process for a time."""
+        if self.is_paused or not self.is_alive:
+            return
+        self.is_paused = True
+        self.sim.after(duration_ms, self._wake)
+
+    def die(self) -> None:
+        """End the process at once."""
+        self.is_alive = False
+        self._held.clear()
+
+    def _wake(self) -> None:
+        self.is_paused = False
+        held, self._held = self._held, []
+        for act in held:
+            act()
+
+    def _forward(self, sender: str, service: str, message: object) -> None:
+        if service in self._tasks:
+            self.sim.after(0, lambda: self.deliver(service, message))
+        else:
+            self._outside.on_sent(self, sender, service, message)
+
+
+class NodeContext:
+    """The `TaskContext` of one task of a `Node`."""
+
+    def __init__(self, node: Node, service: str) -> None:
+        self.clock = node.sim.clock
+        self._node = node
+        self._service = service
+        self._timers: set[int] = set()
+        self._next_timer = 1
+
+    def now_ms(self) -> int:
+        """Return the simulated time."""
+        self._node.sim.observe()
+        return self.clock.now_ms()
+
+    def send(self, service: str, message: object) -> None:
+        """Send a message."""
+        self._node.send(self._service, service, message)
+
+    def set_timer(self, delay_ms: int, message: object) -> TimerHandle:
+        """Deliver `message` to this task after `delay_ms`."""
+        timer_id, self._next_timer = self._next_timer, self._next_timer + 1
+        self._timers.add(timer_id)
+
+        def fire() -> None:
+            if timer_id in self._timers:
+                self._timers.discard(timer_id)
+                self._node.deliver(self._service, message)
+
+        self._node.sim.after(max(int(delay_ms), 0), fire)
+        return TimerHandle(timer_id)
+
+    def cancel_timer(self, handle: TimerHandle) -> None:
+        """Drop a timer."""
+        self._timers.discard(handle.timer_id)
+
+    def watch(self, fd: int, events: int, callback: Callable[[int], None]) -> None:
+        """No task in the matrix owns a socket."""
+        raise NotImplementedError
+
+    def unwatch(self, fd: int) -> None:
+        """No task in the matrix owns a socket."""
+        raise NotImplementedError
--- /dev/null
+++ b/src/guavapin_matrix/upstreams.py
@@ -0,0 +1,179 @@
+"""Upstreams that count what they ran, by caller's request and by idempotency key."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptEnded
+from guavapin.serving.messages import AttemptHead
+from guavapin.serving.messages import AttemptResult
+from guavapin.serving.messages import CancelAttempt
+from guavapin.serving.messages import StartAttempt
+
+if TYPE_CHECKING:
+    from guavapin_matrix.simulation import Node
+    from guavapin_matrix.simulation import Simulation
+
+TAG = b"x-tag"
+KEY = b"idempotency-key"
+CONNECT_MS = 2
+RUN_MS = 50
+PART_MS = 10
+# The request runs this many times longer than declared under the fault RUN_TIME_OFF.
+LONG_FACTOR = 100
+
+
+@dataclass
+class FakeHost:
+    """Behaviour of one executor; `left_ms` is when the entries were told to leave."""
+
+    is_up: bool = True
+    fails: bool = False
+    left_ms: int | None = None
+
+
+@dataclass
+class Attempt:
+    """One request on its way through an executor."""
+
+    node: Node
+    start: StartAttempt
+    has_head: bool = False
+    is_silent: bool = False
+    last_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """That an executor was sent a request, for the checks."""
+
+    at_ms: int
+    address: str
+    entry: str
+    tag: str
+
+
+def answer_body(tag: str, key: str) -> bytes:
+    """Return the whole answer to a request; one of a key is the same for each tag."""
+    return f"answer to {key or tag};".encode() * 3
+
+
+class FakeUpstreams:
+    """Executors of all hosts, behind the service `upstreams` of each entry process."""
+
+    def __init__(self, sim: Simulation) -> None:
+        self.hosts: dict[str, FakeHost] = {}
+        self.runs_by_tag: Counter[str] = Counter()
+        self.runs_by_key: Counter[str] = Counter()
+        self.starts: list[Start] = []
+        self.never_ending: set[str] = set()
+        self.run_factor = 1
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self._sim = sim
+
+    def on_message(self, node: Node, message: object) -> None:
+        """Take what `exchanges` sends to `upstreams`."""
+        match message:
+            case StartAttempt():
+                attempt = Attempt(node, message, last_ms=self._sim.now_ms())
+                number = (node.name, message.attempt_id)
+                self.attempts[number] = attempt
+                self._sim.after(CONNECT_MS, lambda: self._connect(number))
+                self._watch_progress(number)
+            case CancelAttempt(attempt_id):
+                self.attempts.pop((node.name, attempt_id), None)
+
+    def lose(self, addresses: list[str]) -> None:
+        """Let hosts die with all that they run."""
+        for address in addresses:
+            self.hosts[address].is_up = False
+        for number, attempt in list(self.attempts.items()):
+            if attempt.start.address in addresses and not attempt.is_silent:
+                self._end(number, AttemptResult.BROKEN)
+
+    def silence(self) -> None:
+        """Let all open connections go silent; new ones work."""
+        for attempt in self.attempts.values():
+            attempt.is_silent = True
+
+    def _connect(self, number: tuple[str, int]) -> None:
+        attempt = self.attempts.get(number)
+        if attempt is None:
+            return
+        start, host = attempt.start, self.hosts[attempt.start.address]
+        if not host.is_up:
+            self._end(number, AttemptResult.NOT_SENT)
+            return
+        headers = dict(start.headers)
+        tag = headers.get(TAG, b"").decode()
+        key = headers.get(KEY, b"").decode()
+        if tag:
+            self._count(attempt, tag, key)
+        if host.fails:
+            self._answer(number, 200, b"")
+        elif tag not in self.never_ending:
+            delay_ms = RUN_MS * self.run_factor if tag else 1
+            body = answer_body(tag, key)
+            self._sim.after(delay_ms, lambda: self._answer(number, 200, body))
+
+    def _count(self, attempt: Attempt, tag: str, key: str) -> None:
+        self.runs_by_tag[tag] += 1
+        if key:
+            self.runs_by_key[key] += 1
+        start = attempt.start
+        seen = Start(self._sim.now_ms(), start.address, attempt.node.name, tag)
+        self.starts.append(seen)
+
+    def _answer(self, number: tuple[str, int], status: int, body: bytes) -> None:
+        attempt = self._talking(number)
+        if attempt is None:
+            return
+        if self.hosts[attempt.start.address].fails:
+            status, body = 500, b"failed"
+        attempt.has_head, attempt.last_ms = True, self._sim.now_ms()
+        headers = ((b"content-length", b"%d" % len(body)),)
+        head = AttemptHead(number[1], status, headers)
+        attempt.node.deliver("exchanges", head)
+        middle = len(body) // 2
+        self._sim.after(PART_MS, lambda: self._part(number, body[:middle]))
+        self._sim.after(2 * PART_MS, lambda: self._part(number, body[middle:]))
+        self._sim.after(3 * PART_MS, lambda: self._complete(number))
+
+    def _part(self, number: tuple[str, int], data: bytes) -> None:
+        attempt = self._talking(number)
+        if attempt is not None:
+            attempt.last_ms = self._sim.now_ms()
+            attempt.node.deliver("exchanges", AttemptBody(number[1], data))
+
+    def _complete(self, number: tuple[str, int]) -> None:
+        if self._talking(number) is not None:
+            self._end(number, AttemptResult.COMPLETE)
+
+    def _talking(self, number: tuple[str, int]) -> Attempt | None:
+        attempt = self.attempts.get(number)
+        return None if attempt is None or attempt.is_silent else attempt
+
+    def _end(self, number: tuple[str, int], result: AttemptResult) -> None:
+        attempt = self.attempts.pop(number, None)
+        if attempt is not None:
+            attempt.node.deliver("exchanges", AttemptEnded(number[1], result))
+
+    def _watch_progress(self, number: tuple[str, int]) -> None:
+        """End an attempt whose connection says nothing for longer than allowed."""
+        attempt = self.attempts.get(number)
+        if attempt is None:
+            return
+        start = attempt.start
+        bound_ms = start.progress_ms if attempt.has_head else start.first_byte_ms
+        left_ms = attempt.last_ms + bound_ms - self._sim.now_ms()
+        if bound_ms and left_ms <= 0:
+            result = AttemptResult.FIRST_BYTE_TIMEOUT
+            if attempt.has_head:
+                result = AttemptResult.PROGRESS_TIMEOUT
+            self._end(number, result)
+            return
+        delay_ms = left_ms if bound_ms else 50
+        self._sim.after(min(max(delay_ms, 1), 50), lambda: self._watch_progress(number))
--- /dev/null
+++ b/tests/matrix/test_request_checks.py
@@ -0,0 +1,137 @@
+"""The checks of the procedure `request` can fail: each is shown a broken part."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.serving import exchange
+from guavapin.serving.deadlines import DeadlineTimer
+from guavapin.serving.messages import AnswerEnd
+from guavapin.serving.messages import AttemptResult
+from guavapin_matrix import upstreams
+from guavapin_matrix.cell import Cell
+from guavapin_matrix.cell import Step
+from guavapin_matrix.faults import Fault
+from guavapin_matrix.platform import FakePlatform
+from guavapin_matrix.request_world import RequestWorld
+from guavapin_matrix.requests import Requests
+
+if TYPE_CHECKING:
+    import pytest
+
+    from guavapin.retries.policy import EndedAttempt
+
+
+def run(
+    step: str, *faults: Fault, variant: str = "keyed", delay_ms: int = 0
+) -> tuple[str, ...]:
+    cell = Cell(Step("request", step, variant, delay_ms), faults, seed=1)
+    return Requests().run(cell).violations
+
+
+def kinds(violations: tuple[str, ...]) -> set[str]:
+    return {violation.partition(":")[0] for violation in violations}
+
+
+def test_sound_parts_pass() -> None:
+    assert run("sent") == ()
+    assert run("sent", Fault.SILENT_CONNECTION, variant="post") == ()
+
+
+def test_foreign_answer_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An upstream's answer reaches another caller."""
+    monkeypatch.setattr(upstreams, "answer_body", lambda tag, key: b"someone else's")
+    assert "3" in kinds(run("sent"))
+
+
+def test_truncated_answer_that_claims_to_be_whole_is_seen(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A broken answer is ended as if it were complete."""
+
+    def end(item: exchange.Exchange, ended: EndedAttempt) -> exchange.Step:
+        return exchange._done(item), (exchange.SendToFront(AnswerEnd(item.request_id)),)
+
+    monkeypatch.setattr(exchange, "_end_answer", end)
+    assert "3" in kinds(run("answering", Fault.HOSTS_LOST, variant="get"))
+
+
+def test_missing_answer_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Deadlines are never noticed."""
+    monkeypatch.setattr(DeadlineTimer, "pop_due", lambda self: [])
+    assert "3" in kinds(run("sent", Fault.NEVER_RUNS, variant="post"))
+
+
+def test_false_not_run_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A request that may have run is refused as not run."""
+    monkeypatch.setattr(exchange, "has_not_run", lambda ended: True)
+    assert "4" in kinds(run("sent", Fault.HOSTS_LOST, variant="post", delay_ms=20))
+
+
+def test_second_run_of_a_charge_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Every attempt is repeated, idempotent or not."""
+
+    def may_repeat(ended: EndedAttempt, *_: object, **__: object) -> bool:
+        return ended.result is not AttemptResult.COMPLETE
+
+    monkeypatch.setattr(exchange, "may_repeat", may_repeat)
+    assert "5" in kinds(run("sent", Fault.HOSTS_LOST, variant="post", delay_ms=20))
+
+
+def test_platform_without_compare_and_swap_is_seen(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Two entry processes get the same claim."""
+    apply = FakePlatform._apply
+
+    def overwrite(self, request):
+        if type(request).__name__ == "Put":
+            request = type(request)(
+                request.reply_to,
+                request.request_id,
+                request.key,
+                request.value,
+                getattr(self.store.get(request.key), "revision", 0),
+                request.lease_id,
+            )
+        return apply(self, request)
+
+    monkeypatch.setattr(FakePlatform, "_apply", overwrite)
+    assert "5" in kinds(run("claiming", Fault.RACE))
+
+
+def test_work_for_a_leaving_host_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The entries are not told that hosts leave."""
+    monkeypatch.setattr(RequestWorld, "_route", route_once)
+    assert "6" in kinds(run("sent", Fault.SAME_OBJECT))
+
+
+def route_once(self: RequestWorld, out: frozenset[str]) -> None:
+    original_route(self, frozenset())
+
+
+original_route = RequestWorld._route
+
+
+def test_interrupted_request_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Hosts that leave by plan lose their work."""
+    edit = RequestWorld._edit
+
+    def lose(self: RequestWorld) -> None:
+        edit(self)
+        self.sim.after(0, lambda: self.upstreams.lose([f"h{i}:80" for i in range(4)]))
+
+    monkeypatch.setattr(RequestWorld, "_edit", lose)
+    assert "7" in kinds(run("sent", Fault.SAME_OBJECT, variant="post"))
+
+
+def test_second_end_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A caller gets the end of its answer twice."""
+    end = exchange._end_answer
+
+    def twice(item: exchange.Exchange, ended: EndedAttempt) -> exchange.Step:
+        done, actions = end(item, ended)
+        return done, (*actions, actions[0])
+
+    monkeypatch.setattr(exchange, "_end_answer", twice)
+    assert "3" in kinds(run("done"))
