Run waves, moves and drains under every fault

Cause: planned disruptions were tested under single scripted faults only.

Change: two control processes with lease, duty and writer run a wave, a move and a drain over eight hosts whose work takes time. Steps come from fleet.state.HostPhase; a phase that no course covers is a gap. Guarantees 1, 2, 4, 5 and 7 are checked on the history of the record, on the hosts and on what operators were told; each check is shown a broken part.

--- /dev/null
+++ b/src/guavapin_matrix/fleet_checks.py
@@ -0,0 +1,111 @@
+"""Guarantees 1, 2, 4, 5 and 7 as seen in the record's history and at the hosts."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from guavapin.fleet.state import DisruptionKind
+from guavapin.fleet.state import HostPhase
+from guavapin.fleet.state import WaveStatus
+from guavapin.kernel import Ok
+from guavapin.kernel import Reason
+from guavapin_matrix.fleet_world import MIN_AVAILABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from guavapin.fleet.state import FleetState
+    from guavapin_matrix.fleet_world import FleetWorld
+
+# A loss is known to a writer this late: lag of the list, age of the copy, one call.
+LOSS_KNOWN_MS = 5_000
+LOST_MS = 40_000
+SAFE_PHASES = (HostPhase.DRAINED, HostPhase.FAILED)
+
+
+def check_budget(world: FleetWorld) -> Iterator[str]:
+    """Guarantee 1: no plan takes a host that the pool needs.
+
+    Hosts that are down by themselves may bring a pool below its budget; then nothing
+    new is begun, as soon as the loss can be known.
+    """
+    for (_, old), (at_ms, new) in itertools.pairwise(world.states):
+        down = {
+            name
+            for lost_ms, name in world.losses
+            if lost_ms + LOSS_KNOWN_MS <= at_ms < lost_ms + LOST_MS
+        }
+        for pool in ("a", "b"):
+            begun = [
+                name
+                for name, item in new.disruptions.items()
+                if name not in old.disruptions and item.pool == pool
+            ]
+            count = len(_available(new, pool) - down)
+            if count < MIN_AVAILABLE and (begun or not world.losses):
+                cause = f"the begin of {begun}" if begun else "a change"
+                yield f"1: {count} hosts of pool {pool} left after {cause}"
+
+
+def check_placements(world: FleetWorld) -> Iterator[str]:
+    """Guarantee 2: a declared host is in one pool at any moment, and moves by plan."""
+    for (_, old), (_, new) in itertools.pairwise(world.states):
+        for name, pool in old.placements.items():
+            after = new.placements.get(name)
+            if after is None:
+                yield f"2: {name} is in no pool"
+            elif after != pool:
+                held = new.disruptions.get(name) or old.disruptions.get(name)
+                if held is None or held.kind is not DisruptionKind.MOVE:
+                    yield f"2: {name} went from {pool} to {after} without a move"
+
+
+def check_commands(world: FleetWorld) -> Iterator[str]:
+    """Guarantees 4 and 5 for commands: what was refused had no effect, none had two."""
+    applied: Counter[str] = Counter()
+    for (_, old), (_, new) in itertools.pairwise(world.states):
+        if new.fence < old.fence:
+            yield f"5: the fence fell from {old.fence} to {new.fence}"
+        if new.next_sequence != old.next_sequence + 1:
+            yield f"5: sequence {old.next_sequence} was followed by {new.next_sequence}"
+        applied.update(
+            entry.command_id
+            for entry in new.outbox
+            if entry.sequence >= old.next_sequence
+        )
+    for command_id, count in applied.items():
+        if count > 1:
+            yield f"5: command {command_id} took effect {count} times"
+    for command_id, fut in world.futures.items():
+        if not fut.done():
+            continue
+        outcome = fut.result()
+        if isinstance(outcome, Ok) and not applied[command_id]:
+            yield f"4: {command_id} was accepted without effect"
+        if isinstance(outcome, Ok) or outcome.reason is Reason.OUTCOME_UNKNOWN:
+            continue
+        if applied[command_id]:
+            yield f"4: {command_id} was refused as {outcome.reason} but took effect"
+
+
+def check_end(world: FleetWorld) -> Iterator[str]:
+    """Guarantee 7: everything begun was brought to a safe end, with the work on it."""
+    yield from world.disturbed
+    state = world.state
+    for name, item in state.disruptions.items():
+        if item.phase not in SAFE_PHASES:
+            yield f"7: {name} is still {item.phase.value} by {item.kind.value}"
+    for name, progress in state.waves.items():
+        is_held = any(host in state.disruptions for host in ("a0", "a1"))
+        if progress.status is WaveStatus.RUNNING and not is_held:
+            yield f"7: wave {name} did not end"
+
+
+def _available(state: FleetState, pool: str) -> set[str]:
+    return {
+        name
+        for name, placed in state.placements.items()
+        if placed == pool and name not in state.disruptions
+    }
--- /dev/null
+++ b/src/guavapin_matrix/fleet_hosts.py
@@ -0,0 +1,123 @@
+"""Hosts with work, and the service `host_actions` that does steps on them once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.duties.messages import DoHostStep
+from guavapin.duties.messages import HostStep
+from guavapin.duties.messages import HostStepDone
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from guavapin_matrix.simulation import Node
+    from guavapin_matrix.simulation import Simulation
+
+POLL_MS = 500
+DURATIONS_MS = {
+    HostStep.DRAIN: 0,
+    HostStep.CHECKPOINT: 500,
+    HostStep.REBOOT: 4_000,
+    HostStep.CHECK_HEALTH: 500,
+    HostStep.JOIN: 1_000,
+}
+
+
+@dataclass
+class FleetHost:
+    """A host; it has unfinished work until `work_until_ms` unless that is saved.
+
+    Each step takes `step_factor` times as long as usual.
+    """
+
+    is_up: bool = True
+    fails: bool = False
+    fails_reboot: bool = False
+    step_factor: int = 1
+    never_ends: bool = False
+    is_rebooting: bool = False
+    work_until_ms: int = 0
+    is_saved: bool = False
+
+
+@dataclass
+class OrderedStep:
+    """A step by its identity; it is done once, however often it is ordered."""
+
+    order: DoHostStep
+    waiting: list[Node]
+    is_begun: bool = False
+    is_lost: bool = False
+    result: bool | None = None
+
+
+class FleetHosts:
+    """All hosts. `on_disturbed` is told of a step that cuts off unfinished work."""
+
+    def __init__(self, sim: Simulation, names: list[str]) -> None:
+        self.hosts = {name: FleetHost() for name in names}
+        self.steps: dict[str, OrderedStep] = {}
+        self.on_begin: Callable[[str, HostStep], None] = lambda host, step: None
+        self._sim = sim
+
+    def has_work(self, name: str) -> bool:
+        """Return whether a stop of the host now would cut off work."""
+        host = self.hosts[name]
+        unfinished = self._sim.now_ms() < host.work_until_ms
+        return host.is_up and unfinished and not host.is_saved
+
+    def give_work(self, name: str, duration_ms: int) -> None:
+        """Place new work on a host."""
+        host = self.hosts[name]
+        end_ms = self._sim.now_ms() + duration_ms
+        host.work_until_ms = max(host.work_until_ms, end_ms)
+        host.is_saved = False
+
+    def order(self, node: Node, order: DoHostStep) -> None:
+        """Take an order of a duty holder, perhaps a repeated one."""
+        step = self.steps.get(order.step_id)
+        if step is None or step.result is False:
+            step = OrderedStep(order, [])
+            self.steps[order.step_id] = step
+        step.waiting.append(node)
+        if step.result is not None:
+            self._tell(step)
+        elif not step.is_begun:
+            step.is_begun = True
+            self._begin(step)
+
+    def silence(self) -> None:
+        """Lose the answers of all steps under way to those who wait for them now."""
+        for step in self.steps.values():
+            if step.result is None:
+                step.waiting.clear()
+
+    def _begin(self, step: OrderedStep) -> None:
+        order = step.order
+        self.on_begin(order.host, order.step)
+        if order.step is HostStep.REBOOT:
+            self.hosts[order.host].is_rebooting = True
+        delay_ms = DURATIONS_MS[order.step] * self.hosts[order.host].step_factor
+        self._sim.after(delay_ms, lambda: self._try_end(step))
+
+    def _try_end(self, step: OrderedStep) -> None:
+        order, host = step.order, self.hosts[step.order.host]
+        is_waiting = order.step is HostStep.DRAIN and self.has_work(order.host)
+        if host.never_ends or (is_waiting and not host.fails):
+            self._sim.after(POLL_MS, lambda: self._try_end(step))
+            return
+        step.result = host.is_up and not host.fails
+        if order.step is HostStep.REBOOT:
+            host.is_rebooting = False
+            step.result = step.result and not host.fails_reboot
+        if order.step is HostStep.CHECKPOINT and step.result:
+            host.is_saved = True
+        self._tell(step)
+
+    def _tell(self, step: OrderedStep) -> None:
+        done = HostStepDone(step.order.step_id, bool(step.result), "simulated")
+        waiting, step.waiting = step.waiting, []
+        for node in waiting:
+            self._sim.after(1, lambda n=node: n.deliver(step.order.reply_to, done))  # type: ignore[misc]
--- /dev/null
+++ b/src/guavapin_matrix/fleet_world.py
@@ -0,0 +1,223 @@
+"""Two control processes with lease, duty and writer; hosts, platform, operators."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.duties.fleet_duty import FleetDutyTask
+from guavapin.duties.host_actions import ServiceHostActions
+from guavapin.duties.messages import HOST_ACTIONS
+from guavapin.duties.messages import HostStep
+from guavapin.duties.task import DutyTask
+from guavapin.fleet import actions
+from guavapin.fleet.codec import decode_fleet
+from guavapin.fleet.codec import encode_fleet
+from guavapin.fleet.commands import FleetCommand
+from guavapin.fleet.messages import ObjectsUpdate
+from guavapin.fleet.state import FLEET_KEY
+from guavapin.fleet.state import FleetState
+from guavapin.fleet.state import HostPhase
+from guavapin.fleet.writer import FleetWriterTask
+from guavapin.kernel import Call
+from guavapin.kernel import Ok
+from guavapin.objects.model import AvailabilityBudget
+from guavapin.objects.model import AvailabilityZone
+from guavapin.objects.model import Host
+from guavapin.objects.model import MaintenanceWave
+from guavapin.objects.model import ObjectSet
+from guavapin.objects.model import Pool
+from guavapin_matrix.fleet_hosts import FleetHosts
+from guavapin_matrix.platform import FakePlatform
+from guavapin_matrix.simulation import Node
+from guavapin_matrix.simulation import Simulation
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from guavapin.fleet.actions import FleetAction
+
+MIN_AVAILABLE = 2
+PER_POOL = 4
+WAVE = "w"
+WORK_MS = 3_000
+WORK_EVERY_MS = 4_000
+# New work stops this long after the record holds the host: guarantee 6.
+LEAVING_MS = 3_000
+
+
+def build_objects(has_wave: bool) -> ObjectSet:
+    """Return two pools of four hosts in two racks, and a wave over the first rack."""
+    hosts = {
+        f"{pool}{i}": Host(f"{pool}{i}", "z", f"{pool}r{i // 2}", pool, f"{pool}{i}:80")
+        for pool in ("a", "b")
+        for i in range(PER_POOL)
+    }
+    wave = MaintenanceWave(
+        WAVE,
+        pools=("a",),
+        racks=("ar0",),
+        max_at_once=2,
+        max_failed=1,
+        drain_timeout_ms=15_000,
+        reboot_timeout_ms=45_000,
+    )
+    return ObjectSet(
+        zones={"z": AvailabilityZone("z", "r")},
+        hosts=hosts,
+        pools={"a": Pool("a", "b"), "b": Pool("b", "b")},
+        budgets={"b": AvailabilityBudget("b", min_available=MIN_AVAILABLE)},
+        waves={WAVE: wave} if has_wave else {},
+    )
+
+
+class FleetWorld:
+    """`states` holds every value that the record ever had, with its time."""
+
+    def __init__(self, kind: str) -> None:
+        self.sim = Simulation()
+        self.platform = FakePlatform(self.sim)
+        self.objects = build_objects(kind == "wave")
+        self.hosts = FleetHosts(self.sim, list(self.objects.hosts))
+        self.nodes: list[Node] = []
+        self.duties: list[FleetDutyTask] = []
+        self.futures: dict[str, Future[Any]] = {}
+        self.disturbed: list[str] = []
+        self.states: list[tuple[int, FleetState]] = []
+        self.losses: list[tuple[int, str]] = []
+        self.platform.on_write = self._on_write
+        self.hosts.on_begin = self._on_begin
+        self._commands = 0
+        placements = {host.name: host.pool for host in self.objects.hosts.values()}
+        first = encode_fleet(FleetState(placements=placements))
+        self.platform.store.put(FLEET_KEY, first, 0)
+        self._on_write(FLEET_KEY, first)
+        for name in self.objects.hosts:
+            self.platform.store.set_host(name, "live")
+        self.sim.run(5_000)
+        for _ in range(2):
+            self.add_control()
+        self._work()
+
+    @property
+    def state(self) -> FleetState:
+        """Return the record."""
+        return self.states[-1][1]
+
+    def holder(self) -> int:
+        """Return which process holds the duty, else the first that lives."""
+        for index, duty in enumerate(self.duties):
+            node = self.nodes[index]
+            if node.is_alive and not node.is_paused and duty.is_active:
+                return index
+        alive = [index for index, node in enumerate(self.nodes) if node.is_alive]
+        return alive[0]
+
+    def on_sent(self, node: Node, sender: str, service: str, message: Any) -> None:
+        """Lead the messages of the control processes to the fakes."""
+        if service == "platform":
+            self.platform.call(node, sender, message)
+        elif service == HOST_ACTIONS:
+            self.hosts.order(node, message)
+
+    def add_control(self) -> None:
+        """Start a control process."""
+        name = f"control-{len(self.nodes)}"
+        node = Node(self.sim, name, self)
+        duty = FleetDutyTask(ServiceHostActions(), name)
+        self.nodes.append(node)
+        self.duties.append(duty)
+        node.add(FleetWriterTask())
+        node.add(duty)
+        node.add(DutyTask("fleet", name, ("fleet_duty",), seed=len(self.nodes)))
+        self._tell_objects(node, self.objects, 1)
+
+    def operate(self, action: FleetAction, at: int = -1) -> None:
+        """Let an operator send a command to a process, the last one that lives."""
+        alive = [node for node in self.nodes if node.is_alive]
+        self._commands += 1
+        command = FleetCommand(f"operator:{self._commands}", "operator", action)
+        fut: Future[Any] = Future()
+        self.futures[command.command_id] = fut
+        alive[at].deliver("fleet_writer", Call(command, fut))
+
+    def publish(self, objects: ObjectSet, generation: int) -> None:
+        """Put a configuration in force at all processes."""
+        self.objects = objects
+        for node in self.nodes:
+            self._tell_objects(node, objects, generation)
+
+    def lose(self, names: list[str], duration_ms: int) -> None:
+        """Let hosts be down for a time."""
+        for name in names:
+            self.losses.append((self.sim.now_ms(), name))
+            self.hosts.hosts[name].is_up = False
+            self.platform.store.set_host(name, "down")
+            self.sim.after(duration_ms, lambda n=name: self._restore(n))  # type: ignore[misc]
+
+    def start(self, kind: str) -> None:
+        """Begin the planned disruption under test; a wave begins by its window."""
+        if kind == "move":
+            self.operate(actions.StartMove("a0", "b"))
+        elif kind == "drain":
+            self.operate(actions.Drain("a0"))
+
+    def _restore(self, name: str) -> None:
+        self.hosts.hosts[name].is_up = True
+        self.platform.store.set_host(name, "live")
+
+    def _tell_objects(self, node: Node, objects: ObjectSet, generation: int) -> None:
+        for service in ("fleet_writer", "fleet_duty"):
+            node.deliver(service, ObjectsUpdate(objects, generation))
+
+    def _on_write(self, key: str, value: bytes) -> None:
+        if key != FLEET_KEY:
+            return
+        decoded = decode_fleet(value)
+        if not isinstance(decoded, Ok):
+            raise RuntimeError(f"the record cannot be read: {decoded}")
+        state = decoded.value
+        if self.states:
+            self._watch_moves(self.state, state)
+        self.states.append((self.sim.now_ms(), state))
+
+    def _watch_moves(self, old: FleetState, new: FleetState) -> None:
+        for name, pool in old.placements.items():
+            if new.placements.get(name, pool) != pool and self.hosts.has_work(name):
+                self.disturbed.append(f"7: {name} changed its pool with work on it")
+
+    def _on_begin(self, name: str, step: HostStep) -> None:
+        if step is not HostStep.REBOOT:
+            return
+        item = self.state.disruptions.get(name)
+        if item is None or item.phase is not HostPhase.REBOOTING:
+            self.disturbed.append(f"7: {name} was rebooted while it served")
+        if self.hosts.has_work(name):
+            self.disturbed.append(f"7: the reboot of {name} cut off work")
+
+    def _work(self) -> None:
+        """Place work on every host that serves as far as the entries can know."""
+        self.sim.after(WORK_EVERY_MS, self._work)
+        now_ms = self.sim.now_ms()
+        held = set(self.state.disruptions)
+        for at_ms, state in reversed(self.states):
+            if at_ms <= now_ms - LEAVING_MS:
+                held &= set(state.disruptions)
+                break
+            held &= set(state.disruptions)
+        for name, host in self.hosts.hosts.items():
+            if name not in held and host.is_up and not host.is_rebooting:
+                self.hosts.give_work(name, WORK_MS)
+
+
+def without_host(objects: ObjectSet, name: str) -> ObjectSet:
+    """Return a configuration in which a host is not declared."""
+    hosts = {key: host for key, host in objects.hosts.items() if key != name}
+    return replace(objects, hosts=hosts)
+
+
+def with_pool(objects: ObjectSet, name: str, pool: str) -> ObjectSet:
+    """Return a configuration in which a host is declared in another pool."""
+    hosts = {**objects.hosts, name: replace(objects.hosts[name], pool=pool)}
+    return replace(objects, hosts=hosts)
--- a/src/guavapin_matrix/procedures.py
+++ b/src/guavapin_matrix/procedures.py
@@ -4,9 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin_matrix.disruptions import Disruptions
 from guavapin_matrix.requests import Requests
 
 if TYPE_CHECKING:
     from guavapin_matrix.cell import Procedure
 
-PROCEDURES: dict[str, Procedure] = {item.name: item for item in (Requests(),)}
+PROCEDURES: dict[str, Procedure] = {
+    item.name: item
+    for item in (Requests(), Disruptions("wave", 3), Disruptions("move", 3))
+}
--- /dev/null
+++ b/tests/matrix/broken.py
@@ -0,0 +1,35 @@
+"""Broken parts with which the checks of the matrix are shown to fail."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.platform.messages import Found
+from guavapin.platform.messages import Put
+from guavapin_matrix.platform import FakePlatform
+
+if TYPE_CHECKING:
+    import pytest
+
+    from guavapin.platform.messages import PlatformOutcome
+    from guavapin.platform.messages import PlatformRequest
+
+
+def kinds(violations: tuple[str, ...]) -> set[str]:
+    """Return the guarantees that are named."""
+    return {violation.partition(":")[0] for violation in violations}
+
+
+def overwrite_everything(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let the platform write whatever revision the writer has seen."""
+    apply = FakePlatform._apply
+
+    def overwrite(self: FakePlatform, request: PlatformRequest) -> PlatformOutcome:
+        if isinstance(request, Put):
+            found = self.store.get(request.key)
+            revision = found.revision if isinstance(found, Found) else 0
+            request = replace(request, expected=revision)
+        return apply(self, request)
+
+    monkeypatch.setattr(FakePlatform, "_apply", overwrite)
--- /dev/null
+++ b/tests/matrix/test_disruption_checks.py
@@ -0,0 +1,122 @@
+"""The checks of the procedures `wave` and `move` can fail."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Any
+
+from guavapin.fleet import host_rules
+from guavapin.fleet import writer
+from guavapin.fleet.settling import Verdict
+from guavapin.kernel import Ok
+from guavapin.waves import host_machine
+from guavapin_matrix import disruptions
+from guavapin_matrix import fleet_world
+from guavapin_matrix.cell import Cell
+from guavapin_matrix.cell import Step
+from guavapin_matrix.disruptions import Disruptions
+from guavapin_matrix.faults import Fault
+from tests.matrix.broken import kinds
+from tests.matrix.broken import overwrite_everything
+
+if TYPE_CHECKING:
+    import pytest
+
+    from guavapin.fleet.change import Change
+    from guavapin.kernel import Outcome
+    from guavapin.objects.model import ObjectSet
+
+
+def run(procedure: str, step: str, *faults: Fault) -> tuple[str, ...]:
+    cell = Cell(Step(procedure, step), faults, seed=1)
+    return Disruptions(procedure, 1).run(cell).violations
+
+
+def test_sound_parts_pass() -> None:
+    assert run("wave", "draining", Fault.HOSTS_LOST) == ()
+    assert run("move", "joining", Fault.RACE) == ()
+
+
+def test_broken_budget_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The processes work by a budget of no host and take the whole pool."""
+    build = fleet_world.build_objects
+
+    def without_budget(has_wave: bool) -> ObjectSet:
+        objects = build(has_wave)
+        wave = replace(objects.waves["w"], racks=(), max_at_once=4)
+        budget = replace(objects.budgets["b"], min_available=0)
+        return replace(objects, waves={"w": wave}, budgets={"b": budget})
+
+    monkeypatch.setattr(fleet_world, "build_objects", without_budget)
+    assert "1" in kinds(run("wave", "draining"))
+
+
+def test_host_in_no_pool_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A host that joins a pool drops out of the record first."""
+    join = host_rules._join
+
+    def forget(*args: Any) -> Outcome[Change]:
+        outcome = join(*args)
+        assert isinstance(outcome, Ok)
+        state = outcome.value.state
+        placements = {k: v for k, v in state.placements.items() if k != "a0"}
+        state = replace(state, placements=placements)
+        return Ok(replace(outcome.value, state=state))
+
+    monkeypatch.setattr(host_rules, "_join", forget)
+    assert "2" in kinds(run("move", "joining"))
+
+
+def test_change_of_pool_without_a_move_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The end of another disruption puts the host elsewhere."""
+    finish = host_rules.without_disruption
+
+    def misplace(state: Any, host: str) -> Any:
+        state = finish(state, host)
+        return replace(state, placements={**state.placements, "a3": "b"})
+
+    monkeypatch.setattr(host_rules, "without_disruption", misplace)
+    assert "2" in kinds(run("move", "serving"))
+
+
+def test_false_refusal_of_a_command_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A writer whose answer was lost takes its write for undone."""
+    monkeypatch.setattr(writer, "find_applied", lambda state, command_id: None)
+    monkeypatch.setattr(writer, "settle", lambda *args: Verdict.HAD_NO_EFFECT)
+    faults = (Fault.CANCELLATIONS, Fault.ANSWER_LOST)
+    assert "4" in kinds(run("move", "joining", *faults))
+
+
+def test_platform_without_compare_and_swap_is_seen(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Two writers overwrite each other's record."""
+    overwrite_everything(monkeypatch)
+    assert "5" in kinds(run("move", "serving", Fault.RACE, Fault.CANCELLATIONS))
+
+
+def test_work_cut_off_by_a_reboot_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A host is rebooted without a look at its work."""
+
+    def hurry(situation: Any, forward: Any, give_back: Any) -> host_machine.Change:
+        return host_machine.Change(forward)
+
+    monkeypatch.setattr(host_machine, "_empty_host", hurry)
+    assert "7" in kinds(run("wave", "rebooting"))
+
+
+def test_disruption_without_an_end_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A host is never returned to service."""
+    wait = host_machine.Wait()
+    monkeypatch.setattr(host_machine, "_return_step", lambda situation: wait)
+    assert "7" in kinds(run("wave", "returning"))
+
+
+def test_phase_without_a_course_is_a_gap(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a new phase of a host that no column covers."""
+    courses = {**disruptions.COURSES, "wave": {"": disruptions.COURSES["wave"][""]}}
+    monkeypatch.setattr(disruptions, "COURSES", courses)
+    procedure = Disruptions("wave", 1)
+    named = {step.name for step in procedure.steps()}
+    assert procedure.required_steps() - named == {"failed"}
--- a/tests/matrix/test_request_checks.py
+++ b/tests/matrix/test_request_checks.py
@@ -12,9 +12,10 @@
 from guavapin_matrix.cell import Cell
 from guavapin_matrix.cell import Step
 from guavapin_matrix.faults import Fault
-from guavapin_matrix.platform import FakePlatform
 from guavapin_matrix.request_world import RequestWorld
 from guavapin_matrix.requests import Requests
+from tests.matrix.broken import kinds
+from tests.matrix.broken import overwrite_everything
 
 if TYPE_CHECKING:
     import pytest
@@ -29,10 +30,6 @@
     return Requests().run(cell).violations
 
 
-def kinds(violations: tuple[str, ...]) -> set[str]:
-    return {violation.partition(":")[0] for violation in violations}
-
-
 def test_sound_parts_pass() -> None:
     assert run("sent") == ()
     assert run("sent", Fault.SILENT_CONNECTION, variant="post") == ()
@@ -82,21 +79,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Two entry processes get the same claim."""
-    apply = FakePlatform._apply
-
-    def overwrite(self, request):
-        if type(request).__name__ == "Put":
-            request = type(request)(
-                request.reply_to,
-                request.request_id,
-                request.key,
-                request.value,
-                getattr(self.store.get(request.key), "revision", 0),
-                request.lease_id,
-            )
-        return apply(self, request)
-
-    monkeypatch.setattr(FakePlatform, "_apply", overwrite)
+    overwrite_everything(monkeypatch)
     assert "5" in kinds(run("claiming", Fault.RACE))
 
 
