--- /dev/null
+++ b/src/guavapin_scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios of whole sites, written in TOML; see `reader`."""
--- /dev/null
+++ b/src/guavapin_scenarios/generations.py
@@ -0,0 +1,59 @@
+"""Watches that no entry process falls back in its generation."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import TYPE_CHECKING
+
+from guavapin.publication.messages import QueryConfiguration
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+
+    from guavapin.composition import EntryProcess
+    from guavapin_scenarios.site import ScenarioSite
+
+INTERVAL_S = 0.25
+REPLY_TIMEOUT_S = 5
+
+
+class GenerationWatch:
+    """Asks every entry process a few times a second; `reverted` lists falls."""
+
+    def __init__(self, site: ScenarioSite) -> None:
+        self.reverted: list[str] = []
+        self._site = site
+        self._stopped = threading.Event()
+        self._executor = ThreadPoolExecutor(1, thread_name_prefix="generations")
+        self._fut: Future[None] | None = None
+        self._seen: dict[int, int] = {}
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._fut = self._executor.submit(self._run)
+
+    def stop(self) -> None:
+        """End the watch; raises what ended it before."""
+        self._stopped.set()
+        if self._fut is not None:
+            self._fut.result()
+        self._executor.shutdown()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(INTERVAL_S):
+            for name, entry in list(self._site.entries.items()):
+                self._look(name, entry)
+
+    def _look(self, name: str, entry: EntryProcess) -> None:
+        fut = entry.kernel.ask("configuration", QueryConfiguration())
+        try:
+            generation = fut.result(REPLY_TIMEOUT_S).generation
+        except FutureTimeoutError:
+            # The process was stopped after it was asked.
+            return
+        seen = self._seen.get(id(entry), 0)
+        if generation < seen:
+            self.reverted.append(f"{name}: generation {seen}, then {generation}")
+        self._seen[id(entry)] = max(seen, generation)
--- /dev/null
+++ b/src/guavapin_scenarios/loads.py
@@ -0,0 +1,31 @@
+"""The requests of a load, repeatable by seed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin_demo.demand import plan_requests
+
+if TYPE_CHECKING:
+    from guavapin_demo.demand import PlannedRequest
+    from guavapin_scenarios.model import Load
+
+
+def planned_requests(load: Load, seed: int) -> tuple[PlannedRequest, ...]:
+    """Return all requests; their identities carry the name of the load."""
+    planned: tuple[PlannedRequest, ...] = ()
+    if load.plan is not None:
+        rng = random.Random(f"{seed}/{load.name}")
+        planned = plan_requests(load.plan, rng)
+    return tuple(_named(item, load.name) for item in (*planned, *load.requests))
+
+
+def _named(request: PlannedRequest, load: str) -> PlannedRequest:
+    key = request.idempotency_key
+    return replace(
+        request,
+        identity=f"{load}-{request.identity}",
+        idempotency_key=f"{load}-{key}" if key else "",
+    )
--- /dev/null
+++ b/src/guavapin_scenarios/runner.py
@@ -0,0 +1,128 @@
+"""Runs a scenario and judges it."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel import Refused
+from guavapin_scenarios.site import ScenarioSite
+from guavapin_scenarios.world import World
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from guavapin_scenarios.model import Scenario
+    from guavapin_scenarios.protocols import Evidence
+
+
+@dataclass(frozen=True, slots=True)
+class StepReport:
+    """One step: when it began, what it saw, whether it could be done."""
+
+    at_ms: int
+    step: str
+    detail: str
+    is_ok: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """One check; it holds if there are no faults."""
+
+    that: str
+    faults: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The verdict on one run; `answers` counts what callers got."""
+
+    file: str
+    name: str
+    seed: int
+    steps: tuple[StepReport, ...]
+    checks: tuple[CheckReport, ...]
+    answers: dict[str, int]
+    elapsed_ms: int
+    failure: str = ""
+
+    @property
+    def is_ok(self) -> bool:
+        """Return whether every step was done and every check holds."""
+        return (
+            not self.failure
+            and all(step.is_ok for step in self.steps)
+            and not any(check.faults for check in self.checks)
+        )
+
+
+def run_scenario(scenario: Scenario, seed: int, folder: Path) -> Report:
+    """Run on a new site; the steps after one that fails are not done."""
+    started = time.monotonic()
+    steps: list[StepReport] = []
+    checks: tuple[CheckReport, ...] = ()
+    answers: dict[str, int] = {}
+    failure = ""
+    site = ScenarioSite(scenario.site, folder)
+    with site, World(scenario, site, seed) as world:
+        _perform(world, steps)
+        world.site.release_controls()
+        evidence = world.gather()
+        checks = tuple(
+            CheckReport(item.that, item.check.faults(evidence))
+            for item in scenario.checks
+        )
+        answers = _count(evidence)
+        failure = _failed_processes(site)
+    elapsed_ms = round((time.monotonic() - started) * 1_000)
+    return Report(
+        scenario.file,
+        scenario.name,
+        seed,
+        tuple(steps),
+        checks,
+        answers,
+        elapsed_ms,
+        failure,
+    )
+
+
+def _perform(world: World, reports: list[StepReport]) -> None:
+    started = time.monotonic()
+
+    def elapsed_ms() -> int:
+        return round((time.monotonic() - started) * 1_000)
+
+    for item in world.scenario.steps:
+        wait_ms = item.at_ms - elapsed_ms()
+        if wait_ms > 0:
+            world.wait_until(lambda: False, wait_ms)
+        at_ms = elapsed_ms()
+        outcome = item.step.perform(world)
+        is_ok = not isinstance(outcome, Refused)
+        detail = str(outcome) if isinstance(outcome, Refused) else outcome.value
+        reports.append(StepReport(at_ms, item.kind, detail, is_ok))
+        if not is_ok:
+            return
+
+
+def _count(evidence: Evidence) -> dict[str, int]:
+    counts = Counter(item.result.value for item in evidence.all_answers)
+    return dict(sorted(counts.items()))
+
+
+def _failed_processes(site: ScenarioSite) -> str:
+    """Return the processes that ended by a broken invariant."""
+    kernels = [(f"entry {name}", item.kernel) for name, item in site.entries.items()]
+    kernels += [
+        (f"control {name}", item.kernel) for name, item in site.controls.items()
+    ]
+    failed = [
+        f"{name}: {kernel.failure!r}"
+        for name, kernel in kernels
+        if kernel.failure is not None
+    ]
+    return "; ".join(failed)
--- /dev/null
+++ b/src/guavapin_scenarios/script.py
@@ -0,0 +1,46 @@
+"""The tables of a script, on top of the reader of settings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from guavapin.objects.fields import show
+from guavapin.settings.reader import SettingsReader
+
+
+class ScriptReader(SettingsReader):
+    """Adds single values and arrays of tables at the top of a file."""
+
+    def value(self, key: str) -> object:
+        """Return a value at the top, None if it is missing."""
+        return self._tables.get(key)
+
+    def named(self, key: str) -> list[tuple[str, str, dict[str, Any]]]:
+        """Return place, name and content of each table ``[KEY.NAME]``."""
+        tables = self._tables.get(key, {})
+        if not isinstance(tables, dict):
+            self.fault(key, "", show(tables), f"tables [{key}.NAME]")
+            return []
+        return [
+            (f"{key}.{name}", name, dict(table))
+            for name, table in tables.items()
+            if self._is_table(f"{key}.{name}", table)
+        ]
+
+    def items(self, key: str) -> list[tuple[str, dict[str, Any]]]:
+        """Return place and content of each table ``[[KEY]]``, numbered from 0."""
+        tables = self._tables.get(key, [])
+        if not isinstance(tables, list):
+            self.fault(key, "", show(tables), f"tables [[{key}]]")
+            return []
+        return [
+            (f"{key}.{index}", dict(table))
+            for index, table in enumerate(tables)
+            if self._is_table(f"{key}.{index}", table)
+        ]
+
+    def _is_table(self, place: str, table: object) -> bool:
+        if isinstance(table, dict):
+            return True
+        self.fault(place, "", show(table), "a table")
+        return False
--- /dev/null
+++ b/src/guavapin_scenarios/steps_hosts.py
@@ -0,0 +1,106 @@
+"""Steps: faults of hosts and racks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin.kernel import Ok
+from guavapin.kernel import Reason
+from guavapin.kernel import Refused
+from guavapin.objects.fields import ChoiceRule
+from guavapin.objects.fields import NameRule
+from guavapin.objects.fields import NamesRule
+from guavapin_scenarios.kinds import StepKind
+from guavapin_standins.upstream_messages import Behaviour
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Outcome
+    from guavapin_scenarios.world import World
+
+_BEHAVIOURS = {
+    "work": Behaviour(),
+    "fail everything": Behaviour(fails=True),
+    "go silent": Behaviour(is_silent=True),
+    "say they leave": Behaviour(is_leaving=True),
+    "cut answers": Behaviour(cut_body_bytes=3),
+    "are slow": Behaviour(slow_ms=2_000),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class HostsBehave:
+    """Hosts by name, by pool or by rack behave in one way from now on.
+
+    "go silent" concerns the connections that are open now; new ones work.
+    """
+
+    how: str
+    hosts: tuple[str, ...] = ()
+    pool: str = ""
+    rack: str = ""
+
+    def perform(self, world: World) -> Outcome[str]:
+        """Switch the stand-ins."""
+        hosts = _select(world, self.hosts, self.pool, self.rack)
+        if not hosts:
+            return Refused(Reason.MISSING, "the step names no host of the site")
+        for host in hosts:
+            world.site.set_behaviour(host, _BEHAVIOURS[self.how])
+        return Ok(f"{', '.join(hosts)} {self.how}")
+
+
+@dataclass(frozen=True, slots=True)
+class LoseRack:
+    """All hosts of a rack lose power; the platform lists them as gone after its lag.
+
+    With `is_back` they return.
+    """
+
+    rack: str
+    is_back: bool = False
+
+    def perform(self, world: World) -> Outcome[str]:
+        """Switch the stand-ins and the platform's list."""
+        hosts = _select(world, (), "", self.rack)
+        if not hosts:
+            return Refused(Reason.MISSING, f"no host is in rack {self.rack!r}")
+        for host in hosts:
+            world.site.set_behaviour(host, Behaviour(is_down=not self.is_back))
+            world.site.platform.set_host(host, "live" if self.is_back else "gone")
+        return Ok(f"{', '.join(hosts)} {'are back' if self.is_back else 'are lost'}")
+
+
+def return_rack(rack: str) -> LoseRack:
+    """Return the step that ends the loss of a rack."""
+    return LoseRack(rack, is_back=True)
+
+
+def _select(
+    world: World, names: tuple[str, ...], pool: str, rack: str
+) -> tuple[str, ...]:
+    return tuple(
+        host.name
+        for host in world.site.objects.hosts.values()
+        if host.name in names
+        or (pool and host.pool == pool)
+        or (rack and host.rack == rack)
+    )
+
+
+_RACK = {"rack": NameRule()}
+
+HOST_STEPS = {
+    "hosts": StepKind(
+        HostsBehave,
+        {
+            "how": ChoiceRule(tuple(_BEHAVIOURS)),
+            "hosts": NamesRule(),
+            "pool": NameRule(),
+            "rack": NameRule(),
+        },
+        frozenset({"how"}),
+    ),
+    "lose rack": StepKind(LoseRack, _RACK, frozenset({"rack"})),
+    "return rack": StepKind(return_rack, _RACK, frozenset({"rack"})),
+}
--- a/src/guavapin_standins/upstream.py
+++ b/src/guavapin_standins/upstream.py
@@ -80,16 +80,22 @@
     def start(self, context: TaskContext) -> Outcome[None]:
         """Open the listener."""
         self._context = context
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._address, self.port))
-        listener.listen(1_024)
-        listener.setblocking(False)
-        self.port = listener.getsockname()[1]
-        self._listener = listener
-        context.watch(listener.fileno(), selectors.EVENT_READ, self._on_accept)
+        self._bind()
+        self._listen()
         return Ok(None)
 
+    def _bind(self) -> None:
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((self._address, self.port))
+        self.port = self._listener.getsockname()[1]
+
+    def _listen(self) -> None:
+        self._listener.listen(1_024)
+        self._listener.setblocking(False)
+        fd = self._listener.fileno()
+        self._context.watch(fd, selectors.EVENT_READ, self._on_accept)
+
     def stop(self) -> None:
         """Close the listener and all connections."""
         self._context.unwatch(self._listener.fileno())
@@ -115,7 +121,13 @@
                 self._write_part(conn)
 
     def _set_behaviour(self, behaviour: Behaviour) -> None:
-        self._behaviour = behaviour
+        was_down, self._behaviour = self._behaviour.is_down, behaviour
+        if behaviour.is_down and not was_down:
+            self.stop()
+            # The bound port cannot be taken by another socket in the meantime.
+            self._bind()
+        elif was_down and not behaviour.is_down:
+            self._listen()
         for conn in self._conns.values():
             if behaviour.is_silent and not conn.is_silent:
                 conn.is_silent = True
--- a/src/guavapin_standins/upstream_messages.py
+++ b/src/guavapin_standins/upstream_messages.py
@@ -13,7 +13,8 @@
     `cut_body_bytes` closes the connection after that many bytes of an answer's body,
     `close_unanswered` is how many requests run and are then closed without an answer,
     `is_silent` stops reading and writing on all connections that are open when it is
-    set, while new ones work.
+    set, while new ones work. `is_down` closes all connections, ends what runs and
+    refuses new connections, as a host without power or in a reboot does.
     """
 
     fails: bool = False
@@ -27,6 +28,7 @@
     resets: bool = False
     part_bytes: int = 0
     part_interval_ms: int = 0
+    is_down: bool = False
 
 
 @dataclass(frozen=True, slots=True)
