--- a/src/guavapin/kernel/kernel.py
+++ b/src/guavapin/kernel/kernel.py
@@ -201,7 +201,7 @@
         try:
             outcome = fut.result()
         except Exception as exc:
-            detail = f"service {name!r} failed to start: {exc!r}"
+            detail = f"service {name!r} failed to start: {self.failure or exc!r}"
             return Refused(Reason.START_FAILED, detail)
         if isinstance(outcome, Refused):
             detail = f"service {name!r} failed to start: {outcome}"
