Choose ports that no connection takes; drain scenarios like the daemon

Cause: ports chosen by the operating system for listeners were taken by its own connections before their use, so a test run beside others failed to start a site. Change: ports below the range of connections, none handed out twice; scenarios stop an entry process with the daemon's own drain, which also releases its seat. Conclusion: the verdict no longer hangs on what else runs on the machine.

--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -24,6 +23,7 @@
 from guavapin.settings.parts import ListenerSettings
 from guavapin.settings.parts import NodeSettings
 from guavapin.settings.parts import PlatformSettings
+from guavapin_demo.ports import free_ports
 from guavapin_demo.sites import build_objects
 from guavapin_demo.usage import UsageTask
 from guavapin_standins.platform import RunningPlatform
@@ -211,7 +211,7 @@
 
 def _allocate_addresses(site: Site) -> tuple[EntryAddresses, ...]:
     count = sum(site.seats)
-    ports = iter(_free_ports(4 * count))
+    ports = iter(free_ports(4 * count))
     return tuple(
         EntryAddresses(
             f"{zone}-e{seat}",
@@ -222,13 +222,3 @@
         for zone, seats in zip(site.zones, site.seats, strict=True)
         for seat in range(seats)
     )
-
-
-def _free_ports(count: int) -> list[int]:
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
--- a/src/guavapin_scenarios/site.py
+++ b/src/guavapin_scenarios/site.py
@@ -4,17 +4,16 @@
 
 import threading
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
 from guavapin.composition import CONTROL
 from guavapin.composition import compose_control
 from guavapin.composition import compose_entry
+from guavapin.daemons.entry import drain_entry
 from guavapin.kernel import Ok
 from guavapin.kernel import Refused
-from guavapin.peers.messages import AnnounceLeaving
-from guavapin.serving.messages import StopAccepting
-from guavapin.serving.readiness import BeginStop
 from guavapin_demo.embedded import EmbeddedSite
 from guavapin_scenarios.host_reports import HostReportsTask
 from guavapin_standins.upstream_messages import GetRunning
@@ -84,21 +83,16 @@
     def __init__(self, site: Site, folder: Path) -> None:
         self.zone_filter = ZoneFilter()
         self.reports: HostReportsTask
-        self._started: set[str] = set()
         self._holds: dict[str, threading.Event] = {}
         super().__init__(site, folder, self.zone_filter)
 
     def start_entry(self, address: EntryAddresses) -> None:
-        """Start an entry process; a later process of a seat holds its slots off."""
-        is_first_start = address.name not in self._started
-        self._started.add(address.name)
+        """Start an entry process; after a crash its seat holds its slots off."""
 
         def compose() -> Outcome[None]:
             process = _expect(
                 compose_entry(
-                    self._entry_settings(address),
-                    peer_filter=self.zone_filter,
-                    is_first_start=is_first_start,
+                    self._entry_settings(address), peer_filter=self.zone_filter
                 )
             )
             outcome = process.kernel.start()
@@ -127,11 +121,9 @@
 
     def drain_entry(self, name: str) -> None:
         """Stop an entry process gracefully, as `guavapin.daemons.entry` does."""
-        kernel = self.entries[name].kernel
-        kernel.ask("readiness", BeginStop()).result(REPLY_TIMEOUT_S)
-        kernel.deliver("peers", AnnounceLeaving())
-        kernel.wait_for_failure(NOTICE_MS)
-        kernel.ask("front", StopAccepting()).result(DRAIN_TIMEOUT_S)
+        settings = self._entry_settings(self.address(name))
+        limits = replace(settings.limits, unready_notice_ms=NOTICE_MS)
+        drain_entry(self.entries[name], replace(settings, limits=limits))
         self.stop_entry(name)
 
     def stop_entry(self, name: str) -> None:
--- a/tests/daemons/test_daemons.py
+++ b/tests/daemons/test_daemons.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -16,10 +15,20 @@
 from guavapin.console.client import OperatorsClient
 from guavapin.kernel import Ok
 from guavapin.operators.configuration_calls import PublishBody
+from guavapin_demo.ports import free_ports
 
 TOKEN = "test-operator-token"
 PAUSE = threading.Event()
 TIMEOUT_S = 60
+PORT_NAMES = (
+    "platform",
+    "upstream",
+    "second",
+    "callers",
+    "peers",
+    "operators",
+    "control",
+)
 
 OBJECTS = """
 [availability_zone.east]
@@ -65,16 +74,6 @@
 """
 
 
-def free_ports(*names: str) -> dict[str, int]:
-    socks = {name: socket.socket() for name in names}
-    for sock in socks.values():
-        sock.bind(("127.0.0.1", 0))
-    ports = {name: sock.getsockname()[1] for name, sock in socks.items()}
-    for sock in socks.values():
-        sock.close()
-    return ports
-
-
 def wait_until(condition) -> None:
     for _ in range(TIMEOUT_S * 20):
         if condition():
@@ -95,15 +94,7 @@
 class Site:
     def __init__(self, folder) -> None:
         self.folder = folder
-        self.ports = free_ports(
-            "platform",
-            "upstream",
-            "second",
-            "callers",
-            "peers",
-            "operators",
-            "control",
-        )
+        self.ports = dict(zip(PORT_NAMES, free_ports(len(PORT_NAMES)), strict=True))
         self.processes: list[subprocess.Popen] = []
         tokens = folder / "tokens"
         tokens.write_text(f"ana {TOKEN}\n")
