Export the counters of all tasks on /metrics

Cause: the tasks kept counters that no operator could read; /metrics showed only the calls of the operators' interface.

Conclusion: no thread reads a task's counters while they change.

--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -22,7 +22,10 @@
 from guavapin.kernel import Ok
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
+from guavapin.metrics.collector import TasksCollector
 from guavapin.metrics.metrics import Metrics
+from guavapin.metrics.sources import CONTROL_SOURCES
+from guavapin.metrics.sources import ENTRY_SOURCES
 from guavapin.operators.access import AccessPolicy
 from guavapin.operators.access import load_tokens
 from guavapin.operators.app import OperatorsApp
@@ -103,6 +106,7 @@
         lambda: readiness.is_ready,
     )
     operators = OperatorsTask(cfg.operators, app)
+    metrics.add_collector(TasksCollector(kernel, ENTRY_SOURCES))
     incarnation = kernel.clock.wall_ms()
     _register_serving(kernel, cfg, front, readiness, incarnation)
     _register_entry_control(kernel, cfg, peer_filter)
@@ -126,6 +130,7 @@
     metrics = Metrics()
     app = OperatorsApp((), access.value, metrics, lambda: True)
     operators = OperatorsTask(cfg.operators, app)
+    metrics.add_collector(TasksCollector(kernel, CONTROL_SOURCES))
     node = cfg.node
     kernel.register(PlatformTask(platform_config(cfg.platform, node)), CONTROL)
     kernel.register(IsolatedPeersTask(), CONTROL)
--- a/src/guavapin/duties/messages.py
+++ b/src/guavapin/duties/messages.py
@@ -36,6 +36,20 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class QueryDuty:
+    """To the duty's task, as a `Call`: the reply is `DutyStatus`."""
+
+
+@dataclass(frozen=True, slots=True)
+class DutyStatus:
+    """Whether this process holds `duty`, and its fencing token."""
+
+    duty: str
+    is_held: bool
+    token: int
+
+
 @dataclass(frozen=True, slots=True)
 class PoolDemand:
     """To `fleet_duty`: hosts that the present load of each pool needs."""
--- a/src/guavapin/duties/task.py
+++ b/src/guavapin/duties/task.py
@@ -10,10 +10,13 @@
 from guavapin.duties.lease import DutyLease
 from guavapin.duties.messages import DutyHeld
 from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import DutyStatus
 from guavapin.duties.messages import GiveUpDuty
+from guavapin.duties.messages import QueryDuty
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.task import Call
 from guavapin.platform import messages as platform
 
 if TYPE_CHECKING:
@@ -70,6 +73,8 @@
         elif isinstance(message, GiveUpDuty):
             if message.token == self._lease.token:
                 self._take(machine.give_up(self._lease))
+        elif isinstance(message, Call) and isinstance(message.body, QueryDuty):
+            message.fut.set_result(self._status())
         elif isinstance(message, _Check):
             self._check()
         elif isinstance(message, platform.Reply):
@@ -94,6 +99,11 @@
             self._take(machine.give_up(self._lease))
         self._context.set_timer(CHECK_MS, _Check())
 
+    def _status(self) -> DutyStatus:
+        lease = self._lease
+        is_held = lease.is_held(self._context.clock.now_ms())
+        return DutyStatus(lease.duty, is_held, lease.token)
+
     def _take(self, step: machine.Step) -> None:
         old, (self._lease, actions) = self._lease, step
         for action in actions:
--- a/src/guavapin/fleet/view.py
+++ b/src/guavapin/fleet/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import replace
 from enum import Enum
@@ -23,6 +24,7 @@
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.kernel.task import Call
+from guavapin.metrics.messages import QueryCounters
 from guavapin.platform import messages as platform
 
 if TYPE_CHECKING:
@@ -123,6 +125,8 @@
             self._take(adopt_leaving(self._fleet, message.hosts))
         elif isinstance(message, Call) and isinstance(message.body, QueryFleet):
             message.fut.set_result(self._fleet)
+        elif isinstance(message, Call) and isinstance(message.body, QueryCounters):
+            message.fut.set_result(asdict(self.counters))
         elif isinstance(message, RelayWanted):
             self._relay()
         elif isinstance(message, WatchRole):
--- a/src/guavapin/fleet/writer.py
+++ b/src/guavapin/fleet/writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import asdict
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,7 @@
 from guavapin.kernel.outcome import Reason
 from guavapin.kernel.outcome import Refused
 from guavapin.kernel.task import Call
+from guavapin.metrics.messages import QueryCounters
 from guavapin.platform import messages as platform
 
 if TYPE_CHECKING:
@@ -98,6 +100,8 @@
         if isinstance(message, Call) and isinstance(message.body, FleetCommand):
             if message.fut.set_running_or_notify_cancel():
                 self._accept(Job(message.body, fut=message.fut))
+        elif isinstance(message, Call) and isinstance(message.body, QueryCounters):
+            message.fut.set_result(asdict(self.counters))
         elif isinstance(message, Execute):
             job = Job(
                 message.command,
--- a/src/guavapin/metrics/metrics.py
+++ b/src/guavapin/metrics/metrics.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from prometheus_client.registry import Collector
+
 PREFIX = "guavapin"
 # Upper bounds in seconds; the low end resolves the added time of an entry process,
 # the high end the longest service timeouts.
@@ -81,6 +83,10 @@
             self._by_name[name] = metric
         return metric
 
+    def add_collector(self, collector: Collector) -> None:
+        """Add metrics that are collected at each scrape."""
+        self._registry.register(collector)
+
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         return generate_latest(self._registry)
--- a/src/guavapin/peers/registration.py
+++ b/src/guavapin/peers/registration.py
@@ -15,6 +15,8 @@
 
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.task import Call
+from guavapin.metrics.messages import QueryCounters
 from guavapin.peers.messages import AddPeers
 from guavapin.peers.messages import PeerAddress
 from guavapin.platform.messages import Conflict
@@ -92,6 +94,8 @@
                 self._renew()
             case _List():
                 self._list()
+            case Call(QueryCounters(), fut):
+                fut.set_result(dict(self.counters))
             case _:
                 self.counters["unexpected_messages"] += 1
 
--- a/src/guavapin/platform/client.py
+++ b/src/guavapin/platform/client.py
@@ -16,6 +16,7 @@
 from guavapin.kernel import Ok
 from guavapin.kernel import Outcome
 from guavapin.kernel.outcome import InvariantError
+from guavapin.metrics.messages import QueryCounters
 from guavapin.platform.budget import TokenBucket
 from guavapin.platform.messages import NotSent
 from guavapin.platform.messages import PlatformOutcome
@@ -147,6 +148,8 @@
         elif isinstance(message, _Retry):
             self._timer = None
             self._send_waiting()
+        elif isinstance(message, Call) and isinstance(message.body, QueryCounters):
+            message.fut.set_result(dict(self.counters))
         elif isinstance(message, Call):
             self._accept(message.body, message)
         else:
--- a/src/guavapin/serving/readiness.py
+++ b/src/guavapin/serving/readiness.py
@@ -20,6 +20,11 @@
     """The process stops: not ready from now on. Also accepted as a `Call`."""
 
 
+@dataclass(frozen=True, slots=True)
+class QueryReady:
+    """Asked as a `Call`; the reply tells whether this process is ready."""
+
+
 class ReadinessTask:
     """Service `readiness`: ready once there are routes to at least one upstream.
 
@@ -46,6 +51,8 @@
                 self._set(table.generation > 0 and has_upstreams)
             case BeginStop():
                 self._begin_stop()
+            case Call(QueryReady(), fut):
+                fut.set_result(self.is_ready)
             case Call(BeginStop(), fut):
                 self._begin_stop()
                 fut.set_result(Ok(None))
--- a/tests/daemons/test_daemons.py
+++ b/tests/daemons/test_daemons.py
@@ -12,6 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from prometheus_client.parser import text_string_to_metric_families
 
 from guavapin.console.client import OperatorsClient
 from guavapin.kernel import Ok
@@ -209,3 +210,34 @@
     assert done.returncode == 2
     for key in ("seat", "zome", "zone"):
         assert f"[node] {key}" in done.stderr
+
+
+def scrape(port: int) -> dict[str, float]:
+    text = urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics").read().decode()
+    return {
+        "".join((s.name, *(f"/{v}" for v in s.labels.values()))): s.value
+        for family in text_string_to_metric_families(text)
+        for s in family.samples
+    }
+
+
+def test_metrics_of_both_daemons_show_state_and_counters(site):
+    # Guards against a source whose question its task does not know, which would stop
+    # the task or leave its metrics out.
+    site.start_all()
+    site.publish()
+    site.request("/renewals/metrics", 10)
+    # The process is ready with the first host placed; the second follows.
+    wait_until(lambda: scrape(site.ports["operators"])["guavapin_fleet_hosts/yes"] == 2)
+    entry = scrape(site.ports["operators"])
+    assert entry["guavapin_scrape_silent_services"] == 0
+    assert entry["guavapin_ready"] == 1
+    assert entry["guavapin_configuration_generation"] == 1
+    assert entry["guavapin_fleet_revision"] > 0
+    assert entry["guavapin_front_requests_in_progress"] == 0
+    assert entry["guavapin_front_events_total/requests"] >= 1
+    assert entry["guavapin_platform_calls_total/put/Written"] >= 1
+    wait_until(lambda: scrape(site.ports["control"])["guavapin_duty_held/fleet"] == 1)
+    control = scrape(site.ports["control"])
+    assert control["guavapin_scrape_silent_services"] == 0
+    assert control["guavapin_configuration_generation"] == 1
