Log changes of state as JSON lines

Cause: the daemons logged only their start and stop, so a log did not tell when a process became ready, took over a configuration or lost its duty.

Change: one line for ready and unready, an adopted generation, a host whose view changed, a duty held or lost, a breaker opened or closed. The first fleet record, or one that changes over 50 hosts, gets one line for all.

Conclusion: the number of lines follows the changes, not the requests.

--- a/src/guavapin/duties/task.py
+++ b/src/guavapin/duties/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -27,6 +28,8 @@
 # An expired lease is noticed by the holder within this time even without an answer.
 CHECK_MS = 250
 
+log = logging.getLogger("guavapin.duty")
+
 
 @dataclass(frozen=True, slots=True)
 class _Tick:
@@ -109,8 +112,12 @@
         for action in actions:
             self._do(action)
         if self._lease.phase is machine.LeasePhase.HELD:
+            if old.phase is not machine.LeasePhase.HELD:
+                extra = {"duty": old.duty, "token": self._lease.token}
+                log.info("duty held", extra=extra)
             self._tell_held()
         elif old.phase is machine.LeasePhase.HELD:
+            log.info("duty lost", extra={"duty": old.duty, "token": old.token})
             self._told_until_ms = 0
             self._tell(DutyLost(old.duty))
 
--- a/src/guavapin/fleet/view.py
+++ b/src/guavapin/fleet/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from dataclasses import asdict
 from dataclasses import dataclass
@@ -28,6 +29,7 @@
 from guavapin.platform import messages as platform
 
 if TYPE_CHECKING:
+    from guavapin.fleet.effective import FleetChanged
     from guavapin.kernel.task import TaskContext
     from guavapin.kernel.task import TimerHandle
 
@@ -47,6 +49,11 @@
 
 WATCH_WAIT_MS = 20_000
 
+# More changes at once, such as the first record, get one line for all.
+MAX_LINES = 50
+
+log = logging.getLogger("guavapin.fleet_view")
+
 # After a failed call the next one waits this long, with jitter, so that an outage
 # does not end in a burst of calls from all processes.
 RETRY_MS = 1_000
@@ -228,6 +235,7 @@
         old, self._fleet = self._fleet, fleet
         message = changes(old, fleet)
         if message is not None:
+            _log_changes(old, message)
             for service in self._subscribers:
                 self._context.send(service, message)
 
@@ -244,3 +252,21 @@
         if purpose is not _Purpose.HOSTS or not self._is_holder:
             delay_ms = round(delay_ms * self._random.uniform(0.75, 1.25))
         self._timers[purpose] = self._context.set_timer(delay_ms, _Due(purpose))
+
+
+def _log_changes(old: FollowedFleet, message: FleetChanged) -> None:
+    if not old.hosts or len(message.changed) > MAX_LINES:
+        summary = {"revision": message.revision, "hosts": len(message.changed)}
+        log.info("fleet view changed for many hosts", extra=summary)
+        return
+    for name in message.changed:
+        view = message.hosts.get(name)
+        extra: dict[str, object] = {"revision": message.revision, "host": name}
+        if view is None:
+            log.info("host removed", extra=extra)
+            continue
+        extra |= {"pool": view.pool, "reason": view.reason}
+        text = (
+            "host takes new work" if view.takes_new_work else "host takes no new work"
+        )
+        log.info(text, extra=extra)
--- a/src/guavapin/publication/configuration.py
+++ b/src/guavapin/publication/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -57,6 +58,8 @@
 # One peer is asked for a newer head at a time; the next one after this time.
 ASK_AGAIN_MS = 500
 
+log = logging.getLogger("guavapin.configuration")
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationConfig:
@@ -244,6 +247,8 @@
         self._adopted = ConfigurationAdopted(generation, action.objects)
         self._adopted_ms = self._context.clock.wall_ms()
         self.counters["adoptions"] += 1
+        extra = {"generation": generation, "source": action.source}
+        log.info("generation adopted", extra=extra)
         self._context.send("peers", AnnounceGeneration(generation))
         if action.source == PLATFORM:
             offer = GenerationOffer(generation, encode_head(action.head))
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -37,6 +38,8 @@
 LEAVING_MS = 60_000
 MAX_PICKS = 3
 
+log = logging.getLogger("guavapin.exchanges")
+
 
 class ExchangePool:
     """Upstreams of one pool; `records` and `health` are keyed by host."""
@@ -250,10 +253,17 @@
         self._trials.set_member(host, is_due and record.upstream.takes_work)
         changing = exchange_upstream.is_changing(record, settings, now_ms)
         self._changing.set_member(host, changing)
-        if record.health.breaker is Breaker.CLOSED:
-            self._ejected.discard(host)
-        else:
+        is_open = record.health.breaker is not Breaker.CLOSED
+        if is_open != (host in self._ejected):
+            self._set_ejected(host, is_open)
+
+    def _set_ejected(self, host: str, is_open: bool) -> None:
+        text = "circuit breaker opened" if is_open else "circuit breaker closed"
+        log.info(text, extra={"host": host, "pool": self.name})
+        if is_open:
             self._ejected.add(host)
+        else:
+            self._ejected.discard(host)
 
     def _may_eject(self) -> bool:
         if not self._settings.ejects:
--- a/src/guavapin/serving/readiness.py
+++ b/src/guavapin/serving/readiness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,8 @@
     from guavapin.kernel import Outcome
     from guavapin.kernel import TaskContext
 
+log = logging.getLogger("guavapin.readiness")
+
 
 @dataclass(frozen=True, slots=True)
 class BeginStop:
@@ -37,6 +40,7 @@
     def __init__(self) -> None:
         self.is_ready = False
         self._is_stopping = False
+        self._generation = 0
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Keep the context; not ready yet."""
@@ -47,6 +51,7 @@
         """Handle new routes or the begin of a stop."""
         match message:
             case RouteTableChanged(table):
+                self._generation = table.generation
                 has_upstreams = any(table.upstreams.values())
                 self._set(table.generation > 0 and has_upstreams)
             case BeginStop():
@@ -68,4 +73,6 @@
         is_ready = is_ready and not self._is_stopping
         if is_ready != self.is_ready:
             self.is_ready = is_ready
+            text = "ready" if is_ready else "unready"
+            log.info(text, extra={"generation": self._generation})
             self._context.send("front", SetReady(is_ready))
--- /dev/null
+++ b/tests/metrics/test_logs.py
@@ -0,0 +1,125 @@
+"""Log lines tell changes of state, each once, and nothing of single requests."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+
+import pytest
+
+from guavapin.duties.task import DutyTask
+from guavapin.kernel.harness import TaskHarness
+from guavapin.metrics.logs import configure_logs
+from guavapin.objects.model import ObjectSet
+from guavapin.serving.messages import AttemptResult
+from guavapin.serving.messages import StartAttempt
+from guavapin.serving.readiness import BeginStop
+from guavapin.serving.readiness import ReadinessTask
+from guavapin.serving.route_table import RouteTableChanged
+from guavapin.serving.route_table import build_route_table
+from tests.fleet.builders import placed
+from tests.fleet.platform_double import PlatformDouble
+from tests.fleet.platform_double import pump
+from tests.fleet.test_view import DRAINED
+from tests.fleet.test_view import OBJECTS
+from tests.fleet.test_view import Rig as ViewRig
+from tests.publication.store import Store
+from tests.publication.test_configuration import Node
+from tests.publication.test_configuration import put_generation
+from tests.serving import exchange_support
+
+
+@pytest.fixture
+def lines():
+    """Return a function that gives the lines of a logger so far, without time."""
+    root = logging.getLogger("guavapin")
+    former = (root.handlers[:], root.level, root.propagate)
+    stream = io.StringIO()
+    configure_logs("info", "e0", stream)
+
+    def read(name):
+        found = [json.loads(line) for line in stream.getvalue().splitlines()]
+        own = [line for line in found if line["name"] == f"guavapin.{name}"]
+        kept = {"time", "level", "name", "node"}
+        return [{k: v for k, v in line.items() if k not in kept} for line in own]
+
+    yield read
+    root.handlers[:], root.propagate = former[0], former[2]
+    root.setLevel(former[1])
+
+
+def test_ready_and_unready_are_told_once(lines):
+    task = ReadinessTask()
+    TaskHarness(task).start()
+    objects = exchange_support.make_objects()
+    pools = dict.fromkeys(objects.hosts, "p")
+    for _ in range(3):
+        task.handle(RouteTableChanged(build_route_table(objects, 7, pools)))
+    task.handle(RouteTableChanged(build_route_table(ObjectSet(), 8, {})))
+    task.handle(BeginStop())
+    assert lines("readiness") == [
+        {"message": "ready", "generation": 7},
+        {"message": "unready", "generation": 8},
+    ]
+
+
+def test_adoption_names_the_generation(lines):
+    store = Store()
+    put_generation(store, 1)
+    node = Node(store)
+    node.advance(2_000)
+    (line,) = lines("configuration")
+    assert line["message"] == "generation adopted"
+    assert line["generation"] == node.adopted[-1]
+
+
+def test_first_view_has_one_line_and_a_change_one_a_host(lines):
+    # Guards against one line for each of 1,100 hosts at every start.
+    rig = ViewRig()
+    rig.store(placed(OBJECTS))
+    rig.start()
+    (first,) = lines("fleet_view")
+    assert first["hosts"] == len(OBJECTS.hosts)
+    rig.store(DRAINED)
+    rig.harness.advance(60_000)
+    rig.pump()
+    line = lines("fleet_view")[1]
+    assert (line["message"], line["host"]) == ("host takes no new work", "a0")
+    assert line["pool"] == OBJECTS.hosts["a0"].pool
+    assert line["reason"].startswith("drain")
+    assert len(lines("fleet_view")) == 2
+
+
+def test_duty_is_told_when_held_and_when_lost(lines):
+    double = PlatformDouble()
+    task = DutyTask("fleet", "first", ("worker",))
+    harness = TaskHarness(task)
+    harness.start()
+    for _ in range(200):
+        pump(harness, task, double)
+        harness.advance(50)
+    task.stop()
+    held, lost = lines("duty")
+    assert held["message"] == "duty held" and lost["message"] == "duty lost"
+    assert held["duty"] == lost["duty"] == "fleet"
+    assert held["token"] == lost["token"] == double.keys["duty/fleet"][1]
+
+
+def test_breaker_is_told_but_not_single_requests(lines):
+    rig = exchange_support.Rig(exchange_support.make_objects(hosts=2))
+    for number in range(1, 41):
+        rig.request(number, "POST")
+        for start in rig.take(StartAttempt):
+            is_bad = start.address.startswith("h0")
+            result = AttemptResult.BROKEN if is_bad else AttemptResult.COMPLETE
+            rig.end(start.attempt_id, result)
+    opened = {"message": "circuit breaker opened", "host": "h0", "pool": "p"}
+    assert lines("exchanges") == [opened]
+    for number in range(41, 200):
+        rig.harness.advance(250)
+        rig.request(number)
+        for start in rig.take(StartAttempt):
+            rig.answer(start.attempt_id)
+    closed = {"message": "circuit breaker closed", "host": "h0", "pool": "p"}
+    assert lines("exchanges") == [opened, closed]
