Take TLS files for the callers' listener from the settings

Cause: the front could speak TLS, but no setting reached it.

Change: [callers] takes tls_certificate_file and tls_key_file, both or none.

Conclusion: callers' TLS works from the settings on; spillover between zones needs a second listener or TLS towards entry hosts and stays open.

--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -185,7 +185,7 @@
 ) -> None:
     kernel.register(UpstreamsTask(UpstreamsConfig()), SERVING)
     kernel.register(
-        ExchangesTask(_exchange_settings(cfg, incarnation)),
+        ExchangesTask(exchange_settings(cfg, incarnation)),
         SERVING,
         ("upstreams", "claims", "peers"),
     )
@@ -245,10 +245,18 @@
         max_connections=cfg.limits.callers,
         max_head_bytes=cfg.limits.header_bytes,
         idle_timeout_ms=cfg.limits.idle_timeout_ms,
+        certificate_file=cfg.callers_tls.tls_certificate_file,
+        key_file=cfg.callers_tls.tls_key_file,
     )
 
 
-def _exchange_settings(cfg: EntrySettings, incarnation: int) -> ExchangeSettings:
+def exchange_settings(cfg: EntrySettings, incarnation: int) -> ExchangeSettings:
+    """Return the settings of `exchanges`.
+
+    Entry hosts of other zones send plain HTTP, which a listener with TLS would break
+    off with an unknown outcome, so its address is not offered to them.
+    """
+    has_tls = bool(cfg.callers_tls.tls_certificate_file)
     return ExchangeSettings(
         zone=cfg.node.zone,
         seat=cfg.node.seat,
@@ -256,7 +264,7 @@
         seed=incarnation,
         peers_service="peers",
         claims_service="claims",
-        callers_address=cfg.callers_address,
+        callers_address="" if has_tls else cfg.callers_address,
     )
 
 
--- a/src/guavapin/settings/entry.py
+++ b/src/guavapin/settings/entry.py
@@ -8,14 +8,17 @@
 from guavapin.objects.fields import AddressRule
 from guavapin.objects.fields import NameRule
 from guavapin.objects.fields import WholeRule
-from guavapin.settings.parts import ADDRESS_RULES
+from guavapin.settings.parts import CALLERS_RULES
 from guavapin.settings.parts import NODE_RULES
 from guavapin.settings.parts import OPERATORS_RULES
+from guavapin.settings.parts import PLAIN_HTTP
 from guavapin.settings.parts import PLATFORM_RULES
+from guavapin.settings.parts import CallersTls
 from guavapin.settings.parts import ListenerSettings
 from guavapin.settings.parts import NodeSettings
 from guavapin.settings.parts import PlatformSettings
 from guavapin.settings.parts import check_operators
+from guavapin.settings.parts import check_tls_pair
 from guavapin.settings.reader import SettingsFault
 from guavapin.settings.reader import SettingsReader
 from guavapin.settings.reader import TableRules
@@ -72,6 +75,7 @@
     peers: PeersSettings
     platform: PlatformSettings
     limits: EntryLimits
+    callers_tls: CallersTls = PLAIN_HTTP
 
 
 _TABLES = ("node", "callers", "operators", "peers", "platform", "limits")
@@ -116,9 +120,7 @@
     """Return the settings in `text`, or every error; `file` is named in errors."""
     reader = SettingsReader(file, text, _TABLES)
     node = reader.table("node", NODE_RULES)
-    callers = reader.table(
-        "callers", TableRules(ADDRESS_RULES, frozenset(ADDRESS_RULES))
-    )
+    callers = reader.table("callers", CALLERS_RULES)
     operators = reader.table("operators", OPERATORS_RULES)
     seeds = reader.tables("peers", "seed", _SEED_RULES)
     peers = reader.table("peers", _PEERS_RULES, ignored=("seed",))
@@ -128,12 +130,14 @@
         return tuple(reader.faults)
     settings = EntrySettings(
         node=NodeSettings(**node),
-        callers_address=callers["address"],
+        callers_address=callers.pop("address"),
         operators=ListenerSettings(**operators),
         peers=PeersSettings(**peers, seeds=tuple(SeedPeer(**item) for item in seeds)),
         platform=PlatformSettings(**platform),
         limits=EntryLimits(**limits),
+        callers_tls=CallersTls(**callers),
     )
+    check_tls_pair(reader, "callers", settings.callers_tls)
     check_operators(reader, settings.operators)
     _check_seeds(reader, settings.peers.seeds)
     return tuple(reader.faults) if reader.faults else settings
--- a/src/guavapin/settings/parts.py
+++ b/src/guavapin/settings/parts.py
@@ -8,7 +8,6 @@
 
 from guavapin.objects.fields import AddressRule
 from guavapin.objects.fields import ChoiceRule
-from guavapin.objects.fields import FieldRule
 from guavapin.objects.fields import NameRule
 from guavapin.objects.fields import TextRule
 from guavapin.objects.fields import WholeRule
@@ -44,6 +43,17 @@
     tls_client_ca_file: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class CallersTls:
+    """Certificate and key of the callers' listener; plain HTTP without them."""
+
+    tls_certificate_file: str = ""
+    tls_key_file: str = ""
+
+
+PLAIN_HTTP = CallersTls()
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
     """The platform's key-value service and the limits of the calls to it."""
@@ -85,16 +95,30 @@
     frozenset({"address"}),
 )
 
-ADDRESS_RULES: dict[str, FieldRule] = {"address": AddressRule()}
+CALLERS_RULES = TableRules(
+    {
+        "address": AddressRule(),
+        "tls_certificate_file": _FILE,
+        "tls_key_file": _FILE,
+    },
+    frozenset({"address"}),
+)
 
 
-def check_operators(reader: SettingsReader, operators: ListenerSettings) -> None:
-    """Report an operators' listener that would be open without protection."""
-    if bool(operators.tls_certificate_file) != bool(operators.tls_key_file):
-        has_certificate = bool(operators.tls_certificate_file)
+def check_tls_pair(
+    reader: SettingsReader, table: str, tls: ListenerSettings | CallersTls
+) -> None:
+    """Report a certificate without a key, or a key without a certificate."""
+    if bool(tls.tls_certificate_file) != bool(tls.tls_key_file):
+        has_certificate = bool(tls.tls_certificate_file)
         key = "tls_key_file" if has_certificate else "tls_certificate_file"
         expected = "tls_certificate_file and tls_key_file together"
-        reader.fault("operators", key, "missing", expected)
+        reader.fault(table, key, "missing", expected)
+
+
+def check_operators(reader: SettingsReader, operators: ListenerSettings) -> None:
+    """Report an operators' listener that would be open without protection."""
+    check_tls_pair(reader, "operators", operators)
     if operators.tls_client_ca_file and not operators.tls_certificate_file:
         expected = "tls_certificate_file and tls_key_file with tls_client_ca_file"
         reader.fault("operators", "tls_certificate_file", "missing", expected)
--- a/tests/settings/test_entry.py
+++ b/tests/settings/test_entry.py
@@ -73,6 +73,16 @@
         ("127.0.0.1:8081", "10.0.0.1:8081", "[operators] address = '10.0.0.1:8081'"),
         ('token_file = "token"', "", "[operators] token_file = missing"),
         ('token_file = "token"', "tls_key_file='k'\ntoken_file='t'", "tls_certificate"),
+        (
+            ':8080"',
+            ":8080\"\ntls_key_file='k'",
+            "[callers] tls_certificate_file = miss",
+        ),
+        (
+            ':8080"',
+            ":8080\"\ntls_certificate_file='c'",
+            "[callers] tls_key_file = miss",
+        ),
         ("[platform]", "[platfrom]", "[platfrom]  = unknown; expected one of"),
         ('"gaspe"', "3", "[peers.seed.0] zone = 3; expected a name"),
         ("[[peers.seed]]", "[peers.seed]", "[peers] seed = a table of 3 keys"),
