--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -24,7 +24,10 @@
 from guavapin.kernel import Ok
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
+from guavapin.metrics.collector import TasksCollector
 from guavapin.metrics.metrics import Metrics
+from guavapin.metrics.sources import CONTROL_SOURCES
+from guavapin.metrics.sources import ENTRY_SOURCES
 from guavapin.operators.access import AccessPolicy
 from guavapin.operators.access import load_tokens
 from guavapin.operators.app import OperatorsApp
@@ -105,6 +108,7 @@
         lambda: readiness.is_ready,
     )
     operators = OperatorsTask(cfg.operators, app)
+    metrics.add_collector(TasksCollector(kernel, ENTRY_SOURCES))
     incarnation = kernel.clock.wall_ms()
     _register_serving(kernel, cfg, front, readiness, incarnation)
     _register_entry_control(kernel, cfg, peer_filter)
@@ -130,6 +134,7 @@
     metrics = Metrics()
     app = OperatorsApp((), access.value, metrics, lambda: True)
     operators = OperatorsTask(cfg.operators, app)
+    metrics.add_collector(TasksCollector(kernel, CONTROL_SOURCES))
     node = cfg.node
     kernel.register(PlatformTask(platform_config(cfg.platform, node)), CONTROL)
     kernel.register(IsolatedPeersTask(), CONTROL)
@@ -179,7 +184,7 @@
 ) -> None:
     kernel.register(UpstreamsTask(UpstreamsConfig()), SERVING)
     kernel.register(
-        ExchangesTask(_exchange_settings(cfg, incarnation)),
+        ExchangesTask(exchange_settings(cfg, incarnation)),
         SERVING,
         ("upstreams", "claims", "peers"),
     )
@@ -239,10 +244,18 @@
         max_connections=cfg.limits.callers,
         max_head_bytes=cfg.limits.header_bytes,
         idle_timeout_ms=cfg.limits.idle_timeout_ms,
+        certificate_file=cfg.callers_tls.tls_certificate_file,
+        key_file=cfg.callers_tls.tls_key_file,
     )
 
 
-def _exchange_settings(cfg: EntrySettings, incarnation: int) -> ExchangeSettings:
+def exchange_settings(cfg: EntrySettings, incarnation: int) -> ExchangeSettings:
+    """Return the settings of `exchanges`.
+
+    Entry hosts of other zones send plain HTTP, which a listener with TLS would break
+    off with an unknown outcome, so its address is not offered to them.
+    """
+    has_tls = bool(cfg.callers_tls.tls_certificate_file)
     return ExchangeSettings(
         zone=cfg.node.zone,
         seat=cfg.node.seat,
@@ -250,7 +263,7 @@
         seed=incarnation,
         peers_service="peers",
         claims_service="claims",
-        callers_address=cfg.callers_address,
+        callers_address="" if has_tls else cfg.callers_address,
     )
 
 
--- a/src/guavapin/duties/task.py
+++ b/src/guavapin/duties/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -10,10 +11,13 @@
 from guavapin.duties.lease import DutyLease
 from guavapin.duties.messages import DutyHeld
 from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import DutyStatus
 from guavapin.duties.messages import GiveUpDuty
+from guavapin.duties.messages import QueryDuty
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.task import Call
 from guavapin.platform import messages as platform
 
 if TYPE_CHECKING:
@@ -24,6 +28,8 @@
 # An expired lease is noticed by the holder within this time even without an answer.
 CHECK_MS = 250
 
+log = logging.getLogger("guavapin.duty")
+
 
 @dataclass(frozen=True, slots=True)
 class _Tick:
@@ -70,6 +76,8 @@
         elif isinstance(message, GiveUpDuty):
             if message.token == self._lease.token:
                 self._take(machine.give_up(self._lease))
+        elif isinstance(message, Call) and isinstance(message.body, QueryDuty):
+            message.fut.set_result(self._status())
         elif isinstance(message, _Check):
             self._check()
         elif isinstance(message, platform.Reply):
@@ -94,13 +102,22 @@
             self._take(machine.give_up(self._lease))
         self._context.set_timer(CHECK_MS, _Check())
 
+    def _status(self) -> DutyStatus:
+        lease = self._lease
+        is_held = lease.is_held(self._context.clock.now_ms())
+        return DutyStatus(lease.duty, is_held, lease.token)
+
     def _take(self, step: machine.Step) -> None:
         old, (self._lease, actions) = self._lease, step
         for action in actions:
             self._do(action)
         if self._lease.phase is machine.LeasePhase.HELD:
+            if old.phase is not machine.LeasePhase.HELD:
+                extra = {"duty": old.duty, "token": self._lease.token}
+                log.info("duty held", extra=extra)
             self._tell_held()
         elif old.phase is machine.LeasePhase.HELD:
+            log.info("duty lost", extra={"duty": old.duty, "token": old.token})
             self._told_until_ms = 0
             self._tell(DutyLost(old.duty))
 
--- a/src/guavapin/serving/readiness.py
+++ b/src/guavapin/serving/readiness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -14,12 +15,19 @@
     from guavapin.kernel import Outcome
     from guavapin.kernel import TaskContext
 
+log = logging.getLogger("guavapin.readiness")
+
 
 @dataclass(frozen=True, slots=True)
 class BeginStop:
     """The process stops: not ready from now on. Also accepted as a `Call`."""
 
 
+@dataclass(frozen=True, slots=True)
+class QueryReady:
+    """Asked as a `Call`; the reply tells whether this process is ready."""
+
+
 class ReadinessTask:
     """Service `readiness`: ready once there are routes to at least one upstream.
 
@@ -32,6 +40,7 @@
     def __init__(self) -> None:
         self.is_ready = False
         self._is_stopping = False
+        self._generation = 0
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Keep the context; not ready yet."""
@@ -42,10 +51,13 @@
         """Handle new routes or the begin of a stop."""
         match message:
             case RouteTableChanged(table):
+                self._generation = table.generation
                 has_upstreams = any(table.upstreams.values())
                 self._set(table.generation > 0 and has_upstreams)
             case BeginStop():
                 self._begin_stop()
+            case Call(QueryReady(), fut):
+                fut.set_result(self.is_ready)
             case Call(BeginStop(), fut):
                 self._begin_stop()
                 fut.set_result(Ok(None))
@@ -61,4 +73,6 @@
         is_ready = is_ready and not self._is_stopping
         if is_ready != self.is_ready:
             self.is_ready = is_ready
+            text = "ready" if is_ready else "unready"
+            log.info(text, extra={"generation": self._generation})
             self._context.send("front", SetReady(is_ready))
