Place the hosts of the measured sites before the start

Cause: a duty holder admits one host per write, so that a new site of 1,100 hosts was still placing hosts in the idle window, and a drain was refused by the budget (13 of 25 hosts placed).

The time of adopting a configuration is measured by its parts.

Conclusion: placement is a cost of its own and is kept out of the idle figures.

--- a/src/guavapin_bench/slopes_site.py
+++ b/src/guavapin_bench/slopes_site.py
@@ -19,6 +19,10 @@
 import tomli_w
 
 from guavapin.console.client import OperatorsClient
+from guavapin.fleet.codec import decode_fleet
+from guavapin.fleet.codec import encode_fleet
+from guavapin.fleet.state import FLEET_KEY
+from guavapin.fleet.state import FleetState
 from guavapin.kernel import Refused
 from guavapin.objects.codec import encode_text
 from guavapin.operators.configuration_calls import PublishBody
@@ -134,7 +138,9 @@
 
     def platform_counters(self) -> dict[str, Any]:
         """Return the counters of the platform stand-in."""
-        counters: dict[str, Any] = json.loads(self._standin("GET", "counters"))
+        counters: dict[str, Any] = json.loads(
+            self._call_platform("GET", "/standin/counters")[1]
+        )
         return counters
 
     def reports(self) -> list[dict[str, float]]:
@@ -160,6 +166,25 @@
             raise RuntimeError(f"guavapin {args[0]}: exit code {process.returncode}")
         return used.ru_utime + used.ru_stime, used.ru_maxrss * 1024
 
+    def place_hosts(self) -> None:
+        """Write a record that holds every host, as a fleet that has long run has."""
+        record = FleetState(
+            placements={host.name: host.pool for host in self.objects.hosts.values()}
+        )
+        status, _ = self._call_platform(
+            "PUT", f"/v1/kv/{FLEET_KEY}?expect=0", encode_fleet(record)
+        )
+        if status != 200:
+            raise RuntimeError(f"writing the fleet record: status {status}")
+
+    def placed_hosts(self) -> int:
+        """Return how many hosts the fleet record places."""
+        status, body = self._call_platform("GET", f"/v1/kv/{FLEET_KEY}")
+        if status != 200:
+            return 0
+        record = decode_fleet(body)
+        return 0 if isinstance(record, Refused) else len(record.value.placements)
+
     def _client(self) -> OperatorsClient:
         return OperatorsClient(f"http://{self.nodes[-1].operators}", token=TOKEN)
 
@@ -237,12 +262,15 @@
             conn.getresponse().read()
         conn.close()
 
-    def _standin(self, method: str, path: str) -> bytes:
+    def _call_platform(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, bytes]:
         conn = http.client.HTTPConnection("127.0.0.1", self._platform_port, timeout=10)
-        conn.request(method, f"/standin/{path}")
-        body = conn.getresponse().read()
+        conn.request(method, path, body)
+        answer = conn.getresponse()
+        found = answer.status, answer.read()
         conn.close()
-        return body
+        return found
 
 
 def usage_of(process: subprocess.Popen[str]) -> Usage:
--- a/src/guavapin_bench/slopes_work.py
+++ b/src/guavapin_bench/slopes_work.py
@@ -12,6 +12,7 @@
 from guavapin.fleet.budget import Liveness
 from guavapin.fleet.codec import encode_fleet
 from guavapin.kernel.harness import TaskHarness
+from guavapin.objects.check import check
 from guavapin.objects.codec import decode_text
 from guavapin.objects.codec import encode_text
 from guavapin.objects.model import AvailabilityZone
@@ -20,6 +21,8 @@
 from guavapin.objects.model import ObjectSet
 from guavapin.objects.model import Pool
 from guavapin.objects.model import Service
+from guavapin.publication.snapshot import join
+from guavapin.publication.snapshot import split
 from guavapin.serving.exchange_settings import ExchangeSettings
 from guavapin.serving.exchanges import ExchangesTask
 from guavapin.serving.messages import AttemptBody
@@ -98,16 +101,40 @@
         "capacity_ms": _median_ms(
             lambda: capacity_reports(state, objects, Liveness(live))
         ),
-        "decode_objects_ms": _median_ms(lambda: decode_text(text)),
+        "decode_text_ms": _median_ms(lambda: decode_text(text)),
         "encode_record_ms": _median_ms(lambda: encode_fleet(record)),
         "record_bytes": len(encode_fleet(record)),
     }
 
 
+def adoption_work(hosts: int, pools: int) -> dict[str, float]:
+    """Return the times of the parts of an adoption in an entry process, in ms."""
+    objects = build_fleet(hosts, pools)
+    chunks = split(objects)
+    pool_of = {name: host.pool for name, host in objects.hosts.items()}
+    table = build_route_table(objects, 1, pool_of)
+    zone = next(iter(objects.zones))
+    task = ExchangesTask(ExchangeSettings(zone, is_first_start=True))
+    TaskHarness(task).start()
+    task.handle(RouteTableChanged(table))
+    return {
+        "join_chunks_ms": _median_ms(lambda: join(chunks.values())),
+        "route_table_ms": _median_ms(lambda: build_route_table(objects, 1, pool_of)),
+        "exchanges_ms": _median_ms(lambda: task.handle(RouteTableChanged(table))),
+        "split_ms": _median_ms(lambda: split(objects)),
+        "check_ms": _median_ms(lambda: check(objects)),
+        "chunk_bytes": sum(map(len, chunks.values())),
+    }
+
+
 def measure_work() -> dict[str, dict[str, dict[str, float]]]:
     """Return the figures by size."""
     return {
         "request": {str(size): {"us": request_us(size)} for size in UPSTREAMS},
+        "adoption": {
+            f"{hosts} hosts, {pools} pools": adoption_work(hosts, pools)
+            for hosts, pools in FLEETS
+        },
         "duty": {
             f"{hosts} hosts, {pools} pools": duty_work(hosts, pools)
             for hosts, pools in FLEETS
