Give each measured site ports of its own

Cause: sites that start at once found the same ports free, and an entry process failed to start with the address in use.

Change: each site takes its ports from a part of the range.

--- a/src/guavapin_bench/slopes_site.py
+++ b/src/guavapin_bench/slopes_site.py
@@ -6,7 +6,6 @@
 import http.client
 import json
 import os
-import random
 import socket
 import subprocess
 import sys
@@ -31,8 +30,9 @@
     from guavapin.objects.model import ObjectSet
 
 TOKEN = "slopes-operator-token"
-# Below the range from which the system takes the ports of outgoing connections.
-FIRST_PORT, LAST_PORT = 10_000, 19_999
+# Below the range from which the system takes the ports of outgoing connections. Each
+# site has a part of the range, since sites that start at once find the same ports free.
+FIRST_PORT, PORTS_PER_SITE, SITES = 10_000, 800, 24
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 15
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
@@ -69,7 +69,7 @@
     def __init__(self, objects: ObjectSet, entries: int, folder: Path, seed: int):
         self.objects = objects
         self._folder = folder
-        self._ports = _free_ports(5 * entries + 1, random.Random(seed))
+        self._ports = _free_ports(5 * entries + 1, seed)
         self._platform_port = self._ports.pop()
         self.nodes = self._name_nodes(entries)
         self.entries: list[subprocess.Popen[str]] = []
@@ -288,9 +288,10 @@
     process.communicate(timeout=STOP_TIMEOUT_S)
 
 
-def _free_ports(count: int, rng: random.Random) -> list[int]:
+def _free_ports(count: int, seed: int) -> list[int]:
+    first = FIRST_PORT + seed % SITES * PORTS_PER_SITE
     ports = []
-    for port in rng.sample(range(FIRST_PORT, LAST_PORT), 4 * count):
+    for port in range(first, first + PORTS_PER_SITE):
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.bind(("127.0.0.1", port))
             ports.append(port)
