Run publications under every fault

Cause: interleavings of publishers were tested at the store, not together with the followers, peers and lost answers.

Change: three entry processes in two zones with publisher and configuration run a publication against the in-memory platform and peers; a cold publisher reaches the stage that reads chunks.

--- /dev/null
+++ b/src/guavapin_matrix/fake_peers.py
@@ -0,0 +1,100 @@
+"""The service `peers` of every entry process: messages and membership in memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from guavapin.peers.messages import AnnounceGeneration
+from guavapin.peers.messages import ChunkAnswer
+from guavapin.peers.messages import Member
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerMessage
+from guavapin.peers.messages import SendToPeer
+from guavapin.peers.messages import SendToZone
+
+if TYPE_CHECKING:
+    from guavapin_matrix.simulation import Node
+    from guavapin_matrix.simulation import Simulation
+
+HEARTBEAT_MS = 500
+GONE_MS = 5_000
+DELAY_MS = 2
+
+
+@dataclass
+class Peer:
+    """One entry process as its peers know it."""
+
+    node: Node
+    member: Member
+    heard_ms: int
+    is_cut: bool = False
+    is_silent: bool = False
+    garbles: bool = False
+
+
+class FakePeers:
+    """Delivers peer messages and tells membership once a heartbeat."""
+
+    def __init__(self, sim: Simulation) -> None:
+        self.peers: dict[str, Peer] = {}
+        self._sim = sim
+        self._told: dict[str, tuple[Member, ...]] = {}
+        self._sim.after(HEARTBEAT_MS, self._beat)
+
+    def add(self, node: Node, zone: str, seat: int) -> None:
+        """Take in a process."""
+        member = Member(node.name, zone, seat, node.name, 1, MemberStatus.ALIVE)
+        self.peers[node.name] = Peer(node, member, self._sim.now_ms())
+
+    def on_message(self, node: Node, message: object) -> None:
+        """Take what a task sends to `peers`."""
+        peer = self.peers[node.name]
+        match message:
+            case AnnounceGeneration(generation):
+                peer.member = replace(peer.member, generation=generation)
+            case SendToPeer(name, body):
+                self._send(peer, name, body)
+            case SendToZone(body):
+                for other in self.peers.values():
+                    if other.member.zone == peer.member.zone and other is not peer:
+                        self._send(peer, other.node.name, body)
+
+    def _send(self, sender: Peer, name: str, body: object) -> None:
+        target = self.peers[name]
+        if sender.garbles and isinstance(body, ChunkAnswer):
+            body = ChunkAnswer(body.digest, body.data[::-1])
+        if not self._is_open(sender, target):
+            return
+        message = PeerMessage(sender.node.name, body)  # type: ignore[arg-type]
+        node = target.node
+        self._sim.after(DELAY_MS, lambda: node.deliver("configuration", message))
+
+    def _is_open(self, one: Peer, other: Peer) -> bool:
+        is_cut = one.is_cut or other.is_cut or one.is_silent or other.is_silent
+        return not is_cut and one.node.is_alive and other.node.is_alive
+
+    def _beat(self) -> None:
+        self._sim.after(HEARTBEAT_MS, self._beat)
+        now_ms = self._sim.now_ms()
+        for peer in self.peers.values():
+            if peer.node.is_alive and not peer.node.is_paused and not peer.is_cut:
+                peer.heard_ms = now_ms
+        for peer in self.peers.values():
+            members = tuple(
+                self._seen(peer, other, now_ms)
+                for other in self.peers.values()
+                if other is not peer
+            )
+            if peer.node.is_alive and self._told.get(peer.node.name) != members:
+                self._told[peer.node.name] = members
+                peer.node.deliver("configuration", MembershipChanged(members))
+
+    def _seen(self, peer: Peer, other: Peer, now_ms: int) -> Member:
+        is_gone = peer.is_cut or now_ms - other.heard_ms >= GONE_MS
+        if is_gone:
+            return replace(other.member, status=MemberStatus.GONE)
+        return other.member
--- a/src/guavapin_matrix/platform.py
+++ b/src/guavapin_matrix/platform.py
@@ -43,6 +43,7 @@
         self.store = PlatformStore(sim.clock, hosts_lag_ms)
         self.is_down = False
         self.is_slow = False
+        self.answer_ms = ANSWER_MS
         self.lost_answers = 0
         self.written: list[tuple[str, bytes]] = []
         self.on_write: Callable[[str, bytes], None] = lambda key, value: None
@@ -66,7 +67,14 @@
             self._sim.after(SLOW_MS, lambda: self._carry_out(request))
             self._give_up(node, sender, request)
         else:
-            self._sim.after(ANSWER_MS, lambda: self._answer(node, sender, request))
+            self._sim.after(self.answer_ms, lambda: self._answer(node, sender, request))
+
+    def silence_watches(self) -> None:
+        """Let the open watches hear nothing any more; new ones work."""
+        for node, sender, watch in self._watches:
+            unknown = platform.Unknown("no answer in time")
+            self._reply(node, sender, watch, unknown, watch.wait_ms + DEADLINE_MS)
+        self._watches.clear()
 
     def value(self, key: str) -> bytes:
         """Return the present value of a key, empty if there is none."""
--- a/src/guavapin_matrix/procedures.py
+++ b/src/guavapin_matrix/procedures.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin_matrix.disruptions import Disruptions
+from guavapin_matrix.publications import Publications
 from guavapin_matrix.requests import Requests
 
 if TYPE_CHECKING:
@@ -12,5 +13,10 @@
 
 PROCEDURES: dict[str, Procedure] = {
     item.name: item
-    for item in (Requests(), Disruptions("wave", 3), Disruptions("move", 3))
+    for item in (
+        Requests(),
+        Publications(),
+        Disruptions("wave", 3),
+        Disruptions("move", 3),
+    )
 }
