Do not learn run times from answers after the deadline

Cause: a deadline cancels its attempt, so an answer that comes later shows that this process itself was paused. It was learned as a run time of 6 s; the learned 95th percentile falls by 0.25% to 5% an answer, and every request that had to wait was refused as not run until then. Ruled out: the median (it had recovered by the check of estimates), lost slots (none in use), the queue (empty).

Change: a success after the request's deadline teaches no run time; its slot and its upstream's health are handled as before.

--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -95,7 +95,11 @@
         slowness = 1.0 if is_probe else slowness_of(attempt, now_ms)
         pool = self._router.pools[attempt.pool]
         pool.end(placement, verdict, slowness, now_ms)
-        if exchange is None:
+        # A deadline cancels its attempt. An answer that still came after it shows a
+        # pause of this process and not how long the work takes.
+        if exchange is None or (
+            verdict is Verdict.SUCCESS and now_ms > exchange.request.deadline_ms
+        ):
             return
         run_ms = now_ms - attempt.sent_ms
         self._router.queues[attempt.pool].learn(placement.is_long, run_ms)
