Check that entries learn of drains in the fault matrix

Cause: guarantee 6 was checked for requests only, and the fake client gave calls up after 1 s where the real one waits 2 s.

Change: an entry with fleet_view follows the record of waves and moves; a held host must be out of its view within 3 s unless the platform is down or slow. The fake client's deadline is that of the product.

--- a/src/guavapin_matrix/disruptions.py
+++ b/src/guavapin_matrix/disruptions.py
@@ -7,6 +7,7 @@
 from guavapin_matrix.cell import Cell
 from guavapin_matrix.cell import CellResult
 from guavapin_matrix.cell import Step
+from guavapin_matrix.faults import Fault
 from guavapin_matrix.fleet_faults import SUBJECT
 from guavapin_matrix.fleet_faults import FleetFaults
 from guavapin_matrix.fleet_world import FleetWorld
@@ -31,6 +32,7 @@
 }
 # These end in service; a drain and a failed reboot wait for an operator.
 TO_SERVICE = {("wave", ""), ("move", "")}
+OUTAGES = frozenset({Fault.PLATFORM_DOWN, Fault.PLATFORM_SLOW})
 AGAIN_MS = 2_000
 BEGIN_MS = 3_000
 HEAL_MS = 80_000
@@ -95,7 +97,10 @@
             world.sim.run(SETTLE_STEP_MS)
             if not any(checks.check_end(world)):
                 break
+        # Without the platform an entry learns of a drain from the host itself.
+        is_reachable = OUTAGES.isdisjoint(self.cell.faults)
         violations = (
+            *(checks.check_leaving(world) if is_reachable else ()),
             *checks.check_budget(world),
             *checks.check_placements(world),
             *checks.check_commands(world),
--- a/src/guavapin_matrix/fleet_checks.py
+++ b/src/guavapin_matrix/fleet_checks.py
@@ -11,6 +11,7 @@
 from guavapin.fleet.state import WaveStatus
 from guavapin.kernel import Ok
 from guavapin.kernel import Reason
+from guavapin_matrix.fleet_world import LEAVING_MS
 from guavapin_matrix.fleet_world import MIN_AVAILABLE
 
 if TYPE_CHECKING:
@@ -62,6 +63,26 @@
                     yield f"2: {name} went from {pool} to {after} without a move"
 
 
+def check_leaving(world: FleetWorld) -> Iterator[str]:
+    """Guarantee 6: the entries send a held host no new work after the bound."""
+    for index, (at_ms, state) in enumerate(world.states[1:], 1):
+        before = world.states[index - 1][1]
+        for name in state.disruptions.keys() - before.disruptions.keys():
+            released_ms = min(
+                (
+                    later_ms
+                    for later_ms, later in world.states[index:]
+                    if name not in later.disruptions
+                ),
+                default=at_ms + LEAVING_MS + 1,
+            )
+            if released_ms <= at_ms + LEAVING_MS:
+                continue
+            seen = [v for seen_ms, v in world.views if seen_ms <= at_ms + LEAVING_MS]
+            if not seen or seen[-1].hosts[name].takes_new_work:
+                yield f"6: {name} gets new work {LEAVING_MS} ms after its drain began"
+
+
 def check_commands(world: FleetWorld) -> Iterator[str]:
     """Guarantees 4 and 5 for commands: what was refused had no effect, none had two."""
     applied: Counter[str] = Counter()
--- a/src/guavapin_matrix/fleet_faults.py
+++ b/src/guavapin_matrix/fleet_faults.py
@@ -48,7 +48,7 @@
             Fault.ANSWER_LOST: self._lose_answer,
             Fault.LEASE_LAPSES: self._pause,
             Fault.SAME_OBJECT: lambda: self._soon(self._edit),
-            Fault.SILENT_CONNECTION: self._world.hosts.silence,
+            Fault.SILENT_CONNECTION: self._silence,
             Fault.CUT_OFF: self._cut,
             Fault.PROCESS_DIES: self._die,
         }
@@ -99,6 +99,10 @@
     def _lose_answer(self) -> None:
         self._world.platform.lost_answers += 1
 
+    def _silence(self) -> None:
+        self._world.hosts.silence()
+        self._world.platform.silence_watches()
+
     def _pause(self) -> None:
         self._world.nodes[self._world.holder()].pause(PAUSE_MS)
 
--- a/src/guavapin_matrix/fleet_world.py
+++ b/src/guavapin_matrix/fleet_world.py
@@ -16,9 +16,11 @@
 from guavapin.fleet.codec import encode_fleet
 from guavapin.fleet.commands import FleetCommand
 from guavapin.fleet.messages import ObjectsUpdate
+from guavapin.fleet.messages import WatchRole
 from guavapin.fleet.state import FLEET_KEY
 from guavapin.fleet.state import FleetState
 from guavapin.fleet.state import HostPhase
+from guavapin.fleet.view import FleetViewTask
 from guavapin.fleet.writer import FleetWriterTask
 from guavapin.kernel import Call
 from guavapin.kernel import Ok
@@ -37,6 +39,7 @@
     from typing import Any
 
     from guavapin.fleet.actions import FleetAction
+    from guavapin.fleet.effective import FleetChanged
 
 MIN_AVAILABLE = 2
 PER_POOL = 4
@@ -84,6 +87,7 @@
         self.duties: list[FleetDutyTask] = []
         self.futures: dict[str, Future[Any]] = {}
         self.disturbed: list[str] = []
+        self.views: list[tuple[int, FleetChanged]] = []
         self.states: list[tuple[int, FleetState]] = []
         self.losses: list[tuple[int, str]] = []
         self.platform.on_write = self._on_write
@@ -98,6 +102,9 @@
         self.sim.run(5_000)
         for _ in range(2):
             self.add_control()
+        entry = Node(self.sim, "entry", self)
+        entry.add(FleetViewTask(("routes",)))
+        entry.deliver("fleet_view", WatchRole(is_holder=True))
         self._work()
 
     @property
@@ -120,6 +127,8 @@
             self.platform.call(node, sender, message)
         elif service == HOST_ACTIONS:
             self.hosts.order(node, message)
+        elif service == "routes":
+            self.views.append((self.sim.now_ms(), message))
 
     def add_control(self) -> None:
         """Start a control process."""
--- a/src/guavapin_matrix/platform.py
+++ b/src/guavapin_matrix/platform.py
@@ -17,10 +17,10 @@
     from guavapin_matrix.simulation import Simulation
 
 ANSWER_MS = 2
-# The client gives a call up after this time.
-DEADLINE_MS = 1_000
+# The client gives a call up after this time, a watch after this and its wait.
+DEADLINE_MS = 2_000
 # A slow platform carries calls out after the client has given them up.
-SLOW_MS = 1_200
+SLOW_MS = 2_200
 
 _WRITES = (platform.Put, platform.Delete, platform.LeaseGrant, platform.LeaseRenew)
 
