Start a wave only once one of its hosts is admitted

Cause: a wave in the first publication was started and, since the record had no placements yet, done before any host was admitted. Ruled out: the window (its start was 0) and the list of hosts (all were live at the first admission). Change: a wave with declared hosts in its scope is due only when one of them is placed; one without any still ends, since others may follow it. Conclusion: maintenance was skipped silently; mended in duties.decide.

--- a/src/guavapin/duties/decide.py
+++ b/src/guavapin/duties/decide.py
@@ -16,6 +16,7 @@
 from guavapin.fleet.state import HostPhase
 from guavapin.fleet.state import WaveStatus
 from guavapin.fleet.wave_rules import hosts_in_wave
+from guavapin.fleet.wave_rules import is_in_scope
 from guavapin.waves import host_machine
 from guavapin.waves.losses import LossWatch
 from guavapin.waves.losses import is_mass_loss
@@ -170,7 +171,19 @@
     if wave.after and (before is None or before.status is not WaveStatus.DONE):
         return False
     start_ms = wave.window_start_ms or situation.wall_ms
-    return start_ms <= situation.wall_ms < start_ms + wave.window_length_ms
+    is_open = start_ms <= situation.wall_ms < start_ms + wave.window_length_ms
+    return is_open and _is_scope_admitted(situation, wave)
+
+
+def _is_scope_admitted(situation: DutySituation, wave: MaintenanceWave) -> bool:
+    """Whether a wave finds hosts; one that starts before the first of its declared
+    hosts is admitted would end at once without maintaining any."""
+    is_declared = any(
+        is_in_scope(wave, host.pool, host.rack)
+        for host in situation.objects.hosts.values()
+    )
+    found = remaining_hosts(situation.state, situation.objects, wave)
+    return bool(found) or not is_declared
 
 
 def _end_of_wave(
