Take the ports of embedded sites outside the system's range

Cause: ports were found by binding port 0 and closing; before a process listened on its port, an upstream stand-in or a connection could take it. One of three runs started at once ended with 'peer listener: Address in use'. Change: ports come from 12,000 to 31,200, in blocks by process id. Ruled out: a process left over, since every port is chosen anew for a run. Conclusion: a fault of the test bed, not of the product.

--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from dataclasses import dataclass
 from dataclasses import replace
@@ -48,6 +49,10 @@
 OPERATOR_TOKEN = "demo-operator-token"
 UPSTREAMS_PER_LOOP = 10
 REPLY_TIMEOUT_S = 10
+# 300 blocks of 64 ports end below 32,768, where the system's own range begins.
+FIRST_PORT = 12_000
+PORT_BLOCKS = 300
+BLOCK_PORTS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,7 +209,7 @@
 
 def _allocate_addresses(site: Site) -> tuple[EntryAddresses, ...]:
     count = sum(site.seats)
-    ports = iter(_free_ports(4 * count))
+    ports = iter(find_free_ports(4 * count))
     return tuple(
         EntryAddresses(
             f"{zone}-e{seat}",
@@ -217,11 +222,27 @@
     )
 
 
-def _free_ports(count: int) -> list[int]:
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+def find_free_ports(count: int) -> list[int]:
+    """Return free ports below the range from which the system takes ports itself.
+
+    A port of that range may be taken by any connection before its process listens or
+    while it is restarted. Blocks by process id keep parallel runs apart.
+    """
+    first = FIRST_PORT + os.getpid() % PORT_BLOCKS * BLOCK_PORTS
+    ports: list[int] = []
+    for offset in range(PORT_BLOCKS * BLOCK_PORTS):
+        port = FIRST_PORT + (first - FIRST_PORT + offset) % (PORT_BLOCKS * BLOCK_PORTS)
+        if _is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError(f"fewer than {count} ports are free")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
