--- a/src/guavapin_scenarios/steps_hosts.py
+++ b/src/guavapin_scenarios/steps_hosts.py
@@ -71,6 +71,21 @@
         return Ok(f"{', '.join(hosts)} {'are back' if self.is_back else 'are lost'}")
 
 
+@dataclass(frozen=True, slots=True)
+class ListHost:
+    """The platform lists a host as live, leaving or gone; the list lags."""
+
+    host: str
+    state: str
+
+    def perform(self, world: World) -> Outcome[str]:
+        """Change the stand-in's list."""
+        if self.host not in world.site.objects.hosts:
+            return Refused(Reason.MISSING, f"no host is named {self.host!r}")
+        world.site.platform.set_host(self.host, self.state)
+        return Ok(f"{self.host} will be listed as {self.state}")
+
+
 def return_rack(rack: str) -> LoseRack:
     """Return the step that ends the loss of a rack."""
     return LoseRack(rack, is_back=True)
@@ -101,6 +116,11 @@
         },
         frozenset({"how"}),
     ),
+    "list host": StepKind(
+        ListHost,
+        {"host": NameRule(), "state": ChoiceRule(("live", "leaving", "gone"))},
+        frozenset({"host", "state"}),
+    ),
     "lose rack": StepKind(LoseRack, _RACK, frozenset({"rack"})),
     "return rack": StepKind(return_rack, _RACK, frozenset({"rack"})),
 }
