Believe the end of a host's work only after new work stopped

Cause: a drain, a move and a wave asked at once whether the host's work had ended. Entry processes may send for up to 3 s after a drain began and the platform's report of usage lags, so that a host could be rebooted while it ran a request sent after that report. Ruled out: entry processes that send later than 3 s (scenario leaving-upstreams-get-no-new-work holds), reboots by another wave, and the stand-in (it reboots only when ordered, 1 s after which it is back). Change: the step DRAIN is begun, and its answer believed, 5 s after the drain began (3 s for new work, 2 s for the lag); the drain timeout counts from then. A host's maintenance takes 5 s longer; roll-outs were not measured again.

--- a/src/guavapin/waves/host_machine.py
+++ b/src/guavapin/waves/host_machine.py
@@ -19,6 +19,14 @@
 # The time in which a returned host takes up its full share of work.
 SLOW_START_MS = 30_000
 
+# Entry processes may send new work for 3 s after a drain began, and the platform's
+# reports of usage and of hosts lag by 2 s; an end of the work that is reported
+# earlier may miss a request.
+NEW_WORK_MS = 3_000
+REPORT_LAG_MS = 2_000
+
+_NOT_EMPTY = "work neither ended nor could be checkpointed"
+
 # Used for drains and moves, which belong to no wave.
 DRAIN_TIMEOUT_MS = 600_000
 JOIN_TIMEOUT_MS = 600_000
@@ -97,7 +105,7 @@
 
 def _drain_step(situation: HostSituation) -> NextStep:
     """An operator's drain waits for the work without bound."""
-    if situation.item.phase is not HostPhase.DRAINING:
+    if situation.item.phase is not HostPhase.DRAINING or _may_get_work(situation):
         return Wait()
     if _is_ok(situation, HostStep.DRAIN):
         return Change(actions.AdvanceDrain(situation.item.host), "work has ended")
@@ -140,18 +148,28 @@
     forward: actions.FleetAction,
     give_back: actions.FleetAction,
 ) -> NextStep:
-    """Wait for the work, then checkpoint what is left; never cut work off."""
+    """Wait for the work, then checkpoint what is left; never cut work off.
+
+    The timeout counts from when no new work can come any more.
+    """
     if situation.is_pool_short:
         return Change(give_back, "the pool is below its budget")
-    if _is_ok(situation, HostStep.DRAIN):
+    is_drained = _is_ok(situation, HostStep.DRAIN)
+    is_saved = _is_ok(situation, HostStep.CHECKPOINT)
+    has_failed = HostStep.CHECKPOINT in situation.results and not is_saved
+    if has_failed and not is_drained:
+        return Change(give_back, _NOT_EMPTY)
+    if _may_get_work(situation):
+        return Wait()
+    if is_drained:
         return Change(forward, "work has ended")
-    if situation.elapsed_ms < situation.drain_timeout_ms:
+    waited_ms = situation.elapsed_ms - NEW_WORK_MS - REPORT_LAG_MS
+    if waited_ms < situation.drain_timeout_ms:
         return Begin(HostStep.DRAIN)
-    if _is_ok(situation, HostStep.CHECKPOINT):
+    if is_saved:
         return Change(forward, "remaining work is checkpointed")
-    has_failed = HostStep.CHECKPOINT in situation.results
-    if has_failed or situation.elapsed_ms >= 2 * situation.drain_timeout_ms:
-        return Change(give_back, "work neither ended nor could be checkpointed")
+    if waited_ms >= 2 * situation.drain_timeout_ms:
+        return Change(give_back, _NOT_EMPTY)
     return Begin(HostStep.CHECKPOINT)
 
 
@@ -182,6 +200,11 @@
     return Wait()
 
 
+def _may_get_work(situation: HostSituation) -> bool:
+    """Whether a report that the work has ended is too early to be relied on."""
+    return situation.elapsed_ms < NEW_WORK_MS + REPORT_LAG_MS
+
+
 def _is_ok(situation: HostSituation, step: HostStep) -> bool:
     result = situation.results.get(step)
     return result is not None and result.is_ok
--- a/tests/waves/test_host_machine.py
+++ b/tests/waves/test_host_machine.py
@@ -125,3 +125,29 @@
     short = replace(situation(HostPhase.DRAINING, drain=OK), is_pool_short=True)
     step = next_step(short)
     assert isinstance(step, Change) and step.action == actions.ReturnWaveHost("h")
+
+
+@pytest.mark.parametrize("elapsed_ms", [-5_000, 0, 2_999, 4_999])
+@pytest.mark.parametrize("kind", list(DisruptionKind))
+def test_end_of_work_is_not_believed_while_new_work_may_come(
+    kind: DisruptionKind, elapsed_ms: int
+) -> None:
+    """A host was rebooted on a report of usage older than its last request."""
+    early = situation(HostPhase.DRAINING, elapsed_ms, kind)
+    assert next_step(early) == Wait()
+    reported = situation(HostPhase.DRAINING, elapsed_ms, kind, drain=OK)
+    assert next_step(reported) == Wait()
+
+
+def test_host_without_work_goes_on_after_the_bound() -> None:
+    assert next_step(situation(HostPhase.DRAINING, 5_000)) == Begin(HostStep.DRAIN)
+    drained = situation(HostPhase.DRAINING, 5_000, drain=OK)
+    action = actions.AdvanceWaveHost("h", HostPhase.DRAINING)
+    assert next_step(drained) == Change(action, "work has ended")
+
+
+def test_checkpoint_is_tried_only_after_the_drain_has_timed_out() -> None:
+    late = situation(HostPhase.DRAINING, 5_100)
+    assert next_step(late) == Begin(HostStep.CHECKPOINT)
+    later = next_step(situation(HostPhase.DRAINING, 5_200))
+    assert isinstance(later, Change) and later.action == actions.ReturnWaveHost("h")
