Hold a returned host's place for the slow start only; publish the demo's wave

Cause: a returning host kept its place in the budget for 30 s, while the serving side gives it its full share after 10 s; and the demo started a wave that starts by itself when its window opens, so at Mandali the start was refused as a conflict. Conclusion: the two constants are tied by a test.

--- a/src/guavapin/waves/host_machine.py
+++ b/src/guavapin/waves/host_machine.py
@@ -16,8 +16,10 @@
 from guavapin.fleet.state import HostPhase
 from guavapin.fleet.state import WaveStatus
 
-# The time in which a returned host takes up its full share of work.
-SLOW_START_MS = 30_000
+# The time in which a returned host takes up its full share of work, as set for the
+# serving side by `guavapin.routing.health.HealthSettings.slow_start_ms`. Until then it
+# holds its place in the budget.
+SLOW_START_MS = 10_000
 
 # Entry processes may send new work for 3 s after a drain began, and the platform's
 # reports of usage and of hosts lag by 2 s; an end of the work that is reported
--- a/src/guavapin_demo/run.py
+++ b/src/guavapin_demo/run.py
@@ -37,7 +37,6 @@
     from concurrent.futures import Future
     from typing import Any
 
-    from guavapin.objects.model import ObjectSet
     from guavapin_demo.report import DemoReport
     from guavapin_demo.sites import Site
 
@@ -79,7 +78,7 @@
                 self._site_sizes, Path(folder), hosts_lag_ms=500
             ) as self._site,
         ):
-            self._objects = self._with_wave(self._site.objects)
+            self._objects = self._site.objects
             self._publish_first()
             self._callers = self._start_callers()
             try:
@@ -87,10 +86,9 @@
             finally:
                 self._callers.stop()
 
-    def _with_wave(self, objects: ObjectSet) -> ObjectSet:
-        rack = self._rng.choice(sorted({host.rack for host in objects.hosts.values()}))
-        wave = MaintenanceWave(WAVE, racks=(rack,), max_at_once=2)
-        return replace(objects, waves={WAVE: wave})
+    def _choose_rack(self) -> str:
+        racks = {host.rack for host in self._objects.hosts.values()}
+        return self._rng.choice(sorted(racks))
 
     def _publish_first(self) -> None:
         self._show(
@@ -121,15 +119,20 @@
             wait([fut], max(delay_ms, 0) / 1_000)
             event.act()
             self._show(f"{event.at_ms / 1_000:5.1f} s  {event.text}")
-        return self._judge(fut, plan, started_ms)
+        return self._judge(fut, plan)
 
     def _events(self) -> tuple[Event, ...]:
         zone = self._site_sizes.zones[-1]
-        move = self._choose_move()
+        rack = self._choose_rack()
+        move = self._choose_move(rack)
         cut = Faults(cut_off_zones=(zone,))
         set_faults = self._site.platform.set_faults
         return (
-            Event(2_000, "wave over one rack started", self._start_wave),
+            Event(
+                2_000,
+                f"a maintenance wave over rack {rack} was published",
+                lambda: self._publish_wave(rack),
+            ),
             Event(
                 8_000,
                 f"host {move[0]} moves to pool {move[1]}",
@@ -148,9 +151,8 @@
             ),
         )
 
-    def _choose_move(self) -> tuple[str, str]:
+    def _choose_move(self, rack: str) -> tuple[str, str]:
         spare = self._site_sizes.spare
-        rack = self._objects.waves[WAVE].racks[0]
         host = next(
             host.name
             for host in self._objects.hosts.values()
@@ -158,10 +160,12 @@
         )
         return host, self._site_sizes.services[0]
 
-    def _start_wave(self) -> None:
+    def _publish_wave(self, rack: str) -> None:
+        # A wave whose window is open starts by itself.
+        wave = MaintenanceWave(WAVE, racks=(rack,), max_at_once=2)
+        self._objects = replace(self._objects, waves={WAVE: wave})
         self._wave_started_ms = self._clock.now_ms()
-        self._wave_done_ms = -1
-        self._post(f"/waves/{WAVE}/start", {})
+        self._publish("maintain one rack")
 
     def _publish_change(self) -> None:
         pool = self._objects.pools[self._site_sizes.services[1]]
@@ -187,8 +191,8 @@
             raise RuntimeError(f"{path}: {outcome.value.body}")
         return outcome.value.body
 
-    def _judge(self, fut: Future[Any], plan: DemandPlan, started_ms: int) -> DemoReport:
-        rollout_ms = self._await_wave(started_ms)
+    def _judge(self, fut: Future[Any], plan: DemandPlan) -> DemoReport:
+        rollout_ms = self._await_wave()
         records = fut.result(REPLY_TIMEOUT_S)
         observed = self._callers.ask("observer", GetObserved()).result(REPLY_TIMEOUT_S)
         entry = next(iter(self._site.entries.values())).kernel
@@ -203,7 +207,7 @@
         upstreams = [self._site.record(host) for host in self._objects.hosts]
         return build_report(records, upstreams, seen, plan.run_ms * 2)
 
-    def _await_wave(self, started_ms: int) -> int:
+    def _await_wave(self) -> int:
         def is_done() -> bool:
             entry = next(iter(self._site.entries.values())).kernel
             fleet = entry.ask("fleet_view", QueryFleet()).result(REPLY_TIMEOUT_S)
--- a/tests/waves/test_host_machine.py
+++ b/tests/waves/test_host_machine.py
@@ -10,6 +10,7 @@
 from guavapin.fleet.state import DisruptionKind
 from guavapin.fleet.state import HostPhase
 from guavapin.fleet.state import WaveStatus
+from guavapin.routing.health import HealthSettings
 from guavapin.waves.host_machine import SLOW_START_MS
 from guavapin.waves.host_machine import Begin
 from guavapin.waves.host_machine import Change
@@ -151,3 +152,8 @@
     assert next_step(late) == Begin(HostStep.CHECKPOINT)
     later = next_step(situation(HostPhase.DRAINING, 5_200))
     assert isinstance(later, Change) and later.action == actions.ReturnWaveHost("h")
+
+
+def test_return_lasts_as_long_as_the_slow_start_of_the_serving_side() -> None:
+    """A longer return holds a place in the budget that no other host can use."""
+    assert HealthSettings().slow_start_ms == SLOW_START_MS
