Ask for the record's revision while the watch may be silent

Cause: a watch whose connection went silent ends with its deadline, 22 s later, and until then the zone's holder learned of no drain: a drained host got new work beyond the bound of 3 s (guarantee 6). Ruled out: a lost or late write (the record held the drain), the platform (reachable), the list of hosts (it shows leaving hosts, not drained ones).

Change: the holder of a zone's watch lists the key of the record once a second and reads the record when its revision is newer. That is one small call a second a zone; reading the record itself would be 30 KB/s in two years.

--- a/src/guavapin/fleet/view.py
+++ b/src/guavapin/fleet/view.py
@@ -35,6 +35,10 @@
 # read once a second by one process a zone.
 HOSTS_INTERVAL_MS = 1_000
 
+# A watch whose connection went silent ends only with its deadline, 22 s later. The
+# holder therefore also asks for the record's revision, which is a small answer.
+CHECK_INTERVAL_MS = 1_000
+
 # Every process reads the record now and then, in case a relay was lost.
 READ_INTERVAL_MS = 30_000
 
@@ -48,6 +52,7 @@
 class _Purpose(Enum):
     READ = "read"
     WATCH = "watch"
+    CHECK = "check"
     HOSTS = "hosts"
 
 
@@ -140,11 +145,12 @@
         if is_holder:
             self._call(_Purpose.WATCH)
             self._call(_Purpose.HOSTS)
+            self._schedule(_Purpose.CHECK, CHECK_INTERVAL_MS)
 
     def _call(self, purpose: _Purpose) -> None:
         if purpose in self._pending.values():
             return
-        if purpose is _Purpose.WATCH and not self._is_holder:
+        if purpose in (_Purpose.WATCH, _Purpose.CHECK) and not self._is_holder:
             return
         self._request_id += 1
         number = self._request_id
@@ -156,6 +162,8 @@
             return platform.Get(self.name, number, FLEET_KEY)
         if purpose is _Purpose.HOSTS:
             return platform.ListHosts(self.name, number)
+        if purpose is _Purpose.CHECK:
+            return platform.ListPrefix(self.name, number, FLEET_KEY)
         return platform.Watch(
             self.name, number, FLEET_KEY, self._fleet.revision, WATCH_WAIT_MS
         )
@@ -172,6 +180,10 @@
                 self._read_later()
             case platform.Changed(keys):
                 self._on_changed(keys)
+            case platform.Listed(keys):
+                self._schedule(_Purpose.CHECK, CHECK_INTERVAL_MS)
+                if self._is_newer(keys):
+                    self._call(_Purpose.READ)
             case platform.Hosts(hosts):
                 self._on_hosts(hosts)
             case _:
@@ -186,11 +198,13 @@
 
     def _on_changed(self, keys: tuple[platform.KeyRevision, ...]) -> None:
         """Read the record when it changed; the watch goes on after the read."""
-        is_newer = any(
+        self._call(_Purpose.READ if self._is_newer(keys) else _Purpose.WATCH)
+
+    def _is_newer(self, keys: tuple[platform.KeyRevision, ...]) -> bool:
+        return any(
             item.key == FLEET_KEY and item.revision > self._fleet.revision
             for item in keys
         )
-        self._call(_Purpose.READ if is_newer else _Purpose.WATCH)
 
     def _on_hosts(self, hosts: tuple[platform.HostState, ...]) -> None:
         leaving = frozenset(item.host for item in hosts if item.state == "leaving")
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -170,3 +170,15 @@
     rig.store(state)
     rig.fire_watch()
     assert rig.takes_work("a0") and rig.task.fleet.hosts["a0"].is_returning
+
+
+def test_drain_is_seen_within_3_s_though_the_watch_went_silent() -> None:
+    """Guards against new work for a drained host while a silent watch waits for its
+    deadline: the watch is never answered here."""
+    rig = started()
+    rig.store(DRAINED)
+    for _ in range(3):
+        rig.harness.advance(1_000)
+        rig.pump()
+    assert not rig.takes_work("a0")
+    assert len(rig.watches) == 1
