Add the time before a disruption to the fault matrix

Cause: a fault that precedes the write of a drain was not covered.

Change: waves and moves get a column for the time before they begin. The check of guarantee 6 is shown a view that does not ask for the record's revision.

--- a/src/guavapin_matrix/disruptions.py
+++ b/src/guavapin_matrix/disruptions.py
@@ -13,6 +13,9 @@
 from guavapin_matrix.fleet_world import FleetWorld
 
 SERVING = "serving"
+# The time before the disruption begins; a wave begins a second after its processes.
+WAITING = "waiting"
+WAITING_MS = 500
 # Courses of a disruption and the phases that they go through. A phase of the code's
 # enum that stands in none of them has no column and fails the run.
 COURSES: dict[str, dict[str, tuple[HostPhase, ...]]] = {
@@ -48,9 +51,11 @@
         self.pair_share = pair_share
 
     def steps(self) -> tuple[Step, ...]:
-        """Return the phases of each course, and the time after its end."""
+        """Return the phases of each course, and the times before and after it."""
         steps = []
         for variant, phases in COURSES[self.name].items():
+            if not variant:
+                steps.append(Step(self.name, WAITING, variant))
             steps += [Step(self.name, phase.value, variant) for phase in phases]
             if (self.name, variant) in TO_SERVICE:
                 steps.append(Step(self.name, SERVING, variant))
@@ -89,7 +94,14 @@
         if self.cell.step.variant == "failing":
             world.hosts.hosts[SUBJECT].fails_reboot = True
         # The seed shifts the begin against the ticks of the duty.
-        world.sim.run(BEGIN_MS + 37 * self.cell.seed % 1_000)
+        begin_ms = BEGIN_MS + 37 * self.cell.seed % 1_000
+        if self.cell.step.name == WAITING:
+            self.reached.add(WAITING)
+            wait_ms = WAITING_MS if self.kind == "wave" else begin_ms - 1
+            world.sim.run(wait_ms)
+            self._inject()
+            begin_ms -= wait_ms
+        world.sim.run(begin_ms)
         world.start(self.kind)
         world.sim.run(HEAL_MS)
         self.faults.heal()
@@ -111,12 +123,15 @@
 
     def _observe(self) -> None:
         item = self.world.state.disruptions.get(SUBJECT)
-        if item is None and not self.reached:
+        if item is None and self.reached <= {WAITING}:
             return
         name = SERVING if item is None else item.phase.value
         self.reached.add(name)
         if self.is_injected or name != self.cell.step.name:
             return
+        self._inject()
+
+    def _inject(self) -> None:
         self.is_injected = True
         faults = self.cell.faults
         for fault in dict.fromkeys(faults):
--- a/tests/matrix/test_disruption_checks.py
+++ b/tests/matrix/test_disruption_checks.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from guavapin.fleet import host_rules
+from guavapin.fleet import view
 from guavapin.fleet import writer
 from guavapin.fleet.settling import Verdict
 from guavapin.kernel import Ok
@@ -120,3 +121,9 @@
     procedure = Disruptions("wave", 1)
     named = {step.name for step in procedure.steps()}
     assert procedure.required_steps() - named == {"failed"}
+
+
+def test_drain_that_entries_do_not_see_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The view asks for the revision of the record once in 20 s only."""
+    monkeypatch.setattr(view, "CHECK_INTERVAL_MS", 20_000)
+    assert "6" in kinds(run("move", "waiting", Fault.SILENT_CONNECTION))
