Bound a publication while all open watches are silent

Cause: cells with a silent connection only required that a publication came into force in the end. New connections work at once, so the bound of 2 s applies.

Change: with this fault alone the subject itself is held to the bound.

Conclusion: the holder of a zone's watch could ask for the head's revision once a second, as the fleet's view does.

--- a/src/guavapin_matrix/publications.py
+++ b/src/guavapin_matrix/publications.py
@@ -18,6 +18,8 @@
 HARMLESS = frozenset(
     {Fault.RACE, Fault.NEVER_RUNS, Fault.CANCELLATIONS, Fault.ANSWER_LOST}
 )
+# New connections work at once, so alone this must not delay a publication either.
+SILENT = (Fault.SILENT_CONNECTION,)
 AGAIN_MS = 300
 HEAL_MS = 20_000
 SETTLE_MS = 45_000
@@ -76,7 +78,7 @@
             *checks.check_adoptions(world, history),
             *checks.check_in_force(world, last, names),
         ]
-        if HARMLESS.issuperset(self.cell.faults):
+        if HARMLESS.issuperset(self.cell.faults) or self.cell.faults == SILENT:
             violations += checks.check_in_force(world, subject, names)
         reached = frozenset(self.reached)
         return CellResult(self.cell, tuple(violations), self.is_injected, reached)
