--- a/src/guavapin_scenarios/runner.py
+++ b/src/guavapin_scenarios/runner.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.kernel import Refused
+from guavapin_demo.callers import Result
 from guavapin_scenarios.site import ScenarioSite
 from guavapin_scenarios.world import World
 
@@ -18,6 +19,9 @@
     from guavapin_scenarios.protocols import Evidence
 
 
+SHOWN_REASONS = 5
+
+
 @dataclass(frozen=True, slots=True)
 class StepReport:
     """One step: when it began, what it saw, whether it could be done."""
@@ -38,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """The verdict on one run; `answers` counts what callers got."""
+    """The verdict on one run; `answers` counts what callers got, with the reasons."""
 
     file: str
     name: str
@@ -110,8 +114,14 @@
 
 
 def _count(evidence: Evidence) -> dict[str, int]:
+    """Count the answers by result; those that are not whole by their text, too."""
     counts = Counter(item.result.value for item in evidence.all_answers)
-    return dict(sorted(counts.items()))
+    reasons = Counter(
+        f"({item.result.value}: {' '.join(item.detail.split())})"
+        for item in evidence.all_answers
+        if item.result is not Result.WHOLE
+    )
+    return {**dict(sorted(counts.items())), **dict(reasons.most_common(SHOWN_REASONS))}
 
 
 def _failed_processes(site: ScenarioSite) -> str:
