Measure idle sites after the hold-off has ended

A wave starts by itself, so that starting it was refused and its calls were lost.

Change: the idle window begins 70 s after the first publication; the wave is only published. The cost of supply reports is measured by number of peers.

--- a/src/guavapin_bench/slopes_points.py
+++ b/src/guavapin_bench/slopes_points.py
@@ -30,6 +30,9 @@
 SETTLE_S = 6.0
 # A duty holder has taken over and has read the record after this time.
 TAKEOVER_S = 8.0
+# Slots are held off after a start and upstreams return with slow start; each turn of
+# `exchanges` costs more until all have ended, about 60 s after the first publication.
+STEADY_S = 70.0
 PLACEMENT_TIMEOUT_S = 120.0
 WAVE = "one-rack"
 WAVE_TIMEOUT_S = 90.0
@@ -84,11 +87,13 @@
             "entries": point.entries,
             "first_in_force_s": site.publish(objects, 0),
         }
+        published_s = time.monotonic()
         time.sleep(SETTLE_S)
         row["entries_only"] = measure_window(site, lengths.entries_s)
         site.start_controls()
         row["placement"] = measure_placement(site)
-        time.sleep(TAKEOVER_S)
+        passed_s = time.monotonic() - published_s
+        time.sleep(max(TAKEOVER_S, STEADY_S - passed_s))
         row["idle"] = idle = measure_window(site, lengths.idle_s)
         row["memory"] = measure_memory(site)
         row["change"] = measure_changes(site, lengths.changes, idle)
@@ -241,15 +246,17 @@
 
 
 def measure_wave(site: SlopeSite, idle: Row) -> Row:
-    """Run a wave over one rack; return the calls per host."""
+    """Run a wave over one rack; return the calls per host.
+
+    The calls include those of the publication of the wave, which starts by itself.
+    """
     rack = site.objects.hosts[sorted(site.objects.hosts)[-1]].rack
     count = sum(host.rack == rack for host in site.objects.hosts.values())
     waves = {WAVE: MaintenanceWave(WAVE, racks=(rack,))}
     generation = site.get("/objects")["generation"]
-    site.publish(replace(site.objects, waves=waves), generation)
-    time.sleep(2)
     before = sample(site)
-    site.post(f"/waves/{WAVE}/start", FleetChangeRequest("slopes"))
+    site.publish(replace(site.objects, waves=waves), generation)
+    time.sleep(5)
     end_s = time.monotonic() + WAVE_TIMEOUT_S
     while _is_running(site) and time.monotonic() < end_s:
         time.sleep(2)
--- a/src/guavapin_bench/slopes_work.py
+++ b/src/guavapin_bench/slopes_work.py
@@ -21,8 +21,14 @@
 from guavapin.objects.model import ObjectSet
 from guavapin.objects.model import Pool
 from guavapin.objects.model import Service
+from guavapin.peers.messages import Member
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerMessage
 from guavapin.publication.snapshot import join
 from guavapin.publication.snapshot import split
+from guavapin.serving.exchange_relay import SupplyReport
+from guavapin.serving.exchange_relay import encode_relay
 from guavapin.serving.exchange_settings import ExchangeSettings
 from guavapin.serving.exchanges import ExchangesTask
 from guavapin.serving.messages import AttemptBody
@@ -43,6 +49,7 @@
 
 REQUESTS = 3_000
 ROUNDS = 5
+PEERS = (3, 7, 15, 31)
 UPSTREAMS = (10, 100, 300, 1_000)
 FLEETS = ((30, 5), (300, 20), (1_100, 1), (1_100, 10), (1_100, 47))
 
@@ -84,6 +91,36 @@
         raise RuntimeError(f"request {number} was not started")
 
 
+def reports_ms(peers: int, pools: int = 47) -> float:
+    """Return the time of `exchanges` for one supply report of each peer, in ms."""
+    objects = build_fleet(pools=pools)
+    zones = list(objects.zones)
+    settings = ExchangeSettings(
+        zones[0], peers_service="peers", callers_address="127.0.0.1:1"
+    )
+    task = ExchangesTask(settings)
+    TaskHarness(task).start()
+    members = tuple(
+        Member(f"p{n}", zones[n % 5], n // 5, f"127.0.0.1:{n}", 1, MemberStatus.ALIVE)
+        for n in range(1, peers + 1)
+    )
+    task.handle(MembershipChanged(members))
+    free = dict.fromkeys(objects.pools, 5)
+    messages = [
+        PeerMessage(
+            member.name, encode_relay(SupplyReport(member.zone, member.address, free))
+        )
+        for member in members
+    ]
+
+    def receive() -> None:
+        for message in messages:
+            task.handle(message)
+
+    receive()
+    return _median_ms(receive)
+
+
 def duty_work(hosts: int, pools: int) -> dict[str, float]:
     """Return the times of planning and encoding, in ms, and the size of the record."""
     objects = with_wave(build_fleet(hosts, pools))
@@ -131,6 +168,7 @@
     """Return the figures by size."""
     return {
         "request": {str(size): {"us": request_us(size)} for size in UPSTREAMS},
+        "reports": {str(size): {"ms": reports_ms(size)} for size in PEERS},
         "adoption": {
             f"{hosts} hosts, {pools} pools": adoption_work(hosts, pools)
             for hosts, pools in FLEETS
