--- a/src/guavapin/publication/configuration.py
+++ b/src/guavapin/publication/configuration.py
@@ -247,7 +247,7 @@
         self._adopted = ConfigurationAdopted(generation, action.objects)
         self._adopted_ms = self._context.clock.wall_ms()
         self.counters["adoptions"] += 1
-        extra = {"generation": generation, "source": action.source}
+        extra = {"generation": generation, "source": action.source or "platform"}
         log.info("generation adopted", extra=extra)
         self._context.send("peers", AnnounceGeneration(generation))
         if action.source == PLATFORM:
