--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -28,3 +28,11 @@
     Kernel.start = original
     for kernel in list(kernels):
         kernel.stop()
+
+
+def pytest_terminal_summary(terminalreporter):
+    known = terminalreporter.stats.get("xfailed", [])
+    if known:
+        terminalreporter.section("known red, see KNOWN-RED.txt")
+    for report in known:
+        terminalreporter.line(f"{report.nodeid}: {report.wasxfail}")
