Set the fields of frozen records through their slots

Cause: a request makes about 40 frozen records, and the constructor that dataclasses generates looks object.__setattr__ and each field up by name: 3.1 us for a record of eight fields.

Change: the decorator fast_init of the kernel replaces the constructor of the data classes that each request makes by one that calls the slots' setters (1.8 us). The classes stay frozen data classes with the same signature; tests compare them with plain ones. Classes that it cannot serve are refused.

--- a/src/guavapin/routing/health.py
+++ b/src/guavapin/routing/health.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from enum import Enum
 
+from guavapin.kernel.fast_init import fast_init
 from guavapin.routing.verdict import Verdict
 
 
@@ -41,6 +42,7 @@
     smoothing: float = 0.1
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class UpstreamHealth:
     """What is known of one upstream.
--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+from guavapin.kernel.fast_init import fast_init
+
 MAX_KINDS = 64
 KIND_SEGMENTS = 2
 OTHER_KIND = "* *"
@@ -28,6 +30,7 @@
 RECHECK_MS = 1_000
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class RunTime:
     """Quantile estimates of run time in milliseconds, after `count` observations.
@@ -41,6 +44,7 @@
     slowest_ms: float = 0.0
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Expectation:
     """What to expect of a request; `p95_ms` bounds most requests of the kind.
--- a/src/guavapin/serving/exchange_request.py
+++ b/src/guavapin/serving/exchange_request.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin.kernel.fast_init import fast_init
 from guavapin.retries.policy import is_idempotent
 
 if TYPE_CHECKING:
@@ -13,6 +14,7 @@
     from guavapin.serving.messages import Headers
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request as it arrived; times are monotonic milliseconds.
--- a/src/guavapin/serving/exchange_upstream.py
+++ b/src/guavapin/serving/exchange_upstream.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavapin.kernel.fast_init import fast_init
 from guavapin.limits import concurrency
 from guavapin.limits import slots as slot_rules
 from guavapin.limits.slots import SlotState
@@ -31,6 +32,7 @@
 NUMBER_BITS = 20
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class Placement:
     """A reserved slot on a host, for one attempt."""
@@ -42,6 +44,7 @@
     is_trial: bool = False
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class UpstreamRecord:
     """All that this seat knows of one upstream.
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -9,9 +9,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from guavapin.kernel.fast_init import fast_init
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
     """From `front`: the head of a request; `body_follows` tells of `RequestBody`."""
@@ -24,6 +27,7 @@
     body_follows: bool
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class RequestBody:
     """A part of a request's body, in order; the last one has `is_last` set."""
@@ -33,6 +37,7 @@
     is_last: bool
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """From `front`: the caller closed the connection before the end of the answer."""
@@ -40,6 +45,7 @@
     request_id: int
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """To `front`: status and headers; `length` is -1 when it is not announced."""
@@ -50,6 +56,7 @@
     length: int = -1
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerBody:
     """To `front`: a part of the answer's body."""
@@ -58,6 +65,7 @@
     data: bytes
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerEnd:
     """To `front`: the answer is whole."""
@@ -65,6 +73,7 @@
     request_id: int
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerBroken:
     """To `front`: the answer broke off; the connection must be closed visibly."""
@@ -72,6 +81,7 @@
     request_id: int
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class FlowControl:
     """Ask the sender of a body to pause or go on; sent by whoever buffers it.
@@ -85,6 +95,7 @@
     is_attempt: bool = False
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
     """To `upstreams`: send one request to one executor.
@@ -108,6 +119,7 @@
     fresh_connection: bool
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptRequestBody:
     """To `upstreams`: a further part of the request's body."""
@@ -117,6 +129,7 @@
     is_last: bool
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
     """To `upstreams`: end the attempt and close its connection; no answer follows."""
@@ -137,6 +150,7 @@
     BROKEN = "broken"
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptHead:
     """From `upstreams`: status and end-to-end headers of the answer.
@@ -151,6 +165,7 @@
     is_closing: bool = False
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptBody:
     """From `upstreams`: a part of the answer's body."""
@@ -159,6 +174,7 @@
     data: bytes
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """From `upstreams`: the attempt has ended and its slot is free."""
@@ -168,6 +184,7 @@
     detail: str = ""
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class SetReady:
     """To `front`: what ``/readyz`` answers from now on."""
@@ -175,6 +192,7 @@
     is_ready: bool
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class StopAccepting:
     """To `front`: close the listener and idle connections, finish the rest.
@@ -183,6 +201,7 @@
     """
 
 
+@fast_init
 @dataclass(frozen=True, slots=True)
 class GetCounts:
     """To `front` or `upstreams`, as a `Call`: the reply is a dict of counters."""
