Keep the lanes of the queue as attributes and shorten small steps

Cause: the lanes were looked up in a dict by members of an Enum, whose hash runs Python code, 9 times a request; the choice of a lane built a list and took a min with a key even when one lane had requests. The request number was read through a property 19 times a request, and the kind of a request was found with generator expressions.

Change: four attributes for the lanes, a comparison of two heads, and the request number, the digits of a segment and the host header read directly.

--- a/src/guavapin/limits/queue.py
+++ b/src/guavapin/limits/queue.py
@@ -5,7 +5,6 @@
 from collections import Counter
 from collections import OrderedDict
 from dataclasses import dataclass
-from enum import Enum
 
 from guavapin.kernel.fast_init import fast_init
 from guavapin.kernel.outcome import Ok
@@ -49,25 +48,9 @@
     urgent_wait_ms: int = 1_200
 
 
-class Lane(Enum):
-    """Requests of equal treatment, served in order of arrival."""
-
-    URGENT_SHORT = "urgent_short"
-    URGENT_LONG = "urgent_long"
-    SHORT = "short"
-    LONG = "long"
-
-
 DEFAULT_SETTINGS = QueueSettings()
 
 
-def lane_of(waiting: Waiting) -> Lane:
-    """Return the lane of a request."""
-    if waiting.is_urgent:
-        return Lane.URGENT_LONG if waiting.is_long else Lane.URGENT_SHORT
-    return Lane.LONG if waiting.is_long else Lane.SHORT
-
-
 def expected_wait_ms(ahead: int, slots: int, run_ms: float) -> float:
     """Return the wait behind `ahead` requests on `slots` slots of `run_ms` each."""
     if slots <= 0:
@@ -80,14 +63,16 @@
 
     Owned by one task. Long requests have lanes of their own, so that one that may
     not start yet does not hold up the short ones behind it. Requests of a team that
-    has reached its `max_slots` are parked until one of its requests ends.
+    has reached its `max_slots` are parked until one of its requests ends. The lanes are
+    attributes, since looking a member of an `Enum` up in a dict runs Python code.
     """
 
     def __init__(self, settings: QueueSettings = DEFAULT_SETTINGS) -> None:
         self._settings = settings
-        self._lanes: dict[Lane, OrderedDict[int, Waiting]] = {
-            lane: OrderedDict() for lane in Lane
-        }
+        self._urgent_short: OrderedDict[int, Waiting] = OrderedDict()
+        self._urgent_long: OrderedDict[int, Waiting] = OrderedDict()
+        self._short: OrderedDict[int, Waiting] = OrderedDict()
+        self._long: OrderedDict[int, Waiting] = OrderedDict()
         self._parked: dict[tuple[str, str], OrderedDict[int, Waiting]] = {}
         self._places: dict[int, OrderedDict[int, Waiting]] = {}
         self._by_service: Counter[str] = Counter()
@@ -101,13 +86,10 @@
 
     def ahead_of(self, waiting: Waiting) -> int:
         """Return how many requests would start before `waiting` if it came now."""
-        lanes = self._lanes
+        urgent = self._urgent_long if waiting.is_long else self._urgent_short
         if waiting.is_urgent:
-            same = Lane.URGENT_LONG if waiting.is_long else Lane.URGENT_SHORT
-            return len(lanes[same])
-        same = Lane.LONG if waiting.is_long else Lane.SHORT
-        urgent = Lane.URGENT_LONG if waiting.is_long else Lane.URGENT_SHORT
-        return len(lanes[same]) + len(lanes[urgent])
+            return len(urgent)
+        return len(urgent) + len(self._long if waiting.is_long else self._short)
 
     def push(
         self, waiting: Waiting, wait_ms: float, now_ms: int, is_parked: bool = False
@@ -147,12 +129,10 @@
         lane = self._next_lane(allow_long)
         if lane is None:
             return None
-        place = self._lanes[lane]
-        waiting = place.popitem(last=False)[1]
+        waiting = lane.popitem(last=False)[1]
         del self._places[waiting.request_id]
         self._by_service[waiting.service] -= 1
-        is_urgent = lane in (Lane.URGENT_SHORT, Lane.URGENT_LONG)
-        self._urgent_in_row = self._urgent_in_row + 1 if is_urgent else 0
+        self._urgent_in_row = self._urgent_in_row + 1 if waiting.is_urgent else 0
         return waiting
 
     def put_back(self, waiting: Waiting) -> None:
@@ -162,7 +142,7 @@
         """
         self._by_service[waiting.service] += 1
         self._place(waiting, is_parked=False)
-        self._lanes[lane_of(waiting)].move_to_end(waiting.request_id, last=False)
+        self._lane_of(waiting).move_to_end(waiting.request_id, last=False)
 
     def unpark(self, service: str, team: str) -> Waiting | None:
         """Move the oldest parked request of a team into its lane, and return it."""
@@ -176,7 +156,7 @@
         return waiting
 
     def _place(self, waiting: Waiting, is_parked: bool) -> None:
-        place = self._lanes[lane_of(waiting)]
+        place = self._lane_of(waiting)
         if is_parked:
             place = self._parked.setdefault(_parking_of(waiting), OrderedDict())
         place[waiting.request_id] = waiting
@@ -189,22 +169,29 @@
             del self._parked[_parking_of(waiting)]
         return waiting
 
-    def _next_lane(self, allow_long: bool) -> Lane | None:
-        urgent = self._first(Lane.URGENT_SHORT, Lane.URGENT_LONG, allow_long)
-        rest = self._first(Lane.SHORT, Lane.LONG, allow_long)
+    def _next_lane(self, allow_long: bool) -> OrderedDict[int, Waiting] | None:
+        urgent = _first(self._urgent_short, self._urgent_long, allow_long)
+        rest = _first(self._short, self._long, allow_long)
         if urgent is None or rest is None:
             return urgent or rest
         is_starving = self._urgent_in_row >= self._settings.urgent_in_row
         return rest if is_starving else urgent
 
-    def _first(self, short: Lane, long: Lane, allow_long: bool) -> Lane | None:
-        """Return the lane of the two whose head came first, by request id."""
-        heads = [
-            (next(iter(self._lanes[lane])), lane)
-            for lane in (short, long)
-            if self._lanes[lane] and (allow_long or lane is short)
-        ]
-        return min(heads, key=lambda head: head[0])[1] if heads else None
+    def _lane_of(self, waiting: Waiting) -> OrderedDict[int, Waiting]:
+        if waiting.is_urgent:
+            return self._urgent_long if waiting.is_long else self._urgent_short
+        return self._long if waiting.is_long else self._short
+
+
+def _first(
+    short: OrderedDict[int, Waiting], long: OrderedDict[int, Waiting], allow_long: bool
+) -> OrderedDict[int, Waiting] | None:
+    """Return the lane of the two whose head came first, by request id."""
+    if not long or not allow_long:
+        return short or None
+    if not short:
+        return long
+    return short if next(iter(short)) < next(iter(long)) else long
 
 
 def _parking_of(waiting: Waiting) -> tuple[str, str]:
--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -68,7 +68,7 @@
     """
     path = target.split("?", 1)[0].removeprefix(service_prefix)
     segments = [segment for segment in path.split("/") if segment][:KIND_SEGMENTS]
-    shown = ("*" if _is_identifier(segment) else segment for segment in segments)
+    shown = ["*" if _is_identifier(segment) else segment for segment in segments]
     return f"{method} /{'/'.join(shown)}"
 
 
@@ -171,5 +171,5 @@
 
 
 def _is_identifier(segment: str) -> bool:
-    digits = sum(char.isdigit() for char in segment)
+    digits = sum(map(str.isdigit, segment))
     return digits * 3 >= len(segment) or len(segment) > 32
--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -50,7 +50,7 @@
         """Register an attempt and return the message that starts it."""
         attempt = Attempt(
             next(self._ids),
-            exchange.request_id,
+            exchange.request.request_id,
             exchange.request.service.pool,
             placement,
             now_ms,
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -95,11 +95,11 @@
             self._refuse(message.request_id, 429, "quota", math.ceil(wait_ms / 1_000))
             return
         exchange = build_exchange(message, service, head, self._router)
-        self._exchanges[exchange.request_id] = exchange
+        self._exchanges[exchange.request.request_id] = exchange
         if message.body_follows:
-            self.bodies.open(exchange.request_id)
+            self.bodies.open(exchange.request.request_id)
         left_ms = exchange.request.deadline_ms - self._context.now_ms()
-        self._deadlines.set(exchange.request_id, max(left_ms, 0))
+        self._deadlines.set(exchange.request.request_id, max(left_ms, 0))
         if exchange.request.key:
             self._enqueue_keyed(exchange)
         elif not self._spill(exchange):
@@ -140,7 +140,7 @@
 
         The attempt must have ended already.
         """
-        has_body = self.bodies.can_replay(exchange.request_id)
+        has_body = self.bodies.can_replay(exchange.request.request_id)
         if not machine.wants_retry(exchange, ended, has_body):
             return False
         delay = delay_ms(
@@ -153,15 +153,15 @@
             self.counts["retries_over_budget"] += 1
             return False
         self.counts["retries"] += 1
-        self.bodies.stop(exchange.request_id)
-        self._exchanges[exchange.request_id] = machine.on_retry(exchange, ended)
-        self._context.set_timer(delay, RetryDue(exchange.request_id))
+        self.bodies.stop(exchange.request.request_id)
+        self._exchanges[exchange.request.request_id] = machine.on_retry(exchange, ended)
+        self._context.set_timer(delay, RetryDue(exchange.request.request_id))
         return True
 
     def store(self, step: Step) -> None:
         """Store the outcome of an event that does not end the request."""
         exchange, actions = step
-        self._exchanges[exchange.request_id] = exchange
+        self._exchanges[exchange.request.request_id] = exchange
         for action in actions:
             self._act(exchange, action)
 
@@ -210,7 +210,7 @@
             if placement is None:
                 skipped.append(waiting)
                 continue
-            self._placements[exchange.request_id] = placement
+            self._placements[exchange.request.request_id] = placement
             self.apply(machine.on_admitted(exchange, placement.host))
         for waiting in reversed(skipped):
             queue.waiting.put_back(waiting)
@@ -242,7 +242,7 @@
             return
         if not is_parked and not is_retry:
             self._teams.hold(
-                exchange.request_id,
+                exchange.request.request_id,
                 exchange.request.service.name,
                 exchange.request.team,
             )
@@ -250,7 +250,7 @@
 
     def _enqueue_keyed(self, exchange: Exchange) -> None:
         """Queue a request with a key once the part of its body to claim has come."""
-        request_id = exchange.request_id
+        request_id = exchange.request.request_id
         if exchange.phase is not Phase.QUEUED or request_id in self._claim_parts:
             return
         part = self.bodies.claim_part(request_id)
@@ -281,7 +281,7 @@
                     verdict = verdict_at_deadline(attempt, now_ms)
                 self.cancel(attempt_id, exchange, verdict)
             case machine.Claim():
-                part = self._claim_parts[exchange.request_id]
+                part = self._claim_parts[exchange.request.request_id]
                 refused = self.claims.claim(exchange, part)
                 if refused:
                     self.apply(machine.on_claim_refused(exchange, 503, refused))
@@ -292,16 +292,16 @@
                 self.claims.carry_out(exchange, action)
 
     def _send(self, exchange: Exchange) -> None:
-        placement = self._placements.pop(exchange.request_id, None)
+        placement = self._placements.pop(exchange.request.request_id, None)
         address = placement.address if placement else exchange.host
         now_ms = self._context.now_ms()
-        body = self.bodies.start(exchange.request_id)
+        body = self.bodies.start(exchange.request.request_id)
         start = self.attempts.start(exchange, placement, address, body, now_ms)
         sent = machine.on_sent(exchange, start.attempt_id)
-        self._exchanges[exchange.request_id] = sent
+        self._exchanges[exchange.request.request_id] = sent
         self._context.send("upstreams", start)
-        if self.bodies.must_resume(exchange.request_id):
-            self._context.send("front", FlowControl(exchange.request_id, False))
+        if self.bodies.must_resume(exchange.request.request_id):
+            self._context.send("front", FlowControl(exchange.request.request_id, False))
 
     def cancel(
         self, attempt_id: int, exchange: Exchange, verdict: Verdict | None
@@ -311,7 +311,7 @@
         self.attempts.end(attempt_id, exchange, verdict, self._context.now_ms())
 
     def _forget(self, exchange: Exchange) -> None:
-        request_id = exchange.request_id
+        request_id = exchange.request.request_id
         if self._exchanges.pop(request_id, None) is None:
             return
         self._deadlines.discard(request_id)
--- a/src/guavapin/serving/exchange_router.py
+++ b/src/guavapin/serving/exchange_router.py
@@ -57,7 +57,11 @@
 
     def match(self, headers: Headers, target: str) -> Service | None:
         """Return the service that a request is for."""
-        host = next((value for name, value in headers if name == b"host"), b"")
+        host = b""
+        for name, value in headers:
+            if name == b"host":
+                host = value
+                break
         return match_service(self._table, host.decode("latin-1"), target)
 
     def pool_of_host(self, host: str) -> ExchangePool | None:
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -176,7 +176,7 @@
             return
         if exchange.is_claimed:
             self._flow.claims.open_answer(
-                exchange.request_id, event.status, event.headers
+                exchange.request.request_id, event.status, event.headers
             )
         self._flow.apply(machine.on_answer_head(exchange, event.status, event.headers))
 
@@ -204,7 +204,7 @@
         if exchange is None:
             self._flow.counts["late_messages"] += 1
             return
-        self._flow.claims.add_body(exchange.request_id, event.data)
+        self._flow.claims.add_body(exchange.request.request_id, event.data)
         self._flow.store(machine.on_answer_body(exchange, event.data))
 
     def _on_ended(self, event: AttemptEnded) -> None:
