--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -225,14 +225,18 @@
 
 
 def platform_config(cfg: PlatformSettings, node: NodeSettings) -> PlatformConfig:
-    """Return the client's settings; writes get a quarter of the calls."""
+    """Return the client's settings; writes get a fifth of the calls.
+
+    The platform takes about four reads for each write. At the default of 300 calls a
+    second, 8 entry processes write 480 times a second at the most.
+    """
     return PlatformConfig(
         url=f"http://{cfg.address}",
         zone=node.zone,
         deadline_ms=cfg.timeout_ms,
         max_in_flight=cfg.calls_in_flight,
-        writes_per_second=cfg.calls_per_second / 4,
-        reads_per_second=cfg.calls_per_second * 3 / 4,
+        writes_per_second=cfg.calls_per_second / 5,
+        reads_per_second=cfg.calls_per_second * 4 / 5,
     )
 
 
--- a/src/guavapin/console/commands/status.py
+++ b/src/guavapin/console/commands/status.py
@@ -4,14 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.console.exit_codes import ExitCode
 from guavapin.console.render import render_table
+from guavapin.kernel.outcome import Ok
 
 if TYPE_CHECKING:
     import argparse
     from typing import Any
 
     from guavapin.console.command import Console
-    from guavapin.console.exit_codes import ExitCode
 
 
 class StatusCommand:
@@ -21,7 +22,8 @@
     summary = "show whether every promise is kept, and what is in hand"
     description = """\
 Show the generation of each entry process, each pool's margin above its availability
-budget, the disruptions in progress and the waves with what they wait for.
+budget, the disruptions in progress and the waves with what they wait for. Exits with 1
+when a promise is broken now.
 """
 
     def configure(self, parser: argparse.ArgumentParser) -> None:
@@ -29,7 +31,11 @@
 
     def run(self, args: argparse.Namespace, console: Console) -> ExitCode:
         """Read and render the status."""
-        return console.finish(console.client.get("/operator/v1/status"), _as_table)
+        outcome = console.client.get("/operator/v1/status")
+        code = console.finish(outcome, _as_table)
+        if code is ExitCode.DONE and isinstance(outcome, Ok):
+            return ExitCode.REFUSED if outcome.value.body["broken"] else code
+        return code
 
 
 def _as_table(body: Any) -> str:
--- a/src/guavapin/operators/configuration_calls.py
+++ b/src/guavapin/operators/configuration_calls.py
@@ -95,7 +95,7 @@
         """Publish a whole set."""
         try:
             body = msgspec.json.decode(call.body, type=PublishBody)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return answer_refused(Refused(Reason.BAD_INPUT, f"body: {exc}"))
         objects = decode_text(body.objects)
         if isinstance(objects, tuple):
@@ -113,7 +113,7 @@
         """Publish the content of an older generation as a new one."""
         try:
             body = msgspec.json.decode(call.body, type=RollbackBody)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             return answer_refused(Refused(Reason.BAD_INPUT, f"body: {exc}"))
         message = Rollback(
             body.base_generation,
--- a/src/guavapin/operators/fleet_calls.py
+++ b/src/guavapin/operators/fleet_calls.py
@@ -115,7 +115,7 @@
 def _decode(body: bytes) -> FleetChangeRequest | Refused:
     try:
         return msgspec.json.decode(body or b"{}", type=FleetChangeRequest)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         return Refused(Reason.BAD_INPUT, f"body: {exc}")
 
 
--- a/src/guavapin/operators/report_calls.py
+++ b/src/guavapin/operators/report_calls.py
@@ -40,6 +40,8 @@
 
 LIVE = "live"
 DEFAULT_AUDIT_LIMIT = 50
+# Wall times in milliseconds have 13 digits; int() refuses very long texts.
+MAX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,8 +156,8 @@
     numbers = {"since_ms": 0, "until_ms": 0, "limit": DEFAULT_AUDIT_LIMIT}
     for name in numbers:
         text = query.get(name, str(numbers[name]))
-        if not text.isascii() or not text.isdigit():
-            detail = f"{name} = {text!r}; expected a whole number"
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+            detail = f"{name} = {text[:MAX_DIGITS]!r}; expected a whole number"
             return Refused(Reason.BAD_INPUT, detail)
         numbers[name] = int(text)
     return Ok(
--- a/src/guavapin/publication/configuration.py
+++ b/src/guavapin/publication/configuration.py
@@ -36,6 +36,7 @@
 from guavapin.publication.follower import ReadHead
 from guavapin.publication.head import decode_head
 from guavapin.publication.head import encode_head
+from guavapin.publication.head_source import CheckHead
 from guavapin.publication.head_source import ChunkRead
 from guavapin.publication.head_source import HeadMissing
 from guavapin.publication.head_source import HeadRead
@@ -118,7 +119,7 @@
         match message:
             case Reply(request_id, outcome):
                 self._on_source(self._source.on_reply(request_id, outcome))
-            case SlowRead() | RetryRead() | StartWatch():
+            case SlowRead() | RetryRead() | StartWatch() | CheckHead():
                 self._source.on_timer(message)
             case PeerMessage(sender, body):
                 self._on_peer(sender, body)
--- a/src/guavapin/publication/head_source.py
+++ b/src/guavapin/publication/head_source.py
@@ -15,6 +15,8 @@
 from guavapin.platform.messages import Changed
 from guavapin.platform.messages import Found
 from guavapin.platform.messages import Get
+from guavapin.platform.messages import Listed
+from guavapin.platform.messages import ListPrefix
 from guavapin.platform.messages import Missing
 from guavapin.platform.messages import PlatformOutcome
 from guavapin.platform.messages import Watch
@@ -31,6 +33,9 @@
 # Heartbeats arrive within this time of a start, so that only one seat of a zone
 # begins to watch.
 FIRST_WATCH_MS = 1_500
+# The watcher also asks for the head's revision, a small answer, since a watch whose
+# connection went silent would delay a change beyond the bound of 2 s.
+CHECK_MS = 1_000
 RETRY_LEAST_MS = 200
 RETRY_MOST_MS = 5_000
 
@@ -50,7 +55,12 @@
     """Timer: the head may be watched from now on."""
 
 
-SourceTimer: TypeAlias = SlowRead | RetryRead | StartWatch
+@dataclass(frozen=True, slots=True)
+class CheckHead:
+    """Timer: ask for the head's revision while watching."""
+
+
+SourceTimer: TypeAlias = SlowRead | RetryRead | StartWatch | CheckHead
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +93,7 @@
         self._service = service
         # Jitter only: this generator never decides what is adopted.
         self._random = random.Random(seed)
-        self._requests: dict[int, Get | Watch] = {}
+        self._requests: dict[int, Get | Watch | ListPrefix] = {}
         self._next_request_id = 1
         self._revision = 0
         self._read_failures = 0
@@ -102,6 +112,7 @@
         self.read_head()
         context.set_timer(FIRST_WATCH_MS, StartWatch())
         context.set_timer(self._jittered(SLOW_READ_MS), SlowRead())
+        context.set_timer(CHECK_MS, CheckHead())
 
     def on_timer(self, timer: SourceTimer) -> None:
         """Handle a timer of this object, which the task delivers."""
@@ -115,6 +126,8 @@
             case StartWatch():
                 self._may_watch = True
                 self._watch()
+            case CheckHead():
+                self._check()
 
     def set_watcher(self, is_watcher: bool) -> None:
         """Begin to watch the head, or stop when the watch under way ends."""
@@ -152,6 +165,9 @@
         if request is None:
             self.counters["unexpected_replies"] += 1
             return None
+        if isinstance(request, ListPrefix):
+            self._on_checked(outcome)
+            return None
         if request.key == HEAD_KEY:
             return self._on_head(outcome)
         data = outcome.value if isinstance(outcome, Found) else None
@@ -184,6 +200,20 @@
         after = self._revision
         self._call(Watch(self._service, request_id, HEAD_KEY, after, WATCH_MS))
 
+    def _check(self) -> None:
+        self._context.set_timer(CHECK_MS, CheckHead())
+        if self._is_watcher and self.is_watch_open:
+            self.counters["head_checks"] += 1
+            request_id = self._next_request_id
+            self._call(ListPrefix(self._service, request_id, HEAD_KEY))
+
+    def _on_checked(self, outcome: PlatformOutcome) -> None:
+        if isinstance(outcome, Listed) and any(
+            item.key == HEAD_KEY and item.revision > self._revision
+            for item in outcome.keys
+        ):
+            self.read_head()
+
     def _on_watch(self, outcome: PlatformOutcome) -> None:
         self.is_watch_open = False
         if isinstance(outcome, Changed):
@@ -198,7 +228,7 @@
         self._may_watch = False
         self._context.set_timer(self._backoff(self._watch_failures), StartWatch())
 
-    def _call(self, request: Get | Watch) -> None:
+    def _call(self, request: Get | Watch | ListPrefix) -> None:
         self._requests[request.request_id] = request
         self._next_request_id += 1
         self._context.send("platform", request)
--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -38,6 +38,11 @@
         """Return the bound on the head of a request."""
         ...
 
+    @property
+    def asks_to_close(self) -> bool:
+        """Whether answers ask their callers to close the connection."""
+        ...
+
     @property
     def is_stopping(self) -> bool:
         """Return whether connections end with their request."""
@@ -266,7 +271,7 @@
             self.request_id = 0
 
     def _on_head(self, head: RequestHead) -> None:
-        closes = not head.keep_alive or self._owner.is_stopping
+        closes = not head.keep_alive or self._owner.asks_to_close
         self._encoder = AnswerEncoder(head.method, head.is_http_10, closes)
         self._is_request_read = not head.body_follows
         self._is_answer_ended = False
--- a/src/guavapin/serving/exchange_relay.py
+++ b/src/guavapin/serving/exchange_relay.py
@@ -76,6 +76,6 @@
         if kind is None:
             return None
         message: RelayMessage = msgspec.msgpack.decode(content, type=kind)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return None
     return message
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -256,7 +256,9 @@
             case UpstreamLeaving(host):
                 self._mark_leaving(host)
             case SupplyReport():
-                self._router.reports = self._peers.zone_reports()
+                # Kept by `decode`; the tick makes the zones' reports of all of them,
+                # since that costs a step for each peer and pool.
+                pass
 
     def _on_loan(self, message: LoanRequest | LoanGrant | LoanReturn) -> None:
         pool = self._router.pool_of_host(message.upstream)
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -64,6 +64,7 @@
         self.port = cfg.port
         self.max_head_bytes = cfg.max_head_bytes
         self.is_stopping = False
+        self.asks_to_close = False
         self.counts: Counter[str] = Counter()
         self._cfg = cfg
         self._is_ready = False
@@ -134,6 +135,7 @@
 
     def _on_set_ready(self, message: SetReady) -> None:
         self._is_ready = message.is_ready
+        self.asks_to_close = self.asks_to_close or message.is_stopping
 
     def now_ms(self) -> int:
         """Return monotonic time in milliseconds."""
@@ -325,6 +327,7 @@
     def _stop_accepting(self) -> None:
         self._listener.close()
         self.is_stopping = True
+        self.asks_to_close = True
         for conn in list(self._conns.values()):
             if not conn.is_busy and not conn.is_handshaking:
                 conn.read()
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -187,9 +187,14 @@
 @fast_init
 @dataclass(frozen=True, slots=True)
 class SetReady:
-    """To `front`: what ``/readyz`` answers from now on."""
+    """To `front`: what ``/readyz`` answers from now on.
+
+    `is_stopping` tells that the process is about to stop, so that answers ask their
+    callers to close the connection.
+    """
 
     is_ready: bool
+    is_stopping: bool = False
 
 
 @fast_init
--- a/src/guavapin/serving/readiness.py
+++ b/src/guavapin/serving/readiness.py
@@ -67,7 +67,8 @@
 
     def _begin_stop(self) -> None:
         self._is_stopping = True
-        self._set(False)
+        self.is_ready = False
+        self._context.send("front", SetReady(is_ready=False, is_stopping=True))
 
     def _set(self, is_ready: bool) -> None:
         is_ready = is_ready and not self._is_stopping
--- a/src/guavapin/settings/parts.py
+++ b/src/guavapin/settings/parts.py
@@ -60,7 +60,7 @@
 
     address: str
     timeout_ms: int = 2_000
-    calls_per_second: int = 50
+    calls_per_second: int = 300
     calls_in_flight: int = 32
 
 
--- a/tests/hostile/test_decoders.py
+++ b/tests/hostile/test_decoders.py
@@ -112,7 +112,6 @@
     assert relayed_leaving(DEEP) == []
 
 
-@pytest.mark.xfail(strict=True, raises=RecursionError, reason="KNOWN-RED.txt, issue 1")
 def test_deep_nesting_in_a_relay_never_raises():
     # Guards against a message of a peer that ends the process.
     assert decode_relay(Relay(TOPIC, b"\x92\xa6supply" + DEEP)) is None
@@ -262,7 +261,6 @@
     assert isinstance(load_tokens(str(path)), Ok | Refused)
 
 
-@pytest.mark.xfail(strict=True, raises=ValueError, reason="KNOWN-RED.txt, issue 2")
 def test_number_of_5000_digits_in_a_query_gets_an_answer(operators):
     # Guards against a connection that breaks off instead of a refusal.
     headers = {"Authorization": f"Bearer {TOKEN}"}
@@ -271,7 +269,6 @@
     assert answer.status_code == 400
 
 
-@pytest.mark.xfail(strict=True, raises=RecursionError, reason="KNOWN-RED.txt, issue 3")
 @pytest.mark.parametrize("path", ["publish", "rollback", "hosts/h1/drain"])
 def test_deeply_nested_body_gets_an_answer(operators, path):
     # Guards against a connection that breaks off instead of a refusal.
