--- a/tests/serving/test_deadlines.py
+++ b/tests/serving/test_deadlines.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from guavapin.serving.deadlines import SLACK
@@ -15,6 +16,7 @@
 )
 
 
+@settings(derandomize=True)
 @given(STEPS)
 def test_every_deadline_is_reported_once_and_in_time(steps):
     deadlines = Deadlines()
