--- a/src/guavapin/audit/reader.py
+++ b/src/guavapin/audit/reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from guavapin.audit.query import AuditQuery
@@ -32,14 +31,20 @@
 MAX_WAITING = 16
 
 
-@dataclass(slots=True)
 class _Search:
     """A query in progress; `keys` are the segments not yet read, newest last."""
 
-    query: AuditQuery
-    fut: Future[Any]
-    found: dict[int, AuditEntry]
-    keys: list[str] | None = None
+    def __init__(
+        self,
+        query: AuditQuery,
+        fut: Future[Any],
+        found: dict[int, AuditEntry],
+        keys: list[str] | None = None,
+    ) -> None:
+        self.query = query
+        self.fut = fut
+        self.found = found
+        self.keys = keys
 
     def add(self, entries: tuple[AuditEntry, ...]) -> None:
         """Keep the entries that match."""
--- a/src/guavapin/limits/concurrency.py
+++ b/src/guavapin/limits/concurrency.py
@@ -9,8 +9,6 @@
 
 from dataclasses import dataclass
 
-from guavapin.kernel.fast_init import fast_init
-
 
 @dataclass(frozen=True, slots=True)
 class ConcurrencySettings:
@@ -28,7 +26,6 @@
     min_limit: float = 1.0
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class ConcurrencyLimit:
     """The limit and the window being filled; times are ratios to the expected ones."""
--- a/src/guavapin/limits/queue.py
+++ b/src/guavapin/limits/queue.py
@@ -6,14 +6,12 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.kernel.outcome import Reason
 from guavapin.kernel.outcome import Refused
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class Waiting:
     """A request that waits; `deadline_ms` bounds its end, `run_ms` is expected.
--- a/src/guavapin/limits/slots.py
+++ b/src/guavapin/limits/slots.py
@@ -24,8 +24,6 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
-from guavapin.kernel.fast_init import fast_init
-
 # Covers the spread of a configuration to all connected seats (7 s).
 SPREAD_MS = 8_000
 
@@ -134,7 +132,6 @@
     until_ms: int
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class SlotState:
     """Slots of one upstream at one seat.
--- a/src/guavapin/peers/task.py
+++ b/src/guavapin/peers/task.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import selectors
-import time
+import threading
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -155,7 +155,7 @@
         """Tell the peers and close all sockets; blocks for `LINGER_MS` at most."""
         if not self._is_leaving and self._outgoing:
             self._leave()
-            time.sleep(LINGER_MS / 1_000)
+            threading.Event().wait(LINGER_MS / 1_000)
         if self._listener is not None:
             self._context.unwatch(self._listener.recv_fd)
             self._listener.close()
--- a/src/guavapin/retries/budget.py
+++ b/src/guavapin/retries/budget.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass
 
-from guavapin.kernel.fast_init import fast_init
-
 
 @dataclass(frozen=True, slots=True)
 class RetryBudgetSettings:
@@ -19,7 +17,6 @@
     capacity: float = 20.0
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class RetryBudget:
     """Retries left; `unpaid` is what the next requests owe for the first retry.
--- a/src/guavapin/retries/policy.py
+++ b/src/guavapin/retries/policy.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.serving.messages import AttemptResult
 
 if TYPE_CHECKING:
@@ -20,7 +19,6 @@
 MAX_ATTEMPTS = 3
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class EndedAttempt:
     """What the policy must know of an attempt; `status` is 0 without a head.
--- a/src/guavapin/routing/health.py
+++ b/src/guavapin/routing/health.py
@@ -10,7 +10,6 @@
 from dataclasses import replace
 from enum import Enum
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.routing.verdict import Verdict
 
 
@@ -42,7 +41,6 @@
     smoothing: float = 0.1
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class UpstreamHealth:
     """What is known of one upstream.
--- a/src/guavapin/routing/picker.py
+++ b/src/guavapin/routing/picker.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.routing.health import score
 
 if TYPE_CHECKING:
@@ -24,7 +23,6 @@
 MAX_SAMPLES = 4
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class PickRequest:
     """What a picker needs to know of a request; `tried` upstreams are excluded."""
--- a/src/guavapin/routing/run_time.py
+++ b/src/guavapin/routing/run_time.py
@@ -11,8 +11,6 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
-from guavapin.kernel.fast_init import fast_init
-
 MAX_KINDS = 64
 KIND_SEGMENTS = 2
 OTHER_KIND = "* *"
@@ -30,7 +28,6 @@
 RECHECK_MS = 1_000
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class RunTime:
     """Quantile estimates of run time in milliseconds, after `count` observations.
@@ -44,7 +41,6 @@
     slowest_ms: float = 0.0
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class Expectation:
     """What to expect of a request; `p95_ms` bounds most requests of the kind.
--- a/src/guavapin/routing/verdict.py
+++ b/src/guavapin/routing/verdict.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.serving.messages import AttemptResult
 
 RATE_LIMITED = 429
@@ -39,7 +38,6 @@
     reject_empty_success: bool = True
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptSummary:
     """What is known of an ended attempt; `status` is 0 when no head arrived.
--- a/src/guavapin/serving/exchange.py
+++ b/src/guavapin/serving/exchange.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.retries.policy import EndedAttempt
 from guavapin.retries.policy import has_not_run
 from guavapin.retries.policy import may_repeat
@@ -47,7 +46,6 @@
     DONE = "done"
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class Exchange:
     """One request and where it stands.
@@ -77,7 +75,6 @@
         return len(self.tried)
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class SendToFront:
     """Send `message` to the task `front`."""
--- a/src/guavapin/serving/exchange_attempt.py
+++ b/src/guavapin/serving/exchange_attempt.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.routing.verdict import AttemptSummary
 from guavapin.routing.verdict import Verdict
 from guavapin.routing.verdict import classify_attempt
@@ -36,7 +35,6 @@
 UNKNOWN_LATE_MS = 10_000
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """An attempt in progress; `placement` is None for one to another zone.
--- a/src/guavapin/serving/exchange_bodies.py
+++ b/src/guavapin/serving/exchange_bodies.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
-from dataclasses import field
 
 # A queued request holds this much before its caller is paused (design, section 6.8).
 HIGH_WATER_BYTES = 262_144
@@ -15,15 +13,23 @@
 CLAIM_BYTES = HIGH_WATER_BYTES
 
 
-@dataclass(slots=True)
 class _Body:
-    parts: deque[bytes] = field(default_factory=deque)
-    kept_bytes: int = 0
-    total_bytes: int = 0
-    is_whole: bool = False
-    is_sending: bool = False
-    is_cut: bool = False
-    is_paused: bool = False
+    def __init__(
+        self,
+        kept_bytes: int = 0,
+        total_bytes: int = 0,
+        is_whole: bool = False,
+        is_sending: bool = False,
+        is_cut: bool = False,
+        is_paused: bool = False,
+    ) -> None:
+        self.parts: deque[bytes] = deque()
+        self.kept_bytes = kept_bytes
+        self.total_bytes = total_bytes
+        self.is_whole = is_whole
+        self.is_sending = is_sending
+        self.is_cut = is_cut
+        self.is_paused = is_paused
 
 
 class RequestBodies:
--- a/src/guavapin/serving/exchange_claims.py
+++ b/src/guavapin/serving/exchange_claims.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from guavapin.claims.messages import ClaimGranted
@@ -31,12 +29,12 @@
 MAX_ANSWER_BYTES = 262_144
 
 
-@dataclass(slots=True)
 class _Answer:
-    status: int
-    headers: Headers
-    parts: list[bytes] = field(default_factory=list)
-    size: int = 0
+    def __init__(self, status: int, headers: Headers, size: int = 0) -> None:
+        self.status = status
+        self.headers = headers
+        self.parts: list[bytes] = list()
+        self.size = size
 
 
 class ClaimRequests:
--- a/src/guavapin/serving/exchange_head.py
+++ b/src/guavapin/serving/exchange_head.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from guavapin.kernel.fast_init import fast_init
-
 if TYPE_CHECKING:
     from guavapin.serving.messages import Headers
 
@@ -22,7 +20,6 @@
 MAX_TEAM_BYTES = 128
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class RequestHead:
     """Headers that decide; `deadline_ms` is the time left, 0 when not given.
--- a/src/guavapin/serving/exchange_request.py
+++ b/src/guavapin/serving/exchange_request.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.retries.policy import is_idempotent
 
 if TYPE_CHECKING:
@@ -14,7 +13,6 @@
     from guavapin.serving.messages import Headers
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A request as it arrived; times are monotonic milliseconds.
--- a/src/guavapin/serving/exchange_upstream.py
+++ b/src/guavapin/serving/exchange_upstream.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from guavapin.kernel.fast_init import fast_init
 from guavapin.limits import concurrency
 from guavapin.limits import slots as slot_rules
 from guavapin.limits.slots import SlotState
@@ -32,7 +31,6 @@
 NUMBER_BITS = 20
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class Placement:
     """A reserved slot on a host, for one attempt."""
@@ -44,7 +42,6 @@
     is_trial: bool = False
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class UpstreamRecord:
     """All that this seat knows of one upstream.
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -9,12 +9,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from guavapin.kernel.fast_init import fast_init
-
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
     """From `front`: the head of a request; `body_follows` tells of `RequestBody`."""
@@ -27,7 +24,6 @@
     body_follows: bool
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class RequestBody:
     """A part of a request's body, in order; the last one has `is_last` set."""
@@ -37,7 +33,6 @@
     is_last: bool
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """From `front`: the caller closed the connection before the end of the answer."""
@@ -45,7 +40,6 @@
     request_id: int
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """To `front`: status and headers; `length` is -1 when it is not announced."""
@@ -56,7 +50,6 @@
     length: int = -1
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerBody:
     """To `front`: a part of the answer's body."""
@@ -65,7 +58,6 @@
     data: bytes
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerEnd:
     """To `front`: the answer is whole."""
@@ -73,7 +65,6 @@
     request_id: int
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AnswerBroken:
     """To `front`: the answer broke off; the connection must be closed visibly."""
@@ -81,7 +72,6 @@
     request_id: int
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class FlowControl:
     """Ask the sender of a body to pause or go on; sent by whoever buffers it.
@@ -95,7 +85,6 @@
     is_attempt: bool = False
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
     """To `upstreams`: send one request to one executor.
@@ -119,7 +108,6 @@
     fresh_connection: bool
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptRequestBody:
     """To `upstreams`: a further part of the request's body."""
@@ -129,7 +117,6 @@
     is_last: bool
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
     """To `upstreams`: end the attempt and close its connection; no answer follows."""
@@ -150,7 +137,6 @@
     BROKEN = "broken"
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptHead:
     """From `upstreams`: status and end-to-end headers of the answer.
@@ -165,7 +151,6 @@
     is_closing: bool = False
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptBody:
     """From `upstreams`: a part of the answer's body."""
@@ -174,7 +159,6 @@
     data: bytes
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """From `upstreams`: the attempt has ended and its slot is free."""
@@ -184,7 +168,6 @@
     detail: str = ""
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class SetReady:
     """To `front`: what ``/readyz`` answers from now on.
@@ -197,7 +180,6 @@
     is_stopping: bool = False
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class StopAccepting:
     """To `front`: close the listener and idle connections, finish the rest.
@@ -206,7 +188,6 @@
     """
 
 
-@fast_init
 @dataclass(frozen=True, slots=True)
 class GetCounts:
     """To `front` or `upstreams`, as a `Call`: the reply is a dict of counters."""
--- a/src/guavapin/waves/planner.py
+++ b/src/guavapin/waves/planner.py
@@ -8,7 +8,6 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from guavapin.fleet.actions import StartWaveHost
@@ -49,13 +48,13 @@
     long_work: frozenset[str] = frozenset()
 
 
-@dataclass(slots=True)
 class _Places:
     """The statuses of the pools while a plan is made."""
 
-    statuses: dict[str, PoolStatus]
-    objects: ObjectSet
-    zones: Counter[str] = field(default_factory=Counter)
+    def __init__(self, statuses: dict[str, PoolStatus], objects: ObjectSet) -> None:
+        self.statuses = statuses
+        self.objects = objects
+        self.zones: Counter[str] = Counter()
 
     def take(self, host: Host, pool: str) -> bool:
         """Take out `host` if the budget of its pool allows it."""
--- a/src/guavapin_bench/load_generator.py
+++ b/src/guavapin_bench/load_generator.py
@@ -12,22 +12,27 @@
 import socket
 import time
 from dataclasses import dataclass
-from dataclasses import field
 
 # Sizes of answers in bytes, about those of a price, a route sheet and an order.
 ANSWER_BYTES = (300, 300, 1_200, 1_200, 4_000, 16_000)
 HEAD_END = b"\r\n\r\n"
 
 
-@dataclass(slots=True, eq=False)
 class Client:
     """One connection with its request in progress."""
 
-    sock: socket.socket
-    expected: bytes = b""
-    started_ns: int = 0
-    data: bytearray = field(default_factory=bytearray)
-    size: int = -1
+    def __init__(
+        self,
+        sock: socket.socket,
+        expected: bytes = b"",
+        started_ns: int = 0,
+        size: int = -1,
+    ) -> None:
+        self.sock = sock
+        self.expected = expected
+        self.started_ns = started_ns
+        self.data: bytearray = bytearray()
+        self.size = size
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin_bench/policies_hedging.py
+++ b/src/guavapin_bench/policies_hedging.py
@@ -6,8 +6,6 @@
 import itertools
 import random
 from collections import deque
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from guavapin.retries.hedge import HedgeSettings
@@ -20,13 +18,19 @@
 STALL_FACTOR = 20
 
 
-@dataclass(slots=True)
 class _Request:
-    at_ms: float
-    run_ms: tuple[float, float]
-    is_done: bool = False
-    attempts: int = 0
-    slots: set[int] = field(default_factory=set)
+    def __init__(
+        self,
+        at_ms: float,
+        run_ms: tuple[float, float],
+        is_done: bool = False,
+        attempts: int = 0,
+    ) -> None:
+        self.at_ms = at_ms
+        self.run_ms = run_ms
+        self.is_done = is_done
+        self.attempts = attempts
+        self.slots: set[int] = set()
 
 
 class HedgingLoop:
--- a/src/guavapin_bench/policies_loop.py
+++ b/src/guavapin_bench/policies_loop.py
@@ -48,17 +48,26 @@
     is_urgent: bool = False
 
 
-@dataclass(slots=True)
 class Outcome:
     """What became of a request; `start_ms` is the start of its first attempt."""
 
-    arrival: Arrival
-    start_ms: int = -1
-    end_ms: int = -1
-    status: int = 0
-    is_whole: bool = False
-    attempts: int = 0
-    refusal: str = ""
+    def __init__(
+        self,
+        arrival: Arrival,
+        start_ms: int = -1,
+        end_ms: int = -1,
+        status: int = 0,
+        is_whole: bool = False,
+        attempts: int = 0,
+        refusal: str = "",
+    ) -> None:
+        self.arrival = arrival
+        self.start_ms = start_ms
+        self.end_ms = end_ms
+        self.status = status
+        self.is_whole = is_whole
+        self.attempts = attempts
+        self.refusal = refusal
 
     @property
     def wait_ms(self) -> int:
--- a/src/guavapin_matrix/callers.py
+++ b/src/guavapin_matrix/callers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from guavapin.serving.messages import AnswerBody
@@ -23,22 +21,33 @@
 MAX_REPEATS = 3
 
 
-@dataclass
 class CallerRequest:
     """One request of a caller and all that came back, in order."""
 
-    tag: str
-    node: Node
-    method: str
-    key: str
-    sent_ms: int
-    repeats: int = 0
-    heads: list[AnswerHead] = field(default_factory=list)
-    body: bytes = b""
-    ends: list[str] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
-    ended_ms: int = 0
-    is_gone: bool = False
+    def __init__(
+        self,
+        tag: str,
+        node: Node,
+        method: str,
+        key: str,
+        sent_ms: int,
+        repeats: int = 0,
+        body: bytes = b"",
+        ended_ms: int = 0,
+        is_gone: bool = False,
+    ) -> None:
+        self.tag = tag
+        self.node = node
+        self.method = method
+        self.key = key
+        self.sent_ms = sent_ms
+        self.repeats = repeats
+        self.heads: list[AnswerHead] = list()
+        self.body = body
+        self.ends: list[str] = list()
+        self.faults: list[str] = list()
+        self.ended_ms = ended_ms
+        self.is_gone = is_gone
 
     @property
     def is_whole(self) -> bool:
--- a/src/guavapin_matrix/fake_peers.py
+++ b/src/guavapin_matrix/fake_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -24,16 +23,24 @@
 DELAY_MS = 2
 
 
-@dataclass
 class Peer:
     """One entry process as its peers know it."""
 
-    node: Node
-    member: Member
-    heard_ms: int
-    is_cut: bool = False
-    is_silent: bool = False
-    garbles: bool = False
+    def __init__(
+        self,
+        node: Node,
+        member: Member,
+        heard_ms: int,
+        is_cut: bool = False,
+        is_silent: bool = False,
+        garbles: bool = False,
+    ) -> None:
+        self.node = node
+        self.member = member
+        self.heard_ms = heard_ms
+        self.is_cut = is_cut
+        self.is_silent = is_silent
+        self.garbles = garbles
 
 
 class FakePeers:
--- a/src/guavapin_matrix/fleet_hosts.py
+++ b/src/guavapin_matrix/fleet_hosts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from guavapin.duties.messages import DoHostStep
@@ -25,32 +24,49 @@
 }
 
 
-@dataclass
 class FleetHost:
     """A host; it has unfinished work until `work_until_ms` unless that is saved.
 
     Each step takes `step_factor` times as long as usual.
     """
 
-    is_up: bool = True
-    fails: bool = False
-    fails_reboot: bool = False
-    step_factor: int = 1
-    never_ends: bool = False
-    is_rebooting: bool = False
-    work_until_ms: int = 0
-    is_saved: bool = False
+    def __init__(
+        self,
+        is_up: bool = True,
+        fails: bool = False,
+        fails_reboot: bool = False,
+        step_factor: int = 1,
+        never_ends: bool = False,
+        is_rebooting: bool = False,
+        work_until_ms: int = 0,
+        is_saved: bool = False,
+    ) -> None:
+        self.is_up = is_up
+        self.fails = fails
+        self.fails_reboot = fails_reboot
+        self.step_factor = step_factor
+        self.never_ends = never_ends
+        self.is_rebooting = is_rebooting
+        self.work_until_ms = work_until_ms
+        self.is_saved = is_saved
 
 
-@dataclass
 class OrderedStep:
     """A step by its identity; it is done once, however often it is ordered."""
 
-    order: DoHostStep
-    waiting: list[Node]
-    is_begun: bool = False
-    is_lost: bool = False
-    result: bool | None = None
+    def __init__(
+        self,
+        order: DoHostStep,
+        waiting: list[Node],
+        is_begun: bool = False,
+        is_lost: bool = False,
+        result: bool | None = None,
+    ) -> None:
+        self.order = order
+        self.waiting = waiting
+        self.is_begun = is_begun
+        self.is_lost = is_lost
+        self.result = result
 
 
 class FleetHosts:
--- a/src/guavapin_matrix/platform.py
+++ b/src/guavapin_matrix/platform.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from guavapin.platform import messages as platform
@@ -25,11 +24,11 @@
 _WRITES = (platform.Put, platform.Delete, platform.LeaseGrant, platform.LeaseRenew)
 
 
-@dataclass
 class Link:
     """The way of one process to the platform."""
 
-    is_cut: bool = False
+    def __init__(self, is_cut: bool = False) -> None:
+        self.is_cut = is_cut
 
 
 class FakePlatform:
--- a/src/guavapin_matrix/publication_world.py
+++ b/src/guavapin_matrix/publication_world.py
@@ -40,21 +40,31 @@
 MAX_REPEATS = 3
 
 
-@dataclass
 class Asked:
     """One call of an operator; a repetition has the same publication id.
 
     `was_in_force` tells whether the platform held the publication at the answer.
     """
 
-    request: PublishRequest
-    node: Node
-    repeats: int
-    fut: Future[Any]
-    at_ms: int
-    is_cancelled: bool = False
-    ended_ms: int = 0
-    was_in_force: bool = False
+    def __init__(
+        self,
+        request: PublishRequest,
+        node: Node,
+        repeats: int,
+        fut: Future[Any],
+        at_ms: int,
+        is_cancelled: bool = False,
+        ended_ms: int = 0,
+        was_in_force: bool = False,
+    ) -> None:
+        self.request = request
+        self.node = node
+        self.repeats = repeats
+        self.fut = fut
+        self.at_ms = at_ms
+        self.is_cancelled = is_cancelled
+        self.ended_ms = ended_ms
+        self.was_in_force = was_in_force
 
     @property
     def result(self) -> Any:
--- a/src/guavapin_matrix/upstreams.py
+++ b/src/guavapin_matrix/upstreams.py
@@ -26,24 +26,33 @@
 LONG_FACTOR = 100
 
 
-@dataclass
 class FakeHost:
     """Behaviour of one executor; `left_ms` is when the entries were told to leave."""
 
-    is_up: bool = True
-    fails: bool = False
-    left_ms: int | None = None
+    def __init__(
+        self, is_up: bool = True, fails: bool = False, left_ms: int | None = None
+    ) -> None:
+        self.is_up = is_up
+        self.fails = fails
+        self.left_ms = left_ms
 
 
-@dataclass
 class Attempt:
     """One request on its way through an executor."""
 
-    node: Node
-    start: StartAttempt
-    has_head: bool = False
-    is_silent: bool = False
-    last_ms: int = 0
+    def __init__(
+        self,
+        node: Node,
+        start: StartAttempt,
+        has_head: bool = False,
+        is_silent: bool = False,
+        last_ms: int = 0,
+    ) -> None:
+        self.node = node
+        self.start = start
+        self.has_head = has_head
+        self.is_silent = is_silent
+        self.last_ms = last_ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin_standins/platform_controls.py
+++ b/src/guavapin_standins/platform_controls.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from dataclasses import dataclass
-from dataclasses import field
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,12 +71,12 @@
     reads_per_second: float = 2_000.0
 
 
-@dataclass(slots=True)
 class Counters:
     """Calls by kind, by zone and by status; bytes of bodies in and out."""
 
-    by_kind: Counter[str] = field(default_factory=Counter)
-    by_zone: Counter[str] = field(default_factory=Counter)
-    by_status: Counter[int] = field(default_factory=Counter)
-    bytes_in: int = 0
-    bytes_out: int = 0
+    def __init__(self, bytes_in: int = 0, bytes_out: int = 0) -> None:
+        self.by_kind: Counter[str] = Counter()
+        self.by_zone: Counter[str] = Counter()
+        self.by_status: Counter[int] = Counter()
+        self.bytes_in = bytes_in
+        self.bytes_out = bytes_out
--- a/src/guavapin_standins/platform_task.py
+++ b/src/guavapin_standins/platform_task.py
@@ -294,7 +294,7 @@
         self, req: HttpRequest, path: str, query: dict[str, str]
     ) -> tuple[int, tuple[str, ...], bytes]:
         if path == "/standin/counters":
-            return 200, (), msgspec.json.encode(self.counters)
+            return 200, (), msgspec.json.encode(vars(self.counters))
         if path == "/standin/faults" and req.method == "PUT":
             try:
                 self._set_faults(msgspec.json.decode(req.body, type=Faults))
--- a/src/guavapin_standins/upstream_connection.py
+++ b/src/guavapin_standins/upstream_connection.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from guavapin_standins.upstream_messages import Behaviour
@@ -18,24 +16,34 @@
     from guavapin.kernel import TimerHandle
 
 
-@dataclass(slots=True, eq=False)
 class UpstreamConnection:
     """State of one connection; the parser calls its `on_` methods."""
 
-    sock: socket.socket
-    fd: int
-    parser: httptools.HttpRequestParser | None = None
-    url: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: bytearray = field(default_factory=bytearray)
-    requests: deque[Run] = field(default_factory=deque)
-    out: bytearray = field(default_factory=bytearray)
-    parts: deque[bytes] = field(default_factory=deque)
-    is_running: bool = False
-    timer: TimerHandle | None = None
-    is_silent: bool = False
-    closes: bool = False
-    behaviour: Behaviour = field(default_factory=Behaviour)
+    def __init__(
+        self,
+        sock: socket.socket,
+        fd: int,
+        parser: httptools.HttpRequestParser | None = None,
+        url: bytes = b"",
+        is_running: bool = False,
+        timer: TimerHandle | None = None,
+        is_silent: bool = False,
+        closes: bool = False,
+    ) -> None:
+        self.sock = sock
+        self.fd = fd
+        self.parser = parser
+        self.url = url
+        self.headers: list[tuple[bytes, bytes]] = list()
+        self.body: bytearray = bytearray()
+        self.requests: deque[Run] = deque()
+        self.out: bytearray = bytearray()
+        self.parts: deque[bytes] = deque()
+        self.is_running = is_running
+        self.timer = timer
+        self.is_silent = is_silent
+        self.closes = closes
+        self.behaviour: Behaviour = Behaviour()
 
     def on_message_begin(self) -> None:
         self.url, self.headers = b"", []
