Make a pool's zone reports when they are asked for; tell lag from a breach

Reports of other zones were applied only at the next tick, so a short zone did not spill for up to a second; and status called a change that had just been published a broken promise. Change: a report only marks the kept ones as old, and the reports of one pool are made when a request asks for them (a step for each peer instead of each peer and pool); a peer that lags breaks a promise only 2 s after the adoption here.

--- a/src/guavapin/reports/status.py
+++ b/src/guavapin/reports/status.py
@@ -16,6 +16,10 @@
     from guavapin.objects.model import ObjectSet
     from guavapin.publication.messages import ConfigurationStatus
 
+# A change is to be in force everywhere within this time; until then a peer that has
+# not adopted it breaks no promise.
+IN_FORCE_MS = 2_000
+
 
 @dataclass(frozen=True, slots=True)
 class EntryLine:
@@ -91,7 +95,7 @@
     return StatusReport(
         generation=configuration.generation,
         author=configuration.author,
-        broken=_broken(configuration.generation, peers, pools, state, liveness),
+        broken=_broken(configuration, peers, pools, state, liveness, wall_ms=wall_ms),
         entries=(own, *peers),
         pools=pools,
         disruptions=tuple(
@@ -123,12 +127,15 @@
 
 
 def _broken(
-    generation: int,
+    configuration: ConfigurationStatus,
     peers: tuple[EntryLine, ...],
     pools: tuple[PoolLine, ...],
     state: FleetState,
     liveness: Liveness | None,
+    wall_ms: int,
 ) -> tuple[str, ...]:
+    generation = configuration.generation
+    is_due = wall_ms - configuration.adopted_ms > IN_FORCE_MS
     found = [
         f"pool {line.pool}: {line.available} available, {line.required} required"
         for line in pools
@@ -137,7 +144,7 @@
     found.extend(
         f"entry {peer.name}: generation {peer.generation} of {generation}"
         for peer in peers
-        if peer.status == "alive" and peer.generation < generation
+        if is_due and peer.status == "alive" and peer.generation < generation
     )
     found.extend(
         f"wave {wave.wave}: stopped ({wave.detail})"
--- a/src/guavapin/serving/exchange_arrival.py
+++ b/src/guavapin/serving/exchange_arrival.py
@@ -71,8 +71,10 @@
 
     A request with a key never leaves: the other entry host would claim it again.
     """
-    reports = router.reports.get(exchange.request.service.pool, ())
-    if not reports or exchange.request.key:
+    if exchange.request.key:
+        return ""
+    reports = router.zone_reports(exchange.request.service.pool)
+    if not reports:
         return ""
     queue = router.queues[exchange.request.service.pool]
     own = OwnSupply(
--- a/src/guavapin/serving/exchange_claims.py
+++ b/src/guavapin/serving/exchange_claims.py
@@ -33,7 +33,7 @@
     def __init__(self, status: int, headers: Headers, size: int = 0) -> None:
         self.status = status
         self.headers = headers
-        self.parts: list[bytes] = list()
+        self.parts: list[bytes] = []
         self.size = size
 
 
--- a/src/guavapin/serving/exchange_peers.py
+++ b/src/guavapin/serving/exchange_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -96,25 +95,27 @@
         )
         self._send(SendToAll(encode_relay(report)))
 
-    def zone_reports(self) -> dict[str, tuple[ZoneReport, ...]]:
-        """Return what other zones reported lately, by pool, one report per zone."""
+    def zone_reports(self, pool: str) -> tuple[ZoneReport, ...]:
+        """Return what other zones reported lately of a pool, one report per zone."""
         now_ms = self._context.now_ms()
-        by_pool: dict[str, dict[str, ZoneReport]] = defaultdict(dict)
+        by_zone: dict[str, ZoneReport] = {}
         for report, received_ms in self._reports.values():
             is_stale = now_ms - received_ms > MAX_REPORT_AGE_MS
             if report.zone == self._settings.zone or is_stale:
                 continue
-            for pool, count in report.free_slots.items():
-                known = by_pool[pool].get(report.zone)
-                if known is None:
-                    known = ZoneReport(report.zone, (), 0, received_ms)
-                by_pool[pool][report.zone] = replace(
-                    known,
-                    entry_hosts=(*known.entry_hosts, report.address),
-                    free_slots=known.free_slots + count,
-                    reported_ms=min(known.reported_ms, received_ms),
-                )
-        return {pool: tuple(zones.values()) for pool, zones in by_pool.items()}
+            count = report.free_slots.get(pool)
+            if count is None:
+                continue
+            known = by_zone.get(report.zone)
+            if known is None:
+                known = ZoneReport(report.zone, (), 0, received_ms)
+            by_zone[report.zone] = replace(
+                known,
+                entry_hosts=(*known.entry_hosts, report.address),
+                free_slots=known.free_slots + count,
+                reported_ms=min(known.reported_ms, received_ms),
+            )
+        return tuple(by_zone.values())
 
     def _send(self, message: object) -> None:
         self._context.send(self._settings.peers_service, message)
--- a/src/guavapin/serving/exchange_router.py
+++ b/src/guavapin/serving/exchange_router.py
@@ -15,7 +15,7 @@
 from guavapin.serving.route_table import match_service
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable
 
     from guavapin.objects.model import Service
     from guavapin.routing.zones import ZoneReport
@@ -34,7 +34,8 @@
         self.queues: dict[str, PoolQueue] = {}
         self.services: dict[str, ServiceState] = {}
         self.seats = 1
-        self.reports: Mapping[str, tuple[ZoneReport, ...]] = {}
+        self.read_reports: Callable[[str], tuple[ZoneReport, ...]] = lambda pool: ()
+        self._reports: dict[str, tuple[ZoneReport, ...]] = {}
         self._started_ms = now_ms
         self._held_off_until_ms = now_ms + held_ms
         self._table = RouteTable()
@@ -72,6 +73,21 @@
                 return pool
         return holders[0] if holders else None
 
+    def zone_reports(self, pool: str) -> tuple[ZoneReport, ...]:
+        """Return what other zones reported of a pool.
+
+        The answer is kept until the next report or the next second, since making it
+        costs a step for each peer.
+        """
+        reports = self._reports.get(pool)
+        if reports is None:
+            reports = self._reports[pool] = self.read_reports(pool)
+        return reports
+
+    def forget_reports(self) -> None:
+        """Make the zones' reports anew when they are next asked for."""
+        self._reports.clear()
+
     def end_hold_off(self, now_ms: int) -> None:
         """Use the seat's share from now on; a former process has let go of it."""
         held_ms, self._held_off_until_ms = self._held_off_until_ms, now_ms
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -100,6 +100,7 @@
         self._router = ExchangeRouter(self._settings, context.now_ms())
         self._flow = RequestFlow(context, self._router, self._deadlines)
         self._peers = ExchangePeers(context, self._settings)
+        self._router.read_reports = self._peers.zone_reports
         context.set_timer(TICK_MS, _Tick())
         return Ok(None)
 
@@ -256,9 +257,7 @@
             case UpstreamLeaving(host):
                 self._mark_leaving(host)
             case SupplyReport():
-                # Kept by `decode`; the tick makes the zones' reports of all of them,
-                # since that costs a step for each peer and pool.
-                pass
+                self._router.forget_reports()
 
     def _on_loan(self, message: LoanRequest | LoanGrant | LoanReturn) -> None:
         pool = self._router.pool_of_host(message.upstream)
@@ -279,7 +278,7 @@
         self._ticks += 1
         if self._ticks % REPORT_TICKS == 0:
             self._peers.report(self._router.supply())
-            self._router.reports = self._peers.zone_reports()
+            self._router.forget_reports()
         for name, pool in self._router.pools.items():
             for message in exchange_loans.return_idle(pool, self._settings, now_ms):
                 self._peers.send_to_seat(message)
--- a/src/guavapin_matrix/callers.py
+++ b/src/guavapin_matrix/callers.py
@@ -42,10 +42,10 @@
         self.key = key
         self.sent_ms = sent_ms
         self.repeats = repeats
-        self.heads: list[AnswerHead] = list()
+        self.heads: list[AnswerHead] = []
         self.body = body
-        self.ends: list[str] = list()
-        self.faults: list[str] = list()
+        self.ends: list[str] = []
+        self.faults: list[str] = []
         self.ended_ms = ended_ms
         self.is_gone = is_gone
 
--- a/src/guavapin_standins/upstream_connection.py
+++ b/src/guavapin_standins/upstream_connection.py
@@ -34,7 +34,7 @@
         self.fd = fd
         self.parser = parser
         self.url = url
-        self.headers: list[tuple[bytes, bytes]] = list()
+        self.headers: list[tuple[bytes, bytes]] = []
         self.body: bytearray = bytearray()
         self.requests: deque[Run] = deque()
         self.out: bytearray = bytearray()
