--- a/src/guavapin/publication/head_source.py
+++ b/src/guavapin/publication/head_source.py
@@ -33,8 +33,9 @@
 # Heartbeats arrive within this time of a start, so that only one seat of a zone
 # begins to watch.
 FIRST_WATCH_MS = 1_500
-# The watcher also asks for the head's revision, a small answer, since a watch whose
-# connection went silent would delay a change beyond the bound of 2 s.
+# Every process also asks for the head's revision, a small answer: a watch, or the
+# connection to the peer that watches, may go silent without a reset, and would delay a
+# change beyond the bound of 2 s.
 CHECK_MS = 1_000
 RETRY_LEAST_MS = 200
 RETRY_MOST_MS = 5_000
@@ -57,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckHead:
-    """Timer: ask for the head's revision while watching."""
+    """Timer: ask for the head's revision."""
 
 
 SourceTimer: TypeAlias = SlowRead | RetryRead | StartWatch | CheckHead
@@ -202,10 +203,9 @@
 
     def _check(self) -> None:
         self._context.set_timer(CHECK_MS, CheckHead())
-        if self._is_watcher and self.is_watch_open:
-            self.counters["head_checks"] += 1
-            request_id = self._next_request_id
-            self._call(ListPrefix(self._service, request_id, HEAD_KEY))
+        self.counters["head_checks"] += 1
+        request_id = self._next_request_id
+        self._call(ListPrefix(self._service, request_id, HEAD_KEY))
 
     def _on_checked(self, outcome: PlatformOutcome) -> None:
         if isinstance(outcome, Listed) and any(
