--- a/src/guavapin/duties/lease.py
+++ b/src/guavapin/duties/lease.py
@@ -24,12 +24,20 @@
 # 10 s allowed for a takeover.
 POLL_MS = 1_500
 
+# Calls that a lease has to outlast: the grant, the claim, and a renewal with the one
+# after it. While the store is slow, a lease of the usual length ends before them.
+CALLS_PER_LEASE = 4
+
+# A slow store makes a lease this much longer at most, since a successor waits for it.
+MAX_LEASE_FACTOR = 3
+
 
 @dataclass(frozen=True, slots=True)
 class LeaseTerms:
     """Times of one duty's lease in milliseconds.
 
-    `poll_ms` is the pause between two looks of a process that does not hold it.
+    `poll_ms` is the pause between two looks of a process that does not hold it, 0 if
+    it looks only when it is told to.
     """
 
     lease_ms: int = LEASE_MS
@@ -53,8 +61,9 @@
 class DutyLease:
     """State of one process towards one duty.
 
-    `holder` differs between processes and starts. `granted_ms` and `confirmed_ms` are
-    the times at which the calls that granted or renewed the lease were sent.
+    `holder` differs between processes and starts. `confirmed_ms` is the time at which
+    the last answered call that granted or renewed the lease was sent, and `lease_ms`
+    how long the lease lasts from then on.
     """
 
     duty: str
@@ -64,6 +73,7 @@
     token: int = 0
     confirmed_ms: int = 0
     sent_ms: int = 0
+    lease_ms: int = 0
     terms: LeaseTerms = LeaseTerms()
 
     @property
@@ -79,7 +89,7 @@
     @property
     def until_ms(self) -> int:
         """Until when the holder may act, by its own clock."""
-        return self.confirmed_ms + self.terms.lease_ms - self.terms.margin_ms
+        return self.confirmed_ms + self.lease_ms - self.terms.margin_ms
 
     def is_held(self, now_ms: int) -> bool:
         """Whether the duty may be carried out now."""
@@ -93,7 +103,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Ask for a lease."""
+    """Ask for a lease of `lease_ms`."""
+
+    lease_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,11 +134,12 @@
     if lease.phase is LeasePhase.HELD:
         if now_ms >= lease.until_ms:
             return give_up(lease)
-        return replace(lease, sent_ms=now_ms), (Renew(),)
+        return lease, (Renew(),)
     if lease.phase is LeasePhase.IDLE:
         return replace(lease, phase=LeasePhase.READING, sent_ms=now_ms), (ReadKey(),)
     # A lease asked for this long ago is worthless, whatever the answer will be.
-    is_recent = now_ms - lease.sent_ms < lease.terms.lease_ms
+    lease_ms = max(lease.lease_ms, lease.terms.lease_ms)
+    is_recent = now_ms - lease.sent_ms < lease_ms
     return (lease, ()) if is_recent else give_up(lease)
 
 
@@ -140,11 +153,20 @@
         return _on_claim(lease, outcome, now_ms)
     if lease.phase is LeasePhase.RESOLVING:
         return _on_resolve(lease, outcome, now_ms)
-    if lease.phase is LeasePhase.HELD:
-        return _on_renew(lease, outcome, now_ms)
     return lease, ()
 
 
+def on_renewal(
+    lease: DutyLease, outcome: platform.PlatformOutcome, sent_ms: int, now_ms: int
+) -> Step:
+    """Take the answer to a renewal of the held lease that was sent at `sent_ms`."""
+    if isinstance(outcome, platform.Leased):
+        lease = replace(lease, confirmed_ms=max(lease.confirmed_ms, sent_ms))
+    elif isinstance(outcome, platform.Missing):
+        return give_up(lease)
+    return (lease, ()) if now_ms < lease.until_ms else give_up(lease)
+
+
 def give_up(lease: DutyLease) -> Step:
     """Return to idle; the lease is revoked so that a successor need not wait."""
     idle = DutyLease(lease.duty, lease.holder, terms=lease.terms)
@@ -152,9 +174,17 @@
 
 
 def _on_read(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
-    if isinstance(outcome, platform.Missing):
-        return replace(lease, phase=LeasePhase.GRANTING, sent_ms=now_ms), (Grant(),)
-    return give_up(lease)
+    if not isinstance(outcome, platform.Missing):
+        return give_up(lease)
+    answer_ms = now_ms - lease.sent_ms
+    lease_ms = min(
+        lease.terms.lease_ms + CALLS_PER_LEASE * answer_ms,
+        lease.terms.lease_ms * MAX_LEASE_FACTOR,
+    )
+    granting = replace(
+        lease, phase=LeasePhase.GRANTING, sent_ms=now_ms, lease_ms=lease_ms
+    )
+    return granting, (Grant(lease_ms),)
 
 
 def _on_grant(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
@@ -190,11 +220,3 @@
 def _hold(lease: DutyLease, token: int, now_ms: int) -> Step:
     held = replace(lease, phase=LeasePhase.HELD, token=token, sent_ms=now_ms)
     return (held, ()) if now_ms < held.until_ms else give_up(held)
-
-
-def _on_renew(lease: DutyLease, outcome: platform.PlatformOutcome, now_ms: int) -> Step:
-    if isinstance(outcome, platform.Leased):
-        lease = replace(lease, confirmed_ms=lease.sent_ms)
-    elif isinstance(outcome, platform.Missing):
-        return give_up(lease)
-    return (lease, ()) if now_ms < lease.until_ms else give_up(lease)
--- a/src/guavapin/duties/roster.py
+++ b/src/guavapin/duties/roster.py
@@ -23,6 +23,10 @@
 # holder before they make a call.
 MAX_JITTER_MS = 60
 
+# Pause before a process competes again for a duty that is still free; a call of the
+# store that failed in between has ended by then.
+COMPETE_AGAIN_MS = 1_000
+
 log = logging.getLogger("guavapin.duty")
 
 
@@ -35,13 +39,21 @@
     """Service ``roster``, the subscriber of the duty's key.
 
     `listeners` get `SchedulerKnown` on each change; `duty_task` is told to compete
-    when the key is gone.
+    `handicap_ms` after the key has gone, and again while it is free.
     """
 
     name = "roster"
 
-    def __init__(self, key: str, duty_task: str, listeners: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        key: str,
+        duty_task: str,
+        listeners: tuple[str, ...],
+        handicap_ms: int = 0,
+    ) -> None:
         self._key = key
+        self._handicap_ms = handicap_ms
+        self._is_competing = False
         self._duty_task = duty_task
         self._listeners = listeners
         self._known: SchedulerKnown | None = None
@@ -66,8 +78,10 @@
                     if item.key == self._key:
                         self._take(item)
             case _Compete():
+                self._is_competing = False
                 if self._known is not None and not self._known.address:
                     self._context.send(self._duty_task, PollDuty())
+                    self._compete_after(COMPETE_AGAIN_MS)
             case _:
                 raise InvariantError(f"roster: unexpected message {message!r}")
 
@@ -83,8 +97,13 @@
             for listener in self._listeners:
                 self._context.send(listener, known)
         if not known.address:
-            delay_ms = self._random.randint(0, MAX_JITTER_MS)
-            self._context.set_timer(delay_ms, _Compete())
+            self._compete_after(self._handicap_ms)
+
+    def _compete_after(self, delay_ms: int) -> None:
+        if not self._is_competing:
+            self._is_competing = True
+            jitter_ms = self._random.randint(0, MAX_JITTER_MS)
+            self._context.set_timer(delay_ms + jitter_ms, _Compete())
 
 
 def holder_name(node: str, address: tuple[str, int], started_ms: int) -> str:
--- a/src/guavapin/duties/task.py
+++ b/src/guavapin/duties/task.py
@@ -64,6 +64,9 @@
         self._random = random.Random(seed)
         self._request_id = 0
         self._awaited = 0
+        # Renewals without an answer yet: lease and time of sending, by request. A slow
+        # store answers one after the next is sent, and each answer counts.
+        self._renewals: dict[int, tuple[str, int]] = {}
         self._told_until_ms = 0
         self._timer: TimerHandle | None = None
         self._is_retired = False
@@ -71,7 +74,8 @@
     def start(self, context: TaskContext) -> Outcome[None]:
         """Begin to compete for the duty."""
         self._context = context
-        self._tick()
+        if self._lease.terms.poll_ms:
+            self._tick()
         self._context.set_timer(CHECK_MS, _Check())
         return Ok(None)
 
@@ -103,12 +107,20 @@
         elif isinstance(message, _Check):
             self._check()
         elif isinstance(message, platform.Reply):
-            if message.request_id == self._awaited:
-                now_ms = self._context.clock.now_ms()
-                self._take(machine.on_answer(self._lease, message.outcome, now_ms))
+            self._take_reply(message)
         else:
             raise InvariantError(f"{self.name}: unexpected message {message!r}")
 
+    def _take_reply(self, reply: platform.Reply) -> None:
+        now_ms = self._context.clock.now_ms()
+        lease_id, sent_ms = self._renewals.pop(reply.request_id, ("", 0))
+        if lease_id:
+            if lease_id == self._lease.lease_id:
+                step = machine.on_renewal(self._lease, reply.outcome, sent_ms, now_ms)
+                self._take(step)
+        elif reply.request_id == self._awaited:
+            self._take(machine.on_answer(self._lease, reply.outcome, now_ms))
+
     def _tick(self) -> None:
         self._take(machine.tick(self._lease, self._context.clock.now_ms()))
         self._schedule_tick()
@@ -119,6 +131,9 @@
         is_held = self._lease.phase is machine.LeasePhase.HELD
         terms = self._lease.terms
         delay_ms = terms.renew_ms if is_held else terms.poll_ms
+        if not delay_ms:
+            self._timer = None
+            return
         if not is_held:
             delay_ms = round(delay_ms * self._random.uniform(0.6, 1.0))
         self._timer = self._context.set_timer(delay_ms, _Tick())
@@ -173,8 +188,8 @@
                 return
             case machine.ReadKey():
                 request = platform.Get(self.name, number, lease.key)
-            case machine.Grant():
-                request = platform.LeaseGrant(self.name, number, lease.terms.lease_ms)
+            case machine.Grant(lease_ms):
+                request = platform.LeaseGrant(self.name, number, lease_ms)
             case machine.Claim():
                 request = platform.Put(
                     self.name,
@@ -185,6 +200,8 @@
                     lease.lease_id,
                 )
             case machine.Renew():
+                now_ms = self._context.clock.now_ms()
+                self._renewals[number] = lease.lease_id, now_ms
                 request = platform.LeaseRenew(self.name, number, lease.lease_id)
         self._awaited = number
         self._context.send(PLATFORM, request)
--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -14,10 +14,18 @@
 # The largest answers are pages of a store's items, which hold about 1 MB of values.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
+# An answer that moves slower than this for that long has stalled: the connection went
+# silent. The slowest link carries 600,000 bytes a second.
+STALL_BYTES_PER_S = 2_000
+STALL_S = 1
+
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A call of another process; `timeout_ms` bounds all of it."""
+    """A call of another process; `timeout_ms` bounds all of it.
+
+    With `gives_up_stalled` it ends before, once nothing moves any more.
+    """
 
     method: str
     url: str
@@ -26,6 +34,7 @@
     timeout_ms: int
     connect_ms: int
     is_on_new_connection: bool = False
+    gives_up_stalled: bool = False
 
 
 class Transfer(Generic[T]):
@@ -84,6 +93,9 @@
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, req.connect_ms)
     if req.is_on_new_connection:
         curl.setopt(pycurl.FRESH_CONNECT, 1)
+    if req.gives_up_stalled:
+        curl.setopt(pycurl.LOW_SPEED_LIMIT, STALL_BYTES_PER_S)
+        curl.setopt(pycurl.LOW_SPEED_TIME, STALL_S)
     curl.setopt(pycurl.PREREQFUNCTION, transfer.on_start)
     curl.setopt(pycurl.HEADERFUNCTION, transfer.on_header)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
--- a/src/guavapin/intake/fallback.py
+++ b/src/guavapin/intake/fallback.py
@@ -45,6 +45,7 @@
 
     READ_PROGRESS = "read_progress"
     READ_JOB = "read_job"
+    READ_PROGRESS_AGAIN = "read_progress_again"
     WRITE = "write"
 
 
@@ -87,10 +88,15 @@
         key = f"{JOBS_PREFIX}{call.job.job_id}"
         marker = f"{INBOX_PREFIX}{call.job.job_id}{SUBMITTED_SUFFIX}"
         puts = (kv.KeyValue(key, encode_job(call.job)), kv.KeyValue(marker, b"1"))
-        expected = (kv.KeyRevision(key, kv.NO_REVISION),)
+        # Of a job that has ended only its progress is left.
+        progress = f"{PROGRESS_PREFIX}{call.job.job_id}"
+        expected = (
+            kv.KeyRevision(key, kv.NO_REVISION),
+            kv.KeyRevision(progress, kv.NO_REVISION),
+        )
         return kv.Transact(sender, number, expected, puts)
     assert isinstance(call, QueryJob | CancelJob)
-    if fallback.step is FallbackStep.READ_PROGRESS:
+    if fallback.step in (FallbackStep.READ_PROGRESS, FallbackStep.READ_PROGRESS_AGAIN):
         return kv.Get(sender, number, f"{PROGRESS_PREFIX}{call.job_id}")
     if fallback.step is FallbackStep.READ_JOB:
         return kv.Get(sender, number, f"{JOBS_PREFIX}{call.job_id}")
@@ -108,10 +114,11 @@
     if isinstance(outcome, kv.Found):
         return _take_found(fallback, outcome, sender, number)
     if isinstance(outcome, kv.Missing):
-        if fallback.step is FallbackStep.READ_PROGRESS:
-            following = replace(fallback, step=FallbackStep.READ_JOB)
-            return following, request_of(following, sender, number)
-        return fallback, NoSuchJob()
+        step = _step_after_missing(fallback)
+        if step is None:
+            return fallback, NoSuchJob()
+        following = replace(fallback, step=step)
+        return following, request_of(following, sender, number)
     is_unknown = isinstance(outcome, kv.Unknown) and fallback.step is FallbackStep.WRITE
     if is_unknown:
         fallback = replace(fallback, may_have_effect=True)
@@ -129,6 +136,18 @@
     return Rejected("the store did not answer in time")
 
 
+def _step_after_missing(fallback: Fallback) -> FallbackStep | None:
+    """Return what to read next, None if there is no such job.
+
+    A job that ended between the reads has left its progress and is gone itself.
+    """
+    if fallback.step is FallbackStep.READ_PROGRESS:
+        return FallbackStep.READ_JOB
+    if fallback.step is FallbackStep.READ_JOB and isinstance(fallback.call, QueryJob):
+        return FallbackStep.READ_PROGRESS_AGAIN
+    return None
+
+
 def _take_found(fallback: Fallback, found: kv.Found, sender: str, number: int) -> Next:
     if isinstance(fallback.call, CancelJob):
         following = replace(fallback, step=FallbackStep.WRITE)
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -40,14 +40,16 @@
     """Settings of the client.
 
     `deadline_ms` bounds a call from its arrival at this task to its answer, to which
-    a watch adds its own waiting time. The rates bound this process's share of the
-    platform's limits. `max_waiting` calls wait for a token or a place in flight;
-    further ones are not sent.
+    a watch adds its own waiting time; for lists, whose answers are large, it is
+    `list_deadline_ms`, and one that stops moving is given up before. The rates bound
+    this process's share of the platform's limits. `max_waiting` calls wait for a token
+    or a place in flight; further ones are not sent.
     """
 
     url: str
     zone: str = ""
     deadline_ms: int = 2_000
+    list_deadline_ms: int = 2_000
     connect_ms: int = 500
     max_in_flight: int = 32
     max_watches: int = 16
@@ -139,7 +141,9 @@
         if not isinstance(req, PlatformRequest):
             raise InvariantError(f"not a platform request: {req!r}")
         call = self._codec.encode(req)
-        due_ms = self._context.now_ms() + self._cfg.deadline_ms
+        is_list = call.kind == "list"
+        limit_ms = self._cfg.list_deadline_ms if is_list else self._cfg.deadline_ms
+        due_ms = self._context.now_ms() + limit_ms
         waiting = _Waiting(req, call, due_ms, caller)
         if self._is_stopped:
             # Other services of the loop may not have stopped yet.
@@ -205,6 +209,7 @@
                 body=call.body,
                 timeout_ms=left_ms + call.wait_ms,
                 connect_ms=min(self._cfg.connect_ms, left_ms),
+                gives_up_stalled=call.kind == "list",
             ),
         )
 
--- a/src/guavapin/platform/settings.py
+++ b/src/guavapin/platform/settings.py
@@ -93,6 +93,11 @@
             heartbeat_ms=fields.number("heartbeat-ms", default=1_500),
             gang_ms=fields.number("bounds.gang-timeout-ms", default=3_000),
         ),
+        # The first is the share of one core, the second how many times as fast it is.
+        cores=fields.number("limits.cpu-share", 1_000, 0)
+        * fields.number("limits.cores", 1_000, 1)
+        / 1_000_000,
+        link_mbps=fields.number("limits.link-mbps", default=0),
     )
     if fields.faults:
         return Refused(Reason.BAD_INPUT, "\n".join(fields.faults))
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.duties.handicap import handicap_ms
 from guavapin.duties.lease import LeaseTerms
 from guavapin.duties.roster import RosterTask
 from guavapin.duties.roster import holder_name
@@ -57,11 +58,15 @@
 
 # A killed scheduler is replaced within its lease of 1.5 s; three renewals fit in, so
 # that one lost answer does not end a term.
-DUTY_TERMS = LeaseTerms(lease_ms=1_500, renew_ms=400, margin_ms=150, poll_ms=1_500)
+# The roster tells when to compete.
+DUTY_TERMS = LeaseTerms(lease_ms=1_500, renew_ms=400, margin_ms=150, poll_ms=0)
 
 # A call of the store takes 4 ms when it is well, and up to 80 times as long when slow.
 STORE_DEADLINE_MS = 900
 
+# A page of a list has up to 1 MB, which the slowest links carry in two seconds.
+STORE_LIST_DEADLINE_MS = 6_000
+
 # How long a watch waits. A connection that went silent is noticed this and
 # `STORE_DEADLINE_MS` later, within the three seconds for which it is excused.
 WATCH_MS = 2_000
@@ -87,6 +92,7 @@
     store = PlatformConfig(
         url=f"http://{cfg.store}",
         deadline_ms=STORE_DEADLINE_MS,
+        list_deadline_ms=STORE_LIST_DEADLINE_MS,
         writes_per_second=cfg.store_writes_per_second,
         reads_per_second=cfg.store_reads_per_second,
     )
@@ -108,7 +114,12 @@
     kernel.register(TablesTask(table_wire, listeners))
     kernel.register(DutyTask(DUTY, holder, ("scheduler",), terms=DUTY_TERMS))
     kernel.register(
-        RosterTask(DUTY_KEY, f"duty_{DUTY}", ("intake", "scheduler")),
+        RosterTask(
+            DUTY_KEY,
+            f"duty_{DUTY}",
+            ("intake", "scheduler"),
+            handicap_ms(cfg.cores, cfg.link_mbps),
+        ),
     )
     for follower in _followers(table_wire, registry_wire, wave_wire):
         kernel.register(follower)
--- a/src/guavapin/scheduling/job_book.py
+++ b/src/guavapin/scheduling/job_book.py
@@ -71,6 +71,14 @@
     job: Job
 
 
+@dataclass(frozen=True, slots=True)
+class EndedJob:
+    """What is left of a job that ended before this term."""
+
+    state: JobState
+    ended_wall_ms: int
+
+
 class JobWatcher(Protocol):
     """Who schedules what the book accepts."""
 
@@ -88,6 +96,7 @@
 
     def __init__(self, term: Term, watcher: JobWatcher) -> None:
         self.jobs: dict[str, JobRun] = {}
+        self._ended: dict[str, EndedJob] = {}
         self._term = term
         self._watcher = watcher
         self._open_count = 0
@@ -98,15 +107,20 @@
         self._cancel_when_fetched: set[str] = set()
 
     def load(self, jobs: Iterable[Job], progress: dict[str, Progress]) -> None:
-        """Take over what is stored."""
+        """Take over what is stored; of ended jobs that is their progress alone."""
+        for job_id, stored in progress.items():
+            if stored.state.is_final:
+                self._ended[job_id] = EndedJob(stored.state, stored.ended_ms)
         for job in jobs:
+            if job.job_id in self._ended:
+                self._store(Entry(f"{JOBS_PREFIX}{job.job_id}", None))
+                continue
             job_run = JobRun(job, self._term.now_ms, is_inherited=True)
             if job.job_id in progress:
                 job_run.restore(progress[job.job_id])
             self.jobs[job.job_id] = job_run
-            if not job_run.state.is_final:
-                self._open_count += 1
-                self._watcher.job_opened(job_run)
+            self._open_count += 1
+            self._watcher.job_opened(job_run)
 
     def take_request(self, req: JobRequest) -> None:
         """Answer a call, now or when what it asks for is stored."""
@@ -128,6 +142,9 @@
     def take_marker(self, key: str) -> None:
         """Take a submission or cancellation that another process has stored."""
         job_id, _, suffix = key.removeprefix(INBOX_PREFIX).partition(".")
+        if job_id in self._ended:
+            self._store(Entry(key, None))
+            return
         job_run = self.jobs.get(job_id)
         if f".{suffix}" == CANCELLED_SUFFIX and job_run is not None:
             self.close(job_run, JobState.CANCELLED)
@@ -166,6 +183,8 @@
             if job_run is None or not tag.state.is_final:
                 return
             job_run.shown = tag.state
+            # Its progress tells how it ended; a successor need not read the rest.
+            self._store(Entry(f"{JOBS_PREFIX}{tag.job_id}", None))
             for req in self._cancellations.pop(tag.job_id, []):
                 self._answer(req, Accepted())
 
@@ -204,11 +223,14 @@
                 continue
             if self._term.wall_ms - job_run.ended_wall_ms > keep_ms:
                 del self.jobs[job_id]
-                self._store(Entry(f"{JOBS_PREFIX}{job_id}", None))
+                self._store(Entry(f"{PROGRESS_PREFIX}{job_id}", None))
+        for job_id, ended in [*self._ended.items()]:
+            if self._term.wall_ms - ended.ended_wall_ms > keep_ms:
+                del self._ended[job_id]
                 self._store(Entry(f"{PROGRESS_PREFIX}{job_id}", None))
 
     def _submit(self, req: JobRequest, job: Job) -> None:
-        if job.job_id in self.jobs:
+        if job.job_id in self.jobs or job.job_id in self._ended:
             self._answer(req, Accepted())
         elif job.job_id in self._submissions:
             self._submissions[job.job_id].append(req)
@@ -223,7 +245,9 @@
 
     def _cancel(self, req: JobRequest, job_id: str) -> None:
         job_run = self.jobs.get(job_id)
-        if job_run is None:
+        if job_id in self._ended:
+            self._answer(req, Accepted())
+        elif job_run is None:
             if job_id in self._submissions or job_id in self._fetching:
                 self._answer(req, Rejected("the job is being stored"))
             else:
@@ -243,6 +267,8 @@
         job_run = self.jobs.get(job_id)
         if job_run is not None:
             return StateIs(job_run.shown)
+        if job_id in self._ended:
+            return StateIs(self._ended[job_id].state)
         if job_id in self._submissions or job_id in self._fetching:
             return Rejected("the job is being stored")
         return None
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -73,6 +73,13 @@
 # move, and jobs of a second are late soon after.
 LOAD_MS = 100
 
+# Time after which a term that has not read everything leaves the duty to another
+# process, whose host may have a better link.
+READ_LIMIT_MS = 6_000
+
+# Pause between two looks for ended jobs that need not be kept any longer.
+EXPIRY_MS = 1_000
+
 # Pause before a job that could not be read is read again.
 FETCH_RETRY_MS = 200
 
@@ -105,6 +112,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class _ReadLimit:
+    """Timer: the term should have read everything."""
+
+    token: int
+
+
 @dataclass(frozen=True, slots=True)
 class _FetchAgain:
     """Timer: read a job again."""
@@ -136,6 +150,7 @@
         self._scheduler: Scheduler | None = None
         self._scheduler_address = ""
         self._next_load_ms = 0
+        self._next_expiry_ms = 0
         self._number = 0
         self._orders: dict[int, SendOrder] = {}
         self._fetches: dict[int, str] = {}
@@ -220,6 +235,10 @@
                     self._note_time()
                     self._scheduler.take_machines(message)
                     self._run()
+            case _ReadLimit(token=token):
+                if token == self._token and self._phase is Phase.READING:
+                    self._end("the store's lists were not read in time")
+                    self._context.send(self._duty_task, GiveUpDuty(token))
             case _FetchAgain(job_id=job_id):
                 self._fetch(job_id)
             case _:
@@ -231,6 +250,7 @@
         self._phase = Phase.READING
         self._reading = TermReading(self._wire)
         log.info("term begins", extra={"token": token})
+        self._context.set_timer(READ_LIMIT_MS, _ReadLimit(token))
         for follower in _FOLLOWERS:
             self._context.send(follower, Follow())
 
@@ -304,9 +324,13 @@
             return
         if now_ms >= self._next_load_ms:
             self._next_load_ms = now_ms + LOAD_MS
-            self._scheduler.jobs.remove_expired()
             self._context.send("machines", fleet_load(self._scheduler))
-        self._context.set_timer(TICK_MS, _Tick(token))
+        if now_ms >= self._next_expiry_ms:
+            self._next_expiry_ms = now_ms + EXPIRY_MS
+            self._scheduler.jobs.remove_expired()
+            self._run()
+        if self._scheduler is not None:
+            self._context.set_timer(TICK_MS, _Tick(token))
 
     def _describe(self, req: DescribeScheduling) -> None:
         view: SchedulingView | JobView | None = None
--- a/src/guavapin/settings/resident.py
+++ b/src/guavapin/settings/resident.py
@@ -38,7 +38,8 @@
     """Addresses and bounds of one entry host.
 
     `store`, `machines` and `advice` are ``host:port`` of the platform's services, ""
-    where the deployment has none.
+    where the deployment has none. `cores` and `link_mbps` are the host's limits, 0 if
+    they are not known.
     """
 
     node: str
@@ -53,3 +54,5 @@
     store_reads_per_second: int
     machine_orders_per_second: int
     times: Times
+    cores: float = 0.0
+    link_mbps: float = 0.0
--- /dev/null
+++ b/tests/duties/test_handicap.py
@@ -0,0 +1,49 @@
+"""Hosts that can carry a scheduler compete for its duty first."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavapin.duties.handicap import MAX_HANDICAP_MS
+from guavapin.duties.handicap import handicap_ms
+from guavapin.duties.messages import PollDuty
+from guavapin.duties.roster import MAX_JITTER_MS
+from guavapin.duties.roster import RosterTask
+from guavapin.kernel.harness import TaskHarness
+from guavapin.keyvalue.follower import PrefixListed
+
+
+@pytest.mark.parametrize(
+    ("cores", "link_mbps", "expected_ms"),
+    [
+        (2.15, 100.0, 0),
+        (1.07, 1_000.0, 0),
+        (0.0, 0.0, 0),
+        (0.5, 100.0, MAX_HANDICAP_MS // 2),
+        (0.5, 5.0, round(MAX_HANDICAP_MS * 0.9)),
+    ],
+)
+def test_the_scarcest_limit_decides(
+    cores: float, link_mbps: float, expected_ms: int
+) -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-2: a host with a link of
+    # 5 Mbit/s took the duty and needed longer to read the jobs than its calls may take.
+    assert handicap_ms(cores, link_mbps) == expected_ms
+
+
+def test_a_free_duty_is_competed_for_after_the_handicap_and_again() -> None:
+    # Guards against a duty that stays free when the first competition failed.
+    task = RosterTask("duty/d", "duty_d", (), handicap_ms=300)
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(PrefixListed("duty/d", ()))
+    harness.advance(299)
+    assert polls(harness) == 0
+    harness.advance(MAX_JITTER_MS + 1)
+    assert polls(harness) == 1
+    harness.advance(1_100)
+    assert polls(harness) == 1
+
+
+def polls(harness: TaskHarness) -> int:
+    return sum(isinstance(row.message, PollDuty) for row in harness.take_sent())
--- a/tests/duties/test_lease.py
+++ b/tests/duties/test_lease.py
@@ -102,15 +102,38 @@
 def test_late_answer_to_a_renewal_does_not_extend_the_lease(holder: Rig) -> None:
     """The time counts from when the call was sent, not from when it was answered."""
     lease = machine.DutyLease(
-        "fleet", "x", machine.LeasePhase.HELD, "lease-1", 3, confirmed_ms=0
+        "fleet",
+        "x",
+        machine.LeasePhase.HELD,
+        "lease-1",
+        3,
+        confirmed_ms=0,
+        lease_ms=machine.LEASE_MS,
     )
-    renewing, _ = machine.tick(lease, 1_500)
-    held, _ = machine.on_answer(renewing, platform.Leased("lease-1", 5_000), 4_000)
+    renewing, actions = machine.tick(lease, 1_500)
+    assert actions == (machine.Renew(),)
+    answer = platform.Leased("lease-1", 5_000)
+    held, _ = machine.on_renewal(renewing, answer, 1_500, 4_000)
     assert held.until_ms == 1_500 + machine.LEASE_MS - machine.MARGIN_MS
-    late, _ = machine.on_answer(renewing, platform.Unknown("deadline"), 4_600)
+    older, _ = machine.on_renewal(held, answer, 500, 4_100)
+    assert older.until_ms == held.until_ms
+    unknown = platform.Unknown("deadline")
+    late, _ = machine.on_renewal(renewing, unknown, 1_500, 4_600)
     assert late.phase is machine.LeasePhase.IDLE
 
 
+def test_a_slow_store_makes_the_lease_longer() -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-2: at a store that took
+    # 400 ms a call, a lease of 1.5 s was over before its first renewal was answered.
+    terms = machine.LeaseTerms(lease_ms=1_500, renew_ms=400, margin_ms=150)
+    lease, _ = machine.tick(machine.DutyLease("d", "x", terms=terms), 0)
+    lease, (grant,) = machine.on_answer(lease, platform.Missing(), 400)
+    assert isinstance(grant, machine.Grant) and grant.lease_ms == 3_100
+    lease, _ = machine.on_answer(lease, platform.Leased("1", 3_100), 800)
+    lease, _ = machine.on_answer(lease, platform.Written(7), 1_200)
+    assert lease.is_held(1_200 + 2 * 400 + terms.renew_ms)
+
+
 def test_renewals_keep_the_duty(holder: Rig) -> None:
     holder.run(60_000)
     assert not holder.is_lost and len(set(holder.tokens)) == 1
--- a/tests/duties/test_poll.py
+++ b/tests/duties/test_poll.py
@@ -49,6 +49,27 @@
         answer(harness, task)
 
 
+def test_renewals_count_although_the_next_one_was_sent_before_the_answer() -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-2: with a store slower than
+    # the pause between two renewals, each answer was dropped as outdated and the duty
+    # was lost although every renewal had succeeded.
+    answer_ms = 500
+    task = DutyTask("scheduler", "a", ("scheduler",), 0, TERMS)
+    harness = TaskHarness(task)
+    harness.start()
+    answer_without_news(harness, task)
+    on_the_way: list[tuple[int, int]] = []
+    for now_ms in range(0, 10_000, 50):
+        harness.advance(50)
+        for row in harness.take_sent():
+            assert not isinstance(row.message, DutyLost)
+            if isinstance(row.message, kv.LeaseRenew):
+                on_the_way.append((now_ms + answer_ms, row.message.request_id))
+        while on_the_way and on_the_way[0][0] <= now_ms:
+            _, number = on_the_way.pop(0)
+            task.handle(kv.Reply(number, kv.Leased("7", 1_500)))
+
+
 def test_a_retired_process_does_not_take_the_duty_again() -> None:
     # Guards against the fault of gagnon-jobs trouble-2, seed 505945372669: a process
     # that was stopping took the duty back that it had just handed over, and nobody
--- a/tests/intake/test_fallback.py
+++ b/tests/intake/test_fallback.py
@@ -16,6 +16,7 @@
 from guavapin.jobs.model import JobState
 from guavapin.jobs.model import Step
 from guavapin.keyvalue import messages as kv
+from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import Progress
 from guavapin.scheduling.record import encode_progress
 
@@ -65,7 +66,27 @@
     waiting, request = take(fallback, kv.Missing())
     assert isinstance(request, kv.Get)
     assert take(waiting, kv.Found(b"job", 2))[1] == StateIs(JobState.QUEUED)
-    assert take(waiting, kv.Missing())[1] == NoSuchJob()
+    again, request = take(waiting, kv.Missing())
+    assert isinstance(request, kv.Get)
+    assert take(again, kv.Missing())[1] == NoSuchJob()
+
+
+def test_a_job_that_ends_between_the_reads_is_found() -> None:
+    # Guards against "no such job": the job itself goes once its final state is stored.
+    fallback, _ = begin(QueryJob(JOB.job_id))
+    waiting, _ = take(fallback, kv.Missing())
+    again, request = take(waiting, kv.Missing())
+    assert isinstance(request, kv.Get) and request.key.startswith(PROGRESS_PREFIX)
+    done = encode_progress(Progress(JobState.SUCCEEDED))
+    assert take(again, kv.Found(done, 4))[1] == StateIs(JobState.SUCCEEDED)
+
+
+def test_a_job_that_has_ended_is_not_stored_again() -> None:
+    # Guards against a late copy of a submission that brings an ended job back.
+    _, request = begin(SubmitJob(JOB))
+    assert isinstance(request, kv.Transact)
+    expected = {row.key: row.revision for row in request.expected}
+    assert expected[f"{PROGRESS_PREFIX}{JOB.job_id}"] == kv.NO_REVISION
 
 
 def test_a_cancellation_of_a_known_job_is_stored() -> None:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -8,8 +8,11 @@
 from hypothesis import strategies as st
 
 from guavapin.executors.model import EndKind
+from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import QueryJob
+from guavapin.jobs.calls import StateIs
+from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.model import JobState
 from guavapin.jobs.model import Step
 from guavapin.scheduling.messages import JobRequest
@@ -53,6 +56,26 @@
     assert sorted(world.running()) == running
 
 
+def test_a_successor_knows_an_ended_job_by_its_state_alone(world: World) -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-2: a successor read all
+    # jobs of the last minutes, which took longer than the call may, and nobody
+    # scheduled.
+    job = make_job("a" * 16)
+    world.submit(job)
+    world.executors[world.running()[0][1]].end(world.running()[0][0], EndKind.DONE)
+    world.advance(500)
+    assert state(world, job.job_id) is JobState.SUCCEEDED
+    assert not world.jobs
+    world.take_over(9)
+    world.list_machines()
+    book = world.scheduler.jobs
+    for call in (QueryJob(job.job_id), SubmitJob(job), CancelJob(job.job_id)):
+        book.take_request(JobRequest("intake", 1, call))
+    world.advance(500)
+    assert world.answers == [StateIs(JobState.SUCCEEDED), Accepted(), Accepted()]
+    assert not world.running() and not world.jobs
+
+
 def test_a_run_of_a_step_that_is_not_open_yet_keeps_its_room(world: World) -> None:
     # Guards against the fault of gagnon-jobs trouble-1: the first step's ends were not
     # stored, so that a successor stopped the second step's runs and gave their room
--- a/tests/scheduling/world.py
+++ b/tests/scheduling/world.py
@@ -28,6 +28,7 @@
 from guavapin.scheduling.messages import SendOrder
 from guavapin.scheduling.messages import StepDown
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.record import JOBS_PREFIX
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import decode_progress
 from guavapin.scheduling.scheduler import Scheduler
@@ -205,6 +206,8 @@
                 entry = action.entry
                 if entry.value is not None and entry.key.startswith(PROGRESS_PREFIX):
                     self.stored[entry.key] = entry.value
+                if entry.value is None and entry.key.startswith(JOBS_PREFIX):
+                    self.jobs.pop(entry.key.removeprefix(JOBS_PREFIX), None)
                 for tag in entry.tags:
                     self.scheduler.take_stored(tag)
         elif isinstance(action, StepDown):
