--- /dev/null
+++ b/src/guavapin_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of whole entry-host processes on one machine."""
--- /dev/null
+++ b/src/guavapin_soak/__main__.py
@@ -0,0 +1,57 @@
+"""Runs the fault soak for a range of seeds and prints what each showed."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from guavapin_soak.run import RunResult
+from guavapin_soak.run import run_soak
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Return 0 if every run kept every promise, else 1."""
+    parser = argparse.ArgumentParser(prog="guavapin_soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--runs", type=int, default=50, help="seeds in a row")
+    parser.add_argument("--seconds", type=int, default=12, help="length of the faults")
+    parser.add_argument("--hosts", type=int, default=3, help="entry hosts of a run")
+    parser.add_argument("--at-once", type=int, default=2, help="runs at a time")
+    parser.add_argument("--folder", type=Path, help="where logs go; else a new folder")
+    options = parser.parse_args(arguments)
+    folder = options.folder or Path(tempfile.mkdtemp(prefix="guavapin-soak-"))
+    print(f"logs go to {folder}")
+
+    def play(seed: int) -> RunResult:
+        own = folder / str(seed)
+        own.mkdir(parents=True)
+        return run_soak(seed, options.seconds * 1_000, options.hosts, own)
+
+    failed = 0
+    seeds = range(options.first, options.first + options.runs)
+    with ThreadPoolExecutor(options.at_once) as executor:
+        for result in executor.map(play, seeds):
+            failed += bool(result.violations)
+            _print(result)
+    print(f"{options.runs} runs, {failed} failed")
+    return 1 if failed else 0
+
+
+def _print(result: RunResult) -> None:
+    kinds = sorted({fault.kind.value for fault in result.faults})
+    print(
+        f"seed {result.seed}: {len(result.faults)} faults ({', '.join(kinds)}); "
+        f"{result.accepted} accepted, {result.refused} refused, "
+        f"{result.unanswered} without an answer: "
+        f"{'FAILED' if result.violations else 'ok'}",
+        flush=True,
+    )
+    for text in result.violations:
+        print(f"  {text}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/guavapin_soak/checks.py
@@ -0,0 +1,141 @@
+"""The promises to callers, checked on what callers and executors saw; pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from guavapin_standins.resident_executor import RunEvent
+
+
+# Time after its acceptance from which on every entry host knows a job, as callers are
+# promised.
+VISIBLE_MS = 3_000
+
+
+class Word(Enum):
+    """What a caller did, or was told about a job."""
+
+    SENT = "sent"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+    CANCEL_SENT = "cancel sent"
+    UNKNOWN = "unknown"
+    QUEUED = "queued"
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A caller's experience with a job at `at_ms`."""
+
+    at_ms: int
+    job_id: str
+    word: Word
+
+
+@dataclass(frozen=True, slots=True)
+class JobShape:
+    """Subtasks of each step; every step follows the one before."""
+
+    counts: tuple[int, ...]
+
+    def names(self, job_id: str) -> Iterator[str]:
+        """Yield the names of all subtasks."""
+        for step, count in enumerate(self.counts):
+            for index in range(count):
+                yield f"{job_id}.0.{step}.{index}"
+
+
+def violations(
+    heard: Iterable[Heard], runs: Iterable[RunEvent], shape: JobShape
+) -> list[str]:
+    """Return each broken promise in a sentence; empty if all were kept."""
+    events = list(runs)
+    found = [*_check_runs(events, shape)]
+    by_job: dict[str, list[Heard]] = {}
+    for row in heard:
+        by_job.setdefault(row.job_id, []).append(row)
+    for job_id, rows in by_job.items():
+        found += _check_job(job_id, sorted(rows, key=_time), events, shape)
+    return found
+
+
+def _time(row: Heard) -> int:
+    return row.at_ms
+
+
+def _check_runs(events: list[RunEvent], shape: JobShape) -> Iterator[str]:
+    """No two runs of a subtask at once, none after a confirmed end, none too early."""
+    running: Counter[str] = Counter()
+    done: set[str] = set()
+    confirmed: set[str] = set()
+    for event in events:
+        task = event.task
+        if event.what == "start":
+            if running[task]:
+                yield f"{task}: two runs at once at {event.at_ms} ms"
+            if task in confirmed:
+                yield f"{task}: started at {event.at_ms} ms after its confirmed end"
+            job_id, _, step, _ = task.split(".")
+            before = [
+                name
+                for name in shape.names(job_id)
+                if int(name.split(".")[2]) < int(step) and name not in done
+            ]
+            if before:
+                yield f"{task}: started at {event.at_ms} ms before {before[0]} was done"
+            running[task] += 1
+        elif event.what == "confirmed":
+            confirmed.add(task)
+        else:
+            running[task] -= 1
+            if event.what == "done":
+                done.add(task)
+
+
+def _check_job(
+    job_id: str, rows: list[Heard], events: list[RunEvent], shape: JobShape
+) -> Iterator[str]:
+    words = {row.word for row in rows}
+    starts = [event.at_ms for event in events if _is_start(event, job_id)]
+    is_cancelled = Word.CANCEL_SENT in words
+    submitted = {Word.ACCEPTED, Word.UNANSWERED}
+    if Word.REFUSED in words and not words & submitted and starts:
+        yield f"{job_id}: ran although every submission was refused"
+    if Word.ACCEPTED not in words:
+        return
+    accepted_ms = min(row.at_ms for row in rows if row.word is Word.ACCEPTED)
+    for row in rows:
+        if row.at_ms < accepted_ms + VISIBLE_MS or is_cancelled:
+            continue
+        if row.word in (Word.UNKNOWN, Word.CANCELLED, Word.FAILED):
+            yield f"{job_id}: accepted, and shown as {row.word.value} at {row.at_ms} ms"
+    if rows[-1].word is not Word.SUCCEEDED and not is_cancelled:
+        yield f"{job_id}: accepted, and last heard of as {rows[-1].word.value}"
+    done_ms = {event.task: event.at_ms for event in events if event.what == "done"}
+    for row in rows:
+        if row.word is not Word.SUCCEEDED:
+            continue
+        missing = [
+            name
+            for name in shape.names(job_id)
+            if done_ms.get(name, row.at_ms + 1) > row.at_ms
+        ]
+        if missing:
+            yield f"{job_id}: shown as succeeded before {missing[0]} was done"
+        break
+
+
+def _is_start(event: RunEvent, job_id: str) -> bool:
+    return event.what == "start" and event.task.startswith(f"{job_id}.")
--- /dev/null
+++ b/src/guavapin_soak/entry_process.py
@@ -0,0 +1,99 @@
+"""An entry host's process on the loopback address, with settings of its own."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import signal
+    from pathlib import Path
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPorts:
+    """Where an entry host listens, and the platform's port as it sees it."""
+
+    front: int
+    ready: int
+    peer: int
+    metrics: int
+    platform: int
+
+
+def entry_ports(platform: int) -> EntryPorts:
+    """Return free ports for an entry host that sees the platform at a port."""
+    front, ready, peer, metrics = free_ports(4)
+    return EntryPorts(front, ready, peer, metrics, platform)
+
+
+def settings_text(name: str, ports: EntryPorts) -> str:
+    """Return a settings file of the platform for an entry host."""
+    return (
+        f"node={name}\nip=127.0.0.1\nzone=z\n"
+        f"listen.front=127.0.0.1:{ports.front}\n"
+        f"listen.ready=127.0.0.1:{ports.ready}\n"
+        f"port-range={ports.peer},{ports.peer}\n"
+        f"platform.address=127.0.0.1:{ports.platform}\n"
+        f"cloud.address=127.0.0.1:{ports.platform}\n"
+        "platform.writes-per-s=400\nplatform.reads-per-s=2000\n"
+        "bounds.grace-s=6\nbounds.max-hold-ms=6000\nbounds.stop-timeout-ms=400\n"
+        "bounds.status_s=120\nbounds.migrate-s=0.3\nbounds.maintenance-s=0.3\n"
+    )
+
+
+class EntryProcess:
+    """Starts, signals and ends the process of one entry host, by its id only."""
+
+    def __init__(self, folder: Path, name: str, ports: EntryPorts) -> None:
+        self.name = name
+        self.ports = ports
+        self.log = folder / f"{name}.log"
+        self._settings = folder / f"{name}.conf"
+        self._settings.write_text(settings_text(name, ports))
+        self.process = self._start()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process has not ended."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    def restart(self) -> None:
+        """Start the process again once it has ended; it is killed if it has not."""
+        self.end()
+        self.process = self._start()
+
+    def end(self) -> None:
+        """Kill the process if it runs, and wait for its end."""
+        if self.is_running:
+            self.process.kill()
+        self.process.wait()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        arguments = ["-m", "guavapin.daemons.resident"]
+        arguments += ["--metrics-port", str(self.ports.metrics)]
+        with self.log.open("ab") as out:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                env={**os.environ, "GUAVAPIN_SETTINGS": str(self._settings)},
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
--- /dev/null
+++ b/src/guavapin_soak/plan.py
@@ -0,0 +1,64 @@
+"""Which faults a run injects, drawn from its seed; pure."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+# Pause between two faults in milliseconds. Most faults last longer than this, so that
+# they overlap.
+LEAST_PAUSE_MS = 100
+MOST_PAUSE_MS = 1_400
+
+# How long a fault lasts in milliseconds. Leases of the duty take 1.5 s and those of
+# executors 6 s, so that both shorter and longer faults come.
+LEAST_LENGTH_MS = 200
+MOST_LENGTH_MS = 4_000
+
+# Share of the faults that hit all entry hosts at once.
+ALL_AT_ONCE = 0.12
+
+
+class FaultKind(Enum):
+    """What is done to an entry host, to its link to the platform, or to the store."""
+
+    KILL = "killed and started again"
+    PAUSE = "paused and woken"
+    TERMINATE = "stopped and started again"
+    HANG_UP = "told to read its settings again"
+    LINK_DELAYED = "link delayed"
+    LINK_SILENT = "open connections silenced for good"
+    LINK_ONE_WAY = "answers on the link held back"
+    LINK_RESET = "connections reset"
+    LINK_REFUSED = "new connections refused"
+    STORE_DOWN = "store refuses all calls"
+    ANSWERS_LOST = "store carries out calls and does not answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault from `at_ms` for `for_ms` milliseconds on the hosts of `targets`."""
+
+    at_ms: int
+    for_ms: int
+    kind: FaultKind
+    targets: tuple[int, ...]
+
+
+def plan_faults(seed: int, length_ms: int, hosts: int) -> tuple[Fault, ...]:
+    """Return the faults of a run in order; the same for the same seed."""
+    chance = random.Random(seed)
+    # A run draws from some kinds only, so that pairs of them meet often enough.
+    kinds = chance.sample(list(FaultKind), chance.randint(2, 5))
+    faults = []
+    at_ms = chance.randint(LEAST_PAUSE_MS, MOST_PAUSE_MS)
+    while at_ms < length_ms:
+        targets = tuple(chance.sample(range(hosts), chance.randint(1, 2)))
+        if chance.random() < ALL_AT_ONCE:
+            targets = tuple(range(hosts))
+        for_ms = chance.randint(LEAST_LENGTH_MS, MOST_LENGTH_MS)
+        for_ms = min(for_ms, length_ms - at_ms)
+        faults.append(Fault(at_ms, for_ms, chance.choice(kinds), targets))
+        at_ms += chance.randint(LEAST_PAUSE_MS, MOST_PAUSE_MS)
+    return tuple(faults)
--- /dev/null
+++ b/src/guavapin_soak/world.py
@@ -0,0 +1,170 @@
+"""The platform's stand-in, proxies to it, entry processes and faults on all of them."""
+
+from __future__ import annotations
+
+import json
+import signal
+from typing import TYPE_CHECKING
+from typing import Any
+
+from guavapin.kernel import Kernel
+from guavapin.kernel import Ok
+from guavapin.kernel import SystemClock
+from guavapin.kernel.outcome import InvariantError
+from guavapin.serving.front import FrontTask
+from guavapin.serving.front_config import FrontConfig
+from guavapin_soak.caller import HOST
+from guavapin_soak.caller import PREFIX
+from guavapin_soak.entry_process import EntryProcess
+from guavapin_soak.entry_process import entry_ports
+from guavapin_soak.entry_process import free_ports
+from guavapin_soak.plan import FaultKind
+from guavapin_soak.proxy import LinkMode
+from guavapin_soak.proxy import ProxyTask
+from guavapin_soak.proxy import ResetConnections
+from guavapin_soak.proxy import SetLink
+from guavapin_soak.proxy import SilenceConnections
+from guavapin_standins.resident_platform import PutItem
+from guavapin_standins.resident_platform import QueryPlatform
+from guavapin_standins.resident_platform import ResidentPlatformTask
+from guavapin_standins.resident_platform import SetAnswersLost
+from guavapin_standins.resident_platform import SetStoreDown
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from guavapin_soak.plan import Fault
+    from guavapin_standins.resident_platform import PlatformView
+
+MACHINES = 4
+WORK_MS = 250
+ASK_TIMEOUT_S = 5.0
+
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r",
+            "host": HOST,
+            "prefix": PREFIX,
+            "service": "pool",
+            "attempts": 3,
+            "stretch": 1.6,
+            "latency-slo-ms": 600,
+        }
+    ],
+    "services": [{"name": "pool"}, {"name": "off", "standby": True}],
+}
+
+_LINK_MODES = {
+    FaultKind.LINK_DELAYED: LinkMode.DELAYED,
+    FaultKind.LINK_ONE_WAY: LinkMode.ONE_WAY,
+    FaultKind.LINK_REFUSED: LinkMode.REFUSED,
+}
+
+
+class World:
+    """One deployment of `hosts` entry hosts, whose files go to `folder`.
+
+    The last proxy leads to the executors: it is the address in their registrations.
+    """
+
+    def __init__(self, folder: Path, hosts: int) -> None:
+        self.clock = SystemClock()
+        self._kernel = Kernel(self.clock)
+        (port,) = free_ports(1)
+        names = [f"link_{number}" for number in range(hosts + 1)]
+        proxies = [ProxyTask(name, port) for name in names]
+        platform = ResidentPlatformTask("pool", MACHINES, WORK_MS, "")
+        front = FrontConfig(port=port, health_path="", ready_path="")
+        for proxy in proxies:
+            self._kernel.register(proxy)
+        self._kernel.register(platform)
+        self._kernel.register(FrontTask(front, "platform_front", platform.name))
+        self._platform = platform.name
+        self._links = names
+        started = self._kernel.start()
+        if not isinstance(started, Ok):
+            raise InvariantError(f"the stand-ins did not start: {started}")
+        platform.address = f"127.0.0.1:{proxies[-1].port}"
+        self._ask(self._platform, PutItem("op/config", json.dumps(MANIFEST).encode()))
+        self.entries = [
+            EntryProcess(folder, f"e{number}", entry_ports(proxies[number].port))
+            for number in range(hosts)
+        ]
+
+    def begin(self, fault: Fault) -> None:
+        """Inject a fault."""
+        for target in fault.targets:
+            self._begin_one(fault.kind, target)
+
+    def end(self, fault: Fault) -> None:
+        """Take a fault back."""
+        for target in fault.targets:
+            self._end_one(fault.kind, target)
+
+    def heal(self) -> None:
+        """Take all faults back and start what does not run."""
+        self._ask(self._platform, SetStoreDown(False))
+        self._ask(self._platform, SetAnswersLost(False))
+        for link in self._links:
+            self._ask(link, SetLink(LinkMode.OPEN))
+        for entry in self.entries:
+            entry.signal(signal.SIGCONT)
+            if not entry.is_running:
+                entry.restart()
+
+    def view(self) -> PlatformView:
+        """Return what the platform has seen."""
+        view: PlatformView = self._ask(self._platform, QueryPlatform())
+        return view
+
+    def stop(self) -> None:
+        """End the processes that this world started, and the stand-ins."""
+        for entry in self.entries:
+            entry.end()
+        self._kernel.stop()
+
+    def _begin_one(self, kind: FaultKind, target: int) -> None:
+        link, entry = self._links[target], self.entries[target]
+        match kind:
+            case FaultKind.KILL:
+                entry.signal(signal.SIGKILL)
+            case FaultKind.PAUSE:
+                entry.signal(signal.SIGSTOP)
+            case FaultKind.TERMINATE:
+                entry.signal(signal.SIGTERM)
+            case FaultKind.HANG_UP:
+                entry.signal(signal.SIGHUP)
+            case FaultKind.STORE_DOWN:
+                self._ask(self._platform, SetStoreDown(True))
+            case FaultKind.ANSWERS_LOST:
+                self._ask(self._platform, SetAnswersLost(True))
+            case FaultKind.LINK_SILENT:
+                self._ask(link, SilenceConnections())
+                # Those to the executors are shared by all entry hosts.
+                self._ask(self._links[-1], SilenceConnections())
+            case FaultKind.LINK_RESET:
+                self._ask(link, ResetConnections())
+                self._ask(self._links[-1], ResetConnections())
+            case _:
+                self._ask(link, SetLink(_LINK_MODES[kind]))
+
+    def _end_one(self, kind: FaultKind, target: int) -> None:
+        entry = self.entries[target]
+        match kind:
+            case FaultKind.KILL | FaultKind.TERMINATE:
+                entry.signal(signal.SIGCONT)
+                if not entry.is_running:
+                    entry.restart()
+            case FaultKind.PAUSE:
+                entry.signal(signal.SIGCONT)
+            case FaultKind.STORE_DOWN:
+                self._ask(self._platform, SetStoreDown(False))
+            case FaultKind.ANSWERS_LOST:
+                self._ask(self._platform, SetAnswersLost(False))
+            case kind if kind in _LINK_MODES:
+                self._ask(self._links[target], SetLink(LinkMode.OPEN))
+
+    def _ask(self, service: str, body: object) -> Any:
+        return self._kernel.ask(service, body).result(ASK_TIMEOUT_S)
--- a/src/guavapin_standins/resident_executor.py
+++ b/src/guavapin_standins/resident_executor.py
@@ -7,6 +7,19 @@
 from typing import Any
 
 
+@dataclass(frozen=True, slots=True)
+class RunEvent:
+    """What happened to a run of `task` at `at_ms`.
+
+    `what` is ``start``, the kind of an end, ``gone`` for a run that ended with its
+    executor, or ``confirmed`` when a scheduler took note of an end as done.
+    """
+
+    what: str
+    task: str
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RunningTask:
     """A run that ends by itself at `done_ms`."""
@@ -17,13 +30,13 @@
 
 @dataclass(eq=False, slots=True, frozen=True)
 class ResidentExecutor:
-    """One life of an executor; `log` lists starts and ends for checks."""
+    """One life of an executor; `log` lists what happened to runs for checks."""
 
     executor_id: str
     service: str
     born_ms: int
     work_ms: int
-    log: list[tuple[str, str, int]]
+    log: list[RunEvent]
     running: dict[str, RunningTask] = field(default_factory=dict)
     ended: list[list[Any]] = field(default_factory=list)
     highest: dict[str, int] = field(default_factory=dict)
@@ -36,10 +49,16 @@
         """End what is done, or everything when the lease is over."""
         for task, run in [*self.running.items()]:
             if now_ms >= run.done_ms:
-                self._end(task, "done")
+                self._end(task, "done", now_ms)
         if self.running and now_ms > self.marks["until"]:
             for task in [*self.running]:
-                self._end(task, "lapsed")
+                self._end(task, "lapsed", now_ms)
+
+    def leave(self, now_ms: int) -> None:
+        """End everything without a list of the ends."""
+        for task in [*self.running]:
+            del self.running[task]
+            self.log.append(RunEvent("gone", task, now_ms))
 
     def call(
         self, path: str, body: dict[str, Any], now_ms: int
@@ -61,11 +80,14 @@
         if path.endswith("/run-stop"):
             self.highest[task] = max(self.highest.get(task, 0), attempt)
             if task in self.running and self.running[task].attempt == attempt:
-                self._end(task, "stopped")
+                self._end(task, "stopped", now_ms)
         return 200, {"clock-ms": now_ms}
 
     def _hold(self, body: dict[str, Any], now_ms: int) -> dict[str, Any]:
         seen = body.get("last-seen", 0)
+        for number, task, _, how, _ in self.ended:
+            if number <= seen and how == "done":
+                self.log.append(RunEvent("confirmed", task, now_ms))
         self.ended[:] = [row for row in self.ended if row[0] > seen]
         rows = [[task, run.attempt, "", 50] for task, run in self.running.items()]
         return {
@@ -82,12 +104,12 @@
             return 409, {"clock-ms": now_ms, "reason": "old"}
         if task not in self.running:
             self.running[task] = RunningTask(attempt, now_ms + self.work_ms)
-            self.log.append(("start", task, now_ms))
+            self.log.append(RunEvent("start", task, now_ms))
         return 200, {"clock-ms": now_ms}
 
-    def _end(self, task: str, how: str) -> None:
+    def _end(self, task: str, how: str, now_ms: int) -> None:
         run = self.running.pop(task)
         self.highest[task] = max(self.highest.get(task, 0), run.attempt)
         self.marks["number"] += 1
         self.ended.append([self.marks["number"], task, run.attempt, how, ""])
-        self.log.append((how, task, run.done_ms))
+        self.log.append(RunEvent(how, task, now_ms))
--- a/src/guavapin_standins/resident_platform.py
+++ b/src/guavapin_standins/resident_platform.py
@@ -1,7 +1,8 @@
 """The users' platform on one port: store, executors, machines and operator.
 
 All executors share the address; the header that names the intended one tells them
-apart. `SetStoreDown` makes the store refuse every call.
+apart. `SetStoreDown` makes the store refuse every call, and `SetAnswersLost` lets it
+carry out transactions without an answer.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 from guavapin.kernel.outcome import Outcome
 from guavapin.serving.desk import RequestDesk
 from guavapin_standins.resident_executor import ResidentExecutor
+from guavapin_standins.resident_executor import RunEvent
 from guavapin_standins.resident_store import ResidentStore
 
 if TYPE_CHECKING:
@@ -40,6 +42,13 @@
     is_down: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SetAnswersLost:
+    """As a `Call`: transactions are carried out and not answered, or answered again."""
+
+    is_lost: bool
+
+
 @dataclass(frozen=True, slots=True)
 class PutItem:
     """As a `Call`: the operator writes an item."""
@@ -55,9 +64,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformView:
-    """Starts and ends in order, statuses of waves, and orders for machines."""
+    """What happened to runs, statuses of waves, and orders for machines; in order."""
 
-    log: tuple[tuple[str, str, int], ...]
+    log: tuple[RunEvent, ...]
     statuses: dict[str, str]
     orders: tuple[tuple[str, str], ...]
 
@@ -83,8 +92,9 @@
     def __init__(self, pool: str, machines: int, work_ms: int, address: str) -> None:
         super().__init__("platform_front")
         self.store = ResidentStore()
-        self._address = address
-        self._log: list[tuple[str, str, int]] = []
+        # What registrations name; it may be changed before the first request.
+        self.address = address
+        self._log: list[RunEvent] = []
         self._orders: list[tuple[str, str]] = []
         self._work_ms = work_ms
         # Machine to (pool, executor, time from which it is up).
@@ -95,6 +105,7 @@
         self._lives = machines
         self._waiting: list[_Waiting] = []
         self._is_down = False
+        self._are_answers_lost = False
         self._next_beat_ms = 0
 
     def start(self, context: TaskContext) -> Outcome[None]:
@@ -115,6 +126,9 @@
             case Call(body=SetStoreDown(is_down=is_down), fut=fut):
                 self._is_down = is_down
                 fut.set_result(Ok(None))
+            case Call(body=SetAnswersLost(is_lost=is_lost), fut=fut):
+                self._are_answers_lost = is_lost
+                fut.set_result(Ok(None))
             case Call(body=PutItem(key=key, value=value), fut=fut):
                 self.store.put(key, value)
                 fut.set_result(Ok(None))
@@ -128,6 +142,8 @@
         """Answer a call, now or later."""
         wait_ms = self._wait_ms(req)
         outcome = self._answer_of(req)
+        if self._are_answers_lost and req.target.endswith("/kv-txn"):
+            return
         if outcome is None or (wait_ms and not self._has_news(outcome[1])):
             until_ms = self._context.now_ms() + wait_ms
             self._waiting.append(_Waiting(req, until_ms))
@@ -165,7 +181,7 @@
     def _register(self, executor: ResidentExecutor, machine: str, now_ms: int) -> None:
         entry = {
             "service": executor.service,
-            "address": self._address,
+            "address": self.address,
             "zone": "z",
             "version": "v1",
             "slots": 8,
@@ -250,6 +266,7 @@
         self._orders.append(order)
         ended = self._executors.pop(executor_id, None)
         if ended is not None:
+            ended.leave(now_ms)
             self.store.remove(f"servers/{executor_id}")
         self._lives += 1
         new_pool = body.get("pool", pool)
--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -5,11 +5,7 @@
 import base64
 import http.client
 import json
-import os
 import signal
-import socket
-import subprocess
-import sys
 import time
 from collections import Counter
 
@@ -20,6 +16,9 @@
 from guavapin.kernel import SystemClock
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
+from guavapin_soak.entry_process import EntryProcess
+from guavapin_soak.entry_process import entry_ports
+from guavapin_soak.entry_process import free_ports
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
 from guavapin_standins.resident_platform import ResidentPlatformTask
@@ -46,49 +45,13 @@
 PATIENCE_S = 20.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
-class Entry:
-    """An entry host's process."""
+class Entry(EntryProcess):
+    """An entry host's process and calls of its listeners."""
 
     def __init__(self, folder, name: str, platform_port: int) -> None:
-        self.front, self.ready, self.peer, metrics = free_ports(4)
-        self.metrics = metrics
-        settings = folder / f"{name}.conf"
-        settings.write_text(
-            f"node={name}\nip=127.0.0.1\nzone=z\n"
-            f"listen.front=127.0.0.1:{self.front}\n"
-            f"listen.ready=127.0.0.1:{self.ready}\n"
-            f"port-range={self.peer},{self.peer}\n"
-            f"platform.address=127.0.0.1:{platform_port}\n"
-            f"cloud.address=127.0.0.1:{platform_port}\n"
-            "platform.writes-per-s=400\nplatform.reads-per-s=2000\n"
-            "bounds.grace-s=6\nbounds.max-hold-ms=6000\nbounds.stop-timeout-ms=400\n"
-            "bounds.status_s=120\nbounds.migrate-s=0.3\nbounds.maintenance-s=0.3\n"
-        )
-        self.log = folder / f"{name}.log"
-        with self.log.open("w") as out:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "guavapin.daemons.resident",
-                    "--metrics-port",
-                    str(metrics),
-                ],
-                env={**os.environ, "GUAVAPIN_SETTINGS": str(settings)},
-                stdout=out,
-                stderr=subprocess.STDOUT,
-            )
+        super().__init__(folder, name, entry_ports(platform_port))
+        self.front, self.ready = self.ports.front, self.ports.ready
+        self.peer, self.metrics = self.ports.peer, self.ports.metrics
 
     def call(self, port: int, method: str, path: str, body=None) -> tuple[int, dict]:
         """Return status and JSON of an answer; (0, {}) without one."""
@@ -165,9 +128,7 @@
     def stop(self) -> None:
         """End the processes that this site started."""
         for entry in self.entries:
-            if entry.process.poll() is None:
-                entry.process.kill()
-            entry.process.wait()
+            entry.end()
         self.kernel.stop()
 
 
@@ -198,7 +159,7 @@
 
 
 def assert_each_subtask_ran_once(site: Site, jobs: int) -> None:
-    done = Counter(task for how, task, _ in site.view().log if how == "done")
+    done = Counter(row.task for row in site.view().log if row.what == "done")
     assert len(done) == 3 * jobs and set(done.values()) == {1}
 
 
@@ -231,7 +192,7 @@
     for number in range(4):
         wait_until(lambda n=number: state(entry, n) == "succeeded", f"job {number}")
     if refused == 503:
-        assert all(job_id(9) not in task for _, task, _ in site.view().log)
+        assert all(job_id(9) not in row.task for row in site.view().log)
 
 
 def test_a_term_signal_hands_over_and_a_hang_up_does_not(site: Site) -> None:
