--- a/src/guavapin/scheduling/fleet_load.py
+++ b/src/guavapin/scheduling/fleet_load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from guavapin.scheduling.messages import FleetLoad
@@ -12,16 +11,77 @@
 if TYPE_CHECKING:
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.job_run import JobRun
+    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
 
 
+class _Tally:
+    """A pool's demand while it is added up; a report covers a thousand steps."""
+
+    __slots__ = (
+        "following_cpu",
+        "held_cpu",
+        "held_memory",
+        "largest_spread",
+        "lasting_cpu",
+        "oldest_waiting_ms",
+        "waiting_core_ms",
+        "waiting_cpu",
+        "waiting_memory",
+    )
+
+    def __init__(self) -> None:
+        self.waiting_cpu = 0
+        self.waiting_memory = 0
+        self.waiting_core_ms = 0
+        self.following_cpu = 0
+        self.held_cpu = 0
+        self.held_memory = 0
+        self.lasting_cpu = 0
+        self.largest_spread = 0
+        self.oldest_waiting_ms = 0
+
+    def add_step(self, step_run: StepRun, expected_ms: int, now_ms: int) -> None:
+        """Add what waits and what runs of a step."""
+        step, need = step_run.step, step_run.step.reserved
+        held = len(step_run.runs)
+        self.held_cpu += held * need.cpu_millis
+        self.held_memory += held * need.memory_mb
+        if step.is_long_running:
+            self.lasting_cpu += held * need.cpu_millis
+        if step.max_per_host:
+            spread = -(-step.count // step.max_per_host)
+            self.largest_spread = max(self.largest_spread, spread)
+        waiting = len(step_run.waiting)
+        if waiting:
+            self.waiting_cpu += waiting * need.cpu_millis
+            self.waiting_memory += waiting * need.memory_mb
+            self.waiting_core_ms += waiting * need.cpu_millis * expected_ms // 1_000
+            age_ms = now_ms - step_run.job.accepted_ms
+            self.oldest_waiting_ms = max(self.oldest_waiting_ms, age_ms)
+
+    def demand(self, pool: str, arriving_cpu: int) -> PoolDemand:
+        """Return the sum."""
+        return PoolDemand(
+            pool=pool,
+            waiting_cpu=self.waiting_cpu,
+            waiting_memory=self.waiting_memory,
+            waiting_core_ms=self.waiting_core_ms,
+            following_cpu=self.following_cpu,
+            arriving_cpu=arriving_cpu,
+            held_cpu=self.held_cpu,
+            held_memory=self.held_memory,
+            lasting_cpu=self.lasting_cpu,
+            largest_spread=self.largest_spread,
+            oldest_waiting_ms=self.oldest_waiting_ms,
+        )
+
+
 def fleet_load(scheduler: Scheduler) -> FleetLoad:
     """Return the load of each host and the demand of each pool."""
     now_ms = scheduler.term.now_ms
-    hosts = tuple(
-        _host_load(scheduler, host, now_ms) for host in scheduler.hosts.hosts.values()
-    )
-    demands: dict[str, PoolDemand] = {}
+    hosts = tuple(_host_load(host, now_ms) for host in scheduler.hosts.hosts.values())
+    tallies: dict[str, _Tally] = {}
     seen: set[str] = set()
     unresolved = scheduler.hosts.unresolved_pools()
     for step_run in scheduler.steps:
@@ -32,42 +92,17 @@
         if job_run.is_inherited and pool in unresolved:
             # More machines would not let it start any sooner.
             continue
-        demand = demands.get(pool, PoolDemand(pool))
-        need = step_run.step.reserved
-        is_lasting = step_run.step.is_long_running
-        waiting = len(step_run.waiting)
-        age_ms = now_ms - job_run.accepted_ms if waiting else 0
-        spread = step_run.step.max_per_host
-        demands[pool] = replace(
-            demand,
-            waiting_cpu=demand.waiting_cpu + waiting * need.cpu_millis,
-            waiting_memory=demand.waiting_memory + waiting * need.memory_mb,
-            waiting_core_ms=demand.waiting_core_ms
-            + waiting
-            * need.cpu_millis
-            * scheduler.run_times.expected_ms(step_run)
-            // 1_000,
-            held_cpu=demand.held_cpu + len(step_run.runs) * need.cpu_millis,
-            held_memory=demand.held_memory + len(step_run.runs) * need.memory_mb,
-            lasting_cpu=demand.lasting_cpu
-            + (len(step_run.runs) * need.cpu_millis if is_lasting else 0),
-            largest_spread=max(
-                demand.largest_spread,
-                -(-step_run.step.count // spread) if spread else 0,
-            ),
-            oldest_waiting_ms=max(demand.oldest_waiting_ms, age_ms),
-        )
+        tally = tallies.setdefault(pool, _Tally())
+        tally.add_step(step_run, scheduler.run_times.expected_ms(step_run), now_ms)
         if job_run.job.job_id not in seen:
             seen.add(job_run.job.job_id)
-            demand = demands[pool]
-            following = max(_following_cpu(job_run) - _present_cpu(job_run), 0)
-            following += demand.following_cpu
-            demands[pool] = replace(demand, following_cpu=following)
-    arriving = (
-        replace(demand, arriving_cpu=scheduler.arrivals.cpu_millis(pool, now_ms))
-        for pool, demand in demands.items()
+            following = _following_cpu(job_run) - _present_cpu(job_run)
+            tally.following_cpu += max(following, 0)
+    demands = (
+        tally.demand(pool, scheduler.arrivals.cpu_millis(pool, now_ms))
+        for pool, tally in tallies.items()
     )
-    return FleetLoad(scheduler.term.token, hosts, tuple(arriving))
+    return FleetLoad(scheduler.term.token, hosts, tuple(demands))
 
 
 def _following_cpu(job_run: JobRun) -> int:
@@ -92,7 +127,7 @@
     )
 
 
-def _host_load(scheduler: Scheduler, host: Host, now_ms: int) -> HostLoad:
+def _host_load(host: Host, now_ms: int) -> HostLoad:
     capacity = host.registration.capacity
     cpu_share = host.used.cpu_millis / max(capacity.cpu_millis, 1)
     memory_share = host.used.memory_mb / max(capacity.memory_mb, 1)
@@ -103,6 +138,6 @@
         used_share=max(cpu_share, memory_share),
         idle_ms=0 if host.runs else now_ms - host.idle_since_ms,
         is_cordoned=host.is_cordoned,
-        has_long_running=scheduler.has_long_running(host),
+        has_long_running=host.has_long_running,
         is_usable=host.has_answered and not host.unanswered,
     )
--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -31,11 +31,14 @@
     """Clock, lease, lists and room of one executor; owned by the scheduler."""
 
     def __init__(self, registration: Registration, now_ms: int) -> None:
+        self.executor_id = registration.executor_id
         self.registration = registration
         self.born_ms = registration.born_ms
         self.is_registered = True
         self.runs: dict[RunKey, Run] = {}
         self.used = Resources()
+        # What is left of the capacity; kept, since each search for room reads it.
+        self.free = registration.capacity
         # Highest end taken, and those of them that are not stored yet.
         self.seen = 0
         self.unstored: set[int] = set()
@@ -57,26 +60,21 @@
         self._clock_at_ms = now_ms
         self._set_aside_ms = SET_ASIDE_MS
 
-    @property
-    def executor_id(self) -> str:
-        """Return the executor's id."""
-        return self.registration.executor_id
-
     @property
     def pool(self) -> str:
         """Return the service that the executor belongs to."""
         return self.registration.service
 
-    @property
-    def free(self) -> Resources:
-        """Return the room that is left."""
-        return self.registration.capacity.minus(self.used)
-
     @property
     def clock_age_base_ms(self) -> int:
         """Return when the executor's clock was last read."""
         return self._clock_at_ms
 
+    @property
+    def has_long_running(self) -> bool:
+        """Whether work without an end runs here."""
+        return any(run.is_long_running for run in self.runs.values())
+
     def is_usable(self, now_ms: int) -> bool:
         """Whether work may be started here."""
         return (
@@ -115,15 +113,23 @@
         end_ms = now_ms + round(lease_ms * (1 + CLOCK_DRIFT)) + LEASE_SLACK_MS
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
 
+    def renew(self, registration: Registration) -> None:
+        """Take a newer entry of the registry."""
+        self.registration = registration
+        self.is_registered = True
+        self.free = registration.capacity.minus(self.used)
+
     def add(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.key] = run
         self.used = self.used.plus(run.reserved)
+        self.free = self.free.minus(run.reserved)
 
     def remove(self, run: Run, now_ms: int) -> None:
         """Free the room of a run."""
         if self.runs.pop(run.key, None) is not None:
             self.used = self.used.minus(run.reserved)
+            self.free = self.free.plus(run.reserved)
             if not self.runs:
                 self.idle_since_ms = now_ms
 
--- a/src/guavapin/scheduling/host_book.py
+++ b/src/guavapin/scheduling/host_book.py
@@ -109,8 +109,7 @@
             return
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
-        host.registration = registration
-        host.is_registered = True
+        host.renew(registration)
 
     def unregister(self, executor_id: str) -> None:
         """Take note that an entry has gone; what runs there may go on."""
--- a/src/guavapin/scheduling/placement.py
+++ b/src/guavapin/scheduling/placement.py
@@ -30,12 +30,16 @@
     step = step_run.step
     reserved = step.reserved
     wanted_rack = rack or step.preferred_rack
+    bound, label = step.max_per_host, step.required_label
+    # Read once: this loop runs for each start over all hosts of a pool.
+    cpu_millis, memory_mb, gpus = reserved.cpu_millis, reserved.memory_mb, reserved.gpus
     best, best_key = None, None
     for host in hosts:
         free = host.free
-        if not free.covers(reserved) or not allows(step, host):
+        if free.cpu_millis < cpu_millis or free.memory_mb < memory_mb:
+            continue
+        if free.gpus < gpus or (label and not allows(step, host)):
             continue
-        bound = step.max_per_host
         if bound and step_run.count_on(host.executor_id) >= bound:
             continue
         is_far = bool(wanted_rack) and host.registration.rack != wanted_rack
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -36,6 +36,7 @@
         "attempt",
         "counted_ms",
         "executor_id",
+        "is_long_running",
         "is_stop_answered",
         "is_wanted",
         "load",
@@ -72,6 +73,7 @@
         self.stop_ms = 0
         self.is_stop_answered = False
         self.is_wanted = True
+        self.is_long_running = False
         self.percent = 0
         self.load = 0.0
         self.pace = 100
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.run_times import RunTimes
+from guavapin.scheduling.shortage import Shortage
 from guavapin.scheduling.starter import Starter
 from guavapin.scheduling.tickets import take_advice
 
@@ -69,13 +70,17 @@
                 if host.runs:
                     self._caretaker.care_for(host)
         self._is_dirty = True
-        self.dispatch()
 
     def pool_of(self, job_run: JobRun) -> str:
         """Return the pool that runs a job now."""
         queue = self.term.table.queue(job_run.job.queue)
         return queue.service if queue is not None else job_run.job.service
 
+    @property
+    def is_dirty(self) -> bool:
+        """Whether something has changed that may let work start."""
+        return self._is_dirty
+
     def dispatch(self) -> None:
         """Start what waits and has room."""
         if not self._is_dirty:
@@ -96,13 +101,16 @@
                 by_pool.setdefault(host.pool, []).append(host)
         unresolved = self.hosts.unresolved_pools()
         waiting.sort(key=self._order)
+        shortage = Shortage()
         for step_run in waiting:
             pool = self.pool_of(step_run.job)
             if step_run.job.is_inherited and pool in unresolved:
                 continue
             hosts = by_pool.get(pool)
-            if hosts:
-                self._starter.start_waiting(step_run, hosts)
+            if not hosts or shortage.applies(pool, step_run.step):
+                continue
+            if not self._starter.start_waiting(step_run, hosts):
+                shortage.note(pool, step_run.step)
 
     def cordon(self, executor_ids: frozenset[str], urgent: frozenset[str]) -> None:
         """Start nothing on these hosts, and empty them; at once if `urgent`."""
@@ -112,10 +120,6 @@
                 self._caretaker.evacuate(host, host.executor_id in urgent)
         self._is_dirty = True
 
-    def has_long_running(self, host: Host) -> bool:
-        """Whether work without an end runs on a host."""
-        return any(self._is_long_running(run) for run in host.runs.values())
-
     def job_opened(self, job_run: JobRun) -> None:
         """Begin to schedule a job."""
         if job_run.job.repeats:
@@ -148,6 +152,7 @@
             self.term.now_ms,
         )
         run.percent = row.percent
+        run.is_long_running = step_run is not None and step_run.step.is_long_running
         host.add(run)
         host.note_lease(self.term.lease_ms, self.term.now_ms)
         index = row.subtask.index
@@ -258,10 +263,6 @@
         else:
             self.jobs.take_durable(tag)
 
-    def _is_long_running(self, run: Run) -> bool:
-        step_run = self.step_of(run)
-        return step_run is not None and step_run.step.is_long_running
-
     def _order(self, step_run: StepRun) -> tuple[int, float, str]:
         queue = self.term.table.queue(step_run.job.job.queue)
         priority = queue.priority if queue is not None else 0
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -26,8 +26,11 @@
         self._term = term
         self._hosts = hosts
 
-    def start_waiting(self, step_run: StepRun, hosts: list[Host]) -> None:
-        """Start what waits of a step on usable hosts of its pool."""
+    def start_waiting(self, step_run: StepRun, hosts: list[Host]) -> bool:
+        """Start what waits of a step on usable hosts of its pool.
+
+        False if there was no room for a subtask although all `hosts` were searched.
+        """
         now_ms = self._term.now_ms
         queue = self._term.table.queue(step_run.job.job.queue)
         if queue is not None and queue.advice is not None:
@@ -35,19 +38,21 @@
             if asked is not None:
                 self._term.actions.append(asked)
             hosts = [host for host in hosts if ticket(step_run, host, now_ms)]
+        has_all_hosts = queue is None or queue.advice is None
         if step_run.step.is_gang:
             self._dispatch_gang(step_run, hosts)
-            return
+            return True
         rack = self._rack_in_use(step_run) if step_run.step.is_tightly_coupled else ""
         for index in sorted(step_run.waiting):
             if step_run.not_before.get(index, 0) > now_ms:
                 continue
             host = choose_host(step_run, hosts, rack)
             if host is None:
-                return
+                return not has_all_hosts
             self._start(step_run, index, host)
             if step_run.step.is_tightly_coupled:
                 rack = rack or host.registration.rack
+        return True
 
     def _dispatch_gang(self, step_run: StepRun, hosts: list[Host]) -> None:
         if len(step_run.waiting) < step_run.step.count:
@@ -74,6 +79,7 @@
             RunPhase.STARTING,
             self._term.now_ms,
         )
+        run.is_long_running = step_run.step.is_long_running
         step_run.add(index, run)
         job_run = step_run.job
         job_run.note_started()
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -112,6 +112,11 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Dispatch:
+    """To itself: start what became possible."""
+
+
 @dataclass(frozen=True, slots=True)
 class _ReadLimit:
     """Timer: the term should have read everything."""
@@ -152,6 +157,7 @@
         self._next_load_ms = 0
         self._next_expiry_ms = 0
         self._number = 0
+        self._is_dispatch_queued = False
         self._orders: dict[int, SendOrder] = {}
         self._fetches: dict[int, str] = {}
 
@@ -176,6 +182,8 @@
                     self._run()
             case JobRequest():
                 self._take_request(message)
+            case _Dispatch():
+                self._dispatch()
             case _Tick(token=token):
                 self._tick(token)
             case PrefixListed(prefix=prefix, items=items):
@@ -422,10 +430,29 @@
         self._scheduler.term.is_unconfirmed = self._unconfirmed_until_ms > 0
 
     def _run(self) -> None:
-        """Start what became possible and carry out the actions."""
+        """Carry out the actions; what became possible starts after what is queued.
+
+        A dispatch looks at all that waits, so that answers which come together share
+        one.
+        """
+        if self._scheduler is None:
+            return
+        if self._scheduler.is_dirty and not self._is_dispatch_queued:
+            self._is_dispatch_queued = True
+            self._context.send(self.name, _Dispatch())
+        self._act()
+
+    def _dispatch(self) -> None:
+        """Start what became possible."""
+        self._is_dispatch_queued = False
+        if self._scheduler is not None:
+            self._note_time()
+            self._scheduler.dispatch()
+            self._act()
+
+    def _act(self) -> None:
         if self._scheduler is None:
             return
-        self._scheduler.dispatch()
         for action in self._scheduler.term.take_actions():
             if isinstance(action, StepDown):
                 self._end(action.detail)
--- /dev/null
+++ b/tests/scheduling/test_shortage.py
@@ -0,0 +1,55 @@
+"""A need that found no room spares the search for larger ones, and only those."""
+
+from __future__ import annotations
+
+from guavapin.jobs.model import Resources
+from guavapin.jobs.model import Step
+from guavapin.scheduling import starter
+from guavapin.scheduling.shortage import Shortage
+from tests.scheduling.world import ROOM
+from tests.scheduling.world import FakeExecutor
+from tests.scheduling.world import World
+from tests.scheduling.world import make_job
+
+MEDIUM = Resources(2_000, 2_000, 0)
+
+
+def test_only_needs_that_are_no_smaller_are_spared() -> None:
+    # Guards against small work that waits because large work found no room.
+    shortage = Shortage()
+    shortage.note("pool", Step(1, MEDIUM))
+    assert shortage.applies("pool", Step(1, MEDIUM))
+    assert shortage.applies("pool", Step(1, Resources(2_000, 9_000, 1)))
+    assert not shortage.applies("pool", Step(1, Resources(9_000, 1_000, 0)))
+    assert not shortage.applies("other", Step(1, MEDIUM))
+
+
+def test_a_step_with_conditions_of_its_own_tells_nothing() -> None:
+    # Guards against work that waits because other work may not go to a host.
+    shortage = Shortage()
+    shortage.note("pool", Step(1, MEDIUM, required_label="gpu"))
+    shortage.note("pool", Step(1, MEDIUM, max_per_host=1))
+    shortage.note("pool", Step(1, MEDIUM, is_gang=True))
+    assert not shortage.applies("pool", Step(1, MEDIUM))
+
+
+def test_a_dispatch_does_not_search_for_each_waiting_step(monkeypatch) -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-2: while hundreds of steps
+    # waited, each answer of a host led to a search over all hosts for each of them.
+    searches = []
+    choose = starter.choose_host
+
+    def count(*arguments):
+        searches.append(arguments)
+        return choose(*arguments)
+
+    monkeypatch.setattr(starter, "choose_host", count)
+    world = World([FakeExecutor("e1"), FakeExecutor("e2")])
+    world.list_machines()
+    world.advance(100)
+    world.submit(make_job("f" * 16, Step(2, ROOM)))
+    for number in range(200):
+        world.submit(make_job(f"{number:016x}", Step(1, MEDIUM)))
+    searches.clear()
+    world.advance(50)
+    assert len(searches) == 1
