--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import os
+import signal
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import signal
     from pathlib import Path
 
 
+# A process that was told to stop is killed after this, as the platform does.
+GRACE_S = 6.0
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nothing listens on."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
@@ -64,6 +69,7 @@
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
         self._settings.write_text(settings_text(name, ports))
+        self._is_stopping = False
         self.process = self._start()
 
     @property
@@ -74,11 +80,24 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process has not ended."""
         if self.is_running:
+            self._is_stopping |= number == signal.SIGTERM
             self.process.send_signal(number)
 
+    def recover(self) -> None:
+        """Start the process again if it has ended or is about to.
+
+        One that was told to stop goes on serving for its grace, and is waited for.
+        """
+        if self._is_stopping and self.is_running:
+            with suppress(subprocess.TimeoutExpired):
+                self.process.wait(GRACE_S)
+        if self._is_stopping or not self.is_running:
+            self.restart()
+
     def restart(self) -> None:
         """Start the process again once it has ended; it is killed if it has not."""
         self.end()
+        self._is_stopping = False
         self.process = self._start()
 
     def end(self) -> None:
--- a/src/guavapin_soak/world.py
+++ b/src/guavapin_soak/world.py
@@ -111,8 +111,8 @@
             self._ask(link, SetLink(LinkMode.OPEN))
         for entry in self.entries:
             entry.signal(signal.SIGCONT)
-            if not entry.is_running:
-                entry.restart()
+        for entry in self.entries:
+            entry.recover()
 
     def view(self) -> PlatformView:
         """Return what the platform has seen."""
