--- a/src/guavapin/intake/peer_codec.py
+++ b/src/guavapin/intake/peer_codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from guavapin.http.messages import PeerCall
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import CountWaiting
@@ -19,11 +20,19 @@
 from guavapin.jobs.calls import WaitingIs
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import JobState
+from guavapin.scheduling.messages import SchedulerKnown
 
 T = TypeVar("T")
 
 PEER_PATH = "/v1/jobs"
 
+# Who schedules, as one entry host tells another.
+SCHEDULER_PATH = "/v1/scheduler"
+
+# Time for news of a scheduler; without them an entry host that reaches no store goes
+# on asking the scheduler before.
+NEWS_TIMEOUT_MS = 600
+
 
 class _Call(msgspec.Struct, omit_defaults=True):
     kind: str
@@ -39,6 +48,28 @@
     retry_after_ms: int = 0
 
 
+def scheduler_news(
+    reply_to: str, request_id: int, address: str, scheduler: SchedulerKnown
+) -> PeerCall:
+    """Return the call that tells another entry host who schedules."""
+    body = encode_scheduler(scheduler)
+    return PeerCall(
+        reply_to, request_id, address, "POST", SCHEDULER_PATH, body, NEWS_TIMEOUT_MS
+    )
+
+
+def encode_scheduler(scheduler: SchedulerKnown) -> bytes:
+    """Return the body that tells who schedules."""
+    return msgspec.json.encode(scheduler)
+
+
+def decode_scheduler(body: bytes) -> SchedulerKnown | None:
+    """Return who schedules, None if nobody is named or it cannot be read."""
+    scheduler = _decoded(body, SchedulerKnown)
+    is_named = scheduler is not None and scheduler.address and scheduler.token > 0
+    return scheduler if is_named else None
+
+
 def encode_peer_call(call: JobCall) -> bytes:
     """Return the body of a call."""
     match call:
--- a/src/guavapin/intake/peer_desk.py
+++ b/src/guavapin/intake/peer_desk.py
@@ -7,14 +7,18 @@
 import msgspec
 
 from guavapin.intake.peer_codec import PEER_PATH
+from guavapin.intake.peer_codec import SCHEDULER_PATH
 from guavapin.intake.peer_codec import decode_peer_call
+from guavapin.intake.peer_codec import decode_scheduler
 from guavapin.intake.peer_codec import encode_peer_answer
+from guavapin.intake.peer_codec import encode_scheduler
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.scheduling.messages import DescribeScheduling
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
+from guavapin.scheduling.messages import PeerScheduler
 from guavapin.scheduling.messages import SchedulingDescribed
 from guavapin.serving.desk import RequestDesk
 
@@ -26,9 +30,15 @@
 SCHEDULING_PATH = "/v1/scheduling"
 JOB_PATH = "/v1/scheduling/jobs/"
 
-# Tells a peer that this process does not schedule.
+# Tells a peer that this process does not schedule, and who does as far as it knows.
 NOT_SCHEDULING = 421
 
+# Tells a peer that the scheduler here does not know the job; the store may.
+NOT_KNOWN = 404
+
+# Tells a peer that the term ended before it was known whether a call took effect.
+UNDECIDED = 502
+
 JSON = ((b"content-type", b"application/json"),)
 
 
@@ -51,11 +61,7 @@
     def handle(self, message: object) -> None:
         """Take a request or the scheduler's answer."""
         if isinstance(message, JobReply):
-            if message.answer is None:
-                self.answer(message.request_id, NOT_SCHEDULING)
-            else:
-                body = encode_peer_answer(message.answer)
-                self.answer(message.request_id, 200, (), body)
+            self._reply(message)
         elif isinstance(message, SchedulingDescribed):
             self._show(message)
         elif not self.take_front_message(message):
@@ -73,6 +79,9 @@
             question = DescribeScheduling(self.name, req.request_id, job_id)
             self._context.send("scheduler", question)
             return
+        if req.target == SCHEDULER_PATH:
+            self._take_news(req)
+            return
         call = decode_peer_call(req.body) if req.target == PEER_PATH else None
         if call is None:
             self.answer(req.request_id, 400)
@@ -80,6 +89,27 @@
             request = JobRequest(self.name, req.request_id, call)
             self._context.send("scheduler", request)
 
+    def _reply(self, reply: JobReply) -> None:
+        if reply.answer is not None:
+            body = encode_peer_answer(reply.answer)
+            self.answer(reply.request_id, 200, (), body)
+        elif reply.may_have_effect:
+            self.answer(reply.request_id, UNDECIDED)
+        elif reply.elsewhere is not None:
+            body = encode_scheduler(reply.elsewhere)
+            self.answer(reply.request_id, NOT_SCHEDULING, JSON, body)
+        else:
+            self.answer(reply.request_id, NOT_KNOWN)
+
+    def _take_news(self, req: WholeRequest) -> None:
+        scheduler = decode_scheduler(req.body)
+        if scheduler is None:
+            self.answer(req.request_id, 400)
+            return
+        for service in ("intake", "scheduler"):
+            self._context.send(service, PeerScheduler(scheduler))
+        self.answer(req.request_id, 204)
+
     def _show(self, described: SchedulingDescribed) -> None:
         if described.view is not None:
             status, body = 200, msgspec.json.encode(described.view)
--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -13,7 +13,10 @@
 from guavapin.intake import fallback as machine
 from guavapin.intake.peer_codec import PEER_PATH
 from guavapin.intake.peer_codec import decode_peer_answer
+from guavapin.intake.peer_codec import decode_scheduler
 from guavapin.intake.peer_codec import encode_peer_call
+from guavapin.intake.peer_codec import scheduler_news
+from guavapin.intake.peer_desk import NOT_KNOWN
 from guavapin.intake.peer_desk import NOT_SCHEDULING
 from guavapin.jobs.calls import BadCall
 from guavapin.jobs.calls import CancelJob
@@ -29,6 +32,7 @@
 from guavapin.keyvalue.reach import ReachNoted
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
+from guavapin.scheduling.messages import PeerScheduler
 from guavapin.scheduling.messages import SchedulerKnown
 from guavapin.scheduling.messages import TableInForce
 from guavapin.serving.desk import RequestDesk
@@ -114,6 +118,8 @@
         self._observer = observer
         self._table: QueueTable | None = None
         self._scheduler = SchedulerKnown("", "", 0)
+        # The last one that was known; nobody schedules while a duty changes hands.
+        self._former = self._scheduler
         self._pending: dict[int, _Pending] = {}
         # Calls on their way to a peer or the store, by number.
         self._calls: dict[int, int] = {}
@@ -134,9 +140,11 @@
             case TableInForce(table=table):
                 self._table = table
             case SchedulerKnown():
-                self._scheduler = message
+                self._take_known(message)
+            case PeerScheduler(scheduler=scheduler):
+                self._take_news(scheduler)
             case JobReply(request_id=request_id, answer=answer):
-                self._take_scheduler(request_id, answer, may_have_effect=True)
+                self._take_scheduler(request_id, answer, message.may_have_effect)
             case PeerReply(request_id=number, outcome=outcome):
                 self._take_peer(number, outcome)
             case kv.Reply(request_id=number, outcome=outcome):
@@ -200,14 +208,56 @@
 
     def _take_peer(self, number: int, outcome: object) -> None:
         request_id = self._calls.pop(number, 0)
-        self._context.send("reach", ReachNoted(isinstance(outcome, Answered)))
-        if isinstance(outcome, Answered):
-            answer = decode_peer_answer(outcome.body) if outcome.status == 200 else None
-            is_refused = outcome.status == NOT_SCHEDULING
-            self._take_scheduler(request_id, answer, may_have_effect=not is_refused)
-        else:
+        if not request_id:
+            # News for a former scheduler, which may be gone.
+            return
+        status = outcome.status if isinstance(outcome, Answered) else 0
+        # A host that does not schedule is of no more use to callers than none.
+        is_reached = status not in (0, NOT_SCHEDULING)
+        self._context.send("reach", ReachNoted(is_reached))
+        if not isinstance(outcome, Answered):
             was_sent = getattr(outcome, "was_sent", True)
             self._take_scheduler(request_id, None, may_have_effect=was_sent)
+        elif status == NOT_SCHEDULING:
+            self._take_redirect(request_id, decode_scheduler(outcome.body))
+        else:
+            answer = decode_peer_answer(outcome.body) if status == 200 else None
+            self._take_scheduler(request_id, answer, status != NOT_KNOWN)
+
+    def _take_known(self, known: SchedulerKnown) -> None:
+        self._scheduler = known
+        if not known.address:
+            return
+        former, self._former = self._former, known
+        is_own = known.holder == self._holder
+        if is_own and former.address not in ("", known.address):
+            # It may not reach the store, and hosts that do not reach it either go on
+            # asking it.
+            self._number += 1
+            call = scheduler_news(self.name, self._number, former.address, known)
+            self._context.send("http", call)
+
+    def _take_redirect(self, request_id: int, later: SchedulerKnown | None) -> None:
+        """Ask a later scheduler that the asked host has named, or the store."""
+        pending = self._pending.get(request_id)
+        if pending is None:
+            return
+        if later is not None and self._take_news(later) and pending.fallback is None:
+            self._forward(request_id, pending.call)
+        else:
+            self._fall_back(request_id, may_have_effect=False)
+
+    def _take_news(self, later: SchedulerKnown) -> bool:
+        """Believe a peer that names a later scheduler than the store has shown here.
+
+        A host that does not reach the store learns of a takeover in no other way.
+        """
+        is_later = later.token > self._scheduler.token
+        if is_later:
+            extra = {"holder": later.holder, "token": later.token}
+            log.info("scheduler named by a peer", extra=extra)
+            self._scheduler = later
+        return is_later
 
     def _take_scheduler(
         self, request_id: int, answer: JobAnswer | None, may_have_effect: bool
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -28,10 +28,17 @@
 
 @dataclass(frozen=True, slots=True)
 class JobReply:
-    """From ``scheduler``: the answer; None if it does not know or does not schedule."""
+    """From ``scheduler``: the answer; None if it does not know or does not schedule.
+
+    Without an answer a submission or cancellation `may_have_effect` all the same.
+    `elsewhere` is who schedules as far as this process has heard, None if it is this
+    process.
+    """
 
     request_id: int
     answer: JobAnswer | None
+    may_have_effect: bool = False
+    elsewhere: SchedulerKnown | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +59,13 @@
     scheduler: str
 
 
+@dataclass(frozen=True, slots=True)
+class PeerScheduler:
+    """Another entry host has told who schedules; it may be out of date."""
+
+    scheduler: SchedulerKnown
+
+
 @dataclass(frozen=True, slots=True)
 class TableInForce:
     """From ``configuration``: queues and pools of a newer version."""
@@ -61,7 +75,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulerKnown:
-    """Who schedules: the address of its peer listener, "" if nobody does."""
+    """Who schedules: the address of its peer listener, "" if nobody does.
+
+    `token` is 0 if nobody does; of two schedulers the one with the higher token is the
+    later one.
+    """
 
     address: str
     holder: str
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -39,6 +39,7 @@
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import MachinesListed
+from guavapin.scheduling.messages import PeerScheduler
 from guavapin.scheduling.messages import SchedulerKnown
 from guavapin.scheduling.messages import SchedulingDescribed
 from guavapin.scheduling.messages import SchedulingEnded
@@ -153,7 +154,7 @@
         self._table: QueueTable | None = None
         self._reading = TermReading(wire)
         self._scheduler: Scheduler | None = None
-        self._scheduler_address = ""
+        self._known = SchedulerKnown("", "", 0)
         self._next_load_ms = 0
         self._next_expiry_ms = 0
         self._number = 0
@@ -213,10 +214,11 @@
                     self._end("the duty was lost")
             case DescribeScheduling():
                 self._describe(message)
-            case SchedulerKnown(token=token, address=address):
-                self._scheduler_address = address
-                if token > self._token:
-                    self._end("another process schedules")
+            case SchedulerKnown():
+                self._take_known(message)
+            case PeerScheduler(scheduler=scheduler):
+                if scheduler.token > self._known.token:
+                    self._take_known(scheduler)
             case LedgerFenced():
                 self._end("the store refused a write")
             case HandOver():
@@ -262,6 +264,11 @@
         for follower in _FOLLOWERS:
             self._context.send(follower, Follow())
 
+    def _take_known(self, known: SchedulerKnown) -> None:
+        self._known = known
+        if known.token > self._token:
+            self._end("another process schedules")
+
     def _take_listed(self, prefix: str, items: tuple[kv.Item, ...]) -> None:
         if self._phase is Phase.IDLE:
             return
@@ -312,7 +319,9 @@
         self._orders.clear()
         self._fetches.clear()
         for req in requests:
-            self._context.send(req.reply_to, JobReply(req.request_id, None))
+            # What they wait for may have been stored.
+            reply = JobReply(req.request_id, None, True, self._known)
+            self._context.send(req.reply_to, reply)
         for follower in _FOLLOWERS:
             self._context.send(follower, Unfollow())
         self._context.send("ledger", CloseLedger())
@@ -342,7 +351,7 @@
 
     def _describe(self, req: DescribeScheduling) -> None:
         view: SchedulingView | JobView | None = None
-        address = self._scheduler_address
+        address = self._known.address
         if self._scheduler is not None:
             self._note_time()
             address = ""
@@ -357,7 +366,8 @@
         # Without a confirmed lease another process may schedule, so that what is
         # known here may be out of date.
         if self._scheduler is None or self._unconfirmed_until_ms:
-            self._context.send(req.reply_to, JobReply(req.request_id, None))
+            reply = JobReply(req.request_id, None, elsewhere=self._known)
+            self._context.send(req.reply_to, reply)
             return
         self._note_time()
         self._scheduler.jobs.take_request(req)
--- /dev/null
+++ b/tests/intake/test_redirect.py
@@ -0,0 +1,149 @@
+"""Entry hosts that do not reach the store learn from others who schedules."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from guavapin.http.messages import Answered
+from guavapin.http.messages import PeerCall
+from guavapin.http.messages import PeerReply
+from guavapin.intake.peer_codec import PEER_PATH
+from guavapin.intake.peer_codec import SCHEDULER_PATH
+from guavapin.intake.peer_codec import decode_scheduler
+from guavapin.intake.peer_codec import encode_peer_call
+from guavapin.intake.peer_codec import encode_scheduler
+from guavapin.intake.peer_desk import NOT_KNOWN
+from guavapin.intake.peer_desk import NOT_SCHEDULING
+from guavapin.intake.peer_desk import UNDECIDED
+from guavapin.intake.peer_desk import PeerDeskTask
+from guavapin.intake.task import IntakeTask
+from guavapin.jobs.calls import QueryJob
+from guavapin.jobs.calls import Undecided
+from guavapin.jobs.queues import QueueTable
+from guavapin.kernel.harness import TaskHarness
+from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.reach import ReachNoted
+from guavapin.scheduling.messages import JobReply
+from guavapin.scheduling.messages import PeerScheduler
+from guavapin.scheduling.messages import SchedulerKnown
+from guavapin.scheduling.messages import TableInForce
+from guavapin.serving.desk import WholeRequest
+from tests.scheduling.world import QUEUE
+
+OLD = SchedulerKnown("10.0.0.1:1", "old@10.0.0.1:1#1", 5)
+NEW = SchedulerKnown("10.0.0.2:1", "new@10.0.0.2:1#1", 9)
+CALL = QueryJob("a" * 16)
+
+
+class Wire:
+    """A callers' wire that always asks for the same job."""
+
+    deadline_header = b"x-deadline-ms"
+
+    def __init__(self) -> None:
+        self.answers: list = []
+
+    def decode(self, *_: object) -> QueryJob:
+        return CALL
+
+    def encode(self, answer: object) -> tuple:
+        self.answers.append(answer)
+        return 200, (), b""
+
+
+@pytest.fixture
+def rig() -> SimpleNamespace:
+    wire = Wire()
+    observer = SimpleNamespace(observe_call=lambda *_: None)
+    task = IntakeTask(wire, "me@10.0.0.9:1#1", observer)
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(TableInForce(QueueTable(1, (QUEUE,), ())))
+    task.handle(OLD)
+    harness.take_sent()
+    return SimpleNamespace(task=task, harness=harness, wire=wire)
+
+
+def ask(rig: SimpleNamespace) -> PeerCall:
+    headers = ((b"host", QUEUE.host.encode()),)
+    target = f"{QUEUE.prefix}{CALL.job_id}"
+    rig.task.take_request(WholeRequest(1, "GET", target, headers, b"", 0))
+    return sent(rig, PeerCall)[0]
+
+
+def sent(rig: SimpleNamespace, kind: type) -> list:
+    messages = [row.message for row in rig.harness.take_sent()]
+    return [message for message in messages if isinstance(message, kind)]
+
+
+def test_a_call_goes_on_to_the_scheduler_that_the_asked_one_names(rig) -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-1: hosts that the store
+    # turned away asked the scheduler before for nine seconds and served nobody.
+    call = ask(rig)
+    assert call.address == OLD.address
+    answer = Answered(NOT_SCHEDULING, encode_scheduler(NEW))
+    rig.task.handle(PeerReply(call.request_id, answer))
+    assert sent(rig, PeerCall)[0].address == NEW.address
+    assert ask(rig).address == NEW.address
+
+
+@pytest.mark.parametrize("body", [encode_scheduler(OLD), b"", b"\xff", b"{}"])
+def test_without_a_later_scheduler_the_store_is_asked(rig, body: bytes) -> None:
+    # Guards against a call that goes round between hosts that do not schedule.
+    call = ask(rig)
+    rig.task.handle(PeerReply(call.request_id, Answered(NOT_SCHEDULING, body)))
+    messages = [row.message for row in rig.harness.take_sent()]
+    assert any(isinstance(message, kv.Get) for message in messages)
+    assert ReachNoted(False) in messages
+
+
+def test_older_news_change_nothing(rig) -> None:
+    # Guards against a host that believes a peer with old news more than the store.
+    rig.task.handle(PeerScheduler(replace(NEW, token=3)))
+    assert ask(rig).address == OLD.address
+
+
+def test_a_new_scheduler_tells_the_one_before(rig) -> None:
+    # Guards against a scheduler without the store that never hears of its successor.
+    own = SchedulerKnown("10.0.0.9:1", "me@10.0.0.9:1#1", 11)
+    rig.task.handle(SchedulerKnown("", "", 0))
+    rig.task.handle(own)
+    (news,) = sent(rig, PeerCall)
+    assert (news.address, news.path) == (OLD.address, SCHEDULER_PATH)
+    assert decode_scheduler(news.body) == own
+
+
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (JobReply(1, None, elsewhere=NEW), NOT_SCHEDULING),
+        (JobReply(1, None), NOT_KNOWN),
+        (JobReply(1, None, may_have_effect=True, elsewhere=NEW), UNDECIDED),
+    ],
+)
+def test_peers_are_told_why_there_is_no_answer(reply: JobReply, status: int) -> None:
+    # Guards against a submission that is refused as not accepted after the term ended
+    # while it was being stored.
+    desk = PeerDeskTask()
+    harness = TaskHarness(desk)
+    harness.start()
+    body = encode_peer_call(CALL)
+    desk.take_request(WholeRequest(1, "POST", PEER_PATH, (), body, 0))
+    harness.take_sent()
+    statuses: list[int] = []
+    desk.answer = lambda _, code, *rest: statuses.append(code)  # type: ignore[method-assign]
+    desk.handle(reply)
+    assert statuses == [status]
+
+
+def test_an_undecided_answer_is_not_taken_for_a_refusal(rig) -> None:
+    # Guards against the same at the host that forwarded the call.
+    call = ask(rig)
+    rig.task.handle(PeerReply(call.request_id, Answered(UNDECIDED, b"")))
+    (request,) = sent(rig, kv.Get)
+    rig.task.handle(kv.Reply(request.request_id, kv.NotSent("turned away")))
+    rig.harness.advance(3_000)
+    assert isinstance(rig.wire.answers[-1], Undecided)
