--- a/src/guavapin/scheduling/job_book.py
+++ b/src/guavapin/scheduling/job_book.py
@@ -41,6 +41,9 @@
 # Jobs that are not final; at about 2 kB each this bounds the memory to 20 MB.
 MAX_OPEN_JOBS = 10_000
 
+# Age up to which a takeover tells open jobs apart; all are late by then.
+MAX_AGE_MS = 60_000
+
 # Time after which a caller whose job was not taken for lack of room may come back.
 RETRY_AFTER_MS = 2_000
 
@@ -115,7 +118,11 @@
             if job.job_id in self._ended:
                 self._store(Entry(f"{JOBS_PREFIX}{job.job_id}", None))
                 continue
-            job_run = JobRun(job, self._term.now_ms, is_inherited=True)
+            # The wall clock of the host that took the job may differ from this one's,
+            # so that a job from the future counts as new.
+            age_ms = max(self._term.wall_ms - job.accepted_ms, 0)
+            accepted_ms = self._term.now_ms - min(age_ms, MAX_AGE_MS)
+            job_run = JobRun(job, accepted_ms, is_inherited=True)
             if job.job_id in progress:
                 job_run.restore(progress[job.job_id])
             self.jobs[job.job_id] = job_run
--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -145,11 +145,16 @@
         self.steps: dict[StepKey, StepRun] = {}
         self.done_steps: set[StepKey] = set()
         self.ended_wall_ms = 0
-        self.chain_ms = _chain_ms(job)
+        self._left_ms = _left_ms(job)
+        self.chain_ms = max(self._left_ms, default=0)
         self.work = sum(
             step.count * step.need.cpu_millis * step.estimate_ms for step in job.steps
         )
 
+    def left_ms(self, step: int) -> int:
+        """Return the estimated time from the start of a step to the end of the job."""
+        return self._left_ms[step]
+
     def note_started(self) -> None:
         """Note that a subtask has started."""
         if self.state is JobState.QUEUED:
@@ -229,13 +234,17 @@
         return Progress(self.state, tuple(steps), self.ended_wall_ms)
 
 
-def _chain_ms(job: Job) -> int:
-    """Return the estimated time of the longest chain of steps."""
-    ends: list[int] = []
-    for step in job.steps:
-        start_ms = max((ends[other] for other in step.after), default=0)
-        ends.append(start_ms + step.estimate_ms)
-    return max(ends, default=0)
+def _left_ms(job: Job) -> tuple[int, ...]:
+    """Return for each step the estimated time of the longest chain that begins there.
+
+    Steps come after those that they name, so that the last one has no successor.
+    """
+    left = [step.estimate_ms for step in job.steps]
+    for number in reversed(range(len(job.steps))):
+        for former in job.steps[number].after:
+            chain_ms = job.steps[former].estimate_ms + left[number]
+            left[former] = max(left[former], chain_ms)
+    return tuple(left)
 
 
 def _bits(indexes: set[int], count: int) -> bytes:
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -263,10 +263,20 @@
         else:
             self.jobs.take_durable(tag)
 
-    def _order(self, step_run: StepRun) -> tuple[int, float, str]:
-        queue = self.term.table.queue(step_run.job.job.queue)
+    def _order(self, step_run: StepRun) -> tuple[int, bool, float, str]:
+        """Return the key by which waiting steps are sorted; the lowest starts first.
+
+        In a burst that a pool cannot carry, the order of objectives alone would make
+        every job a little late. Those that miss theirs anyway make way, but for work
+        without an end, which is missed as long as it waits.
+        """
+        job_run = step_run.job
+        queue = self.term.table.queue(job_run.job.queue)
         priority = queue.priority if queue is not None else 0
-        return (priority, self.objective_ms(step_run.job), step_run.job.job.job_id)
+        objective_ms = self.objective_ms(job_run)
+        end_ms = self.term.now_ms + job_run.left_ms(step_run.key[1])
+        is_late = end_ms > objective_ms and not step_run.step.is_long_running
+        return (priority, is_late, objective_ms, job_run.job.job_id)
 
     def objective_ms(self, job_run: JobRun) -> float:
         """Return the time by which a job should have succeeded."""
