--- /dev/null
+++ b/src/guavapin/scheduling/courier.py
@@ -0,0 +1,79 @@
+"""Carries out the scheduler's actions: sends messages and matches their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from guavapin.executors.model import HostOrder
+from guavapin.keyvalue import messages as kv
+from guavapin.ledger.messages import RecordEntry
+from guavapin.scheduling.messages import AnswerCall
+from guavapin.scheduling.messages import AskAdvice
+from guavapin.scheduling.messages import FetchJob
+from guavapin.scheduling.messages import JobReply
+from guavapin.scheduling.messages import SendOrder
+from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.record import JOBS_PREFIX
+
+if TYPE_CHECKING:
+    from guavapin.kernel.task import TaskContext
+    from guavapin.scheduling.messages import Action
+    from guavapin.scheduling.messages import OrderContext
+
+
+class Courier:
+    """Sends for the service `sender`; answers of an earlier term find nothing here."""
+
+    def __init__(self, context: TaskContext, sender: str) -> None:
+        self._context = context
+        self._sender = sender
+        self._number = 0
+        self._orders: dict[int, OrderContext] = {}
+        self._fetches: dict[int, str] = {}
+
+    def forget(self) -> None:
+        """Drop what is on its way: a term has ended."""
+        self._orders.clear()
+        self._fetches.clear()
+
+    def take_order(self, number: int) -> OrderContext | None:
+        """Return what an answered order was about, None if it is not awaited."""
+        return self._orders.pop(number, None)
+
+    def take_fetch(self, number: int) -> str:
+        """Return the id of a job that was read, "" if it is not awaited."""
+        return self._fetches.pop(number, "")
+
+    def fetch(self, job_id: str) -> None:
+        """Read a job from the store."""
+        self._number += 1
+        self._fetches[self._number] = job_id
+        request = kv.Get(self._sender, self._number, f"{JOBS_PREFIX}{job_id}")
+        self._context.send("platform", request)
+
+    def carry_out(self, action: Action) -> None:
+        """Send what an action asks for."""
+        match action:
+            case SendOrder():
+                self._send_order(action)
+            case StoreEntry(entry=entry, is_urgent=is_urgent):
+                self._context.send("ledger", RecordEntry(entry, is_urgent))
+            case AnswerCall(reply_to=reply_to, request_id=request_id, answer=answer):
+                self._context.send(reply_to, JobReply(request_id, answer))
+            case FetchJob(job_id=job_id):
+                self.fetch(job_id)
+            case AskAdvice():
+                self._context.send("advice", action)
+
+    def _send_order(self, action: SendOrder) -> None:
+        self._number += 1
+        self._orders[self._number] = action.context
+        order = HostOrder(
+            self._sender,
+            self._number,
+            action.address,
+            action.context.executor_id,
+            action.context.order,
+            action.timeout_ms,
+        )
+        self._context.send("executors", order)
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -12,7 +12,6 @@
 from guavapin.duties.messages import GiveUpDuty
 from guavapin.duties.messages import RetireFromDuty
 from guavapin.executors.model import HostAnswer
-from guavapin.executors.model import HostOrder
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
@@ -26,16 +25,13 @@
 from guavapin.ledger.messages import EntriesExisted
 from guavapin.ledger.messages import LedgerFenced
 from guavapin.ledger.messages import OpenLedger
-from guavapin.ledger.messages import RecordEntry
+from guavapin.scheduling.courier import Courier
 from guavapin.scheduling.describe import describe_job
 from guavapin.scheduling.describe import describe_scheduling
 from guavapin.scheduling.fleet_load import fleet_load
 from guavapin.scheduling.messages import AdviceGiven
-from guavapin.scheduling.messages import AnswerCall
-from guavapin.scheduling.messages import AskAdvice
 from guavapin.scheduling.messages import CordonHosts
 from guavapin.scheduling.messages import DescribeScheduling
-from guavapin.scheduling.messages import FetchJob
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import MachinesListed
@@ -43,9 +39,7 @@
 from guavapin.scheduling.messages import SchedulerKnown
 from guavapin.scheduling.messages import SchedulingDescribed
 from guavapin.scheduling.messages import SchedulingEnded
-from guavapin.scheduling.messages import SendOrder
 from guavapin.scheduling.messages import StepDown
-from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.messages import TableInForce
 from guavapin.scheduling.record import INBOX_PREFIX
 from guavapin.scheduling.record import JOBS_PREFIX
@@ -62,7 +56,6 @@
     from guavapin.kernel.task import TaskContext
     from guavapin.scheduling.describe import JobView
     from guavapin.scheduling.describe import SchedulingView
-    from guavapin.scheduling.messages import Action
     from guavapin.scheduling.scheduler import Scheduler
     from guavapin.scheduling.term_reading import RegistryWire
     from guavapin.settings.resident import Times
@@ -157,14 +150,12 @@
         self._known = SchedulerKnown("", "", 0)
         self._next_load_ms = 0
         self._next_expiry_ms = 0
-        self._number = 0
         self._is_dispatch_queued = False
-        self._orders: dict[int, SendOrder] = {}
-        self._fetches: dict[int, str] = {}
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Wait for the duty."""
         self._context = context
+        self._courier = Courier(context, self.name)
         return Ok(None)
 
     def stop(self) -> None:
@@ -176,10 +167,10 @@
         """Take a message of any of the services around."""
         match message:
             case HostAnswer(request_id=number, outcome=outcome):
-                order = self._orders.pop(number, None)
+                order = self._courier.take_order(number)
                 if order is not None and self._scheduler is not None:
                     self._note_time()
-                    self._scheduler.hosts.take_answer(order.context, outcome)
+                    self._scheduler.hosts.take_answer(order, outcome)
                     self._run()
             case JobRequest():
                 self._take_request(message)
@@ -250,7 +241,8 @@
                     self._end("the store's lists were not read in time")
                     self._context.send(self._duty_task, GiveUpDuty(token))
             case _FetchAgain(job_id=job_id):
-                self._fetch(job_id)
+                if self._scheduler is not None:
+                    self._courier.fetch(job_id)
             case _:
                 raise InvariantError(f"scheduler: unexpected message {message!r}")
 
@@ -316,8 +308,7 @@
         self._unconfirmed_until_ms = 0
         requests = self._scheduler.jobs.unanswered() if self._scheduler else []
         self._scheduler = None
-        self._orders.clear()
-        self._fetches.clear()
+        self._courier.forget()
         for req in requests:
             # What they wait for may have been stored.
             reply = JobReply(req.request_id, None, True, self._known)
@@ -414,7 +405,7 @@
         self._run()
 
     def _take_fetched(self, number: int, outcome: kv.PlatformOutcome) -> None:
-        job_id = self._fetches.pop(number, "")
+        job_id = self._courier.take_fetch(number)
         if not job_id or self._scheduler is None or self._unconfirmed_until_ms:
             return
         if isinstance(outcome, kv.Found | kv.Missing):
@@ -425,13 +416,6 @@
         else:
             self._context.set_timer(FETCH_RETRY_MS, _FetchAgain(job_id))
 
-    def _fetch(self, job_id: str) -> None:
-        if self._scheduler is not None:
-            self._number += 1
-            self._fetches[self._number] = job_id
-            request = kv.Get(self.name, self._number, f"{JOBS_PREFIX}{job_id}")
-            self._context.send("platform", request)
-
     def _note_time(self) -> None:
         assert self._scheduler is not None
         clock = self._context.clock
@@ -468,27 +452,4 @@
                 self._end(action.detail)
                 self._context.send(self._duty_task, GiveUpDuty(self._token))
                 return
-            self._do(action)
-
-    def _do(self, action: Action) -> None:
-        match action:
-            case SendOrder(address=address, context=context, timeout_ms=timeout_ms):
-                self._number += 1
-                self._orders[self._number] = action
-                order = HostOrder(
-                    self.name,
-                    self._number,
-                    address,
-                    context.executor_id,
-                    context.order,
-                    timeout_ms,
-                )
-                self._context.send("executors", order)
-            case StoreEntry(entry=entry, is_urgent=is_urgent):
-                self._context.send("ledger", RecordEntry(entry, is_urgent))
-            case AnswerCall(reply_to=reply_to, request_id=request_id, answer=answer):
-                self._context.send(reply_to, JobReply(request_id, answer))
-            case FetchJob(job_id=job_id):
-                self._fetch(job_id)
-            case AskAdvice():
-                self._context.send("advice", action)
+            self._courier.carry_out(action)
