--- a/src/guavapin/duties/lease.py
+++ b/src/guavapin/duties/lease.py
@@ -37,17 +37,23 @@
     """Times of one duty's lease in milliseconds.
 
     `poll_ms` is the pause between two looks of a process that does not hold it, 0 if
-    it looks only when it is told to.
+    it looks only when it is told to. `resume_ms` is how long a holder that could not
+    renew its lease in time goes on trying, 0 if it gives the duty up.
     """
 
     lease_ms: int = LEASE_MS
     renew_ms: int = RENEW_MS
     margin_ms: int = MARGIN_MS
     poll_ms: int = POLL_MS
+    resume_ms: int = 0
 
 
 class LeasePhase(Enum):
-    """Step of acquiring or holding a duty."""
+    """Step of acquiring or holding a duty.
+
+    A suspended duty may not be carried out. Its lease is renewed all the same: while
+    the store is away leases may pause, and one that lives on was held all the time.
+    """
 
     IDLE = "idle"
     READING = "reading"
@@ -55,6 +61,7 @@
     CLAIMING = "claiming"
     RESOLVING = "resolving"
     HELD = "held"
+    SUSPENDED = "suspended"
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +140,12 @@
     """Poll for a free duty, or renew or give up the held one."""
     if lease.phase is LeasePhase.HELD:
         if now_ms >= lease.until_ms:
-            return give_up(lease)
+            return expire(lease, now_ms)
         return lease, (Renew(),)
+    if lease.phase is LeasePhase.SUSPENDED:
+        suspended, actions = expire(lease, now_ms)
+        is_over = suspended.phase is LeasePhase.IDLE
+        return (suspended, actions) if is_over else (suspended, (Renew(),))
     if lease.phase is LeasePhase.IDLE:
         return replace(lease, phase=LeasePhase.READING, sent_ms=now_ms), (ReadKey(),)
     # A lease asked for this long ago is worthless, whatever the answer will be.
@@ -159,12 +170,21 @@
 def on_renewal(
     lease: DutyLease, outcome: platform.PlatformOutcome, sent_ms: int, now_ms: int
 ) -> Step:
-    """Take the answer to a renewal of the held lease that was sent at `sent_ms`."""
+    """Take the answer to a renewal of the lease that was sent at `sent_ms`."""
     if isinstance(outcome, platform.Leased):
         lease = replace(lease, confirmed_ms=max(lease.confirmed_ms, sent_ms))
     elif isinstance(outcome, platform.Missing):
         return give_up(lease)
-    return (lease, ()) if now_ms < lease.until_ms else give_up(lease)
+    if now_ms < lease.until_ms:
+        return replace(lease, phase=LeasePhase.HELD), ()
+    return expire(lease, now_ms)
+
+
+def expire(lease: DutyLease, now_ms: int) -> Step:
+    """Suspend a duty whose lease is not confirmed any more, or give it up."""
+    if now_ms >= lease.until_ms + lease.terms.resume_ms:
+        return give_up(lease)
+    return replace(lease, phase=LeasePhase.SUSPENDED), ()
 
 
 def give_up(lease: DutyLease) -> Step:
--- a/src/guavapin/duties/task.py
+++ b/src/guavapin/duties/task.py
@@ -128,7 +128,8 @@
     def _schedule_tick(self) -> None:
         if self._timer is not None:
             self._context.cancel_timer(self._timer)
-        is_held = self._lease.phase is machine.LeasePhase.HELD
+        phases = (machine.LeasePhase.HELD, machine.LeasePhase.SUSPENDED)
+        is_held = self._lease.phase in phases
         terms = self._lease.terms
         delay_ms = terms.renew_ms if is_held else terms.poll_ms
         if not delay_ms:
@@ -142,7 +143,7 @@
         now_ms = self._context.clock.now_ms()
         is_held = self._lease.phase is machine.LeasePhase.HELD
         if is_held and not self._lease.is_held(now_ms):
-            self._take(machine.give_up(self._lease))
+            self._take(machine.expire(self._lease, now_ms))
         self._context.set_timer(CHECK_MS, _Check())
 
     def _status(self) -> DutyStatus:
@@ -162,7 +163,9 @@
                 self._schedule_tick()
             self._tell_held()
         elif old.phase is machine.LeasePhase.HELD:
-            log.info("duty lost", extra={"duty": old.duty, "token": old.token})
+            extra = {"duty": old.duty, "token": old.token}
+            is_suspended = self._lease.phase is machine.LeasePhase.SUSPENDED
+            log.info("duty lost", extra={**extra, "may_return": is_suspended})
             self._told_until_ms = 0
             self._tell(DutyLost(old.duty))
 
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -42,6 +42,7 @@
 from guavapin.scheduling.task import FOLLOW_PROGRESS
 from guavapin.scheduling.task import FOLLOW_REGISTRY
 from guavapin.scheduling.task import SchedulerTask
+from guavapin.scheduling.term import UNCONFIRMED_MS
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
 from guavapin.serving.ops_desk import OpsDeskTask
@@ -59,7 +60,13 @@
 # A killed scheduler is replaced within its lease of 1.5 s; three renewals fit in, so
 # that one lost answer does not end a term.
 # The roster tells when to compete.
-DUTY_TERMS = LeaseTerms(lease_ms=1_500, renew_ms=400, margin_ms=150, poll_ms=0)
+DUTY_TERMS = LeaseTerms(
+    lease_ms=1_500,
+    renew_ms=400,
+    margin_ms=150,
+    poll_ms=0,
+    resume_ms=UNCONFIRMED_MS,
+)
 
 # A call of the store takes 4 ms when it is well, and up to 80 times as long when slow.
 STORE_DEADLINE_MS = 900
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -194,9 +194,7 @@
     def _handle_term(self, message: object) -> None:
         match message:
             case DutyHeld(token=token):
-                self._unconfirmed_until_ms = 0
-                if token != self._token and not self._is_stopping:
-                    self._begin(token)
+                self._take_held(token)
             case DutyLost():
                 if self._phase is Phase.ACTIVE:
                     now_ms = self._context.clock.now_ms()
@@ -246,6 +244,14 @@
             case _:
                 raise InvariantError(f"scheduler: unexpected message {message!r}")
 
+    def _take_held(self, token: int) -> None:
+        self._unconfirmed_until_ms = 0
+        if token != self._token and not self._is_stopping:
+            self._begin(token)
+        elif self._phase is Phase.IDLE:
+            # The numbers of attempts of a term that has ended must not come again.
+            self._context.send(self._duty_task, GiveUpDuty(token))
+
     def _begin(self, token: int) -> None:
         self._end("a new term begins")
         self._token = token
@@ -258,8 +264,9 @@
 
     def _take_known(self, known: SchedulerKnown) -> None:
         self._known = known
-        if known.token > self._token:
+        if known.token > self._token and self._phase is not Phase.IDLE:
             self._end("another process schedules")
+            self._context.send(self._duty_task, GiveUpDuty(self._token))
 
     def _take_listed(self, prefix: str, items: tuple[kv.Item, ...]) -> None:
         if self._phase is Phase.IDLE:
@@ -325,6 +332,7 @@
         now_ms = self._scheduler.term.now_ms
         if self._unconfirmed_until_ms and now_ms >= self._unconfirmed_until_ms:
             self._end("the store was not reached for too long")
+            self._context.send(self._duty_task, GiveUpDuty(self._token))
             return
         self._scheduler.tick()
         self._run()
--- a/tests/duties/test_lease.py
+++ b/tests/duties/test_lease.py
@@ -122,6 +122,40 @@
     assert late.phase is machine.LeasePhase.IDLE
 
 
+def test_a_lease_that_outlived_an_outage_is_held_again_with_the_same_token() -> None:
+    # Guards against the fault of gagnon-jobs-grown trouble-3: after an outage of the
+    # store the holder had given its duty up and nobody could take it for 1.5 s, until
+    # its lease lapsed.
+    terms = machine.LeaseTerms(1_500, 400, 150, 0, resume_ms=6_000)
+    held = machine.DutyLease(
+        "d", "x", machine.LeasePhase.HELD, "1", 7, 0, 0, 1_500, terms
+    )
+    suspended, _ = machine.tick(held, 1_400)
+    assert suspended.phase is machine.LeasePhase.SUSPENDED
+    assert not suspended.is_held(1_400)
+    waiting, actions = machine.tick(suspended, 5_000)
+    assert actions == (machine.Renew(),)
+    answer = platform.Leased("1", 1_500)
+    late, _ = machine.on_renewal(waiting, answer, 2_000, 5_100)
+    assert not late.is_held(5_100)
+    back, _ = machine.on_renewal(late, answer, 5_000, 5_100)
+    assert back.is_held(5_100) and back.token == 7
+
+
+def test_a_suspended_duty_is_given_up_when_its_lease_or_patience_ends() -> None:
+    # Guards against a process that keeps a duty from the others without end.
+    terms = machine.LeaseTerms(1_500, 400, 150, 0, resume_ms=6_000)
+    held = machine.DutyLease(
+        "d", "x", machine.LeasePhase.HELD, "1", 7, 0, 0, 1_500, terms
+    )
+    suspended, _ = machine.tick(held, 1_400)
+    lapsed, _ = machine.on_renewal(suspended, platform.Missing(), 2_000, 2_100)
+    assert lapsed.phase is machine.LeasePhase.IDLE
+    over, actions = machine.tick(suspended, 1_350 + 6_000)
+    assert over.phase is machine.LeasePhase.IDLE
+    assert actions == (machine.Revoke("1"),)
+
+
 def test_a_slow_store_makes_the_lease_longer() -> None:
     # Guards against the fault of gagnon-jobs-grown trouble-2: at a store that took
     # 400 ms a call, a lease of 1.5 s was over before its first renewal was answered.
--- a/tests/scheduling/test_task.py
+++ b/tests/scheduling/test_task.py
@@ -4,11 +4,13 @@
 
 from guavapin.duties.messages import DutyHeld
 from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import GiveUpDuty
 from guavapin.jobs.calls import CountWaiting
 from guavapin.kernel.harness import TaskHarness
 from guavapin.keyvalue import messages as kv
 from guavapin.keyvalue.follower import PrefixChanged
 from guavapin.keyvalue.follower import PrefixListed
+from guavapin.ledger.messages import LedgerFenced
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import SchedulerKnown
@@ -53,6 +55,27 @@
     return [message for message in sent if isinstance(message, kv.Get)]
 
 
+def test_a_term_goes_on_when_its_lease_has_outlived_an_outage() -> None:
+    # Guards against a takeover, with its wait for machines, after each short outage.
+    task, harness = begin()
+    task.handle(DutyLost("scheduler"))
+    task.handle(DutyHeld("scheduler", 7, 5_000))
+    task.handle(JobRequest("intake", 1, CountWaiting(QUEUE.key)))
+    replies = [row.message for row in harness.take_sent()]
+    (reply,) = [reply for reply in replies if isinstance(reply, JobReply)]
+    assert reply.answer is not None
+
+
+def test_an_ended_term_does_not_begin_again_with_its_token() -> None:
+    # Guards against attempts whose numbers have been given before.
+    task, harness = begin()
+    task.handle(LedgerFenced())
+    harness.take_sent()
+    task.handle(DutyHeld("scheduler", 7, 5_000))
+    sent = [row.message for row in harness.take_sent()]
+    assert sent == [GiveUpDuty(7)]
+
+
 def test_a_marker_is_taken_while_the_lease_is_confirmed() -> None:
     # Guards against jobs that were stored without a scheduler and never start.
     task, harness = begin()
