--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -41,15 +41,14 @@
 from guavapin.scheduling.messages import SchedulingEnded
 from guavapin.scheduling.messages import StepDown
 from guavapin.scheduling.messages import TableInForce
-from guavapin.scheduling.record import INBOX_PREFIX
 from guavapin.scheduling.record import JOBS_PREFIX
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import decode_job
+from guavapin.scheduling.store_news import take_changed
+from guavapin.scheduling.store_news import take_listed
 from guavapin.scheduling.term import UNCONFIRMED_MS
 from guavapin.scheduling.term import Term
 from guavapin.scheduling.term_reading import TermReading
-from guavapin.scheduling.term_reading import registration
-from guavapin.scheduling.term_reading import registrations
 
 if TYPE_CHECKING:
     from guavapin.jobs.queues import QueueTable
@@ -245,9 +244,13 @@
                 raise InvariantError(f"scheduler: unexpected message {message!r}")
 
     def _take_held(self, token: int) -> None:
+        was_unconfirmed = self._unconfirmed_until_ms > 0
         self._unconfirmed_until_ms = 0
         if token != self._token and not self._is_stopping:
             self._begin(token)
+        elif self._scheduler is not None and was_unconfirmed:
+            # Markers that came in between were left alone.
+            self._context.send(FOLLOW_INBOX, Follow())
         elif self._phase is Phase.IDLE:
             # The numbers of attempts of a term that has ended must not come again.
             self._context.send(self._duty_task, GiveUpDuty(token))
@@ -280,11 +283,7 @@
             self._activate()
         elif self._scheduler is not None:
             self._note_time()
-            if prefix == self._wire.prefix:
-                listed = registrations(self._wire, items)
-                self._scheduler.hosts.list_registrations(listed)
-            elif prefix == INBOX_PREFIX:
-                self._take_markers(items)
+            take_listed(self._scheduler, self._wire, prefix, items)
             self._run()
 
     def _activate(self) -> None:
@@ -376,30 +375,9 @@
         if self._scheduler is None:
             return
         self._note_time()
-        for item in items:
-            if prefix == INBOX_PREFIX:
-                self._take_markers((item,))
-            elif prefix == self._wire.prefix:
-                entry = registration(self._wire, item)
-                if entry is not None:
-                    self._scheduler.hosts.register(entry)
-                else:
-                    executor_id = item.key.removeprefix(prefix)
-                    self._scheduler.hosts.unregister(executor_id)
-        if prefix == self._wire.prefix:
-            # A new host is looked at now, since work may wait for it.
-            self._scheduler.hosts.tick()
+        take_changed(self._scheduler, self._wire, prefix, items)
         self._run()
 
-    def _take_markers(self, items: tuple[kv.Item, ...]) -> None:
-        # Without a confirmed lease a successor may be taking the same jobs, of which it
-        # knows that no scheduler before it can have started them.
-        if self._scheduler is None or self._unconfirmed_until_ms:
-            return
-        for item in items:
-            if item.value is not None:
-                self._scheduler.jobs.take_marker(item.key)
-
     def _take_entries(self, entries: tuple[object, ...], is_durable: bool) -> None:
         if self._scheduler is None:
             return
@@ -414,9 +392,10 @@
 
     def _take_fetched(self, number: int, outcome: kv.PlatformOutcome) -> None:
         job_id = self._courier.take_fetch(number)
-        if not job_id or self._scheduler is None or self._unconfirmed_until_ms:
+        if not job_id or self._scheduler is None:
             return
-        if isinstance(outcome, kv.Found | kv.Missing):
+        is_read = isinstance(outcome, kv.Found | kv.Missing)
+        if is_read and not self._unconfirmed_until_ms:
             found = decode_job(outcome.value) if isinstance(outcome, kv.Found) else None
             self._note_time()
             self._scheduler.jobs.take_fetched(job_id, found)
--- a/tests/scheduling/test_task.py
+++ b/tests/scheduling/test_task.py
@@ -8,6 +8,7 @@
 from guavapin.jobs.calls import CountWaiting
 from guavapin.kernel.harness import TaskHarness
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import Follow
 from guavapin.keyvalue.follower import PrefixChanged
 from guavapin.keyvalue.follower import PrefixListed
 from guavapin.ledger.messages import LedgerFenced
@@ -19,6 +20,8 @@
 from guavapin.scheduling.record import INBOX_PREFIX
 from guavapin.scheduling.record import JOBS_PREFIX
 from guavapin.scheduling.record import PROGRESS_PREFIX
+from guavapin.scheduling.task import FETCH_RETRY_MS
+from guavapin.scheduling.task import FOLLOW_INBOX
 from guavapin.scheduling.task import SchedulerTask
 from guavapin.scheduling.term import UNCONFIRMED_MS
 from tests.scheduling.world import QUEUE
@@ -66,6 +69,33 @@
     assert reply.answer is not None
 
 
+def test_markers_that_came_without_a_confirmed_lease_are_read_again() -> None:
+    # Guards against a job that was stored while the scheduler did not reach the store
+    # and that never starts, since its marker was left alone.
+    task, harness = begin()
+    task.handle(DutyLost("scheduler"))
+    task.handle(PrefixChanged(INBOX_PREFIX, (MARKER,)))
+    assert fetches(harness) == []
+    task.handle(DutyHeld("scheduler", 7, 5_000))
+    sent = [(row.service, row.message) for row in harness.take_sent()]
+    assert (FOLLOW_INBOX, Follow()) in sent
+    task.handle(PrefixListed(INBOX_PREFIX, (MARKER,)))
+    assert len(fetches(harness)) == 1
+
+
+def test_a_job_that_was_read_without_a_confirmed_lease_is_read_again() -> None:
+    # Guards against a job whose read came back during an outage and that nobody
+    # starts.
+    task, harness = begin()
+    task.handle(PrefixChanged(INBOX_PREFIX, (MARKER,)))
+    (fetch,) = fetches(harness)
+    task.handle(DutyLost("scheduler"))
+    task.handle(kv.Reply(fetch.request_id, kv.Missing()))
+    task.handle(DutyHeld("scheduler", 7, 5_000))
+    harness.advance(FETCH_RETRY_MS)
+    assert len(fetches(harness)) == 1
+
+
 def test_an_ended_term_does_not_begin_again_with_its_token() -> None:
     # Guards against attempts whose numbers have been given before.
     task, harness = begin()
