--- a/tests/matrix/test_publication_checks.py
+++ b/tests/matrix/test_publication_checks.py
@@ -80,7 +80,17 @@
 
 
 def test_late_adoption_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Nobody watches the head and no process tells another of it."""
+    """Nobody watches the head, asks for its revision or tells another of it."""
     monkeypatch.setattr(HeadSource, "set_watcher", lambda self, is_watcher: None)
+    monkeypatch.setattr(HeadSource, "_check", lambda self: None)
     monkeypatch.setattr(FakePeers, "on_message", lambda self, node, message: None)
     assert "8" in kinds(run("done"))
+
+
+def test_the_check_of_the_head_alone_is_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of the three ways of hearing of a change suffices by itself."""
+    monkeypatch.setattr(HeadSource, "set_watcher", lambda self, is_watcher: None)
+    monkeypatch.setattr(FakePeers, "on_message", lambda self, node, message: None)
+    assert run("done") == ()
