Start nothing beside runs whose job is unknown

Cause: a successor adopted runs of jobs that had ended before its term, and that were still being stopped, with no resources, because only the final state of their jobs is left in the store.

Change: a host with a run of an unknown job starts nothing until that run is gone.

Measured: the new test starts two subtasks beside such runs without the change, none with it.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -44,6 +44,8 @@
         self.used = Resources()
         # Capacity less `used`; stored because every search for a host reads it.
         self.free = registration.capacity
+        # Number of runs whose resources are not known, so that `free` is not either.
+        self._unknown_needs = 0
         # Number of the last end that was handled, the handled ends that are not stored
         # yet, and the number up to which all ends are stored.
         self.last_end = 0
@@ -89,6 +91,7 @@
             and not self.unanswered
             and not self.is_cordoned
             and not self.registration.is_draining
+            and not self._unknown_needs
             and now_ms >= self.set_aside_until_ms
         )
 
@@ -100,6 +103,7 @@
             (not self.is_registered, "not registered"),
             (self.registration.is_draining, "draining"),
             (self.is_cordoned, "cordoned"),
+            (self._unknown_needs > 0, "runs an unknown job"),
             (now_ms < self.set_aside_until_ms, "set aside"),
         )
         return next((text for holds, text in reasons if holds), "in use")
@@ -133,12 +137,14 @@
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
+        self._unknown_needs += not run.is_need_known
         self.used = self.used.plus(run.reserved)
         self.free = self.free.minus(run.reserved)
 
     def remove(self, run: Run, now_ms: int) -> None:
         """Remove a run and free its resources; do nothing if it is not listed."""
         if self.runs.pop(run.key, None) is not None:
+            self._unknown_needs -= not run.is_need_known
             self.used = self.used.minus(run.reserved)
             self.free = self.free.plus(run.reserved)
             if not self.runs:
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -34,7 +34,8 @@
     `percent` last changed, `ordered_ms` that of the start order, `stop_ms` that of the
     last stop and `paced_ms` that of the last change of `pace`, which is in percent.
     `load` is the last load that the host reported. A run that is not `is_wanted` is to
-    be stopped.
+    be stopped. `is_need_known` is unset for an adopted run whose job is not known, so
+    that `reserved` says nothing about its resources.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "counted_ms",
         "executor_id",
         "is_long_running",
+        "is_need_known",
         "is_stop_answered",
         "is_wanted",
         "load",
@@ -79,6 +81,7 @@
         self.is_stop_answered = False
         self.is_wanted = True
         self.is_long_running = False
+        self.is_need_known = True
         self.percent = 0
         self.load = 0.0
         self.pace = 100
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -143,7 +143,11 @@
         self._needs_dispatch = True
 
     def adopt(self, host: Host, row: RunningRow) -> None:
-        """Adopt a run that an earlier scheduler started, or stop it if not needed."""
+        """Adopt a run that an earlier scheduler started, or stop it if not needed.
+
+        The job of a run may have ended before this term, so that only its final state
+        is known. Nothing starts on the host until such a run is gone.
+        """
         step_run = self.step_of(row)
         run = Run(
             row.subtask,
@@ -153,6 +157,7 @@
             RunPhase.RUNNING,
             self.term.now_ms,
         )
+        run.is_need_known = step_run is not None
         run.percent = row.percent
         run.is_long_running = step_run is not None and step_run.step.is_long_running
         host.add(run)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -53,7 +53,9 @@
 class FakeExecutor:
     """One incarnation of an executor, with its runs, ends, highest token and lease.
 
-    `refused` has, by subtask, the highest attempt that may no longer start.
+    `refused` has, by subtask, the highest attempt that may no longer start. A stopped
+    run is listed as running for `stop_duration_ms`; `stopping` has the end of that time
+    by subtask.
     """
 
     executor_id: str
@@ -66,6 +68,8 @@
     last_end_number: int = 0
     is_reachable: bool = True
     percent: int = 0
+    stop_duration_ms: int = 0
+    stopping: dict = field(default_factory=dict)
 
     def registration(self, capacity: Resources = HOST_CAPACITY) -> Registration:
         return Registration(
@@ -104,19 +108,24 @@
             last = self.refused.get(order.subtask, 0)
             self.refused[order.subtask] = max(last, order.attempt)
             if self.running.get(order.subtask) == order.attempt:
-                self.end(order.subtask, EndKind.STOPPED)
+                self.stopping.setdefault(order.subtask, now_ms + self.stop_duration_ms)
+                self.expire(now_ms)
         return Done(now_ms)
 
     def end(self, subtask, kind: EndKind) -> None:
         """End the run of a subtask and refuse further starts of its attempt."""
         attempt = self.running.pop(subtask)
+        self.stopping.pop(subtask, None)
         last = self.refused.get(subtask, 0)
         self.refused[subtask] = max(last, attempt)
         self.last_end_number += 1
         self.ended.append(EndedRow(self.last_end_number, subtask, attempt, kind, ""))
 
     def expire(self, now_ms: int) -> None:
-        """End all runs if the lease has ended."""
+        """End the runs whose stop is complete, and all runs if the lease has ended."""
+        for subtask, stopped_ms in [*self.stopping.items()]:
+            if now_ms >= stopped_ms:
+                self.end(subtask, EndKind.STOPPED)
         if self.running and now_ms > self.lease_ms:
             for subtask in [*self.running]:
                 self.end(subtask, EndKind.LAPSED)
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -14,6 +14,7 @@
 from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.model import JobState
+from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
 from guavapin.scheduling.messages import JobRequest
 from tests.scheduling.simulation import SMALL
@@ -100,6 +101,29 @@
     assert used == 3 * SMALL.cpu_millis
 
 
+def test_a_host_with_a_run_of_an_unknown_job_starts_nothing(sim: Simulation) -> None:
+    # Guards against overbooked hosts: in gagnon-jobs-large scale-1, runs of cancelled
+    # jobs were still being stopped at a takeover. The successor did not know their jobs
+    # and counted them with no resources.
+    large = Step(2, Resources(12_000, 1_000, 0))
+    cancelled = make_job("a" * 16, large)
+    sim.submit(cancelled)
+    runs = dict(sim.running())
+    for executor in sim.executors.values():
+        executor.stop_duration_ms = 400
+    call = CancelJob(cancelled.job_id)
+    sim.scheduler.jobs.handle_request(JobRequest("intake", 1, call))
+    sim.run()
+    assert not sim.jobs
+    sim.take_over(9)
+    sim.list_machines()
+    sim.submit(make_job("b" * 16, large))
+    sim.advance(200)
+    assert dict(sim.running()) == runs
+    sim.advance(1_000)
+    assert {subtask.job_id for subtask, _ in sim.running()} == {"b" * 16}
+
+
 def test_an_end_of_an_unopened_step_counts(sim: Simulation) -> None:
     # Guards against an end that a successor confirms before it is stored.
     job = make_job("a" * 16, Step(1, SMALL), Step(1, SMALL, after=(0,)))
