Drop answers that arrive after a caller's deadline

Cause: an answer of the scheduler to a call whose deadline had passed was sent to the front a second time and logged as a call without a job.

Change: answers to calls that are no longer pending are dropped.

Measured: the new test fails without the change.

--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -270,9 +270,12 @@
     def _handle_scheduler_answer(
         self, request_id: int, answer: JobAnswer | None, may_have_effect: bool
     ) -> None:
+        if request_id not in self._pending:
+            # The deadline has passed, and the caller has an answer.
+            return
         if answer is not None:
             self._finish(request_id, answer)
-        elif request_id in self._pending:
+        else:
             self._fall_back(request_id, may_have_effect)
 
     def _fall_back(self, request_id: int, may_have_effect: bool) -> None:
--- a/tests/intake/test_redirect.py
+++ b/tests/intake/test_redirect.py
@@ -17,11 +17,14 @@
 from guavapin.intake.peer_codec import PEER_PATH
 from guavapin.intake.peer_codec import SCHEDULER_PATH
 from guavapin.intake.peer_codec import decode_scheduler
+from guavapin.intake.peer_codec import encode_peer_answer
 from guavapin.intake.peer_codec import encode_peer_call
 from guavapin.intake.peer_codec import encode_scheduler
 from guavapin.intake.task import IntakeTask
 from guavapin.jobs.calls import QueryJob
+from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import Undecided
+from guavapin.jobs.model import JobState
 from guavapin.jobs.queues import QueueTable
 from guavapin.kernel.harness import TaskHarness
 from guavapin.keyvalue import messages as kv
@@ -152,3 +155,13 @@
     rig.task.handle(kv.Reply(request.request_id, kv.NotSent("turned away")))
     rig.harness.advance(3_000)
     assert isinstance(rig.codec.answers[-1], Undecided)
+
+
+def test_an_answer_after_the_deadline_is_dropped(rig) -> None:
+    # Guards against a request that is answered twice.
+    call = send_query(rig)
+    rig.harness.advance(3_000)
+    answered = len(rig.codec.answers)
+    body = encode_peer_answer(StateIs(JobState.RUNNING))
+    rig.task.handle(PeerReply(call.request_id, Answered(200, body)))
+    assert len(rig.codec.answers) == answered == 1
