Wait until every entry host of the tests knows the scheduler

Cause: test_operators_see_queues_hosts_and_jobs failed on loaded machines. Traced: in a failing run the other entry host asked the store at .831, 1 ms before it learned who schedules, so the job was accepted through the store, and the scheduler found it at .864, after the overview had been read. An entry host may do so.

Change: the fixture waits until every entry host knows the scheduler.

--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -77,13 +77,25 @@
 
     @property
     def is_scheduling(self) -> bool:
-        lines = [json.loads(row) for row in self.log.read_text().splitlines()]
-        messages = [row["message"] for row in lines]
         messages = [
-            message for message in messages if message in ("scheduling", "term ends")
+            row["message"]
+            for row in self.log_rows()
+            if row["message"] in ("scheduling", "term ends")
         ]
         return messages[-1:] == ["scheduling"] and self.process.poll() is None
 
+    @property
+    def knows_scheduler(self) -> bool:
+        known = [
+            row["holder"]
+            for row in self.log_rows()
+            if row["message"] == "scheduler known"
+        ]
+        return bool(known and known[-1])
+
+    def log_rows(self) -> list[dict]:
+        return [json.loads(row) for row in self.log.read_text().splitlines()]
+
 
 def wait_until(condition, what: str) -> None:
     """Poll until `condition` holds; fail after `WAIT_TIMEOUT_S`."""
@@ -108,6 +120,10 @@
         self.entries = [Entry(folder, f"e{n}", self.port) for n in range(2)]
         wait_until(lambda: all(e.is_ready for e in self.entries), "readiness")
         wait_until(lambda: any(e.is_scheduling for e in self.entries), "a scheduler")
+        # An entry host that knows no scheduler yet accepts jobs through the store.
+        wait_until(
+            lambda: all(e.knows_scheduler for e in self.entries), "a known scheduler"
+        )
 
     def put(self, key: str, value: object) -> None:
         """Write a key to the store as the operator would."""
