Count bounded calls before their deadlines pass

Cause: test_calls_in_flight_and_waiting_are_bounded failed on loaded machines with 8 calls sent. Shown by a run: with 20 ms between the first four calls and the others, 8 are rejected and 8 are sent, every time; the waiting ones have 18 ms left when those in flight end, and a call with time left is to be sent.

Change: the test counts while all twelve calls are open: exactly 4 sent, 8 waiting and 8 rejected, and all end with the client.

--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -194,14 +194,21 @@
 
 
 def test_calls_in_flight_and_waiting_are_bounded(platform: RunningPlatform) -> None:
-    # Guards against memory growth while the platform does not answer.
+    # Guards against memory growth while the platform does not answer. The calls are
+    # counted before any deadline passes, because a waiting call that arrived some
+    # milliseconds after those in flight has time left when they end, and is sent then.
     platform.set_faults(Faults(outage="silent"))
-    client = Client(platform.url, max_in_flight=4, max_queued=8)
+    client = Client(platform.url, max_in_flight=4, max_queued=8, deadline_ms=3_000)
     futures = [client.begin(Get("", 0, "a")) for _ in range(20)]
-    outcomes = [fut.result(5) for fut in futures]
-    client.kernel.stop()
-    assert outcomes.count(NotSent("too many calls wait")) == 8
+    rejected = [fut.result(2) for fut in futures[12:]]
+    for _ in range(200):
+        if platform.task.counters.by_kind["get"] < 4:
+            time.sleep(0.01)
+    assert rejected == [NotSent("too many calls wait")] * 8
     assert platform.task.counters.by_kind["get"] == 4
+    assert not any(fut.done() for fut in futures[:12])
+    client.kernel.stop()
+    assert all(fut.done() for fut in futures)
 
 
 def test_cancelled_call_does_not_end_the_client(
