Keep the time at which a wave is due through a takeover

The scheduler was replaced 6.6 s before a wave was due. A wave has no start time of its own, so the successor gave it its whole duration again, did not treat its last five machines as urgent, and the wave was late.

Change: the first scheduler that reads a wave stores when it is due, unless the key exists; a successor reads it and limits the due time of the wave. A record that cannot be read is logged and the wave counts as new.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -129,9 +129,9 @@
                 del self._orders[name]
         return tuple(ended)
 
-    def add_wave(self, wave: MaintenanceWave, now_ms: int) -> None:
-        """Add a maintenance wave that the operator has written."""
-        self.waves.add(wave, now_ms)
+    def add_wave(self, wave: MaintenanceWave, now_ms: int) -> bool:
+        """Add a maintenance wave of the operator; return whether it is new."""
+        return self.waves.add(wave, now_ms)
 
     def record_status_write(self, wave: int, is_done: bool, is_written: bool) -> None:
         """Record whether the store accepted the status of a wave."""
--- a/src/guavapin/machines/order_record_codec.py
+++ b/src/guavapin/machines/record_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of the record of ordered machines as the value of a key in the store."""
+"""Encoding of the records of ordered machines and of waves as values in the store."""
 
 from __future__ import annotations
 
@@ -18,3 +18,13 @@
         return frozenset(_DECODER.decode(value))
     except msgspec.DecodeError:
         return None
+
+
+def encode_due(due_wall_ms: int) -> bytes:
+    """Return the value for a time in milliseconds since the Unix epoch."""
+    return str(due_wall_ms).encode()
+
+
+def decode_due(value: bytes) -> int | None:
+    """Return the time in milliseconds since the Unix epoch, None if unreadable."""
+    return int(value) if value.isdigit() else None
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -30,9 +30,11 @@
 from guavapin.machines.model import Validity
 from guavapin.machines.order_record import ORDERED_KEY
 from guavapin.machines.order_record import OrderRecord
-from guavapin.machines.order_record_codec import decode_ordered
-from guavapin.machines.order_record_codec import encode_ordered
 from guavapin.machines.planner import Planner
+from guavapin.machines.record_codec import decode_due
+from guavapin.machines.record_codec import decode_ordered
+from guavapin.machines.record_codec import encode_due
+from guavapin.machines.record_codec import encode_ordered
 from guavapin.scheduling.messages import CordonHosts
 from guavapin.scheduling.messages import FleetLoad
 from guavapin.scheduling.messages import MachinesListed
@@ -53,7 +55,8 @@
 FOLLOW_WAVES = "follow_waves"
 FOLLOW_MAINTAINED = "follow_maintained"
 
-# Records of started maintenance, so that a successor does not drain a machine again.
+# Records of started maintenance, so that a successor does not drain a machine again, as
+# WAVE/MACHINE. The record WAVE holds the time at which the wave is due.
 MAINTAINED_PREFIX = "maintained/"
 
 # Interval between reads of the list, which shows the effect of the orders.
@@ -419,7 +422,8 @@
                 self._wave_codec.decode(item.value) if item.value is not None else None
             )
             if wave is not None:
-                self._planner.add_wave(wave, now_ms)
+                if self._planner.add_wave(wave, now_ms):
+                    self._record_due(wave)
             elif item.value is not None:
                 log.error("wave cannot be read", extra={"key": item.key})
 
@@ -430,8 +434,31 @@
             return
         for item in items:
             wave, _, machine = item.key.removeprefix(MAINTAINED_PREFIX).partition("/")
-            if wave.isdigit():
+            if wave.isdigit() and machine:
                 self._planner.waves.add_maintained(int(wave), machine)
+            elif wave.isdigit():
+                self._limit_due(int(wave), item.value or b"")
+
+    def _limit_due(self, wave: int, value: bytes) -> None:
+        """Apply the time at which a wave is due, as an earlier scheduler stored it."""
+        due_wall_ms = decode_due(value)
+        if due_wall_ms is None:
+            log.error("time of wave cannot be read", extra={"wave": wave})
+        elif self._planner is not None:
+            clock = self._context.clock
+            due_ms = clock.now_ms() + due_wall_ms - clock.wall_ms()
+            self._planner.waves.limit_due(wave, due_ms)
+
+    def _record_due(self, wave: MaintenanceWave) -> None:
+        """Store when a wave is due, unless an earlier scheduler has stored it."""
+        self._request_id += 1
+        key = f"{MAINTAINED_PREFIX}{wave.number}"
+        due_wall_ms = self._context.clock.wall_ms() + wave.duration_ms
+        expected = (kv.KeyRevision(key, kv.NO_REVISION),)
+        puts = (kv.KeyValue(key, encode_due(due_wall_ms)),)
+        # The write is not retried: if it is lost, a successor takes the wave as new.
+        request = kv.Transact(self.name, self._request_id, expected, puts)
+        self._context.send("platform", request)
 
     def _record_maintained(self, order: MaintainMachine) -> None:
         self._request_id += 1
--- a/src/guavapin/machines/waves.py
+++ b/src/guavapin/machines/waves.py
@@ -62,6 +62,10 @@
         down |= set(listed_down) & set(self.wave.machines)
         return self.wave.max_at_once - len(down)
 
+    def limit_due(self, due_ms: int) -> None:
+        """Set the time at which the wave is due, if it is before the known one."""
+        self._due_ms = min(self._due_ms, due_ms)
+
     @property
     def _downtime_ms(self) -> int:
         return self._times.maintenance_ms + TURNAROUND_MS
@@ -82,13 +86,31 @@
         # Machines by wave whose maintenance started under an earlier scheduler. These
         # records may be read before the wave itself.
         self._maintained: dict[int, set[str]] = {}
-
-    def add(self, wave: MaintenanceWave, now_ms: int) -> None:
-        """Add a wave; a wave with a known number is left unchanged."""
-        if wave.number not in self._waves:
-            self._waves[wave.number] = WaveProgress(wave, self._times, now_ms)
-            for machine in self._maintained.get(wave.number, ()):
-                self._waves[wave.number].started[machine] = 0
+        # Times at which waves are due that an earlier scheduler has read first.
+        self._due_ms: dict[int, int] = {}
+
+    def add(self, wave: MaintenanceWave, now_ms: int) -> bool:
+        """Add a wave; return False and change nothing if its number is known."""
+        if wave.number in self._waves:
+            return False
+        progress = WaveProgress(wave, self._times, now_ms)
+        self._waves[wave.number] = progress
+        for machine in self._maintained.get(wave.number, ()):
+            progress.started[machine] = 0
+        if wave.number in self._due_ms:
+            progress.limit_due(self._due_ms[wave.number])
+        return True
+
+    def limit_due(self, number: int, due_ms: int) -> None:
+        """Set the time at which a wave is due that an earlier scheduler has read.
+
+        A wave has no start time of its own, so without this one each takeover would
+        give it its whole duration again.
+        """
+        self._due_ms[number] = due_ms
+        wave = self._waves.get(number)
+        if wave is not None:
+            wave.limit_due(due_ms)
 
     def open_waves(self) -> list[WaveProgress]:
         """Return the waves without a stored status of done, in order of number."""
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -263,3 +263,17 @@
     full = host("m1", "a", runs=4)
     plan = planner.plan(load(full, demands=(demand,)), TABLE, BEGIN_MS)
     assert plan.moves == (("m2", "a"),)
+
+
+def test_a_takeover_does_not_give_a_wave_its_whole_duration_again() -> None:
+    # Guards against the fault of gagnon-jobs-large inc-5ad2: the scheduler was replaced
+    # 6.6 s before a wave was due, and five machines with long-running work were left.
+    wave = MaintenanceWave(1, ("m",), 26_000, 1)
+    report = load(host("m", "a", runs=1))
+    for due_ms, is_urgent in ((BEGIN_MS + 26_000, False), (BEGIN_MS + 3_000, True)):
+        planner = Planner(TIMES, 0)
+        planner.update_machines((machine("m", "a"),), 0)
+        planner.waves.limit_due(1, due_ms)
+        planner.add_wave(wave, BEGIN_MS)
+        plan = planner.plan(report, TABLE, BEGIN_MS + 1_000)
+        assert plan.cordon.urgent == (frozenset({"i-m"}) if is_urgent else frozenset())
--- a/tests/machines/test_task.py
+++ b/tests/machines/test_task.py
@@ -13,13 +13,18 @@
 from guavapin.http.messages import Unanswered
 from guavapin.kernel.harness import TaskHarness
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import PrefixListed
 from guavapin.machines.model import ListMachines
 from guavapin.machines.model import MachinePage
+from guavapin.machines.model import MaintenanceWave
 from guavapin.machines.model import MoveMachine
 from guavapin.machines.model import OrderDone
-from guavapin.machines.order_record_codec import decode_ordered
+from guavapin.machines.order_record import ORDERED_KEY
+from guavapin.machines.record_codec import decode_ordered
 from guavapin.machines.task import LIST_INTERVAL_MS
+from guavapin.machines.task import MAINTAINED_PREFIX
 from guavapin.machines.task import MachinesTask
+from guavapin.scheduling.messages import CordonHosts
 from guavapin.scheduling.messages import FleetLoad
 from guavapin.scheduling.messages import HostLoad
 from guavapin.scheduling.messages import QueueTableChanged
@@ -37,6 +42,7 @@
 
 LOAD_INTERVAL_MS = 100
 LEASE_MS = 1_350
+WAVE = MaintenanceWave(4, ("m",), 9_000, 1)
 TOKEN = 3
 
 
@@ -58,10 +64,19 @@
 
 
 class WaveCodec:
-    """No waves exist."""
+    """Every value is the same wave."""
 
     prefix = "op/wave/"
 
+    def decode(self, value: bytes) -> MaintenanceWave:
+        return WAVE
+
+    def status_key(self, wave: int) -> str:
+        return f"status/wave/{wave}"
+
+    def encode_status(self, is_done: bool) -> bytes:
+        return b"done" if is_done else b"running"
+
 
 class Rig:
     """A `MachinesTask` whose lease is renewed while `is_lease_renewed` is set."""
@@ -76,11 +91,14 @@
         # Time of sending, order and validity.
         self.orders: list[tuple[int, MachineOrder, Validity]] = []
         self.aborted_ms: list[int] = []
+        self.cordons: list[CordonHosts] = []
         self.is_store_silent = False
         self.are_orders_answered = False
         # Machines that the previous holder has recorded, and those recorded since.
         self.predecessor = b'["m"]'
         self.recorded: list[frozenset[str]] = []
+        # Other keys that were written, with the expected revisions.
+        self.written: list[tuple[kv.KeyValue, tuple[kv.KeyRevision, ...]]] = []
 
     def advance(self, delta_ms: int, idle: HostLoad) -> None:
         """Report the load as often as the scheduler does, and answer lists."""
@@ -96,6 +114,8 @@
     def collect(self) -> None:
         """Record the orders and aborts that were sent, and answer other calls."""
         for sent in self.harness.take_sent():
+            if isinstance(sent.message, CordonHosts):
+                self.cordons.append(sent.message)
             if sent.service == "platform" and not self.is_store_silent:
                 self.answer_store(sent.message)
             if sent.service != "http":
@@ -116,7 +136,10 @@
         outcome: kv.PlatformOutcome = kv.Found(self.predecessor, 7)
         if isinstance(request, kv.Transact):
             (put,) = request.puts
-            self.recorded.append(decode_ordered(put.value) or frozenset())
+            if put.key == ORDERED_KEY:
+                self.recorded.append(decode_ordered(put.value) or frozenset())
+            else:
+                self.written.append((put, request.expected))
             outcome = kv.Written(self.harness.now_ms())
         self.task.handle(kv.Reply(request.request_id, outcome))
         self.collect()
@@ -222,3 +245,24 @@
     assert rig.recorded[-1] == {"m"}
     rig.advance(2 * TIMES.order_separation_ms, host("m", "off", runs=1))
     assert rig.recorded[-1] == frozenset()
+
+
+def test_the_first_reader_of_a_wave_stores_when_it_is_due(rig: Rig) -> None:
+    # Guards against a successor that does not know for how long a wave has been going
+    # on, and against one that moves the time of its predecessor.
+    rig.task.handle(PrefixListed(WaveCodec.prefix, (kv.Item("op/wave/4", b"1", 3),)))
+    rig.collect()
+    ((put, expected), *_) = rig.written
+    assert put.key == f"{MAINTAINED_PREFIX}{WAVE.number}"
+    assert int(put.value) == rig.harness.clock.wall_ms() + WAVE.duration_ms
+    assert expected == (kv.KeyRevision(put.key, kv.NO_REVISION),)
+
+
+def test_a_successor_reads_when_a_wave_is_due(rig: Rig) -> None:
+    # Guards against a stored time that is never used.
+    due_wall_ms = rig.harness.clock.wall_ms() + 1_000
+    stored = kv.Item(f"{MAINTAINED_PREFIX}{WAVE.number}", b"%d" % due_wall_ms, 3)
+    rig.task.handle(PrefixListed(MAINTAINED_PREFIX, (stored,)))
+    rig.task.handle(PrefixListed(WaveCodec.prefix, (kv.Item("op/wave/4", b"1", 3),)))
+    rig.advance(100, host("m", "a", runs=1))
+    assert rig.cordons[-1].urgent == {"i-m"}
