Reject callers at once in a zone that is cut off

A zone was partitioned for some seconds while its callers still reached its entry hosts. These reached neither the store nor a scheduler, each call waited there for its deadline, and 40 of the 336 jobs of the zone were lost.

A caller that cannot return waits for its deadline.

--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -18,6 +19,9 @@
 from guavapin.intake.peer_codec import decode_scheduler
 from guavapin.intake.peer_codec import encode_peer_call
 from guavapin.intake.peer_codec import scheduler_announcement
+from guavapin.intake.reachability import CutOff
+from guavapin.intake.rejection import REJECTION
+from guavapin.intake.rejection import can_return
 from guavapin.jobs.calls import BadCall
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import NoSuchQueue
@@ -96,10 +100,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _Pending:
-    """Call without an answer yet; `fallback` is set once the store is queried."""
+    """Call without an answer yet; `fallback` is set once the store is queried.
+
+    The call is answered by `due_ms` at the latest.
+    """
 
     call: JobCall
     received_ms: int
+    due_ms: int
     fallback: store_fallback.Fallback | None = None
 
 
@@ -107,8 +115,9 @@
     """Service ``intake``; answers the requests at the callers' front.
 
     A call goes to the scheduler, in this process or at another entry host. If no
-    scheduler can be reached, the call is answered from the store alone. A call is
-    refused only if it certainly has had no effect.
+    scheduler can be reached, the call is answered from the store alone. If the host is
+    cut off, a caller that can return is rejected at once. A call is rejected only if it
+    certainly has had no effect.
     """
 
     name = "intake"
@@ -128,6 +137,7 @@
         # Request of each call in flight to a peer or the store, by the call's number.
         self._request_by_call: dict[int, int] = {}
         self._call_id = 0
+        self._is_cut_off = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Wait for requests."""
@@ -147,6 +157,8 @@
                 self._set_scheduler(message)
             case PeerScheduler(scheduler=scheduler):
                 self._adopt_newer(scheduler)
+            case CutOff(is_cut_off=is_cut_off):
+                self._is_cut_off = is_cut_off
             case JobReply(request_id=request_id, answer=answer):
                 self._handle_scheduler_answer(
                     request_id, answer, message.may_have_effect
@@ -182,9 +194,14 @@
             log.info("bad call", extra={"queue": queue.name, "detail": call.detail})
             self._finish(req.request_id, call)
             return
-        self._pending[req.request_id] = _Pending(call, req.received_ms)
         deadline_ms = _deadline_ms(req.header(self._codec.deadline_header))
         timeout_ms = deadline_ms - min(ANSWER_MARGIN_MS, deadline_ms // 5)
+        due_ms = self._context.now_ms() + timeout_ms
+        pending = _Pending(call, req.received_ms, due_ms)
+        self._pending[req.request_id] = pending
+        if self._must_reject(pending):
+            self._finish(req.request_id, REJECTION)
+            return
         self._context.set_timer(timeout_ms, _Deadline(req.request_id))
         self._forward(req.request_id, call)
 
@@ -282,6 +299,9 @@
         pending = self._pending.get(request_id)
         if pending is None or pending.fallback is not None:
             return
+        if not may_have_effect and self._must_reject(pending):
+            self._finish(request_id, REJECTION)
+            return
         log.info("asking the store", extra={"job": _job_id(pending.call)})
         self._call_id += 1
         transition = store_fallback.begin(
@@ -306,10 +326,11 @@
         self, request_id: int, pending: _Pending, transition: store_fallback.Transition
     ) -> None:
         fallback, action = transition
-        self._pending[request_id] = _Pending(
-            pending.call, pending.received_ms, fallback
-        )
+        self._pending[request_id] = replace(pending, fallback=fallback)
         if isinstance(action, store_fallback.Retry):
+            if not fallback.may_have_effect and self._must_reject(pending):
+                self._finish(request_id, REJECTION)
+                return
             self._context.set_timer(action.delay_ms, _RetryStore(request_id))
         elif isinstance(action, kv.Get | kv.Transact):
             self._request_by_call[self._call_id] = request_id
@@ -318,6 +339,11 @@
             assert not isinstance(action, kv.PlatformRequest)
             self._finish(request_id, action)
 
+    def _must_reject(self, pending: _Pending) -> bool:
+        """Return whether a call without an effect so far is rejected at once."""
+        left_ms = pending.due_ms - self._context.now_ms()
+        return self._is_cut_off and can_return(left_ms)
+
     def _retry_store(self, request_id: int) -> None:
         pending = self._pending.get(request_id)
         if pending is not None and pending.fallback is not None:
--- a/src/guavapin/keyvalue/messages.py
+++ b/src/guavapin/keyvalue/messages.py
@@ -15,11 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Get:
-    """Read one key. Answer: `Found`, `Missing` or a failure."""
+    """Read one key. Answer: `Found`, `Missing` or a failure.
+
+    With `may_be_stale` the value may be seconds old, and the call costs the store less.
+    """
 
     reply_to: str
     request_id: int
     key: str
+    may_be_stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/platform/store.py
+++ b/src/guavapin/platform/store.py
@@ -52,8 +52,11 @@
         list of hosts.
         """
         match req:
-            case kv.Get(key=key):
-                return HttpCall("get", "GET", f"/guavapin/kv-key?key={_quote(key)}")
+            case kv.Get(key=key, may_be_stale=may_be_stale):
+                path = f"/guavapin/kv-key?key={_quote(key)}"
+                if may_be_stale:
+                    path += "&allow-stale=1"
+                return HttpCall("get", "GET", path)
             case kv.ReadItems(prefix=prefix, after_key=after):
                 path = f"/guavapin/kv-range?prefix={_quote(prefix)}"
                 if after:
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -121,7 +121,7 @@
     kernel.register(OpsPagesTask("ready_desk", "ready_front", {}))
     pages = {METRICS_PATH: metrics.render}
     kernel.register(OpsPagesTask("metrics_desk", "metrics_front", pages))
-    kernel.register(ReachabilityTask("ready_front"))
+    kernel.register(ReachabilityTask("ready_front", "intake", DUTY_KEY))
     listeners = ("intake", "scheduler", "machines", "reach")
     kernel.register(TablesTask(table_codec, listeners))
     kernel.register(DutyTask(DUTY, holder, ("machines", "scheduler"), terms=DUTY_TERMS))
--- a/tests/intake/test_redirect.py
+++ b/tests/intake/test_redirect.py
@@ -20,6 +20,8 @@
 from guavapin.intake.peer_codec import encode_peer_answer
 from guavapin.intake.peer_codec import encode_peer_call
 from guavapin.intake.peer_codec import encode_scheduler
+from guavapin.intake.reachability import CutOff
+from guavapin.intake.rejection import REJECTION
 from guavapin.intake.task import IntakeTask
 from guavapin.jobs.calls import QueryJob
 from guavapin.jobs.calls import StateIs
@@ -157,6 +159,27 @@
     assert isinstance(rig.codec.answers[-1], Undecided)
 
 
+def test_a_host_that_is_cut_off_rejects_a_call_without_sending_it(rig) -> None:
+    # Guards against a rejection of a call that may still take effect, and against
+    # callers that wait in a zone that is cut off.
+    rig.task.handle(CutOff(True))
+    headers = ((b"host", QUEUE.host.encode()), (b"x-deadline-ms", b"3000"))
+    target = f"{QUEUE.prefix}{CALL.job_id}"
+    rig.task.handle_request(WholeRequest(1, "GET", target, headers, b"", 0))
+    assert rig.codec.answers == [REJECTION]
+    assert not sent(rig, PeerCall)
+
+
+def test_a_caller_without_time_to_return_is_not_rejected_at_once(rig) -> None:
+    # Guards against a caller whose last attempt is lost, although the partition ends
+    # within its time.
+    rig.task.handle(CutOff(True))
+    headers = ((b"host", QUEUE.host.encode()), (b"x-deadline-ms", b"900"))
+    target = f"{QUEUE.prefix}{CALL.job_id}"
+    rig.task.handle_request(WholeRequest(1, "GET", target, headers, b"", 0))
+    assert rig.codec.answers == [] and sent(rig, PeerCall)
+
+
 def test_an_answer_after_the_deadline_is_dropped(rig) -> None:
     # Guards against a request that is answered twice.
     call = send_query(rig)
--- a/tests/loads/callers.py
+++ b/tests/loads/callers.py
@@ -17,24 +17,39 @@
 from tests.scheduling.simulation import QUEUE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tests.loads.patterns import Load
+    from tests.model.world import Node
     from tests.model.world import World
 
 
 @dataclass
 class Caller:
-    """One job with the time of each attempt to submit it."""
+    """One job with the times and the answers of the attempts to submit it."""
 
     submission: Submission
     first_ms: int
     sent_ms: list[int] = field(default_factory=list)
+    answered_ms: list[int] = field(default_factory=list)
+    answers: list[Any] = field(default_factory=list)
+
+    @property
+    def is_accepted(self) -> bool:
+        return bool(self.answers) and isinstance(self.answers[-1], Accepted)
+
+    @property
+    def is_always_rejected(self) -> bool:
+        return all(isinstance(answer, Rejected) for answer in self.answers)
 
 
 class Callers:
-    """Submits the jobs of a load to the fronts of a world's nodes."""
+    """Submits the jobs of a load to the fronts that `choose_node` returns."""
 
-    def __init__(self, world: World, load: Load) -> None:
-        self._world, self._load = world, load
+    def __init__(
+        self, world: World, load: Load, choose_node: Callable[[], Node]
+    ) -> None:
+        self._world, self._load, self._choose_node = world, load, choose_node
         self.all: list[Caller] = []
         for at_ms in range(0, load.duration_ms, load.interval_ms):
             world.schedule(at_ms, self._arrive)
@@ -55,10 +70,12 @@
         left_ms = caller.first_ms + self._load.budget_ms - now_ms
         if left_ms <= 0:
             return
-        node = world.rng.choice(world.nodes)
+        node = self._choose_node()
         caller.sent_ms.append(now_ms)
 
         def handle(answer: Any) -> None:
+            caller.answered_ms.append(world.clock.now_ms())
+            caller.answers.append(answer)
             if isinstance(answer, Accepted):
                 caller.submission.accepted_ms = world.clock.now_ms()
             if (
--- a/tests/loads/test_takeover_in_a_turn.py
+++ b/tests/loads/test_takeover_in_a_turn.py
@@ -38,7 +38,7 @@
     world.has_faults = False
     world.run(CALM_MS)
     world.restart(scheduler(world))
-    Callers(world, load)
+    Callers(world, load, lambda: world.rng.choice(world.nodes))
     while not any(node.scheduler._scheduler for node in world.nodes):
         world.run(1)
     begin_ms = world.clock.now_ms()
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -22,6 +22,8 @@
 from guavapin.http.messages import PeerReply
 from guavapin.http.messages import Unanswered
 from guavapin.intake.peer_calls import PeerCallsTask
+from guavapin.intake.reachability import CutOff
+from guavapin.intake.reachability import ReachabilityTask
 from guavapin.intake.task import IntakeTask
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
@@ -58,6 +60,7 @@
 from guavapin.serving.messages import AnswerBody
 from guavapin.serving.messages import AnswerEnd
 from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import SetReady
 from guavapin.serving.request_handler import WholeRequest
 from tests.model.executors import Fleet
 from tests.model.executors import MachineCodec
@@ -145,7 +148,11 @@
 
     def __init__(self, world: World, name: str) -> None:
         self.world, self.name = world, name
-        self.is_alive, self.reaches_store = True, True
+        self.is_alive, self.reaches_store, self.reaches_peers = True, True, True
+        # Time of the last change of readiness to false, 0 while the node is ready.
+        self.unready_since_ms = 0
+        # Unset for the earlier policy, in which a cut off node rejects no call at once.
+        self.rejects_when_cut_off = True
         self.frozen_until_ms = 0
         self.silent: set[str] = set()
         self.queue: deque[tuple[str, object]] = deque()
@@ -177,6 +184,7 @@
             machines,
             self.intake,
             PeerCallsTask(),
+            ReachabilityTask("ready_front", "intake", DUTY_KEY),
             DutyTask(DUTY, holder, workers, terms=DUTY_TERMS),
             HolderTrackerTask(
                 DUTY_KEY,
@@ -192,6 +200,7 @@
         self.deliver("scheduler", QueueTableChanged(TABLE))
         self.deliver("machines", QueueTableChanged(TABLE))
         self.deliver("intake", QueueTableChanged(TABLE))
+        self.deliver("reach", QueueTableChanged(TABLE))
 
     def receive(self, number: int, call: Any, deadline_ms: int) -> None:
         """Receive a caller's request with a deadline; `number` identifies it."""
@@ -242,6 +251,8 @@
         while self.queue and self.is_alive:
             service, message = self.queue.popleft()
             task = self.tasks.get(service)
+            if isinstance(message, CutOff) and not self.rejects_when_cut_off:
+                continue
             if task is not None:
                 task.handle(message)
             else:
@@ -319,6 +330,8 @@
             self.callers.pop(message.request_id)(answer)
         elif service == "peer_front":
             self._answer_peer_call(message)
+        elif isinstance(message, SetReady):
+            node.unready_since_ms = 0 if message.is_ready else self.clock.now_ms()
         elif isinstance(message, JobReply):
             callback = self.calls.pop(message.request_id, None)
             if callback is not None:
@@ -336,7 +349,8 @@
         number = self.next_number()
         self._peer_calls[number] = (node, call)
         for other in self.nodes:
-            if other.address == call.address and other.is_alive:
+            is_reached = node.reaches_peers and other.reaches_peers
+            if other.address == call.address and other.is_alive and is_reached:
                 delay_ms = self.latency_ms()
                 self.schedule(delay_ms, other.receive_peer_call, number, call)
         self.schedule(
