Find each mended fault with the model of takeovers

Cause: the model had found one fault, and nothing showed that it finds the others.

Change: test_mended_faults puts seven faults back in, each of which breaks LIMIT, LOST, TWICE or ONE within 20 seeds. Cancels shortly before a hand-over are a kind of event.

--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -27,6 +27,7 @@
 from guavapin.machines.model import OrderRefused
 from guavapin.machines.model import OrderUnanswered
 from tests.scheduling.simulation import HOST_CAPACITY
+from tests.scheduling.simulation import TIMES
 from tests.scheduling.simulation import FakeExecutor
 
 if TYPE_CHECKING:
@@ -344,7 +345,7 @@
         if pool != order.pool:
             self._take_down(order.machine)
             self.machines[order.machine] = (order.pool, "", 1)
-            world.schedule(1_500, self._bring_up, order.machine, order.pool)
+            world.schedule(TIMES.move_ms, self._bring_up, order.machine, order.pool)
         return OrderDone()
 
     def _machine(self, name: str) -> Machine:
--- /dev/null
+++ b/tests/model/test_mended_faults.py
@@ -0,0 +1,101 @@
+"""The model of takeovers finds each mended fault when it is put back in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from guavapin.executors.model import Start
+from guavapin.machines.order_record import OrderRecord
+from guavapin.machines.task import CALL_TIMEOUT_MS
+from guavapin.machines.task import MachinesTask
+from guavapin.scheduling.host_table import HostTable
+from guavapin.scheduling.run import Run
+from guavapin.scheduling.run import RunPhase
+from guavapin.scheduling.scheduler import Scheduler
+from guavapin.scheduling.term_loader import TermLoader
+from tests.model.test_takeover_model import play
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Number of seeds within which a fault must be found, from the first one of its row on.
+MAX_SEEDS = 20
+
+
+def count_unknown_runs_with_no_resources(patch: pytest.MonkeyPatch) -> None:
+    known = property(lambda run: True, lambda run, value: None)
+    patch.setattr(Run, "is_need_known", known)
+
+
+def drop_changes_while_lists_are_read(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(TermLoader, "update", lambda loader, prefix, items: None)
+
+
+def confirm_ends_before_they_are_stored(patch: pytest.MonkeyPatch) -> None:
+    handle_end = Scheduler.handle_end
+
+    def handle(scheduler, host, row) -> bool:
+        handle_end(scheduler, host, row)
+        return False
+
+    patch.setattr(Scheduler, "handle_end", handle)
+
+
+def start_inherited_jobs_at_once(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(HostTable, "unresolved_pools", lambda hosts: set())
+
+
+def forget_starts_without_an_answer(patch: pytest.MonkeyPatch) -> None:
+    handle_no_answer = HostTable._handle_no_answer
+
+    def handle(hosts, host, context, no_answer) -> None:
+        handle_no_answer(hosts, host, context, no_answer)
+        run = hosts._find_run(host, context.order)
+        is_unsettled = run is not None and run.phase is RunPhase.UNSETTLED
+        if isinstance(context.order, Start) and is_unsettled:
+            host.remove(run, hosts._term.now_ms)
+            hosts._handler.handle_lost_run(host, run, "no answer")
+
+    patch.setattr(HostTable, "_handle_no_answer", handle)
+
+
+def order_machines_without_a_lease(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(MachinesTask, "_lease_left_ms", lambda task, now_ms: CALL_TIMEOUT_MS)
+    # A machine is not recorded without the store, so the record hides this fault.
+    patch.setattr(OrderRecord, "covers", lambda record, machine: True)
+
+
+def keep_machine_orders_in_flight(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(MachinesTask, "_lease_left_ms", lambda task, now_ms: 60_000)
+    patch.setattr("guavapin.machines.task.CALL_TIMEOUT_MS", 9_000)
+    patch.setattr(MachinesTask, "_abort_calls", lambda task: None)
+
+
+FAULTS = (
+    (count_unknown_runs_with_no_resources, "LIMIT", 8),
+    (drop_changes_while_lists_are_read, "LOST", 39),
+    (confirm_ends_before_they_are_stored, "TWICE", 1),
+    (start_inherited_jobs_at_once, "TWICE", 0),
+    (forget_starts_without_an_answer, "LIMIT", 1),
+    (order_machines_without_a_lease, "ONE", 33),
+    (keep_machine_orders_in_flight, "ONE", 7),
+)
+
+
+@pytest.mark.parametrize(("fault", "rule", "first_seed"), FAULTS)
+def test_a_fault_that_was_mended_is_found(
+    fault: Callable[[pytest.MonkeyPatch], None],
+    rule: str,
+    first_seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a model that cannot find the faults it is for.
+    fault(monkeypatch)
+    for seed in range(first_seed, first_seed + MAX_SEEDS):
+        violations = play(seed).violations
+        if violations:
+            print(f"seed {seed}: {violations[0]}")
+            break
+    assert any(rule in violation for violation in violations)
--- a/tests/model/test_takeover_model.py
+++ b/tests/model/test_takeover_model.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from tests.model.world import CALM_MS
 from tests.model.world import World
 
 if TYPE_CHECKING:
@@ -21,7 +20,7 @@
 # Kinds of events of a seed: takeovers in quick succession, partitions, outages of the
 # store, and all of them.
 PROFILES = (
-    ("kill", "stop", "stop", "freeze", "cancel", "cancel", "cancel"),
+    ("kill", "stop", "freeze", "cancel", "cancel and stop", "cancel and stop"),
     ("core cut", "core cut", "cut", "zone cut", "executor cut", "mend", "mend all"),
     ("outage", "outage", "stop", "kill", "core cut", "mend", "none"),
     (
@@ -31,8 +30,12 @@
 )
 
 
-def play(seed: int) -> World:
-    """Play random events under faults, then a calm time, and check all promises."""
+def play(seed: int, profile: tuple[str, ...] | None = None) -> World:
+    """Play random events under faults, then a calm time, and check all promises.
+
+    The events are drawn from `profile`, or from that of the seed.
+    """
+    profile = profile or PROFILES[seed % len(PROFILES)]
     world = World(seed)
     world.run(1_500)
     rng = world.rng
@@ -44,12 +47,16 @@
         leader = next((n for n in world.nodes if n.scheduler._scheduler), node)
         node = leader if rng.random() < 0.6 else node
         executor = rng.choice([*world.fleet.executors.values()])
-        match rng.choice(PROFILES[seed % len(PROFILES)]):
+        match rng.choice(profile):
             case "kill":
                 world.restart(node)
             case "stop":
-                node.hand_over()
-                world.schedule(rng.randint(20, 2_000), _restart_if_alive, world, node)
+                _stop(world, node)
+            case "cancel and stop":
+                for _ in range(4):
+                    world.cancel()
+                world.run(rng.randint(20, 100))
+                _stop(world, node)
             case "freeze":
                 node.frozen_until_ms = world.clock.now_ms() + rng.randint(500, 5_000)
             case "core cut":
@@ -80,12 +87,18 @@
         if world.violations:
             return world
     world.heal()
-    world.run(CALM_MS)
+    world.run_until_ended()
     if not world.violations:
         world.check_end()
     return world
 
 
+def _stop(world: World, node) -> None:
+    """Stop a node gracefully and start it again, unless it is gone by then."""
+    node.hand_over()
+    world.schedule(world.rng.randint(20, 2_000), _restart_if_alive, world, node)
+
+
 def _restart_if_alive(world: World, node) -> None:
     if node.is_alive:
         world.restart(node)
