--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -168,7 +168,7 @@
         self._fetching.discard(job_id)
         if job is not None and job_id not in self.by_id:
             log.info("job found in the store", extra={"job": job_id})
-            self._open(job)
+            self.open_stored(job)
         submissions = self._submissions.pop(job_id, [])
         for req in submissions:
             answer = Accepted() if job is not None else Rejected("try again")
@@ -183,7 +183,7 @@
         """Update the job, and answer the calls, whose entry with `tag` is stored."""
         if isinstance(tag, JobStored):
             if tag.job.job_id not in self.by_id:
-                self._open(tag.job)
+                self.open_stored(tag.job)
             for req in self._submissions.pop(tag.job.job_id, []):
                 self._answer(req, Accepted())
         elif isinstance(tag, StateStored):
@@ -197,6 +197,15 @@
             for req in self._cancellations.pop(tag.job_id, []):
                 self._answer(req, Accepted())
 
+    def open_stored(self, job: Job) -> None:
+        """Open a job whose entry the store holds."""
+        job_run = JobRun(job, self._term.now_ms, is_inherited=False)
+        self.by_id[job.job_id] = job_run
+        self._open_count += 1
+        extra = {"job": job.job_id, "queue": job.queue, "steps": len(job.steps)}
+        log.info("job accepted", extra=extra)
+        self._listener.job_opened(job_run)
+
     def handle_existing(self, tag: object) -> None:
         """Read a job that another process had stored before this one."""
         if isinstance(tag, JobStored):
@@ -294,14 +303,6 @@
             for job_run in self.by_id.values()
         )
 
-    def _open(self, job: Job) -> None:
-        job_run = JobRun(job, self._term.now_ms, is_inherited=False)
-        self.by_id[job.job_id] = job_run
-        self._open_count += 1
-        extra = {"job": job.job_id, "queue": job.queue, "steps": len(job.steps)}
-        log.info("job accepted", extra=extra)
-        self._listener.job_opened(job_run)
-
     def _fetch(self, job_id: str) -> None:
         if job_id not in self._fetching:
             self._fetching.add(job_id)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -176,7 +176,7 @@
         """Open a job as if its entry had just been stored."""
         self.jobs[job.job_id] = job
         self._update_time()
-        self.scheduler.jobs._open(job)
+        self.scheduler.jobs.open_stored(job)
         self.run()
 
     def advance(self, delta_ms: int, step_ms: int = 50) -> None:
