Hand the duty over when the scheduler's host has become slow

Change: a term adds up the lateness of its ticks; if they are late by half of a second, it ends, and the process does not compete for the duty for two seconds. A term lasts five seconds at least, in case no host can carry the load.

--- a/src/guavapin/duties/holder_tracker.py
+++ b/src/guavapin/duties/holder_tracker.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.duties.messages import AcquireDuty
+from guavapin.duties.messages import PostponeCompetition
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
@@ -39,7 +40,8 @@
     """Service ``roster``, which subscribes to the duty's key.
 
     `listeners` get `KnownScheduler` on each change. `duty_task` gets `AcquireDuty`
-    `election_delay_ms` after the key was removed, and again while the duty is free.
+    `election_delay_ms` after the key was removed, and again while the duty is free. A
+    process that has handed the duty over postpones its competition.
     """
 
     name = "roster"
@@ -55,6 +57,7 @@
         self._key = key
         self._election_delay_ms = election_delay_ms
         self._is_competing = False
+        self._postponed_until_ms = 0
         self._duty_task = duty_task
         self._listeners = listeners
         self._known: KnownScheduler | None = None
@@ -81,8 +84,11 @@
             case _Compete():
                 self._is_competing = False
                 if self._known is not None and not self._known.address:
-                    self._context.send(self._duty_task, AcquireDuty())
+                    if self._context.now_ms() >= self._postponed_until_ms:
+                        self._context.send(self._duty_task, AcquireDuty())
                     self._schedule_competition(COMPETITION_RETRY_MS)
+            case PostponeCompetition(delay_ms=delay_ms):
+                self._postponed_until_ms = self._context.now_ms() + delay_ms
             case _:
                 raise InvariantError(f"roster: unexpected message {message!r}")
 
--- a/src/guavapin/duties/messages.py
+++ b/src/guavapin/duties/messages.py
@@ -112,3 +112,10 @@
 @dataclass(frozen=True, slots=True)
 class AcquireDuty:
     """To a duty's task: its key was removed; try to acquire the duty now."""
+
+
+@dataclass(frozen=True, slots=True)
+class PostponeCompetition:
+    """To ``roster``: do not compete for the duty during the next `delay_ms`."""
+
+    delay_ms: int
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -9,6 +9,7 @@
 
 from guavapin.duties.messages import DutyHeld
 from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import PostponeCompetition
 from guavapin.duties.messages import ReleaseDuty
 from guavapin.duties.messages import RetireFromDuty
 from guavapin.executors.model import HostAnswer
@@ -29,6 +30,7 @@
 from guavapin.scheduling.describe import describe_job
 from guavapin.scheduling.describe import describe_scheduling
 from guavapin.scheduling.fleet_load import fleet_load
+from guavapin.scheduling.loop_lag import LoopLag
 from guavapin.scheduling.messages import AdviceReply
 from guavapin.scheduling.messages import CordonHosts
 from guavapin.scheduling.messages import DescribeScheduling
@@ -71,6 +73,10 @@
 # process on a host with a better link can acquire it.
 READ_TIMEOUT_MS = 6_000
 
+# Time for which a process that has become slow does not compete for the duty. Others
+# compete within half a second.
+SLOW_BACK_OFF_MS = 2_000
+
 # Interval between two removals of ended jobs that have expired.
 EXPIRY_INTERVAL_MS = 1_000
 
@@ -101,9 +107,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Tick:
-    """Timer: run the periodic work of the term with this token."""
+    """Timer: run the periodic work of the term with this token, due at `due_ms`."""
 
     token: int
+    due_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +161,7 @@
         self._next_load_ms = 0
         self._next_expiry_ms = 0
         self._is_dispatch_queued = False
+        self._lag = LoopLag(0, 0)
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Create the action sender; a term begins with the first `DutyHeld`."""
@@ -179,8 +187,8 @@
                 self._handle_request(message)
             case _Dispatch():
                 self._dispatch()
-            case _Tick(token=token):
-                self._tick(token)
+            case _Tick():
+                self._tick(message)
             case PrefixListed(prefix=prefix, items=items):
                 self._handle_listed(prefix, items)
             case PrefixChanged(prefix=prefix, items=items):
@@ -304,13 +312,14 @@
         self._context.send("ledger", OpenLedger(fence, self._loader.revisions))
         self._scheduler = self._loader.load(term)
         self._phase = Phase.ACTIVE
+        self._lag = LoopLag(now_ms, now_ms)
         extra = {
             "token": self._token,
             "jobs": len(self._scheduler.jobs.by_id),
             "hosts": len(self._scheduler.hosts.by_id),
         }
         log.info("scheduling", extra=extra)
-        self._tick(self._token)
+        self._tick(_Tick(self._token, now_ms))
 
     def _end(self, reason: str) -> None:
         if self._phase is Phase.IDLE:
@@ -330,8 +339,8 @@
         self._context.send("ledger", CloseLedger())
         self._context.send("machines", SchedulingEnded())
 
-    def _tick(self, token: int) -> None:
-        if self._scheduler is None or token != self._token:
+    def _tick(self, timer: _Tick) -> None:
+        if self._scheduler is None or timer.token != self._token:
             return
         self._update_time()
         now_ms = self._scheduler.term.now_ms
@@ -339,6 +348,12 @@
             self._end("the store could not be reached for too long")
             self._context.send(self._duty_service, ReleaseDuty(self._token))
             return
+        self._lag = self._lag.after_tick(max(now_ms - timer.due_ms, 0), now_ms)
+        if self._lag.must_hand_over(now_ms) and not self._unconfirmed_until_ms:
+            self._end("this host is too slow")
+            self._context.send("roster", PostponeCompetition(SLOW_BACK_OFF_MS))
+            self._context.send(self._duty_service, ReleaseDuty(self._token))
+            return
         self._scheduler.tick()
         self._finish_event()
         if self._scheduler is None:
@@ -351,7 +366,8 @@
             self._scheduler.jobs.remove_expired()
             self._finish_event()
         if self._scheduler is not None:
-            self._context.set_timer(TICK_MS, _Tick(token))
+            due_ms = self._context.clock.now_ms() + TICK_MS
+            self._context.set_timer(TICK_MS, _Tick(timer.token, due_ms))
 
     def _describe(self, req: DescribeScheduling) -> None:
         view: SchedulingView | JobView | None = None
--- a/tests/duties/test_election_delay.py
+++ b/tests/duties/test_election_delay.py
@@ -9,6 +9,7 @@
 from guavapin.duties.holder_tracker import MAX_JITTER_MS
 from guavapin.duties.holder_tracker import HolderTrackerTask
 from guavapin.duties.messages import AcquireDuty
+from guavapin.duties.messages import PostponeCompetition
 from guavapin.kernel.harness import TaskHarness
 from guavapin.keyvalue.follower import PrefixListed
 
@@ -45,5 +46,19 @@
     assert count_acquisitions(harness) == 1
 
 
+def test_a_host_that_has_handed_over_leaves_the_duty_to_others() -> None:
+    # Guards against a slow host that takes the duty back at once. It competes later on,
+    # in case no other host does.
+    task = HolderTrackerTask("duty/d", "duty_d", ())
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(PostponeCompetition(2_000))
+    task.handle(PrefixListed("duty/d", ()))
+    harness.advance(1_999)
+    assert count_acquisitions(harness) == 0
+    harness.advance(2_000)
+    assert count_acquisitions(harness) > 0
+
+
 def count_acquisitions(harness: TaskHarness) -> int:
     return sum(isinstance(row.message, AcquireDuty) for row in harness.take_sent())
--- a/tests/scheduling/test_task.py
+++ b/tests/scheduling/test_task.py
@@ -4,6 +4,7 @@
 
 from guavapin.duties.messages import DutyHeld
 from guavapin.duties.messages import DutyLost
+from guavapin.duties.messages import PostponeCompetition
 from guavapin.duties.messages import ReleaseDuty
 from guavapin.jobs.calls import CountWaiting
 from guavapin.kernel.harness import TaskHarness
@@ -12,6 +13,7 @@
 from guavapin.keyvalue.follower import PrefixChanged
 from guavapin.keyvalue.follower import PrefixListed
 from guavapin.ledger.messages import LedgerFenced
+from guavapin.scheduling.loop_lag import MIN_TERM_MS
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import KnownScheduler
@@ -163,3 +165,16 @@
             task.handle(KnownScheduler("h:1", "other", 8))
         sent = [row.message for row in harness.take_sent()]
         assert any(isinstance(message, SchedulingEnded) for message in sent)
+
+
+def test_a_scheduler_on_a_slow_host_releases_the_duty_and_does_not_retake_it() -> None:
+    # Guards against a slow host that keeps the duty through a turn of demand.
+    _, harness = begin()
+    harness.advance(MIN_TERM_MS)
+    harness.take_sent()
+    for _ in range(8):
+        harness.clock.advance(200)
+        harness.advance(50)
+    sent = [(row.service, row.message) for row in harness.take_sent()]
+    assert ("duty_scheduler", ReleaseDuty(7)) in sent
+    assert any(isinstance(message, PostponeCompetition) for _, message in sent)
