Hand the duty over when the event loop has no idle time

Change: the event loop counts the time for which it waits for events. This replaces the lateness of ticks.

--- a/src/guavapin/kernel/event_loop.py
+++ b/src/guavapin/kernel/event_loop.py
@@ -44,6 +44,7 @@
         self._timer_ids = itertools.count(1)
         self._running = True
         self._now_ms = clock.now_ms()
+        self._idle_ms = 0
         self._wake_receiver, self._wake_sender = socket.socketpair()
         self._wake_receiver.setblocking(False)
         self._wake_sender.setblocking(False)
@@ -58,6 +59,10 @@
         self._inbox.append(item)
         self._wake()
 
+    def idle_ms(self) -> int:
+        """Return for how many milliseconds the loop has waited for events so far."""
+        return self._idle_ms
+
     def post_local(self, task: Task, message: object) -> None:
         """Queue a message from a task of this loop."""
         self._local_queue.append((task, message))
@@ -127,8 +132,11 @@
                 raise InvariantError(f"loop {self.name}: wake socket failed") from exc
 
     def _iterate(self) -> None:
-        ready = self._selector.select(self._timeout_s())
+        timeout_s = self._timeout_s()
+        waits_since_ms = self.clock.now_ms()
+        ready = self._selector.select(timeout_s)
         self._now_ms = self.clock.now_ms()
+        self._idle_ms += self._now_ms - waits_since_ms
         for key, events in ready:
             callback = self._callbacks.get(key.fd)
             if callback is not None:
--- a/src/guavapin/kernel/harness.py
+++ b/src/guavapin/kernel/harness.py
@@ -32,6 +32,8 @@
     def __init__(self, task: Task, start_ms: int = 0) -> None:
         self.clock = ManualClock(start_ms)
         self.sent: list[Sent] = []
+        # Time that the loop has spent on work; it has been idle for the rest.
+        self.busy_ms = 0
         self.watched: dict[int, Callable[[int], None]] = {}
         self._task = task
         self._timers: dict[int, tuple[int, object]] = {}
@@ -45,6 +47,10 @@
         """Return the manual time in milliseconds."""
         return self.clock.now_ms()
 
+    def idle_ms(self) -> int:
+        """Return the manual time without the time spent on work."""
+        return self.now_ms() - self.busy_ms
+
     def send(self, service: str, message: object) -> None:
         """Record a message."""
         self.sent.append(Sent(service, message))
--- a/src/guavapin/kernel/kernel.py
+++ b/src/guavapin/kernel/kernel.py
@@ -45,6 +45,7 @@
         self._task = task
         self._loop = loop
         self.now_ms = loop.now_ms
+        self.idle_ms = loop.idle_ms
         self.watch = loop.watch
         self.unwatch = loop.unwatch
         self.cancel_timer = loop.cancel_timer
--- a/src/guavapin/kernel/task.py
+++ b/src/guavapin/kernel/task.py
@@ -45,6 +45,10 @@
         """Return monotonic time in milliseconds, read once per loop iteration."""
         ...
 
+    def idle_ms(self) -> int:
+        """Return for how many milliseconds the loop has waited for events so far."""
+        ...
+
     def send(self, service: str, message: object) -> None:
         """Queue `message` for `service`; an unknown name is a broken invariant."""
         ...
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -34,7 +34,7 @@
 from guavapin.scheduling.handover import HANDOVER_PREFIX
 from guavapin.scheduling.handover import collect_hosts
 from guavapin.scheduling.handover_codec import encode_handover
-from guavapin.scheduling.loop_lag import LoopLag
+from guavapin.scheduling.loop_load import LoopLoad
 from guavapin.scheduling.messages import AdviceReply
 from guavapin.scheduling.messages import CordonHosts
 from guavapin.scheduling.messages import DescribeScheduling
@@ -128,10 +128,9 @@
 
 @dataclass(frozen=True, slots=True)
 class _Tick:
-    """Timer: run the periodic work of the term with this token, due at `due_ms`."""
+    """Timer: run the periodic work of the term with this token."""
 
     token: int
-    due_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,7 +188,7 @@
         self._next_load_ms = 0
         self._next_expiry_ms = 0
         self._is_dispatch_queued = False
-        self._lag = LoopLag(0, 0)
+        self._loop_load = LoopLoad(0, 0, 0, 0)
         # Sent to the duty's task once the runs that are handed over are stored.
         self._release_message: RetireFromDuty | ReleaseDuty | None = None
 
@@ -217,8 +216,8 @@
                 self._handle_request(message)
             case _Dispatch():
                 self._dispatch()
-            case _Tick():
-                self._tick(message)
+            case _Tick(token=token):
+                self._tick(token)
             case PrefixListed(prefix=prefix, items=items):
                 self._handle_listed(prefix, items)
             case PrefixChanged(prefix=prefix, items=items):
@@ -348,14 +347,15 @@
         self._context.send("ledger", OpenLedger(fence, self._loader.revisions))
         self._scheduler = self._loader.load(term)
         self._phase = Phase.ACTIVE
-        self._lag = LoopLag(now_ms, now_ms)
+        idle_ms = self._context.idle_ms()
+        self._loop_load = LoopLoad(now_ms, now_ms, idle_ms, now_ms)
         extra = {
             "token": self._token,
             "jobs": len(self._scheduler.jobs.by_id),
             "hosts": len(self._scheduler.hosts.by_id),
         }
         log.info("scheduling", extra=extra)
-        self._tick(_Tick(self._token, now_ms))
+        self._tick(self._token)
 
     def _hand_over(self, reason: str, release: RetireFromDuty | ReleaseDuty) -> None:
         """End the term, store what runs for the successor, and release the duty."""
@@ -396,8 +396,8 @@
         self._context.send("ledger", CloseLedger())
         self._context.send("machines", SchedulingEnded())
 
-    def _tick(self, timer: _Tick) -> None:
-        if self._scheduler is None or timer.token != self._token:
+    def _tick(self, token: int) -> None:
+        if self._scheduler is None or token != self._token:
             return
         self._update_time()
         now_ms = self._scheduler.term.now_ms
@@ -405,8 +405,8 @@
             self._end("the store could not be reached for too long")
             self._context.send(self._duty_service, ReleaseDuty(self._token))
             return
-        self._lag = self._lag.after_tick(max(now_ms - timer.due_ms, 0), now_ms)
-        if self._lag.must_hand_over(now_ms) and not self._unconfirmed_until_ms:
+        self._loop_load = self._loop_load.after(self._context.idle_ms(), now_ms)
+        if self._loop_load.must_hand_over(now_ms) and not self._unconfirmed_until_ms:
             self._context.send("roster", PostponeCompetition(SLOW_BACK_OFF_MS))
             self._hand_over("this host is too slow", ReleaseDuty(self._token))
             return
@@ -422,8 +422,7 @@
             self._scheduler.jobs.remove_expired()
             self._finish_event()
         if self._scheduler is not None:
-            due_ms = self._context.clock.now_ms() + TICK_MS
-            self._context.set_timer(TICK_MS, _Tick(timer.token, due_ms))
+            self._context.set_timer(TICK_MS, _Tick(token))
 
     def _describe(self, req: DescribeScheduling) -> None:
         view: SchedulingView | JobView | None = None
--- a/src/guavapin_bench/policies_loop.py
+++ b/src/guavapin_bench/policies_loop.py
@@ -164,6 +164,10 @@
         """Cancel a timer."""
         self._live_timers.discard(handle.timer_id)
 
+    def idle_ms(self) -> int:
+        """Return the simulated time, since work takes none."""
+        return self.now_ms()
+
     def watch(self, fd: int, events: int, callback: Callable[[int], None]) -> None:
         """Do nothing: there are no sockets."""
 
--- a/src/guavapin_matrix/simulation.py
+++ b/src/guavapin_matrix/simulation.py
@@ -159,6 +159,10 @@
         self._node.loop.observe()
         return self.clock.now_ms()
 
+    def idle_ms(self) -> int:
+        """Return the simulated time, since work takes none."""
+        return self.clock.now_ms()
+
     def send(self, service: str, message: object) -> None:
         """Send a message to a service of this process or to an external one."""
         self._node.send(self._service, service, message)
--- a/tests/kernel/test_event_loop.py
+++ b/tests/kernel/test_event_loop.py
@@ -15,6 +15,8 @@
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
 from guavapin.kernel import TaskContext
+from guavapin.kernel.clock import ManualClock
+from guavapin.kernel.event_loop import EventLoop
 from guavapin.kernel.outcome import InvariantError
 
 if TYPE_CHECKING:
@@ -135,6 +137,21 @@
     kernel.stop()
 
 
+def test_work_is_not_counted_as_idle_time() -> None:
+    # Guards against a saturated loop that looks idle, so that a slow host keeps a duty.
+    clock = ManualClock(0)
+    loop = EventLoop("main", clock)
+
+    def work() -> None:
+        clock.advance(500)
+        loop.stop()
+
+    loop.post(work)
+    loop.run()
+    loop.close()
+    assert loop.idle_ms() == 0
+
+
 def test_watched_socket_wakes_the_blocked_loop(kernel, log):
     task = RecordingTask("a", log)
     left, right = socket.socketpair()
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -99,6 +99,9 @@
     def now_ms(self) -> int:
         return self.clock.now_ms()
 
+    def idle_ms(self) -> int:
+        return self.clock.now_ms()
+
     def send(self, service: str, message: object) -> None:
         self.node.queue.append((service, message))
 
