Start copies beside the runs of silent hosts

Cause: a subtask on a host that is cut off or has crashed silently waits until the host answers or its lease ends after 6.4 s, also where its step allows copies; a successor held up such steps of inherited jobs with all others.

Change: if a host has not answered an order, the subtasks of steps that allow copies may start once more on another host; the first copy that ends counts. A successor does not hold these steps up.

--- a/src/guavapin/jobs/model.py
+++ b/src/guavapin/jobs/model.py
@@ -81,6 +81,11 @@
     is_filler: bool = False
     may_be_absent: int | None = None
 
+    @property
+    def allows_copies(self) -> bool:
+        """Return whether several runs of a subtask may work at the same time."""
+        return self.is_speculative and not self.is_gang
+
     @property
     def reserved(self) -> Resources:
         """Return the resources that a subtask reserves on its host.
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -113,9 +113,10 @@
         shortage = Shortage()
         started = []
         for step_run in self._waiting.candidates(pool, lambda: room.max_free_cpu):
-            if step_run.job_run.is_inherited and is_unresolved:
-                continue
             step = step_run.step
+            is_held_up = step_run.job_run.is_inherited and is_unresolved
+            if is_held_up and not step.allows_copies:
+                continue
             if step.reserved.cpu_millis > room.max_free_cpu and self._rules.needs_room(
                 step_run
             ):
--- a/src/guavapin/scheduling/run_supervisor.py
+++ b/src/guavapin/scheduling/run_supervisor.py
@@ -9,6 +9,7 @@
 from guavapin.scheduling.placement import choose_host
 from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.supervision import RunView
+from guavapin.scheduling.supervision import copies_needed
 from guavapin.scheduling.supervision import pace_changes
 from guavapin.scheduling.supervision import stalled_runs
 
@@ -24,8 +25,8 @@
 log = logging.getLogger("guavapin.scheduling")
 
 
-class StepLookup(Protocol):
-    """Finds the steps of runs, the pools of jobs and the expected run times."""
+class Supervised(Protocol):
+    """Finds the steps of runs, their pools and run times, and starts copies."""
 
     @property
     def run_times(self) -> RunTimes:
@@ -40,17 +41,21 @@
         """Return the pool that runs a job at present."""
         ...
 
+    def start_copy(self, step_run: StepRun, index: int) -> None:
+        """Start a subtask once more as soon as a host has room for it."""
+        ...
+
 
 class RunSupervisor:
     """Applies the rules of `supervision` to the hosts of a term."""
 
-    def __init__(self, term: Term, hosts: HostTable, scheduler: StepLookup) -> None:
+    def __init__(self, term: Term, hosts: HostTable, scheduler: Supervised) -> None:
         self._term = term
         self._hosts = hosts
         self._scheduler = scheduler
 
     def supervise(self, host: Host) -> None:
-        """Stop stalled runs, pace fillers, and evacuate the host if it is draining.
+        """Stop stalled runs, start copies, pace fillers, and evacuate a draining host.
 
         A host with a stalled run is set aside, so that the subtask starts on another.
         """
@@ -69,6 +74,12 @@
             log.info("run stalled", extra=extra)
             host.set_aside(self._term.now_ms)
             self._hosts.stop(run)
+        for view in copies_needed(host, views):
+            index = view.run.subtask.index
+            extra = {"job": view.run.subtask.job_id, "executor": host.executor_id}
+            if index not in view.step_run.waiting:
+                log.info("copy requested", extra={**extra, "index": index})
+                self._scheduler.start_copy(view.step_run, index)
         host.has_fillers = any(view.step_run.step.is_filler for view in views)
         if host.has_fillers:
             for run, percent in pace_changes(views, self._term.now_ms):
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -130,6 +130,13 @@
                     self.hosts.stop(run)
         self._needs_dispatch = True
 
+    def start_copy(self, step_run: StepRun, index: int) -> None:
+        """Start a subtask once more as soon as a host has room for it."""
+        if step_run in self.steps:
+            step_run.waiting.add(index)
+            self._dispatcher.add(step_run)
+            self._needs_dispatch = True
+
     def adopt(self, host: Host, row: RunningRow) -> None:
         """Adopt a run that an earlier scheduler started, or stop it if not needed.
 
--- a/src/guavapin/scheduling/supervision.py
+++ b/src/guavapin/scheduling/supervision.py
@@ -1,4 +1,4 @@
-"""Rules for running subtasks: which runs have stalled, and how fast fillers may work.
+"""Rules for running subtasks: stalls, copies beside silent runs, paces of fillers.
 
 Each function decides from the state that it is given, and changes nothing.
 """
@@ -73,6 +73,25 @@
     ]
 
 
+def copies_needed(host: Host, views: Iterable[RunView]) -> list[RunView]:
+    """Return the runs of a host beside which a copy of their subtask starts.
+
+    Answers the load pattern of a partition, or of hosts that crash silently: their jobs
+    would wait until the hosts answer or the leases end. Only steps that allow copies
+    take part, and a subtask has two wanted runs at most.
+    """
+    if not host.unanswered:
+        return []
+    return [
+        view
+        for view in views
+        if view.step_run.step.allows_copies
+        and view.run.is_wanted
+        and view.run.subtask.index not in view.step_run.done
+        and len(view.step_run.wanted_runs(view.run.subtask.index)) == 1
+    ]
+
+
 def pace_changes(views: Iterable[RunView], now_ms: int) -> list[tuple[Run, int]]:
     """Return the fillers of one host whose pace changes, with the new pace in percent.
 
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -37,9 +37,10 @@
         unresolved = self._hosts.unresolved_pools()
         for step_run in sorted(self._steps, key=self._rules.position):
             pool = self._rules.pool_of(step_run)
-            if not step_run.waiting or (
-                step_run.job_run.is_inherited and pool in unresolved
-            ):
+            is_held_up = step_run.job_run.is_inherited and pool in unresolved
+            if not step_run.waiting:
+                continue
+            if is_held_up and not step_run.step.allows_copies:
                 continue
             hosts = [
                 host
--- a/tests/scheduling/test_dispatcher.py
+++ b/tests/scheduling/test_dispatcher.py
@@ -87,6 +87,7 @@
             is_gang=kind == "gang",
             is_long_running=kind == "lasting",
             is_filler=kind == "filler",
+            is_speculative=rng.random() < 0.3,
             is_tightly_coupled=rng.random() < 0.2,
             preferred_rack=rng.choice(("", "", "r1", "elsewhere")),
             required_label=rng.choice(("", "", "", "gpu")),
--- a/tests/scheduling/test_supervision.py
+++ b/tests/scheduling/test_supervision.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+from guavapin.executors.model import EndKind
+from guavapin.jobs.model import JobState
 from guavapin.jobs.model import Step
 from guavapin.jobs.queues import AdviceTerms
 from guavapin.scheduling.job_run import JobRun
@@ -100,3 +102,40 @@
     sim.advance(1_000)
     ((moved, second),) = sim.running()
     assert moved == subtask and second != first
+
+
+def test_a_copy_starts_beside_the_run_of_a_silent_host() -> None:
+    # Guards against jobs that wait for the end of a partition although their steps
+    # allow copies: in gagnon-jobs-large scale-1, a zone was cut off for six seconds.
+    sim = Simulation([FakeExecutor("e1"), FakeExecutor("e2")])
+    sim.list_machines()
+    sim.advance(100)
+    steps = {"a" * 16: True, "b" * 16: False}
+    for job_id, is_speculative in steps.items():
+        step = Step(1, SMALL, estimate_ms=800, is_speculative=is_speculative)
+        sim.submit(make_job(job_id, step))
+    silent = sim.running()[0][1]
+    sim.executors[silent].is_reachable = False
+    sim.starts.clear()
+    sim.advance(1_500)
+    ((copy, host),) = sim.starts
+    assert copy.job_id == "a" * 16 and host != silent
+    sim.executors[host].end(copy, EndKind.DONE)
+    sim.advance(500)
+    assert sim.scheduler.jobs.by_id["a" * 16].state is JobState.SUCCEEDED
+    assert len(sim.starts) == 1
+
+
+def test_a_copy_of_an_inherited_subtask_starts_while_a_host_is_silent() -> None:
+    # Guards against a successor that holds up steps that allow copies.
+    sim = Simulation([FakeExecutor("e1"), FakeExecutor("e2")])
+    sim.list_machines()
+    sim.advance(100)
+    sim.submit(make_job("a" * 16, Step(1, SMALL, is_speculative=True)))
+    silent = sim.running()[0][1]
+    sim.executors[silent].is_reachable = False
+    sim.take_over(9)
+    sim.starts.clear()
+    sim.list_machines()
+    sim.advance(500)
+    assert [host != silent for _, host in sim.starts] == [True]
