Split the release of the duty and the queue rules from their users

Change: `DutyRelease` stores the runs that are handed over and releases the duty; `QueueRules` has a module of its own. Behaviour is the same.

Measured: tests/scheduling and the model of takeovers pass.

--- a/src/guavapin/scheduling/action_sender.py
+++ b/src/guavapin/scheduling/action_sender.py
@@ -33,8 +33,6 @@
         self._request_id = 0
         self._orders: dict[int, OrderContext] = {}
         self._fetches: dict[int, str] = {}
-        # Request of the record of a handover, 0 if no answer is awaited.
-        self._record_request = 0
 
     def clear(self) -> None:
         """Remove all unanswered orders and reads, since their term has ended."""
@@ -56,21 +54,10 @@
         request = kv.Get(self._service, self._request_id, f"{JOBS_PREFIX}{job_id}")
         self._context.send("platform", request)
 
-    def store(self, fence: kv.KeyRevision, record: kv.KeyValue) -> None:
-        """Send a write of the record of a handover to the store."""
+    def next_request_id(self) -> int:
+        """Return an id for a request that is sent by others in the service's name."""
         self._request_id += 1
-        self._record_request = self._request_id
-        request = kv.Transact(
-            self._service, self._request_id, (fence,), (record,), removes=()
-        )
-        self._context.send("platform", request)
-
-    def pop_record(self, request_id: int) -> bool:
-        """Return whether this is the request of the record of a handover."""
-        is_record = request_id == self._record_request
-        if is_record:
-            self._record_request = 0
-        return is_record
+        return self._request_id
 
     def send(self, action: Action) -> None:
         """Send the message for an action; the task handles `StepDown` itself."""
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -11,13 +11,13 @@
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.arrivals import Arrivals
 from guavapin.scheduling.dispatcher import Dispatcher
-from guavapin.scheduling.dispatcher import QueueRules
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
 from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.job_table import EndStored
 from guavapin.scheduling.job_table import JobTable
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.queue_rules import QueueRules
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.run_supervisor import RunSupervisor
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -29,11 +29,11 @@
 from guavapin.scheduling.action_sender import ActionSender
 from guavapin.scheduling.describe import describe_job
 from guavapin.scheduling.describe import describe_scheduling
+from guavapin.scheduling.duty_release import DutyRelease
+from guavapin.scheduling.duty_release import ReleaseTimeout
 from guavapin.scheduling.fleet_load import fleet_load
-from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import HANDOVER_PREFIX
 from guavapin.scheduling.handover import collect_hosts
-from guavapin.scheduling.handover_codec import encode_handover
 from guavapin.scheduling.loop_load import LoopLoad
 from guavapin.scheduling.messages import AdviceReply
 from guavapin.scheduling.messages import CordonHosts
@@ -77,10 +77,6 @@
 # process on a host with a better link can acquire it.
 READ_TIMEOUT_MS = 6_000
 
-# Time for which the release of the duty waits for the record of the runs to be stored.
-# A healthy store takes 4 ms.
-MAX_HANDOVER_MS = 100
-
 # Time for which a process that has become slow does not compete for the duty. Others
 # compete within half a second.
 SLOW_BACK_OFF_MS = 2_000
@@ -145,13 +141,6 @@
     token: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Release:
-    """Timer: release the duty, whether or not the runs are stored."""
-
-    token: int
-
-
 @dataclass(frozen=True, slots=True)
 class _RetryFetch:
     """Timer: repeat the read of a job that failed."""
@@ -189,13 +178,12 @@
         self._next_expiry_ms = 0
         self._is_dispatch_queued = False
         self._loop_load = LoopLoad(0, 0, 0, 0)
-        # Sent to the duty's task once the runs that are handed over are stored.
-        self._release_message: RetireFromDuty | ReleaseDuty | None = None
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Create the action sender; a term begins with the first `DutyHeld`."""
         self._context = context
         self._action_sender = ActionSender(context, self.name)
+        self._release = DutyRelease(context, self.name, self._duty_service, self._key)
         return Ok(None)
 
     def stop(self) -> None:
@@ -227,9 +215,7 @@
             case EntriesExisted(entries=entries):
                 self._handle_entries(entries, is_durable=False)
             case kv.Reply(request_id=request_id, outcome=outcome):
-                if self._action_sender.pop_record(request_id):
-                    self._release()
-                else:
+                if not self._release.finish(request_id):
                     self._handle_fetched(request_id, outcome)
             case _:
                 self._handle_term_event(message)
@@ -280,9 +266,8 @@
                 if token == self._token and self._phase is Phase.READING:
                     self._end("the lists were not read from the store in time")
                     self._context.send(self._duty_service, ReleaseDuty(token))
-            case _Release(token=token):
-                if token == self._token:
-                    self._release()
+            case ReleaseTimeout(request_id=request_id):
+                self._release.finish(request_id)
             case _RetryFetch(job_id=job_id):
                 if self._scheduler is not None:
                     self._action_sender.fetch(job_id)
@@ -290,7 +275,7 @@
                 raise InvariantError(f"scheduler: unexpected message {message!r}")
 
     def _handle_duty_held(self, token: int) -> None:
-        if self._release_message is not None:
+        if self._release.is_pending:
             # A renewal that was under way when the term ended.
             return
         was_unconfirmed = self._unconfirmed_until_ms > 0
@@ -364,19 +349,8 @@
             self._update_time()
             handed_hosts = collect_hosts(self._scheduler.hosts)
         self._end(reason)
-        self._release_message = release
-        if handed_hosts is None:
-            self._release()
-            return
-        fence = kv.KeyRevision(self._key, self._token)
-        record = kv.KeyValue(HANDOVER_KEY, encode_handover(handed_hosts))
-        self._action_sender.store(fence, record)
-        self._context.set_timer(MAX_HANDOVER_MS, _Release(self._token))
-
-    def _release(self) -> None:
-        if self._release_message is not None:
-            self._context.send(self._duty_service, self._release_message)
-            self._release_message = None
+        request_id = self._action_sender.next_request_id()
+        self._release.begin(release, request_id, self._token, handed_hosts)
 
     def _end(self, reason: str) -> None:
         if self._phase is Phase.IDLE:
@@ -495,8 +469,8 @@
     def _finish_event(self) -> None:
         """Send the actions of an event, and queue a dispatch if one is needed.
 
-        A dispatch goes through all waiting steps. It runs after the messages that are
-        already queued, so that answers which arrive together share one dispatch.
+        The dispatch runs after the messages that are already queued, so that answers
+        which arrive together share it.
         """
         if self._scheduler is None:
             return
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -11,10 +11,10 @@
 from guavapin.scheduling.starter import Starter
 
 if TYPE_CHECKING:
-    from guavapin.scheduling.dispatcher import QueueRules
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.term import Term
 
 
--- a/tests/scheduling/test_task.py
+++ b/tests/scheduling/test_task.py
@@ -14,6 +14,7 @@
 from guavapin.keyvalue.follower import PrefixChanged
 from guavapin.keyvalue.follower import PrefixListed
 from guavapin.ledger.messages import LedgerFenced
+from guavapin.scheduling.duty_release import MAX_HANDOVER_MS
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import HANDOVER_PREFIX
 from guavapin.scheduling.loop_load import MIN_TERM_MS
@@ -28,7 +29,6 @@
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.task import FETCH_RETRY_MS
 from guavapin.scheduling.task import FOLLOW_INBOX
-from guavapin.scheduling.task import MAX_HANDOVER_MS
 from guavapin.scheduling.task import TICK_MS
 from guavapin.scheduling.task import HandOver
 from guavapin.scheduling.task import SchedulerTask
