Bound the open jobs of each queue, and spread the returns of rejected callers

Cause: one limit of 10,000 open jobs held for all queues, so that a burst in one of them turned away the jobs of all others, and every rejected caller was told to return after two seconds, together.

Change: `admission` decides. A queue may have as many open jobs as there are free places, so that one queue alone gets half of them. A rejected caller returns after the time in which jobs end, from 1 s to 10 s, spread by a quarter. A job counts from its submission to its final state; the log line of a rejection has the queue, its open jobs and the time.

--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -17,6 +17,7 @@
 from guavapin.jobs.calls import WaitingIs
 from guavapin.jobs.model import JobState
 from guavapin.ledger.ledger import Entry
+from guavapin.scheduling.admission import Admission
 from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.messages import AnswerCall
 from guavapin.scheduling.messages import FetchJob
@@ -38,16 +39,9 @@
     from guavapin.scheduling.record import Progress
     from guavapin.scheduling.term import Term
 
-# Limit of jobs that have not ended. At about 2 kB each they take at most 20 MB.
-MAX_OPEN_JOBS = 10_000
-
 # Maximum age that a takeover restores for an open job; jobs of this age are all late.
 MAX_INHERITED_AGE_MS = 60_000
 
-# Time after which a caller may retry a job that was rejected because of
-# `MAX_OPEN_JOBS`.
-OVERLOAD_RETRY_AFTER_MS = 2_000
-
 log = logging.getLogger("guavapin.scheduling.jobs")
 
 
@@ -103,7 +97,7 @@
         self._ended: dict[str, EndedJob] = {}
         self._term = term
         self._listener = listener
-        self._open_count = 0
+        self._admission = Admission()
         self._submissions: dict[str, list[JobRequest]] = {}
         self._cancellations: dict[str, list[JobRequest]] = {}
         # Jobs that another process has stored and that are being read from the store.
@@ -127,7 +121,7 @@
             if job.job_id in progress:
                 job_run.restore(progress[job.job_id])
             self.by_id[job.job_id] = job_run
-            self._open_count += 1
+            self._admission.add(job)
             self._listener.job_opened(job_run)
 
     def handle_request(self, req: JobRequest) -> None:
@@ -170,6 +164,8 @@
             log.info("job found in the store", extra={"job": job_id})
             self.open_stored(job)
         submissions = self._submissions.pop(job_id, [])
+        if job_id not in self.by_id:
+            self._admission.remove(job_id, self._term.now_ms)
         for req in submissions:
             answer = Accepted() if job is not None else Rejected("try again")
             self._answer(req, answer)
@@ -201,7 +197,7 @@
         """Open a job whose entry the store holds."""
         job_run = JobRun(job, self._term.now_ms, is_inherited=False)
         self.by_id[job.job_id] = job_run
-        self._open_count += 1
+        self._admission.add(job)
         extra = {"job": job.job_id, "queue": job.queue, "steps": len(job.steps)}
         log.info("job accepted", extra=extra)
         self._listener.job_opened(job_run)
@@ -225,7 +221,7 @@
             return
         job_run.state = state
         job_run.ended_wall_ms = self._term.wall_ms
-        self._open_count -= 1
+        self._admission.remove(job_run.job.job_id, self._term.now_ms)
         extra = {
             "job": job_run.job.job_id,
             "state": state.value,
@@ -256,13 +252,18 @@
             self._answer(req, Accepted())
         elif job.job_id in self._submissions:
             self._submissions[job.job_id].append(req)
-        elif self._open_count + len(self._submissions) >= MAX_OPEN_JOBS:
-            log.info("job refused", extra={"job": job.job_id, "open": self._open_count})
-            self._answer(
-                req, Rejected("too many jobs are open", OVERLOAD_RETRY_AFTER_MS)
-            )
+        elif rejection := self._admission.rejection(job, self._term.now_ms):
+            extra = {
+                "job": job.job_id,
+                "queue": job.queue,
+                "open": self._admission.open_in_queue(job.queue),
+                "retry_after_ms": rejection.retry_after_ms,
+            }
+            log.info("job refused", extra=extra)
+            self._answer(req, rejection)
         else:
             self._submissions[job.job_id] = [req]
+            self._admission.add(job)
             key = f"{JOBS_PREFIX}{job.job_id}"
             entry = Entry(key, encode_job(job), (JobStored(job),), is_create=True)
             self._store(entry, is_urgent=True)
