Start no lost subtask again while the lease is unconfirmed

Found by reading: a scheduler that was cut off with its zone goes on with an unconfirmed lease. When the cut ends, it may see, before its successor's token, that executors of other zones have ended (list of machines, registry, or another executor at an address). It then started their subtasks again in its own zone, although the successor had seen them done.

Change: while the lease is unconfirmed, the end of an executor is deferred until the lease is confirmed or the term ends.

Measured: both cases of the new test start the subtask again without the change.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -93,6 +93,8 @@
         self._listed_pools: dict[str, str] | None = None
         # Result of `unresolved_pools`, None after a change that may affect it.
         self._unresolved: set[str] | None = None
+        # Hosts whose executors have ended while the lease was unconfirmed.
+        self._deferred_ends: dict[Host, str] = {}
         self._term = term
         self._handler = handler
 
@@ -132,7 +134,14 @@
             self._remove_if_empty(host)
 
     def end_incarnation(self, host: Host, reason: str) -> None:
-        """Remove a host whose executor has ended, and all runs on it."""
+        """Remove a host whose executor has ended, and all runs on it.
+
+        While the lease is unconfirmed, this is deferred: a successor may have seen the
+        ends of these runs, and their subtasks must not start again.
+        """
+        if self._term.is_unconfirmed:
+            self._deferred_ends[host] = reason
+            return
         self._delete(host)
         extra = {"executor": host.executor_id, "reason": reason, "runs": len(host.runs)}
         log.info("host gone", extra=extra)
@@ -179,6 +188,10 @@
     def tick(self) -> None:
         """Poll due hosts, remove the runs of ended leases, and repeat due stops."""
         now_ms = self._term.now_ms
+        if self._deferred_ends and not self._term.is_unconfirmed:
+            ended, self._deferred_ends = self._deferred_ends, {}
+            for host, reason in ended.items():
+                self.end_incarnation(host, reason)
         for host in [*self.by_id.values()]:
             if not host.is_poll_pending and now_ms >= host.next_poll_ms:
                 self._poll_if_needed(host)
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -17,6 +17,7 @@
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
 from guavapin.scheduling.messages import JobRequest
+from guavapin.scheduling.messages import MachinesListed
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
@@ -324,3 +325,30 @@
                 executor.end(subtask, EndKind.DONE)
     sim.advance(1_000)
     assert {state(sim, job.job_id) for job in jobs} == {JobState.SUCCEEDED}
+
+
+@pytest.mark.parametrize("evidence", ["list of machines", "registry"])
+def test_runs_of_an_ended_executor_wait_while_the_lease_is_unconfirmed(
+    sim: Simulation, evidence: str
+) -> None:
+    # Guards against a second run after a partition: a scheduler without a confirmed
+    # lease sees that executors of other zones have ended, and starts their subtasks
+    # again, although its successor has seen them done.
+    sim.submit(make_job("a" * 16, Step(1, SMALL)))
+    ((subtask, name),) = sim.running()
+    sim.scheduler.term.is_unconfirmed = True
+    executor = sim.executors[name]
+    executor.running.clear()
+    executor.is_reachable = False
+    sim.starts.clear()
+    if evidence == "registry":
+        executor.born_ms += 1
+        sim.scheduler.hosts.register(executor.registration())
+    else:
+        pools = tuple((other, "pool") for other in sim.executors if other != name)
+        sim.scheduler.apply_machines(MachinesListed(pools, (name,)))
+    sim.advance(1_000)
+    assert sim.starts == []
+    sim.scheduler.term.is_unconfirmed = False
+    sim.advance(500)
+    assert [started for started, _ in sim.starts] == [subtask]
