Drain a wave's machines while a successor may not order them yet

For three seconds a successor orders no machine to maintenance, since one that its predecessor ordered last may be down before the list shows it. Meanwhile only two of the machines left were drained. The others had long-running work, which leaves a host one subtask at a time; the first was ordered at 24 s, the last at 30 s, and the wave was due at 26.5 s.

Change: machines with long-running work that the wave allows to go down are drained from the first load report on, at once if the wave is urgent. Orders come after the three seconds, as before.

Measured: the new test drains two machines without the change, five with it.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -215,8 +215,7 @@
             allowed = wave.disruptions_allowed(
                 self._machines.keys(), listed_down, now_ms
             )
-            if now_ms < self._waves_start_ms:
-                allowed = 0
+            may_order = now_ms >= self._waves_start_ms
             due = [
                 machine
                 for name in wave.remaining(self._machines.keys())
@@ -233,9 +232,11 @@
             # to go down.
             for position, machine in enumerate(due[: start_count + DRAIN_AHEAD]):
                 host = hosts.get(machine.executor_id)
-                if position >= start_count:
+                if position >= start_count or not may_order:
                     if host is not None and host.has_long_running:
                         draining.add(machine.name)
+                        if is_urgent and position < start_count:
+                            urgent.add(machine.name)
                 elif self._is_drained(machine, host):
                     maintenance[machine.name] = wave.wave.number
                     self._record_maintenance_order(
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -277,3 +277,18 @@
         planner.add_wave(wave, BEGIN_MS)
         plan = planner.plan(report, TABLE, BEGIN_MS + 1_000)
         assert plan.cordon.urgent == (frozenset({"i-m"}) if is_urgent else frozenset())
+
+
+def test_a_successor_drains_the_machines_of_a_wave_before_it_may_order_them() -> None:
+    # Guards against the fault of gagnon-jobs-large inc-5ad2: for three seconds after a
+    # takeover no machine may be ordered, and only two of those left with long-running
+    # work were drained meanwhile, so that the wave was late.
+    names = tuple(f"m{number}" for number in range(6))
+    planner = Planner(TIMES, BEGIN_MS, frozenset())
+    planner.update_machines(tuple(machine(name, "a") for name in names), BEGIN_MS)
+    planner.add_wave(MaintenanceWave(1, names, 60_000, 5), BEGIN_MS)
+    hosts = [replace(host(name, "a", runs=1), has_long_running=True) for name in names]
+    hosts[0] = replace(hosts[0], has_long_running=False)
+    plan = planner.plan(load(*hosts), TABLE, BEGIN_MS + 100)
+    assert plan.maintenance == ()
+    assert plan.cordon.executor_ids == {f"i-{name}" for name in names[1:]}
