Test the record of shortages with steps that lack memory

Cause: since steps that need more processor time than any host has free are not visited, test_a_dispatch_does_not_search_for_each_waiting_step no longer reached the record of shortages: its check had become stricter, but it guarded less.

The first case still allows none.

Measured: with the record left out of the dispatch the new test fails and the first one passes; both pass with it.

--- a/tests/scheduling/test_shortage.py
+++ b/tests/scheduling/test_shortage.py
@@ -33,9 +33,8 @@
     assert not shortage.applies("pool", Step(1, MEDIUM))
 
 
-def test_a_dispatch_does_not_search_for_each_waiting_step(monkeypatch) -> None:
-    # Guards against slow dispatches: in gagnon-jobs-grown trouble-2, hundreds of steps
-    # waited, and each answer of a host caused a search over all hosts for each step.
+def count_searches(monkeypatch, blocking: Resources) -> int:
+    """Return the searches of one tick while 200 steps wait beside a blocking job."""
     searches = []
     choose = starter.choose_host
 
@@ -47,9 +46,22 @@
     sim = Simulation([FakeExecutor("e1"), FakeExecutor("e2")])
     sim.list_machines()
     sim.advance(100)
-    sim.submit(make_job("f" * 16, Step(2, HOST_CAPACITY)))
+    sim.submit(make_job("f" * 16, Step(2, blocking)))
     for number in range(200):
         sim.submit(make_job(f"{number:016x}", Step(1, MEDIUM)))
     searches.clear()
     sim.advance(50)
-    assert not searches
+    return len(searches)
+
+
+def test_a_dispatch_does_not_search_for_each_waiting_step(monkeypatch) -> None:
+    # Guards against slow dispatches: in gagnon-jobs-grown trouble-2, hundreds of steps
+    # waited, and each answer of a host caused a search over all hosts for each step.
+    assert count_searches(monkeypatch, HOST_CAPACITY) == 0
+
+
+def test_a_dispatch_searches_once_for_steps_that_lack_memory(monkeypatch) -> None:
+    # Guards against a search for each waiting step on hosts that have processor time
+    # left, which only the record of shortages prevents.
+    blocking = Resources(1_000, HOST_CAPACITY.memory_mb, 0)
+    assert count_searches(monkeypatch, blocking) == 1
