--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from world import Executor, route, run_case  # noqa: E402
+from world import Executor, noted_ends, route, run_case  # noqa: E402
 
 ATTEMPTS = 4
 OTHER = "/puxa500/"
@@ -17,9 +17,7 @@
 
 def find_over_budget(events) -> list[str]:
     """Return the starts after ATTEMPTS ends `failed` that are taken note of."""
-    noted = {
-        (e.executor, e.born, e.task, e.attempt) for e in events if e.kind == "noted"
-    }
+    noted = noted_ends(events)
     failed: dict[str, int] = {}
     broken = []
     for e in events:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -380,7 +380,10 @@
 
 @dataclass
 class RunEvent:
-    """An event of a run: start, end, noted (its end was acknowledged) or gone."""
+    """An event of a run: start, end, noted (its end was acknowledged) or gone.
+
+    `lapse` is the end of the executor's lease, whether anything runs there or not.
+    """
 
     at_ms: float
     kind: str
@@ -425,6 +428,7 @@
         self._boot = now_ms()
         self._token = 0
         self._until = 0.0
+        self._has_lapsed = True
         self._number = 0
         self.runs: dict[str, Run] = {}
         self._ends: list[list] = []
@@ -454,7 +458,9 @@
                 is_written = self._register()
                 pause_s = HEARTBEAT_S if is_written else REGISTER_RETRY_S
                 next_ms = now_ms() + pause_s * 1_000
-            if self.runs and self.clock() > self._until:
+            if not self._has_lapsed and self.clock() > self._until:
+                self._has_lapsed = True
+                self._world.event("lapse", self, "-", 0)
                 for run in [*self.runs.values()]:
                     self._end(run, "lapsed")
             await asyncio.sleep(0.02)
@@ -501,6 +507,7 @@
         if "deadline-ms" in call:
             until = min(call["deadline-ms"], self.clock() + MAX_HOLD_MS)
             self._until = max(self._until, until)
+            self._has_lapsed = self.clock() > self._until
         if name == "hold":
             return await self._hold(call)
         if name == "run-start":
@@ -864,6 +871,22 @@
     }
 
 
+def noted_ends(events: list[RunEvent]) -> set[tuple]:
+    """Return the ends that were taken note of before the executor's lease lapsed."""
+    ended: dict[tuple, float] = {}
+    lapsed: dict[tuple, float] = {}
+    noted = set()
+    for e in events:
+        life, key = (e.executor, e.born), (e.executor, e.born, e.task, e.attempt)
+        if e.kind == "end":
+            ended[key] = e.at_ms
+        elif e.kind == "lapse":
+            lapsed[life] = e.at_ms
+        elif e.kind == "noted" and lapsed.get(life, -1) <= ended[key]:
+            noted.add(key)
+    return noted
+
+
 def find_twice(events: list[RunEvent]) -> list[str]:
     """Return the breaks of TWICE, for steps that are not speculative.
 
@@ -872,10 +895,7 @@
     of that executor lapsed.
     """
     broken = []
-    noted = {
-        (e.executor, e.born, e.task, e.attempt) for e in events if e.kind == "noted"
-    }
-    lapsed = {(e.executor, e.born) for e in events if e.how == "lapsed"}
+    noted = noted_ends(events)
     running: dict[str, dict[tuple, float]] = {}
     done: dict[str, tuple] = {}
     for e in events:
@@ -888,7 +908,7 @@
                     f"since {since:.0f}"
                 )
             ended = done.get(e.task)
-            if ended and ended in noted and ended[:2] not in lapsed:
+            if ended and ended in noted:
                 broken.append(
                     f"{e.task} starts on {e.executor} (attempt {e.attempt}) at "
                     f"{e.at_ms:.0f} after attempt {ended[3]} ended done on {ended[0]}"
