Leave out registrations that no call can carry

Callers saw accepted jobs stay queued: an entry of another writer in the registry ended each process that scheduled, and each of its successors.

Cause: the decoder of registrations accepted any address with a colon before digits, and any id. libcurl raises for text outside ASCII or with a NUL, and a task that raises ends its process. The same path let a line break in an id add headers to a call, and took numbers of any size as clock, start and capacity.

Change: an entry is unusable unless its address is HOST:PORT with a port up to 65535, its id is printable ASCII and its numbers lie between 0 and 2**53. The HTTP client answers any other malformed call as not sent, so that no address from elsewhere can end the process.

--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -9,6 +10,8 @@
 
 import pycurl
 
+from guavapin.http.address import is_address
+from guavapin.http.address import is_header_value
 from guavapin.http.messages import AbortCalls
 from guavapin.http.messages import Answered
 from guavapin.http.messages import PeerCall
@@ -37,6 +40,8 @@
 # A long poll, a start and a stop may be in progress at one host at the same time.
 MAX_HOST_CONNECTIONS = 4
 
+log = logging.getLogger("guavapin.http")
+
 
 @dataclass(frozen=True, slots=True)
 class _NotAfter:
@@ -79,10 +84,7 @@
             if not self._is_stopped:
                 self._driver.on_timer()
         elif isinstance(message, PeerCall):
-            if self._is_stopped:
-                self._reply(message, Unanswered(False, "the client stopped"))
-            else:
-                self._send(message)
+            self._accept(message)
         elif isinstance(message, AbortCalls):
             self._abort(message.reply_to)
         elif isinstance(message, _NotAfter):
@@ -96,6 +98,21 @@
         self._driver.close()
         self._transfers.clear()
 
+    def _accept(self, call: PeerCall) -> None:
+        """Send a call, unless its address or a header cannot be put on the wire."""
+        if self._is_stopped:
+            self._reply(call, Unanswered(False, "the client stopped"))
+        elif not is_address(call.address):
+            self._refuse(call, "the address is malformed")
+        elif not all(is_header_value(value) for _, value in call.headers):
+            self._refuse(call, "a header value is malformed")
+        else:
+            self._send(call)
+
+    def _refuse(self, call: PeerCall, detail: str) -> None:
+        log.warning(detail, extra={"address": call.address, "path": call.path})
+        self._reply(call, Unanswered(False, detail))
+
     def _send(self, call: PeerCall) -> None:
         transfer = Transfer(
             call, is_sent_once=True, may_transmit=lambda: not self._is_overdue(call)
--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from guavapin.executors.model import Registration
+from guavapin.http.address import is_address
+from guavapin.http.address import is_header_value
 from guavapin.jobs.model import Resources
 from guavapin.jobs.queues import AdviceTerms
 from guavapin.jobs.queues import Pool
@@ -19,6 +21,10 @@
 REGISTRY_PREFIX = "servers/"
 WAVE_STATUS_PREFIX = "status/wave/"
 
+# Largest integer that every JSON number holds exactly. Numbers derived from a larger
+# one may not fit into the 64 bits to which encoded bodies are limited.
+MAX_NUMBER = 2**53
+
 
 class _Hint(msgspec.Struct, rename="kebab", frozen=True):
     decide_ms: float = 0
@@ -102,15 +108,17 @@
 def decode_registration(key: str, value: bytes) -> Registration | None:
     """Return an executor's registration, or None if it cannot be used.
 
-    An entry cannot be used if it is malformed, or its state is neither ready nor
-    draining.
+    An entry cannot be used if it is malformed, if its state is neither ready nor
+    draining, if its numbers are out of range, or if a call cannot carry its id or
+    address. Other writers may leave such entries in the registry.
     """
     entry = decode_body(value, _Server)
     executor_id = key.removeprefix(REGISTRY_PREFIX)
-    if entry is None or entry.state not in ("ready", "draining") or not executor_id:
+    if entry is None or entry.state not in ("ready", "draining"):
+        return None
+    if not executor_id or not is_header_value(executor_id):
         return None
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit():
+    if not is_address(entry.address) or not _are_numbers_in_range(entry):
         return None
     return Registration(
         executor_id=executor_id,
@@ -149,6 +157,18 @@
     return labels[1] if len(labels) > 1 else ""
 
 
+def _are_numbers_in_range(entry: _Server) -> bool:
+    capacity = entry.capacity
+    numbers = (
+        entry.born,
+        entry.clock_ms,
+        capacity.cpu,
+        capacity.mem_mb,
+        capacity.gpus,
+    )
+    return all(0 <= number <= MAX_NUMBER for number in numbers)
+
+
 def _decode_queue(route: _Route) -> Queue:
     hint = route.hint
     advice = None
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -140,3 +140,26 @@
     transfer = Transfer("owner", is_sent_once=True, may_transmit=lambda: False)
     assert transfer.on_transmission() == pycurl.PREREQFUNC_ABORT
     assert transfer.transmissions == 0
+
+
+@pytest.mark.parametrize(
+    ("address", "headers"),
+    [
+        ("\ufeff127.0.0.1:80", ()),
+        ("127.0.0.1\x00:80", ()),
+        ("127.0.0.1", ()),
+        ("127.0.0.1:80", (("X-Expect-Instance", "i-\u00e9"),)),
+        ("127.0.0.1:80", (("X-Expect-Instance", "i-1\r\nX: 1"),)),
+    ],
+)
+def test_a_malformed_call_is_refused(
+    site: Site, address: str, headers: tuple[tuple[str, str], ...]
+) -> None:
+    # Guards against an address or a header from outside that ends the process: libcurl
+    # raises for characters outside ASCII.
+    call = PeerCall("caller", 1, address, "GET", "/", b"", 500, headers)
+    site.kernel.deliver("http", call)
+    outcome = site.reply().outcome
+    assert isinstance(outcome, Unanswered) and not outcome.was_sent
+    assert outcome.detail.endswith("is malformed")
+    assert site.kernel.wait_for_failure(0) is None
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -247,6 +247,93 @@
         assert decode_registration("servers/i-1", as_bytes(broken)) is None
 
 
+USABLE_ENTRY = {
+    "service": "huvo11a",
+    "address": "10.0.0.7:8080",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpus": 0},
+    "labels": ["a", "r1-3"],
+    "clock-ms": 482113,
+    "born": 17,
+}
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "\ufeff10.0.0.7:8080",
+        "[::1%r\u00e9seau]:8080",
+        "10.0.0.7\x00:8080",
+        "10.0.0.7 :8080",
+        "10.0.0.7\r\nX-Header: 1:8080",
+        "user@10.0.0.7:8080",
+        "10.0.0.7/path:8080",
+        "10.0.0.7:\u00b2",
+        "10.0.0.7:0",
+        "10.0.0.7:65536",
+        "10.0.0.7:" + "9" * 5_000,
+    ],
+)
+def test_an_entry_with_a_malformed_address_is_unusable(address: str) -> None:
+    # Guards against an entry of another writer whose address libcurl rejects: the
+    # exception ended every process that scheduled.
+    assert decode_registration("servers/i-1", as_bytes(USABLE_ENTRY)) is not None
+    entry = {**USABLE_ENTRY, "address": address}
+    assert decode_registration("servers/i-1", as_bytes(entry)) is None
+
+
+@pytest.mark.parametrize("address", ["worker-7.example:80", "[fe80::1%eth0]:65535"])
+def test_host_names_and_ipv6_addresses_are_usable(address: str) -> None:
+    # Guards against a check of addresses that leaves out executors.
+    entry = {**USABLE_ENTRY, "address": address}
+    assert decode_registration("servers/i-1", as_bytes(entry)) is not None
+
+
+@pytest.mark.parametrize("executor_id", ["", "i-\u00e9", "i-1\x00", "i-1\r\nX: 1"])
+def test_an_entry_whose_id_no_header_can_carry_is_unusable(executor_id: str) -> None:
+    # Guards against an id that ends the process, or that adds a header to the calls.
+    body = as_bytes(USABLE_ENTRY)
+    assert decode_registration(f"servers/{executor_id}", body) is None
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        {"born": 2**70},
+        {"born": -1},
+        {"clock-ms": 1e300},
+        {"clock-ms": -1},
+        {"capacity": {"cpu": 1e300}},
+        {"capacity": {"cpu": 16000, "mem-mb": -1}},
+        {"capacity": {"cpu": 16000, "gpus": 2**64}},
+    ],
+)
+def test_an_entry_with_a_number_out_of_range_is_unusable(
+    field: dict[str, object],
+) -> None:
+    # Guards against a lease, or a record of the runs that are handed over, that cannot
+    # be encoded because one of its numbers has more than 64 bits.
+    entry = {**USABLE_ENTRY, **field}
+    assert decode_registration("servers/i-1", as_bytes(entry)) is None
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (b"born", b"1e999"),
+        (b"born", b"9" * 5_000),
+        (b"clock-ms", b"9" * 5_000),
+        (b"labels", b"[" * 100_000 + b"]" * 100_000),
+        (b"other", b'{"a":' * 100_000 + b"1" + b"}" * 100_000),
+    ],
+)
+def test_an_entry_that_cannot_be_parsed_is_unusable(field: bytes, value: bytes) -> None:
+    # Guards against a very long number or a deeply nested value that raises.
+    body = as_bytes(USABLE_ENTRY)[:-1] + b', "' + field + b'": ' + value + b"}"
+    assert decode_registration("servers/i-1", body) is None
+
+
 def test_answers_of_the_store_are_distinguished() -> None:
     # Guards against a write that is reported as failed although it may take effect.
     codec = PlatformStoreCodec()
