Parse numbers of other processes as ASCII digits only

A caller whose X-Deadline-Ms held a superscript two ended the entry host that read it, and with it all calls there (seen by the review, no case of its own).

Cause: str.isdigit accepts characters for which int raises, and int raises for text of more than 4,300 digits. The names of runs in the lists of executors and the ports of the settings file were read the same way.

Change: parse_decimal takes ASCII digits, 18 at most, and returns None for anything else; all of these places use it, and so do the operators' audit queries and the records of waves.

--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -29,6 +29,7 @@
 from guavapin.jobs.calls import Rejected
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import Undecided
+from guavapin.kernel.decimal import parse_decimal
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
@@ -58,6 +59,9 @@
 # Deadline of a caller that sends none.
 DEFAULT_DEADLINE_MS = 3_000
 
+# Longest deadline that is honoured, about a day.
+MAX_DEADLINE_MS = 99_999_999
+
 # Part of a caller's deadline that is reserved to deliver the answer, at most a fifth of
 # the deadline, because the last retries of a caller have little time left.
 ANSWER_MARGIN_MS = 150
@@ -383,7 +387,10 @@
 
 
 def _deadline_ms(text: str) -> int:
-    return int(text) if text.isdigit() and len(text) < 9 else DEFAULT_DEADLINE_MS
+    deadline_ms = parse_decimal(text)
+    if deadline_ms is None or deadline_ms > MAX_DEADLINE_MS:
+        return DEFAULT_DEADLINE_MS
+    return deadline_ms
 
 
 def _job_id(call: JobCall) -> str:
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -11,6 +11,7 @@
 from guavapin.duties.messages import DutyLost
 from guavapin.http.messages import AbortCalls
 from guavapin.http.messages import PeerReply
+from guavapin.kernel.decimal import parse_decimal
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
@@ -433,11 +434,12 @@
         if self._planner is None:
             return
         for item in items:
-            wave, _, machine = item.key.removeprefix(MAINTAINED_PREFIX).partition("/")
-            if wave.isdigit() and machine:
-                self._planner.waves.add_maintained(int(wave), machine)
-            elif wave.isdigit():
-                self._limit_due(int(wave), item.value or b"")
+            name, _, machine = item.key.removeprefix(MAINTAINED_PREFIX).partition("/")
+            wave = parse_decimal(name)
+            if wave is not None and machine:
+                self._planner.waves.add_maintained(wave, machine)
+            elif wave is not None:
+                self._limit_due(wave, item.value or b"")
 
     def _limit_due(self, wave: int, value: bytes) -> None:
         """Apply the time at which a wave is due, as an earlier scheduler stored it."""
--- a/src/guavapin/operators/report_calls.py
+++ b/src/guavapin/operators/report_calls.py
@@ -13,6 +13,8 @@
 from guavapin.fleet.budget import Liveness
 from guavapin.fleet.messages import FLEET_VIEW
 from guavapin.fleet.messages import QueryFleet
+from guavapin.kernel.decimal import MAX_DIGITS
+from guavapin.kernel.decimal import parse_decimal
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Reason
 from guavapin.kernel.outcome import Refused
@@ -40,8 +42,6 @@
 
 LIVE = "live"
 DEFAULT_AUDIT_LIMIT = 50
-# Wall times in milliseconds have 13 digits; int() raises on very long texts.
-MAX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,10 +158,11 @@
     values = {"since_ms": 0, "until_ms": 0, "limit": DEFAULT_AUDIT_LIMIT}
     for name in values:
         text = query.get(name, str(values[name]))
-        if not (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS):
+        number = parse_decimal(text)
+        if number is None:
             detail = f"{name} = {text[:MAX_DIGITS]!r}; expected a whole number"
             return Refused(Reason.BAD_INPUT, detail)
-        values[name] = int(text)
+        values[name] = number
     return Ok(
         AuditQuery(
             actor=query.get("actor", ""),
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -25,6 +25,7 @@
 from guavapin.http.messages import CallOutcome
 from guavapin.http.messages import PeerCall
 from guavapin.jobs.model import Subtask
+from guavapin.kernel.decimal import parse_decimal
 from guavapin.platform.bodies import decode_body
 from guavapin.platform.bodies import encode_body
 
@@ -139,9 +140,12 @@
 def parse_subtask(name: object) -> Subtask | None:
     """Return the subtask with a name, or None if the name is malformed."""
     parts = name.split(".") if isinstance(name, str) else []
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4:
         return None
-    return Subtask(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    numbers = [parse_decimal(part) for part in parts[1:]]
+    if None in numbers:
+        return None
+    return Subtask(parts[0], *(number for number in numbers if number is not None))
 
 
 def _encode_order(order: Order) -> tuple[str, dict[str, object]]:
--- a/src/guavapin/platform/settings.py
+++ b/src/guavapin/platform/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from guavapin.http.address import MAX_PORT
+from guavapin.kernel.decimal import parse_decimal
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.kernel.outcome import Reason
@@ -39,17 +41,19 @@
 
     def address(self, name: str) -> tuple[str, int]:
         host, _, port = self.text(name).rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65_535:
+        number = parse_decimal(port)
+        if not host or number is None or number > MAX_PORT:
             self.faults.append(f"{name}: is {host}:{port}, expected HOST:PORT")
             return "", 0
-        return host, int(port)
+        return host, number
 
     def ports(self, name: str) -> tuple[int, int]:
         first, _, last = self.text(name).partition(",")
-        if not first.isdigit() or not last.isdigit():
+        first_port, last_port = parse_decimal(first), parse_decimal(last)
+        if first_port is None or last_port is None:
             self.faults.append(f"{name}: is {first},{last}, expected FIRST,LAST")
             return 0, 0
-        return int(first), int(last)
+        return first_port, last_port
 
 
 def parse_settings(text: str) -> Outcome[ResidentSettings]:
--- a/tests/intake/test_redirect.py
+++ b/tests/intake/test_redirect.py
@@ -188,3 +188,13 @@
     body = encode_peer_answer(StateIs(JobState.RUNNING))
     rig.task.handle(PeerReply(call.request_id, Answered(200, body)))
     assert len(rig.codec.answers) == answered == 1
+
+
+@pytest.mark.parametrize("deadline", [b"\xb2", b"\xb9\xb2", b"-1", b"9" * 5_000, b""])
+def test_a_deadline_that_is_not_a_number_is_ignored(rig, deadline: bytes) -> None:
+    # Guards against a caller whose header ends the entry host: `str.isdigit` accepts
+    # "\u00b2", and `int` raises for it.
+    headers = ((b"host", QUEUE.host.encode()), (b"x-deadline-ms", deadline))
+    target = f"{QUEUE.prefix}{CALL.job_id}"
+    rig.task.handle_request(WholeRequest(1, "GET", target, headers, b"", 0))
+    assert len(sent(rig, PeerCall)) == 1
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -356,6 +356,15 @@
     )
 
 
+@pytest.mark.parametrize("number", ["\u00b2", "9" * 5_000, "-1"])
+def test_a_run_whose_name_has_a_malformed_number_is_unreadable(number: str) -> None:
+    # Guards against a list of runs that ends the scheduler's process.
+    rows = [[f"{JOB_ID}.0.0.{number}", 1, "", 0]]
+    answered = Answered(200, as_bytes({"running": rows}))
+    outcome = PlatformExecutorCodec().decode(Look(1, 0), answered)
+    assert isinstance(outcome, NoAnswer)
+
+
 def test_machine_pages_and_refusals_of_orders_are_decoded() -> None:
     # Guards against a fenced holder that goes on sending orders.
     codec = PlatformMachineCodec("10.0.0.1:80")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Refused
 from guavapin.platform.settings import parse_settings
@@ -48,3 +50,18 @@
     assert any("bounds.grace-s" in fault and "'soon'" in fault for fault in faults)
     assert any(fault.startswith("node:") for fault in faults)
     assert any(fault.startswith("listen.front:") for fault in faults)
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("listen.front=10.1.0.9:\u00b2", "listen.front"),
+        ("listen.front=10.1.0.9:" + "9" * 5_000, "listen.front"),
+        ("port-range=7060,\u00b2", "port-range"),
+    ],
+)
+def test_a_port_that_is_not_a_number_is_a_fault(line: str, field: str) -> None:
+    # Guards against a settings file that ends the process with a traceback.
+    outcome = parse_settings(f"{SETTINGS}{line}\n")
+    assert isinstance(outcome, Refused)
+    assert outcome.detail.startswith(f"{field}:")
