Limit the numbers of decoded bodies to 2**53

Cause: fields of bodies took numbers of any size. A job of two steps with estimates of 1.7e308 ms was accepted and stored; their sum cannot be converted to a float, and the scheduler computes the job's objective in floats, so that it and each successor would end. A wave of 1e306 s raised in its decoder.

Change: WireInt and WireNumber, which msgspec checks, for the fields of submissions, registrations, answers of executors and waves. A submission out of range is answered with 400, like any malformed one. Negative amounts of a job, which would have added to a host's capacity, are out of range too.

Evidence: OverflowError in the interpreter for both, on the untouched code; not tried on processes. Six cases of the two new tests failed before the change and pass after it.

--- a/src/guavapin/platform/bodies.py
+++ b/src/guavapin/platform/bodies.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import TypeVar
 
 import msgspec
 
 T = TypeVar("T")
 
+# Largest integer that every JSON number holds exactly. Sums and products of such
+# numbers stay far below the range of a float, beyond which conversions raise.
+MAX_NUMBER = 2**53
+
+# Fields of bodies from other processes. A body with a number out of range is
+# unreadable, like one with a field of another type.
+WireInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+WireNumber = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 def decode_body(body: bytes, kind: type[T]) -> T | None:
     """Return the body as `kind`, or None if it does not match; never raises."""
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -26,6 +26,8 @@
 from guavapin.http.messages import PeerCall
 from guavapin.jobs.model import Subtask
 from guavapin.kernel.decimal import parse_decimal
+from guavapin.platform.bodies import WireInt
+from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
 from guavapin.platform.bodies import encode_body
 
@@ -42,8 +44,8 @@
 
 
 class _Answer(msgspec.Struct, rename="kebab", frozen=True):
-    clock_ms: float = 0
-    born: int = 0
+    clock_ms: WireNumber = 0
+    born: WireInt = 0
     reason: str = ""
     running: list[list[Any]] = []
     finished: list[list[Any]] = []
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -23,6 +23,8 @@
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
+from guavapin.platform.bodies import WireInt
+from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
 from guavapin.platform.bodies import encode_body
 
@@ -35,34 +37,34 @@
 
 
 class _Step(msgspec.Struct, rename="kebab", frozen=True):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    estimate_ms: float = 0
+    count: WireInt
+    cpu: WireInt = 0
+    mem_mb: WireInt = 0
+    gpus: WireInt = 0
+    estimate_ms: WireNumber = 0
     after: list[int] = []
     gang: bool = False
     tightly_coupled: bool = False
     required_label: str = ""
     # Name of the rack that holds the data.
     affinity: str = ""
-    max_per_server: int = 0
+    max_per_server: WireInt = 0
     # Whether copies of a subtask may run in parallel.
     speculative: bool = False
     long_running: bool = False
     checkpoint: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: WireNumber = 0
     fills: bool = False
-    may_miss: int | None = None
+    may_miss: WireInt | None = None
 
 
 class _Job(msgspec.Struct, rename="kebab", frozen=True):
     spec: str
     steps: list[_Step]
-    repeats: int = 0
-    start_at_ms: float = 0
-    interval_ms: float = 0
+    repeats: WireInt = 0
+    start_at_ms: WireNumber = 0
+    interval_ms: WireNumber = 0
 
 
 def decode_call(
@@ -115,7 +117,9 @@
 ) -> JobCall | BadCall:
     submitted = decode_body(body, _Job)
     if submitted is None:
-        return BadCall("body: expected a job with spec and steps")
+        return BadCall(
+            "body: expected a job with spec and steps, and numbers from 0 to 2**53"
+        )
     if len(submitted.spec.encode()) > MAX_SPEC_BYTES:
         return BadCall(f"spec: expected at most {MAX_SPEC_BYTES} bytes")
     for number, step in enumerate(submitted.steps):
@@ -123,8 +127,8 @@
             return BadCall(
                 f"step {number}: expected a count and earlier steps in after"
             )
-    if not submitted.steps or submitted.repeats < 0:
-        return BadCall("job: expected at least one step and no negative repeats")
+    if not submitted.steps:
+        return BadCall("job: expected at least one step")
     return SubmitJob(
         Job(
             job_id=job_id,
--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -13,6 +13,8 @@
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
 from guavapin.machines.model import MaintenanceWave
+from guavapin.platform.bodies import WireInt
+from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
 from guavapin.platform.bodies import encode_body
 
@@ -21,10 +23,6 @@
 REGISTRY_PREFIX = "servers/"
 WAVE_STATUS_PREFIX = "status/wave/"
 
-# Largest integer that every JSON number holds exactly. Numbers derived from a larger
-# one may not fit into the 64 bits to which encoded bodies are limited.
-MAX_NUMBER = 2**53
-
 
 class _Hint(msgspec.Struct, rename="kebab", frozen=True):
     decide_ms: float = 0
@@ -62,9 +60,9 @@
 class Capacity(msgspec.Struct, rename="kebab", frozen=True):
     """Resources of a machine in the platform's protocols."""
 
-    cpu: float = 0
-    mem_mb: float = 0
-    gpus: float = 0
+    cpu: WireNumber = 0
+    mem_mb: WireNumber = 0
+    gpus: WireNumber = 0
 
     def to_resources(self) -> Resources:
         """Return the resources in the product's units."""
@@ -78,15 +76,15 @@
     state: str
     capacity: Capacity
     labels: list[str]
-    born: int = 0
-    clock_ms: float = 0
+    born: WireInt = 0
+    clock_ms: WireNumber = 0
 
 
 class _Wave(msgspec.Struct, rename="kebab", frozen=True):
     # Number of the wave, not a stage of it.
-    phase: int
+    phase: WireInt
     machines: list[str]
-    duration_s: float
+    duration_s: WireNumber
     cap: int = 1
 
 
@@ -109,8 +107,8 @@
     """Return an executor's registration, or None if it cannot be used.
 
     An entry cannot be used if it is malformed, if its state is neither ready nor
-    draining, if its numbers are out of range, or if a call cannot carry its id or
-    address. Other writers may leave such entries in the registry.
+    draining, or if a call cannot carry its id or address. Other writers may leave such
+    entries in the registry.
     """
     entry = decode_body(value, _Server)
     executor_id = key.removeprefix(REGISTRY_PREFIX)
@@ -118,7 +116,7 @@
         return None
     if not executor_id or not is_header_value(executor_id):
         return None
-    if not is_address(entry.address) or not _are_numbers_in_range(entry):
+    if not is_address(entry.address):
         return None
     return Registration(
         executor_id=executor_id,
@@ -157,18 +155,6 @@
     return labels[1] if len(labels) > 1 else ""
 
 
-def _are_numbers_in_range(entry: _Server) -> bool:
-    capacity = entry.capacity
-    numbers = (
-        entry.born,
-        entry.clock_ms,
-        capacity.cpu,
-        capacity.mem_mb,
-        capacity.gpus,
-    )
-    return all(0 <= number <= MAX_NUMBER for number in numbers)
-
-
 def _decode_queue(route: _Route) -> Queue:
     hint = route.hint
     advice = None
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -221,6 +221,34 @@
     )
 
 
+@pytest.mark.parametrize(
+    "job",
+    [
+        {"steps": [{"count": 1, "cpu": 2**70}]},
+        {"steps": [{"count": 1, "mem-mb": 2**64}]},
+        {"steps": [{"count": 1, "cpu": -500}]},
+        {"steps": [{"count": 1, "estimate-ms": 1.7e308}]},
+        {"steps": [{"count": 1}], "repeats": 2, "start-at-ms": 1e300},
+        {"steps": [{"count": 1}], "repeats": -1},
+    ],
+)
+def test_a_job_with_a_number_out_of_range_is_rejected(job: dict[str, object]) -> None:
+    # Guards against a stored job that ends every scheduler: the sum of two estimates
+    # of 1.7e308 ms cannot be converted to a float.
+    queue = decode_manifest(as_bytes(MANIFEST)).queues[0]
+    body = as_bytes({"spec": "s", **job})
+    call = decode_call(queue, "POST", f"/puxa400/{JOB_ID}", body, 0)
+    assert isinstance(call, BadCall)
+
+
+def test_a_wave_with_a_number_out_of_range_is_unreadable() -> None:
+    # Guards against a duration whose conversion to milliseconds raises.
+    wave = {"phase": 3, "machines": ["m"], "duration-s": 9, "cap": 2}
+    assert decode_wave(as_bytes(wave)) is not None
+    assert decode_wave(as_bytes({**wave, "duration-s": 1e306})) is None
+    assert decode_wave(as_bytes({**wave, "phase": 2**70})) is None
+
+
 def test_malformed_registrations_are_dropped() -> None:
     # Guards against unusable entries of another writer that are adopted as executors.
     entry = {
@@ -312,8 +340,7 @@
 def test_an_entry_with_a_number_out_of_range_is_unusable(
     field: dict[str, object],
 ) -> None:
-    # Guards against a lease, or a record of the runs that are handed over, that cannot
-    # be encoded because one of its numbers has more than 64 bits.
+    # Guards against an executor whose clock or capacity no calculation can use.
     entry = {**USABLE_ENTRY, **field}
     assert decode_registration("servers/i-1", as_bytes(entry)) is None
 
