Keep starts that the next incarnation of an executor has accepted

Cause: orders name an executor by its id only, so a start may reach the next incarnation before its entry is read. When the first report or the entry showed another start time, the host was dropped with all its runs, also those that the report listed, and their subtasks started elsewhere.

Change: a run that a report has listed ends with the incarnation that sent the report. Any other run moves to the host of the next incarnation, and the reports of that one decide. Answers to starts of before still count for such runs, and entries of a former incarnation are ignored. The host takes no new work until its own entry is read.

All four cases of the first new test failed before the change and pass after it.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -47,6 +47,9 @@
         self.executor_id = registration.executor_id
         self.registration = registration
         self.born_ms = registration.born_ms
+        # Start time of the previous incarnation, 0 if none is known. A late entry of
+        # the registry may still name it.
+        self.former_born_ms = 0
         self.is_registered = True
         self.runs: dict[RunKey, Run] = {}
         # Runs of `runs` that are to be stopped.
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -17,6 +18,7 @@
 from guavapin.executors.model import Start
 from guavapin.executors.model import Stop
 from guavapin.scheduling.host import Host
+from guavapin.scheduling.incarnation import begin_incarnation
 from guavapin.scheduling.messages import OrderContext
 from guavapin.scheduling.messages import SendOrder
 from guavapin.scheduling.messages import StepDown
@@ -112,16 +114,17 @@
     def register(self, registration: Registration) -> None:
         """Add or update the host of a registration."""
         host = self.by_id.get(registration.executor_id)
-        # An entry without a start time does not show whether the executor restarted.
-        starts = {registration.born_ms, host.born_ms if host is not None else 0}
-        if host is not None and len(starts - {0}) > 1:
-            self.end_incarnation(host, "the executor has started again")
-            host = None
         if host is None:
             host = Host(registration, self._term.now_ms, self.room.mark_changed)
-            self.by_id[registration.executor_id] = host
-            extra = {"executor": host.executor_id, "pool": host.pool}
-            log.info("host known", extra=extra)
+            self._add(host)
+            return
+        # An entry without a start time does not show whether the executor restarted.
+        born_ms = registration.born_ms or host.born_ms
+        if born_ms == host.former_born_ms != host.born_ms:
+            log.info("entry is out of date", extra={"executor": host.executor_id})
+            return
+        if host.born_ms and born_ms != host.born_ms:
+            self._replace_incarnation(host, registration)
             return
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
@@ -149,6 +152,25 @@
         log.info("host gone", extra=extra)
         self._remove_all_runs(host, reason)
 
+    def _replace_incarnation(self, former: Host, registration: Registration) -> Host:
+        """Replace the host of an executor that has started again, and return the new.
+
+        Its start orders that are unaccounted for stay reserved on the new host.
+        """
+        now_ms = self._term.now_ms
+        host = begin_incarnation(former, registration, now_ms, self.room.mark_changed)
+        self.end_incarnation(former, "the executor has started again")
+        former.mark_removed()
+        self._partly_known.discard(former)
+        self._add(host)
+        return host
+
+    def _add(self, host: Host) -> None:
+        self.by_id[host.executor_id] = host
+        self._unresolved = None
+        extra = {"executor": host.executor_id, "pool": host.pool}
+        log.info("host known", extra={**extra, "runs": len(host.runs)})
+
     def unresolved_pools(self) -> set[str]:
         """Return the pools in which a host may have runs that are not known here.
 
@@ -241,12 +263,12 @@
         return host.clock(self._term.now_ms) + self._term.lease_ms
 
     def handle_answer(self, context: OrderContext, outcome: OrderOutcome) -> None:
-        """Apply the answer to an order of this term.
-
-        The answer is dropped if the host is gone or another incarnation of it is known.
-        """
+        """Apply the answer to an order of this term; drop it if the host is gone."""
         host = self.by_id.get(context.executor_id)
-        if host is None or host.born_ms != context.born_ms:
+        if host is None:
+            return
+        if host.born_ms != context.born_ms:
+            self._handle_former_answer(host, context.order, outcome)
             return
         if isinstance(context.order, Look):
             host.is_poll_pending = False
@@ -271,6 +293,23 @@
         if run is not None:
             self._handle_order_answer(host, run, context.order, outcome)
 
+    def _handle_former_answer(
+        self, host: Host, order: Order, outcome: OrderOutcome
+    ) -> None:
+        """Apply the answer to an order for an earlier incarnation of a host.
+
+        It may come from either incarnation. Of a start it tells whether the order can
+        still arrive; a report shows whether the run is there. Other answers say nothing
+        about this incarnation.
+        """
+        run = self._find_run(host, order)
+        if run is None or not isinstance(order, Start):
+            return
+        if isinstance(outcome, NoAnswer):
+            self._handle_unanswered_start(host, run, outcome)
+        elif isinstance(outcome, Done | Refusal):
+            self._handle_start_answer(host, run, outcome)
+
     def _handle_order_answer(
         self, host: Host, run: Run, order: Order, outcome: Done | Refusal
     ) -> None:
@@ -324,21 +363,28 @@
             }
             log.info("host did not answer", extra=extra)
         run = self._find_run(host, context.order)
-        if run is None or not isinstance(context.order, Start):
-            return
+        if run is not None and isinstance(context.order, Start):
+            self._handle_unanswered_start(host, run, no_answer)
+
+    def _handle_unanswered_start(
+        self, host: Host, run: Run, no_answer: NoAnswer
+    ) -> None:
         if not no_answer.was_sent:
-            host.remove(run, now_ms)
+            host.remove(run, self._term.now_ms)
             self._handler.handle_lost_run(host, run, "the start order was not sent")
         elif run.phase is RunPhase.STARTING:
             run.phase = RunPhase.UNSETTLED
-            run.counted_ms = now_ms
+            run.counted_ms = self._term.now_ms
 
     def _handle_report(
         self, host: Host, context: OrderContext, report: HostReport
     ) -> None:
         if report.born_ms and host.born_ms and report.born_ms != host.born_ms:
-            self.end_incarnation(host, "the executor has started again")
-            return
+            registration = replace(host.registration, born_ms=report.born_ms)
+            host = self._replace_incarnation(host, registration)
+            # Only its own entry tells its kind and resources.
+            host.unregister()
+            host.update_clock(report.clock_ms, self._term.now_ms)
         if host.unanswered:
             log.info("host answers again", extra={"executor": host.executor_id})
         if not host.has_answered:
@@ -370,6 +416,7 @@
         self._remove_if_empty(host)
 
     def _update_running(self, run: Run, row: RunningRow) -> None:
+        run.is_listed = True
         if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
             run.phase = RunPhase.RUNNING if run.is_wanted else RunPhase.STOPPING
             run.started_ms = run.moved_ms = self._term.now_ms
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -34,14 +34,17 @@
     `percent` last changed, `ordered_ms` that of the start order, `stop_ms` that of the
     last stop and `paced_ms` that of the last change of `pace`, which is in percent.
     `load` is the last load that the host reported. A run that is not `is_wanted` is to
-    be stopped. `is_need_known` is unset for an adopted run whose job is not known, so
-    that `reserved` says nothing about its resources.
+    be stopped. `is_listed` is set once a report of the host has listed the run, which
+    proves that this incarnation of the executor has it. `is_need_known` is unset for an
+    adopted run whose job is not known, so that `reserved` says nothing about its
+    resources.
     """
 
     __slots__ = (
         "attempt",
         "counted_ms",
         "executor_id",
+        "is_listed",
         "is_long_running",
         "is_need_known",
         "is_stop_answered",
@@ -80,6 +83,7 @@
         self.stop_ms = 0
         self.is_stop_answered = False
         self.is_wanted = True
+        self.is_listed = False
         self.is_long_running = False
         self.is_need_known = True
         self.percent = 0
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -146,6 +146,7 @@
         step_run = self.step_of(row)
         run = self._inherited_run(host, row.subtask, row.attempt, step_run)
         run.percent = row.percent
+        run.is_listed = True
         host.add(run)
         is_needed = step_run is not None and step_run.needs_run(row.subtask.index)
         extra = {
--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -119,9 +119,9 @@
         executor = self.executors.get(key.removeprefix(self.prefix))
         if executor is None:
             return None
-        pool = executor.pool
+        name, pool, born_ms = executor.executor_id, executor.pool, int(value)
         return Registration(
-            executor.executor_id, 1, pool, "a:1", "z", False, HOST_CAPACITY, (), "r1", 0
+            name, born_ms, pool, "a:1", "z", False, HOST_CAPACITY, (), "r1", 0
         )
 
     def is_job_done(self, job: Job) -> bool:
@@ -145,6 +145,21 @@
         delay_ms = self._world.rng.randint(300, 2_000)
         self._world.schedule(delay_ms, self._bring_up, name, pool)
 
+    def restart(self, executor: ModelExecutor) -> None:
+        """Start an executor again under its id, after it was away for a moment."""
+        if executor.is_alive:
+            executor.is_alive = False
+            executor.done.clear()
+            delay_ms = self._world.rng.randint(10, 800)
+            self._world.schedule(delay_ms, self._come_back, executor)
+
+    def _come_back(self, executor: ModelExecutor) -> None:
+        if self.machines[executor.machine][1] != executor.executor_id:
+            return
+        executor.restart()
+        executor.ends_ms.clear()
+        executor.is_alive = True
+
     def handle(self, node: Node, service: str, message: Any) -> None:
         """Handle an order for an executor or a machine."""
         if isinstance(message, HostOrder):
@@ -164,10 +179,17 @@
             if draw < LOST_SHARE * 2 / 3:
                 # Carried out late, or at the end of a partition.
                 delay_ms = world.rng.randint(1, 8_000)
-                world.schedule(delay_ms, self._apply, order)
+                executor = self.executors.get(order.executor_id)
+                world.schedule(delay_ms, self._apply_late, order, executor.born_ms)
             return
         world.schedule(world.latency_ms(), self._arrive, node, order)
 
+    def _apply_late(self, order: HostOrder, born_ms: int) -> None:
+        """Carry out an order, unless the incarnation that received it has ended."""
+        executor = self.executors.get(order.executor_id)
+        if executor is not None and executor.born_ms == born_ms:
+            self._apply(order)
+
     def _arrive(self, node: Node, order: HostOrder) -> None:
         world = self._world
         outcome = self._apply(order)
@@ -270,8 +292,9 @@
             key = f"{self.prefix}{executor.executor_id}"
             if executor.reaches_store and not world.store.is_down:
                 executor.registered_ms = now_ms
+                value = str(executor.born_ms).encode()
                 if key not in world.store.items or now_ms % 1_500 < STEP_MS:
-                    world.store.write({key: b"1"})
+                    world.store.write({key: value})
         for key in [key for key in world.store.items if key.startswith(self.prefix)]:
             executor = self.executors[key.removeprefix(self.prefix)]
             is_silent = now_ms - executor.registered_ms > REGISTRATION_TTL_MS
--- a/tests/model/test_takeover_model.py
+++ b/tests/model/test_takeover_model.py
@@ -30,6 +30,13 @@
 )
 
 
+# Executors that start again under their ids, beside takeovers and partitions.
+RESTARTS = (
+    *("restart", "restart", "restart", "restart", "kill", "stop"),
+    *("executor cut", "core cut", "mend all", "outage", "outage", "none"),
+)
+
+
 def play(
     seed: int, profile: tuple[str, ...] | None = None, max_listed_ends: int = 500
 ) -> World:
@@ -85,6 +92,8 @@
                 world.store.is_down = not world.store.is_down
             case "crash":
                 world.fleet.crash(executor.machine)
+            case "restart":
+                world.fleet.restart(executor)
             case "cancel":
                 world.cancel()
         world.run(rng.randint(50, 1_500))
@@ -123,6 +132,13 @@
     assert play(seed, max_listed_ends=3).violations == []
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_no_promise_breaks_while_executors_start_again(seed: int) -> None:
+    # Guards against any order of events in which a start that the next incarnation of
+    # an executor has accepted is repeated elsewhere.
+    assert play(seed, RESTARTS).violations == []
+
+
 def main(seconds: float, first: int, report: Callable[[str], None] = print) -> int:
     """Play fresh seeds for a time and print those that break a promise."""
     end_s, seed, broken = time.monotonic() + seconds, first, 0
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -124,6 +124,13 @@
         self.last_end_number += 1
         self.ended.append(EndedRow(self.last_end_number, subtask, attempt, kind, ""))
 
+    def restart(self) -> None:
+        """Start again under the same id, without anything of before."""
+        self.born_ms += 1
+        self.token = self.lease_ms = self.last_end_number = 0
+        for held in (self.running, self.ended, self.refused, self.stopping):
+            held.clear()
+
     def expire(self, now_ms: int) -> None:
         """End the runs whose stop is complete, and all runs if the lease has ended."""
         for subtask, stopped_ms in [*self.stopping.items()]:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -335,6 +335,8 @@
     # lease sees that executors of other zones have ended, and starts their subtasks
     # again, although its successor has seen them done.
     sim.submit(make_job("a" * 16, Step(1, SMALL)))
+    # A report lists the run, which proves that the incarnation that ends has it.
+    sim.advance(100)
     ((subtask, name),) = sim.running()
     sim.scheduler.term.is_unconfirmed = True
     executor = sim.executors[name]
@@ -410,3 +412,87 @@
     sim.advance(1_000)
     assert len(sim.starts) == 12
     assert state(sim, job.job_id) is JobState.SUCCEEDED
+
+
+@pytest.mark.parametrize("evidence", ["report", "registry"])
+@pytest.mark.parametrize("is_unconfirmed", [False, True])
+def test_a_start_that_the_next_incarnation_accepted_is_kept(
+    evidence: str, is_unconfirmed: bool
+) -> None:
+    # Guards against a second run of a subtask: an executor starts again under its id
+    # and accepts a start before its new entry is read. The entry or its first report
+    # then shows another start time, and the run counts as lost although it is listed.
+    sim = Simulation([FakeExecutor("e1"), FakeExecutor("e2"), FakeExecutor("e3")])
+    sim.list_machines()
+    sim.advance(100)
+    restarted = [sim.executors["e1"], sim.executors["e2"]]
+    for executor in restarted:
+        executor.restart()
+    # The third executor becomes usable once the runs have started.
+    sim.scheduler.cordon(frozenset({"e3"}), frozenset())
+    sim.submit(make_job("a" * 16, Step(2, SMALL)))
+    sim.scheduler.cordon(frozenset(), frozenset())
+    running = sorted(sim.running())
+    sim.scheduler.term.is_unconfirmed = is_unconfirmed
+    if evidence == "registry":
+        for executor in restarted:
+            sim.scheduler.hosts.register(executor.registration())
+    sim.advance(500)
+    sim.scheduler.term.is_unconfirmed = False
+    for executor in restarted:
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(500)
+    assert len(sim.starts) == 2 and sorted(sim.running()) == running
+    assert end_all(sim) == 2
+    sim.advance(500)
+    assert len(sim.starts) == 2
+    assert state(sim, "a" * 16) is JobState.SUCCEEDED
+
+
+def test_runs_of_the_former_incarnation_start_again_at_once(sim: Simulation) -> None:
+    # Guards against subtasks that wait for the end of a lease although their executor
+    # has started again.
+    sim.submit(make_job("a" * 16, Step(2, SMALL)))
+    sim.advance(100)
+    for executor in sim.executors.values():
+        executor.restart()
+    sim.advance(100)
+    for executor in sim.executors.values():
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(200)
+    assert len(sim.starts) == 4 and len(sim.running()) == 2
+
+
+def test_an_unanswered_start_for_a_former_incarnation_is_stopped_first(
+    sim: Simulation,
+) -> None:
+    # Guards against a start that is repeated elsewhere and then carried out late by the
+    # next incarnation of the executor.
+    for executor in sim.executors.values():
+        executor.is_reachable = False
+    sim.submit(make_job("a" * 16))
+    ((name, order),) = [row for row in sim.undelivered if hasattr(row[1], "spec")]
+    for executor in sim.executors.values():
+        executor.is_reachable = True
+        executor.restart()
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(1_000)
+    sim.executors[name].handle_order(order, sim.now_ms)
+    sim.advance(1_000)
+    assert len(sim.running()) == 1
+
+
+def test_a_late_entry_of_a_former_incarnation_is_ignored(sim: Simulation) -> None:
+    # Guards against runs that are dropped because the registry still shows an entry
+    # from before the executor started again.
+    former = [executor.registration() for executor in sim.executors.values()]
+    for executor in sim.executors.values():
+        executor.restart()
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(100)
+    sim.submit(make_job("a" * 16))
+    sim.advance(100)
+    for registration in former:
+        sim.scheduler.hosts.register(registration)
+    sim.advance(500)
+    assert len(sim.starts) == 1 and len(sim.running()) == 1
