Keep the terms of a job whose queue is removed

Cause: the number of attempts was read from the queue table in force; a job whose queue is not in it had no limit. Its priority, its objective and its need of tickets were lost in the same way.

Change: a job records the terms of its queue at the submission, and QueueRules.terms_of returns them once the queue is gone.

--- a/src/guavapin/jobs/model.py
+++ b/src/guavapin/jobs/model.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from guavapin.jobs.terms import UNRECORDED_TERMS
+from guavapin.jobs.terms import QueueTerms
+
 
 class JobState(Enum):
     """State of a job as callers see it."""
@@ -101,8 +104,8 @@
 class Job:
     """Job as its caller submitted it.
 
-    `queue` and `service` are those in force at the submission. A job with `repeats`
-    above 0 runs that many times: occurrence K may start at `first_due_ms` +
+    `queue`, `service` and `terms` are those in force at the submission. A job with
+    `repeats` above 0 runs that many times: occurrence K may start at `first_due_ms` +
     K x `interval_ms` since the Unix epoch. `accepted_ms` is the wall clock of the host
     that accepted the job.
     """
@@ -116,6 +119,7 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = 0
+    terms: QueueTerms = UNRECORDED_TERMS
 
     @property
     def occurrences(self) -> int:
--- a/src/guavapin/jobs/queues.py
+++ b/src/guavapin/jobs/queues.py
@@ -5,25 +5,15 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-
-@dataclass(frozen=True, slots=True)
-class AdviceTerms:
-    """Latency of a request for tickets, and validity of a ticket, in milliseconds.
-
-    A request takes about `decide_ms` plus `per_host_ms` for each host.
-    """
-
-    decide_ms: int
-    per_host_ms: int
-    validity_ms: int
+from guavapin.jobs.terms import AdviceTerms
+from guavapin.jobs.terms import QueueTerms
 
 
 @dataclass(frozen=True, slots=True)
 class Queue:
     """Queue of jobs, which callers address by host name and path prefix.
 
-    The latency objective of a job is `stretch` times its longest chain of work plus
-    `latency_objective_ms`. Priority 0 is served first.
+    `terms` has the fields of the same names.
     """
 
     name: str
@@ -35,6 +25,17 @@
     stretch: float = 1.0
     latency_objective_ms: int = 0
     advice: AdviceTerms | None = None
+    terms: QueueTerms = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        terms = QueueTerms(
+            self.priority,
+            self.attempts,
+            self.stretch,
+            self.latency_objective_ms,
+            self.advice,
+        )
+        object.__setattr__(self, "terms", terms)
 
     @property
     def key(self) -> str:
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -140,6 +140,7 @@
             first_due_ms=int(submitted.start_at_ms),
             interval_ms=int(submitted.interval_ms),
             accepted_ms=wall_ms,
+            terms=queue.terms,
         )
     )
 
--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -8,10 +8,10 @@
 from guavapin.http.address import is_address
 from guavapin.http.address import is_header_value
 from guavapin.jobs.model import Resources
-from guavapin.jobs.queues import AdviceTerms
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
+from guavapin.jobs.terms import AdviceTerms
 from guavapin.machines.model import MaintenanceWave
 from guavapin.platform.bodies import WireInt
 from guavapin.platform.bodies import WireNumber
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -27,7 +27,7 @@
         self._term = term
         self._hosts = hosts
         self._rules = rules
-        self._starter = Starter(term, hosts)
+        self._starter = Starter(term, hosts, rules)
         self._waiting = WaitingSteps(rules)
         self._table = term.table
 
--- a/src/guavapin/scheduling/queue_rules.py
+++ b/src/guavapin/scheduling/queue_rules.py
@@ -11,6 +11,7 @@
 from guavapin.scheduling.waiting_steps import Position
 
 if TYPE_CHECKING:
+    from guavapin.jobs.terms import QueueTerms
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.term import Term
@@ -31,13 +32,17 @@
         queue = self._term.table.queue(job_run.job.queue)
         return queue.service if queue is not None else job_run.job.service
 
+    def terms_of(self, job_run: JobRun) -> QueueTerms:
+        """Return the terms of the job's queue, or of the job if the queue is gone."""
+        queue = self._term.table.queue(job_run.job.queue)
+        return queue.terms if queue is not None else job_run.job.terms
+
     def position(self, step_run: StepRun) -> Position:
         """Return the sort key of a step at the present time."""
         job_run = step_run.job_run
-        queue = self._term.table.queue(job_run.job.queue)
         late_after_ms = self.late_after_ms(step_run)
         return Position(
-            queue.priority if queue is not None else 0,
+            self.terms_of(job_run).priority,
             late_after_ms is not None and self._term.now_ms > late_after_ms,
             self.objective_ms(job_run),
             job_run.job.job_id,
@@ -56,18 +61,13 @@
 
     def objective_ms(self, job_run: JobRun) -> float:
         """Return the monotonic time, in ms, by which a job should have succeeded."""
-        queue = self._term.table.queue(job_run.job.queue)
-        if queue is None:
-            return job_run.accepted_ms
-        allowed_ms = (
-            queue.stretch * job_run.critical_path_ms + queue.latency_objective_ms
-        )
-        return job_run.accepted_ms + allowed_ms
+        terms = self.terms_of(job_run)
+        allowed_ms = terms.stretch * job_run.critical_path_ms
+        return job_run.accepted_ms + allowed_ms + terms.latency_objective_ms
 
     def needs_room(self, step_run: StepRun) -> bool:
         """Return whether a step can do nothing until a host has room for it.
 
         A step that needs advice requests it whether or not there is room.
         """
-        queue = self._term.table.queue(step_run.job_run.job.queue)
-        return queue is None or queue.advice is None
+        return self.terms_of(step_run.job_run).advice is None
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -285,9 +285,9 @@
         step_run = self._find_step(reply.request.step)
         if step_run is None:
             return
-        queue = self.term.table.queue(step_run.job_run.job.queue)
-        if queue is not None and queue.advice is not None:
-            apply_advice(step_run, reply, queue.advice, self.term.now_ms)
+        advice = self._rules.terms_of(step_run.job_run).advice
+        if advice is not None:
+            apply_advice(step_run, reply, advice, self.term.now_ms)
             self._needs_dispatch = True
 
     def handle_stored(self, tag: object) -> None:
@@ -327,8 +327,7 @@
         if count == 1 and host.record_failure(self.term.now_ms):
             extra = {"executor": host.executor_id, "failures": host.failure_streak}
             log.info("host set aside", extra=extra)
-        queue = self.term.table.queue(step_run.job_run.job.queue)
-        if queue is not None and count >= queue.attempts:
+        if count >= self._rules.terms_of(step_run.job_run).attempts:
             self.jobs.close(step_run.job_run, JobState.FAILED)
 
     def _open_steps(self, job_run: JobRun) -> None:
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -17,15 +17,17 @@
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.term import Term
 
 
 class Starter:
     """Chooses the hosts for waiting subtasks and orders their start."""
 
-    def __init__(self, term: Term, hosts: HostTable) -> None:
+    def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
         self._term = term
         self._hosts = hosts
+        self._rules = rules
 
     def start_waiting(self, step_run: StepRun, pool_room: PoolRoom) -> bool:
         """Start the waiting subtasks of a step on usable hosts of its pool.
@@ -35,11 +37,11 @@
         with a ticket are searched.
         """
         now_ms = self._term.now_ms
-        queue = self._term.table.queue(step_run.job_run.job.queue)
+        advice = self._rules.terms_of(step_run.job_run).advice
         room = pool_room
-        if queue is not None and queue.advice is not None:
+        if advice is not None:
             hosts = pool_room.hosts()
-            request = advice_request(step_run, hosts, queue.advice, now_ms)
+            request = advice_request(step_run, hosts, advice, now_ms)
             if request is not None:
                 self._term.actions.append(request)
             room = PoolRoom(host for host in hosts if ticket(step_run, host, now_ms))
--- a/src/guavapin/scheduling/tickets.py
+++ b/src/guavapin/scheduling/tickets.py
@@ -7,7 +7,7 @@
 from guavapin.scheduling.messages import AdviceRequest
 
 if TYPE_CHECKING:
-    from guavapin.jobs.queues import AdviceTerms
+    from guavapin.jobs.terms import AdviceTerms
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.messages import AdviceReply
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -23,7 +23,7 @@
 
     def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
         self._term, self._hosts, self._rules = term, hosts, rules
-        self._starter = Starter(term, hosts)
+        self._starter = Starter(term, hosts, rules)
         self._steps: set[StepRun] = set()
 
     def add(self, step_run: StepRun) -> None:
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -43,7 +43,8 @@
 
 def make_job(job_id: str = "0" * 16, *steps: Step) -> Job:
     """Return a job of `QUEUE`, by default with one step of one subtask."""
-    return Job(job_id, QUEUE.key, "pool", "spec", steps or (Step(1, SMALL),))
+    steps = steps or (Step(1, SMALL),)
+    return Job(job_id, QUEUE.key, "pool", "spec", steps, terms=QUEUE.terms)
 
 
 SMALL = Resources(1_000, 1_000, 0)
--- a/tests/scheduling/test_supervision.py
+++ b/tests/scheduling/test_supervision.py
@@ -7,7 +7,7 @@
 from guavapin.executors.model import EndKind
 from guavapin.jobs.model import JobState
 from guavapin.jobs.model import Step
-from guavapin.jobs.queues import AdviceTerms
+from guavapin.jobs.terms import AdviceTerms
 from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.messages import AdviceReply
 from guavapin.scheduling.messages import AdviceRequest
