Test that cancelled jobs stop beside unusable registrations

A cancelling is acknowledged once its marker is stored; as each scheduler ended at the start of its term, nobody stopped the runs.

--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -108,11 +108,11 @@
 class Site:
     """Stand-in of the platform, and two entry hosts that use it."""
 
-    def __init__(self, folder) -> None:
+    def __init__(self, folder, work_ms: int = WORK_MS) -> None:
         (self.port,) = free_ports(1)
         self.kernel = Kernel(SystemClock())
         cfg = FrontConfig(port=self.port, health_path="", ready_path="")
-        platform = ResidentPlatformTask("pool", 4, WORK_MS, f"127.0.0.1:{self.port}")
+        platform = ResidentPlatformTask("pool", 4, work_ms, f"127.0.0.1:{self.port}")
         self.kernel.register(platform)
         self.kernel.register(FrontTask(cfg, "platform_front", platform.name))
         assert str(self.kernel.start()).startswith("Ok")
@@ -127,7 +127,11 @@
 
     def put(self, key: str, value: object) -> None:
         """Write a key to the store as the operator would."""
-        item = PutItem(key, json.dumps(value).encode())
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> None:
+        """Write a key to the store as another writer would."""
+        item = PutItem(key, value)
         self.kernel.ask("resident_platform", item).result(5)
 
     def view(self):
@@ -267,3 +271,42 @@
     wait_until(lambda: site.view().statuses.get("status/wave/1") == done, "the wave")
     orders = [order for order in site.view().orders if order[0] == "machine-upkeep"]
     assert sorted(machine for _, machine in orders) == machines
+
+
+ENTRY = {
+    "service": "pool",
+    "address": "127.0.0.1:9",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 4_000, "mem-mb": 8_000, "gpus": 0},
+    "labels": ["a", "r"],
+    "born": 1,
+}
+
+
+def test_a_cancelled_job_stops_although_the_registry_has_unusable_entries(
+    tmp_path,
+) -> None:
+    # Guards against subtasks that run on after the cancelling of their job was
+    # acknowledged: entries of another writer ended each process that scheduled, so that
+    # none was left to stop them.
+    site = Site(tmp_path, work_ms=60_000)
+    try:
+        scheduler = site.scheduler()
+        other = next(entry for entry in site.entries if entry is not scheduler)
+        assert submit(other, 1) == 200
+        wait_until(lambda: len(site.view().log) == 2, "two runs")
+        site.put("servers/x-1", {**ENTRY, "address": "[::1%r\u00e9seau]:8080"})
+        site.put("servers/x-2", {**ENTRY, "address": "127.0.0.1:99999"})
+        site.put("servers/x-3", {**ENTRY, "clock-ms": 1e300})
+        site.put("servers/x-\u00e9", ENTRY)
+        site.put_bytes("servers/x-4", b"[" * 100_000)
+        time.sleep(1.0)
+        assert other.jobs("DELETE", f"/q/{job_id(1)}")[0] == 200
+        wait_until(lambda: len(site.view().log) == 4, "the ends of both runs")
+        ends = [row.kind for row in site.view().log[2:]]
+        # A run that nobody stops ends with its lease, as lapsed.
+        assert ends == ["stopped", "stopped"]
+        assert all(entry.process.poll() is None for entry in site.entries)
+    finally:
+        site.stop()
