Request a ticket again after an executor has refused it

Cause: a ticket is valid during one life of an executor, but was kept by the executor's id until it expired. A refusal for want of a valid ticket was handled like any other lost run, so that the subtask started again at once with the same ticket.

Change: a ticket counts only for the incarnation that it was requested for, and a refused one is dropped.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -79,6 +79,10 @@
         """Handle the loss of a run whose end was not reported."""
         ...
 
+    def handle_refused_ticket(self, host: Host, start: Start) -> None:
+        """Handle that a host has refused a start for want of a valid ticket."""
+        ...
+
 
 class HostTable:
     """All hosts of a term by executor id.
@@ -308,7 +312,7 @@
         if isinstance(outcome, NoAnswer):
             self._handle_unanswered_start(host, run, outcome)
         elif isinstance(outcome, Done | Refusal):
-            self._handle_start_answer(host, run, outcome)
+            self._handle_start_answer(host, run, order, outcome)
 
     def _handle_order_answer(
         self, host: Host, run: Run, order: Order, outcome: Done | Refusal
@@ -318,10 +322,10 @@
                 run.is_stop_answered = True
                 run.counted_ms = self._term.now_ms
         elif isinstance(order, Start):
-            self._handle_start_answer(host, run, outcome)
+            self._handle_start_answer(host, run, order, outcome)
 
     def _handle_start_answer(
-        self, host: Host, run: Run, outcome: Done | Refusal
+        self, host: Host, run: Run, order: Start, outcome: Done | Refusal
     ) -> None:
         run.counted_ms = self._term.now_ms
         if isinstance(outcome, Done):
@@ -341,6 +345,8 @@
         log.info("start refused", extra=extra)
         if outcome.kind in (RefusalKind.UNHEALTHY, RefusalKind.MALFORMED):
             host.set_aside(self._term.now_ms)
+        if outcome.kind is RefusalKind.TICKET:
+            self._handler.handle_refused_ticket(host, order)
         host.remove(run, self._term.now_ms)
         self._handler.handle_lost_run(host, run, f"start refused: {outcome.kind.value}")
 
--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -13,6 +13,7 @@
     from guavapin.jobs.model import Job
     from guavapin.jobs.model import Step
     from guavapin.scheduling.run import Run
+    from guavapin.scheduling.tickets import Ticket
 
 StepKey = tuple[int, int]
 
@@ -48,8 +49,8 @@
         self.not_before_ms: dict[int, int] = {}
         self.restart_counts: dict[int, int] = {}
         self.last_attempt: dict[int, int] = {}
-        # Ticket of each executor and the time at which it expires.
-        self.tickets: dict[str, tuple[str, int]] = {}
+        # Last ticket for each executor.
+        self.tickets: dict[str, Ticket] = {}
         self.refused_hosts: set[str] = set()
         self.next_advice_request_ms = 0
 
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -213,12 +213,14 @@
 class AdviceRequest:
     """To ``advice``, and an action: request tickets of these executors for a step.
 
-    `step` is any subtask of the step; its index is ignored.
+    `step` is any subtask of the step; its index is ignored. `born_ms` has the start
+    time of each executor, in the same order.
     """
 
     step: Subtask
     executors: tuple[str, ...]
     timeout_ms: int
+    born_ms: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -23,12 +23,14 @@
 from guavapin.scheduling.run_supervisor import RunSupervisor
 from guavapin.scheduling.run_times import RunTimes
 from guavapin.scheduling.tickets import apply_advice
+from guavapin.scheduling.tickets import handle_refused_ticket
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from guavapin.executors.model import EndedRow
     from guavapin.executors.model import RunningRow
+    from guavapin.executors.model import Start
     from guavapin.jobs.model import Subtask
     from guavapin.scheduling.handover import HandedHost
     from guavapin.scheduling.handover import HandedRun
@@ -271,6 +273,12 @@
         if step_run is not None:
             self._remove_run(step_run, run)
 
+    def handle_refused_ticket(self, host: Host, start: Start) -> None:
+        """Drop the ticket of a start, which a host has refused as invalid."""
+        step_run = self._find_step(start.subtask)
+        if step_run is not None:
+            handle_refused_ticket(step_run, host, start, self.term.now_ms)
+
     def apply_machines(self, listed: MachinesListed) -> None:
         """Apply the platform's list, and remove executors of machines taken down."""
         self.hosts.apply_listed_pools(dict(listed.pools))
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -72,6 +72,8 @@
     stop_duration_ms: int = 0
     stopping: dict = field(default_factory=dict)
     max_listed_ends: int = 500
+    # Tickets that starts need, if any does.
+    valid_tickets: set = field(default_factory=set)
 
     def registration(self, capacity: Resources = HOST_CAPACITY) -> Registration:
         return Registration(
@@ -106,6 +108,8 @@
         if isinstance(order, Start):
             if order.attempt <= self.refused.get(order.subtask, 0):
                 return Refusal(RefusalKind.OUTDATED, now_ms)
+            if self.valid_tickets and order.ticket not in self.valid_tickets:
+                return Refusal(RefusalKind.TICKET, now_ms)
             self.lease_ms = max(self.lease_ms, order.until_ms)
             self.running[order.subtask] = order.attempt
         elif isinstance(order, Stop):
