--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -157,9 +157,9 @@
         self._remove_all_runs(host, reason)
 
     def _replace_incarnation(self, former: Host, registration: Registration) -> Host:
-        """Replace the host of an executor that has started again, and return the new.
+        """Replace the host of an executor that has started again; return the new one.
 
-        Its start orders that are unaccounted for stay reserved on the new host.
+        Runs that may be on either incarnation move to the new host.
         """
         now_ms = self._term.now_ms
         host = begin_incarnation(former, registration, now_ms, self.room.mark_changed)
@@ -302,9 +302,9 @@
     ) -> None:
         """Apply the answer to an order for an earlier incarnation of a host.
 
-        It may come from either incarnation. Of a start it tells whether the order can
-        still arrive; a report shows whether the run is there. Other answers say nothing
-        about this incarnation.
+        Either incarnation may have answered. The answer to a start tells whether the
+        order can still arrive; the next report shows whether the run is there. Other
+        answers say nothing about this incarnation.
         """
         run = self._find_run(host, order)
         if run is None or not isinstance(order, Start):
