Log the steps between a cancelling and the end of its runs

Change: lines for an answered cancelling (by the scheduler or the store), for one that the scheduler reads from the store, for a repeated stop with its age, and for the end of a run whose job has ended. The line of a process that ends by itself names the innermost frames of the failure. No decision changes.

--- a/src/guavapin/daemons/lifecycle.py
+++ b/src/guavapin/daemons/lifecycle.py
@@ -7,6 +7,8 @@
 import selectors
 import signal
 import socket
+import traceback
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from guavapin.kernel.outcome import Refused
@@ -24,6 +26,10 @@
 FAILURE_BYTE = 0
 STOP_BYTES = frozenset((FAILURE_BYTE, signal.SIGTERM, signal.SIGINT))
 
+# Innermost frames of a failure in its log line. They lead from the event loop through
+# the task to the failed call.
+MAX_LOGGED_FRAMES = 12
+
 log = logging.getLogger("guavapin.daemon")
 
 
@@ -47,7 +53,8 @@
     _wait_for_stop(receiver)
     failure = kernel.failure
     if failure is not None:
-        log.error("broken invariant", extra={"failure": repr(failure)})
+        extra = {"failure": repr(failure), "frames": describe_frames(failure)}
+        log.error("broken invariant", extra=extra)
         return EXIT_FAILED
     log.info("stopping")
     drain()
@@ -59,6 +66,19 @@
     return EXIT_DONE
 
 
+def describe_frames(failure: BaseException) -> list[str]:
+    """Return the innermost frames of an exception, the innermost one last.
+
+    A frame is written as ``FOLDER/FILE:LINE FUNCTION``, for example
+    ``http/transfer.py:121 prepare``.
+    """
+    frames = traceback.extract_tb(failure.__traceback__)[-MAX_LOGGED_FRAMES:]
+    return [
+        f"{'/'.join(Path(frame.filename).parts[-2:])}:{frame.lineno} {frame.name}"
+        for frame in frames
+    ]
+
+
 def _ignore_signal(number: int, frame: object) -> None:
     """Do nothing: the wake-up descriptor reports the signal."""
 
--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -373,6 +373,16 @@
             elapsed_ms = self._context.clock.now_ms() - pending.received_ms
             call, kind = type(pending.call).__name__, type(answer).__name__
             self._observer.observe_call(call, kind, elapsed_ms)
+            if isinstance(pending.call, CancelJob):
+                is_from_store = pending.fallback is not None
+                extra = {
+                    "job": pending.call.job_id,
+                    "answer": kind,
+                    "from": "store" if is_from_store else "scheduler",
+                    "scheduler": self._scheduler.holder,
+                    "after_ms": elapsed_ms,
+                }
+                log.info("cancellation answered", extra=extra)
         if isinstance(answer, Rejected | Undecided):
             extra = {
                 "job": _job_id(pending.call) if pending is not None else "",
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -450,6 +450,18 @@
             self._send_stop(host, run)
 
     def _send_stop(self, host: Host, run: Run) -> None:
+        if run.first_stop_ms:
+            extra = {
+                "job": run.subtask.job_id,
+                "step": run.subtask.step,
+                "index": run.subtask.index,
+                "executor": host.executor_id,
+                "attempt": run.attempt,
+                "phase": run.phase.value,
+                "since_ms": self._term.now_ms - run.first_stop_ms,
+            }
+            log.info("stop repeated", extra=extra)
+        run.first_stop_ms = run.first_stop_ms or self._term.now_ms
         run.stop_ms = self._term.now_ms
         order = Stop(run.subtask, run.attempt, self._term.token)
         self._send(host, order, ORDER_TIMEOUT_MS)
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -148,10 +148,13 @@
             self._store(Entry(key, None))
             return
         job_run = self.by_id.get(job_id)
-        if f".{suffix}" == CANCELLED_SUFFIX and job_run is not None:
-            self.close(job_run, JobState.CANCELLED)
-        elif f".{suffix}" == CANCELLED_SUFFIX:
-            self._cancel_when_fetched.add(job_id)
+        if f".{suffix}" == CANCELLED_SUFFIX:
+            extra = {"job": job_id, "is_job_known": job_run is not None}
+            log.info("cancellation found in the store", extra=extra)
+            if job_run is not None:
+                self.close(job_run, JobState.CANCELLED)
+            else:
+                self._cancel_when_fetched.add(job_id)
         if job_run is None:
             self._fetch(job_id)
         else:
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -31,8 +31,9 @@
 
     A poll of the host proves that the run is not there if it was sent after
     `counted_ms` and its answer does not list the run. `moved_ms` is the time at which
-    `percent` last changed, `ordered_ms` that of the start order, `stop_ms` that of the
-    last stop and `paced_ms` that of the last change of `pace`, which is in percent.
+    `percent` last changed, `ordered_ms` that of the start order, `first_stop_ms` and
+    `stop_ms` those of the first and the last stop, 0 without one, and `paced_ms` that
+    of the last change of `pace`, which is in percent.
     `load` is the last load that the host reported. A run that is not `is_wanted` is to
     be stopped. `is_listed` is set once a report of the host has listed the run, which
     proves that this incarnation of the executor has it. `is_need_known` is unset for an
@@ -44,6 +45,7 @@
         "attempt",
         "counted_ms",
         "executor_id",
+        "first_stop_ms",
         "is_listed",
         "is_long_running",
         "is_need_known",
@@ -80,6 +82,7 @@
         self.started_ms = now_ms
         self.counted_ms = now_ms
         self.moved_ms = now_ms
+        self.first_stop_ms = 0
         self.stop_ms = 0
         self.is_stop_answered = False
         self.is_wanted = True
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -222,6 +222,16 @@
             host.remove(run, self.term.now_ms)
             if step_run is not None:
                 self._remove_run(step_run, run)
+        if step_run is None or step_run.job_run.state.is_final:
+            extra = {
+                "job": row.subtask.job_id,
+                "step": row.subtask.step,
+                "index": row.subtask.index,
+                "executor": host.executor_id,
+                "attempt": row.attempt,
+                "end": row.kind.value,
+            }
+            log.info("run of an ended job ended", extra=extra)
         if step_run is None or step_run.job_run.visible_state.is_final:
             return False
         tag = EndStored(host.executor_id, host.born_ms, row.number)
