Reproduce a job that ends every scheduler in turn

A caller's job has the same effect on the present code: it is stored, and each successor reads it.

A test whose id begins a line there is now expected to fail and printed at the end of the run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import weakref
+from pathlib import Path
 
 import pytest
 
 from guavapin.kernel import Kernel
 
+KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
+
 
 @pytest.fixture(autouse=True, scope="session")
 def stop_leftover_kernels():
@@ -30,6 +33,15 @@
         kernel.stop()
 
 
+def pytest_collection_modifyitems(items):
+    """Expect the failure of each test whose id begins a line of KNOWN-RED.txt."""
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    listed = {line.split(" ")[0] for line in lines if line.startswith("tests/")}
+    for item in items:
+        if item.nodeid.partition("[")[0] in listed:
+            item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt"))
+
+
 def pytest_terminal_summary(terminalreporter):
     known = terminalreporter.stats.get("xfailed", [])
     if known:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -241,6 +241,24 @@
     assert isinstance(call, BadCall)
 
 
+@pytest.mark.parametrize(
+    "job",
+    [
+        {"steps": [{"count": 2_000_000_000, "estimate-ms": 100}]},
+        {"steps": [{"count": 6_000}, {"count": 6_000}]},
+        {"repeats": 2_000_000_000, "steps": [{"count": 1}]},
+        {"repeats": 10, "steps": [{"count": 1_100}]},
+    ],
+)
+def test_a_job_of_too_many_subtasks_is_rejected(job: dict[str, object]) -> None:
+    # Guards against a job that ends each process that schedules for want of memory, one
+    # after the other, so that nobody starts or stops other work.
+    queue = decode_manifest(as_bytes(MANIFEST)).queues[0]
+    body = as_bytes({"spec": "s", **job})
+    call = decode_call(queue, "POST", f"/puxa400/{JOB_ID}", body, 0)
+    assert isinstance(call, BadCall)
+
+
 def test_a_wave_with_a_number_out_of_range_is_unreadable() -> None:
     # Guards against a duration whose conversion to milliseconds raises.
     wave = {"phase": 3, "machines": ["m"], "duration-s": 9, "cap": 2}
