Reject jobs that no scheduler can hold

Callers saw nothing of their own: accepted jobs of all queues stayed queued, and runs of cancelled jobs went on, while one process after the other took the duty and ended.

Cause: the number of subtasks of a job was limited to 2**53 and the number of its occurrences too. A scheduler holds all subtasks of a job, so that one such job took all memory, or the scheduler's time; it was stored, so each successor read it again.

Change: a job has at most 8,000 subtasks in all occurrences; a larger one is answered with 400, left out when it is read from the store, and refused from a peer. Its progress, up to 123 bytes a subtask (measured with three failed attempts each), then fits into a value of the store. The jobs of all queues together have at most 100,000 open subtasks, shared between queues like the places for jobs: a step of one subtask takes 1,657 bytes (measured).

The test of the earlier admission policy reads the renamed table of open jobs; what it checks is the same.

--- a/src/guavapin/intake/peer_codec.py
+++ b/src/guavapin/intake/peer_codec.py
@@ -18,6 +18,7 @@
 from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import WaitingIs
+from guavapin.jobs.limits import is_within_limits
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import JobState
 from guavapin.scheduling.messages import KnownScheduler
@@ -96,7 +97,9 @@
         return None
     match call.kind:
         case "submit":
-            return SubmitJob(call.job) if call.job is not None else None
+            if call.job is None or not is_within_limits(call.job):
+                return None
+            return SubmitJob(call.job)
         case "query":
             return QueryJob(call.name)
         case "cancel":
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -20,6 +20,9 @@
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import Undecided
 from guavapin.jobs.calls import WaitingIs
+from guavapin.jobs.limits import MAX_SUBTASKS
+from guavapin.jobs.limits import count_subtasks
+from guavapin.jobs.limits import is_within_limits
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
@@ -129,20 +132,24 @@
             )
     if not submitted.steps:
         return BadCall("job: expected at least one step")
-    return SubmitJob(
-        Job(
-            job_id=job_id,
-            queue=queue.key,
-            service=queue.service,
-            spec=submitted.spec,
-            steps=tuple(_decode_step(step) for step in submitted.steps),
-            repeats=submitted.repeats,
-            first_due_ms=int(submitted.start_at_ms),
-            interval_ms=int(submitted.interval_ms),
-            accepted_ms=wall_ms,
-            terms=queue.terms,
-        )
+    job = Job(
+        job_id=job_id,
+        queue=queue.key,
+        service=queue.service,
+        spec=submitted.spec,
+        steps=tuple(_decode_step(step) for step in submitted.steps),
+        repeats=submitted.repeats,
+        first_due_ms=int(submitted.start_at_ms),
+        interval_ms=int(submitted.interval_ms),
+        accepted_ms=wall_ms,
+        terms=queue.terms,
     )
+    if not is_within_limits(job):
+        return BadCall(
+            f"job: {count_subtasks(job)} subtasks in all occurrences, expected at most "
+            f"{MAX_SUBTASKS}"
+        )
+    return SubmitJob(job)
 
 
 def _decode_step(step: _Step) -> Step:
--- a/src/guavapin/scheduling/admission.py
+++ b/src/guavapin/scheduling/admission.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import zlib
+from collections import Counter
 from collections import deque
 from typing import TYPE_CHECKING
 
 from guavapin.jobs.calls import Rejected
+from guavapin.jobs.limits import count_subtasks
 
 if TYPE_CHECKING:
     from guavapin.jobs.model import Job
@@ -19,6 +21,10 @@
 # Limit of jobs that have not ended. At about 2 kB each they take at most 20 MB.
 MAX_OPEN_JOBS = 10_000
 
+# Limit of the subtasks of these jobs. A step of one subtask takes 1.7 kB, so that they
+# take at most 170 MB; an entry host has 300 MB.
+MAX_OPEN_SUBTASKS = 100_000
+
 # Bounds of the time after which a rejected caller may return. Callers wait for some
 # seconds; one that is told to return later than that looks for another way at once.
 MIN_RETURN_MS = 1_000
@@ -49,38 +55,42 @@
 
 
 class Admission:
-    """Open jobs by queue; only the table of jobs changes it.
+    """Open jobs and their subtasks by queue; only the table of jobs changes it.
 
     A queue may have as many open jobs as there are free places. One queue alone thus
-    gets half of all places, and the free half is there for the others.
+    gets half of all places, and the free half is there for the others. The same holds
+    for subtasks.
     """
 
     def __init__(self) -> None:
-        self._queue_by_job: dict[str, str] = {}
-        self._open_by_queue: dict[str, int] = {}
+        self._open_jobs: dict[str, Job] = {}
+        self._open_by_queue: Counter[str] = Counter()
+        self._subtasks_by_queue: Counter[str] = Counter()
         self._ended = RecentEvents()
         self._rejected = RecentEvents()
 
     def open_in_queue(self, queue: str) -> int:
         """Return the number of open jobs of a queue."""
-        return self._open_by_queue.get(queue, 0)
+        return self._open_by_queue[queue]
 
     def add(self, job: Job) -> None:
         """Count a job as open; do nothing if it is counted."""
-        if job.job_id not in self._queue_by_job:
-            self._queue_by_job[job.job_id] = job.queue
-            self._open_by_queue[job.queue] = self.open_in_queue(job.queue) + 1
+        if job.job_id not in self._open_jobs:
+            self._open_jobs[job.job_id] = job
+            self._open_by_queue[job.queue] += 1
+            self._subtasks_by_queue[job.queue] += count_subtasks(job)
 
     def remove(self, job_id: str, now_ms: int) -> None:
         """Count a job as ended; do nothing if it is not counted as open."""
-        queue = self._queue_by_job.pop(job_id, None)
-        if queue is not None:
-            self._open_by_queue[queue] -= 1
+        job = self._open_jobs.pop(job_id, None)
+        if job is not None:
+            self._open_by_queue[job.queue] -= 1
+            self._subtasks_by_queue[job.queue] -= count_subtasks(job)
             self._ended.record(now_ms)
 
     def rejection(self, job: Job, now_ms: int) -> Rejected | None:
         """Return the rejection of a job, None if there is a place for it."""
-        if self.open_in_queue(job.queue) < MAX_OPEN_JOBS - len(self._queue_by_job):
+        if self._has_place_for(job):
             return None
         self._rejected.record(now_ms)
         waiting = self._rejected.count(now_ms)
@@ -91,6 +101,12 @@
             "too many jobs of the queue are open", _spread(return_ms, job.job_id)
         )
 
+    def _has_place_for(self, job: Job) -> bool:
+        free_jobs = MAX_OPEN_JOBS - len(self._open_jobs)
+        free_subtasks = MAX_OPEN_SUBTASKS - self._subtasks_by_queue.total()
+        subtasks = self._subtasks_by_queue[job.queue] + count_subtasks(job)
+        return self._open_by_queue[job.queue] < free_jobs and subtasks <= free_subtasks
+
 
 def _spread(delay_ms: int, job_id: str) -> int:
     """Return the delay, changed by a share that depends on the job."""
--- a/src/guavapin/scheduling/record.py
+++ b/src/guavapin/scheduling/record.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from guavapin.jobs.limits import is_within_limits
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import JobState
 
@@ -70,11 +71,15 @@
 
 
 def decode_job(value: bytes) -> Job | None:
-    """Return the job of a record, None if the record is malformed."""
+    """Return the job of a record.
+
+    Returns None if the record is malformed, or if no scheduler can hold its job.
+    """
     try:
-        return msgspec.json.decode(value, type=Job)
+        job = msgspec.json.decode(value, type=Job)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
+    return job if is_within_limits(job) else None
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/tests/loads/test_burst.py
+++ b/tests/loads/test_burst.py
@@ -11,6 +11,7 @@
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import Rejected
 from guavapin.jobs.calls import SubmitJob
+from guavapin.jobs.limits import MAX_SUBTASKS
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import Step
 from guavapin.scheduling import admission
@@ -44,6 +45,22 @@
     return count_accepted(burst), count_accepted(others)
 
 
+def test_jobs_of_many_subtasks_leave_places_for_other_queues(sim: Simulation) -> None:
+    # Guards against a burst of large jobs that takes all memory of each process that
+    # schedules, one after the other.
+    wide = Job("b" * 16, QUEUE.key, "pool", "spec", (Step(MAX_SUBTASKS, SMALL),))
+    places = Admission()
+    accepted = 0
+    while places.rejection(wide, 0) is None:
+        accepted += 1
+        places.add(replace(wide, job_id=f"{accepted:016x}"))
+    assert accepted == admission.MAX_OPEN_SUBTASKS // MAX_SUBTASKS // 2
+    other = replace(wide, queue="h/other/", steps=(Step(1, SMALL),))
+    assert places.rejection(other, 0) is None
+    places.remove(f"{1:016x}", 0)
+    assert places.rejection(wide, 0) is None
+
+
 def count_accepted(answers: list) -> int:
     return sum(isinstance(answer, Accepted) for answer in answers)
 
@@ -71,7 +88,7 @@
 ) -> None:
     # Guards against a replay that shows no gain: the limit used to be one for all.
     def reject_above_limit(table, job, now_ms) -> Rejected | None:
-        is_full = len(table._queue_by_job) >= PLACES
+        is_full = len(table._open_jobs) >= PLACES
         return Rejected("too many jobs are open", 2_000) if is_full else None
 
     monkeypatch.setattr(Admission, "rejection", reject_above_limit)
