Limit the numbers in the lists of runs that executors report

An end with a number of 2**60 would have hidden all later ends.

Change: a list with a number outside 0 to 2**53 is unreadable, like one with another malformed row; the executor then counts as not answering.

Evidence: the five cases of the new test failed before and pass now. No executor that sends such a row is known.

--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -26,6 +26,7 @@
 from guavapin.http.messages import PeerCall
 from guavapin.jobs.model import Subtask
 from guavapin.kernel.decimal import parse_decimal
+from guavapin.platform.bodies import MAX_NUMBER
 from guavapin.platform.bodies import WireInt
 from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
@@ -207,20 +208,26 @@
 
 def _decode_running(row: list[Any]) -> RunningRow | None:
     subtask = parse_subtask(row[0]) if len(row) >= 4 else None
-    if subtask is None or not isinstance(row[1], int) or not isinstance(row[2], str):
+    if subtask is None or not _is_count(row[1]) or not isinstance(row[2], str):
         return None
     numbers = [part if isinstance(part, int | float) else 0 for part in row[3:5]]
+    if any(not 0 <= number <= MAX_NUMBER for number in numbers):
+        return None
     load = float(numbers[1]) if len(numbers) > 1 else 0.0
     return RunningRow(subtask, row[1], row[2], int(numbers[0]), load)
 
 
 def _decode_ended(row: list[Any]) -> EndedRow | None:
     subtask = parse_subtask(row[1]) if len(row) >= 5 else None
-    if subtask is None or not isinstance(row[0], int) or not isinstance(row[2], int):
+    if subtask is None or not _is_count(row[0]) or not _is_count(row[2]):
         return None
     if row[3] not in _END_KINDS or not isinstance(row[4], str):
         return None
     return EndedRow(row[0], subtask, row[2], EndKind(row[3]), row[4])
 
 
+def _is_count(part: Any) -> bool:
+    return isinstance(part, int) and 0 <= part <= MAX_NUMBER
+
+
 _END_KINDS = frozenset(kind.value for kind in EndKind)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -424,6 +424,24 @@
     assert isinstance(outcome, NoAnswer)
 
 
+@pytest.mark.parametrize(
+    "lists",
+    [
+        {"running": [[f"{JOB_ID}.0.0.1", 1, "", 0, 10**400]]},
+        {"running": [[f"{JOB_ID}.0.0.1", 1, "", 10**400]]},
+        {"running": [[f"{JOB_ID}.0.0.1", 2**60, "", 0]]},
+        {"finished": [[2**60, f"{JOB_ID}.0.0.1", 1, "done", ""]]},
+        {"finished": [[1, f"{JOB_ID}.0.0.1", -1, "done", ""]]},
+    ],
+)
+def test_a_list_of_runs_with_a_number_out_of_range_is_unreadable(lists) -> None:
+    # Guards against a process that ends at the conversion of a load to a float, and
+    # against an end whose number hides all later ends.
+    answered = Answered(200, as_bytes({"clock-ms": 9, "born": 1, **lists}))
+    outcome = PlatformExecutorCodec().decode(Look(1, 0), answered)
+    assert isinstance(outcome, NoAnswer)
+
+
 def test_machine_pages_and_refusals_of_orders_are_decoded() -> None:
     # Guards against a fenced holder that goes on sending orders.
     codec = PlatformMachineCodec("10.0.0.1:80")
