Treat a call that libcurl does not take as not sent

Change: the options of a transfer are set in one place, which returns a refusal for what libcurl does not take. Both clients then answer the call as not sent. So no part of a call can end the process, whoever wrote it. The log line is one message now, 'call cannot be sent', with the reason in a field.

Evidence: the tests of a path outside ASCII, a path with a NUL and a store URL with a NUL failed before (the process ended) and pass now. Two bracketed addresses that only look like IPv6 ones get no answer, before and after.

--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -25,6 +25,7 @@
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Refused
 
 if TYPE_CHECKING:
     from guavapin.http.messages import CallOutcome
@@ -110,7 +111,8 @@
             self._send(call)
 
     def _refuse(self, call: PeerCall, detail: str) -> None:
-        log.warning(detail, extra={"address": call.address, "path": call.path})
+        extra = {"address": call.address, "path": call.path, "detail": detail}
+        log.warning("call cannot be sent", extra=extra)
         self._reply(call, Unanswered(False, detail))
 
     def _send(self, call: PeerCall) -> None:
@@ -122,7 +124,7 @@
             self._reconnects_left[call.address] -= 1
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         headers = tuple(f"{name}: {value}" for name, value in call.headers)
-        prepare(
+        prepared = prepare(
             curl,
             transfer,
             HttpRequest(
@@ -136,6 +138,10 @@
                 resets_connection=call.not_after_ms > 0,
             ),
         )
+        if isinstance(prepared, Refused):
+            self._keep_idle(curl)
+            self._refuse(call, prepared.detail)
+            return
         self._transfers[curl] = transfer
         self._driver.add(curl)
         if call.not_after_ms:
--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -12,6 +12,11 @@
 
 import pycurl
 
+from guavapin.kernel.outcome import Ok
+from guavapin.kernel.outcome import Outcome
+from guavapin.kernel.outcome import Reason
+from guavapin.kernel.outcome import Refused
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -102,9 +107,22 @@
         return len(data)
 
 
-def prepare(curl: Any, transfer: Transfer[T], req: HttpRequest) -> None:
-    """Set the options of `curl` for one call, clearing those of an earlier one."""
+def prepare(curl: Any, transfer: Transfer[T], req: HttpRequest) -> Outcome[None]:
+    """Set the options of `curl` for one call, clearing those of an earlier one.
+
+    Returns `Refused` for a request that libcurl does not take, for example because its
+    URL is not ASCII. Parts of a request come from other processes, and none of them may
+    end this one.
+    """
     curl.reset()
+    try:
+        _set_options(curl, transfer, req)
+    except (pycurl.error, ValueError, TypeError, OverflowError) as exc:
+        return Refused(Reason.BAD_INPUT, f"libcurl does not take the call: {exc!r}")
+    return Ok(None)
+
+
+def _set_options(curl: Any, transfer: Transfer[T], req: HttpRequest) -> None:
     curl.setopt(pycurl.URL, req.url)
     curl.setopt(pycurl.CUSTOMREQUEST, req.method)
     if req.method != "GET" and req.body:
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -19,6 +19,7 @@
 from guavapin.kernel import Ok
 from guavapin.kernel import Outcome
 from guavapin.kernel.outcome import InvariantError
+from guavapin.kernel.outcome import Refused
 from guavapin.keyvalue.budget import TokenBucket
 from guavapin.keyvalue.messages import NotSent
 from guavapin.keyvalue.messages import PlatformOutcome
@@ -193,16 +194,21 @@
     def _send(self, pending: _PendingCall, now_ms: int) -> None:
         transfer = Transfer(pending, pending.call.is_write)
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
-        self._prepare_handle(curl, transfer, max(pending.due_ms - now_ms, 1))
+        remaining_ms = max(pending.due_ms - now_ms, 1)
+        prepared = self._prepare_handle(curl, transfer, remaining_ms)
+        if isinstance(prepared, Refused):
+            self._keep_idle(curl)
+            self._answer(pending, NotSent(prepared.detail))
+            return
         self._transfers[curl] = transfer
         self._watches += pending.call.kind == "watch"
         self._driver.add(curl)
 
     def _prepare_handle(
         self, curl: Any, transfer: Transfer[_PendingCall], remaining_ms: int
-    ) -> None:
+    ) -> Outcome[None]:
         call = transfer.owner.call
-        prepare(
+        return prepare(
             curl,
             transfer,
             HttpRequest(
@@ -229,11 +235,14 @@
             outcome = NotSent(detail)
         else:
             outcome = Unknown(detail)
-        if len(self._idle_handles) < self._cfg.max_in_flight:
-            self._idle_handles.append(curl)
+        self._keep_idle(curl)
         self._answer(pending, outcome)
         self._send_queued()
 
+    def _keep_idle(self, curl: Any) -> None:
+        if len(self._idle_handles) < self._cfg.max_in_flight:
+            self._idle_handles.append(curl)
+
     def _answer(self, pending: _PendingCall, outcome: PlatformOutcome) -> None:
         self.counters[pending.call.kind, type(outcome).__name__] += 1
         if pending.caller is not None:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -163,3 +163,24 @@
     assert isinstance(outcome, Unanswered) and not outcome.was_sent
     assert outcome.detail.endswith("is malformed")
     assert site.kernel.wait_for_failure(0) is None
+
+
+@pytest.mark.parametrize("path", ["/r\u00e9seau", "/a\x00b"])
+def test_a_call_that_libcurl_does_not_take_is_refused(site: Site, path: str) -> None:
+    # Guards against any other part of a call from outside that ends the process, as the
+    # address of a registration did.
+    address = f"127.0.0.1:{site.listener.getsockname()[1]}"
+    site.kernel.deliver("http", PeerCall("caller", 1, address, "GET", path, b"", 500))
+    outcome = site.reply().outcome
+    assert isinstance(outcome, Unanswered) and not outcome.was_sent
+    assert "libcurl does not take the call" in outcome.detail
+    assert site.kernel.wait_for_failure(0) is None
+
+
+@pytest.mark.parametrize("host", ["[::1%reseau]", "[:::::]"])
+def test_an_address_that_names_no_host_gets_no_answer(site: Site, host: str) -> None:
+    # Guards against an address that has the form of one and ends the process.
+    call = PeerCall("caller", 1, f"{host}:9", "GET", "/", b"", 500)
+    site.kernel.deliver("http", call)
+    assert isinstance(site.reply().outcome, Unanswered)
+    assert site.kernel.wait_for_failure(0) is None
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -254,3 +254,14 @@
     assert sum(b"/v1/kv/d" in data for data in received) == 2
     client.kernel.stop()
     listener.close()
+
+
+def test_a_call_that_libcurl_does_not_take_is_not_sent() -> None:
+    # Guards against a part of a call from outside that ends the process, as the address
+    # of a registration did.
+    client = Client("http://127.0.0.1\x00:9")
+    try:
+        assert isinstance(client.get("a"), NotSent)
+        assert client.kernel.wait_for_failure(0) is None
+    finally:
+        client.kernel.stop()
