Read the stored time of a wave as ASCII digits only

Change: parse_decimal, as everywhere else, and all errors of the decoder.

Only this system writes these keys, so no caller saw it.

--- a/src/guavapin/machines/record_codec.py
+++ b/src/guavapin/machines/record_codec.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from guavapin.kernel.decimal import parse_decimal
+
 _DECODER = msgspec.json.Decoder(list[str])
 
 
@@ -16,7 +18,7 @@
     """Return the recorded machines, None for a value that cannot be read."""
     try:
         return frozenset(_DECODER.decode(value))
-    except msgspec.DecodeError:
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
 
 
@@ -27,4 +29,4 @@
 
 def decode_due(value: bytes) -> int | None:
     """Return the time in milliseconds since the Unix epoch, None if unreadable."""
-    return int(value) if value.isdigit() else None
+    return parse_decimal(value.decode("ascii", errors="replace"))
--- /dev/null
+++ b/tests/machines/test_record_codec.py
@@ -0,0 +1,23 @@
+"""Records of ordered machines and of waves that cannot be read."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavapin.machines.record_codec import decode_due
+from guavapin.machines.record_codec import decode_ordered
+from guavapin.machines.record_codec import encode_due
+
+
+@pytest.mark.parametrize("value", [b"9" * 5_000, b"", b"-1", b"1.5", b"\xff", b"\xb2"])
+def test_a_malformed_time_of_a_wave_is_unreadable(value: bytes) -> None:
+    # Guards against a stored time that ends each process that schedules: int raises for
+    # more than 4,300 digits.
+    assert decode_due(value) is None
+    assert decode_due(encode_due(1_700_000_000_000)) == 1_700_000_000_000
+
+
+@pytest.mark.parametrize("value", [b"[" * 500_000, b'["\xff"]', b'"a"', b""])
+def test_a_malformed_record_of_ordered_machines_is_unreadable(value: bytes) -> None:
+    # Guards against a stored list that ends each process that schedules.
+    assert decode_ordered(value) is None
