Limit the numbers of a manifest

An objective of 1.7e308 ms becomes an integer that no sum with a float can hold, which raises OverflowError in each process that schedules. The platform stores valid manifests only, so that no such manifest is known.

Change: numbers outside 0 to 2**53 make a manifest unreadable, like those of other bodies; the manifest before it stays in force.

Evidence: the three cases of the new test failed before and pass now.

--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -25,9 +25,9 @@
 
 
 class _Hint(msgspec.Struct, rename="kebab", frozen=True):
-    decide_ms: float = 0
-    per_worker_ms: float = 0
-    validity_ms: float = 0
+    decide_ms: WireNumber = 0
+    per_worker_ms: WireNumber = 0
+    validity_ms: WireNumber = 0
 
 
 class _Route(msgspec.Struct, rename="kebab", frozen=True):
@@ -37,10 +37,10 @@
     service: str
     priority: int = 0
     attempts: int = 1
-    stretch: float = 1.0
+    stretch: WireNumber = 1.0
     # Not the timeout of a call: a job's latency objective is the sum of this field and
     # `stretch` times the job's work.
-    latency_slo_ms: float = 0
+    latency_slo_ms: WireNumber = 0
     hint: _Hint | None = None
 
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -259,6 +259,16 @@
     assert isinstance(call, BadCall)
 
 
+@pytest.mark.parametrize(
+    "field", [{"latency-slo-ms": 1.7e308}, {"stretch": 1.7e308}, {"stretch": -1}]
+)
+def test_a_manifest_with_a_number_out_of_range_is_unreadable(field) -> None:
+    # Guards against a manifest that ends every scheduler: a sum of a float and an
+    # objective of 1.7e308 ms raises OverflowError.
+    route = {**MANIFEST["routes"][0], **field}
+    assert decode_manifest(as_bytes({**MANIFEST, "routes": [route]})) is None
+
+
 def test_a_wave_with_a_number_out_of_range_is_unreadable() -> None:
     # Guards against a duration whose conversion to milliseconds raises.
     wave = {"phase": 3, "machines": ["m"], "duration-s": 9, "cap": 2}
