Limit the steps of a job to what a value of the store holds

The store holds 1 MB a value. A write that it does not take was sent again without end, in one transaction with the acceptances, ends and cancellings of other jobs.

Change: a job has at most 1,000 steps, and names at most 8,000 predecessors in all occurrences, which are searched each time that a step is done. Its record then fits, with the largest body that the front takes.

Evidence: the three cases of the new test failed before; the record of the largest job with long texts has less than 1 MB in the other one. That the store refuses a longer value was not run: our stand-ins take any.

--- a/src/guavapin/jobs/limits.py
+++ b/src/guavapin/jobs/limits.py
@@ -12,16 +12,40 @@
 # the store, which holds 1 MB.
 MAX_SUBTASKS = 8_000
 
+# Limit of a job's steps. The record of a job has up to 400 bytes for each, beside the
+# texts of its submission, and must fit into one value of the store too.
+MAX_STEPS = 1_000
 
-def count_subtasks(job: Job) -> int:
-    """Return the number of subtasks of a job in all its occurrences."""
-    return job.occurrences * sum(step.count for step in job.steps)
+# Limit of the predecessors that the steps of a job name, in all occurrences. Whenever a
+# step is done, the predecessors of all steps that have not begun are searched.
+MAX_PREDECESSORS = 8_000
 
 
-def is_within_limits(job: Job) -> bool:
-    """Return whether a scheduler can hold a job.
+def find_excess(job: Job) -> str:
+    """Return which limit a job exceeds, "" if a scheduler can hold it.
 
     For example, a job with ``repeats`` 100 and two steps of 40 subtasks has 8,000
     subtasks, which is the limit.
     """
-    return count_subtasks(job) <= MAX_SUBTASKS
+    counts = (
+        ("steps", len(job.steps), MAX_STEPS),
+        (
+            "subtasks in all occurrences",
+            count_subtasks(job),
+            MAX_SUBTASKS,
+        ),
+        (
+            "predecessors in all occurrences",
+            job.occurrences * sum(len(step.after) for step in job.steps),
+            MAX_PREDECESSORS,
+        ),
+    )
+    for what, count, limit in counts:
+        if count > limit:
+            return f"{count} {what}, expected at most {limit}"
+    return ""
+
+
+def count_subtasks(job: Job) -> int:
+    """Return the number of subtasks of a job in all its occurrences."""
+    return job.occurrences * sum(step.count for step in job.steps)
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -20,9 +20,7 @@
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import Undecided
 from guavapin.jobs.calls import WaitingIs
-from guavapin.jobs.limits import MAX_SUBTASKS
-from guavapin.jobs.limits import count_subtasks
-from guavapin.jobs.limits import is_within_limits
+from guavapin.jobs.limits import find_excess
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
@@ -144,12 +142,8 @@
         accepted_ms=wall_ms,
         terms=queue.terms,
     )
-    if not is_within_limits(job):
-        return BadCall(
-            f"job: {count_subtasks(job)} subtasks in all occurrences, expected at most "
-            f"{MAX_SUBTASKS}"
-        )
-    return SubmitJob(job)
+    excess = find_excess(job)
+    return BadCall(f"job: {excess}") if excess else SubmitJob(job)
 
 
 def _decode_step(step: _Step) -> Step:
--- a/src/guavapin/scheduling/record.py
+++ b/src/guavapin/scheduling/record.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from guavapin.jobs.limits import is_within_limits
+from guavapin.jobs.limits import find_excess
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import JobState
 
@@ -79,7 +79,7 @@
         job = msgspec.json.decode(value, type=Job)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
-    return job if is_within_limits(job) else None
+    return None if find_excess(job) else job
 
 
 def encode_progress(progress: Progress) -> bytes:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -55,6 +55,7 @@
 from guavapin.scheduling.record import decode_job
 from guavapin.scheduling.record import decode_progress
 from guavapin.scheduling.record import encode_job
+from guavapin.serving.request_handler import MAX_BODY_BYTES
 
 JOB_ID = "5c0e7a21d94b36f8"
 MANIFEST = {
@@ -253,6 +254,37 @@
 def test_a_job_of_too_many_subtasks_is_rejected(job: dict[str, object]) -> None:
     # Guards against a job that ends each process that schedules for want of memory, one
     # after the other, so that nobody starts or stops other work.
+    assert_rejected(job)
+
+
+@pytest.mark.parametrize(
+    "job",
+    [
+        {"steps": [{"count": 1}] * 1_001},
+        {"steps": [{"count": 1}] * 99 + [{"count": 1, "after": [0, 98] * 4_001}]},
+        {"repeats": 80, "steps": [{"count": 1}, {"count": 1, "after": [0] * 101}]},
+    ],
+)
+def test_a_job_of_too_many_steps_is_rejected(job: dict[str, object]) -> None:
+    # Guards against a record that the store does not take: its write was repeated
+    # without end, with those of other jobs in one transaction.
+    assert_rejected(job)
+
+
+def test_the_record_of_the_largest_job_fits_into_a_value_of_the_store() -> None:
+    # Guards against a limit of steps that the store's limit of 1 MB does not allow.
+    texts = {"required-label": "l" * 60, "affinity": "r" * 60, "image": "i" * 60}
+    step = {"count": 8, "cpu": 2**53, "mem-mb": 2**53, "gpus": 2**53, **texts}
+    step |= {"estimate-ms": 2**53, "target-ms": 2**53, "may-miss": 2**53}
+    body = as_bytes({"spec": "s" * 4_000, "steps": [step] * 1_000})
+    queue = decode_manifest(as_bytes(MANIFEST)).queues[0]
+    call = decode_call(queue, "POST", f"/puxa400/{JOB_ID}", body, 0)
+    # The front takes bodies of up to 256 KB; this one is longer.
+    assert len(body) > MAX_BODY_BYTES and isinstance(call, SubmitJob)
+    assert len(encode_job(call.job)) < 1_048_576
+
+
+def assert_rejected(job: dict[str, object]) -> None:
     queue = decode_manifest(as_bytes(MANIFEST)).queues[0]
     body = as_bytes({"spec": "s", **job})
     call = decode_call(queue, "POST", f"/puxa400/{JOB_ID}", body, 0)
