Keep the marker of a cancellation until its state is stored

Cause: the scheduler that read the marker recorded two entries, the state of the job and the removal of the marker. While an earlier progress of the job is in flight, the state waits for its answer, and the removal goes out alone. If the term ends in between, the successor finds neither the marker nor the state, and the caller's 200 was the last trace of the cancellation.

Change: the marker is removed once the final state is stored, or at once if the job is no longer there, in which case it used to stay for good.

The two new tests failed before.

--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -103,6 +103,8 @@
         # Jobs that another process has stored and that are being read from the store.
         self._fetching: set[str] = set()
         self._cancel_when_fetched: set[str] = set()
+        # Jobs whose marker of a cancellation is removed once their state is stored.
+        self._cancelled_by_marker: set[str] = set()
 
     def load(self, jobs: Iterable[Job], progress: dict[str, Progress]) -> None:
         """Load the stored jobs; of an ended job, only the final state is kept."""
@@ -148,17 +150,18 @@
             self._store(Entry(key, None))
             return
         job_run = self.by_id.get(job_id)
-        if f".{suffix}" == CANCELLED_SUFFIX:
+        is_cancelled = f".{suffix}" == CANCELLED_SUFFIX
+        if is_cancelled:
             extra = {"job": job_id, "is_job_known": job_run is not None}
             log.info("cancellation found in the store", extra=extra)
-            if job_run is not None:
-                self.close(job_run, JobState.CANCELLED)
-            else:
+        if job_run is not None and is_cancelled:
+            self._cancel_by_marker(job_run)
+        elif job_run is not None:
+            self._store(Entry(key, None))
+        else:
+            if is_cancelled:
                 self._cancel_when_fetched.add(job_id)
-        if job_run is None:
             self._fetch(job_id)
-        else:
-            self._store(Entry(key, None))
 
     def handle_fetched(self, job_id: str, job: Job | None) -> None:
         """Open a job that was read from the store; `job` is None if it has none."""
@@ -172,10 +175,12 @@
         for req in submissions:
             answer = Accepted() if job is not None else Rejected("try again")
             self._answer(req, answer)
-        if job_id in self._cancel_when_fetched and job_id in self.by_id:
-            self.close(self.by_id[job_id], JobState.CANCELLED)
-            self._store(Entry(f"{INBOX_PREFIX}{job_id}{CANCELLED_SUFFIX}", None))
-        self._cancel_when_fetched.discard(job_id)
+        if job_id in self._cancel_when_fetched:
+            self._cancel_when_fetched.discard(job_id)
+            if job_id in self.by_id:
+                self._cancel_by_marker(self.by_id[job_id])
+            else:
+                self._remove_cancel_marker(job_id)
         self._store(Entry(f"{INBOX_PREFIX}{job_id}{SUBMITTED_SUFFIX}", None))
 
     def handle_durable(self, tag: object) -> None:
@@ -193,6 +198,9 @@
             # The progress record holds the final state, so the job itself is removed
             # and a successor need not read it.
             self._store(Entry(f"{JOBS_PREFIX}{tag.job_id}", None))
+            if tag.job_id in self._cancelled_by_marker:
+                self._cancelled_by_marker.discard(tag.job_id)
+                self._remove_cancel_marker(tag.job_id)
             for req in self._cancellations.pop(tag.job_id, []):
                 self._answer(req, Accepted())
 
@@ -286,6 +294,22 @@
             self._cancellations.setdefault(job_id, []).append(req)
             self.close(job_run, JobState.CANCELLED)
 
+    def _cancel_by_marker(self, job_run: JobRun) -> None:
+        """Cancel a job, and remove the marker once the final state is stored.
+
+        The marker is the only record of the acknowledged cancellation until then: if
+        the term ends first, the successor needs it.
+        """
+        job_id = job_run.job.job_id
+        if job_run.visible_state.is_final:
+            self._remove_cancel_marker(job_id)
+            return
+        self._cancelled_by_marker.add(job_id)
+        self.close(job_run, JobState.CANCELLED)
+
+    def _remove_cancel_marker(self, job_id: str) -> None:
+        self._store(Entry(f"{INBOX_PREFIX}{job_id}{CANCELLED_SUFFIX}", None))
+
     def _state(self, job_id: str) -> JobAnswer | None:
         """Return a job's state, None for a job that is not known here.
 
--- a/tests/scheduling/test_cancelled_jobs.py
+++ b/tests/scheduling/test_cancelled_jobs.py
@@ -1,4 +1,4 @@
-"""The log lines from which operators see why a cancelled job's runs still go on."""
+"""Cancellations that reach the scheduler through the store, and their log lines."""
 
 from __future__ import annotations
 
@@ -6,7 +6,10 @@
 
 import pytest
 
+from guavapin.jobs.model import JobState
 from guavapin.scheduling.host_table import STOP_RETRY_MS
+from guavapin.scheduling.job_table import StateStored
+from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.record import CANCELLED_SUFFIX
 from guavapin.scheduling.record import INBOX_PREFIX
 from tests.scheduling.simulation import FakeExecutor
@@ -32,6 +35,45 @@
     sim.run()
 
 
+def marker_removals(sim: Simulation) -> list[str]:
+    """Return the pending removals of markers, without performing them."""
+    return [
+        action.entry.key
+        for action in sim.scheduler.term.actions
+        if isinstance(action, StoreEntry) and action.entry.key.startswith(INBOX_PREFIX)
+    ]
+
+
+def test_a_cancellation_marker_stays_until_the_state_is_stored(sim: Simulation) -> None:
+    # Guards against an acknowledged cancellation that is lost: the marker was removed
+    # while the progress of the job was in flight, the term ended before the state was
+    # stored, and the successor ran the job on.
+    jobs = sim.scheduler.jobs
+    key = f"{INBOX_PREFIX}{'a' * 16}{CANCELLED_SUFFIX}"
+    jobs.handle_marker(key)
+    assert marker_removals(sim) == []
+    jobs.handle_durable(StateStored("a" * 16, JobState.CANCELLED))
+    assert marker_removals(sim) == [key]
+    sim.scheduler.term.drain_actions()
+    jobs.handle_marker(key)
+    assert marker_removals(sim) == [key]
+
+
+def test_a_cancellation_of_a_job_read_later_stays_until_its_state_is_stored(
+    sim: Simulation,
+) -> None:
+    # Guards against the same loss for a job that the scheduler has to read first, and
+    # against a marker that stays for good because there is no such job any more.
+    jobs = sim.scheduler.jobs
+    for job_id, job in (("b" * 16, make_job("b" * 16)), ("c" * 16, None)):
+        key = f"{INBOX_PREFIX}{job_id}{CANCELLED_SUFFIX}"
+        jobs.handle_marker(key)
+        jobs.handle_fetched(job_id, job)
+        assert (key in marker_removals(sim)) is (job is None)
+    jobs.handle_durable(StateStored("b" * 16, JobState.CANCELLED))
+    assert f"{INBOX_PREFIX}{'b' * 16}{CANCELLED_SUFFIX}" in marker_removals(sim)
+
+
 def messages(caplog: pytest.LogCaptureFixture) -> list[str]:
     return [record.message for record in caplog.records]
 
