Read the kind of an end in an executor's list as text only

The new property test puts any value into any field of a row; it failed before and passes now. No executor that sends such a row is known.

--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -221,13 +221,14 @@
     subtask = parse_subtask(row[1]) if len(row) >= 5 else None
     if subtask is None or not _is_count(row[0]) or not _is_count(row[2]):
         return None
-    if row[3] not in _END_KINDS or not isinstance(row[4], str):
+    kind = _END_KINDS.get(row[3]) if isinstance(row[3], str) else None
+    if kind is None or not isinstance(row[4], str):
         return None
-    return EndedRow(row[0], subtask, row[2], EndKind(row[3]), row[4])
+    return EndedRow(row[0], subtask, row[2], kind, row[4])
 
 
 def _is_count(part: Any) -> bool:
     return isinstance(part, int) and 0 <= part <= MAX_NUMBER
 
 
-_END_KINDS = frozenset(kind.value for kind in EndKind)
+_END_KINDS = {kind.value: kind for kind in EndKind}
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -484,6 +484,38 @@
     assert isinstance(outcome, NoAnswer)
 
 
+row_fields = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.floats(allow_nan=False),
+    st.text(max_size=9),
+    st.sampled_from([f"{JOB_ID}.0.0.1", "done", "stopped", 1, 10**400]),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=1),
+)
+
+
+@given(
+    st.lists(st.lists(row_fields, max_size=6), max_size=2),
+    st.sampled_from(["running", "finished"]),
+    st.integers(0, 4),
+    row_fields,
+)
+def test_no_row_of_an_executor_raises(rows, name, changed, value) -> None:
+    # Guards against a single row of a list that ends each process that schedules, such
+    # as one whose kind of end is a list.
+    right = {
+        "running": [f"{JOB_ID}.0.0.1", 1, "", 0, 3],
+        "finished": [1, f"{JOB_ID}.0.0.1", 1, "done", ""],
+    }[name]
+    right[changed] = value
+    answered = Answered(200, as_bytes({"clock-ms": 9, name: [*rows, right]}))
+    PlatformExecutorCodec().decode(Look(1, 0), answered)
+    answered = Answered(200, as_bytes({"clock-ms": 9, name: [right]}))
+    PlatformExecutorCodec().decode(Look(1, 0), answered)
+
+
 def test_machine_pages_and_refusals_of_orders_are_decoded() -> None:
     # Guards against a fenced holder that goes on sending orders.
     codec = PlatformMachineCodec("10.0.0.1:80")
