Limit the numbers of a manifest instead of leaving it out

Processes that had read the manifest before it went on with that one, but a process that started served nobody: in a trial with three processes, all killed, every call got 503 12 s later.

Change: a number out of range counts as the nearest one in it, from 0 to 2**53, which no sum or product takes out of the range of a float.

--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -13,6 +13,7 @@
 from guavapin.jobs.queues import QueueTable
 from guavapin.jobs.terms import AdviceTerms
 from guavapin.machines.model import MaintenanceWave
+from guavapin.platform.bodies import MAX_NUMBER
 from guavapin.platform.bodies import WireInt
 from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
@@ -25,9 +26,9 @@
 
 
 class _Hint(msgspec.Struct, rename="kebab", frozen=True):
-    decide_ms: WireNumber = 0
-    per_worker_ms: WireNumber = 0
-    validity_ms: WireNumber = 0
+    decide_ms: float = 0
+    per_worker_ms: float = 0
+    validity_ms: float = 0
 
 
 class _Route(msgspec.Struct, rename="kebab", frozen=True):
@@ -37,10 +38,10 @@
     service: str
     priority: int = 0
     attempts: int = 1
-    stretch: WireNumber = 1.0
+    stretch: float = 1.0
     # Not the timeout of a call: a job's latency objective is the sum of this field and
     # `stretch` times the job's work.
-    latency_slo_ms: WireNumber = 0
+    latency_slo_ms: float = 0
     hint: _Hint | None = None
 
 
@@ -160,7 +161,7 @@
     advice = None
     if hint is not None:
         times = (hint.decide_ms, hint.per_worker_ms, hint.validity_ms)
-        advice = AdviceTerms(*(int(time) for time in times))
+        advice = AdviceTerms(*(int(_bounded(time)) for time in times))
     return Queue(
         name=route.name,
         host=route.host,
@@ -168,7 +169,16 @@
         service=route.service,
         priority=route.priority,
         attempts=max(route.attempts, 1),
-        stretch=route.stretch,
-        latency_objective_ms=int(route.latency_slo_ms),
+        stretch=_bounded(route.stretch),
+        latency_objective_ms=int(_bounded(route.latency_slo_ms)),
         advice=advice,
     )
+
+
+def _bounded(number: float) -> float:
+    """Return the number of a manifest, limited to the range of other bodies.
+
+    A manifest with a number out of range is still the one that the operator wants; a
+    process that left it out would serve no caller after its next start.
+    """
+    return min(max(number, 0.0), float(MAX_NUMBER))
