Count all occurrences and the texts in the limits of a job

Change: at most 1,000 steps and 4,000 subtasks in all occurrences, and 8,000 characters of texts; at most 50,000 open subtasks in all, for which the review measured 2.2 kB each, not 1.7. A rejection for want of places names the work and not the jobs.

Evidence: the largest job that passes has a record of at most 1 MB, and a progress of at most 1 MB with three failures of each subtask (new test; the one before it covered the record only).

--- a/src/guavapin/jobs/limits.py
+++ b/src/guavapin/jobs/limits.py
@@ -8,27 +8,35 @@
     from guavapin.jobs.model import Job
 
 # Limit of a job's subtasks in all occurrences. A scheduler holds all of them in memory,
-# and the progress of a job, with up to 125 bytes for each, must fit into one value of
-# the store, which holds 1 MB.
-MAX_SUBTASKS = 8_000
+# and the progress of a job, with 80 bytes for a subtask that has failed three times,
+# must fit into one value of the store.
+MAX_SUBTASKS = 4_000
 
-# Limit of a job's steps. The record of a job has up to 400 bytes for each, beside the
-# texts of its submission, and must fit into one value of the store too.
+# Limit of a job's steps in all occurrences. The record of a job has up to 400 bytes for
+# each, its progress 60, and both are encoded as a whole.
 MAX_STEPS = 1_000
 
 # Limit of the predecessors that the steps of a job name, in all occurrences. Whenever a
 # step is done, the predecessors of all steps that have not begun are searched.
 MAX_PREDECESSORS = 8_000
 
+# Limit of the labels, racks and images that the steps of a job name, in characters.
+# Ten thousand open jobs thus have at most 80 MB of such texts.
+MAX_TEXT = 8_000
+
 
 def find_excess(job: Job) -> str:
     """Return which limit a job exceeds, "" if a scheduler can hold it.
 
-    For example, a job with ``repeats`` 100 and two steps of 40 subtasks has 8,000
+    For example, a job with ``repeats`` 100 and two steps of 20 subtasks has 4,000
     subtasks, which is the limit.
     """
     counts = (
-        ("steps", len(job.steps), MAX_STEPS),
+        (
+            "steps in all occurrences",
+            job.occurrences * len(job.steps),
+            MAX_STEPS,
+        ),
         (
             "subtasks in all occurrences",
             count_subtasks(job),
@@ -39,6 +47,7 @@
             job.occurrences * sum(len(step.after) for step in job.steps),
             MAX_PREDECESSORS,
         ),
+        ("characters of labels, racks and images", _count_text(job), MAX_TEXT),
     )
     for what, count, limit in counts:
         if count > limit:
@@ -49,3 +58,10 @@
 def count_subtasks(job: Job) -> int:
     """Return the number of subtasks of a job in all its occurrences."""
     return job.occurrences * sum(step.count for step in job.steps)
+
+
+def _count_text(job: Job) -> int:
+    return sum(
+        len(step.required_label) + len(step.preferred_rack) + len(step.image)
+        for step in job.steps
+    )
--- a/src/guavapin/scheduling/admission.py
+++ b/src/guavapin/scheduling/admission.py
@@ -21,9 +21,9 @@
 # Limit of jobs that have not ended. At about 2 kB each they take at most 20 MB.
 MAX_OPEN_JOBS = 10_000
 
-# Limit of the subtasks of these jobs. A step of one subtask takes 1.7 kB, so that they
-# take at most 170 MB; an entry host has 300 MB.
-MAX_OPEN_SUBTASKS = 100_000
+# Limit of the subtasks of these jobs. A step of one subtask takes 2.2 kB, so that they
+# take at most 110 MB; an entry host has 300 MB.
+MAX_OPEN_SUBTASKS = 50_000
 
 # Bounds of the time after which a rejected caller may return. Callers wait for some
 # seconds; one that is told to return later than that looks for another way at once.
@@ -98,7 +98,7 @@
         return_ms = RATE_WINDOW_MS * waiting // ended
         return_ms = min(max(return_ms, MIN_RETURN_MS), MAX_RETURN_MS)
         return Rejected(
-            "too many jobs of the queue are open", _spread(return_ms, job.job_id)
+            "too much work of the queue is open", _spread(return_ms, job.job_id)
         )
 
     def _has_place_for(self, job: Job) -> bool:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -52,9 +52,11 @@
 from guavapin.platform.manifest import decode_registration
 from guavapin.platform.manifest import decode_wave
 from guavapin.platform.store import PlatformStoreCodec
+from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.record import decode_job
 from guavapin.scheduling.record import decode_progress
 from guavapin.scheduling.record import encode_job
+from guavapin.scheduling.record import encode_progress
 from guavapin.serving.request_handler import MAX_BODY_BYTES
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -246,9 +248,9 @@
     "job",
     [
         {"steps": [{"count": 2_000_000_000, "estimate-ms": 100}]},
-        {"steps": [{"count": 6_000}, {"count": 6_000}]},
+        {"steps": [{"count": 2_000}, {"count": 2_001}]},
         {"repeats": 2_000_000_000, "steps": [{"count": 1}]},
-        {"repeats": 10, "steps": [{"count": 1_100}]},
+        {"repeats": 10, "steps": [{"count": 401}]},
     ],
 )
 def test_a_job_of_too_many_subtasks_is_rejected(job: dict[str, object]) -> None:
@@ -263,6 +265,8 @@
         {"steps": [{"count": 1}] * 1_001},
         {"steps": [{"count": 1}] * 99 + [{"count": 1, "after": [0, 98] * 4_001}]},
         {"repeats": 80, "steps": [{"count": 1}, {"count": 1, "after": [0] * 101}]},
+        {"repeats": 501, "steps": [{"count": 1}, {"count": 1}]},
+        {"steps": [{"count": 1, "image": "i" * 8_001}]},
     ],
 )
 def test_a_job_of_too_many_steps_is_rejected(job: dict[str, object]) -> None:
@@ -271,17 +275,26 @@
     assert_rejected(job)
 
 
-def test_the_record_of_the_largest_job_fits_into_a_value_of_the_store() -> None:
-    # Guards against a limit of steps that the store's limit of 1 MB does not allow.
-    texts = {"required-label": "l" * 60, "affinity": "r" * 60, "image": "i" * 60}
-    step = {"count": 8, "cpu": 2**53, "mem-mb": 2**53, "gpus": 2**53, **texts}
-    step |= {"estimate-ms": 2**53, "target-ms": 2**53, "may-miss": 2**53}
-    body = as_bytes({"spec": "s" * 4_000, "steps": [step] * 1_000})
+def test_the_records_of_the_largest_job_fit_into_a_value_of_the_store() -> None:
+    # Guards against limits that the store's limit of 1 MB does not allow.
+    step = {"count": 4, "cpu": 2**53, "mem-mb": 2**53, "gpus": 2**53, "after": [0] * 8}
+    step |= {"estimate-ms": 2**53, "target-ms": 2**53, "max-per-server": 2**53}
+    step |= {"may-miss": 2**53, "image": "i" * 8}
+    steps = [{**step, "after": []}, *[step] * 999]
+    body = as_bytes({"spec": "s" * 4_000, "steps": steps})
     queue = decode_manifest(as_bytes(MANIFEST)).queues[0]
     call = decode_call(queue, "POST", f"/puxa400/{JOB_ID}", body, 0)
     # The front takes bodies of up to 256 KB; this one is longer.
     assert len(body) > MAX_BODY_BYTES and isinstance(call, SubmitJob)
+    job_run = JobRun(call.job, 0, is_inherited=False)
+    for number in range(1_000):
+        step_run = job_run.step_run((0, number))
+        for index in range(4):
+            step_run.record_saved(index, "00000bb87a21d94b")
+            for attempt in range(3):
+                step_run.record_failure(index, 9_999_999_000_000 + attempt)
     assert len(encode_job(call.job)) < 1_048_576
+    assert len(encode_progress(job_run.progress())) < 1_048_576
 
 
 def assert_rejected(job: dict[str, object]) -> None:
