--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -486,8 +486,9 @@
     def _handle_status_reply(
         self, request_id: int, outcome: kv.PlatformOutcome
     ) -> None:
-        wave, is_done = self._status_writes.pop(request_id, (0, False))
-        if self._planner is not None and wave:
+        write = self._status_writes.pop(request_id, None)
+        if self._planner is not None and write is not None:
+            wave, is_done = write
             is_written = isinstance(outcome, kv.Written)
             self._planner.record_status_write(wave, is_done, is_written)
 
--- a/tests/machines/test_task.py
+++ b/tests/machines/test_task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -266,3 +267,22 @@
     rig.task.handle(PrefixListed(WaveCodec.prefix, (kv.Item("op/wave/4", b"1", 3),)))
     rig.advance(100, host("m", "a", runs=1))
     assert rig.cordons[-1].urgent == {"i-m"}
+
+
+@pytest.mark.parametrize("number", [0, 4])
+def test_the_status_of_a_finished_wave_is_written(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch, number: int
+) -> None:
+    # Guards against a wave with the number 0 that is never said to be done, since the
+    # answer to the write of its first status was taken for that of no wave.
+    wave = replace(WAVE, number=number)
+    monkeypatch.setattr(WaveCodec, "decode", lambda codec, value: wave)
+    item = kv.Item(f"op/wave/{number}", b"1", 3)
+    rig.task.handle(PrefixListed(WaveCodec.prefix, (item,)))
+    rig.advance(200, host("m", "a", runs=1))
+    maintained = kv.Item(f"{MAINTAINED_PREFIX}{number}/m", b"1", 4)
+    rig.task.handle(PrefixListed(MAINTAINED_PREFIX, (maintained,)))
+    rig.advance(200, host("m", "a", runs=1))
+    key = f"status/wave/{number}"
+    statuses = [put.value for put, _ in rig.written if put.key == key]
+    assert statuses == [b"running", b"done"]
