Repeat a stop that was answered without effect

A run that an answered stop does not end would go on for good.

Change: such a stop is repeated once the run is listed for longer than a stop may take, stop-timeout-ms, and the interval of other stops.

Evidence: the new test failed before.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -444,9 +444,16 @@
         self._handler.handle_lost_run(host, run, "the host does not list it")
 
     def _retry_stop_if_due(self, host: Host, run: Run) -> None:
-        """Repeat a stop that had no effect, if its interval has passed."""
-        is_due = self._term.now_ms - run.stop_ms >= STOP_RETRY_MS
-        if is_due and not run.is_stop_answered and not host.unanswered:
+        """Repeat a stop that had no effect, if its interval has passed.
+
+        An answered stop has no effect if the host lists the run for longer than a stop
+        may take.
+        """
+        interval_ms = STOP_RETRY_MS
+        if run.is_stop_answered:
+            interval_ms += self._term.times.stop_ms
+        is_due = self._term.now_ms - run.stop_ms >= interval_ms
+        if is_due and not host.unanswered:
             self._send_stop(host, run)
 
     def _send_stop(self, host: Host, run: Run) -> None:
--- a/tests/scheduling/test_cancelled_jobs.py
+++ b/tests/scheduling/test_cancelled_jobs.py
@@ -6,12 +6,15 @@
 
 import pytest
 
+from guavapin.executors.model import Done
+from guavapin.executors.model import Stop
 from guavapin.jobs.model import JobState
 from guavapin.scheduling.host_table import STOP_RETRY_MS
 from guavapin.scheduling.job_table import StateStored
 from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.record import CANCELLED_SUFFIX
 from guavapin.scheduling.record import INBOX_PREFIX
+from tests.scheduling.simulation import TIMES
 from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
 from tests.scheduling.simulation import make_job
@@ -110,3 +113,26 @@
     assert sim.running() == []
     repeated = [r for r in caplog.records if r.message == "stop repeated"]
     assert repeated and repeated[0].since_ms >= STOP_RETRY_MS
+
+
+def test_a_stop_that_was_answered_without_effect_is_repeated(
+    sim: Simulation, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a run that goes on for good, since its lease is extended while its
+    # job is cancelled: its host answered the stop and lists the run all the same.
+    handle_order = FakeExecutor.handle_order
+    stops = []
+
+    def ignore_the_first_stop(executor, order, now_ms):
+        if isinstance(order, Stop):
+            stops.append(now_ms)
+            if len(stops) == 1:
+                return Done(now_ms)
+        return handle_order(executor, order, now_ms)
+
+    monkeypatch.setattr(FakeExecutor, "handle_order", ignore_the_first_stop)
+    cancel_in_store(sim)
+    sim.advance(TIMES.stop_ms)
+    assert len(stops) == 1 and len(sim.running()) == 1
+    sim.advance(1_000)
+    assert len(stops) == 2 and sim.running() == []
