--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -43,8 +43,9 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    known = terminalreporter.stats.get("xfailed", [])
-    if known:
-        terminalreporter.section("known red, see KNOWN-RED.txt")
-    for report in known:
-        terminalreporter.line(f"{report.nodeid}: {report.wasxfail}")
+    for outcome, verdict in (("xfailed", "failed"), ("xpassed", "passed this time")):
+        reports = terminalreporter.stats.get(outcome, [])
+        if reports:
+            terminalreporter.section(f"known red, see KNOWN-RED.txt: {verdict}")
+        for report in reports:
+            terminalreporter.line(f"{report.nodeid}: {report.wasxfail}")
