Leave out stored jobs that no caller may submit

A step after one that does not exist raised IndexError at the start of each term, and an estimate of 10**400 ms raised OverflowError when the job was scheduled. Only this system writes these keys.

Change: one check for submissions, calls of peers and stored records, which names the step and the field.

--- a/src/guavapin/intake/peer_codec.py
+++ b/src/guavapin/intake/peer_codec.py
@@ -18,7 +18,7 @@
 from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import WaitingIs
-from guavapin.jobs.limits import find_excess
+from guavapin.jobs.limits import find_fault
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import JobState
 from guavapin.scheduling.messages import KnownScheduler
@@ -97,7 +97,7 @@
         return None
     match call.kind:
         case "submit":
-            if call.job is None or find_excess(call.job):
+            if call.job is None or find_fault(call.job):
                 return None
             return SubmitJob(call.job)
         case "query":
--- a/src/guavapin/jobs/limits.py
+++ b/src/guavapin/jobs/limits.py
@@ -6,6 +6,11 @@
 
 if TYPE_CHECKING:
     from guavapin.jobs.model import Job
+    from guavapin.jobs.model import Step
+
+# Largest integer that every JSON number holds exactly. Sums and products of such
+# numbers stay far below the range of a float, beyond which conversions raise.
+MAX_NUMBER = 2**53
 
 # Limit of a job's subtasks in all occurrences. A scheduler holds all of them in memory,
 # and the progress of a job, with 80 bytes for a subtask that has failed three times,
@@ -25,23 +30,21 @@
 MAX_TEXT = 8_000
 
 
-def find_excess(job: Job) -> str:
-    """Return which limit a job exceeds, "" if a scheduler can hold it.
+def find_fault(job: Job) -> str:
+    """Return why no scheduler can run a job, "" if one can.
 
     For example, a job with ``repeats`` 100 and two steps of 20 subtasks has 4,000
     subtasks, which is the limit.
     """
+    if not job.steps:
+        return "steps: expected at least one"
+    for number, step in enumerate(job.steps):
+        fault = _find_step_fault(number, step)
+        if fault:
+            return f"step {number}: {fault}"
     counts = (
-        (
-            "steps in all occurrences",
-            job.occurrences * len(job.steps),
-            MAX_STEPS,
-        ),
-        (
-            "subtasks in all occurrences",
-            count_subtasks(job),
-            MAX_SUBTASKS,
-        ),
+        ("steps in all occurrences", job.occurrences * len(job.steps), MAX_STEPS),
+        ("subtasks in all occurrences", count_subtasks(job), MAX_SUBTASKS),
         (
             "predecessors in all occurrences",
             job.occurrences * sum(len(step.after) for step in job.steps),
@@ -55,6 +58,16 @@
     return ""
 
 
+def _find_step_fault(number: int, step: Step) -> str:
+    if step.count < 1:
+        return f"count is {step.count}, expected at least 1"
+    if any(not 0 <= other < number for other in step.after):
+        return f"after is {[*step.after]}, expected earlier steps"
+    if not 0 <= step.estimate_ms <= MAX_NUMBER:
+        return "estimate is out of range"
+    return ""
+
+
 def count_subtasks(job: Job) -> int:
     """Return the number of subtasks of a job in all its occurrences."""
     return job.occurrences * sum(step.count for step in job.steps)
--- a/src/guavapin/platform/bodies.py
+++ b/src/guavapin/platform/bodies.py
@@ -7,11 +7,9 @@
 
 import msgspec
 
-T = TypeVar("T")
+from guavapin.jobs.limits import MAX_NUMBER
 
-# Largest integer that every JSON number holds exactly. Sums and products of such
-# numbers stay far below the range of a float, beyond which conversions raise.
-MAX_NUMBER = 2**53
+T = TypeVar("T")
 
 # Fields of bodies from other processes. A body with a number out of range is
 # unreadable, like one with a field of another type.
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -24,9 +24,9 @@
 from guavapin.http.messages import Answered
 from guavapin.http.messages import CallOutcome
 from guavapin.http.messages import PeerCall
+from guavapin.jobs.limits import MAX_NUMBER
 from guavapin.jobs.model import Subtask
 from guavapin.kernel.decimal import parse_decimal
-from guavapin.platform.bodies import MAX_NUMBER
 from guavapin.platform.bodies import WireInt
 from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -20,7 +20,7 @@
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import Undecided
 from guavapin.jobs.calls import WaitingIs
-from guavapin.jobs.limits import find_excess
+from guavapin.jobs.limits import find_fault
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
@@ -123,13 +123,6 @@
         )
     if len(submitted.spec.encode()) > MAX_SPEC_BYTES:
         return BadCall(f"spec: expected at most {MAX_SPEC_BYTES} bytes")
-    for number, step in enumerate(submitted.steps):
-        if step.count < 1 or any(not 0 <= other < number for other in step.after):
-            return BadCall(
-                f"step {number}: expected a count and earlier steps in after"
-            )
-    if not submitted.steps:
-        return BadCall("job: expected at least one step")
     job = Job(
         job_id=job_id,
         queue=queue.key,
@@ -142,8 +135,8 @@
         accepted_ms=wall_ms,
         terms=queue.terms,
     )
-    excess = find_excess(job)
-    return BadCall(f"job: {excess}") if excess else SubmitJob(job)
+    fault = find_fault(job)
+    return BadCall(f"job: {fault}") if fault else SubmitJob(job)
 
 
 def _decode_step(step: _Step) -> Step:
--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -7,13 +7,13 @@
 from guavapin.executors.model import Registration
 from guavapin.http.address import is_address
 from guavapin.http.address import is_header_value
+from guavapin.jobs.limits import MAX_NUMBER
 from guavapin.jobs.model import Resources
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
 from guavapin.jobs.terms import AdviceTerms
 from guavapin.machines.model import MaintenanceWave
-from guavapin.platform.bodies import MAX_NUMBER
 from guavapin.platform.bodies import WireInt
 from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
--- a/src/guavapin/scheduling/record.py
+++ b/src/guavapin/scheduling/record.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from guavapin.jobs.limits import find_excess
+from guavapin.jobs.limits import find_fault
 from guavapin.jobs.model import Job
 from guavapin.jobs.model import JobState
 
@@ -73,13 +73,14 @@
 def decode_job(value: bytes) -> Job | None:
     """Return the job of a record.
 
-    Returns None if the record is malformed, or if no scheduler can hold its job.
+    Returns None if the record is malformed, if its job is not one that a caller may
+    submit, or if no scheduler can hold it.
     """
     try:
         job = msgspec.json.decode(value, type=Job)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
-    return None if find_excess(job) else job
+    return None if find_fault(job) else job
 
 
 def encode_progress(progress: Progress) -> bytes:
