Give the platform's stand-in several pools, and ports below the ephemeral range

Cause: the stand-in of the users' platform knew one pool, and entry hosts of the soak and of tests/daemons listened on ephemeral ports. In one run of tests/daemons/test_resident.py another socket took such a port: "cannot listen on 127.0.0.1:35047: Address already in use", a wait for readiness of 20 s, and a process that ran on, since a fixture that fails is not torn down. Change: the stand-in takes pools with their machines and run times and records when machines change their pool; it finds the changes after a revision by bisection. The ports of the demo move to guavapin_standins and serve the soak and the tests too.

--- a/src/guavapin_demo/embedded.py
+++ b/src/guavapin_demo/embedded.py
@@ -23,10 +23,10 @@
 from guavapin.settings.parts import ListenerSettings
 from guavapin.settings.parts import NodeSettings
 from guavapin.settings.parts import PlatformSettings
-from guavapin_demo.ports import free_ports
 from guavapin_demo.sites import build_objects
 from guavapin_demo.usage import UsageTask
 from guavapin_standins.platform import RunningPlatform
+from guavapin_standins.ports import free_ports
 from guavapin_standins.upstream import UpstreamStandIn
 from guavapin_standins.upstream_messages import GetRecord
 from guavapin_standins.upstream_messages import SetBehaviour
--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -17,18 +17,19 @@
 from guavapin_soak.caller import PREFIX
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
-from guavapin_soak.entry_process import free_ports
 from guavapin_soak.plan import FaultKind
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
 from guavapin_soak.proxy import ResetConnections
 from guavapin_soak.proxy import SetLink
 from guavapin_soak.proxy import SilenceConnections
+from guavapin_standins.ports import free_ports
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
 from guavapin_standins.resident_platform import ResidentPlatformTask
 from guavapin_standins.resident_platform import SetAnswersLost
 from guavapin_standins.resident_platform import SetStoreDown
+from guavapin_standins.resident_platform import StandInPool
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -75,7 +76,7 @@
         (port,) = free_ports(1)
         names = [f"link_{number}" for number in range(hosts + 1)]
         proxies = [ProxyTask(name, port) for name in names]
-        platform = ResidentPlatformTask("pool", MACHINES, RUN_MS, "")
+        platform = ResidentPlatformTask((StandInPool("pool", MACHINES, RUN_MS),), "")
         front = FrontConfig(port=port, health_path="", ready_path="")
         for proxy in proxies:
             self._kernel.register(proxy)
--- a/src/guavapin_standins/resident_platform.py
+++ b/src/guavapin_standins/resident_platform.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -34,6 +35,40 @@
 
 MOVE_DURATION_MS = 300
 
+# The pool whose machines are off; they have no executors.
+STANDBY_POOL = "off"
+
+MOVE_ORDER = "machine-move"
+MAINTENANCE_ORDER = "machine-upkeep"
+
+DUTY_KEY = "duty/scheduler"
+
+# One core is 1,000. A machine holds eight subtasks of half a core.
+MACHINE_CAPACITY = {"cpu": 4_000, "mem-mb": 8_000, "gpus": 0}
+
+
+@dataclass(frozen=True, slots=True)
+class StandInPool:
+    """A pool with its machines at the start, and the run time of its subtasks."""
+
+    name: str
+    machines: int
+    work_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class MachineEvent:
+    """An order that was carried out, or the start of a machine, as kind ``start``.
+
+    The machine belongs to `pool` from `at_ms` on, and is up from `up_ms` on.
+    """
+
+    kind: str
+    machine: str
+    pool: str
+    at_ms: int
+    up_ms: int
+
 
 @dataclass(frozen=True, slots=True)
 class SetStoreDown:
@@ -64,11 +99,24 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformView:
-    """Events of runs, statuses of waves and orders for machines, each in order."""
+    """Events of runs and of machines, each in order, and statuses of waves.
+
+    `duty_holder` is the name under which a process holds the duty, "" if none does.
+    """
 
     log: tuple[RunEvent, ...]
     statuses: dict[str, str]
-    orders: tuple[tuple[str, str], ...]
+    machine_events: tuple[MachineEvent, ...]
+    duty_holder: str
+
+    @property
+    def orders(self) -> tuple[tuple[str, str], ...]:
+        """Return the kind and the machine of each order that was carried out."""
+        return tuple(
+            (event.kind, event.machine)
+            for event in self.machine_events
+            if event.kind != "start"
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,20 +137,23 @@
 
     name = "resident_platform"
 
-    def __init__(self, pool: str, machines: int, work_ms: int, address: str) -> None:
+    def __init__(self, pools: tuple[StandInPool, ...], address: str) -> None:
         super().__init__("platform_front")
         self.store = ResidentStore()
         # The address in registrations; may be changed before the first request.
         self.address = address
         self._log: list[RunEvent] = []
-        self._orders: list[tuple[str, str]] = []
-        self._work_ms = work_ms
+        self._machine_events: list[MachineEvent] = []
+        self._work_ms = {pool.name: pool.work_ms for pool in pools}
         # Machine to (pool, executor, time in ms from which it is up).
         self._machines: dict[str, tuple[str, str, int]] = {
-            f"m-{number}": (pool, f"i-{number}", 0) for number in range(machines)
+            f"m-{number}": (pool, f"i-{number}", 0)
+            for number, pool in enumerate(
+                pool.name for pool in pools for _ in range(pool.machines)
+            )
         }
         self._executors: dict[str, ResidentExecutor] = {}
-        self._incarnations = machines
+        self._incarnations = len(self._machines)
         self._pending: list[_PendingRequest] = []
         self._is_down = False
         self._are_answers_lost = False
@@ -111,6 +162,11 @@
     def start(self, context: TaskContext) -> Outcome[None]:
         """Start the executors."""
         self._context = context
+        now_ms = context.now_ms()
+        self._machine_events = [
+            MachineEvent("start", machine, pool, now_ms, now_ms)
+            for machine, (pool, _, _) in self._machines.items()
+        ]
         self._poll()
         return Ok(None)
 
@@ -167,9 +223,13 @@
 
     def _advance_machines(self, now_ms: int) -> None:
         for machine, (pool, executor_id, up_ms) in self._machines.items():
-            if now_ms >= up_ms and executor_id not in self._executors and pool != "off":
+            if (
+                now_ms >= up_ms
+                and executor_id not in self._executors
+                and (pool != STANDBY_POOL)
+            ):
                 self._executors[executor_id] = ResidentExecutor(
-                    executor_id, pool, now_ms, self._work_ms, self._log
+                    executor_id, pool, now_ms, self._work_ms[pool], self._log
                 )
                 self._register(self._executors[executor_id], machine, now_ms)
         for executor in self._executors.values():
@@ -188,7 +248,7 @@
             "version": "v1",
             "slots": 8,
             "state": "ready",
-            "capacity": {"cpu": 4_000, "mem-mb": 8_000, "gpus": 0},
+            "capacity": MACHINE_CAPACITY,
             "labels": ["a", f"r-{machine}"],
             "clock-ms": now_ms,
             "born": executor.born_ms,
@@ -249,7 +309,7 @@
                 "state": "up" if now_ms >= up_ms else "moving",
                 "zone": "z",
                 "labels": ["a", f"r-{machine}"],
-                "capacity": {"cpu": 4_000, "mem-mb": 8_000, "gpus": 0},
+                "capacity": MACHINE_CAPACITY,
                 "id": executor_id if executor_id in self._executors else None,
             }
             for machine, (pool, executor_id, up_ms) in self._machines.items()
@@ -262,23 +322,26 @@
         pool, executor_id, up_ms = self._machines[machine]
         if now_ms < up_ms:
             return 409, {"reason": "busy"}
-        order = (name, machine)
-        if name == "machine-upkeep" and order in self._orders:
+        if name == MAINTENANCE_ORDER and self._is_maintained(machine):
             return 200, {}
-        self._orders.append(order)
         removed = self._executors.pop(executor_id, None)
         if removed is not None:
             removed.leave(now_ms)
             self.store.remove(f"servers/{executor_id}")
         self._incarnations += 1
-        new_pool = body.get("pool", pool)
-        self._machines[machine] = (
-            new_pool,
-            f"i-{self._incarnations}",
-            now_ms + MOVE_DURATION_MS,
+        new_pool, up_ms = body.get("pool", pool), now_ms + MOVE_DURATION_MS
+        self._machines[machine] = (new_pool, f"i-{self._incarnations}", up_ms)
+        self._machine_events.append(
+            MachineEvent(name, machine, new_pool, now_ms, up_ms)
         )
         return 200, {}
 
+    def _is_maintained(self, machine: str) -> bool:
+        return any(
+            event.kind == MAINTENANCE_ORDER and event.machine == machine
+            for event in self._machine_events
+        )
+
     def _wait_ms(self, req: WholeRequest) -> int:
         if "kv-watch" in req.target:
             query = parse_qs(req.target.partition("?")[2])
@@ -302,4 +365,10 @@
             for key, item in self.store.items.items()
             if key.startswith("status/")
         }
-        return PlatformView(tuple(self._log), statuses, tuple(self._orders))
+        duty = self.store.items.get(DUTY_KEY)
+        return PlatformView(
+            tuple(self._log),
+            statuses,
+            tuple(self._machine_events),
+            base64.b64decode(duty.value).decode() if duty else "",
+        )
--- a/src/guavapin_standins/resident_store.py
+++ b/src/guavapin_standins/resident_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from bisect import bisect_right
 from dataclasses import dataclass
 from typing import Any
 
@@ -101,10 +102,10 @@
 
     def events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         """Return the changes under a prefix that follow a revision."""
+        # The history is in order of revision, and grows by all renewed registrations.
+        first = bisect_right(self.history, after, key=_revision)
         return [
-            event
-            for event in self.history
-            if event["revision"] > after and event["key"].startswith(prefix)
+            event for event in self.history[first:] if event["key"].startswith(prefix)
         ]
 
     def _set(self, key: str, value: str, lease: int) -> None:
@@ -115,3 +116,8 @@
     def _record_removal(self, key: str) -> None:
         event = {"key": key, "revision": self.revision, "tombstone": True}
         self.history.append(event)
+
+
+def _revision(event: dict[str, Any]) -> int:
+    revision: int = event["revision"]
+    return revision
--- a/tests/daemons/test_daemons.py
+++ b/tests/daemons/test_daemons.py
@@ -16,7 +16,7 @@
 from guavapin.console.client import OperatorsClient
 from guavapin.kernel import Ok
 from guavapin.operators.configuration_calls import PublishBody
-from guavapin_demo.ports import free_ports
+from guavapin_standins.ports import free_ports
 
 TOKEN = "test-operator-token"
 PAUSE = threading.Event()
--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -18,11 +18,12 @@
 from guavapin.serving.front_config import FrontConfig
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
-from guavapin_soak.entry_process import free_ports
+from guavapin_standins.ports import free_ports
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
 from guavapin_standins.resident_platform import ResidentPlatformTask
 from guavapin_standins.resident_platform import SetStoreDown
+from guavapin_standins.resident_platform import StandInPool
 
 MANIFEST = {
     "version": 3,
@@ -112,12 +113,21 @@
         (self.port,) = free_ports(1)
         self.kernel = Kernel(SystemClock())
         cfg = FrontConfig(port=self.port, health_path="", ready_path="")
-        platform = ResidentPlatformTask("pool", 4, work_ms, f"127.0.0.1:{self.port}")
+        pools = (StandInPool("pool", 4, work_ms),)
+        platform = ResidentPlatformTask(pools, f"127.0.0.1:{self.port}")
         self.kernel.register(platform)
         self.kernel.register(FrontTask(cfg, "platform_front", platform.name))
         assert str(self.kernel.start()).startswith("Ok")
         self.put("op/config", MANIFEST)
         self.entries = [Entry(folder, f"e{n}", self.port) for n in range(2)]
+        try:
+            self._wait_for_start()
+        except BaseException:
+            # A fixture that fails is not torn down, and its processes would run on.
+            self.stop()
+            raise
+
+    def _wait_for_start(self) -> None:
         wait_until(lambda: all(e.is_ready for e in self.entries), "readiness")
         wait_until(lambda: any(e.is_scheduling for e in self.entries), "a scheduler")
         # An entry host that knows no scheduler yet accepts jobs through the store.
--- a/tests/demo/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -1,10 +1,10 @@
-"""Ports of an embedded site."""
+"""Ports of processes on loopback."""
 
 from __future__ import annotations
 
 import socket
 
-from guavapin_demo.ports import free_ports
+from guavapin_standins.ports import free_ports
 
 SYSTEM_RANGE_BEGIN = 32_768
 
