Let the checks of runs be used apart from one shape of jobs

Cause: the checks of the soak know one shape for all jobs and report all promises in one list. Change: find_double_runs and find_early_starts are functions of their own, the second with a shape for each job.

--- a/src/guavapin_soak/checks.py
+++ b/src/guavapin_soak/checks.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -61,7 +62,7 @@
 ) -> list[str]:
     """Return a sentence for each broken promise; empty if all were kept."""
     events = list(runs)
-    broken = [*_check_runs(events, shape)]
+    broken = [*find_double_runs(events), *find_early_starts(events, lambda _: shape)]
     by_job: dict[str, list[CallerEvent]] = {}
     for row in caller_events:
         by_job.setdefault(row.job_id, []).append(row)
@@ -74,37 +75,52 @@
     return row.at_ms
 
 
-def _check_runs(events: list[RunEvent], shape: JobShape) -> Iterator[str]:
-    """Yield a sentence for each run that breaks a promise.
+def find_double_runs(
+    events: Iterable[RunEvent], end_kind: str = "confirmed"
+) -> Iterator[str]:
+    """Yield a sentence for each start during a run of the subtask or after its end.
 
-    Runs of a subtask must not overlap, follow its confirmed end, or start before all
-    earlier steps are done.
+    `end_kind` is the kind of event after which a subtask must not start again. It is
+    ``confirmed`` where faults may lose an end that was not reported, else ``done``.
     """
     running: Counter[str] = Counter()
-    done: set[str] = set()
-    confirmed: set[str] = set()
+    ended: set[str] = set()
     for event in events:
         task = event.task
+        if event.kind == end_kind:
+            ended.add(task)
         if event.kind == "start":
             if running[task]:
                 yield f"{task}: two runs at once at {event.at_ms} ms"
-            if task in confirmed:
-                yield f"{task}: started at {event.at_ms} ms after its confirmed end"
-            job_id, _, step, _ = task.split(".")
-            unmet = [
-                name
-                for name in shape.names(job_id)
-                if int(name.split(".")[2]) < int(step) and name not in done
-            ]
-            if unmet:
-                yield f"{task}: started at {event.at_ms} ms before {unmet[0]} was done"
+            if task in ended:
+                yield f"{task}: started at {event.at_ms} ms after its {end_kind} end"
             running[task] += 1
-        elif event.kind == "confirmed":
-            confirmed.add(task)
-        else:
+        elif event.kind != "confirmed":
             running[task] -= 1
-            if event.kind == "done":
-                done.add(task)
+
+
+def find_early_starts(
+    events: Iterable[RunEvent], shape_of: Callable[[str], JobShape]
+) -> Iterator[str]:
+    """Yield a sentence for each start before all earlier steps of the job are done.
+
+    `shape_of` returns the shape of the job with an id.
+    """
+    done: set[str] = set()
+    for event in events:
+        if event.kind == "done":
+            done.add(event.task)
+        if event.kind != "start":
+            continue
+        job_id, _, step, _ = event.task.split(".")
+        unmet = [
+            name
+            for name in shape_of(job_id).names(job_id)
+            if int(name.split(".")[2]) < int(step) and name not in done
+        ]
+        if unmet:
+            at_ms = event.at_ms
+            yield f"{event.task}: started at {at_ms} ms before {unmet[0]} was done"
 
 
 def _check_job(
