Let executors of the platform's stand-in listen at addresses of their own

Cause: all executors of the stand-in shared one address. The product keeps four connections to one address, so that the orders for 30 executors waited behind one another's long polls: in a run of the demo's jobs 138 times "host did not answer", 215 times "run lost", and a job that stood still for 9.2 s after a hand-over of the duty. Change: ExecutorRelayTask is a listener of one executor and passes its requests on by messages; the stand-in takes a tuple of addresses. The soak and the tests of the daemons, with four executors, keep one address.

--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -76,7 +76,7 @@
         (port,) = free_ports(1)
         names = [f"link_{number}" for number in range(hosts + 1)]
         proxies = [ProxyTask(name, port) for name in names]
-        platform = ResidentPlatformTask((StandInPool("pool", MACHINES, RUN_MS),), "")
+        platform = ResidentPlatformTask((StandInPool("pool", MACHINES, RUN_MS),), ())
         front = FrontConfig(port=port, health_path="", ready_path="")
         for proxy in proxies:
             self._kernel.register(proxy)
@@ -87,7 +87,7 @@
         outcome = self._kernel.start()
         if not isinstance(outcome, Ok):
             raise InvariantError(f"the stand-ins did not start: {outcome}")
-        platform.address = f"127.0.0.1:{proxies[-1].port}"
+        platform.addresses = (f"127.0.0.1:{proxies[-1].port}",)
         self._ask(
             self._platform, PutItem("op/config", json.dumps(CONFIGURATION).encode())
         )
--- a/src/guavapin_standins/resident_platform.py
+++ b/src/guavapin_standins/resident_platform.py
@@ -1,6 +1,7 @@
 """The users' platform on one port: store, executors, machines and operator.
 
-All executors share one address; a header of the request names the intended executor.
+Executors share the addresses that the stand-in was given; a header of the request names
+the intended executor. Requests to addresses of their own come over `ExecutorRelayTask`.
 `SetStoreDown` makes the store refuse every call, and `SetAnswersLost` makes it apply
 transactions without answering them.
 """
@@ -21,6 +22,8 @@
 from guavapin.serving.request_handler import RequestHandler
 from guavapin_standins.resident_executor import ResidentExecutor
 from guavapin_standins.resident_executor import RunEvent
+from guavapin_standins.resident_relay import RelayedAnswer
+from guavapin_standins.resident_relay import RelayedRequest
 from guavapin_standins.resident_store import ResidentStore
 
 if TYPE_CHECKING:
@@ -126,9 +129,13 @@
 
 @dataclass(frozen=True, slots=True)
 class _PendingRequest:
-    """A watch or a hold that is answered at a change or at `until_ms`."""
+    """A watch or a hold that is answered at a change or at `until_ms`.
+
+    `relay` is the service that passed the request on, "" for the own front.
+    """
 
     req: WholeRequest
+    relay: str
     until_ms: int
 
 
@@ -137,11 +144,14 @@
 
     name = "resident_platform"
 
-    def __init__(self, pools: tuple[StandInPool, ...], address: str) -> None:
+    def __init__(
+        self, pools: tuple[StandInPool, ...], addresses: tuple[str, ...]
+    ) -> None:
         super().__init__("platform_front")
         self.store = ResidentStore()
-        # The address in registrations; may be changed before the first request.
-        self.address = address
+        # The addresses in registrations; machines take them in turn. They may be
+        # changed before the first request.
+        self.addresses = addresses
         self._log: list[RunEvent] = []
         self._machine_events: list[MachineEvent] = []
         self._work_ms = {pool.name: pool.work_ms for pool in pools}
@@ -179,6 +189,8 @@
         match message:
             case _Poll():
                 self._poll()
+            case RelayedRequest(reply_to=relay, req=req):
+                self._answer_or_hold(req, relay)
             case Call(body=SetStoreDown(is_down=is_down), fut=fut):
                 self._is_down = is_down
                 fut.set_result(Ok(None))
@@ -196,15 +208,18 @@
 
     def handle_request(self, req: WholeRequest) -> None:
         """Answer a call at once, or when its wait ends."""
+        self._answer_or_hold(req, "")
+
+    def _answer_or_hold(self, req: WholeRequest, relay: str) -> None:
         wait_ms = self._wait_ms(req)
         outcome = self._compute_answer(req)
         if self._are_answers_lost and req.target.endswith("/kv-txn"):
             return
         if outcome is None or (wait_ms and not self._has_changes(outcome[1])):
             until_ms = self._context.now_ms() + wait_ms
-            self._pending.append(_PendingRequest(req, until_ms))
+            self._pending.append(_PendingRequest(req, relay, until_ms))
         else:
-            self._reply(req, *outcome)
+            self._reply(req, relay, *outcome)
 
     def _poll(self) -> None:
         now_ms = self._context.now_ms()
@@ -216,7 +231,7 @@
             if outcome and (
                 now_ms >= pending_req.until_ms or self._has_changes(outcome[1])
             ):
-                self._reply(pending_req.req, *outcome)
+                self._reply(pending_req.req, pending_req.relay, *outcome)
             else:
                 self._pending.append(pending_req)
         self._context.set_timer(POLL_INTERVAL_MS, _Poll())
@@ -243,7 +258,7 @@
     def _register(self, executor: ResidentExecutor, machine: str, now_ms: int) -> None:
         entry = {
             "service": executor.service,
-            "address": self.address,
+            "address": self._address_of(machine),
             "zone": "z",
             "version": "v1",
             "slots": 8,
@@ -256,6 +271,10 @@
         key = f"servers/{executor.executor_id}"
         self.store.put(key, json.dumps(entry).encode())
 
+    def _address_of(self, machine: str) -> str:
+        number = int(machine.removeprefix("m-"))
+        return self.addresses[number % len(self.addresses)]
+
     def _compute_answer(self, req: WholeRequest) -> tuple[int, dict[str, Any]] | None:
         path, _, query = req.target.partition("?")
         name = path.removeprefix("/guavapin/")
@@ -355,9 +374,16 @@
             return bool(answer["finished"])
         return bool(answer.get("events")) or "events" not in answer
 
-    def _reply(self, req: WholeRequest, status: int, body: dict[str, Any]) -> None:
+    def _reply(
+        self, req: WholeRequest, relay: str, status: int, body: dict[str, Any]
+    ) -> None:
         headers = ((b"content-type", b"application/json"),)
-        self.answer(req.request_id, status, headers, json.dumps(body).encode())
+        text = json.dumps(body).encode()
+        if relay:
+            answer = RelayedAnswer(req.request_id, status, headers, text)
+            self._context.send(relay, answer)
+        else:
+            self.answer(req.request_id, status, headers, text)
 
     def _view(self) -> PlatformView:
         statuses = {
--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -114,7 +114,7 @@
         self.kernel = Kernel(SystemClock())
         cfg = FrontConfig(port=self.port, health_path="", ready_path="")
         pools = (StandInPool("pool", 4, work_ms),)
-        platform = ResidentPlatformTask(pools, f"127.0.0.1:{self.port}")
+        platform = ResidentPlatformTask(pools, (f"127.0.0.1:{self.port}",))
         self.kernel.register(platform)
         self.kernel.register(FrontTask(cfg, "platform_front", platform.name))
         assert str(self.kernel.start()).startswith("Ok")
