--- a/src/guavapin_demo/demand.py
+++ b/src/guavapin_demo/demand.py
@@ -60,13 +60,14 @@
     requests = [
         request
         for index, service in enumerate(plan.services)
-        for at_ms in _arrivals(plan, index, rng)
+        for at_ms in arrivals(plan, index, rng)
         for request in _requests_at(plan, service, at_ms, f"r{next(numbers)}", rng)
     ]
     return tuple(sorted(requests, key=lambda request: request.at_ms))
 
 
-def _arrivals(plan: DemandPlan, index: int, rng: random.Random) -> Iterator[int]:
+def arrivals(plan: DemandPlan, index: int, rng: random.Random) -> Iterator[int]:
+    """Yield the times in ms at which requests of one service are sent, in order."""
     # A Poisson process at the peak rate is thinned to the rate at each moment.
     peak = plan.mean_per_second * PEAK_FACTOR
     at_ms = 0.0
--- a/src/guavapin_demo/report.py
+++ b/src/guavapin_demo/report.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin_demo.callers import Result
+from guavapin_demo.table import render_table
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -147,7 +148,7 @@
 
 def render_report(report: DemoReport) -> str:
     """Return the report as a text table."""
-    lines = [
+    lines: list[tuple[str, object]] = [
         ("requests sent", report.sent),
         ("answered whole", report.answered_whole),
         ("refused as not run", report.refused_not_run),
@@ -167,7 +168,5 @@
         ("host moves", report.host_moves),
         ("wait of short work, p99", f"{report.short_wait_p99_ms} ms"),
     ]
-    width = max(len(name) for name, _ in lines)
-    table = [f"{name.ljust(width)}  {value}" for name, value in lines]
     verdict = "; ".join(report.broken) or "all promises kept"
-    return "\n".join([*table, f"{'verdict'.ljust(width)}  {verdict}"])
+    return render_table([*lines, ("verdict", verdict)])
--- a/src/guavapin_demo/sites.py
+++ b/src/guavapin_demo/sites.py
@@ -18,13 +18,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """Size of a site; `seats` is the number of entry hosts in each zone."""
+    """Size of a site; `seats` is the number of entry hosts in each zone.
+
+    Jobs of `long_service` run several times longer than those of other services.
+    """
 
     name: str
     region: str
     zones: tuple[str, ...]
     seats: tuple[int, ...]
     services: tuple[str, ...]
+    long_service: str
     spare_pool: str
     executors: int
     cores: int
@@ -44,6 +48,7 @@
         "bag-labels",
         "feeding-reminders",
     ),
+    long_service="route-building",
     spare_pool="feeding-reminders",
     executors=6,
     cores=16,
@@ -63,6 +68,7 @@
         "order-compilation",
         "office-services",
     ),
+    long_service="order-compilation",
     spare_pool="office-services",
     executors=8,
     cores=32,
