--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+PART ?= all
 SITE ?= gagnon
 SEED ?= 1
 OUTPUT ?= table
@@ -14,7 +15,7 @@
 	touch $@
 
 demo: $(VENV)/.installed
-	$(BIN)/python -m guavapin_demo --site $(SITE) --seed $(SEED) --output $(OUTPUT)
+	$(BIN)/python -m guavapin_demo --part $(PART) --site $(SITE) --seed $(SEED) --output $(OUTPUT)
 
 test: lint unit
 
--- a/src/guavapin_demo/job_report.py
+++ b/src/guavapin_demo/job_report.py
@@ -68,6 +68,11 @@
     holder: str
     successor: str
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the duty was held and another process holds it now."""
+        return bool(self.holder and self.successor) and self.holder != self.successor
+
 
 @dataclass(frozen=True, slots=True)
 class Promise:
@@ -165,7 +170,7 @@
             ),
             _promise(
                 "the duty is handed over",
-                handover.successor in ("", handover.holder),
+                not handover.is_complete,
                 f"{handover.holder or 'none'} to {handover.successor or 'none'}",
             ),
             _promise(
