Report the longest pause of the demo's process

Nothing in the report told whether the process got a processor. Change: a task with a loop of its own measures the lateness of a timer; the report of the part with requests names the longest one. It is no excuse: every bound stays.

--- a/src/guavapin_demo/report.py
+++ b/src/guavapin_demo/report.py
@@ -28,7 +28,8 @@
 
     `margins` maps a pool to its lowest number of available hosts above the budget;
     `spare_host_hours` is the integral of spare hosts over time; `rollout_ms` is
-    negative if the maintenance wave did not end.
+    negative if the maintenance wave did not end. `longest_pause_ms` is the longest time
+    for which the process of the demo did not run; it explains waits, and excuses none.
     """
 
     margins: Mapping[str, int]
@@ -36,6 +37,7 @@
     rollout_ms: int
     host_moves: int
     spare_host_hours: float
+    longest_pause_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
     rollout_ms: int
     host_moves: int
     short_wait_p99_ms: int
+    longest_pause_ms: int
     broken: tuple[str, ...]
 
 
@@ -110,6 +113,7 @@
         rollout_ms=seen.rollout_ms,
         host_moves=seen.host_moves,
         short_wait_p99_ms=percentile(waits_ms, 0.99),
+        longest_pause_ms=seen.longest_pause_ms,
         broken=tuple(broken),
     )
 
@@ -167,6 +171,7 @@
         ("roll-out of the wave", f"{report.rollout_ms / 1_000:.1f} s"),
         ("host moves", report.host_moves),
         ("wait of short work, p99", f"{report.short_wait_p99_ms} ms"),
+        ("longest pause of this process", f"{report.longest_pause_ms} ms"),
     ]
     verdict = "; ".join(report.broken) or "all promises kept"
     return render_table([*lines, ("verdict", verdict)])
--- a/src/guavapin_demo/run.py
+++ b/src/guavapin_demo/run.py
@@ -28,6 +28,8 @@
 from guavapin_demo.embedded import EmbeddedSite
 from guavapin_demo.observer import GetObserved
 from guavapin_demo.observer import ObserverTask
+from guavapin_demo.pause import GetLongestPause
+from guavapin_demo.pause import PauseTask
 from guavapin_demo.report import Observations
 from guavapin_demo.report import build_report
 from guavapin_standins.platform_controls import Faults
@@ -105,6 +107,7 @@
         kernel = Kernel(self._clock)
         kernel.register(CallersTask(), loop="callers")
         kernel.register(ObserverTask(self._site), loop="observer")
+        kernel.register(PauseTask(), loop="pause")
         kernel.start()
         addresses = tuple(address.callers for address in self._site.addresses)
         kernel.deliver("callers", SetEntries(addresses))
@@ -202,6 +205,7 @@
         rollout_ms = self._wait_for_wave()
         records = fut.result(REPLY_TIMEOUT_S)
         observed = self._callers.ask("observer", GetObserved()).result(REPLY_TIMEOUT_S)
+        pause_ms = self._callers.ask("pause", GetLongestPause()).result(REPLY_TIMEOUT_S)
         entry = next(iter(self._site.entries.values())).kernel
         moves = entry.ask("audit_reader", AuditQuery(action="move.start", limit=1_000))
         observations = Observations(
@@ -210,6 +214,7 @@
             rollout_ms=rollout_ms,
             host_moves=len(moves.result(REPLY_TIMEOUT_S).value),
             spare_host_hours=observed.spare_host_hours,
+            longest_pause_ms=pause_ms,
         )
         upstreams = [self._site.record(host) for host in self._objects.hosts]
         return build_report(records, upstreams, observations, plan.run_ms * 2)
