Give the soak's executors an address before their proxy listens

Change: the soak passes an empty address until the port of the proxy is known, as before. Measured: tests/soak, tests/demo, tests/standins and tests/daemons/test_resident.py passed.

--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -76,7 +76,8 @@
         (port,) = free_ports(1)
         names = [f"link_{number}" for number in range(hosts + 1)]
         proxies = [ProxyTask(name, port) for name in names]
-        platform = ResidentPlatformTask((StandInPool("pool", MACHINES, RUN_MS),), ())
+        # The address of executors is known once their proxy listens.
+        platform = ResidentPlatformTask((StandInPool("pool", MACHINES, RUN_MS),), ("",))
         front = FrontConfig(port=port, health_path="", ready_path="")
         for proxy in proxies:
             self._kernel.register(proxy)
