--- a/src/guavapin_demo/report.py
+++ b/src/guavapin_demo/report.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin_demo.callers import Result
+from guavapin_demo.table import render_table
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,7 +28,8 @@
 
     `margins` maps a pool to its lowest number of available hosts above the budget;
     `spare_host_hours` is the integral of spare hosts over time; `rollout_ms` is
-    negative if the maintenance wave did not end.
+    negative if the maintenance wave did not end. `longest_pause_ms` is the longest time
+    for which the process of the demo did not run; it explains waits, and excuses none.
     """
 
     margins: Mapping[str, int]
@@ -35,6 +37,7 @@
     rollout_ms: int
     host_moves: int
     spare_host_hours: float
+    longest_pause_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +59,7 @@
     rollout_ms: int
     host_moves: int
     short_wait_p99_ms: int
+    longest_pause_ms: int
     broken: tuple[str, ...]
 
 
@@ -109,6 +113,7 @@
         rollout_ms=seen.rollout_ms,
         host_moves=seen.host_moves,
         short_wait_p99_ms=percentile(waits_ms, 0.99),
+        longest_pause_ms=seen.longest_pause_ms,
         broken=tuple(broken),
     )
 
@@ -147,7 +152,7 @@
 
 def render_report(report: DemoReport) -> str:
     """Return the report as a text table."""
-    lines = [
+    lines: list[tuple[str, object]] = [
         ("requests sent", report.sent),
         ("answered whole", report.answered_whole),
         ("refused as not run", report.refused_not_run),
@@ -166,8 +171,7 @@
         ("roll-out of the wave", f"{report.rollout_ms / 1_000:.1f} s"),
         ("host moves", report.host_moves),
         ("wait of short work, p99", f"{report.short_wait_p99_ms} ms"),
+        ("longest pause of this process", f"{report.longest_pause_ms} ms"),
     ]
-    width = max(len(name) for name, _ in lines)
-    table = [f"{name.ljust(width)}  {value}" for name, value in lines]
     verdict = "; ".join(report.broken) or "all promises kept"
-    return "\n".join([*table, f"{'verdict'.ljust(width)}  {verdict}"])
+    return render_table([*lines, ("verdict", verdict)])
