Keep the slot of a cancelled attempt until its upstream has closed

Seen: the scenario wave-of-cancellations failed in some runs on a loaded machine, 1 to 10 violations at an upstream: 9 to 18 requests at once with 8 slots.

Cause: a cancelled attempt freed its slot as soon as its connection was closed here. A busy upstream reads the close later. It accepts the connections that wait, reads the requests in them and runs them, and only then reads the closes.

Fix: the connection of a cancelled attempt whose request may have been sent is half-closed. The slot is free when the upstream has closed its side, which it does after it has read the end of the connection, or after 5 s. More than 256 KB of an answer that nobody reads end the connection by a reset. The verdict on the upstream is still recorded at once. The planned stop of a process releases its seat only when no such slot is left.

Cost: in a wave of cancellations a slot is free one reaction of the upstream later. An upstream that is paused for longer than 5 s can still run cancelled requests beside new ones, and a connection that is closing counts at the upstream beside the 8 of its seat. Attempts that end by a time bound of `upstreams` free their slots at once, as before.

Tests that expected a slot at once now deliver the close first and expect no request before it; the property test counts cancelled attempts as running until then.

--- a/src/guavapin/serving/exchange_attempts.py
+++ b/src/guavapin/serving/exchange_attempts.py
@@ -29,12 +29,19 @@
     def __init__(self, router: ExchangeRouter) -> None:
         self._router = router
         self._attempts: dict[int, Attempt] = {}
+        # Cancelled attempts that may still run at their upstream.
+        self._closing: dict[int, Attempt] = {}
         self._statuses: dict[int, int] = {}
         self._ids = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._attempts)
 
+    @property
+    def closing(self) -> int:
+        """Number of cancelled attempts whose slots are still in use."""
+        return len(self._closing)
+
     def get(self, attempt_id: int) -> Attempt | None:
         """Return the attempt, None if it has ended or the id is unknown."""
         return self._attempts.get(attempt_id)
@@ -87,8 +94,12 @@
         exchange: Exchange | None,
         verdict: Verdict | None,
         now_ms: int,
+        keeps_slot: bool = False,
     ) -> None:
-        """Remove an attempt, release its slot and record its run time and verdict."""
+        """Remove an attempt, release its slot and record its run time and verdict.
+
+        With `keeps_slot` the slot is released by `release_slot`.
+        """
         attempt = self._attempts.pop(attempt_id)
         status = self._statuses.pop(attempt_id, 0)
         placement = attempt.placement
@@ -97,7 +108,9 @@
         is_probe = exchange is None
         slowness = 1.0 if is_probe else slowness_of(attempt, now_ms)
         pool = self._router.pools[attempt.pool]
-        pool.end(placement, verdict, slowness, now_ms)
+        pool.end(placement, verdict, slowness, now_ms, keeps_slot)
+        if keeps_slot:
+            self._closing[attempt_id] = attempt
         # A deadline cancels its attempt. An answer that arrives after the deadline was
         # delayed by a pause of this process, so its run time is not recorded.
         if exchange is None or (
@@ -109,3 +122,14 @@
         if verdict is Verdict.SUCCESS and status < FIRST_ERROR_STATUS:
             service = self._router.services[exchange.request.service.name]
             service.run_times.observe(exchange.request.kind, run_ms, now_ms)
+
+    def release_slot(self, attempt_id: int, now_ms: int) -> str:
+        """Release the slot of a cancelled attempt and return the name of its pool.
+
+        Returns an empty string if the attempt holds no slot.
+        """
+        attempt = self._closing.pop(attempt_id, None)
+        if attempt is None or attempt.placement is None:
+            return ""
+        self._router.pools[attempt.pool].release(attempt.placement, now_ms)
+        return attempt.pool
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -309,9 +309,19 @@
     def cancel(
         self, attempt_id: int, exchange: Exchange, verdict: Verdict | None
     ) -> None:
-        """Cancel an attempt in progress and release its slot."""
+        """Cancel an attempt in progress; `on_closed` releases its slot.
+
+        The request may still be running at the upstream until then.
+        """
         self._context.send("upstreams", CancelAttempt(attempt_id))
-        self.attempts.end(attempt_id, exchange, verdict, self._context.now_ms())
+        now_ms = self._context.now_ms()
+        self.attempts.end(attempt_id, exchange, verdict, now_ms, keeps_slot=True)
+
+    def on_closed(self, attempt_id: int) -> None:
+        """Release the slot of a cancelled attempt and start a waiting request."""
+        pool_name = self.attempts.release_slot(attempt_id, self._context.now_ms())
+        if pool_name:
+            self.dispatch(pool_name)
 
     def _remove(self, exchange: Exchange) -> None:
         request_id = exchange.request.request_id
--- a/src/guavapin/serving/exchange_messages.py
+++ b/src/guavapin/serving/exchange_messages.py
@@ -50,4 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AwaitLoansReturned:
-    """Stop lending, sent as a `Call`; the reply is sent once no slot is lent."""
+    """Stop lending, sent as a `Call`.
+
+    The reply is sent once no slot is lent or in use for a cancelled attempt.
+    """
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -184,13 +184,18 @@
         verdict: Verdict | None,
         slowness: float,
         now_ms: int,
+        keeps_slot: bool = False,
     ) -> None:
-        """Release the slot of an attempt; `verdict` is None if it was cancelled."""
+        """Record the end of an attempt; `verdict` is None if it was cancelled.
+
+        Its slot is released, with `keeps_slot` only by `release`.
+        """
         record = self.records.get(placement.host)
         if record is None:
             return
-        self.running -= 1
-        self.long_running -= placement.is_long
+        if not keeps_slot:
+            self.running -= 1
+            self.long_running -= placement.is_long
         record = exchange_upstream.apply_attempt_end(
             record,
             placement,
@@ -199,9 +204,20 @@
             self._may_eject(),
             self.settings,
             now_ms,
+            keeps_slot,
         )
         self._store(placement.host, record, now_ms)
 
+    def release(self, placement: Placement, now_ms: int) -> None:
+        """Release the slot of a cancelled attempt that has ended at the upstream."""
+        record = self.records.get(placement.host)
+        if record is None:
+            return
+        self.running -= 1
+        self.long_running -= placement.is_long
+        record = exchange_upstream.release_slot(record, placement, now_ms)
+        self._store(placement.host, record, now_ms)
+
     def mark_leaving(self, host: str, now_ms: int) -> bool:
         """Stop new work on `host`; returns False if unknown or leaving already."""
         record = self.records.get(host)
@@ -229,7 +245,7 @@
             self._store(host, replace(record, slots=slots), now_ms)
 
     def busy_hosts(self) -> frozenset[str]:
-        """Return the hosts that run attempts or have slots lent or borrowed."""
+        """Return the hosts with slots in use, lent or borrowed."""
         return frozenset(
             host
             for host, record in self.records.items()
--- a/src/guavapin/serving/exchange_upstream.py
+++ b/src/guavapin/serving/exchange_upstream.py
@@ -46,7 +46,7 @@
 class UpstreamRecord:
     """State of one upstream at this seat.
 
-    `long_running` is the number of long requests among the outstanding ones.
+    `long_running` is the number of slots in use for long requests.
     """
 
     upstream: Upstream
@@ -138,8 +138,12 @@
     may_eject: bool,
     settings: ExchangeSettings,
     now_ms: int,
+    keeps_slot: bool = False,
 ) -> UpstreamRecord:
-    """Return the record after an attempt; `verdict` is None if it was cancelled."""
+    """Return the record after an attempt; `verdict` is None if it was cancelled.
+
+    With `keeps_slot` the slot stays in use until `release_slot`.
+    """
     limit, health = record.limit, record.health
     slowness = min(slowness, MAX_SLOWNESS)
     if verdict is None:
@@ -157,6 +161,8 @@
         if verdict is Verdict.SUCCESS and settings.adapts_limit:
             outstanding = record.health.outstanding
             limit = concurrency.observe_answer(limit, slowness, outstanding)
+    if keeps_slot:
+        return replace(record, health=health, limit=limit)
     return UpstreamRecord(
         record.upstream,
         health,
@@ -166,7 +172,18 @@
     )
 
 
+def release_slot(
+    record: UpstreamRecord, placement: Placement, now_ms: int
+) -> UpstreamRecord:
+    """Return the record after a cancelled attempt has ended at the upstream too."""
+    return replace(
+        record,
+        slots=slot_rules.release(record.slots, placement.slot, now_ms),
+        long_running=record.long_running - placement.is_long,
+    )
+
+
 def is_in_use(record: UpstreamRecord) -> bool:
-    """Return whether the upstream runs attempts or has slots lent or borrowed."""
+    """Return whether slots of the upstream are in use, lent or borrowed."""
     slots = record.slots
-    return bool(record.health.outstanding or slots.lent or slots.borrowed)
+    return bool(record.health.outstanding or slots.used or slots.lent or slots.borrowed)
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -36,6 +36,7 @@
 from guavapin.serving.exchange_relay import UpstreamLeaving
 from guavapin.serving.exchange_router import ExchangeRouter
 from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptResult
@@ -120,6 +121,8 @@
                 self._on_body(message)
             case AttemptEnded():
                 self._on_ended(message)
+            case AttemptClosed(attempt_id):
+                self._flow.on_closed(attempt_id)
             case CallerGone(request_id):
                 exchange = self._flow.get(request_id)
                 if exchange is not None:
@@ -289,7 +292,8 @@
             if len(self._router.queues[name].waiting):
                 self._flow.dispatch(name)
                 self._request_loans(name)
-        if self._loan_waiters and not self._router.lent_slots(now_ms):
+        is_in_use = self._flow.attempts.closing or self._router.lent_slots(now_ms)
+        if self._loan_waiters and not is_in_use:
             for fut in self._loan_waiters:
                 fut.set_result(Ok(None))
             self._loan_waiters.clear()
@@ -339,4 +343,5 @@
             **self._flow.counts,
             "requests_in_progress": len(self._flow),
             "attempts_in_progress": len(self._flow.attempts),
+            "attempts_closing": self._flow.attempts.closing,
         }
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -122,7 +122,21 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """To `upstreams`: end the attempt and close its connection; no reply follows."""
+    """To `upstreams`: end the attempt and close its connection.
+
+    `AttemptClosed` follows, also if the attempt has ended already.
+    """
+
+    attempt_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptClosed:
+    """From `upstreams`: a cancelled attempt has ended at its upstream too.
+
+    The upstream has closed the connection, never received the request, or has kept the
+    connection open for the longest time that is waited for it.
+    """
 
     attempt_id: int
 
--- a/src/guavapin/serving/upstreams.py
+++ b/src/guavapin/serving/upstreams.py
@@ -12,7 +12,10 @@
 from guavapin.kernel import Call
 from guavapin.kernel import Ok
 from guavapin.serving.attempt_handle import AttemptHandle
+from guavapin.serving.closing_connections import ClosingConnections
+from guavapin.serving.closing_connections import duplicate_connection
 from guavapin.serving.deadlines import DeadlineTimer
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptRequestBody
 from guavapin.serving.messages import AttemptResult
@@ -37,6 +40,11 @@
     """Timer: a deadline of an attempt may have passed."""
 
 
+@dataclass(frozen=True, slots=True)
+class _CloseTimeout:
+    """Timer: an upstream may have kept a cancelled attempt's connection too long."""
+
+
 @dataclass(frozen=True, slots=True)
 class _CurlTimeout:
     """Timer: the timeout that libcurl requested has passed."""
@@ -71,11 +79,18 @@
         self._curl_due_ms = -1
         self._context: TaskContext
         self._deadlines: DeadlineTimer
+        self._closing: ClosingConnections
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Register libcurl on the loop of `context`."""
         self._context = context
         self._deadlines = DeadlineTimer(context, _DeadlinePassed())
+        self._closing = ClosingConnections(
+            context,
+            _CloseTimeout(),
+            self._cfg.close_timeout_ms,
+            lambda attempt_id: self.forward(AttemptClosed(attempt_id)),
+        )
         multi = self._multi
         multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_curl_socket)
         multi.setopt(pycurl.M_TIMERFUNCTION, self._on_curl_timer)
@@ -90,6 +105,7 @@
             self._remove(handle)
         self._idle.clear()
         self._multi.close()
+        self._closing.close()
 
     def handle(self, message: object) -> None:
         """Handle a message of `exchanges` or a timer."""
@@ -108,9 +124,10 @@
                 self._on_curl_timeout()
             case _DeadlinePassed():
                 self._on_deadlines()
+            case _CloseTimeout():
+                self.counts["close_timeouts"] += self._closing.on_timer()
             case Call(GetCounts(), fut):
-                counts = {**self.counts, "attempts_in_progress": len(self._attempts)}
-                fut.set_result(counts)
+                fut.set_result(self._read_counts())
 
     def now_ms(self) -> int:
         """Return monotonic time in milliseconds."""
@@ -177,9 +194,15 @@
         handle = self._attempts.get(attempt_id)
         if handle is None:
             self.counts["late_messages"] += 1
+            self.forward(AttemptClosed(attempt_id))
             return
         self.counts["cancelled"] += 1
+        sock = duplicate_connection(handle.curl) if handle.has_sent() else None
         self._remove(handle)
+        if sock is None:
+            self.forward(AttemptClosed(attempt_id))
+        else:
+            self._closing.add(attempt_id, sock)
         self._run_due()
 
     def _on_flow_control(self, attempt_id: int, is_paused: bool) -> None:
@@ -195,6 +218,13 @@
             handle.start_next_batch()
             self._run_due()
 
+    def _read_counts(self) -> dict[str, int]:
+        return {
+            **self.counts,
+            "attempts_in_progress": len(self._attempts),
+            "connections_closing": len(self._closing),
+        }
+
     def _update_deadline(self, handle: AttemptHandle) -> None:
         handle.last_progress_ms = self._context.now_ms()
         timeout_ms = self._timeout_ms(handle)
--- a/src/guavapin_bench/policies_loop.py
+++ b/src/guavapin_bench/policies_loop.py
@@ -18,6 +18,7 @@
 from guavapin.serving.messages import AnswerEnd
 from guavapin.serving.messages import AnswerHead
 from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptResult
@@ -141,6 +142,8 @@
                 self._start(message)
             case CancelAttempt(attempt_id):
                 self._attempts.pop(attempt_id, None)
+                closed = AttemptClosed(attempt_id)
+                self._schedule_at(self.now_ms(), lambda: self.task.handle(closed))
             case AnswerHead(request_id, status, headers):
                 outcome = self.outcomes[request_id - 1]
                 outcome.status = status
--- a/src/guavapin_matrix/upstreams.py
+++ b/src/guavapin_matrix/upstreams.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptResult
@@ -20,6 +21,7 @@
 TAG_HEADER = b"x-tag"
 KEY_HEADER = b"idempotency-key"
 CONNECT_MS = 2
+CLOSE_MS = 1
 RUN_MS = 50
 PART_INTERVAL_MS = 10
 # The factor by which a run exceeds its declared time under the fault RUN_TIME_OFF.
@@ -97,6 +99,8 @@
                 self._watch_progress(attempt_key)
             case CancelAttempt(attempt_id):
                 self.attempts.pop((node.name, attempt_id), None)
+                closed = AttemptClosed(attempt_id)
+                self._loop.after(CLOSE_MS, lambda: node.deliver("exchanges", closed))
 
     def take_down(self, addresses: list[str]) -> None:
         """Take hosts down and break the connections of their attempts."""
--- a/tests/serving/exchange_support.py
+++ b/tests/serving/exchange_support.py
@@ -17,9 +17,11 @@
 from guavapin.serving.exchanges import ExchangesTask
 from guavapin.serving.messages import AnswerHead
 from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptResult
+from guavapin.serving.messages import CancelAttempt
 from guavapin.serving.messages import RequestReceived
 from guavapin.serving.messages import StartAttempt
 from guavapin.serving.route_table import RouteTableChanged
@@ -98,6 +100,10 @@
         self.task.handle(AttemptHead(attempt_id, status, headers, is_closing))
         self.task.handle(AttemptBody(attempt_id, body))
         self.end(attempt_id, AttemptResult.COMPLETE)
+        # The head of an answer that is not used cancels its attempt.
+        cancelled = CancelAttempt(attempt_id)
+        if any(sent.message == cancelled for sent in self.harness.sent):
+            self.task.handle(AttemptClosed(attempt_id))
 
     def end(self, attempt_id: int, result: AttemptResult) -> None:
         self.task.handle(AttemptEnded(attempt_id, result))
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import replace
 from typing import Any
 
@@ -20,10 +21,13 @@
 from guavapin.serving.exchange_relay import decode_relay
 from guavapin.serving.exchange_relay import encode_relay
 from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptResult
 from guavapin.serving.messages import CallerGone
+from guavapin.serving.messages import CancelAttempt
 from guavapin.serving.messages import StartAttempt
+from guavapin.serving.upstreams_config import UpstreamsConfig
 from tests.serving.exchange_support import Rig
 from tests.serving.exchange_support import make_objects
 
@@ -298,7 +302,14 @@
 def test_silent_upstream_is_ejected_by_deadlines() -> None:
     """Guards against an upstream that never answers and stays in use."""
     rig = Rig(make_objects(hosts=2, slots=4))
+    closed_ms: deque[tuple[int, int]] = deque()
     for request_id in range(1, 80):
+        now_ms = rig.harness.now_ms()
+        for cancelled in rig.pop_sent(CancelAttempt):
+            close_ms = now_ms + UpstreamsConfig().close_timeout_ms
+            closed_ms.append((close_ms, cancelled.attempt_id))
+        while closed_ms and closed_ms[0][0] <= now_ms:
+            rig.task.handle(AttemptClosed(closed_ms.popleft()[1]))
         rig.request(request_id, "POST", guavapin_deadline_ms="3000")
         for start in rig.pop_sent(StartAttempt):
             if start.address != "h0:80" and start.method == "POST":
--- a/tests/serving/test_exchange_copies.py
+++ b/tests/serving/test_exchange_copies.py
@@ -35,6 +35,7 @@
 from guavapin.serving.exchange_upstream import Placement
 from guavapin.serving.exchange_upstream import UpstreamRecord
 from guavapin.serving.exchange_upstream import apply_attempt_end
+from guavapin.serving.exchange_upstream import release_slot
 from guavapin.serving.messages import AttemptResult
 from guavapin.serving.route_table import Upstream
 
@@ -160,3 +161,15 @@
         slots=replace(SLOTS, used=1),
         long_running=1,
     )
+
+
+def test_a_cancelled_attempt_keeps_its_slot_until_the_release() -> None:
+    """Guards against a slot that is used twice, or stays in use for ever."""
+    placement = Placement("host", "127.0.0.1:1", slots.OWN_SLOT, is_long=True)
+    ended = apply_attempt_end(
+        RECORD, placement, None, 1.0, True, ExchangeSettings("z"), 10, keeps_slot=True
+    )
+    assert ended == replace(RECORD, health=replace(HEALTH, outstanding=1))
+    assert release_slot(ended, placement, 20) == replace(
+        ended, slots=replace(SLOTS, used=1), long_running=1
+    )
--- a/tests/serving/test_exchange_property.py
+++ b/tests/serving/test_exchange_property.py
@@ -22,6 +22,7 @@
 from guavapin.serving.messages import AnswerEnd
 from guavapin.serving.messages import AnswerHead
 from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptResult
@@ -45,6 +46,7 @@
         )
         self.rig = Rig(objects, claims_service="claims", seed=seed)
         self.running: dict[int, str] = {}
+        self.closing: list[int] = []
         self.request_of: dict[int, int] = {}
         self.is_post: dict[int, bool] = {}
         self.may_have_run: Counter[int] = Counter()
@@ -62,7 +64,8 @@
                 case StartAttempt() as probe:
                     self.running[probe.attempt_id] = probe.address
                 case CancelAttempt(attempt_id):
-                    del self.running[attempt_id]
+                    # It runs on at the upstream until the upstream sees the close.
+                    self.closing.append(attempt_id)
                     self.may_have_run[self.request_of[attempt_id]] += 1
                 case AnswerHead() as head:
                     if (b"guavapin-outcome", b"not-run") in head.headers:
@@ -90,7 +93,15 @@
 
     def step(self) -> None:
         action = self.rng.choices(
-            (self.arrive, self.end, self.leave, self.claim, self.wait), (6, 6, 1, 2, 3)
+            (
+                self.arrive,
+                self.end,
+                self.leave,
+                self.close,
+                self.claim,
+                self.wait,
+            ),
+            (6, 6, 1, 2, 2, 3),
         )[0]
         action()
         self.observe()
@@ -110,11 +121,12 @@
         self.rig.request(request_id, method, f"/s/x/{request_id}", **headers)
 
     def end(self) -> None:
-        if not self.running:
+        answering = [item for item in self.running if item not in self.closing]
+        if not answering:
             return
-        attempt_id = self.rng.choice(list(self.running))
+        attempt_id = self.rng.choice(answering)
         result = self.rng.choice(list(AttemptResult))
-        del self.running[attempt_id]
+        address = self.running.pop(attempt_id)
         request_id = self.request_of.get(attempt_id, 0)
         if result is not AttemptResult.NOT_SENT:
             self.may_have_run[request_id] += 1
@@ -122,11 +134,12 @@
         if has_head and result is not AttemptResult.NOT_SENT:
             self.may_have_run[request_id] += 1
             status = self.rng.choice((200, 200, 500, 503))
-            self.running[attempt_id] = "none"
+            self.running[attempt_id] = address
             self.rig.task.handle(AttemptHead(attempt_id, status, ()))
             self.observe()
-            if self.running.pop(attempt_id, None) is None:
+            if attempt_id in self.closing:
                 return
+            del self.running[attempt_id]
             self.rig.task.handle(AttemptBody(attempt_id, b"x"))
         self.rig.task.handle(AttemptEnded(attempt_id, result))
 
@@ -136,6 +149,12 @@
             self.gone.add(request_id)
             self.rig.task.handle(CallerGone(request_id))
 
+    def close(self) -> None:
+        if self.closing:
+            attempt_id = self.closing.pop(self.rng.randrange(len(self.closing)))
+            del self.running[attempt_id]
+            self.rig.task.handle(AttemptClosed(attempt_id))
+
     def claim(self) -> None:
         if not self.claiming:
             return
@@ -159,9 +178,15 @@
     observer = Observer(seed)
     for _ in range(150):
         observer.step()
+    while observer.closing:
+        observer.close()
+        observer.observe()
     for _ in range(6):
         observer.rig.harness.advance(1_000)
         observer.observe()
+        while observer.closing:
+            observer.close()
+            observer.observe()
     expected: defaultdict[int, int] = defaultdict(int)
     for request_id in range(1, observer.next_id):
         expected[request_id] = 0 if request_id in observer.gone else 1
--- a/tests/serving/test_exchange_retries.py
+++ b/tests/serving/test_exchange_retries.py
@@ -6,6 +6,7 @@
 from guavapin.serving.messages import AnswerBroken
 from guavapin.serving.messages import AnswerHead
 from guavapin.serving.messages import AttemptBody
+from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptHead
 from guavapin.serving.messages import AttemptRequestBody
 from guavapin.serving.messages import AttemptResult
@@ -186,6 +187,8 @@
     rig.harness.advance(400)
     assert rig.pop_sent(CancelAttempt) == [CancelAttempt(start.attempt_id)]
     assert rig.refusals() == [(1, 504, "unknown", "deadline")]
+    assert rig.pop_sent(StartAttempt) == []
+    rig.task.handle(AttemptClosed(start.attempt_id))
     assert len(rig.pop_sent(StartAttempt)) == 1
     rig.answer(start.attempt_id, body=b"late")
     assert rig.pop_sent(AnswerBody) == [AnswerBody(1, b"unknown: deadline\n")]
@@ -201,5 +204,7 @@
     rig.task.handle(CallerGone(2))
     rig.task.handle(CallerGone(1))
     assert rig.pop_sent(CancelAttempt) == [CancelAttempt(start.attempt_id)]
+    assert rig.pop_sent(StartAttempt) == []
+    rig.task.handle(AttemptClosed(start.attempt_id))
     rig.answer(rig.start_one().attempt_id)
     assert [head.request_id for head in rig.pop_sent(AnswerHead)] == [3]
