End a stop only after callers have noticed its closed connections

Cause: a stop closes the kept connections of its callers. libcurl looks for closed connections in its cache once a second, and a request gives up after five of them. If the next process is ready at the same address within that second, the balancer sends callers there, and their requests try the dead connections of the former process. The requests were not on their way at the stop, as was suspected, and "Connection: close" during the notice does not reach connections that are idle then.

Fix: the drain of an entry process ends at the earliest 1.5 s after its last connection is closed. Waits for claims and for the seat count towards it, so only a fast stop is prolonged.

Open: `guavapin-resident` stops without this wait. A request that arrives on an idle connection after StopAccepting has closed it still gets no answer.

--- a/src/guavapin/daemons/entry.py
+++ b/src/guavapin/daemons/entry.py
@@ -29,6 +29,10 @@
 
 SEAT_RELEASE_TIMEOUT_MS = 3_000
 CLAIMS_POLL_INTERVAL_MS = 100
+# A caller with libcurl looks for closed connections among its idle ones once a second,
+# and its request fails after five of them. It must not find the next process at the
+# same address before it has found the closed connections of this one.
+CLOSE_NOTICE_MS = 1_500
 
 DESCRIPTION = """\
 Serve callers on an entry host: routing, limits, retries, configuration, operators'
@@ -56,7 +60,10 @@
 
 
 def drain_entry(process: EntryProcess, cfg: EntrySettings) -> None:
-    """Report unready, let the balancer notice, finish the requests in progress."""
+    """Report unready, let the balancer notice, finish the requests in progress.
+
+    The process ends after its callers have had time to notice the closed connections.
+    """
     kernel = process.kernel
     kernel.ask("readiness", BeginStop()).result()
     kernel.deliver("peers", AnnounceLeaving())
@@ -64,9 +71,12 @@
     kernel.wait_for_failure(cfg.limits.unready_notice_ms)
     fut = kernel.ask("front", StopAccepting())
     done, _ = wait([fut], cfg.limits.stop_timeout_ms / 1_000)
+    closed_ms = kernel.clock.now_ms()
     if done:
         await_claims(process, cfg)
         release_seat(process, cfg)
+    notice_ms = closed_ms + CLOSE_NOTICE_MS - kernel.clock.now_ms()
+    kernel.wait_for_failure(max(notice_ms, 0))
 
 
 def await_claims(process: EntryProcess, cfg: EntrySettings) -> None:
