Check rule UNASKED in the model of takeovers

It could not have found the incident.

World.cancellations records when a cancelling is acknowledged, by the scheduler or from the store, and the last moment at which a fault of the model acted. It reports a start later than cancel_ms after the acknowledgement, if nothing failed for stable-window-ms, and a run that goes on after cancel_ms and stop-timeout-ms, counted from the acknowledgement or from stable-window-ms after the last fault. tests/model/test_cancellations.py cancels jobs through the real intake at any host, also at one that knows no scheduler: after a kill, a stop or a cut of the scheduler, while its lease is unconfirmed, and in calm times.

Entries of the registry are bytes now and go through decode_registration; another writer leaves odd ones, at times in the place of an executor's. An exception that leaves a task is reported as ENDED.

test_mended_faults.py puts back the fault of the incident, by rule ENDED and, with processes that start again, by rule UNASKED; a scheduler that drops cancellations in the store; and one that leaves unneeded runs that it adopts.

--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -16,6 +16,7 @@
 from guavapin.executors.model import RefusalKind
 from guavapin.executors.model import Registration
 from guavapin.executors.model import Start
+from guavapin.http.address import is_address
 from guavapin.http.messages import AbortCalls
 from guavapin.http.messages import PeerReply
 from guavapin.machines.model import ListMachines
@@ -26,6 +27,9 @@
 from guavapin.machines.model import OrderRefusal
 from guavapin.machines.model import OrderRefused
 from guavapin.machines.model import OrderUnanswered
+from guavapin.platform.bodies import encode_body
+from guavapin.platform.manifest import REGISTRY_PREFIX
+from guavapin.platform.manifest import decode_registration
 from tests.scheduling.simulation import HOST_CAPACITY
 from tests.scheduling.simulation import TIMES
 from tests.scheduling.simulation import FakeExecutor
@@ -92,12 +96,15 @@
 class Fleet:
     """Executors on machines; also decodes the registry for the schedulers."""
 
-    prefix = "servers/"
+    prefix = REGISTRY_PREFIX
 
     def __init__(self, world: World, machines: int) -> None:
         self._world = world
         # Ends in one answer of an executor, at most.
         self.max_listed_ends = 500
+        # Bounds of the duration of most runs.
+        self.shortest_run_ms = 200
+        self.longest_run_ms = 2_500
         self.executors: dict[str, ModelExecutor] = {}
         self.machines: dict[str, tuple[str, str, int]] = {}
         # Time, holder and machine of each order.
@@ -116,13 +123,22 @@
         world.schedule(STEP_MS, self._step)
 
     def decode(self, key: str, value: bytes) -> Registration | None:
-        executor = self.executors.get(key.removeprefix(self.prefix))
-        if executor is None:
-            return None
-        name, pool, born_ms = executor.executor_id, executor.pool, int(value)
-        return Registration(
-            name, born_ms, pool, "a:1", "z", False, HOST_CAPACITY, (), "r1", 0
-        )
+        return decode_registration(key, value)
+
+    def running(self) -> list[Subtask]:
+        """Return the subtasks that run on executors that are up."""
+        return [
+            subtask
+            for executor in self.executors.values()
+            if executor.is_alive
+            for subtask in executor.running
+        ]
+
+    def is_impaired(self) -> bool:
+        """Return whether an executor is cut off, or away without an order."""
+        ids = [executor_id for _, executor_id, _ in self.machines.values()]
+        executors = [self.executors[name] for name in ids if name]
+        return any(not (row.is_alive and row.reaches_store) for row in executors)
 
     def is_job_done(self, job: Job) -> bool:
         done = {
@@ -140,10 +156,15 @@
         """End a machine's executor, if it runs; another one starts soon after."""
         if not self.machines[name][1]:
             return
+        self._world.cancellations.disturb()
         self._take_down(name)
         pool = self.machines[name][0]
         delay_ms = self._world.rng.randint(300, 2_000)
-        self._world.schedule(delay_ms, self._bring_up, name, pool)
+        self._world.schedule(delay_ms, self._recover, name, pool)
+
+    def _recover(self, name: str, pool: str) -> None:
+        self._world.cancellations.disturb()
+        self._bring_up(name, pool)
 
     def restart(self, executor: ModelExecutor) -> None:
         """Start an executor again under its id, after it was away for a moment."""
@@ -173,14 +194,20 @@
     def _send(self, node: Node, order: HostOrder) -> None:
         world = self._world
         draw = world.rng.random() if world.has_faults else 1.0
+        if not is_address(order.address):
+            no_answer = NoAnswer(False, "the call cannot be sent")
+            world.schedule(0, self._answer, node, order, no_answer)
+            return
         if order.executor_id in node.silent or draw < LOST_SHARE:
+            world.cancellations.disturb()
             no_answer = NoAnswer(True, "lost")
             world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
             if draw < LOST_SHARE * 2 / 3:
                 # Carried out late, or at the end of a partition.
                 delay_ms = world.rng.randint(1, 8_000)
                 executor = self.executors.get(order.executor_id)
-                world.schedule(delay_ms, self._apply_late, order, executor.born_ms)
+                born_ms = executor.born_ms if executor is not None else 0
+                world.schedule(delay_ms, self._apply_late, order, born_ms)
             return
         world.schedule(world.latency_ms(), self._arrive, node, order)
 
@@ -188,6 +215,7 @@
         """Carry out an order, unless the incarnation that received it has ended."""
         executor = self.executors.get(order.executor_id)
         if executor is not None and executor.born_ms == born_ms:
+            self._world.cancellations.disturb()
             self._apply(order)
 
     def _arrive(self, node: Node, order: HostOrder) -> None:
@@ -201,6 +229,7 @@
             until_ms = world.clock.now_ms() + wait_ms
             self._waiting.append((node, order, until_ms))
         elif world.has_faults and world.rng.random() < LOST_SHARE:
+            world.cancellations.disturb()
             no_answer = NoAnswer(True, "answer lost")
             world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
         else:
@@ -226,8 +255,10 @@
             if known != order.attempt and not is_old:
                 self._check_start(executor, order)
                 # A few runs outlast a lease.
-                longest_ms = 12_000 if world.rng.random() < 0.03 else 2_500
-                run_ms = world.rng.randint(200, longest_ms)
+                longest_ms = self.longest_run_ms
+                if world.rng.random() < 0.03:
+                    longest_ms = max(longest_ms, 12_000)
+                run_ms = world.rng.randint(self.shortest_run_ms, longest_ms)
                 executor.ends_ms[order.subtask] = now_ms + run_ms
         if isinstance(order, Look) and order.token >= executor.token:
             self._check_confirmed(executor, order.confirmed)
@@ -236,6 +267,7 @@
 
     def _check_start(self, executor: ModelExecutor, order: Start) -> None:
         subtask = order.subtask
+        self._world.cancellations.check_start(subtask)
         for other in self.executors.values():
             if other.is_alive and subtask in other.running:
                 detail = f"{subtask} on {executor.executor_id}, {other.executor_id}"
@@ -292,11 +324,14 @@
             key = f"{self.prefix}{executor.executor_id}"
             if executor.reaches_store and not world.store.is_down:
                 executor.registered_ms = now_ms
-                value = str(executor.born_ms).encode()
+                value = encode_body(_entry(executor))
                 if key not in world.store.items or now_ms % 1_500 < STEP_MS:
                     world.store.write({key: value})
         for key in [key for key in world.store.items if key.startswith(self.prefix)]:
-            executor = self.executors[key.removeprefix(self.prefix)]
+            executor = self.executors.get(key.removeprefix(self.prefix))
+            if executor is None:
+                # An entry of another writer stays.
+                continue
             is_silent = now_ms - executor.registered_ms > REGISTRATION_TTL_MS
             if is_silent and not world.store.is_down:
                 world.store.write({key: None})
@@ -312,6 +347,7 @@
                 world.schedule(world.latency_ms(), self._answer, node, order, outcome)
             else:
                 self._waiting.append((node, order, until_ms))
+        world.check_cancellations()
         world.schedule(STEP_MS, self._step)
 
     def _bring_up(self, name: str, pool: str) -> None:
@@ -336,6 +372,7 @@
         delay_ms = world.latency_ms()
         is_held = bool(node.silent) or (world.has_faults and world.rng.random() < 0.1)
         if is_held:
+            world.cancellations.disturb()
             # The call waits in its connection for the end of a partition.
             delay_ms = world.rng.randint(1, 8_000)
         world.schedule(delay_ms, self._arrive_call, node, call)
@@ -378,3 +415,23 @@
         pool, executor_id, is_down = self.machines[name]
         state = MachineState.MOVING if is_down else MachineState.UP
         return Machine(name, pool, state, "z", "r1", HOST_CAPACITY, executor_id)
+
+
+def _entry(executor: ModelExecutor) -> dict[str, Any]:
+    """Return the fields of an executor's entry in the registry."""
+    return {
+        "service": executor.pool,
+        "address": f"{executor.executor_id}:1",
+        "zone": "z",
+        "version": "1",
+        "slots": 4,
+        "state": "ready",
+        "capacity": {
+            "cpu": HOST_CAPACITY.cpu_millis,
+            "mem-mb": HOST_CAPACITY.memory_mb,
+            "gpus": HOST_CAPACITY.gpus,
+        },
+        "labels": ["a", "r1"],
+        "seq": executor.registered_ms,
+        "born": executor.born_ms,
+    }
--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -46,17 +47,23 @@
             self._watch(node, request, world.clock.now_ms() + request.wait_ms)
             return
         if draw < LOST_SHARE:
+            world.cancellations.disturb()
             self._answer(node, request, kv.Unknown("lost"), STORE_TIMEOUT_MS)
             if draw < LOST_SHARE / 2 and isinstance(request, kv.Transact | kv.Put):
                 delay_ms = world.rng.randint(10, 6_000)
-                world.schedule(delay_ms, self._apply, request)
+                world.schedule(delay_ms, self._apply_late, request)
             return
         world.schedule(world.latency_ms(), self._arrive, node, request)
 
+    def _apply_late(self, request: Any) -> None:
+        self._world.cancellations.disturb()
+        self._apply(request)
+
     def _arrive(self, node: Node, request: Any) -> None:
         world = self._world
         outcome = self._apply(request)
         if world.has_faults and world.rng.random() < LOST_SHARE:
+            world.cancellations.disturb()
             self._answer(node, request, kv.Unknown("lost"), STORE_TIMEOUT_MS)
         else:
             self._answer(node, request, outcome, world.latency_ms())
@@ -137,11 +144,11 @@
         if not node.reaches_store or self.is_down:
             self._answer(node, request, kv.Unknown("cut"), STORE_TIMEOUT_MS)
             return
+        first = bisect_right(self._log, request.after_revision, key=_revision)
         changed = tuple(
             item
-            for item in self._log[-2_000:]
-            if item.revision > request.after_revision
-            and item.key.startswith(request.prefix)
+            for item in self._log[max(first, len(self._log) - 2_000) :]
+            if item.key.startswith(request.prefix)
         )
         if changed or world.clock.now_ms() >= end_ms:
             outcome = kv.ItemsChanged(changed, self.revision)
@@ -180,3 +187,7 @@
             for key in keys:
                 del self._lease_of[key]
             self.write({key: None for key in keys if key in self.items})
+
+
+def _revision(item: kv.Item) -> int:
+    return item.revision
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -11,13 +11,22 @@
 from guavapin.machines.order_record import OrderRecord
 from guavapin.machines.task import CALL_TIMEOUT_MS
 from guavapin.machines.task import MachinesTask
+from guavapin.platform.bodies import encode_body
 from guavapin.scheduling.handover import collect_hosts
 from guavapin.scheduling.host_table import HostTable
+from guavapin.scheduling.job_table import JobTable
+from guavapin.scheduling.record import CANCELLED_SUFFIX
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.scheduler import Scheduler
 from guavapin.scheduling.term_loader import TermLoader
+from tests.model.cancellations import CANCEL_MS
+from tests.model.cancellations import STABLE_MS
+from tests.model.executors import Fleet
+from tests.model.odd_entries import ENTRY
+from tests.model.test_cancellations import play_cancellations
 from tests.model.test_takeover_model import play
+from tests.model.world import World
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -107,6 +116,41 @@
     patch.setattr(HostTable, "_handle_report", handle)
 
 
+def drop_cancellations_in_the_store(patch: pytest.MonkeyPatch) -> None:
+    handle_marker = JobTable.handle_marker
+
+    def handle(jobs, key) -> None:
+        if not key.endswith(CANCELLED_SUFFIX):
+            handle_marker(jobs, key)
+
+    patch.setattr(JobTable, "handle_marker", handle)
+
+
+def leave_unneeded_runs_that_are_adopted(patch: pytest.MonkeyPatch) -> None:
+    adopt = Scheduler.adopt
+
+    def handle(scheduler, host, row) -> None:
+        with pytest.MonkeyPatch.context() as inner:
+            inner.setattr(scheduler.hosts, "stop", lambda run: None)
+            adopt(scheduler, host, row)
+
+    patch.setattr(Scheduler, "adopt", handle)
+
+
+def end_processes_at_addresses_outside_ascii(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("guavapin.platform.manifest.is_address", lambda text: True)
+    send = Fleet._send
+
+    def handle(fleet, node, order) -> None:
+        # libcurl raised for such an address.
+        if order.address.isascii():
+            send(fleet, node, order)
+        else:
+            node.world.end_process(node, f"executors: {order.address!r}")
+
+    patch.setattr(Fleet, "_send", handle)
+
+
 FAULTS = (
     (count_unknown_runs_with_no_resources, "LIMIT", 8),
     (drop_changes_while_lists_are_read, "LOST", 70),
@@ -116,7 +160,7 @@
     (order_machines_without_a_lease, "ONE", 33),
     (keep_machine_orders_in_flight, "ONE", 7),
     (keep_the_runs_of_an_earlier_handover, "TWICE", 0),
-    (hand_over_no_unstored_ends, "TWICE", 156),
+    (hand_over_no_unstored_ends, "TWICE", 24),
 )
 
 
@@ -145,3 +189,54 @@
     played = (play(seed, max_listed_ends=3) for seed in range(MAX_SEEDS))
     violations = next(world.violations for world in played if world.violations)
     assert any("TWICE" in violation for violation in violations)
+
+
+@pytest.mark.parametrize(
+    ("fault", "rule"),
+    [
+        (drop_cancellations_in_the_store, "UNASKED"),
+        (leave_unneeded_runs_that_are_adopted, "UNASKED"),
+        (end_processes_at_addresses_outside_ascii, "ENDED"),
+    ],
+)
+def test_cancelled_work_that_goes_on_is_found(
+    fault: Callable[[pytest.MonkeyPatch], None],
+    rule: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a model that cannot find a cancelling that was lost or had no
+    # effect, or an entry of the registry that ends a process.
+    fault(monkeypatch)
+    played = (play_cancellations(seed) for seed in range(MAX_SEEDS))
+    violations = next(world.violations for world in played if world.violations)
+    assert any(rule in violation for violation in violations)
+
+
+@pytest.mark.parametrize("is_mended", [True, False])
+def test_a_cancelling_while_an_entry_ends_each_scheduler_is_judged(
+    is_mended: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a check that misses the incident: an entry of another writer ended
+    # each process that scheduled, until it was removed.
+    if not is_mended:
+        end_processes_at_addresses_outside_ascii(monkeypatch)
+    world = World(1)
+    world.reports_ended_processes = False
+    world.has_faults = False
+    world.fleet.shortest_run_ms = world.fleet.longest_run_ms = 60_000
+    world.run(1_500)
+    world.submit()
+    world.run(2 * STABLE_MS)
+    assert world.fleet.running()
+    key = f"{world.fleet.prefix}odd"
+    value = encode_body(ENTRY | {"address": "[::1%réseau]:8080"})
+    world.store.write({key: value})
+    # The runs lapse 6 s after the last poll.
+    world.run(200)
+    (submission,) = world.submissions.values()
+    world.cancel_at(world.nodes[2], submission)
+    world.run(CANCEL_MS)
+    world.store.write({key: None})
+    world.run(STABLE_MS)
+    assert any("UNASKED" in row for row in world.violations) is not is_mended
+    assert world.cancellations.judged_at_once or not is_mended
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -27,6 +27,7 @@
 from guavapin.intake.task import IntakeTask
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
+from guavapin.jobs.calls import NoSuchJob
 from guavapin.jobs.calls import QueryJob
 from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import SubmitJob
@@ -64,6 +65,7 @@
 from guavapin.serving.messages import AnswerHead
 from guavapin.serving.messages import SetReady
 from guavapin.serving.request_handler import WholeRequest
+from tests.model.cancellations import CancellationCheck
 from tests.model.executors import Fleet
 from tests.model.executors import MachineCodec
 from tests.model.executors import WaveCodec
@@ -81,6 +83,13 @@
 # minute on five executors, and a run that outlasts a lease another 12 s for each step.
 CALM_MS = 120_000
 
+# Deadline of a caller that cancels a job, and how often it cancels without an answer.
+CANCEL_DEADLINE_MS = 3_000
+MAX_CANCEL_ATTEMPTS = 12
+
+# Time until a process that has ended by itself runs again.
+RESTART_MS = 500
+
 # Time from the last end of a subtask until every node shows its job as ended.
 SETTLE_MS = 15_000
 
@@ -210,6 +219,8 @@
 
     def receive(self, number: int, call: Any, deadline_ms: int) -> None:
         """Receive a caller's request with a deadline; `number` identifies it."""
+        if self._is_deferred(self.receive, number, call, deadline_ms):
+            return
         body = str(number).encode()
         self.codec.calls[body] = call
         headers = (
@@ -218,26 +229,23 @@
         )
         now_ms = self.world.clock.now_ms()
         req = WholeRequest(number, "POST", QUEUE.prefix, headers, body, now_ms)
-        self.intake.handle_request(req)
+        self._handle("intake", self.intake.handle_request, req)
         self._pump()
 
     def receive_peer_call(self, number: int, call: PeerCall) -> None:
         """Receive a call of another node."""
+        if self._is_deferred(self.receive_peer_call, number, call):
+            return
         now_ms = self.world.clock.now_ms()
         req = WholeRequest(number, call.method, call.path, (), call.body, now_ms)
-        self.tasks["peer_desk"].handle_request(req)
+        self._handle("peer_desk", self.tasks["peer_desk"].handle_request, req)
         self._pump()
 
     def deliver(
         self, service: str, message: object, timer: TimerHandle | None = None
     ) -> None:
         """Handle a message now, or when the node is no longer frozen."""
-        now_ms = self.world.clock.now_ms()
-        if not self.is_alive:
-            return
-        if now_ms < self.frozen_until_ms:
-            delay_ms = self.frozen_until_ms - now_ms
-            self.world.schedule(delay_ms, self.deliver, service, message, timer)
+        if self._is_deferred(self.deliver, service, message, timer):
             return
         if timer is not None:
             if timer.timer_id not in self.timers:
@@ -248,6 +256,7 @@
 
     def hand_over(self) -> None:
         """Stop gracefully, as after a SIGTERM; the process ends soon after it."""
+        self.world.cancellations.disturb()
         self.deliver("scheduler", HandOver())
 
     def _pump(self) -> None:
@@ -260,11 +269,27 @@
             if isinstance(message, CutOff) and not self.rejects_when_cut_off:
                 continue
             if task is not None:
-                task.handle(message)
+                self._handle(service, task.handle, message)
             else:
                 self.world.handle(self, service, message)
         self.is_pumping = False
 
+    def _handle(
+        self, service: str, function: Callable[[Any], None], message: object
+    ) -> None:
+        """Let a task handle a message; an exception that leaves it ends the process."""
+        try:
+            function(message)
+        except Exception as exc:
+            self.world.end_process(self, f"{service}: {exc!r}")
+
+    def _is_deferred(self, function: Callable[..., None], *args: Any) -> bool:
+        """Return True without a process, or if it is frozen and called again later."""
+        left_ms = self.frozen_until_ms - self.world.clock.now_ms()
+        if self.is_alive and left_ms > 0:
+            self.world.schedule(left_ms, function, *args)
+        return not self.is_alive or left_ms > 0
+
 
 @dataclass
 class Submission:
@@ -287,6 +312,9 @@
         self._events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._number = 0
         self.has_faults = True
+        # Unset for processes that start again after they have ended by themselves.
+        self.reports_ended_processes = True
+        self.cancellations = CancellationCheck(self)
         self.calls: dict[int, Callable[[JobReply], None]] = {}
         # Callers that wait for an answer at a front, by request.
         self.callers: dict[int, Callable[[Any], None]] = {}
@@ -333,23 +361,30 @@
             self.fleet.handle(node, service, message)
         elif service == "front" and isinstance(message, AnswerBody):
             answer = node.codec.answers[message.data]
-            self.callers.pop(message.request_id)(answer)
+            # A caller whose deadline has passed is gone.
+            callback = self.callers.pop(message.request_id, None)
+            if callback is not None:
+                callback(answer)
         elif service == "peer_front":
             self._answer_peer_call(message)
         elif isinstance(message, SetReady):
             node.unready_since_ms = 0 if message.is_ready else self.clock.now_ms()
         elif isinstance(message, JobReply):
-            callback = self.calls.pop(message.request_id, None)
-            if callback is not None:
-                callback(message)
+            reply_to = self.calls.pop(message.request_id, None)
+            if reply_to is not None:
+                reply_to(message)
 
     def request(
         self, node: Node, call: Any, deadline_ms: int, callback: Callable[[Any], None]
-    ) -> None:
-        """Send a caller's request to a node; `callback` gets the answer."""
+    ) -> int:
+        """Send a caller's request to a node; `callback` gets the answer.
+
+        Returns the number of the request.
+        """
         number = self.next_number()
         self.callers[number] = callback
         node.receive(number, call, deadline_ms)
+        return number
 
     def _send_peer_call(self, node: Node, call: PeerCall) -> None:
         number = self.next_number()
@@ -419,7 +454,47 @@
         if self.submissions:
             submission = self.rng.choice([*self.submissions.values()][-5:])
             submission.is_cancelled = True
-            self.call(CancelJob(submission.job.job_id), lambda _: None)
+
+            def handle(reply: JobReply) -> None:
+                if isinstance(reply.answer, Accepted):
+                    self._acknowledge(submission)
+
+            self.call(CancelJob(submission.job.job_id), handle)
+
+    def cancel_at(self, node: Node, submission: Submission, attempt: int = 1) -> None:
+        """Cancel a job at a node, and then at any node until that is acknowledged.
+
+        It is not owed any more from the call on.
+        """
+        submission.is_cancelled = True
+        # A job that is accepted has to be known.
+        must_exist = submission.accepted_ms > 0
+
+        def handle(answer: Any) -> None:
+            is_gone = isinstance(answer, NoSuchJob) and must_exist
+            if isinstance(answer, Accepted) or is_gone:
+                self._acknowledge(submission)
+            elif not isinstance(answer, NoSuchJob):
+                self.schedule(self.rng.randint(50, 1_000), repeat)
+
+        def repeat() -> None:
+            if attempt < MAX_CANCEL_ATTEMPTS:
+                other = self.rng.choice(self.nodes)
+                self.cancel_at(other, submission, attempt + 1)
+
+        def expire() -> None:
+            if self.callers.pop(number, None) is not None:
+                repeat()
+
+        number = self.request(
+            node, CancelJob(submission.job.job_id), CANCEL_DEADLINE_MS, handle
+        )
+        self.schedule(CANCEL_DEADLINE_MS, expire)
+
+    def _acknowledge(self, submission: Submission) -> None:
+        job_id = submission.job.job_id
+        has_runs = any(row.job_id == job_id for row in self.fleet.running())
+        self.cancellations.acknowledge(job_id, has_runs)
 
     def query(self) -> None:
         """Query the state of a random job and check what is shown."""
@@ -448,7 +523,21 @@
             self.report("LOST", f"{job.job_id} shown as failed")
 
     def restart(self, node: Node) -> None:
-        """Replace the process of a node."""
+        """Kill the process of a node and start another one."""
+        self.cancellations.disturb()
+        self._replace(node)
+
+    def end_process(self, node: Node, detail: str) -> None:
+        """Report a process that ends by itself, or start it again soon after."""
+        if self.reports_ended_processes:
+            self.report("ENDED", f"{node.name} {detail}")
+        elif node.is_alive:
+            node.is_alive = False
+            self.schedule(RESTART_MS, self._replace, node)
+
+    def _replace(self, node: Node) -> None:
+        if node not in self.nodes:
+            return
         node.is_alive = False
         fresh = Node(self, f"{node.name.partition('.')[0]}.{self.next_number()}")
         self.nodes[self.nodes.index(node)] = fresh
@@ -468,9 +557,23 @@
         self.store.is_down = False
         for node in self.nodes:
             node.reaches_store, node.frozen_until_ms = True, 0
+            node.reaches_peers = True
             node.silent.clear()
         self.fleet.heal()
 
+    def check_cancellations(self) -> None:
+        """Check the runs of cancelled jobs, and note the faults that act now."""
+        now_ms = self.clock.now_ms()
+        is_impaired = self.store.is_down or any(
+            node.frozen_until_ms > now_ms
+            or node.silent
+            or not (node.reaches_store and node.reaches_peers)
+            for node in self.nodes
+        )
+        if is_impaired or self.fleet.is_impaired():
+            self.cancellations.disturb()
+        self.cancellations.check_running(self.fleet.running())
+
     def run_until_ended(self) -> None:
         """Run without faults until all owed jobs have ended, at most for `CALM_MS`."""
         end_ms = self.clock.now_ms() + CALM_MS
