Keep the marker of a cancelling until the final state is stored

What callers would see: a DELETE at a host that reaches no scheduler is answered with 200, the runs stop, and after the next change of scheduler the job is queued again and its subtasks start anew; it never becomes cancelled.

Cause: the scheduler recorded the removal of the marker together with the job's final state. The ledger does not order entries of different keys: if an earlier write of the job's progress is still without an answer, the final state waits for it, while the removal goes out in a transaction of its own. If the scheduler ends before the final state is stored, nothing in the store tells its successor of the cancelling.

Change: the marker is removed once the final state is stored. Until then a successor reads it and cancels the job again. A job that has ended by then loses its marker at once, as before.

Evidence: in the new test the store's answers to the progress of a job with one ended subtask are lost, the job is cancelled over the store, and the scheduler is killed two seconds later. Before: 'UNASKED: ... runs 7609 ms after its cancelling'. Now it passes.

--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -103,6 +103,9 @@
         # Jobs that another process has stored and that are being read from the store.
         self._fetching: set[str] = set()
         self._cancel_when_fetched: set[str] = set()
+        # Jobs whose cancellation another process has stored. Its marker is removed
+        # after the final state is stored: until then only the marker tells a successor.
+        self._marked_as_cancelled: set[str] = set()
 
     def load(self, jobs: Iterable[Job], progress: dict[str, Progress]) -> None:
         """Load the stored jobs; of an ended job, only the final state is kept."""
@@ -148,15 +151,16 @@
             self._store(Entry(key, None))
             return
         job_run = self.by_id.get(job_id)
-        if f".{suffix}" == CANCELLED_SUFFIX:
+        is_cancellation = f".{suffix}" == CANCELLED_SUFFIX
+        if is_cancellation:
             extra = {"job": job_id, "is_job_known": job_run is not None}
             log.info("cancellation found in the store", extra=extra)
-            if job_run is not None:
-                self.close(job_run, JobState.CANCELLED)
-            else:
-                self._cancel_when_fetched.add(job_id)
         if job_run is None:
+            if is_cancellation:
+                self._cancel_when_fetched.add(job_id)
             self._fetch(job_id)
+        elif is_cancellation:
+            self._apply_stored_cancellation(job_run)
         else:
             self._store(Entry(key, None))
 
@@ -173,8 +177,7 @@
             answer = Accepted() if job is not None else Rejected("try again")
             self._answer(req, answer)
         if job_id in self._cancel_when_fetched and job_id in self.by_id:
-            self.close(self.by_id[job_id], JobState.CANCELLED)
-            self._store(Entry(f"{INBOX_PREFIX}{job_id}{CANCELLED_SUFFIX}", None))
+            self._apply_stored_cancellation(self.by_id[job_id])
         self._cancel_when_fetched.discard(job_id)
         self._store(Entry(f"{INBOX_PREFIX}{job_id}{SUBMITTED_SUFFIX}", None))
 
@@ -193,6 +196,7 @@
             # The progress record holds the final state, so the job itself is removed
             # and a successor need not read it.
             self._store(Entry(f"{JOBS_PREFIX}{tag.job_id}", None))
+            self._remove_cancellation_marker(tag.job_id)
             for req in self._cancellations.pop(tag.job_id, []):
                 self._answer(req, Accepted())
 
@@ -307,6 +311,20 @@
             for job_run in self.by_id.values()
         )
 
+    def _apply_stored_cancellation(self, job_run: JobRun) -> None:
+        """Cancel a job; its marker stays until the job's final state is stored."""
+        job_id = job_run.job.job_id
+        self._marked_as_cancelled.add(job_id)
+        if job_run.visible_state.is_final:
+            self._remove_cancellation_marker(job_id)
+        else:
+            self.close(job_run, JobState.CANCELLED)
+
+    def _remove_cancellation_marker(self, job_id: str) -> None:
+        if job_id in self._marked_as_cancelled:
+            self._marked_as_cancelled.discard(job_id)
+            self._store(Entry(f"{INBOX_PREFIX}{job_id}{CANCELLED_SUFFIX}", None))
+
     def _fetch(self, job_id: str) -> None:
         if job_id not in self._fetching:
             self._fetching.add(job_id)
--- a/tests/model/test_cancellations.py
+++ b/tests/model/test_cancellations.py
@@ -5,21 +5,30 @@
 import sys
 import time
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
+from guavapin.jobs.calls import SubmitJob
+from guavapin.jobs.model import Job
+from guavapin.jobs.model import Resources
+from guavapin.jobs.model import Step
+from guavapin.keyvalue import messages as kv
+from guavapin.resident import STORE_TIMEOUT_MS
+from guavapin.scheduling.record import PROGRESS_PREFIX
 from tests.model.cancellations import CANCEL_MS
 from tests.model.cancellations import STABLE_MS
 from tests.model.cancellations import STOP_MS
 from tests.model.odd_entries import draw_odd_entry
 from tests.model.odd_entries import draw_odd_value
+from tests.model.world import Submission
 from tests.model.world import World
+from tests.scheduling.simulation import QUEUE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from tests.model.world import Node
-    from tests.model.world import Submission
 
 SEEDS = 10
 ROUNDS = 5
@@ -177,6 +186,51 @@
     assert world.cancellations.judged > 0
 
 
+def test_a_cancelling_outlives_the_scheduler_that_has_read_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a cancelling that is lost when the scheduler ends: its marker was
+    # removed while the final state waited for an earlier write of the job's progress.
+    world = World(1)
+    world.has_faults = False
+    world.fleet.shortest_run_ms = world.fleet.longest_run_ms = 60_000
+    world.run(1_500)
+    steps = (Step(2, Resources(2_000, 1_000, 0), 600),)
+    submission = Submission(Job("a" * 16, QUEUE.key, "pool", "spec", steps))
+    world.submissions[submission.job.job_id] = submission
+    world.call(SubmitJob(submission.job), lambda _: None)
+    world.run(6_000)
+    subtask, _ = world.fleet.running()
+    handle = world.store.handle
+
+    def lose_progress(node: Node, request: Any) -> None:
+        puts = request.puts if isinstance(request, kv.Transact) else ()
+        if any(row.key.startswith(PROGRESS_PREFIX) for row in puts):
+            reply = kv.Reply(request.request_id, kv.Unknown("lost"))
+            world.schedule(STORE_TIMEOUT_MS, node.deliver, request.reply_to, reply)
+        else:
+            handle(node, request)
+
+    monkeypatch.setattr(world.store, "handle", lose_progress)
+    for executor in world.fleet.executors.values():
+        if subtask in executor.running:
+            executor.ends_ms[subtask] = world.clock.now_ms()
+    world.run(600)
+    scheduling = next(node for node in world.nodes if node.scheduler._scheduler)
+    cut_off = next(node for node in world.nodes if node is not scheduling)
+    cut_off.reaches_peers = False
+    submission.accepted_ms = world.clock.now_ms()
+    world.cancel_at(cut_off, submission)
+    world.run(2_000)
+    assert world.fleet.running() == []
+    monkeypatch.undo()
+    world.heal()
+    world.restart(scheduling)
+    world.run(STABLE_MS + CANCEL_MS + STOP_MS + 1_000)
+    assert world.violations == []
+    assert world.cancellations.judged_with_runs == 1
+
+
 def main(seconds: float, first: int, report: Callable[[str], None] = print) -> int:
     """Play fresh seeds for a time; print broken ones and what was judged."""
     end_s, seed, broken = time.monotonic() + seconds, first, 0
