Cancel jobs around brief losses of the store in the model

A term that goes on after a brief loss of the store has to list the inbox again, since it ignored markers meanwhile. Outages are more frequent now, and most of them end soon after the lease became unconfirmed.

--- a/tests/model/test_cancellations.py
+++ b/tests/model/test_cancellations.py
@@ -40,7 +40,7 @@
 EVENTS = (
     *("none", "none", "kill", "kill", "kill two", "stop", "stop", "freeze"),
     *("core cut", "unconfirmed", "unconfirmed", "peer cut", "zone cut"),
-    *("executor cut", "outage", "restart", "crash"),
+    *("outage", "outage", "outage", "executor cut", "restart", "crash"),
 )
 
 
@@ -69,7 +69,8 @@
             _write_odd_entries(world)
         else:
             _disturb(world, event)
-        if event == "unconfirmed":
+        is_brief = event in ("unconfirmed", "outage") and rng.random() < 0.7
+        if is_brief:
             _await_unconfirmed_lease(world)
         else:
             world.run(rng.choice((0, 5, 30, 200, 800, 2_000)))
@@ -77,7 +78,8 @@
             world.cancel_at(_draw_node(world), submission)
             world.run(rng.choice((0, 0, 10, 100)))
         if event != "none":
-            world.run(rng.randint(0, 2_500))
+            # After a brief loss of the store the term goes on.
+            world.run(rng.randint(0, 300 if is_brief else 2_500))
         world.heal()
         world.run(STABLE_MS + CANCEL_MS + STOP_MS + 200)
         if world.violations:
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -19,6 +19,7 @@
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.scheduler import Scheduler
+from guavapin.scheduling.task import SchedulerTask
 from guavapin.scheduling.term_loader import TermLoader
 from tests.model.cancellations import CANCEL_MS
 from tests.model.cancellations import STABLE_MS
@@ -137,6 +138,18 @@
     patch.setattr(Scheduler, "adopt", handle)
 
 
+def resume_a_term_without_a_list_of_the_inbox(patch: pytest.MonkeyPatch) -> None:
+    handle_duty_held = SchedulerTask._handle_duty_held
+
+    def handle(task, token) -> None:
+        if token == task._token and task._scheduler is not None:
+            task._unconfirmed_until_ms = 0
+        else:
+            handle_duty_held(task, token)
+
+    patch.setattr(SchedulerTask, "_handle_duty_held", handle)
+
+
 def end_processes_at_addresses_outside_ascii(patch: pytest.MonkeyPatch) -> None:
     patch.setattr("guavapin.platform.manifest.is_address", lambda text: True)
     send = Fleet._send
@@ -157,7 +170,7 @@
     (confirm_ends_before_they_are_stored, "TWICE", 1),
     (start_inherited_jobs_at_once, "TWICE", 0),
     (forget_starts_without_an_answer, "LIMIT", 14),
-    (order_machines_without_a_lease, "ONE", 33),
+    (order_machines_without_a_lease, "ONE", 40),
     (keep_machine_orders_in_flight, "ONE", 7),
     (keep_the_runs_of_an_earlier_handover, "TWICE", 0),
     (hand_over_no_unstored_ends, "TWICE", 24),
@@ -196,6 +209,7 @@
     [
         (drop_cancellations_in_the_store, "UNASKED"),
         (leave_unneeded_runs_that_are_adopted, "UNASKED"),
+        (resume_a_term_without_a_list_of_the_inbox, "UNASKED"),
         (end_processes_at_addresses_outside_ascii, "ENDED"),
     ],
 )
