--- a/tests/scheduling/test_cancelled_jobs.py
+++ b/tests/scheduling/test_cancelled_jobs.py
@@ -1,18 +1,23 @@
-"""The log lines from which operators see why a cancelled job's runs still go on."""
+"""Cancelled jobs: their markers in the store, and the log lines on what still runs."""
 
 from __future__ import annotations
 
 import logging
+from typing import TYPE_CHECKING
 
 import pytest
 
 from guavapin.scheduling.host_table import STOP_RETRY_MS
+from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.record import CANCELLED_SUFFIX
 from guavapin.scheduling.record import INBOX_PREFIX
 from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
 from tests.scheduling.simulation import make_job
 
+if TYPE_CHECKING:
+    from guavapin.ledger.ledger import Entry
+
 
 @pytest.fixture
 def sim() -> Simulation:
@@ -26,9 +31,12 @@
     return sim
 
 
+MARKER = f"{INBOX_PREFIX}{'a' * 16}{CANCELLED_SUFFIX}"
+
+
 def cancel_in_store(sim: Simulation) -> None:
     """Deliver the marker of a cancellation that another host has stored."""
-    sim.scheduler.jobs.handle_marker(f"{INBOX_PREFIX}{'a' * 16}{CANCELLED_SUFFIX}")
+    sim.scheduler.jobs.handle_marker(MARKER)
     sim.run()
 
 
@@ -36,6 +44,28 @@
     return [record.message for record in caplog.records]
 
 
+def test_a_marker_stays_until_the_final_state_is_stored(sim: Simulation) -> None:
+    # Guards against a successor that knows of no cancellation: entries of different
+    # keys are not ordered, so the marker could be gone before the state was stored.
+    entries: list[Entry] = []
+
+    def collect(action: object) -> None:
+        if isinstance(action, StoreEntry):
+            entries.append(action.entry)
+
+    sim.on_action = collect
+    sim.is_store_down = True
+    cancel_in_store(sim)
+    sim.advance(500)
+    assert sim.running() == []
+    assert MARKER not in [entry.key for entry in entries]
+    sim.is_store_down = False
+    for tag in [tag for entry in entries for tag in entry.tags]:
+        sim.scheduler.handle_stored(tag)
+    sim.run()
+    assert [entry.value for entry in entries if entry.key == MARKER] == [None]
+
+
 def test_a_cancellation_read_from_the_store_and_its_end_are_logged(
     sim: Simulation, caplog: pytest.LogCaptureFixture
 ) -> None:
