Discard history and turn calls away in the play of cancellations

The store may discard its history at any time, and it may turn away the calls of one machine at once; neither was in the model. A round may have two faults now, since a cancelling that is lost by one may need another to be missed.

The play takes its events as an argument: the term that resumes without listing the inbox needs an outage, and is played with outages only.

--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -35,6 +35,8 @@
         self._leases: dict[str, tuple[int, int]] = {}
         self._lease_of: dict[str, str] = {}
         self._log: list[kv.Item] = []
+        # Revision up to which the changes are discarded.
+        self._discarded_revision = 0
 
     def handle(self, node: Node, request: Any) -> None:
         """Let a request of a node arrive, or lose it."""
@@ -43,6 +45,10 @@
         if self.is_down or not node.reaches_store:
             self._answer(node, request, kv.Unknown("down"), world.rng.randint(1, 900))
             return
+        if node.is_refused_by_store:
+            refusal = world.rng.choice((kv.RateLimited(), kv.NotSent("503")))
+            self._answer(node, request, refusal, world.latency_ms())
+            return
         if isinstance(request, kv.WatchItems):
             self._watch(node, request, world.clock.now_ms() + request.wait_ms)
             return
@@ -117,6 +123,11 @@
                 return kv.Written(self.revision)
         raise AssertionError(f"unexpected request {request!r}")
 
+    def discard_history(self) -> None:
+        """Discard all changes; a watch that needs one of them has to list again."""
+        self._log.clear()
+        self._discarded_revision = self.revision
+
     def write(self, values: dict[str, bytes | None], lease_id: str = "") -> None:
         """Write or remove keys at the next revision."""
         self.revision += 1
@@ -144,6 +155,9 @@
         if not node.reaches_store or self.is_down:
             self._answer(node, request, kv.Unknown("cut"), STORE_TIMEOUT_MS)
             return
+        if request.after_revision < self._discarded_revision:
+            self._answer(node, request, kv.Compacted(), world.latency_ms())
+            return
         first = bisect_right(self._log, request.after_revision, key=_revision)
         changed = tuple(
             item
--- a/tests/model/test_cancellations.py
+++ b/tests/model/test_cancellations.py
@@ -40,12 +40,13 @@
 EVENTS = (
     *("none", "none", "kill", "kill", "kill two", "stop", "stop", "freeze"),
     *("core cut", "unconfirmed", "unconfirmed", "peer cut", "zone cut"),
-    *("outage", "outage", "outage", "executor cut", "restart", "crash"),
+    *("outage", "outage", "outage", "refused", "refused", "executor cut"),
+    *("restart", "crash"),
 )
 
 
-def play_cancellations(seed: int) -> World:
-    """Cancel jobs beside faults, each time followed by a time without any.
+def play_cancellations(seed: int, events: tuple[str, ...] = EVENTS) -> World:
+    """Cancel jobs beside `events`, each time followed by a time without faults.
 
     The odd entries of another writer stay, also while nothing else fails.
     """
@@ -58,7 +59,7 @@
             world.submit()
         world.run(rng.randint(20, 2_000))
         _write_odd_entries(world)
-        event = rng.choice(EVENTS)
+        event = rng.choice(events)
         if event == "none":
             # Only a cancelling in a calm time has its bounds from the start.
             world.heal()
@@ -69,6 +70,9 @@
             _write_odd_entries(world)
         else:
             _disturb(world, event)
+            if rng.random() < 0.3:
+                world.run(rng.randint(0, 1_500))
+                _disturb(world, rng.choice(events))
         is_brief = event in ("unconfirmed", "outage") and rng.random() < 0.7
         if is_brief:
             _await_unconfirmed_lease(world)
@@ -76,6 +80,9 @@
             world.run(rng.choice((0, 5, 30, 200, 800, 2_000)))
         for submission in _draw_jobs(world):
             world.cancel_at(_draw_node(world), submission)
+            if rng.random() < 0.3:
+                # The store may do this at any time.
+                world.store.discard_history()
             world.run(rng.choice((0, 0, 10, 100)))
         if event != "none":
             # After a brief loss of the store the term goes on.
@@ -153,6 +160,8 @@
             node.reaches_store = False
         case "unconfirmed":
             leader.reaches_store = False
+        case "refused":
+            node.is_refused_by_store = True
         case "peer cut":
             node.reaches_peers = False
         case "zone cut":
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -25,6 +25,7 @@
 from tests.model.cancellations import STABLE_MS
 from tests.model.executors import Fleet
 from tests.model.odd_entries import ENTRY
+from tests.model.test_cancellations import EVENTS
 from tests.model.test_cancellations import play_cancellations
 from tests.model.test_takeover_model import play
 from tests.model.world import World
@@ -205,23 +206,24 @@
 
 
 @pytest.mark.parametrize(
-    ("fault", "rule"),
+    ("fault", "rule", "events"),
     [
-        (drop_cancellations_in_the_store, "UNASKED"),
-        (leave_unneeded_runs_that_are_adopted, "UNASKED"),
-        (resume_a_term_without_a_list_of_the_inbox, "UNASKED"),
-        (end_processes_at_addresses_outside_ascii, "ENDED"),
+        (drop_cancellations_in_the_store, "UNASKED", EVENTS),
+        (leave_unneeded_runs_that_are_adopted, "UNASKED", EVENTS),
+        (resume_a_term_without_a_list_of_the_inbox, "UNASKED", ("outage",)),
+        (end_processes_at_addresses_outside_ascii, "ENDED", EVENTS),
     ],
 )
 def test_cancelled_work_that_goes_on_is_found(
     fault: Callable[[pytest.MonkeyPatch], None],
     rule: str,
+    events: tuple[str, ...],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against a model that cannot find a cancelling that was lost or had no
     # effect, or an entry of the registry that ends a process.
     fault(monkeypatch)
-    played = (play_cancellations(seed) for seed in range(MAX_SEEDS))
+    played = (play_cancellations(seed, events) for seed in range(MAX_SEEDS))
     violations = next(world.violations for world in played if world.violations)
     assert any(rule in violation for violation in violations)
 
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -163,6 +163,8 @@
     def __init__(self, world: World, name: str) -> None:
         self.world, self.name = world, name
         self.is_alive, self.reaches_store, self.reaches_peers = True, True, True
+        # Whether the store turns the calls of this node away, without an effect.
+        self.is_refused_by_store = False
         # Time of the last change of readiness to false, 0 while the node is ready.
         self.unready_since_ms = 0
         # Unset for the earlier policy, in which a cut off node rejects no call at once.
@@ -557,7 +559,7 @@
         self.store.is_down = False
         for node in self.nodes:
             node.reaches_store, node.frozen_until_ms = True, 0
-            node.reaches_peers = True
+            node.reaches_peers, node.is_refused_by_store = True, False
             node.silent.clear()
         self.fleet.heal()
 
@@ -567,6 +569,7 @@
         is_impaired = self.store.is_down or any(
             node.frozen_until_ms > now_ms
             or node.silent
+            or node.is_refused_by_store
             or not (node.reaches_store and node.reaches_peers)
             for node in self.nodes
         )
