--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -34,6 +35,8 @@
         self._leases: dict[str, tuple[int, int]] = {}
         self._lease_of: dict[str, str] = {}
         self._log: list[kv.Item] = []
+        # Revision up to which the changes are discarded.
+        self._discarded_revision = 0
 
     def handle(self, node: Node, request: Any) -> None:
         """Let a request of a node arrive, or lose it."""
@@ -42,21 +45,31 @@
         if self.is_down or not node.reaches_store:
             self._answer(node, request, kv.Unknown("down"), world.rng.randint(1, 900))
             return
+        if node.is_refused_by_store:
+            refusal = world.rng.choice((kv.RateLimited(), kv.NotSent("503")))
+            self._answer(node, request, refusal, world.latency_ms())
+            return
         if isinstance(request, kv.WatchItems):
             self._watch(node, request, world.clock.now_ms() + request.wait_ms)
             return
         if draw < LOST_SHARE:
+            world.cancellations.disturb()
             self._answer(node, request, kv.Unknown("lost"), STORE_TIMEOUT_MS)
             if draw < LOST_SHARE / 2 and isinstance(request, kv.Transact | kv.Put):
                 delay_ms = world.rng.randint(10, 6_000)
-                world.schedule(delay_ms, self._apply, request)
+                world.schedule(delay_ms, self._apply_late, request)
             return
         world.schedule(world.latency_ms(), self._arrive, node, request)
 
+    def _apply_late(self, request: Any) -> None:
+        self._world.cancellations.disturb()
+        self._apply(request)
+
     def _arrive(self, node: Node, request: Any) -> None:
         world = self._world
         outcome = self._apply(request)
         if world.has_faults and world.rng.random() < LOST_SHARE:
+            world.cancellations.disturb()
             self._answer(node, request, kv.Unknown("lost"), STORE_TIMEOUT_MS)
         else:
             self._answer(node, request, outcome, world.latency_ms())
@@ -110,6 +123,11 @@
                 return kv.Written(self.revision)
         raise AssertionError(f"unexpected request {request!r}")
 
+    def discard_history(self) -> None:
+        """Discard all changes; a watch that needs one of them has to list again."""
+        self._log.clear()
+        self._discarded_revision = self.revision
+
     def write(self, values: dict[str, bytes | None], lease_id: str = "") -> None:
         """Write or remove keys at the next revision."""
         self.revision += 1
@@ -137,11 +155,14 @@
         if not node.reaches_store or self.is_down:
             self._answer(node, request, kv.Unknown("cut"), STORE_TIMEOUT_MS)
             return
+        if request.after_revision < self._discarded_revision:
+            self._answer(node, request, kv.Compacted(), world.latency_ms())
+            return
+        first = bisect_right(self._log, request.after_revision, key=_revision)
         changed = tuple(
             item
-            for item in self._log[-2_000:]
-            if item.revision > request.after_revision
-            and item.key.startswith(request.prefix)
+            for item in self._log[max(first, len(self._log) - 2_000) :]
+            if item.key.startswith(request.prefix)
         )
         if changed or world.clock.now_ms() >= end_ms:
             outcome = kv.ItemsChanged(changed, self.revision)
@@ -180,3 +201,7 @@
             for key in keys:
                 del self._lease_of[key]
             self.write({key: None for key in keys if key in self.items})
+
+
+def _revision(item: kv.Item) -> int:
+    return item.revision
