Treat an answer of the store that cannot be read as unknown

What callers see: one unreadable success of a list counted as a complete empty list, so a scheduler that took over would not know the jobs or the executors. One of a watch counted as no events, and the watch was repeated at once.

Cause: the codec of the store replaced a body that it could not decode by an answer with all fields empty, for every kind of request.

Evidence: the new test fails before for lists and watches with an empty body, a truncated one, one of another type and an empty object (10 of its 20 cases).

Change: such a body is Unknown, which the followers repeat after a delay. The revision of a list or a watch must be above 0, as the store's always is; empty lists may still be omitted. A renewal with a body that is not readable no longer confirms the lease.

--- a/src/guavapin/platform/store.py
+++ b/src/guavapin/platform/store.py
@@ -88,13 +88,13 @@
             return kv.Missing()
         if status == 410 and isinstance(req, kv.WatchItems):
             return kv.Compacted()
-        answer = decode_body(body, _Answer) if status in (200, 412) and body else None
+        answer = _decode_answer(req, body) if status in (200, 412) else None
         outcome = None
         if isinstance(req, kv.Get):
             # This answer's body is a single item instead of a list.
             outcome = _decode_found(decode_body(body, _Item)) if status == 200 else None
-        elif status == 200:
-            outcome = _decode_success(req, answer or _Answer())
+        elif status == 200 and answer is not None:
+            outcome = _decode_success(req, answer)
         elif status == 412 and answer is not None:
             outcome = _decode_mismatch(req, answer)
         return outcome or kv.Unknown(f"unexpected answer with status {status}")
@@ -137,8 +137,21 @@
     raise InvariantError(f"the store has no call for {req!r}")
 
 
+def _decode_answer(req: PlatformRequest, body: bytes) -> _Answer | None:
+    """Return the body as an answer, None if it cannot be read.
+
+    Only a renewal and the end of a lease need no body.
+    """
+    if not body and isinstance(req, kv.LeaseRenew | kv.LeaseRevoke):
+        return _Answer()
+    return decode_body(body, _Answer)
+
+
 def _decode_success(req: PlatformRequest, answer: _Answer) -> PlatformOutcome | None:
     match req:
+        case kv.ReadItems() | kv.WatchItems() if answer.current_rev <= 0:
+            # The store may omit an empty list, but its revision is always above 0.
+            return None
         case kv.ReadItems():
             items = _decode_items(answer.items)
             return kv.Items(items, answer.more_pages, answer.current_rev)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -443,6 +443,39 @@
     )
 
 
+@pytest.mark.parametrize("body", [b"", b"junk", b"{}", b'{"items":[', b'{"items":3}'])
+@pytest.mark.parametrize(
+    "req",
+    [
+        kv.ReadItems("s", 1, "p/"),
+        kv.WatchItems("s", 1, "p/", 4, 1_000),
+        kv.Transact("s", 1, ()),
+        kv.LeaseGrant("s", 1, 10),
+    ],
+)
+def test_a_success_without_a_readable_answer_is_unknown(
+    req: kv.PlatformRequest, body: bytes
+) -> None:
+    # Guards against a list that counts as complete and empty, and against a watch that
+    # is repeated without a delay, because the body of their answer cannot be read.
+    assert isinstance(PlatformStoreCodec().decode(req, 200, b"", body), kv.Unknown)
+
+
+def test_answers_that_need_no_list_or_no_body_are_valid() -> None:
+    # Guards against a strict decoder that loses answers which the store may give: empty
+    # lists may be omitted, and the page defines no body for the renewal of a lease.
+    codec = PlatformStoreCodec()
+    empty = b'{"current-rev":9}'
+    page = codec.decode(kv.ReadItems("s", 1, "p/"), 200, b"", empty)
+    assert page == kv.Items((), False, 9)
+    watch = kv.WatchItems("s", 1, "p/", 4, 1_000)
+    assert codec.decode(watch, 200, b"", empty) == kv.ItemsChanged((), 9)
+    renewal = kv.LeaseRenew("s", 1, "3")
+    assert codec.decode(renewal, 200, b"", b"") == kv.Leased("3", 0)
+    assert isinstance(codec.decode(renewal, 200, b"", b"junk"), kv.Unknown)
+    assert codec.decode(kv.LeaseRevoke("s", 1, "3"), 200, b"", b"") == kv.Written(0)
+
+
 @pytest.mark.parametrize(("count", "has_all_ends"), [(499, True), (500, False)])
 def test_a_full_list_of_ends_may_leave_others_out(
     count: int, has_all_ends: bool
