List a prefix again if the answer to its watch is too long

What callers see: the scheduler stops following the registry, or another prefix, until the store's history is gone: it knows no new executor and none that left. Each later scheduler is at first not affected, since it lists.

Cause: the client receives at most 4 MiB of an answer. A watch with a longer one was Unknown, and the follower repeats an unknown watch from the same revision, with the same answer.

The new tests fail before: the client reports Unknown for an answer one byte above the limit, and the follower sends the same watch again.

Change: the client reports such a watch as ChangesTooLong, and the follower lists the prefix by pages, as it does for a history that is gone. Other calls with too long an answer stay Unknown, since a write may have taken effect.

--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -75,6 +75,8 @@
         self.transmissions = 0
         self.revision = b""
         self.body = bytearray()
+        # Whether the transfer ended because the answer exceeds `MAX_ANSWER_BYTES`.
+        self.is_too_long = False
         self._is_sent_once = is_sent_once
 
     def on_transmission(self, *_: object) -> int:
@@ -102,6 +104,7 @@
     def on_body(self, data: bytes) -> int:
         """Collect the body; a short count makes libcurl abort the transfer."""
         if len(self.body) + len(data) > MAX_ANSWER_BYTES:
+            self.is_too_long = True
             return 0
         self.body += data
         return len(data)
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -21,6 +21,7 @@
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Refused
 from guavapin.keyvalue.budget import TokenBucket
+from guavapin.keyvalue.messages import ChangesTooLong
 from guavapin.keyvalue.messages import NotSent
 from guavapin.keyvalue.messages import PlatformOutcome
 from guavapin.keyvalue.messages import PlatformRequest
@@ -77,7 +78,8 @@
 
     The future of a request that was sent with `Kernel.ask` gets the outcome instead. A
     call that never reached the wire is `NotSent`. A call that was sent and got no
-    answer, or one outside the protocol, is `Unknown`. No call is repeated.
+    answer, or one outside the protocol, is `Unknown`; only a watch with too long an
+    answer is `ChangesTooLong`. No call is repeated.
     """
 
     name = "platform"
@@ -233,6 +235,8 @@
             outcome = self._codec.decode(pending.req, status, transfer.revision, body)
         elif transfer.transmissions == 0:
             outcome = NotSent(detail)
+        elif transfer.is_too_long and pending.call.kind == "watch":
+            outcome = ChangesTooLong()
         else:
             outcome = Unknown(detail)
         self._keep_idle(curl)
--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -63,9 +63,9 @@
 
     A watch waits at most `wait_ms`, so that a silent connection is detected. After
     changes, the next watch starts `watch_delay_ms` later, which limits the calls for a
-    prefix that changes continuously. When the store's history is gone, the prefix is
-    listed again. With `is_eager`, following begins at the start. The service `observer`
-    is notified whether each call was answered.
+    prefix that changes continuously. When the store's history is gone, or is too long
+    for one answer, the prefix is listed again. With `is_eager`, following begins at the
+    start. The service `observer` is notified whether each call was answered.
     """
 
     def __init__(
@@ -148,10 +148,9 @@
                     self._notify(PrefixChanged(self._prefix, items))
                 self._schedule_call(self._watch_delay_ms if items else 0)
             case kv.Compacted():
-                log.info("history is gone, listing", extra={"prefix": self._prefix})
-                self._revision = -1
-                self._listed_items = []
-                self._schedule_call(0)
+                self._list_again("history is gone, listing")
+            case kv.ChangesTooLong():
+                self._list_again("history is too long for an answer, listing")
             case _:
                 self._record_failure(outcome)
 
@@ -171,6 +170,12 @@
         self._notify(PrefixListed(self._prefix, listed))
         self._schedule_call(self._watch_delay_ms)
 
+    def _list_again(self, reason: str) -> None:
+        log.info(reason, extra={"prefix": self._prefix})
+        self._revision = -1
+        self._listed_items = []
+        self._schedule_call(0)
+
     def _notify(self, message: PrefixListed | PrefixChanged) -> None:
         for subscriber in self._subscribers:
             self._context.send(subscriber, message)
--- a/src/guavapin/keyvalue/messages.py
+++ b/src/guavapin/keyvalue/messages.py
@@ -117,7 +117,8 @@
 class WatchItems:
     """Wait for changed items as `Watch` does for keys.
 
-    Answer: `ItemsChanged`, `Compacted` when the history is gone, or a failure.
+    Answer: `ItemsChanged`, `Compacted` when the history is gone, `ChangesTooLong`, or a
+    failure.
     """
 
     reply_to: str
@@ -277,6 +278,14 @@
     """The store no longer has the history after the watched revision; list again."""
 
 
+@dataclass(frozen=True, slots=True)
+class ChangesTooLong:
+    """The answer to a watch exceeds the longest one that is received; list again.
+
+    The same watch would have the same answer until the history is gone.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Mismatch:
     """The transaction did not take effect; `items` is the state of the expected keys.
@@ -347,6 +356,7 @@
     | Items
     | ItemsChanged
     | Compacted
+    | ChangesTooLong
     | Mismatch
     | Leased
     | Hosts
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -8,17 +9,20 @@
 
 import pytest
 
+from guavapin.http.transfer import MAX_ANSWER_BYTES
 from guavapin.kernel import Kernel
 from guavapin.kernel import SystemClock
 from guavapin.keyvalue.client import PlatformConfig
 from guavapin.keyvalue.client import PlatformTask
 from guavapin.keyvalue.messages import Changed
+from guavapin.keyvalue.messages import ChangesTooLong
 from guavapin.keyvalue.messages import Conflict
 from guavapin.keyvalue.messages import Delete
 from guavapin.keyvalue.messages import Found
 from guavapin.keyvalue.messages import Get
 from guavapin.keyvalue.messages import Hosts
 from guavapin.keyvalue.messages import HostState
+from guavapin.keyvalue.messages import ItemsChanged
 from guavapin.keyvalue.messages import KeyRevision
 from guavapin.keyvalue.messages import Leased
 from guavapin.keyvalue.messages import LeaseGrant
@@ -33,7 +37,9 @@
 from guavapin.keyvalue.messages import RateLimited
 from guavapin.keyvalue.messages import Unknown
 from guavapin.keyvalue.messages import Watch
+from guavapin.keyvalue.messages import WatchItems
 from guavapin.keyvalue.messages import Written
+from guavapin.platform.store import PlatformStoreCodec
 from guavapin_standins.platform import RunningPlatform
 from guavapin_standins.platform_controls import Faults
 from guavapin_standins.platform_controls import Limits
@@ -41,12 +47,16 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from guavapin.keyvalue.codec import StoreCodec
+
 
 class Client:
-    def __init__(self, url: str, **settings: Any) -> None:
+    def __init__(
+        self, url: str, codec: StoreCodec | None = None, **settings: Any
+    ) -> None:
         settings = {"deadline_ms": 400, "writes_per_second": 1e6} | settings
         self.task = PlatformTask(
-            PlatformConfig(url, **{"reads_per_second": 1e6} | settings)
+            PlatformConfig(url, **{"reads_per_second": 1e6} | settings), codec
         )
         self.kernel = Kernel(SystemClock())
         self.kernel.register(self.task)
@@ -256,6 +266,41 @@
     listener.close()
 
 
+@pytest.mark.parametrize("extra_bytes", [0, 1])
+def test_a_watch_with_too_long_an_answer_is_reported_as_such(extra_bytes: int) -> None:
+    # Guards against a watch that is repeated from the same revision until the store's
+    # history is gone, because its answer is longer than the client receives.
+    head = b'{"current-rev":9}'
+    body = head + b" " * (MAX_ANSWER_BYTES + extra_bytes - len(head))
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        for _ in range(2):
+            sock, _ = listener.accept()
+            with sock:
+                sock.recv(65536)
+                length = b"%d" % len(body)
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: " + length
+                with contextlib.suppress(OSError):
+                    sock.sendall(answer + b"\r\nConnection: close\r\n\r\n" + body)
+
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    client = Client(url, codec=PlatformStoreCodec(), deadline_ms=3_000)
+    try:
+        watched = client.call(WatchItems("", 0, "p/", 4, 100))
+        got = client.call(Get("", 0, "p/1"))
+    finally:
+        client.kernel.stop()
+        listener.close()
+    if extra_bytes:
+        assert watched == ChangesTooLong()
+        assert isinstance(got, Unknown)
+    else:
+        assert watched == ItemsChanged((), 9)
+
+
 def test_a_call_that_libcurl_does_not_take_is_not_sent() -> None:
     # Guards against a part of a call from outside that ends the process, as the address
     # of a registration did.
--- /dev/null
+++ b/tests/keyvalue/test_follower.py
@@ -0,0 +1,70 @@
+"""A follower lists its prefix again when no watch can tell it the changes."""
+
+from __future__ import annotations
+
+import pytest
+
+from guavapin.kernel.harness import TaskHarness
+from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import MIN_RETRY_DELAY_MS
+from guavapin.keyvalue.follower import Follow
+from guavapin.keyvalue.follower import PrefixFollower
+from guavapin.keyvalue.follower import PrefixListed
+
+FIRST = kv.Item("p/1", b"a", 3)
+SECOND = kv.Item("p/2", b"b", 8)
+
+
+class Rig:
+    """A follower that watches after revision 5, and the requests that it sends."""
+
+    def __init__(self) -> None:
+        self.follower = PrefixFollower("follow", "p/", ("reader",), 2_000)
+        self.harness = TaskHarness(self.follower)
+        self.harness.start()
+        self.follower.handle(Follow())
+        self.answer(kv.Items((FIRST,), False, 5))
+
+    def last_request(self) -> kv.PlatformRequest:
+        requests = [s.message for s in self.harness.sent if s.service == "platform"]
+        return requests[-1]
+
+    def answer(self, outcome: kv.PlatformOutcome) -> None:
+        self.follower.handle(kv.Reply(self.last_request().request_id, outcome))
+
+    def last_listed(self) -> PrefixListed:
+        listed = [s.message for s in self.harness.sent if s.service == "reader"]
+        assert isinstance(listed[-1], PrefixListed)
+        return listed[-1]
+
+
+@pytest.mark.parametrize("outcome", [kv.Compacted(), kv.ChangesTooLong()])
+def test_a_watch_without_a_usable_answer_is_followed_by_a_list(
+    outcome: kv.PlatformOutcome,
+) -> None:
+    # Guards against a follower that repeats a watch whose answer is too long, or gone,
+    # from the same revision: its reader learns of no change.
+    rig = Rig()
+    assert isinstance(rig.last_request(), kv.WatchItems)
+    rig.answer(outcome)
+    request = rig.last_request()
+    assert isinstance(request, kv.ReadItems) and not request.after_key
+    rig.answer(kv.Items((FIRST,), True, 9))
+    request = rig.last_request()
+    assert isinstance(request, kv.ReadItems) and request.after_key == FIRST.key
+    rig.answer(kv.Items((SECOND,), False, 11))
+    assert rig.last_listed().items == (FIRST, SECOND)
+    request = rig.last_request()
+    assert isinstance(request, kv.WatchItems) and request.after_revision == 9
+
+
+def test_a_watch_that_got_no_answer_is_repeated_after_a_delay() -> None:
+    # Guards against a list of the whole prefix after each lost answer, and against a
+    # watch that is repeated without a pause.
+    rig = Rig()
+    sent = len(rig.harness.sent)
+    rig.answer(kv.Unknown("lost"))
+    assert len(rig.harness.sent) == sent
+    rig.harness.advance(MIN_RETRY_DELAY_MS)
+    request = rig.last_request()
+    assert isinstance(request, kv.WatchItems) and request.after_revision == 5
