List a prefix again if the answer to its watch takes too long

Cause: a watch may take 900 ms beyond its wait, in which a link of 600,000 bytes a second carries 0.5 MB; with the whole wait it is 1.7 MB. A watch that ran into this limit was Unknown, and was repeated from the same revision.

Evidence: the new test fails before: a watch whose answer had begun when its time was over was Unknown. Not measured on a slow link.

Change: such a watch is ChangesTooLong as well, so the prefix is listed by pages, which have six seconds each. A watch without a byte of an answer stays Unknown and is repeated. If a connection dies within an answer, one list is read more than needed.

--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -235,7 +235,7 @@
             outcome = self._codec.decode(pending.req, status, transfer.revision, body)
         elif transfer.transmissions == 0:
             outcome = NotSent(detail)
-        elif transfer.is_too_long and pending.call.kind == "watch":
+        elif pending.call.kind == "watch" and _exceeds_limits(transfer, code):
             outcome = ChangesTooLong()
         else:
             outcome = Unknown(detail)
@@ -256,3 +256,9 @@
         else:
             reply = Reply(pending.req.request_id, outcome)
             self._context.send(pending.req.reply_to, reply)
+
+
+def _exceeds_limits(transfer: Transfer[_PendingCall], code: int) -> bool:
+    """Return whether an answer exceeds the length or the time of its call."""
+    is_late = code == pycurl.E_OPERATION_TIMEDOUT and len(transfer.body) > 0
+    return transfer.is_too_long or is_late
--- a/src/guavapin/keyvalue/messages.py
+++ b/src/guavapin/keyvalue/messages.py
@@ -280,7 +280,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangesTooLong:
-    """The answer to a watch exceeds the longest one that is received; list again.
+    """The answer to a watch exceeds the client's limit of length or time; list again.
 
     The same watch would have the same answer until the history is gone.
     """
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -301,6 +301,28 @@
         assert watched == ItemsChanged((), 9)
 
 
+@pytest.mark.parametrize(("body", "outcome"), [(b"{", ChangesTooLong), (b"", Unknown)])
+def test_a_watch_whose_answer_takes_too_long_is_reported_as_such(
+    body: bytes, outcome: type
+) -> None:
+    # Guards against a watch that is repeated from the same revision although a slow
+    # link cannot carry its answer in time. Without a byte of an answer, nothing shows
+    # that there are changes.
+    listener = socket.create_server(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    client = Client(url, codec=PlatformStoreCodec(), deadline_ms=200)
+    try:
+        watching = client.begin(WatchItems("", 0, "p/", 4, 100))
+        sock, _ = listener.accept()
+        with sock:
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + body)
+            assert isinstance(watching.result(5), outcome)
+    finally:
+        client.kernel.stop()
+        listener.close()
+
+
 def test_a_call_that_libcurl_does_not_take_is_not_sent() -> None:
     # Guards against a part of a call from outside that ends the process, as the address
     # of a registration did.
