Give a call to the store more time for a longer body

What callers see: on a slow link, the scheduler cannot store a large value. It sends the write again without end, together with the entries of other jobs in the same transaction; these jobs are neither accepted nor shown as ended.

Cause: each call has 900 ms, whatever its length. The slowest link carries 600,000 bytes a second, so a body of 540 kB takes all of this time.

The new test, with a delay in place of the link, fails before.

Change: the time limit of a call grows by the time that the slowest link takes for its body. The time for which a call may wait in the queue stays, so calls still expire there in the order of their arrival. Transactions that share a link at the same time are not taken into account.

--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -25,8 +25,11 @@
 # The largest answers are pages of a store's items, which hold about 1 MB of values.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
+# Rate of the slowest link.
+MIN_LINK_BYTES_PER_S = 600_000
+
 # An answer that is slower than this rate for this time has stalled: its connection is
-# dead. The slowest link carries 600,000 bytes a second.
+# dead.
 STALL_BYTES_PER_S = 2_000
 STALL_S = 1
 
@@ -110,6 +113,11 @@
         return len(data)
 
 
+def transfer_ms(length: int) -> int:
+    """Return the time that the slowest link takes for this number of bytes."""
+    return length * 1_000 // MIN_LINK_BYTES_PER_S
+
+
 def prepare(curl: Any, transfer: Transfer[T], req: HttpRequest) -> Outcome[None]:
     """Set the options of `curl` for one call, clearing those of an earlier one.
 
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -15,6 +15,7 @@
 from guavapin.http.transfer import HttpRequest
 from guavapin.http.transfer import Transfer
 from guavapin.http.transfer import prepare
+from guavapin.http.transfer import transfer_ms
 from guavapin.kernel import Call
 from guavapin.kernel import Ok
 from guavapin.kernel import Outcome
@@ -42,10 +43,11 @@
     """Settings of the client.
 
     `deadline_ms` limits a call from its arrival at this task to its answer; a watch
-    adds its own wait time. Lists, whose answers are large, have `list_deadline_ms`
-    instead, and a list whose transfer stalls is abandoned earlier. The rates limit this
-    process's share of the platform's limits. At most `max_queued` calls wait for a
-    token or for a free transfer; further calls are not sent.
+    adds its own wait time, and a body the time that the slowest link takes for it.
+    Lists, whose answers are large, have `list_deadline_ms` instead, and a list whose
+    transfer stalls is abandoned earlier. The rates limit this process's share of the
+    platform's limits. At most `max_queued` calls wait for a token or for a free
+    transfer; further calls are not sent.
     """
 
     url: str
@@ -218,7 +220,7 @@
                 url=self._cfg.url + call.path,
                 headers=("Expect:", *self._codec.headers),
                 body=call.body,
-                timeout_ms=remaining_ms + call.wait_ms,
+                timeout_ms=remaining_ms + call.wait_ms + transfer_ms(len(call.body)),
                 connect_timeout_ms=min(self._cfg.connect_ms, remaining_ms),
                 aborts_stalled=call.kind == "list",
             ),
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -71,7 +71,7 @@
 )
 
 # Timeout of a call to the store, which takes 4 ms if the store is healthy and up to 80
-# times as long if it is slow.
+# times as long if it is slow. A call with a long body has more time.
 STORE_TIMEOUT_MS = 900
 
 # Timeout of a list call. A page has up to 1 MB, which the slowest links carry in two
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -10,6 +10,7 @@
 import pytest
 
 from guavapin.http.transfer import MAX_ANSWER_BYTES
+from guavapin.http.transfer import MIN_LINK_BYTES_PER_S
 from guavapin.kernel import Kernel
 from guavapin.kernel import SystemClock
 from guavapin.keyvalue.client import PlatformConfig
@@ -186,6 +187,17 @@
     assert platform.task.counters.by_zone["gaspe"] == 1
 
 
+def test_a_call_with_a_long_body_has_time_for_a_slow_link(
+    client: Client, platform: RunningPlatform
+) -> None:
+    # Guards against a write of a large value that a slow link cannot carry within the
+    # time for a short call, and that its writer repeats without end. The delay stands
+    # for the time that the link takes; the body adds a second to the 400 ms.
+    platform.set_faults(Faults(delay_ms=700))
+    assert isinstance(client.put("short", b"v"), Unknown)
+    assert isinstance(client.put("long", bytes(MIN_LINK_BYTES_PER_S)), Written)
+
+
 def test_rate_limit_is_reported_and_own_rate_bounds_the_calls() -> None:
     # Guards against one process using up the platform's rate limit.
     with RunningPlatform(limits=Limits(1, 1)) as platform:
