Give up an entry that the store refuses for good

What callers see: jobs are neither accepted nor shown as ended, and the ends of subtasks stay unconfirmed until the executors' answers are too long, because another job's record cannot be stored. Each later scheduler that is asked to store the same record gets stuck in the same way.

Cause: the ledger sent each transaction again that was not answered with Written or Mismatch. A write that breaks a rule of the store (400, 403, 413) is never carried out, and it was repeated without end together with the entries of other jobs in the same transaction.

Each part of the change was taken out for a run of the new tests, which then failed: the codec, the split, the isolation, the answers, the kept ends, the fallback and the machines' record.

Change: such an answer is an outcome of its own, PermanentlyRefused. The ledger then sends the entries one by one, and an entry that is refused alone is given up, logged as an error and reported to its writer. Its key stays isolated, so that its next value does not hold up others either.

A submission is rejected, since nothing was stored; if an earlier write of the job got no answer, it is left to the store as one that may have an effect. A job whose progress is refused goes on under this term. The tags of its ends are kept and join its next progress, at the latest the record of its final state, which has no steps: no end is confirmed without a record, and none is forgotten.

The fallback rejects a refused write, or calls it undecided if it may have had an effect before. The machines' record is written again with the next report of the load, not at once.

The native codec still answers Unknown: the writers of its protocol raise on outcomes that they do not know, and none of them uses the ledger.

--- a/src/guavapin/intake/fallback.py
+++ b/src/guavapin/intake/fallback.py
@@ -127,6 +127,11 @@
             return fallback, NoSuchJob()
         next_state = replace(fallback, step=step)
         return next_state, build_request(next_state, sender, request_id)
+    if isinstance(outcome, kv.PermanentlyRefused):
+        # This request had no effect, but an earlier one may have had.
+        if fallback.may_have_effect:
+            return fallback, Undecided("the store refuses the call")
+        return fallback, Rejected("the store refuses the call")
     is_unknown = isinstance(outcome, kv.Unknown) and fallback.step is FallbackStep.WRITE
     if is_unknown:
         fallback = replace(fallback, may_have_effect=True)
--- a/src/guavapin/keyvalue/messages.py
+++ b/src/guavapin/keyvalue/messages.py
@@ -346,6 +346,13 @@
     """The platform refused the call because of its rate limit; it had no effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class PermanentlyRefused:
+    """The platform refused the call: it had no effect, and no repeat of it will."""
+
+    detail: str
+
+
 PlatformOutcome: TypeAlias = (
     Found
     | Missing
@@ -364,6 +371,7 @@
     | Unknown
     | NotSent
     | RateLimited
+    | PermanentlyRefused
 )
 
 
--- a/src/guavapin/ledger/ledger.py
+++ b/src/guavapin/ledger/ledger.py
@@ -8,6 +8,9 @@
 
 Several transactions may be in flight, each key in at most one of them. Entries of
 different keys are not ordered.
+
+A transaction that the store refuses for good is split into one for each entry, and an
+entry that is refused alone is given up, so that it does not hold up the others.
 """
 
 from __future__ import annotations
@@ -61,12 +64,16 @@
     """Changes after the answer to a transaction.
 
     `durable` are entries that the store holds now. `conflicts` are entries whose key
-    another writer had created. `is_fenced` is set if another writer holds the fence.
-    `resend_ms` is above 0 if the transaction has to be sent again after this delay.
+    another writer had created. `refused` are entries that are given up because the
+    store refuses them; with `may_be_stored`, an earlier transaction with them got no
+    answer. `is_fenced` is set if another writer holds the fence. `resend_ms` is above 0
+    if the transaction has to be sent again after this delay.
     """
 
     durable: tuple[Entry, ...] = ()
     conflicts: tuple[Entry, ...] = ()
+    refused: tuple[Entry, ...] = ()
+    may_be_stored: bool = False
     is_fenced: bool = False
     resend_ms: int = 0
 
@@ -81,6 +88,10 @@
         self._revisions = {row.key: row.revision for row in revisions}
         self._pending: dict[str, Entry] = {}
         self._in_flight: dict[int, tuple[Entry, ...]] = {}
+        # Keys whose entries are sent alone, since a transaction with them was refused.
+        self._isolated: set[str] = set()
+        # Keys of transactions without an answer, which the store may still carry out.
+        self._undecided: set[str] = set()
         self._number = 0
 
     @property
@@ -106,10 +117,16 @@
         keys_in_flight = {
             entry.key for batch in self._in_flight.values() for entry in batch
         }
-        rows, chosen = 1, []
+        rows = 1
+        chosen: list[Entry] = []
         for entry in self._pending.values():
             if entry.key in keys_in_flight:
                 continue
+            if entry.key in self._isolated:
+                if chosen:
+                    continue
+                chosen.append(entry)
+                break
             rows += 1 if entry.value is None else 2
             if rows > MAX_ROWS:
                 break
@@ -133,11 +150,16 @@
         match outcome:
             case kv.Written(revision=revision):
                 durable = self._in_flight.pop(number)
+                self._mark_resolved(durable)
                 for entry in durable:
                     self._revisions[entry.key] = revision if entry.value else 0
                 return LedgerUpdate(durable)
             case kv.Mismatch(items=items):
                 return self._resolve(number, {item.key: item for item in items})
+            case kv.PermanentlyRefused():
+                return self._split(number)
+            case kv.Unknown():
+                self._undecided.update(entry.key for entry in self._in_flight[number])
         return LedgerUpdate(resend_ms=RESEND_DELAY_MS)
 
     def _batch(self, number: int) -> Batch:
@@ -154,6 +176,41 @@
             tuple(entry.key for entry in entries if entry.value is None),
         )
 
+    def _split(self, number: int) -> LedgerUpdate:
+        """Isolate the entries of a refused transaction, or give up its only entry.
+
+        The key of an entry that is given up stays isolated, since its next value may be
+        refused too. A key that is only created has no next value.
+        """
+        entries = self._in_flight.pop(number)
+        self._isolated.update(entry.key for entry in entries)
+        if len(entries) > 1:
+            self._queue_again(entries)
+            return LedgerUpdate()
+        (entry,) = entries
+        if entry.is_create:
+            self._isolated.discard(entry.key)
+        may_be_stored = entry.key in self._undecided
+        return LedgerUpdate(refused=entries, may_be_stored=may_be_stored)
+
+    def _mark_resolved(self, entries: Iterable[Entry]) -> None:
+        """Apply that an earlier transaction with these entries has no effect any more.
+
+        It expects revisions that are gone.
+        """
+        keys = {entry.key for entry in entries}
+        self._isolated -= keys
+        self._undecided -= keys
+
+    def _queue_again(self, entries: Iterable[Entry]) -> None:
+        """Put entries before the pending ones, which replace those of the same key."""
+        newer = self._pending
+        self._pending = {}
+        for entry in entries:
+            self.record(entry)
+        for entry in newer.values():
+            self.record(entry)
+
     def _resolve(self, number: int, current: dict[str, kv.Item]) -> LedgerUpdate:
         fence = current.get(self._fence.key)
         if fence is None or fence.revision != self._fence.revision:
@@ -172,10 +229,6 @@
                 conflicts.append(entry)
             else:
                 retry.append(entry)
-        newer = self._pending
-        self._pending = {}
-        for entry in retry:
-            self.record(entry)
-        for entry in newer.values():
-            self.record(entry)
+        self._mark_resolved((*durable, *conflicts))
+        self._queue_again(retry)
         return LedgerUpdate(tuple(durable), tuple(conflicts))
--- a/src/guavapin/ledger/messages.py
+++ b/src/guavapin/ledger/messages.py
@@ -48,6 +48,17 @@
     entries: tuple[Entry, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EntriesRefused:
+    """To the writer: the store refuses these entries, which are given up.
+
+    With `may_be_stored`, an earlier write of them got no answer and may take effect.
+    """
+
+    entries: tuple[Entry, ...]
+    may_be_stored: bool
+
+
 @dataclass(frozen=True, slots=True)
 class LedgerFenced:
     """To the writer: another process holds the fence key."""
--- a/src/guavapin/ledger/task.py
+++ b/src/guavapin/ledger/task.py
@@ -15,12 +15,14 @@
 from guavapin.ledger.messages import CloseLedger
 from guavapin.ledger.messages import EntriesDurable
 from guavapin.ledger.messages import EntriesExisted
+from guavapin.ledger.messages import EntriesRefused
 from guavapin.ledger.messages import LedgerFenced
 from guavapin.ledger.messages import OpenLedger
 from guavapin.ledger.messages import RecordEntry
 
 if TYPE_CHECKING:
     from guavapin.kernel.task import TaskContext
+    from guavapin.ledger.ledger import LedgerUpdate
 
 PLATFORM = "platform"
 
@@ -141,11 +143,27 @@
             self._context.send(self._writer, EntriesDurable(update.durable))
         if update.conflicts:
             self._context.send(self._writer, EntriesExisted(update.conflicts))
+        if update.refused:
+            self._report_refused(update, outcome)
         if update.resend_ms:
             self._context.set_timer(update.resend_ms, _Resend(self._term, number))
         elif self._ledger.has_pending and self._flush_at_ms is None:
             self._schedule(0)
 
+    def _report_refused(
+        self, update: LedgerUpdate, outcome: kv.PlatformOutcome
+    ) -> None:
+        for entry in update.refused:
+            extra = {
+                "key": entry.key,
+                "length": len(entry.value or b""),
+                "may_be_stored": update.may_be_stored,
+                "outcome": repr(outcome),
+            }
+            log.error("the store refuses an entry, giving it up", extra=extra)
+        message = EntriesRefused(update.refused, update.may_be_stored)
+        self._context.send(self._writer, message)
+
     def _update_store_state(self, outcome: kv.PlatformOutcome, is_lost: bool) -> None:
         if is_lost and not self._is_store_lost:
             log.warning("store lost", extra={"outcome": repr(outcome)})
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -293,6 +293,11 @@
                     if item.key == ORDERED_KEY:
                         machines = decode_ordered(item.value or b"[]")
                         record.apply_found(machines or frozenset(), item.revision)
+            case kv.PermanentlyRefused():
+                # The write is repeated with the next report of the load.
+                log.error("record of orders refused", extra={"outcome": repr(outcome)})
+                record.apply_failure()
+                return
             case _:
                 record.apply_failure()
         self._send_recorded()
--- a/src/guavapin/platform/store.py
+++ b/src/guavapin/platform/store.py
@@ -20,6 +20,11 @@
     from guavapin.keyvalue.messages import PlatformRequest
 
 
+# Statuses of calls that break a rule of the store, such as its limit of a value's
+# length. Nothing is done, and the same call breaks the rule again.
+REFUSED_STATUSES = frozenset((400, 403, 413))
+
+
 class _Item(msgspec.Struct, rename="kebab", frozen=True):
     key: str
     revision: int
@@ -84,6 +89,8 @@
             return kv.RateLimited()
         if status == 503:
             return kv.NotSent("the store did nothing (503)")
+        if status in REFUSED_STATUSES:
+            return kv.PermanentlyRefused(f"the store refused the call ({status})")
         if status == 404 and not isinstance(req, kv.ReadItems | kv.WatchItems):
             return kv.Missing()
         if status == 410 and isinstance(req, kv.WatchItems):
--- a/src/guavapin/scheduling/action_sender.py
+++ b/src/guavapin/scheduling/action_sender.py
@@ -66,8 +66,9 @@
                 self._send_order(action)
             case StoreEntry(entry=entry, is_urgent=is_urgent):
                 self._context.send("ledger", RecordEntry(entry, is_urgent))
-            case AnswerCall(reply_to=reply_to, request_id=request_id, answer=answer):
-                self._context.send(reply_to, JobReply(request_id, answer))
+            case AnswerCall(request_id=request_id, answer=answer):
+                reply = JobReply(request_id, answer, action.may_have_effect)
+                self._context.send(action.reply_to, reply)
             case FetchJob(job_id=job_id):
                 self.fetch(job_id)
             case AdviceRequest():
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -103,6 +103,8 @@
         # Jobs that another process has stored and that are being read from the store.
         self._fetching: set[str] = set()
         self._cancel_when_fetched: set[str] = set()
+        # Tags of progress that the store refused, by job.
+        self._refused_tags: dict[str, tuple[object, ...]] = {}
 
     def load(self, jobs: Iterable[Job], progress: dict[str, Progress]) -> None:
         """Load the stored jobs; of an ended job, only the final state is kept."""
@@ -210,13 +212,31 @@
         if isinstance(tag, JobStored):
             self._fetch(tag.job.job_id)
 
+    def handle_refused(self, entry: Entry, may_be_stored: bool) -> None:
+        """Apply that the store refuses an entry, which is not written any more.
+
+        The submission of a job that cannot be stored is rejected, or left to the store
+        if an earlier write of the job may have taken effect. A job whose progress
+        cannot be stored goes on in this term. Its ends and its final state stay
+        unconfirmed until its progress has changed and is stored; that of an ended job
+        is short.
+        """
+        for tag in entry.tags:
+            if isinstance(tag, JobStored):
+                self._reject_refused(tag.job.job_id, may_be_stored)
+        job_id = entry.key.removeprefix(PROGRESS_PREFIX)
+        job_run = self.by_id.get(job_id)
+        if job_run is not None:
+            tags = self._refused_tags.get(job_id, ())
+            self._refused_tags[job_id] = tags + entry.tags
+            if encode_progress(job_run.progress()) != entry.value:
+                self._store_progress(job_run)
+
     def store_progress(
         self, job_run: JobRun, tag: object, is_urgent: bool = False
     ) -> None:
         """Store the progress of a job; `tag` is returned once it is stored."""
-        value = encode_progress(job_run.progress())
-        key = f"{PROGRESS_PREFIX}{job_run.job.job_id}"
-        self._store(Entry(key, value, (tag,)), is_urgent)
+        self._store_progress(job_run, (tag,), is_urgent)
 
     def close(self, job_run: JobRun, state: JobState) -> None:
         """End a job with a final state, which callers see once it is stored."""
@@ -250,6 +270,15 @@
                 del self._ended[job_id]
                 self._store(Entry(f"{PROGRESS_PREFIX}{job_id}", None))
 
+    def _store_progress(
+        self, job_run: JobRun, tags: tuple[object, ...] = (), is_urgent: bool = False
+    ) -> None:
+        """Store the progress of a job, with the tags of refused progress too."""
+        job_id = job_run.job.job_id
+        tags = self._refused_tags.pop(job_id, ()) + tags
+        value = encode_progress(job_run.progress())
+        self._store(Entry(f"{PROGRESS_PREFIX}{job_id}", value, tags), is_urgent)
+
     def _submit(self, req: JobRequest, job: Job) -> None:
         if job.job_id in self.by_id or job.job_id in self._ended:
             self._answer(req, Accepted())
@@ -271,6 +300,15 @@
             entry = Entry(key, encode_job(job), (JobStored(job),), is_create=True)
             self._store(entry, is_urgent=True)
 
+    def _reject_refused(self, job_id: str, may_be_stored: bool) -> None:
+        self._admission.remove(job_id, self._term.now_ms)
+        for req in self._submissions.pop(job_id, []):
+            if may_be_stored:
+                action = AnswerCall(req.reply_to, req.request_id, None, True)
+                self._term.actions.append(action)
+            else:
+                self._answer(req, Rejected("the store refuses the job"))
+
     def _cancel(self, req: JobRequest, job_id: str) -> None:
         job_run = self.by_id.get(job_id)
         if job_id in self._ended:
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -202,11 +202,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerCall:
-    """Action: answer a call about a job; None if the store must be queried."""
+    """Action: answer a call about a job; None if the store must be queried.
+
+    A call without an answer may still take effect if `may_have_effect` is set.
+    """
 
     reply_to: str
     request_id: int
     answer: JobAnswer | None
+    may_have_effect: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -24,6 +24,7 @@
 from guavapin.ledger.messages import CloseLedger
 from guavapin.ledger.messages import EntriesDurable
 from guavapin.ledger.messages import EntriesExisted
+from guavapin.ledger.messages import EntriesRefused
 from guavapin.ledger.messages import LedgerFenced
 from guavapin.ledger.messages import OpenLedger
 from guavapin.scheduling.action_sender import ActionSender
@@ -59,6 +60,7 @@
 if TYPE_CHECKING:
     from guavapin.jobs.queues import QueueTable
     from guavapin.kernel.task import TaskContext
+    from guavapin.ledger.ledger import Entry
     from guavapin.scheduling.describe import JobView
     from guavapin.scheduling.describe import SchedulingView
     from guavapin.scheduling.scheduler import Scheduler
@@ -214,6 +216,8 @@
                 self._handle_entries(entries, is_durable=True)
             case EntriesExisted(entries=entries):
                 self._handle_entries(entries, is_durable=False)
+            case EntriesRefused(entries=entries, may_be_stored=may_be_stored):
+                self._handle_refused(entries, may_be_stored)
             case kv.Reply(request_id=request_id, outcome=outcome):
                 if not self._release.finish(request_id):
                     self._handle_fetched(request_id, outcome)
@@ -446,6 +450,14 @@
                     self._scheduler.jobs.handle_existing(tag)
         self._finish_event()
 
+    def _handle_refused(self, entries: tuple[Entry, ...], may_be_stored: bool) -> None:
+        if self._scheduler is None:
+            return
+        self._update_time()
+        for entry in entries:
+            self._scheduler.jobs.handle_refused(entry, may_be_stored)
+        self._finish_event()
+
     def _handle_fetched(self, request_id: int, outcome: kv.PlatformOutcome) -> None:
         job_id = self._action_sender.pop_fetch(request_id)
         if not job_id or self._scheduler is None:
--- a/tests/intake/test_fallback.py
+++ b/tests/intake/test_fallback.py
@@ -58,6 +58,18 @@
     assert isinstance(advance(forwarded, kv.NotSent("busy"))[1], store_fallback.Retry)
 
 
+def test_a_write_that_the_store_refuses_is_never_accepted() -> None:
+    # Guards against a call that is repeated until its deadline although the store has
+    # refused it for good, and against an acceptance of a job that is not stored.
+    refusal = kv.PermanentlyRefused("too long")
+    fallback, _ = begin(SubmitJob(JOB))
+    assert isinstance(advance(fallback, refusal)[1], Rejected)
+    fallback, _ = advance(fallback, kv.Unknown("lost"))
+    assert isinstance(advance(fallback, refusal)[1], Undecided)
+    forwarded, _ = begin(SubmitJob(JOB), may_have_effect=True)
+    assert isinstance(advance(forwarded, refusal)[1], Undecided)
+
+
 def test_the_state_is_read_from_the_progress_then_from_the_job() -> None:
     # Guards against "no such job" for a job that waits or has ended.
     fallback, _ = begin(QueryJob(JOB.job_id))
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -13,6 +13,10 @@
 
 FENCE = kv.KeyRevision("duty/scheduler", 7)
 
+# Limit of a value in the store of these tests.
+MAX_VALUE_BYTES = 10
+TOO_LONG = b"x" * (MAX_VALUE_BYTES + 1)
+
 
 class Store:
     """Store in memory that carries out transactions, at once or late."""
@@ -22,6 +26,8 @@
         self.revision = 7
 
     def transact(self, batch) -> kv.PlatformOutcome:
+        if any(len(put.value) > MAX_VALUE_BYTES for put in batch.puts):
+            return kv.PermanentlyRefused("too long")
         current = [
             self.items.get(r.key, kv.Item(r.key, None, 0)) for r in batch.expected
         ]
@@ -170,3 +176,107 @@
     while batch := in_flight.pop(0) if in_flight else ledger.next_batch():
         ledger.apply_outcome(batch.number, store.transact(batch))
     assert {key: store.items[key].value for key in newest} == newest
+
+
+def write_all(ledger: Ledger, store: Store) -> tuple[dict[str, list[Entry]], int]:
+    """Write all entries; return them by their end, and the number of transactions."""
+    ended: dict[str, list[Entry]] = {"durable": [], "conflicts": [], "refused": []}
+    count = 0
+    while batch := ledger.next_batch():
+        count += 1
+        assert count < 50
+        update = ledger.apply_outcome(batch.number, store.transact(batch))
+        assert not update.resend_ms
+        for name, entries in ended.items():
+            entries.extend(getattr(update, name))
+    return ended, count
+
+
+def test_an_entry_that_the_store_refuses_does_not_hold_up_others() -> None:
+    # Guards against a transaction that is sent without end because the store refuses
+    # one of its entries: the jobs of the other entries are never accepted.
+    store, ledger = Store(), Ledger(FENCE)
+    ledger.record(Entry("jobs/1", b"a", (1,), is_create=True))
+    ledger.record(Entry("jobs/2", TOO_LONG, (2,), is_create=True))
+    ledger.record(Entry("progress/3", b"c", (3,)))
+    ended, count = write_all(ledger, store)
+    assert [entry.tags for entry in ended["refused"]] == [(2,)]
+    assert {entry.tags for entry in ended["durable"]} == {(1,), (3,)}
+    assert count == 4 and "jobs/2" not in store.items
+    assert not ledger.has_pending
+
+
+def test_the_next_value_of_a_refused_key_is_written_alone() -> None:
+    # Guards against progress that is refused again and again, each time with a new
+    # transaction for each entry of other jobs.
+    store, ledger = Store(), Ledger(FENCE)
+    ledger.record(Entry("progress/1", TOO_LONG, (1,)))
+    write_all(ledger, store)
+    ledger.record(Entry("progress/2", b"b", (2,)))
+    ledger.record(Entry("progress/1", TOO_LONG, (3,)))
+    ended, count = write_all(ledger, store)
+    assert [entry.tags for entry in ended["refused"]] == [(3,)] and count == 2
+    ledger.record(Entry("progress/1", b"done", (4,)))
+    ended, _ = write_all(ledger, store)
+    assert [entry.tags for entry in ended["durable"]] == [(4,)]
+    ledger.record(Entry("progress/1", b"x"))
+    ledger.record(Entry("progress/2", b"y"))
+    assert write_all(ledger, store)[1] == 1
+
+
+def test_a_refused_entry_may_be_stored_if_an_earlier_answer_was_lost() -> None:
+    # Guards against a rejected submission whose job the store has carried out.
+    for outcome, may_be_stored in ((kv.Unknown("lost"), True), (kv.NotSent(""), False)):
+        ledger = Ledger(FENCE)
+        ledger.record(Entry("jobs/1", b"a", is_create=True))
+        ledger.record(Entry("jobs/2", b"b", is_create=True))
+        batch = ledger.next_batch()
+        ledger.apply_outcome(batch.number, outcome)
+        refusal = kv.PermanentlyRefused("")
+        assert not ledger.apply_outcome(batch.number, refusal).refused
+        for _ in range(2):
+            batch = ledger.next_batch()
+            update = ledger.apply_outcome(batch.number, refusal)
+            assert len(update.refused) == 1
+            assert update.may_be_stored is may_be_stored
+
+
+@given(st.data())
+def test_refused_values_delay_no_others(data) -> None:
+    # Guards against an entry that is lost, or a ledger that does not come to an end,
+    # while refused, lost and late transactions meet.
+    store, ledger = Store(), Ledger(FENCE)
+    newest: dict[str, bytes] = {}
+    refused: list[int] = []
+    durable: list[int] = []
+    versions = data.draw(st.integers(5, 40))
+    in_flight = []
+    for version in range(versions):
+        key = f"progress/{data.draw(st.integers(0, 4))}"
+        value = TOO_LONG if data.draw(st.booleans()) else b"%d" % version
+        ledger.record(Entry(key, value, (version,)))
+        newest[key] = value
+        if batch := ledger.next_batch():
+            in_flight.append(batch)
+        if in_flight and data.draw(st.booleans()):
+            batch = in_flight.pop(data.draw(st.integers(0, len(in_flight) - 1)))
+            answer = store.transact(batch)
+            is_lost = data.draw(st.booleans())
+            update = ledger.apply_outcome(
+                batch.number, kv.Unknown("lost") if is_lost else answer
+            )
+            if is_lost:
+                in_flight.append(ledger.resend(batch.number))
+            durable += [tag for entry in update.durable for tag in entry.tags]
+            refused += [tag for entry in update.refused for tag in entry.tags]
+    sent = 0
+    while batch := in_flight.pop(0) if in_flight else ledger.next_batch():
+        sent += 1
+        assert sent < 10 * versions
+        update = ledger.apply_outcome(batch.number, store.transact(batch))
+        durable += [tag for entry in update.durable for tag in entry.tags]
+        refused += [tag for entry in update.refused for tag in entry.tags]
+    assert sorted(durable + refused) == list(range(versions))
+    for key, value in newest.items():
+        if value != TOO_LONG:
+            assert store.items[key].value == value
--- a/tests/machines/test_task.py
+++ b/tests/machines/test_task.py
@@ -93,6 +93,7 @@
         self.aborted_ms: list[int] = []
         self.cordons: list[CordonHosts] = []
         self.is_store_silent = False
+        self.is_write_refused = False
         self.are_orders_answered = False
         # Machines that the previous holder has recorded, and those recorded since.
         self.predecessor = b'["m"]'
@@ -141,6 +142,8 @@
             else:
                 self.written.append((put, request.expected))
             outcome = kv.Written(self.harness.now_ms())
+            if self.is_write_refused:
+                outcome = kv.PermanentlyRefused("refused")
         self.task.handle(kv.Reply(request.request_id, outcome))
         self.collect()
 
@@ -229,6 +232,16 @@
     assert rig.orders == []
 
 
+def test_a_refused_record_is_not_repeated_at_once() -> None:
+    # Guards against a loop of writes, as fast as the store refuses them.
+    rig = Rig()
+    rig.predecessor = b"[]"
+    rig.is_write_refused = True
+    rig.advance(1_000, IDLE)
+    assert rig.orders == []
+    assert 1 <= len(rig.recorded) <= 1_000 / LOAD_INTERVAL_MS
+
+
 def test_no_machine_is_ordered_before_the_record_is_read() -> None:
     # Guards against a term that orders machines of which it knows nothing.
     rig = Rig()
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -443,6 +443,17 @@
     )
 
 
+@pytest.mark.parametrize("status", [400, 403, 413])
+def test_a_call_that_the_store_refuses_for_good_is_told_from_a_lost_one(
+    status: int,
+) -> None:
+    # Guards against a write that is repeated without end although no repeat of it can
+    # be carried out.
+    txn = kv.Transact("s", 1, (), (kv.KeyValue("k", b"v"),))
+    outcome = PlatformStoreCodec().decode(txn, status, b"", b"")
+    assert isinstance(outcome, kv.PermanentlyRefused) and str(status) in outcome.detail
+
+
 @pytest.mark.parametrize("body", [b"", b"junk", b"{}", b'{"items":[', b'{"items":3}'])
 @pytest.mark.parametrize(
     "req",
@@ -595,7 +606,10 @@
 )
 
 
-@given(untrusted_bodies, st.sampled_from([200, 404, 409, 410, 412, 421, 429, 500, 503]))
+@given(
+    untrusted_bodies,
+    st.sampled_from([200, 400, 404, 409, 410, 412, 421, 429, 500, 503]),
+)
 def test_no_untrusted_bytes_raise(body: bytes, status: int) -> None:
     # Guards against an entry host that is stopped by a single malformed message.
     answered = Answered(status, body)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -150,7 +150,8 @@
     """Performs a scheduler's actions on fake executors and a fake store.
 
     Entries are stored at once; while `is_store_down` is set, they are lost. Orders to
-    an unreachable executor are kept in `undelivered`.
+    an unreachable executor are kept in `undelivered`. The store refuses the entries for
+    which `is_refused` returns True.
     """
 
     def __init__(self, executors: list[FakeExecutor], token: int = 5) -> None:
@@ -160,6 +161,7 @@
         self.jobs: dict[str, Job] = {}
         self.answers: list = []
         self.is_store_down = False
+        self.is_refused = lambda entry: False
         self.stepped_down = False
         self.undelivered: list = []
         self.starts: list = []
@@ -230,8 +232,10 @@
         if isinstance(action, SendOrder):
             self._deliver(action)
         elif isinstance(action, StoreEntry):
-            if not self.is_store_down:
-                entry = action.entry
+            entry = action.entry
+            if self.is_refused(entry):
+                self.scheduler.jobs.handle_refused(entry, False)
+            elif not self.is_store_down:
                 if entry.value is not None and entry.key.startswith(PROGRESS_PREFIX):
                     self.stored[entry.key] = entry.value
                 if entry.value is None and entry.key.startswith(JOBS_PREFIX):
