Send large entries alone, one at a time

Cause: up to six transactions share the link. Each has the time that the link takes for its own body, and all of them exceed it, are sent again and exceed it again.

The new test fails without the wait for another large entry.

Change: an entry above 64 KiB has a transaction of its own, and only one such entry is in flight. Small entries do not wait for it.

--- a/src/guavapin/ledger/ledger.py
+++ b/src/guavapin/ledger/ledger.py
@@ -31,6 +31,10 @@
 # healthy store answers before a second transaction is due.
 MAX_IN_FLIGHT = 6
 
+# An entry with a longer value is sent alone, and only one such entry at a time. Several
+# of them on one slow link would all exceed the time of their calls, again and again.
+MAX_SHARED_VALUE_BYTES = 65_536
+
 # Delay before a transaction is sent again: half the answer time of a slow store.
 RESEND_DELAY_MS = 100
 
@@ -48,6 +52,11 @@
     tags: tuple[object, ...] = ()
     is_create: bool = False
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the value is too long to share a transaction with others."""
+        return len(self.value or b"") > MAX_SHARED_VALUE_BYTES
+
 
 @dataclass(frozen=True, slots=True)
 class Batch:
@@ -110,19 +119,19 @@
         """Return the next transaction; None without one, or with too many in flight.
 
         An entry whose key is in flight waits for the answer, which holds the revision
-        to expect.
+        to expect. A large entry waits for the answer to another one.
         """
         if len(self._in_flight) >= MAX_IN_FLIGHT:
             return None
-        keys_in_flight = {
-            entry.key for batch in self._in_flight.values() for entry in batch
-        }
+        in_flight = [entry for batch in self._in_flight.values() for entry in batch]
+        keys_in_flight = {entry.key for entry in in_flight}
+        is_large_in_flight = any(entry.is_large for entry in in_flight)
         rows = 1
         chosen: list[Entry] = []
         for entry in self._pending.values():
-            if entry.key in keys_in_flight:
+            if entry.key in keys_in_flight or (entry.is_large and is_large_in_flight):
                 continue
-            if entry.key in self._isolated:
+            if entry.is_large or entry.key in self._isolated:
                 if chosen:
                     continue
                 chosen.append(entry)
--- a/tests/ledger/test_ledger.py
+++ b/tests/ledger/test_ledger.py
@@ -8,6 +8,7 @@
 from guavapin.keyvalue import messages as kv
 from guavapin.ledger.ledger import MAX_IN_FLIGHT
 from guavapin.ledger.ledger import MAX_ROWS
+from guavapin.ledger.ledger import MAX_SHARED_VALUE_BYTES
 from guavapin.ledger.ledger import Entry
 from guavapin.ledger.ledger import Ledger
 
@@ -137,6 +138,25 @@
     assert len(keys) == len(set(keys))
 
 
+def test_large_entries_are_sent_alone_and_one_at_a_time() -> None:
+    # Guards against large values that share a slow link until the calls of all of them
+    # time out, and against small entries that wait for a large one.
+    ledger = Ledger(FENCE)
+    large = bytes(MAX_SHARED_VALUE_BYTES + 1)
+    values = {"progress/1": large, "progress/2": large, "jobs/3": b"x", "jobs/4": b"y"}
+    for key, value in values.items():
+        ledger.record(Entry(key, value))
+    sent = []
+    for _ in range(3):
+        batch = ledger.next_batch()
+        sent.append((batch.number, [put.key for put in batch.puts]) if batch else None)
+    assert sent == [(1, ["progress/1"]), (2, ["jobs/3", "jobs/4"]), None]
+    assert ledger.resend(1) is not None
+    ledger.apply_outcome(1, kv.Written(8))
+    batch = ledger.next_batch()
+    assert [put.key for put in batch.puts] == ["progress/2"]
+
+
 def test_a_key_in_flight_is_not_sent_a_second_time() -> None:
     # Guards against two writes of one key that expect the same revision.
     store, ledger = Store(), Ledger(FENCE)
