--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -25,8 +25,11 @@
 # The largest answers are pages of a store's items, which hold about 1 MB of values.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
+# Rate of the slowest link.
+MIN_LINK_BYTES_PER_S = 600_000
+
 # An answer that is slower than this rate for this time has stalled: its connection is
-# dead. The slowest link carries 600,000 bytes a second.
+# dead.
 STALL_BYTES_PER_S = 2_000
 STALL_S = 1
 
@@ -75,6 +78,8 @@
         self.transmissions = 0
         self.revision = b""
         self.body = bytearray()
+        # Whether the transfer ended because the answer exceeds `MAX_ANSWER_BYTES`.
+        self.is_too_long = False
         self._is_sent_once = is_sent_once
 
     def on_transmission(self, *_: object) -> int:
@@ -102,11 +107,17 @@
     def on_body(self, data: bytes) -> int:
         """Collect the body; a short count makes libcurl abort the transfer."""
         if len(self.body) + len(data) > MAX_ANSWER_BYTES:
+            self.is_too_long = True
             return 0
         self.body += data
         return len(data)
 
 
+def transfer_ms(length: int) -> int:
+    """Return the time that the slowest link takes for this number of bytes."""
+    return length * 1_000 // MIN_LINK_BYTES_PER_S
+
+
 def prepare(curl: Any, transfer: Transfer[T], req: HttpRequest) -> Outcome[None]:
     """Set the options of `curl` for one call, clearing those of an earlier one.
 
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -15,12 +15,14 @@
 from guavapin.http.transfer import HttpRequest
 from guavapin.http.transfer import Transfer
 from guavapin.http.transfer import prepare
+from guavapin.http.transfer import transfer_ms
 from guavapin.kernel import Call
 from guavapin.kernel import Ok
 from guavapin.kernel import Outcome
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Refused
 from guavapin.keyvalue.budget import TokenBucket
+from guavapin.keyvalue.messages import ChangesTooLong
 from guavapin.keyvalue.messages import NotSent
 from guavapin.keyvalue.messages import PlatformOutcome
 from guavapin.keyvalue.messages import PlatformRequest
@@ -41,10 +43,11 @@
     """Settings of the client.
 
     `deadline_ms` limits a call from its arrival at this task to its answer; a watch
-    adds its own wait time. Lists, whose answers are large, have `list_deadline_ms`
-    instead, and a list whose transfer stalls is abandoned earlier. The rates limit this
-    process's share of the platform's limits. At most `max_queued` calls wait for a
-    token or for a free transfer; further calls are not sent.
+    adds its own wait time, and a body the time that the slowest link takes for it.
+    Lists, whose answers are large, have `list_deadline_ms` instead, and a list whose
+    transfer stalls is abandoned earlier. The rates limit this process's share of the
+    platform's limits. At most `max_queued` calls wait for a token or for a free
+    transfer; further calls are not sent.
     """
 
     url: str
@@ -77,7 +80,8 @@
 
     The future of a request that was sent with `Kernel.ask` gets the outcome instead. A
     call that never reached the wire is `NotSent`. A call that was sent and got no
-    answer, or one outside the protocol, is `Unknown`. No call is repeated.
+    answer, or one outside the protocol, is `Unknown`; only a watch with too long an
+    answer is `ChangesTooLong`. No call is repeated.
     """
 
     name = "platform"
@@ -216,7 +220,7 @@
                 url=self._cfg.url + call.path,
                 headers=("Expect:", *self._codec.headers),
                 body=call.body,
-                timeout_ms=remaining_ms + call.wait_ms,
+                timeout_ms=remaining_ms + call.wait_ms + transfer_ms(len(call.body)),
                 connect_timeout_ms=min(self._cfg.connect_ms, remaining_ms),
                 aborts_stalled=call.kind == "list",
             ),
@@ -233,6 +237,8 @@
             outcome = self._codec.decode(pending.req, status, transfer.revision, body)
         elif transfer.transmissions == 0:
             outcome = NotSent(detail)
+        elif pending.call.kind == "watch" and _exceeds_limits(transfer, code):
+            outcome = ChangesTooLong()
         else:
             outcome = Unknown(detail)
         self._keep_idle(curl)
@@ -252,3 +258,9 @@
         else:
             reply = Reply(pending.req.request_id, outcome)
             self._context.send(pending.req.reply_to, reply)
+
+
+def _exceeds_limits(transfer: Transfer[_PendingCall], code: int) -> bool:
+    """Return whether an answer exceeds the length or the time of its call."""
+    is_late = code == pycurl.E_OPERATION_TIMEDOUT and len(transfer.body) > 0
+    return transfer.is_too_long or is_late
--- a/src/guavapin/keyvalue/messages.py
+++ b/src/guavapin/keyvalue/messages.py
@@ -117,7 +117,8 @@
 class WatchItems:
     """Wait for changed items as `Watch` does for keys.
 
-    Answer: `ItemsChanged`, `Compacted` when the history is gone, or a failure.
+    Answer: `ItemsChanged`, `Compacted` when the history is gone, `ChangesTooLong`, or a
+    failure.
     """
 
     reply_to: str
@@ -277,6 +278,14 @@
     """The store no longer has the history after the watched revision; list again."""
 
 
+@dataclass(frozen=True, slots=True)
+class ChangesTooLong:
+    """The answer to a watch exceeds the client's limit of length or time; list again.
+
+    The same watch would have the same answer until the history is gone.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Mismatch:
     """The transaction did not take effect; `items` is the state of the expected keys.
@@ -337,6 +346,13 @@
     """The platform refused the call because of its rate limit; it had no effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class PermanentlyRefused:
+    """The platform refused the call: it had no effect, and no repeat of it will."""
+
+    detail: str
+
+
 PlatformOutcome: TypeAlias = (
     Found
     | Missing
@@ -347,6 +363,7 @@
     | Items
     | ItemsChanged
     | Compacted
+    | ChangesTooLong
     | Mismatch
     | Leased
     | Hosts
@@ -354,6 +371,7 @@
     | Unknown
     | NotSent
     | RateLimited
+    | PermanentlyRefused
 )
 
 
--- a/src/guavapin/platform/store.py
+++ b/src/guavapin/platform/store.py
@@ -20,6 +20,11 @@
     from guavapin.keyvalue.messages import PlatformRequest
 
 
+# Statuses of calls that break a rule of the store, such as its limit of a value's
+# length. Nothing is done, and the same call breaks the rule again.
+REFUSED_STATUSES = frozenset((400, 403, 413))
+
+
 class _Item(msgspec.Struct, rename="kebab", frozen=True):
     key: str
     revision: int
@@ -84,17 +89,19 @@
             return kv.RateLimited()
         if status == 503:
             return kv.NotSent("the store did nothing (503)")
+        if status in REFUSED_STATUSES:
+            return kv.PermanentlyRefused(f"the store refused the call ({status})")
         if status == 404 and not isinstance(req, kv.ReadItems | kv.WatchItems):
             return kv.Missing()
         if status == 410 and isinstance(req, kv.WatchItems):
             return kv.Compacted()
-        answer = decode_body(body, _Answer) if status in (200, 412) and body else None
+        answer = _decode_answer(req, body) if status in (200, 412) else None
         outcome = None
         if isinstance(req, kv.Get):
             # This answer's body is a single item instead of a list.
             outcome = _decode_found(decode_body(body, _Item)) if status == 200 else None
-        elif status == 200:
-            outcome = _decode_success(req, answer or _Answer())
+        elif status == 200 and answer is not None:
+            outcome = _decode_success(req, answer)
         elif status == 412 and answer is not None:
             outcome = _decode_mismatch(req, answer)
         return outcome or kv.Unknown(f"unexpected answer with status {status}")
@@ -137,8 +144,21 @@
     raise InvariantError(f"the store has no call for {req!r}")
 
 
+def _decode_answer(req: PlatformRequest, body: bytes) -> _Answer | None:
+    """Return the body as an answer, None if it cannot be read.
+
+    Only a renewal and the end of a lease need no body.
+    """
+    if not body and isinstance(req, kv.LeaseRenew | kv.LeaseRevoke):
+        return _Answer()
+    return decode_body(body, _Answer)
+
+
 def _decode_success(req: PlatformRequest, answer: _Answer) -> PlatformOutcome | None:
     match req:
+        case kv.ReadItems() | kv.WatchItems() if answer.current_rev <= 0:
+            # The store may omit an empty list, but its revision is always above 0.
+            return None
         case kv.ReadItems():
             items = _decode_items(answer.items)
             return kv.Items(items, answer.more_pages, answer.current_rev)
--- a/src/guavapin/scheduling/term.py
+++ b/src/guavapin/scheduling/term.py
@@ -55,13 +55,15 @@
         self._changed_jobs: dict[JobRun, list[object]] = {}
         self._urgent_jobs: set[JobRun] = set()
 
-    def store_progress(self, job_run: JobRun, tag: object, is_urgent: bool) -> None:
+    def store_progress(
+        self, job_run: JobRun, tags: tuple[object, ...], is_urgent: bool
+    ) -> None:
         """Store the progress that a job has when the actions are drained.
 
         A report of a host may hold hundreds of ends of one job, whose progress is thus
         encoded once.
         """
-        self._changed_jobs.setdefault(job_run, []).append(tag)
+        self._changed_jobs.setdefault(job_run, []).extend(tags)
         if is_urgent:
             self._urgent_jobs.add(job_run)
 
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -466,6 +466,50 @@
     )
 
 
+@pytest.mark.parametrize("status", [400, 403, 413])
+def test_a_call_that_the_store_refuses_for_good_is_told_from_a_lost_one(
+    status: int,
+) -> None:
+    # Guards against a write that is repeated without end although no repeat of it can
+    # be carried out.
+    txn = kv.Transact("s", 1, (), (kv.KeyValue("k", b"v"),))
+    outcome = PlatformStoreCodec().decode(txn, status, b"", b"")
+    assert isinstance(outcome, kv.PermanentlyRefused) and str(status) in outcome.detail
+
+
+@pytest.mark.parametrize("body", [b"", b"junk", b"{}", b'{"items":[', b'{"items":3}'])
+@pytest.mark.parametrize(
+    "req",
+    [
+        kv.ReadItems("s", 1, "p/"),
+        kv.WatchItems("s", 1, "p/", 4, 1_000),
+        kv.Transact("s", 1, ()),
+        kv.LeaseGrant("s", 1, 10),
+    ],
+)
+def test_a_success_without_a_readable_answer_is_unknown(
+    req: kv.PlatformRequest, body: bytes
+) -> None:
+    # Guards against a list that counts as complete and empty, and against a watch that
+    # is repeated without a delay, because the body of their answer cannot be read.
+    assert isinstance(PlatformStoreCodec().decode(req, 200, b"", body), kv.Unknown)
+
+
+def test_answers_that_need_no_list_or_no_body_are_valid() -> None:
+    # Guards against a strict decoder that loses answers which the store may give: empty
+    # lists may be omitted, and the page defines no body for the renewal of a lease.
+    codec = PlatformStoreCodec()
+    empty = b'{"current-rev":9}'
+    page = codec.decode(kv.ReadItems("s", 1, "p/"), 200, b"", empty)
+    assert page == kv.Items((), False, 9)
+    watch = kv.WatchItems("s", 1, "p/", 4, 1_000)
+    assert codec.decode(watch, 200, b"", empty) == kv.ItemsChanged((), 9)
+    renewal = kv.LeaseRenew("s", 1, "3")
+    assert codec.decode(renewal, 200, b"", b"") == kv.Leased("3", 0)
+    assert isinstance(codec.decode(renewal, 200, b"", b"junk"), kv.Unknown)
+    assert codec.decode(kv.LeaseRevoke("s", 1, "3"), 200, b"", b"") == kv.Written(0)
+
+
 @pytest.mark.parametrize(("count", "has_all_ends"), [(499, True), (500, False)])
 def test_a_full_list_of_ends_may_leave_others_out(
     count: int, has_all_ends: bool
@@ -617,7 +661,10 @@
 )
 
 
-@given(untrusted_bodies, st.sampled_from([200, 404, 409, 410, 412, 421, 429, 500, 503]))
+@given(
+    untrusted_bodies,
+    st.sampled_from([200, 400, 404, 409, 410, 412, 421, 429, 500, 503]),
+)
 def test_no_untrusted_bytes_raise(body: bytes, status: int) -> None:
     # Guards against an entry host that is stopped by a single malformed message.
     answered = Answered(status, body)
