Let the platform stand-in remove items and run longer work

Cause: the soak could neither take an entry out of the registry again nor have a run that lasts long enough for a stop to meet it; all runs of the stand-in lasted 250 ms.

Change: `RemoveItem` is the counterpart of `PutItem`. A run whose spec is `work-ms=` and a number lasts that long; other runs last as before.

--- a/src/guavapin_standins/resident_executor.py
+++ b/src/guavapin_standins/resident_executor.py
@@ -6,6 +6,9 @@
 from dataclasses import field
 from typing import Any
 
+# A run whose spec is this text and a number lasts that many milliseconds.
+WORK_SPEC = "work-ms="
+
 
 @dataclass(frozen=True, slots=True)
 class RunEvent:
@@ -76,7 +79,7 @@
             return 200, self._hold(body, now_ms)
         task, attempt = body["task"], body["attempt"]
         if path.endswith("/run-start"):
-            return self._start(task, attempt, now_ms)
+            return self._start(task, attempt, body.get("spec", ""), now_ms)
         if path.endswith("/run-stop"):
             self.highest_attempts[task] = max(
                 self.highest_attempts.get(task, 0), attempt
@@ -100,12 +103,15 @@
         }
 
     def _start(
-        self, task: str, attempt: int, now_ms: int
+        self, task: str, attempt: int, spec: str, now_ms: int
     ) -> tuple[int, dict[str, Any]]:
         if attempt <= self.highest_attempts.get(task, 0):
             return 409, {"clock-ms": now_ms, "reason": "old"}
         if task not in self.running:
-            self.running[task] = RunningTask(attempt, now_ms + self.work_ms)
+            work_ms = self.work_ms
+            if spec.startswith(WORK_SPEC):
+                work_ms = int(spec.removeprefix(WORK_SPEC))
+            self.running[task] = RunningTask(attempt, now_ms + work_ms)
             self.log.append(RunEvent("start", task, now_ms))
         return 200, {"clock-ms": now_ms}
 
--- a/src/guavapin_standins/resident_platform.py
+++ b/src/guavapin_standins/resident_platform.py
@@ -57,6 +57,13 @@
     value: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class RemoveItem:
+    """As a `Call`: remove an item as the operator, if it exists."""
+
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class QueryPlatform:
     """As a `Call`: the reply is `PlatformView`."""
@@ -132,6 +139,9 @@
             case Call(body=PutItem(key=key, value=value), fut=fut):
                 self.store.put(key, value)
                 fut.set_result(Ok(None))
+            case Call(body=RemoveItem(key=key), fut=fut):
+                self.store.remove(key)
+                fut.set_result(Ok(None))
             case Call(body=QueryPlatform(), fut=fut):
                 fut.set_result(self._view())
             case _:
