Submit long jobs in the soak, and record acknowledged cancellings

Cause: all runs of the soak lasted 250 ms, so that a cancelling rarely met a run at work, and whether it was acknowledged was not recorded.

Change: a fifth caller has up to three long jobs open and cancels each of them after a while. A 2xx to a DELETE is an event of its own. The random numbers of the other callers are drawn as before.

--- a/src/guavapin_soak/caller.py
+++ b/src/guavapin_soak/caller.py
@@ -6,10 +6,12 @@
 import json
 import random
 import threading
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from guavapin_soak.checks import CallerEvent
 from guavapin_soak.checks import EventKind
+from guavapin_standins.resident_executor import WORK_SPEC
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +40,28 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class JobProfile:
+    """Jobs of a caller; `spec` is "" for runs of the executors' usual duration.
+
+    At most `max_open` jobs are open. A share of the accepted jobs is cancelled at once,
+    and a share of the later calls for a job cancels it instead of polling it.
+    """
+
+    spec: str = ""
+    estimate_ms: int = 300
+    max_open: int = 1_000_000
+    cancelled_at_once: float = CANCELLED_SHARE
+    cancelled_later: float = 0.0
+
+
+SHORT_JOBS = JobProfile()
+
+# Runs last longer than the checks watch them, so that only a stop ends them in time.
+# Few jobs are open, so that they leave most resources to the short jobs.
+LONG_JOBS = JobProfile(f"{WORK_SPEC}120000", 120_000, 3, 0.0, 0.15)
+
+
 class Caller:
     """One caller; `caller_events` lists its calls and their results, in order.
 
@@ -51,6 +75,7 @@
         ports: list[int],
         shape: JobShape,
         now_ms: Callable[[], int],
+        profile: JobProfile = SHORT_JOBS,
     ) -> None:
         self.caller_events: list[CallerEvent] = []
         self._number = number
@@ -58,24 +83,35 @@
         self._ports = ports
         self._shape = shape
         self._now_ms = now_ms
+        self._profile = profile
         self._conns: dict[int, http.client.HTTPConnection] = {}
         self._open_jobs: list[str] = []
         self._submission_count = 0
 
     def run(self, stop: threading.Event) -> None:
-        """Submit jobs and poll their states until `stop` is set."""
+        """Submit jobs, poll their states and cancel some until `stop` is set."""
+        profile = self._profile
         while not stop.wait(self._rng.uniform(*CALL_INTERVAL_S)):
-            if self._rng.random() < 0.4:
+            if self._rng.random() < 0.4 and len(self._open_jobs) < profile.max_open:
                 self._submit()
             elif self._open_jobs:
-                self._poll_job(self._rng.choice(self._open_jobs))
+                job_id = self._rng.choice(self._open_jobs)
+                if profile.cancelled_later and self._is_drawn(profile.cancelled_later):
+                    self._cancel(self._rng.choice(self._ports), job_id)
+                else:
+                    self._poll_job(job_id)
 
     def finish(self, timeout_s: float) -> None:
-        """Poll the open jobs until they have ended or `timeout_s` has passed."""
+        """Poll the open jobs until they have ended or `timeout_s` has passed.
+
+        Jobs that are cancelled later are cancelled now.
+        """
         end_ms = self._now_ms() + round(timeout_s * 1_000)
         pause = threading.Event()
         while self._open_jobs and self._now_ms() < end_ms:
             for job_id in [*self._open_jobs]:
+                if self._profile.cancelled_later:
+                    self._cancel(self._rng.choice(self._ports), job_id)
                 self._poll_job(job_id)
             pause.wait(0.2)
         for conn in self._conns.values():
@@ -89,27 +125,35 @@
                 "count": count,
                 "cpu": 500,
                 "mem-mb": 100,
-                "estimate-ms": 300,
+                "estimate-ms": self._profile.estimate_ms,
                 "after": [step - 1] if step else [],
             }
             for step, count in enumerate(self._shape.counts)
         ]
-        body = json.dumps({"spec": job_id, "steps": steps})
+        body = json.dumps({"spec": self._profile.spec or job_id, "steps": steps})
         for port in self._rng.choices(self._ports, k=SUBMIT_ATTEMPTS):
             self._record(job_id, EventKind.SENT)
             status, _ = self._call(port, "POST", job_id, body)
             if status == 200:
                 self._record(job_id, EventKind.ACCEPTED)
                 self._open_jobs.append(job_id)
-                if self._rng.random() < CANCELLED_SHARE:
-                    self._record(job_id, EventKind.CANCEL_SENT)
-                    self._call(port, "DELETE", job_id)
+                if self._is_drawn(self._profile.cancelled_at_once):
+                    self._cancel(port, job_id)
                 return
             is_refused = status in (429, 503)
             self._record(
                 job_id, EventKind.REFUSED if is_refused else EventKind.UNANSWERED
             )
 
+    def _is_drawn(self, share: float) -> bool:
+        return self._rng.random() < share
+
+    def _cancel(self, port: int, job_id: str) -> None:
+        self._record(job_id, EventKind.CANCEL_SENT)
+        status, _ = self._call(port, "DELETE", job_id)
+        if 200 <= status < 300:
+            self._record(job_id, EventKind.CANCEL_ACKED)
+
     def _poll_job(self, job_id: str) -> None:
         port = self._rng.choice(self._ports)
         status, answer = self._call(port, "GET", job_id)
--- a/src/guavapin_soak/checks.py
+++ b/src/guavapin_soak/checks.py
@@ -26,6 +26,7 @@
     REFUSED = "refused"
     UNANSWERED = "unanswered"
     CANCEL_SENT = "cancel sent"
+    CANCEL_ACKED = "cancel acknowledged"
     UNKNOWN = "unknown"
     QUEUED = "queued"
     RUNNING = "running"
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin_soak.caller import LONG_JOBS
+from guavapin_soak.caller import SHORT_JOBS
 from guavapin_soak.caller import Caller
 from guavapin_soak.checks import EventKind
 from guavapin_soak.checks import JobShape
@@ -23,7 +25,8 @@
     from guavapin_standins.resident_executor import RunEvent
 
 JOB_SHAPE = JobShape((2, 1))
-CALLER_COUNT = 4
+SHORT_JOB_CALLERS = 4
+PROFILES = (SHORT_JOBS,) * SHORT_JOB_CALLERS + (LONG_JOBS,)
 
 # Time in which the entry processes start, before callers and faults begin.
 STARTUP_S = 2.0
@@ -54,11 +57,11 @@
         pause.wait(STARTUP_S)
         ports = [entry.ports.front for entry in deployment.entries]
         callers = [
-            Caller(number, seed, ports, JOB_SHAPE, deployment.clock.now_ms)
-            for number in range(CALLER_COUNT)
+            Caller(number, seed, ports, JOB_SHAPE, deployment.clock.now_ms, profile)
+            for number, profile in enumerate(PROFILES)
         ]
         stop = threading.Event()
-        with ThreadPoolExecutor(CALLER_COUNT) as executor:
+        with ThreadPoolExecutor(len(callers)) as executor:
             futs = [executor.submit(caller.run, stop) for caller in callers]
             _inject(deployment, faults, length_ms)
             deployment.heal()
