Put entries of another writer into the registry during the soak

After the other faults, callers go on for 9 s in which odd entries are the only fault.

The odd entries are drawn from their own random numbers, and `plan_faults` draws from the same kinds as before.

--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -18,6 +18,7 @@
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
 from guavapin_soak.entry_process import free_ports
+from guavapin_soak.odd_entries import ODD_ENTRIES
 from guavapin_soak.plan import FaultKind
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
@@ -26,6 +27,7 @@
 from guavapin_soak.proxy import SilenceConnections
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
+from guavapin_standins.resident_platform import RemoveItem
 from guavapin_standins.resident_platform import ResidentPlatformTask
 from guavapin_standins.resident_platform import SetAnswersLost
 from guavapin_standins.resident_platform import SetStoreDown
@@ -96,12 +98,18 @@
         ]
 
     def begin(self, fault: Fault) -> None:
-        """Inject a fault into all its targets."""
+        """Inject a fault into all its targets, or write its odd entry."""
+        if fault.entry:
+            entry_id, value = ODD_ENTRIES[fault.entry]
+            self._ask(self._platform, PutItem(f"servers/{entry_id}", value))
         for target in fault.targets:
             self._inject_fault(fault.kind, target)
 
     def end(self, fault: Fault) -> None:
-        """Undo a fault on all its targets."""
+        """Undo a fault on all its targets, or remove its odd entry."""
+        if fault.entry:
+            entry_id, _ = ODD_ENTRIES[fault.entry]
+            self._ask(self._platform, RemoveItem(f"servers/{entry_id}"))
         for target in fault.targets:
             self._undo_fault(fault.kind, target)
 
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -15,6 +15,8 @@
 from guavapin_soak.checks import JobShape
 from guavapin_soak.checks import violations
 from guavapin_soak.deployment import Deployment
+from guavapin_soak.odd_entries import ODD_ENTRIES
+from guavapin_soak.plan import plan_entries
 from guavapin_soak.plan import plan_faults
 
 if TYPE_CHECKING:
@@ -28,6 +30,10 @@
 SHORT_JOB_CALLERS = 4
 PROFILES = (SHORT_JOBS,) * SHORT_JOB_CALLERS + (LONG_JOBS,)
 
+# Time after the other faults in which callers go on beside odd entries. The checks of
+# cancellings excuse what is near a fault, and faults leave no long gaps between them.
+CALM_MS = 9_000
+
 # Time in which the entry processes start, before callers and faults begin.
 STARTUP_S = 2.0
 
@@ -51,6 +57,7 @@
 def run_soak(seed: int, length_ms: int, hosts: int, folder: Path) -> RunResult:
     """Run one seed; write process logs, and events on failure, to `folder`."""
     faults = plan_faults(seed, length_ms, hosts)
+    entries = plan_entries(seed, length_ms + CALM_MS, tuple(ODD_ENTRIES))
     deployment = Deployment(folder, hosts)
     try:
         pause = threading.Event()
@@ -61,10 +68,14 @@
             for number, profile in enumerate(PROFILES)
         ]
         stop = threading.Event()
-        with ThreadPoolExecutor(len(callers)) as executor:
+        with ThreadPoolExecutor(len(callers) + 1) as executor:
             futs = [executor.submit(caller.run, stop) for caller in callers]
+            entries_fut = executor.submit(
+                _inject, deployment, entries, length_ms + CALM_MS
+            )
             _inject(deployment, faults, length_ms)
             deployment.heal()
+            entries_fut.result()
             stop.set()
             for fut in futs:
                 fut.result()
@@ -80,13 +91,14 @@
     if found:
         events: list[CallerEvent | RunEvent] = [*caller_events, *log]
         lines = [str(row) for row in sorted(events, key=lambda row: row.at_ms)]
-        (folder / "events.txt").write_text("\n".join([*map(str, faults), *lines]))
+        rows = [*map(str, faults + entries), *lines]
+        (folder / "events.txt").write_text("\n".join(rows))
     counts = {
         kind: sum(row.kind is kind for row in caller_events) for kind in EventKind
     }
     return RunResult(
         seed,
-        faults,
+        faults + entries,
         counts[EventKind.ACCEPTED],
         counts[EventKind.REFUSED],
         counts[EventKind.UNANSWERED],
