Check in the soak that the runs of cancelled jobs end in time

Cause: rule UNASKED was not checked by the soak: a run that went on after the cancelling of its job had been acknowledged was no violation.

Change: in the stretch with odd entries alone, from 3,000 ms after the last other fault, a run has to end 3,000 ms and the stop timeout after the acknowledgement, and nothing of the job starts 3,000 ms after it. The faults before it are too close to each other for a calm stretch among them. `events.txt` gives the bounds.

--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -11,6 +11,9 @@
 from guavapin_soak.caller import LONG_JOBS
 from guavapin_soak.caller import SHORT_JOBS
 from guavapin_soak.caller import Caller
+from guavapin_soak.cancel_checks import CANCEL_MS
+from guavapin_soak.cancel_checks import STOP_TIMEOUT_MS
+from guavapin_soak.cancel_checks import cancelling_violations
 from guavapin_soak.checks import EventKind
 from guavapin_soak.checks import JobShape
 from guavapin_soak.checks import violations
@@ -75,6 +78,7 @@
             )
             _inject(deployment, faults, length_ms)
             deployment.heal()
+            calm_ms = deployment.clock.now_ms()
             entries_fut.result()
             stop.set()
             for fut in futs:
@@ -83,15 +87,22 @@
                 executor.submit(c.finish, COMPLETION_TIMEOUT_S) for c in callers
             ]:
                 fut.result()
+        # The last cancellings are judged as well.
+        pause.wait((CANCEL_MS + STOP_TIMEOUT_MS) / 1_000)
+        end_ms = deployment.clock.now_ms()
         log = deployment.view().log
     finally:
         deployment.stop()
     caller_events = [row for caller in callers for row in caller.caller_events]
-    found = tuple(violations(caller_events, log, JOB_SHAPE))
+    found = (
+        *violations(caller_events, log, JOB_SHAPE),
+        *cancelling_violations(caller_events, log, calm_ms, end_ms),
+    )
     if found:
         events: list[CallerEvent | RunEvent] = [*caller_events, *log]
         lines = [str(row) for row in sorted(events, key=lambda row: row.at_ms)]
-        rows = [*map(str, faults + entries), *lines]
+        calm = f"only odd entries from {calm_ms} ms, all events until {end_ms} ms"
+        rows = [*map(str, faults + entries), calm, *lines]
         (folder / "events.txt").write_text("\n".join(rows))
     counts = {
         kind: sum(row.kind is kind for row in caller_events) for kind in EventKind
