Fail a run of the soak in which an entry process ends by itself

Cause: a process that ended by itself was no violation; faults and the end of the run started it again unnoticed.

Change: an entry process records its ends that no signal of the soak explains, also those before a restart, and each fails the run. A signal that arrives before its handler is installed explains an end as well.

--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -129,6 +129,10 @@
         view: PlatformView = self._ask(self._platform, QueryPlatform())
         return view
 
+    def own_ends(self) -> list[str]:
+        """Return a sentence for each process that has ended without a signal."""
+        return [text for entry in self.entries for text in entry.own_ends()]
+
     def stop(self) -> None:
         """Kill the processes that this deployment started, and stop the stand-ins."""
         for entry in self.entries:
--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Container
     from pathlib import Path
 
 
@@ -60,6 +61,17 @@
     )
 
 
+def is_own_end(code: int | None, signals: Container[signal.Signals]) -> bool:
+    """Whether a process ended with `code` for another reason than these signals.
+
+    A process that handles SIGTERM exits with 0. A signal that arrives before its
+    handler is installed ends the process as well.
+    """
+    if code is None or (code == 0 and signal.SIGTERM in signals):
+        return False
+    return code >= 0 or signal.Signals(-code) not in signals
+
+
 class EntryProcess:
     """Starts, signals and ends the process of one entry host by its process id."""
 
@@ -69,7 +81,8 @@
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
         self._settings.write_text(settings_text(name, ports))
-        self._is_stopping = False
+        self._signals: set[signal.Signals] = set()
+        self._own_ends: list[str] = []
         self.process = self._start()
 
     @property
@@ -80,7 +93,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process has not ended."""
         if self.is_running:
-            self._is_stopping |= number == signal.SIGTERM
+            self._signals.add(number)
             self.process.send_signal(number)
 
     def recover(self) -> None:
@@ -88,24 +101,32 @@
 
         A process that got SIGTERM serves until its grace ends; its end is awaited.
         """
-        if self._is_stopping and self.is_running:
+        is_stopping = signal.SIGTERM in self._signals
+        if is_stopping and self.is_running:
             with suppress(subprocess.TimeoutExpired):
                 self.process.wait(STOP_GRACE_S)
-        if self._is_stopping or not self.is_running:
+        if is_stopping or not self.is_running:
             self.restart()
 
     def restart(self) -> None:
         """Kill the process if it runs, and start it again."""
         self.end()
-        self._is_stopping = False
+        self._signals = set()
         self.process = self._start()
 
     def end(self) -> None:
         """Kill the process if it runs, and wait for its end."""
-        if self.is_running:
-            self.process.kill()
+        self._own_ends = self.own_ends()
+        self.signal(signal.SIGKILL)
         self.process.wait()
 
+    def own_ends(self) -> list[str]:
+        """Return a sentence for each end of the process without a signal."""
+        code = self.process.poll()
+        if not is_own_end(code, self._signals):
+            return self._own_ends
+        return [*self._own_ends, f"{self.name}: ended by itself with code {code}"]
+
     def _start(self) -> subprocess.Popen[bytes]:
         arguments = ["-m", "guavapin.daemons.resident"]
         arguments += ["--metrics-port", str(self.ports.metrics)]
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -91,12 +91,14 @@
         pause.wait((CANCEL_MS + STOP_TIMEOUT_MS) / 1_000)
         end_ms = deployment.clock.now_ms()
         log = deployment.view().log
+        own_ends = deployment.own_ends()
     finally:
         deployment.stop()
     caller_events = [row for caller in callers for row in caller.caller_events]
     found = (
         *violations(caller_events, log, JOB_SHAPE),
         *cancelling_violations(caller_events, log, calm_ms, end_ms),
+        *own_ends,
     )
     if found:
         events: list[CallerEvent | RunEvent] = [*caller_events, *log]
