Count the runs that a cancelling stops in a run of the soak

Cause: a run in which no long job was accepted would pass the checks of cancelled jobs without a run that they judge.

--- a/src/guavapin_soak/__main__.py
+++ b/src/guavapin_soak/__main__.py
@@ -45,7 +45,7 @@
     print(
         f"seed {result.seed}: {len(result.faults)} faults ({', '.join(kinds)}); "
         f"{result.accepted} accepted, {result.refused} refused, "
-        f"{result.unanswered} without an answer: "
+        f"{result.unanswered} without an answer, {result.stopped} runs stopped: "
         f"{'FAILED' if result.violations else 'ok'}",
         flush=True,
     )
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -47,13 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RunResult:
-    """Result of a run; `violations` is empty if every promise was kept."""
+    """Result of a run; `violations` is empty if every promise was kept.
+
+    `stopped` counts the runs at work that a cancelling stopped.
+    """
 
     seed: int
     faults: tuple[Fault, ...]
     accepted: int
     refused: int
     unanswered: int
+    stopped: int
     violations: tuple[str, ...]
 
 
@@ -115,6 +119,7 @@
         counts[EventKind.ACCEPTED],
         counts[EventKind.REFUSED],
         counts[EventKind.UNANSWERED],
+        sum(event.kind == "stopped" for event in log),
         found,
     )
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,8 @@
     # Guards against lost jobs, double runs and false answers under random faults.
     result = run_soak(FIXED_SEED, LENGTH_MS, 3, tmp_path)
     assert result.accepted > 0
+    # Otherwise the checks of cancelled jobs have judged nothing.
+    assert result.stopped > 0
     assert result.violations == ()
 
 
