Give the soak's processes ports that no connection takes

The soak drew its ports from the ephemeral range, closed them, and let a process listen on them later, or again after a fault, so that a connection could take one in between.

Change: the soak draws its ports as the demo does, below that range and none twice; the second implementation of `free_ports` is gone.

`tests/daemons/test_resident.py` passes.

--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -13,11 +13,11 @@
 from guavapin.kernel.outcome import InvariantError
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
+from guavapin_demo.ports import free_ports
 from guavapin_soak.caller import HOST
 from guavapin_soak.caller import PREFIX
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
-from guavapin_soak.entry_process import free_ports
 from guavapin_soak.odd_entries import ODD_ENTRIES
 from guavapin_soak.plan import FaultKind
 from guavapin_soak.proxy import LinkMode
--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -4,13 +4,14 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin_demo.ports import free_ports
+
 if TYPE_CHECKING:
     from collections.abc import Container
     from pathlib import Path
@@ -20,15 +21,6 @@
 STOP_GRACE_S = 6.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 @dataclass(frozen=True, slots=True)
 class EntryPorts:
     """Ports of an entry host's listeners, and the port of its link to the platform."""
--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -16,9 +16,9 @@
 from guavapin.kernel import SystemClock
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
+from guavapin_demo.ports import free_ports
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
-from guavapin_soak.entry_process import free_ports
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
 from guavapin_standins.resident_platform import ResidentPlatformTask
--- a/tests/soak/test_entry_process.py
+++ b/tests/soak/test_entry_process.py
@@ -17,6 +17,10 @@
     from pathlib import Path
 
 
+# First ephemeral port of Linux.
+SYSTEM_RANGE_BEGIN = 32_768
+
+
 @pytest.mark.parametrize(
     ("code", "signals"),
     [
@@ -67,3 +71,12 @@
     finally:
         entry.end()
     assert entry.own_ends() == ["e0: ended by itself with code 3"]
+
+
+def test_no_connection_takes_a_port_while_a_process_is_down() -> None:
+    # Guards against starts that fail with "Address already in use": an ephemeral port
+    # may be taken by a connection before its process starts or starts again.
+    ports = entry_ports(1)
+    listeners = (ports.front, ports.ready, ports.peer, ports.metrics)
+    assert len({*listeners}) == len(listeners)
+    assert max(listeners) < SYSTEM_RANGE_BEGIN
