Take the stop timeout of the soak's settings from its check

Cause: the bound of the check and the setting of the processes were two literals that could come to differ.

Change: `settings_text` writes the constant of the check.

--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin_demo.ports import free_ports
+from guavapin_soak.cancel_checks import STOP_TIMEOUT_MS
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -48,7 +49,8 @@
         f"platform.address=127.0.0.1:{ports.platform}\n"
         f"cloud.address=127.0.0.1:{ports.platform}\n"
         "platform.writes-per-s=400\nplatform.reads-per-s=2000\n"
-        "bounds.grace-s=6\nbounds.max-hold-ms=6000\nbounds.stop-timeout-ms=400\n"
+        "bounds.grace-s=6\nbounds.max-hold-ms=6000\n"
+        f"bounds.stop-timeout-ms={STOP_TIMEOUT_MS}\n"
         "bounds.status_s=120\nbounds.migrate-s=0.3\nbounds.maintenance-s=0.3\n"
     )
 
