--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -17,6 +17,7 @@
 from guavapin_soak.caller import PREFIX
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
+from guavapin_soak.odd_entries import ODD_ENTRIES
 from guavapin_soak.plan import FaultKind
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
@@ -26,6 +27,7 @@
 from guavapin_standins.ports import free_ports
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
+from guavapin_standins.resident_platform import RemoveItem
 from guavapin_standins.resident_platform import ResidentPlatformTask
 from guavapin_standins.resident_platform import SetAnswersLost
 from guavapin_standins.resident_platform import SetStoreDown
@@ -98,12 +100,18 @@
         ]
 
     def begin(self, fault: Fault) -> None:
-        """Inject a fault into all its targets."""
+        """Inject a fault into all its targets, or write its odd entry."""
+        if fault.entry:
+            entry_id, value = ODD_ENTRIES[fault.entry]
+            self._ask(self._platform, PutItem(f"servers/{entry_id}", value))
         for target in fault.targets:
             self._inject_fault(fault.kind, target)
 
     def end(self, fault: Fault) -> None:
-        """Undo a fault on all its targets."""
+        """Undo a fault on all its targets, or remove its odd entry."""
+        if fault.entry:
+            entry_id, _ = ODD_ENTRIES[fault.entry]
+            self._ask(self._platform, RemoveItem(f"servers/{entry_id}"))
         for target in fault.targets:
             self._undo_fault(fault.kind, target)
 
@@ -123,6 +131,10 @@
         view: PlatformView = self._ask(self._platform, QueryPlatform())
         return view
 
+    def own_ends(self) -> list[str]:
+        """Return a sentence for each process that has ended without a signal."""
+        return [text for entry in self.entries for text in entry.own_ends()]
+
     def stop(self) -> None:
         """Kill the processes that this deployment started, and stop the stand-ins."""
         for entry in self.entries:
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -8,11 +8,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin_soak.caller import LONG_JOBS
+from guavapin_soak.caller import SHORT_JOBS
 from guavapin_soak.caller import Caller
+from guavapin_soak.cancel_checks import CANCEL_MS
+from guavapin_soak.cancel_checks import STOP_TIMEOUT_MS
+from guavapin_soak.cancel_checks import cancelling_violations
 from guavapin_soak.checks import EventKind
 from guavapin_soak.checks import JobShape
 from guavapin_soak.checks import violations
 from guavapin_soak.deployment import Deployment
+from guavapin_soak.odd_entries import ODD_ENTRIES
+from guavapin_soak.plan import plan_entries
 from guavapin_soak.plan import plan_faults
 
 if TYPE_CHECKING:
@@ -23,7 +30,12 @@
     from guavapin_standins.resident_executor import RunEvent
 
 JOB_SHAPE = JobShape((2, 1))
-CALLER_COUNT = 4
+SHORT_JOB_CALLERS = 4
+PROFILES = (SHORT_JOBS,) * SHORT_JOB_CALLERS + (LONG_JOBS,)
+
+# Time after the other faults in which callers go on beside odd entries. The checks of
+# cancellings excuse what is near a fault, and faults leave no long gaps between them.
+CALM_MS = 9_000
 
 # Time in which the entry processes start, before callers and faults begin.
 STARTUP_S = 2.0
@@ -35,33 +47,43 @@
 
 @dataclass(frozen=True, slots=True)
 class RunResult:
-    """Result of a run; `violations` is empty if every promise was kept."""
+    """Result of a run; `violations` is empty if every promise was kept.
+
+    `stopped` counts the runs at work that a cancelling stopped.
+    """
 
     seed: int
     faults: tuple[Fault, ...]
     accepted: int
     refused: int
     unanswered: int
+    stopped: int
     violations: tuple[str, ...]
 
 
 def run_soak(seed: int, length_ms: int, hosts: int, folder: Path) -> RunResult:
     """Run one seed; write process logs, and events on failure, to `folder`."""
     faults = plan_faults(seed, length_ms, hosts)
+    entries = plan_entries(seed, length_ms + CALM_MS, tuple(ODD_ENTRIES))
     deployment = Deployment(folder, hosts)
     try:
         pause = threading.Event()
         pause.wait(STARTUP_S)
         ports = [entry.ports.front for entry in deployment.entries]
         callers = [
-            Caller(number, seed, ports, JOB_SHAPE, deployment.clock.now_ms)
-            for number in range(CALLER_COUNT)
+            Caller(number, seed, ports, JOB_SHAPE, deployment.clock.now_ms, profile)
+            for number, profile in enumerate(PROFILES)
         ]
         stop = threading.Event()
-        with ThreadPoolExecutor(CALLER_COUNT) as executor:
+        with ThreadPoolExecutor(len(callers) + 1) as executor:
             futs = [executor.submit(caller.run, stop) for caller in callers]
+            entries_fut = executor.submit(
+                _inject, deployment, entries, length_ms + CALM_MS
+            )
             _inject(deployment, faults, length_ms)
             deployment.heal()
+            calm_ms = deployment.clock.now_ms()
+            entries_fut.result()
             stop.set()
             for fut in futs:
                 fut.result()
@@ -69,24 +91,35 @@
                 executor.submit(c.finish, COMPLETION_TIMEOUT_S) for c in callers
             ]:
                 fut.result()
+        # The last cancellings are judged as well.
+        pause.wait((CANCEL_MS + STOP_TIMEOUT_MS) / 1_000)
+        end_ms = deployment.clock.now_ms()
         log = deployment.view().log
+        own_ends = deployment.own_ends()
     finally:
         deployment.stop()
     caller_events = [row for caller in callers for row in caller.caller_events]
-    found = tuple(violations(caller_events, log, JOB_SHAPE))
+    found = (
+        *violations(caller_events, log, JOB_SHAPE),
+        *cancelling_violations(caller_events, log, calm_ms, end_ms),
+        *own_ends,
+    )
     if found:
         events: list[CallerEvent | RunEvent] = [*caller_events, *log]
         lines = [str(row) for row in sorted(events, key=lambda row: row.at_ms)]
-        (folder / "events.txt").write_text("\n".join([*map(str, faults), *lines]))
+        calm = f"only odd entries from {calm_ms} ms, all events until {end_ms} ms"
+        rows = [*map(str, faults + entries), calm, *lines]
+        (folder / "events.txt").write_text("\n".join(rows))
     counts = {
         kind: sum(row.kind is kind for row in caller_events) for kind in EventKind
     }
     return RunResult(
         seed,
-        faults,
+        faults + entries,
         counts[EventKind.ACCEPTED],
         counts[EventKind.REFUSED],
         counts[EventKind.UNANSWERED],
+        sum(event.kind == "stopped" for event in log),
         found,
     )
 
