Authenticate callers by the key of their organisation

Change: core types of organisations (Organisation, Access, CallerLimits, AdmissionRule, KeyTerms), their decoding from the configuration, and one path from end to end: the entry host reads the key, attributes the call, and answers 401; the job carries its organisation, and a call of another organisation gets 403 from the scheduler and from the store alike. Tables without organisations need no keys. Measured: tests of platform, intake, scheduling, loads, hostile and the resident processes pass.

--- a/src/guavapin/intake/fallback.py
+++ b/src/guavapin/intake/fallback.py
@@ -13,9 +13,11 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
+from guavapin.jobs.access import may_access
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import CountWaiting
+from guavapin.jobs.calls import Forbidden
 from guavapin.jobs.calls import NoSuchJob
 from guavapin.jobs.calls import QueryJob
 from guavapin.jobs.calls import Rejected
@@ -29,6 +31,7 @@
 from guavapin.scheduling.record import JOBS_PREFIX
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import SUBMITTED_SUFFIX
+from guavapin.scheduling.record import decode_job
 from guavapin.scheduling.record import decode_progress
 from guavapin.scheduling.record import encode_job
 
@@ -165,12 +168,19 @@
 def _advance_found(
     fallback: Fallback, found: kv.Found, sender: str, request_id: int
 ) -> Transition:
-    if isinstance(fallback.call, CancelJob):
-        next_state = replace(fallback, step=FallbackStep.WRITE)
-        return next_state, build_request(next_state, sender, request_id)
+    call = fallback.call
+    assert isinstance(call, QueryJob | CancelJob)
     if fallback.step is FallbackStep.READ_JOB:
+        job = decode_job(found.value)
+        if job is not None and not may_access(call.access, job.organisation, job.queue):
+            return fallback, Forbidden()
+        if isinstance(call, CancelJob):
+            next_state = replace(fallback, step=FallbackStep.WRITE)
+            return next_state, build_request(next_state, sender, request_id)
         return fallback, StateIs(JobState.QUEUED)
     progress = decode_progress(found.value)
     if progress is None:
         return fallback, Rejected("the job's progress cannot be read")
+    if not may_access(call.access, progress.organisation, progress.queue):
+        return fallback, Forbidden()
     return fallback, StateIs(progress.state)
--- a/src/guavapin/intake/peer_codec.py
+++ b/src/guavapin/intake/peer_codec.py
@@ -7,9 +7,11 @@
 import msgspec
 
 from guavapin.http.messages import PeerCall
+from guavapin.jobs.access import Access
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import CountWaiting
+from guavapin.jobs.calls import Forbidden
 from guavapin.jobs.calls import JobAnswer
 from guavapin.jobs.calls import JobCall
 from guavapin.jobs.calls import NoSuchJob
@@ -39,6 +41,7 @@
     kind: str
     name: str = ""
     job: Job | None = None
+    access: Access = Access()
 
 
 class _Answer(msgspec.Struct, omit_defaults=True):
@@ -82,10 +85,10 @@
     match call:
         case SubmitJob(job=job):
             return msgspec.json.encode(_Call("submit", job=job))
-        case QueryJob(job_id=job_id):
-            return msgspec.json.encode(_Call("query", job_id))
-        case CancelJob(job_id=job_id):
-            return msgspec.json.encode(_Call("cancel", job_id))
+        case QueryJob(job_id=job_id, access=access):
+            return msgspec.json.encode(_Call("query", job_id, access=access))
+        case CancelJob(job_id=job_id, access=access):
+            return msgspec.json.encode(_Call("cancel", job_id, access=access))
         case CountWaiting(queue=queue):
             return msgspec.json.encode(_Call("count", queue))
 
@@ -101,9 +104,9 @@
                 return None
             return SubmitJob(call.job)
         case "query":
-            return QueryJob(call.name)
+            return QueryJob(call.name, call.access)
         case "cancel":
-            return CancelJob(call.name)
+            return CancelJob(call.name, call.access)
         case "count":
             return CountWaiting(call.name)
     return None
@@ -123,6 +126,8 @@
             return msgspec.json.encode(rejection)
         case NoSuchJob():
             return msgspec.json.encode(_Answer("no_job"))
+        case Forbidden():
+            return msgspec.json.encode(_Answer("forbidden"))
     return msgspec.json.encode(_Answer("accepted"))
 
 
@@ -136,6 +141,8 @@
             return Accepted()
         case "no_job":
             return NoSuchJob()
+        case "forbidden":
+            return Forbidden()
         case "waiting":
             return WaitingIs(answer.count)
         case "rejected":
--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -12,6 +12,8 @@
 from guavapin.http.messages import PeerCall
 from guavapin.http.messages import PeerReply
 from guavapin.intake import fallback as store_fallback
+from guavapin.intake.authentication import Authenticated
+from guavapin.intake.authentication import authenticate
 from guavapin.intake.peer_calls import NOT_FOUND
 from guavapin.intake.peer_calls import NOT_SCHEDULING
 from guavapin.intake.peer_codec import PEER_PATH
@@ -77,10 +79,28 @@
         """Return the name of the header with a caller's deadline in milliseconds."""
         ...
 
+    @property
+    def key_header(self) -> bytes:
+        """Return the name of the header with a caller's key."""
+        ...
+
+    def read_key(self, value: str) -> str:
+        """Return the key in the value of that header, "" if there is none."""
+        ...
+
     def decode(
-        self, queue: Queue, method: str, path: str, body: bytes, wall_ms: int
+        self,
+        queue: Queue,
+        method: str,
+        path: str,
+        body: bytes,
+        wall_ms: int,
+        organisation: str,
     ) -> JobCall | BadCall:
-        """Return the call to `queue` in a request that arrived at `wall_ms`."""
+        """Return the call to `queue` in a request that arrived at `wall_ms`.
+
+        `organisation` is that of the caller's key, "" for a call without one.
+        """
         ...
 
     def encode(self, answer: JobAnswer) -> tuple[int, Headers, bytes]:
@@ -127,9 +147,14 @@
     name = "intake"
 
     def __init__(
-        self, codec: JobCallCodec, holder: str, observer: CallObserver
+        self,
+        codec: JobCallCodec,
+        holder: str,
+        observer: CallObserver,
+        requires_keys: bool = False,
     ) -> None:
         super().__init__("front")
+        self._requires_keys = requires_keys
         self._codec = codec
         self._holder = holder
         self._observer = observer
@@ -192,8 +217,17 @@
             log.info("no such queue", extra=extra)
             self._finish(req.request_id, NoSuchQueue())
             return
+        key = self._codec.read_key(req.header(self._codec.key_header))
+        caller = authenticate(self._table, queue, key, self._requires_keys)
+        if not isinstance(caller, Authenticated):
+            extra = {"queue": queue.name, "detail": caller.detail}
+            log.info("call not authenticated", extra=extra)
+            self._finish(req.request_id, caller)
+            return
         wall_ms = self._context.clock.wall_ms()
-        call = self._codec.decode(queue, req.method, path, req.body, wall_ms)
+        call = self._codec.decode(
+            queue, req.method, path, req.body, wall_ms, caller.organisation
+        )
         if isinstance(call, BadCall):
             log.info("bad call", extra={"queue": queue.name, "detail": call.detail})
             self._finish(req.request_id, call)
--- a/src/guavapin/jobs/calls.py
+++ b/src/guavapin/jobs/calls.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 from typing import TypeAlias
 
+from guavapin.jobs.access import ANONYMOUS
+from guavapin.jobs.access import Access
+
 if TYPE_CHECKING:
     from guavapin.jobs.model import Job
     from guavapin.jobs.model import JobState
@@ -23,6 +26,7 @@
     """Call for the state of a job."""
 
     job_id: str
+    access: Access = ANONYMOUS
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +34,7 @@
     """Call to cancel a job durably."""
 
     job_id: str
+    access: Access = ANONYMOUS
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +76,21 @@
     """Answer: no queue has this host name and path prefix."""
 
 
+@dataclass(frozen=True, slots=True)
+class Unauthorized:
+    """Answer: the call has no key, or one that no configuration in force holds.
+
+    The call has had no effect.
+    """
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Forbidden:
+    """Answer: the job belongs to another organisation; the call has had no effect."""
+
+
 @dataclass(frozen=True, slots=True)
 class BadCall:
     """Answer: the call is malformed and has had no effect."""
@@ -102,6 +122,8 @@
     | WaitingIs
     | NoSuchJob
     | NoSuchQueue
+    | Unauthorized
+    | Forbidden
     | BadCall
     | Rejected
     | Undecided
--- a/src/guavapin/jobs/model.py
+++ b/src/guavapin/jobs/model.py
@@ -107,7 +107,9 @@
     `queue`, `service` and `terms` are those in force at the submission. A job with
     `repeats` above 0 runs that many times: occurrence K may start at `first_due_ms` +
     K x `interval_ms` since the Unix epoch. `accepted_ms` is the wall clock of the host
-    that accepted the job.
+    that accepted the job. `organisation` is that of the key with which the job was
+    submitted, "" without a key. A job that `is_excess` is beyond the rate of its
+    organisation's share.
     """
 
     job_id: str
@@ -120,6 +122,8 @@
     interval_ms: int = 0
     accepted_ms: int = 0
     terms: QueueTerms = UNRECORDED_TERMS
+    organisation: str = ""
+    is_excess: bool = False
 
     @property
     def occurrences(self) -> int:
--- a/src/guavapin/jobs/queues.py
+++ b/src/guavapin/jobs/queues.py
@@ -4,16 +4,23 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 
+from guavapin.jobs.caller_limits import NO_CALLER_LIMITS
+from guavapin.jobs.caller_limits import CallerLimits
 from guavapin.jobs.terms import AdviceTerms
 from guavapin.jobs.terms import QueueTerms
 
+if TYPE_CHECKING:
+    from guavapin.jobs.organisations import Organisation
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
     """Queue of jobs, which callers address by host name and path prefix.
 
-    `terms` has the fields of the same names.
+    `terms` has the fields of the same names. Calls on a queue that `is_public` need no
+    key.
     """
 
     name: str
@@ -25,6 +32,7 @@
     stretch: float = 1.0
     latency_objective_ms: int = 0
     advice: AdviceTerms | None = None
+    is_public: bool = False
     terms: QueueTerms = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -54,14 +62,21 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueTable:
-    """All queues and pools of one version; a newer table has a higher version."""
+    """Queues, pools and organisations of one version.
+
+    A newer table has a higher version. `limits` are those of callers' requests.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    limits: CallerLimits = NO_CALLER_LIMITS
     _by_host: dict[str, tuple[Queue, ...]] = field(init=False, repr=False)
     _by_key: dict[str, Queue] = field(init=False, repr=False)
     _pools_by_name: dict[str, Pool] = field(init=False, repr=False)
+    _organisations_by_name: dict[str, Organisation] = field(init=False, repr=False)
+    _owners: dict[bytes, str] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
         by_host: dict[str, tuple[Queue, ...]] = {}
@@ -71,6 +86,12 @@
         object.__setattr__(self, "_by_key", {queue.key: queue for queue in self.queues})
         pools = {pool.name: pool for pool in self.pools}
         object.__setattr__(self, "_pools_by_name", pools)
+        organisations = {row.name: row for row in self.organisations}
+        object.__setattr__(self, "_organisations_by_name", organisations)
+        owners = {
+            digest: row.name for row in self.organisations for digest in row.key_digests
+        }
+        object.__setattr__(self, "_owners", owners)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix that `path` begins with."""
@@ -87,6 +108,14 @@
         """Return the pool with a name, or None if there is none."""
         return self._pools_by_name.get(name)
 
+    def organisation(self, name: str) -> Organisation | None:
+        """Return the organisation with a name, or None if there is none."""
+        return self._organisations_by_name.get(name)
+
+    def owner_of(self, digest: bytes) -> str:
+        """Return the organisation of the key with a digest, "" if there is none."""
+        return self._owners.get(digest, "")
+
     @property
     def standby_pool(self) -> str:
         """Return the name of the pool whose machines are off, "" if there is none."""
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -6,10 +6,12 @@
 
 import msgspec
 
+from guavapin.jobs.access import Access
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import BadCall
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import CountWaiting
+from guavapin.jobs.calls import Forbidden
 from guavapin.jobs.calls import JobAnswer
 from guavapin.jobs.calls import JobCall
 from guavapin.jobs.calls import NoSuchJob
@@ -18,6 +20,7 @@
 from guavapin.jobs.calls import Rejected
 from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import SubmitJob
+from guavapin.jobs.calls import Unauthorized
 from guavapin.jobs.calls import Undecided
 from guavapin.jobs.calls import WaitingIs
 from guavapin.jobs.limits import find_fault
@@ -35,6 +38,8 @@
 JOB_ID_LENGTH = 16
 MAX_SPEC_BYTES = 4_000
 DEADLINE_HEADER = b"x-deadline-ms"
+KEY_HEADER = b"authorization"
+KEY_SCHEME = "token"
 
 
 class _Step(msgspec.Struct, rename="kebab", frozen=True):
@@ -68,22 +73,40 @@
     interval_ms: WireNumber = 0
 
 
+def read_key(authorization: str) -> str:
+    """Return the key of an authorization header, "" if there is none.
+
+    For example, the key of ``Token k1`` is ``k1``.
+    """
+    scheme, _, key = authorization.partition(" ")
+    return key.strip() if scheme.lower() == KEY_SCHEME else ""
+
+
 def decode_call(
-    queue: Queue, method: str, path: str, body: bytes, wall_ms: int
+    queue: Queue,
+    method: str,
+    path: str,
+    body: bytes,
+    wall_ms: int,
+    organisation: str = "",
 ) -> JobCall | BadCall:
-    """Return the call to `queue`; `wall_ms` is the time at which a job is accepted."""
+    """Return the call to `queue`; `wall_ms` is the time at which a job is accepted.
+
+    `organisation` is that of the caller's key, "" for a call without a key.
+    """
     job_id = path.removeprefix(queue.prefix).partition("?")[0]
     if not job_id and method == "GET":
         return CountWaiting(queue.key)
     if len(job_id) != JOB_ID_LENGTH or not set(job_id) <= set("0123456789abcdefABCDEF"):
         return BadCall(f"job id {job_id[:40]!r}: expected 16 hexadecimal digits")
+    access = Access(organisation, queue.key, queue.is_public)
     match method:
         case "GET":
-            return QueryJob(job_id)
+            return QueryJob(job_id, access)
         case "DELETE":
-            return CancelJob(job_id)
+            return CancelJob(job_id, access)
         case "POST":
-            return _decode_submission(queue, job_id, body, wall_ms)
+            return _decode_submission(queue, organisation, job_id, body, wall_ms)
     return BadCall(f"method {method}: expected GET, POST or DELETE")
 
 
@@ -103,6 +126,12 @@
             return 410, json, b"{}"
         case NoSuchQueue():
             return 404, json, b"{}"
+        case Unauthorized(detail=detail):
+            challenge = (b"www-authenticate", b"Token")
+            return 401, (*json, challenge), encode_body({"error": detail})
+        case Forbidden():
+            detail = "the job belongs to another organisation"
+            return 403, json, encode_body({"error": detail})
         case BadCall(detail=detail):
             return 400, json, encode_body({"error": detail})
         case Rejected(detail=detail, retry_after_ms=retry_after_ms):
@@ -114,7 +143,7 @@
 
 
 def _decode_submission(
-    queue: Queue, job_id: str, body: bytes, wall_ms: int
+    queue: Queue, organisation: str, job_id: str, body: bytes, wall_ms: int
 ) -> JobCall | BadCall:
     submitted = decode_body(body, _Job)
     if submitted is None:
@@ -134,6 +163,7 @@
         interval_ms=int(submitted.interval_ms),
         accepted_ms=wall_ms,
         terms=queue.terms,
+        organisation=organisation,
     )
     fault = find_fault(job)
     return BadCall(f"job: {fault}") if fault else SubmitJob(job)
--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -7,8 +7,11 @@
 from guavapin.executors.model import Registration
 from guavapin.http.address import is_address
 from guavapin.http.address import is_header_value
+from guavapin.jobs.caller_limits import CallerLimits
 from guavapin.jobs.limits import MAX_NUMBER
 from guavapin.jobs.model import Resources
+from guavapin.jobs.organisations import Organisation
+from guavapin.jobs.organisations import key_digest
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
@@ -43,6 +46,7 @@
     # `stretch` times the job's work.
     latency_slo_ms: float = 0
     hint: _Hint | None = None
+    public: bool = False
 
 
 class _Service(msgspec.Struct, rename="kebab", frozen=True):
@@ -52,10 +56,32 @@
     standby: bool = False
 
 
+class _Cap(msgspec.Struct, rename="kebab", frozen=True):
+    cpu: float = 0
+    mem_mb: float = 0
+    gpus: float = 0
+
+
+class _Tenant(msgspec.Struct, rename="kebab", frozen=True):
+    name: str
+    api_keys: list[str] = []
+    weight: float = 0
+    cap: _Cap = _Cap()
+
+
+class _Limits(msgspec.Struct, rename="kebab", frozen=True):
+    max_header_bytes: float = 0
+    max_body_bytes: float = 0
+    header_timeout_ms: float = 0
+    idle_timeout_ms: float = 0
+
+
 class _Manifest(msgspec.Struct, rename="kebab", frozen=True):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
 
 
 class Capacity(msgspec.Struct, rename="kebab", frozen=True):
@@ -101,6 +127,8 @@
             Pool(service.name, service.rejects_overload, service.standby)
             for service in manifest.services
         ),
+        tuple(_decode_organisation(tenant) for tenant in manifest.tenants),
+        _decode_limits(manifest.limits),
     )
 
 
@@ -172,6 +200,26 @@
         stretch=_bounded(route.stretch),
         latency_objective_ms=int(_bounded(route.latency_slo_ms)),
         advice=advice,
+        is_public=route.public,
+    )
+
+
+def _decode_organisation(tenant: _Tenant) -> Organisation:
+    cap = tenant.cap
+    return Organisation(
+        tenant.name,
+        _bounded(tenant.weight),
+        Resources(*(int(_bounded(n)) for n in (cap.cpu, cap.mem_mb, cap.gpus))),
+        frozenset(key_digest(key) for key in tenant.api_keys),
+    )
+
+
+def _decode_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        int(_bounded(limits.max_header_bytes)),
+        int(_bounded(limits.max_body_bytes)),
+        int(_bounded(limits.header_timeout_ms)),
+        int(_bounded(limits.idle_timeout_ms)),
     )
 
 
--- a/src/guavapin/platform/settings.py
+++ b/src/guavapin/platform/settings.py
@@ -10,6 +10,7 @@
 from guavapin.kernel.outcome import Outcome
 from guavapin.kernel.outcome import Reason
 from guavapin.kernel.outcome import Refused
+from guavapin.settings.resident import KeyTerms
 from guavapin.settings.resident import ResidentSettings
 from guavapin.settings.resident import Times
 
@@ -47,6 +48,13 @@
             return "", 0
         return host, number
 
+    def flag(self, name: str) -> bool:
+        """Return a flag, False if it is missing."""
+        text = self.values.get(name, "false").lower()
+        if text not in ("true", "false"):
+            self.faults.append(f"{name}: is {text!r}, expected true or false")
+        return text == "true"
+
     def ports(self, name: str) -> tuple[int, int]:
         first, _, last = self.text(name).partition(",")
         first_port, last_port = parse_decimal(first), parse_decimal(last)
@@ -102,6 +110,14 @@
         * fields.number("limits.cores", 1_000, 1)
         / 1_000_000,
         link_mbps=fields.number("limits.link-mbps", default=0),
+        memory_mb=fields.number("limits.memory-mb", default=0),
+        max_fds=fields.number("limits.max-fds", default=0),
+        requires_keys="tenants" in fields.text("contracts", "").split(","),
+        key_terms=KeyTerms(
+            fields.flag("bounds.strict-revoke"),
+            fields.number("bounds.revoke-ms", default=5_000),
+        ),
+        quota_window_ms=fields.number("bounds.quota-window-s", seconds, default=5),
     )
     if fields.faults:
         return Refused(Reason.BAD_INPUT, "\n".join(fields.faults))
--- a/src/guavapin/platform/wire_codecs.py
+++ b/src/guavapin/platform/wire_codecs.py
@@ -63,12 +63,23 @@
     """Translates callers' requests and the answers to them; never raises."""
 
     deadline_header = job_calls.DEADLINE_HEADER
+    key_header = job_calls.KEY_HEADER
+
+    def read_key(self, value: str) -> str:
+        """Return the key in the value of the key's header, "" if there is none."""
+        return job_calls.read_key(value)
 
     def decode(
-        self, queue: Queue, method: str, path: str, body: bytes, wall_ms: int
+        self,
+        queue: Queue,
+        method: str,
+        path: str,
+        body: bytes,
+        wall_ms: int,
+        organisation: str,
     ) -> JobCall | BadCall:
         """Return the call to `queue` in a request that arrived at `wall_ms`."""
-        return job_calls.decode_call(queue, method, path, body, wall_ms)
+        return job_calls.decode_call(queue, method, path, body, wall_ms, organisation)
 
     def encode(self, answer: JobAnswer) -> tuple[int, Headers, bytes]:
         """Return HTTP status, headers and body of an answer."""
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -118,7 +118,9 @@
         MachinesTask(machine_codec, wave_codec, cfg.times, cfg.node, DUTY_KEY)
     )
     kernel.register(SchedulerTask(registry_codec, cfg.times, DUTY, DUTY_KEY))
-    kernel.register(IntakeTask(PlatformJobCallCodec(), holder, metrics))
+    kernel.register(
+        IntakeTask(PlatformJobCallCodec(), holder, metrics, cfg.requires_keys)
+    )
     kernel.register(PeerCallsTask())
     kernel.register(OpsPagesTask("ready_desk", "ready_front", {}))
     pages = {METRICS_PATH: metrics.render}
--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -279,7 +279,11 @@
                 stored = step_run.progress()
                 if stored != _NO_PROGRESS:
                     steps.append((key, stored))
-        return Progress(self.state, tuple(steps), self.ended_wall_ms)
+        job = self.job
+        queue = job.queue if job.organisation else ""
+        return Progress(
+            self.state, tuple(steps), self.ended_wall_ms, job.organisation, queue
+        )
 
 
 def _remaining_ms(job: Job) -> tuple[int, ...]:
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from guavapin.jobs.access import Access
+from guavapin.jobs.access import may_access
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import CancelJob
 from guavapin.jobs.calls import CountWaiting
+from guavapin.jobs.calls import Forbidden
 from guavapin.jobs.calls import QueryJob
 from guavapin.jobs.calls import Rejected
 from guavapin.jobs.calls import StateIs
@@ -36,6 +39,7 @@
 
     from guavapin.jobs.calls import JobAnswer
     from guavapin.jobs.model import Job
+    from guavapin.scheduling.admission_rule import AdmissionRule
     from guavapin.scheduling.record import Progress
     from guavapin.scheduling.term import Term
 
@@ -75,6 +79,8 @@
 
     state: JobState
     ended_wall_ms: int
+    organisation: str = ""
+    queue: str = ""
 
 
 class JobListener(Protocol):
@@ -92,12 +98,15 @@
 class JobTable:
     """All jobs of a term by id; ended ones stay as long as callers may query them."""
 
-    def __init__(self, term: Term, listener: JobListener) -> None:
+    def __init__(
+        self, term: Term, listener: JobListener, rules: tuple[AdmissionRule, ...] = ()
+    ) -> None:
         self.by_id: dict[str, JobRun] = {}
         self._ended: dict[str, EndedJob] = {}
         self._term = term
         self._listener = listener
         self._admission = Admission()
+        self._rules: tuple[AdmissionRule, ...] = (self._admission, *rules)
         self._submissions: dict[str, list[JobRequest]] = {}
         self._cancellations: dict[str, list[JobRequest]] = {}
         # Jobs that another process has stored and that are being read from the store.
@@ -112,7 +121,9 @@
         """Load the stored jobs; of an ended job, only the final state is kept."""
         for job_id, stored in progress.items():
             if stored.state.is_final:
-                self._ended[job_id] = EndedJob(stored.state, stored.ended_ms)
+                self._ended[job_id] = EndedJob(
+                    stored.state, stored.ended_ms, stored.organisation, stored.queue
+                )
         for job in jobs:
             if job.job_id in self._ended:
                 self._store(Entry(f"{JOBS_PREFIX}{job.job_id}", None))
@@ -133,10 +144,15 @@
         match req.call:
             case SubmitJob(job=job):
                 self._submit(req, job)
-            case QueryJob(job_id=job_id):
-                self._answer(req, self._state(job_id))
-            case CancelJob(job_id=job_id):
-                self._cancel(req, job_id)
+            case QueryJob(job_id=job_id, access=access):
+                answer = self._state(job_id)
+                is_allowed = self._is_allowed(access, job_id)
+                self._answer(req, answer if is_allowed else Forbidden())
+            case CancelJob(job_id=job_id, access=access):
+                if self._is_allowed(access, job_id):
+                    self._cancel(req, job_id)
+                else:
+                    self._answer(req, Forbidden())
             case CountWaiting(queue=queue):
                 self._answer(req, WaitingIs(self._count_waiting(queue)))
 
@@ -287,13 +303,17 @@
 
     def _submit(self, req: JobRequest, job: Job) -> None:
         if job.job_id in self.by_id or job.job_id in self._ended:
-            self._answer(req, Accepted())
+            access = Access(job.organisation, job.queue)
+            is_allowed = self._is_allowed(access, job.job_id)
+            self._answer(req, Accepted() if is_allowed else Forbidden())
         elif job.job_id in self._submissions:
             self._submissions[job.job_id].append(req)
-        elif rejection := self._admission.rejection(job, self._term.now_ms):
+        elif rejection := self._rejection(job):
             extra = {
                 "job": job.job_id,
                 "queue": job.queue,
+                "organisation": job.organisation,
+                "detail": rejection.detail,
                 "open": self._admission.open_in_queue(job.queue),
                 "retry_after_ms": rejection.retry_after_ms,
             }
@@ -306,6 +326,14 @@
             entry = Entry(key, encode_job(job), (JobStored(job),), is_create=True)
             self._store(entry, is_urgent=True)
 
+    def _rejection(self, job: Job) -> Rejected | None:
+        """Return the rejection of the first rule that does not accept a job."""
+        for rule in self._rules:
+            rejection = rule.rejection(job, self._term.now_ms)
+            if rejection is not None:
+                return rejection
+        return None
+
     def _reject_refused(self, job_id: str, may_be_stored: bool) -> None:
         self._admission.remove(job_id, self._term.now_ms)
         for req in self._submissions.pop(job_id, []):
@@ -361,6 +389,14 @@
             return Rejected("the job is being stored")
         return None
 
+    def _is_allowed(self, access: Access, job_id: str) -> bool:
+        """Return whether a call may access a job, True for one that is not known."""
+        job_run = self.by_id.get(job_id)
+        if job_run is not None:
+            return may_access(access, job_run.job.organisation, job_run.job.queue)
+        ended = self._ended.get(job_id)
+        return ended is None or may_access(access, ended.organisation, ended.queue)
+
     def _count_waiting(self, queue: str) -> int:
         return sum(
             job_run.job.queue == queue and job_run.state is JobState.QUEUED
--- a/src/guavapin/scheduling/record.py
+++ b/src/guavapin/scheduling/record.py
@@ -43,12 +43,16 @@
 class Progress:
     """Progress of a job; `steps` is keyed by (occurrence, step).
 
-    `ended_ms` is wall time, 0 while the job is open.
+    `ended_ms` is wall time, 0 while the job is open. `organisation` and `queue` are
+    those of a job with an organisation, since only the progress is kept of a job that
+    has ended.
     """
 
     state: JobState
     steps: tuple[tuple[tuple[int, int], StepProgress], ...] = ()
     ended_ms: int = 0
+    organisation: str = ""
+    queue: str = ""
 
 
 class _Step(msgspec.Struct, omit_defaults=True):
@@ -63,6 +67,8 @@
     state: str
     steps: list[_Step] = []
     ended_ms: int = 0
+    organisation: str = ""
+    queue: str = ""
 
 
 def encode_job(job: Job) -> bytes:
@@ -96,7 +102,13 @@
         for (occurrence, step), state in progress.steps
     ]
     return msgspec.json.encode(
-        _Progress(progress.state.value, steps, progress.ended_ms)
+        _Progress(
+            progress.state.value,
+            steps,
+            progress.ended_ms,
+            progress.organisation,
+            progress.queue,
+        )
     )
 
 
@@ -113,6 +125,12 @@
             )
             for row in stored.steps
         )
-        return Progress(JobState(stored.state), steps, stored.ended_ms)
+        return Progress(
+            JobState(stored.state),
+            steps,
+            stored.ended_ms,
+            stored.organisation,
+            stored.queue,
+        )
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -38,7 +38,9 @@
     be stopped. `is_listed` is set once a report of the host has listed the run, which
     proves that this incarnation of the executor has it. `is_filler` is set for a run
     that works on what other runs leave. `is_need_known` is unset for an adopted run
-    whose job is not known, so that `reserved` says nothing about its resources.
+    whose job is not known, so that `reserved` says nothing about its resources. `need`
+    has all resources of the subtask, also the processor time that a filler does not
+    reserve; they count for `organisation`, "" for none.
     """
 
     __slots__ = (
@@ -54,7 +56,9 @@
         "is_wanted",
         "load",
         "moved_ms",
+        "need",
         "ordered_ms",
+        "organisation",
         "pace",
         "paced_ms",
         "percent",
@@ -73,11 +77,15 @@
         reserved: Resources,
         phase: RunPhase,
         now_ms: int,
+        organisation: str = "",
+        need: Resources | None = None,
     ) -> None:
         self.subtask = subtask
         self.attempt = attempt
         self.executor_id = executor_id
         self.reserved = reserved
+        self.need = reserved if need is None else need
+        self.organisation = organisation
         self.phase = phase
         self.ordered_ms = now_ms
         self.started_ms = now_ms
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -214,7 +214,10 @@
         self, host: Host, subtask: Subtask, attempt: int, step_run: StepRun | None
     ) -> Run:
         """Return a run that an earlier scheduler started on a host."""
-        reserved = step_run.step.reserved if step_run is not None else _NO_RESOURCES
+        reserved, need, organisation = _NO_RESOURCES, _NO_RESOURCES, ""
+        if step_run is not None:
+            reserved, need = step_run.step.reserved, step_run.step.need
+            organisation = step_run.job_run.job.organisation
         run = Run(
             subtask,
             attempt,
@@ -222,6 +225,8 @@
             reserved,
             RunPhase.RUNNING,
             self.term.now_ms,
+            organisation,
+            need,
         )
         run.is_need_known = step_run is not None
         run.is_long_running = step_run is not None and step_run.step.is_long_running
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -90,6 +90,8 @@
             step_run.step.reserved,
             RunPhase.STARTING,
             self._term.now_ms,
+            step_run.job_run.job.organisation,
+            step_run.step.need,
         )
         run.is_long_running = step_run.step.is_long_running
         run.is_filler = step_run.step.is_filler
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -14,12 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
-    """From `front`: the head of a request; `body_follows` announces `RequestBody`."""
+    """From `front`: the head of a request; `body_follows` announces `RequestBody`.
+
+    Headers may hold secrets, so that they are left out of the representation.
+    """
 
     request_id: int
     method: str
     target: str
-    headers: Headers
+    headers: Headers = field(repr=False)
     received_ms: int
     body_follows: bool
 
--- a/src/guavapin/serving/request_handler.py
+++ b/src/guavapin/serving/request_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from guavapin.serving.messages import AnswerBody
@@ -23,13 +24,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WholeRequest:
-    """A request together with its complete body."""
+    """A request together with its complete body.
+
+    Headers may hold secrets, so that they are left out of the representation.
+    """
 
     request_id: int
     method: str
     target: str
-    headers: Headers
-    body: bytes
+    headers: Headers = field(repr=False)
+    body: bytes = field(repr=False)
     received_ms: int
 
     def header(self, name: bytes) -> str:
--- a/src/guavapin/settings/resident.py
+++ b/src/guavapin/settings/resident.py
@@ -33,13 +33,28 @@
     gang_timeout_ms: int = 3_000
 
 
+@dataclass(frozen=True, slots=True)
+class KeyTerms:
+    """How soon a key that was removed from the configuration is refused.
+
+    With `is_strict`, every entry host refuses it `revoke_ms` after the change was
+    stored, also one that does not reach the store.
+    """
+
+    is_strict: bool = False
+    revoke_ms: int = 5_000
+
+
 @dataclass(frozen=True, slots=True)
 class ResidentSettings:
     """Addresses and limits of one entry host.
 
     `store`, `machines` and `advice` are ``host:port`` of the platform's services, or
     "" if the deployment has none. `cores` and `link_mbps` are the limits of the host,
-    or 0 if they are unknown.
+    or 0 if they are unknown, like `memory_mb` and `max_fds`, the limits of this process
+    in megabytes and file descriptors. With `requires_keys`, calls need a key even while
+    the table holds no organisation. `quota_window_ms` is the time over which the jobs
+    of an organisation are counted.
     """
 
     node: str
@@ -56,3 +71,8 @@
     times: Times
     cores: float = 0.0
     link_mbps: float = 0.0
+    memory_mb: int = 0
+    max_fds: int = 0
+    requires_keys: bool = False
+    key_terms: KeyTerms = KeyTerms()
+    quota_window_ms: int = 5_000
--- a/tests/intake/test_cancellations.py
+++ b/tests/intake/test_cancellations.py
@@ -27,6 +27,10 @@
     """Codec that decodes each request as the same cancellation."""
 
     deadline_header = b"x-deadline-ms"
+    key_header = b"authorization"
+
+    def read_key(self, value: str) -> str:
+        return value
 
     def decode(self, *_: object) -> CancelJob:
         return CancelJob(JOB_ID)
--- a/tests/intake/test_redirect.py
+++ b/tests/intake/test_redirect.py
@@ -47,6 +47,10 @@
     """Codec that decodes each request as the same query and keeps the answers."""
 
     deadline_header = b"x-deadline-ms"
+    key_header = b"authorization"
+
+    def read_key(self, value: str) -> str:
+        return value
 
     def __init__(self) -> None:
         self.answers: list = []
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -132,12 +132,18 @@
     """Codec of callers' requests: a body is the key of a call or answer kept here."""
 
     deadline_header = b"x-deadline-ms"
+    key_header = b"authorization"
+
+    def read_key(self, value: str) -> str:
+        return value
 
     def __init__(self) -> None:
         self.calls: dict[bytes, Any] = {}
         self.answers: dict[bytes, Any] = {}
 
-    def decode(self, queue: Any, method: str, path: str, body: bytes, _: int) -> Any:
+    def decode(
+        self, queue: Any, method: str, path: str, body: bytes, _: int, organisation: str
+    ) -> Any:
         return self.calls.pop(body)
 
     def encode(self, answer: Any) -> tuple[int, tuple[()], bytes]:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -23,6 +23,7 @@
 from guavapin.intake.peer_codec import decode_peer_call
 from guavapin.intake.peer_codec import encode_peer_answer
 from guavapin.intake.peer_codec import encode_peer_call
+from guavapin.jobs.access import Access
 from guavapin.jobs.calls import Accepted
 from guavapin.jobs.calls import BadCall
 from guavapin.jobs.calls import CancelJob
@@ -126,8 +127,11 @@
     )
     assert second.saves_progress and second.after == (0,)
     assert second.may_be_absent == 2
-    assert decode_call(queue, "GET", path, b"", 0) == QueryJob(JOB_ID)
-    assert decode_call(queue, "DELETE", path, b"", 0) == CancelJob(JOB_ID)
+    access = Access("acme", queue.key)
+    query = decode_call(queue, "GET", path, b"", 0, "acme")
+    assert query == QueryJob(JOB_ID, access)
+    cancellation = decode_call(queue, "DELETE", path, b"", 0, "acme")
+    assert cancellation == CancelJob(JOB_ID, access)
     assert decode_call(queue, "GET", "/puxa400/", b"", 0) == CountWaiting(queue.key)
 
 
@@ -608,7 +612,13 @@
     # Guards against a field that is lost on the way between two entry hosts.
     queue = decode_manifest(as_bytes(MANIFEST)).queues[0]
     submit = decode_call(queue, "POST", f"/puxa400/{JOB_ID}", as_bytes(JOB), 99)
-    calls = [submit, QueryJob(JOB_ID), CancelJob(JOB_ID), CountWaiting("q")]
+    access = Access("acme", "q", True)
+    calls = [
+        submit,
+        QueryJob(JOB_ID, access),
+        CancelJob(JOB_ID, access),
+        CountWaiting("q"),
+    ]
     assert [decode_peer_call(encode_peer_call(call)) for call in calls] == calls
     answers = [Accepted(), NoSuchJob(), WaitingIs(3), StateIs(JobState.FAILED)]
     answers.append(Rejected("full", 7))
