Refuse removed keys in time at every entry host

Cause: a host that is cut off, turned away by the store, or suspended does not learn that a key was removed, and would go on serving it. Change: the follower of the configuration reports when each call was sent that the store answered. The service tables keeps the view of the table with this proof; intake rejects calls with keys, truthfully not run, once the view is older than 95% of the time within which removed keys must be refused, and reach takes the host out of rotation. A host with an old view asks the scheduler for its table and proof, without keys on the wire. An unknown key is looked up in the store before the 401, twice a second at most. A configuration with unusable organisations does not come into force.

--- a/src/guavapin/intake/peer_calls.py
+++ b/src/guavapin/intake/peer_calls.py
@@ -12,6 +12,11 @@
 from guavapin.intake.peer_codec import decode_scheduler
 from guavapin.intake.peer_codec import encode_peer_answer
 from guavapin.intake.peer_codec import encode_scheduler
+from guavapin.jobs.table_messages import DescribeTable
+from guavapin.jobs.table_messages import TableDescribed
+from guavapin.jobs.table_relay import TABLE_PATH
+from guavapin.jobs.table_relay import encode_described
+from guavapin.jobs.table_relay import queried_version
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
@@ -64,6 +69,9 @@
             self._answer_call(message)
         elif isinstance(message, SchedulingDescribed):
             self._answer_query(message)
+        elif isinstance(message, TableDescribed):
+            body = encode_described(message)
+            self.answer(message.request_id, 200, JSON, body)
         elif not self.handle_front_message(message):
             raise InvariantError(f"peer_desk: unexpected message {message!r}")
 
@@ -73,7 +81,13 @@
         An announcement of a scheduler is passed to ``intake`` too. A body that cannot
         be read gets status 400.
         """
-        path = req.target.partition("?")[0]
+        path, _, query_text = req.target.partition("?")
+        if req.method == "GET" and path == TABLE_PATH:
+            version = queried_version(query_text)
+            self._context.send(
+                "tables", DescribeTable(self.name, req.request_id, version)
+            )
+            return
         if req.method == "GET" and path == SCHEDULING_PATH:
             query = DescribeScheduling(self.name, req.request_id)
             self._context.send("scheduler", query)
--- a/src/guavapin/intake/reachability.py
+++ b/src/guavapin/intake/reachability.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavapin.jobs.table_messages import ViewExpired
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
@@ -46,13 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Reachability:
-    """Conditions of readiness: a table in force, and answers to calls.
+    """Conditions of readiness: a table in force, its age, and answers to calls.
 
     `failures` are those since the last answer, which came at `answered_ms`. The host
-    `is_silent` if no answer has come for `MAX_SILENCE_MS` since then.
+    `is_silent` if no answer has come for `MAX_SILENCE_MS` since then. With
+    `is_view_expired` the table is too old for calls with keys, which other hosts may
+    still serve.
     """
 
     has_table: bool = False
+    is_view_expired: bool = False
     failures: int = 0
     answered_ms: int = 0
     is_silent: bool = False
@@ -65,7 +69,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.has_table and not self.is_cut_off
+        return self.has_table and not (self.is_view_expired or self.is_cut_off)
 
     def after_call(self, is_answered: bool, now_ms: int) -> Reachability:
         """Return the state after one more call to the store or a scheduler."""
@@ -131,6 +135,10 @@
                 self._reachability = self._reachability.after_call(is_answered, now_ms)
             case QueueTableChanged():
                 self._reachability = replace(self._reachability, has_table=True)
+            case ViewExpired(is_expired=is_expired):
+                self._reachability = replace(
+                    self._reachability, is_view_expired=is_expired
+                )
             case _Check():
                 self._check(now_ms)
             case _:
--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -12,8 +12,13 @@
 from guavapin.http.messages import PeerCall
 from guavapin.http.messages import PeerReply
 from guavapin.intake import fallback as store_fallback
+from guavapin.intake.authentication import LOOKUP_FAILED
 from guavapin.intake.authentication import Authenticated
+from guavapin.intake.authentication import Credentials
+from guavapin.intake.authentication import LookUpKey
 from guavapin.intake.authentication import authenticate
+from guavapin.intake.key_lookups import LOOKUP_TIMEOUT_MS
+from guavapin.intake.key_lookups import KeyLookups
 from guavapin.intake.peer_calls import NOT_FOUND
 from guavapin.intake.peer_calls import NOT_SCHEDULING
 from guavapin.intake.peer_codec import PEER_PATH
@@ -31,6 +36,9 @@
 from guavapin.jobs.calls import Rejected
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.calls import Undecided
+from guavapin.jobs.table_messages import RefreshTable
+from guavapin.jobs.table_messages import TableConfirmed
+from guavapin.jobs.table_view import TableView
 from guavapin.kernel.decimal import parse_decimal
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
@@ -115,6 +123,13 @@
     request_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class _LookupTimeout:
+    """Timer: the key of a waiting call should have been looked up."""
+
+    request_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class _RetryStore:
     """Timer: repeat the request to the store."""
@@ -152,8 +167,11 @@
         holder: str,
         observer: CallObserver,
         requires_keys: bool = False,
+        revoke_ms: int = 0,
     ) -> None:
         super().__init__("front")
+        self._view = TableView(revoke_ms)
+        self._key_lookups = KeyLookups()
         self._requires_keys = requires_keys
         self._codec = codec
         self._holder = holder
@@ -182,6 +200,13 @@
         match message:
             case QueueTableChanged(table=table):
                 self._table = table
+            case TableConfirmed(view=view):
+                self._view = view
+                for req, arrived_ms in self._key_lookups.pop_decided(view.as_of_ms):
+                    self._authenticate(req, arrived_ms)
+            case _LookupTimeout(request_id=request_id):
+                if self._key_lookups.pop(request_id):
+                    self._finish(request_id, LOOKUP_FAILED)
             case KnownScheduler():
                 self._set_scheduler(message)
             case PeerScheduler(scheduler=scheduler):
@@ -206,6 +231,10 @@
 
     def handle_request(self, req: WholeRequest) -> None:
         """Answer a request that cannot be served, or forward its call."""
+        # The loop's own time may be older than the request after a suspension.
+        self._authenticate(req, self._context.clock.now_ms())
+
+    def _authenticate(self, req: WholeRequest, arrived_ms: int) -> None:
         path = req.target.partition("?")[0]
         host = req.header(b"host").partition(":")[0]
         if self._table is None:
@@ -218,15 +247,43 @@
             self._finish(req.request_id, NoSuchQueue())
             return
         key = self._codec.read_key(req.header(self._codec.key_header))
-        caller = authenticate(self._table, queue, key, self._requires_keys)
-        if not isinstance(caller, Authenticated):
-            extra = {"queue": queue.name, "detail": caller.detail}
+        caller = authenticate(
+            self._table,
+            queue,
+            Credentials(arrived_ms, key),
+            self._requires_keys,
+            self._view,
+            self._context.clock.now_ms(),
+        )
+        if isinstance(caller, Authenticated):
+            self._accept(req, queue, caller.organisation, arrived_ms)
+        elif isinstance(caller, LookUpKey):
+            self._look_up_key(req, arrived_ms)
+        else:
+            extra = {
+                "queue": queue.name,
+                "detail": caller.detail,
+                "version": self._table.version,
+                "view_age_ms": self._view.age_ms(arrived_ms),
+            }
             log.info("call not authenticated", extra=extra)
             self._finish(req.request_id, caller)
+
+    def _look_up_key(self, req: WholeRequest, arrived_ms: int) -> None:
+        if not self._key_lookups.add(req, arrived_ms):
+            self._finish(req.request_id, LOOKUP_FAILED)
             return
+        self._context.set_timer(LOOKUP_TIMEOUT_MS, _LookupTimeout(req.request_id))
+        self._context.send("tables", RefreshTable())
+
+    def _accept(
+        self, req: WholeRequest, queue: Queue, organisation: str, arrived_ms: int
+    ) -> None:
+        """Decode an authenticated call, and forward it."""
+        path = req.target.partition("?")[0]
         wall_ms = self._context.clock.wall_ms()
         call = self._codec.decode(
-            queue, req.method, path, req.body, wall_ms, caller.organisation
+            queue, req.method, path, req.body, wall_ms, organisation
         )
         if isinstance(call, BadCall):
             log.info("bad call", extra={"queue": queue.name, "detail": call.detail})
@@ -234,6 +291,7 @@
             return
         deadline_ms = _deadline_ms(req.header(self._codec.deadline_header))
         timeout_ms = deadline_ms - min(ANSWER_MARGIN_MS, deadline_ms // 5)
+        timeout_ms = max(timeout_ms - (self._context.clock.now_ms() - arrived_ms), 0)
         due_ms = self._context.now_ms() + timeout_ms
         pending = _Pending(call, req.received_ms, due_ms)
         self._pending[req.request_id] = pending
@@ -245,6 +303,7 @@
 
     def handle_caller_gone(self, request_id: int) -> None:
         """Drop the call of a caller that has closed its connection."""
+        self._key_lookups.pop(request_id)
         self._pending.pop(request_id, None)
 
     def _forward(self, request_id: int, call: JobCall) -> None:
--- /dev/null
+++ b/src/guavapin/jobs/table_relay.py
@@ -0,0 +1,57 @@
+"""Codec of the calls by which an entry host asks another for its table."""
+
+from __future__ import annotations
+
+import msgspec
+
+from guavapin.http.messages import PeerCall
+from guavapin.jobs.table_messages import TableDescribed
+from guavapin.jobs.table_record import decode_table
+from guavapin.jobs.table_record import encode_table
+from guavapin.kernel.decimal import parse_decimal
+
+TABLE_PATH = "/v1/table"
+
+# Timeout of a query. A table of 1 MB takes 1.7 s on the slowest link.
+QUERY_TIMEOUT_MS = 2_000
+
+
+class _Described(msgspec.Struct, omit_defaults=True):
+    version: int
+    age_ms: int
+    table: msgspec.Raw = msgspec.Raw()
+
+
+def table_query(reply_to: str, request_id: int, address: str, version: int) -> PeerCall:
+    """Return the call that asks for a table above `version` and its proof."""
+    path = f"{TABLE_PATH}?version={max(version, 0)}"
+    return PeerCall(reply_to, request_id, address, "GET", path, b"", QUERY_TIMEOUT_MS)
+
+
+def queried_version(query: str) -> int:
+    """Return the version that a query string names, 0 for none or an odd one."""
+    name, _, value = query.partition("=")
+    version = parse_decimal(value) if name == "version" else None
+    return version or 0
+
+
+def encode_described(described: TableDescribed) -> bytes:
+    """Return the JSON body of the answer to a query."""
+    body = _Described(described.version, described.age_ms)
+    if described.table is not None:
+        body.table = msgspec.Raw(encode_table(described.table))
+    return msgspec.json.encode(body)
+
+
+def decode_described(body: bytes) -> TableDescribed | None:
+    """Return the answer to a query, or None if it cannot be read."""
+    try:
+        described = msgspec.json.decode(body, type=_Described)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
+    table = None
+    if bytes(described.table):
+        table = decode_table(bytes(described.table))
+        if table is None or table.version != described.version:
+            return None
+    return TableDescribed(0, described.version, described.age_ms, table)
--- a/src/guavapin/jobs/tables.py
+++ b/src/guavapin/jobs/tables.py
@@ -1,22 +1,45 @@
-"""The service `tables`: distributes the newest table of queues and pools."""
+"""The service `tables`: distributes the newest table and proves how recent it is."""
 
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from guavapin.http.messages import Answered
+from guavapin.http.messages import PeerReply
+from guavapin.jobs.table_faults import UnusableTable
+from guavapin.jobs.table_messages import DescribeTable
+from guavapin.jobs.table_messages import RefreshTable
+from guavapin.jobs.table_messages import TableConfirmed
+from guavapin.jobs.table_messages import TableDescribed
+from guavapin.jobs.table_messages import ViewExpired
+from guavapin.jobs.table_relay import decode_described
+from guavapin.jobs.table_relay import table_query
+from guavapin.jobs.table_view import TableView
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
+from guavapin.keyvalue import messages as kv
 from guavapin.keyvalue.follower import PrefixChanged
+from guavapin.keyvalue.follower import PrefixConfirmed
 from guavapin.keyvalue.follower import PrefixListed
+from guavapin.scheduling.messages import KnownScheduler
 from guavapin.scheduling.messages import QueueTableChanged
 
 if TYPE_CHECKING:
     from guavapin.jobs.queues import QueueTable
     from guavapin.kernel.task import TaskContext
 
+# Interval of the checks of the view's age, and of the queries of the scheduler while
+# the view is old.
+CHECK_INTERVAL_MS = 500
+
+# Minimum interval between two reads because of unknown keys. Callers with made-up keys
+# therefore cost the store at most two calls a second for each entry host.
+REFRESH_INTERVAL_MS = 500
+
 log = logging.getLogger("guavapin.tables")
 
 
@@ -28,50 +51,191 @@
         """Return the key of the newest table."""
         ...
 
-    def decode(self, value: bytes) -> QueueTable | None:
-        """Return the table, or None if the value cannot be read."""
+    def decode(self, value: bytes) -> QueueTable | UnusableTable:
+        """Return the table, or why the value does not come into force."""
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class _Check:
+    """Timer: check the age of the view."""
+
+
+@dataclass(frozen=True, slots=True)
+class _RefreshDue:
+    """Timer: a refresh may be made again."""
+
+
 class TablesTask:
     """Service ``tables``; sends each newer table to `listeners` as `QueueTableChanged`.
 
     A version that is not above the one in force is ignored, so that a late answer of
-    the store never reverts a process to an older table.
+    the store never reverts a process to an older table. With `revoke_ms` above 0 the
+    view of the table expires: ``intake`` gets each new proof, another process that
+    schedules is asked to prove an old view, and ``reach`` learns whether the view has
+    expired.
     """
 
     name = "tables"
 
-    def __init__(self, codec: TableCodec, listeners: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        codec: TableCodec,
+        listeners: tuple[str, ...],
+        revoke_ms: int = 0,
+        own_holder: str = "",
+    ) -> None:
         self._codec = codec
         self._listeners = listeners
-        self._version = -1
+        self._own_holder = own_holder
+        self._table: QueueTable | None = None
+        self._view = TableView(revoke_ms)
+        self._scheduler = KnownScheduler("", "", 0)
+        self._is_expired = False
+        self._request_id = 0
+        # Time at which the query of a peer, or the read of the store, was sent.
+        self._peer_sent_ms: dict[int, int] = {}
+        self._refresh_sent_ms: dict[int, int] = {}
+        self._next_refresh_ms = 0
+        self._is_refresh_queued = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
-        """Wait for the follower."""
+        """Wait for the follower, and check the age of the view if it can expire."""
         self._context = context
+        if self._view.revoke_ms:
+            context.set_timer(CHECK_INTERVAL_MS, _Check())
         return Ok(None)
 
     def stop(self) -> None:
         """Do nothing; this service holds no resources."""
 
     def handle(self, message: object) -> None:
-        """Adopt the table from a listing or a change of the store."""
-        if not isinstance(message, PrefixListed | PrefixChanged):
-            raise InvariantError(f"tables: unexpected message {message!r}")
-        for item in message.items:
-            if item.key == self._codec.key and item.value is not None:
-                self._adopt(item.value)
-
-    def _adopt(self, value: bytes) -> None:
+        """Adopt tables and proofs, and answer queries of other entry hosts."""
+        match message:
+            case PrefixListed() | PrefixChanged():
+                for item in message.items:
+                    if item.key == self._codec.key and item.value is not None:
+                        self._adopt_value(item.value)
+            case PrefixConfirmed(as_of_ms=as_of_ms):
+                self._confirm(self._view.version, as_of_ms)
+            case KnownScheduler():
+                self._scheduler = message
+            case RefreshTable():
+                self._refresh()
+            case _RefreshDue():
+                self._is_refresh_queued = False
+                self._refresh()
+            case kv.Reply(request_id=request_id, outcome=outcome):
+                self._handle_refreshed(request_id, outcome)
+            case PeerReply(request_id=request_id, outcome=outcome):
+                self._handle_peer_reply(request_id, outcome)
+            case DescribeTable():
+                self._describe(message)
+            case _Check():
+                self._check()
+            case _:
+                raise InvariantError(f"tables: unexpected message {message!r}")
+
+    def _adopt_value(self, value: bytes) -> None:
         table = self._codec.decode(value)
-        if table is None:
-            log.error("table cannot be read", extra={"bytes": len(value)})
+        if isinstance(table, UnusableTable):
+            extra = {"bytes": len(value), "detail": table.detail}
+            log.error("table cannot be used", extra=extra)
             return
-        if table.version <= self._version:
+        self._adopt(table)
+
+    def _adopt(self, table: QueueTable) -> None:
+        if table.version <= self._view.version:
             return
-        extra = {"version": table.version, "replaced": self._version}
-        log.info("table in force", extra={**extra, "queues": len(table.queues)})
-        self._version = table.version
+        extra = {
+            "version": table.version,
+            "replaced": self._view.version,
+            "queues": len(table.queues),
+            "organisations": len(table.organisations),
+        }
+        log.info("table in force", extra=extra)
+        self._table = table
+        self._view = self._view.adopt(table.version)
         for listener in self._listeners:
             self._context.send(listener, QueueTableChanged(table))
+
+    def _confirm(self, version: int, as_of_ms: int) -> None:
+        if self._table is None:
+            return
+        view = self._view.confirm(version, as_of_ms)
+        if view != self._view:
+            self._view = view
+            self._context.send("intake", TableConfirmed(view))
+            self._report_expiry()
+
+    def _check(self) -> None:
+        self._context.set_timer(CHECK_INTERVAL_MS, _Check())
+        self._report_expiry()
+        now_ms = self._context.clock.now_ms()
+        scheduler = self._scheduler
+        is_other = scheduler.address and scheduler.holder != self._own_holder
+        if is_other and self._view.needs_relay(now_ms):
+            self._request_id += 1
+            self._peer_sent_ms[self._request_id] = now_ms
+            query = table_query(
+                self.name, self._request_id, scheduler.address, self._view.version
+            )
+            self._context.send("http", query)
+
+    def _report_expiry(self) -> None:
+        now_ms = self._context.clock.now_ms()
+        has_keys = self._table is not None and bool(self._table.organisations)
+        is_expired = has_keys and self._view.is_expired(now_ms)
+        if is_expired != self._is_expired:
+            self._is_expired = is_expired
+            extra = {
+                "expired": is_expired,
+                "age_ms": self._view.age_ms(now_ms),
+                "version": self._view.version,
+            }
+            log.info("view of the table", extra=extra)
+            self._context.send("reach", ViewExpired(is_expired))
+
+    def _refresh(self) -> None:
+        now_ms = self._context.clock.now_ms()
+        if self._refresh_sent_ms or self._is_refresh_queued:
+            return
+        if now_ms < self._next_refresh_ms:
+            self._is_refresh_queued = True
+            self._context.set_timer(self._next_refresh_ms - now_ms, _RefreshDue())
+            return
+        self._next_refresh_ms = now_ms + REFRESH_INTERVAL_MS
+        self._request_id += 1
+        self._refresh_sent_ms[self._request_id] = now_ms
+        read = kv.Get(self.name, self._request_id, self._codec.key)
+        self._context.send("platform", read)
+
+    def _handle_refreshed(self, request_id: int, outcome: object) -> None:
+        sent_ms = self._refresh_sent_ms.pop(request_id, None)
+        if sent_ms is not None and isinstance(outcome, kv.Found):
+            self._adopt_value(outcome.value)
+            self._confirm(self._view.version, sent_ms)
+
+    def _handle_peer_reply(self, request_id: int, outcome: object) -> None:
+        sent_ms = self._peer_sent_ms.pop(request_id, None)
+        if sent_ms is None or not isinstance(outcome, Answered):
+            return
+        described = decode_described(outcome.body) if outcome.status == 200 else None
+        if described is None or described.age_ms < 0:
+            return
+        if described.table is not None:
+            self._adopt(described.table)
+        if described.version == self._view.version:
+            # The peer computed the age after this call was sent.
+            self._confirm(described.version, sent_ms - described.age_ms)
+
+    def _describe(self, query: DescribeTable) -> None:
+        version, table = self._view.version, self._table
+        age_ms = -1
+        if self._view.as_of_ms >= 0:
+            age_ms = self._view.age_ms(self._context.clock.now_ms())
+        is_newer = version > query.version
+        described = TableDescribed(
+            query.request_id, version, age_ms, table if is_newer else None
+        )
+        self._context.send(query.reply_to, described)
--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -51,6 +51,17 @@
     items: tuple[kv.Item, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixConfirmed:
+    """Sent to the subscribers: they have had all changes up to `as_of_ms`.
+
+    The time is monotonic and is that at which a call was sent that the store answered.
+    """
+
+    prefix: str
+    as_of_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class _CallDue:
     """Timer: make the next call, unless following was restarted or stopped."""
@@ -65,7 +76,8 @@
     changes, the next watch starts `watch_delay_ms` later, which limits the calls for a
     prefix that changes continuously. When the store's history is gone, or is too long
     for one answer, the prefix is listed again. With `is_eager`, following begins at the
-    start. The service `observer` is notified whether each call was answered.
+    start. The service `observer` is notified whether each call was answered. With
+    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer.
     """
 
     def __init__(
@@ -77,6 +89,7 @@
         watch_delay_ms: int = 0,
         is_eager: bool = False,
         observer: str = "",
+        is_confirming: bool = False,
     ) -> None:
         self.name = name
         self._prefix = prefix
@@ -85,6 +98,8 @@
         self._watch_delay_ms = watch_delay_ms
         self._is_eager = is_eager
         self._observer = observer
+        self._is_confirming = is_confirming
+        self._sent_ms = 0
         self._follow_id = 0
         self._request_id = 0
         self._revision = -1
@@ -126,13 +141,22 @@
 
     def _call(self) -> None:
         self._request_id += 1
+        if self._revision >= 0 or not self._listed_items:
+            # Further pages of a list prove no more than the first one.
+            self._sent_ms = self._context.clock.now_ms()
         request: kv.PlatformRequest
         if self._revision < 0:
             after = self._listed_items[-1].key if self._listed_items else ""
             request = kv.ReadItems(self.name, self._request_id, self._prefix, after)
         else:
+            # After a failure, an answer at once proves that nothing was missed.
+            is_urgent = self._is_confirming and self._retry_delay_ms > 0
             request = kv.WatchItems(
-                self.name, self._request_id, self._prefix, self._revision, self._wait_ms
+                self.name,
+                self._request_id,
+                self._prefix,
+                self._revision,
+                0 if is_urgent else self._wait_ms,
             )
         self._context.send(PLATFORM, request)
 
@@ -146,6 +170,7 @@
                 self._revision = max(self._revision, revision)
                 if items:
                     self._notify(PrefixChanged(self._prefix, items))
+                self._confirm()
                 self._schedule_call(self._watch_delay_ms if items else 0)
             case kv.Compacted():
                 self._list_again("history is gone, listing")
@@ -168,6 +193,7 @@
         listed, self._listed_items = tuple(self._listed_items), []
         self._revision = self._first_revision
         self._notify(PrefixListed(self._prefix, listed))
+        self._confirm()
         self._schedule_call(self._watch_delay_ms)
 
     def _list_again(self, reason: str) -> None:
@@ -176,7 +202,11 @@
         self._listed_items = []
         self._schedule_call(0)
 
-    def _notify(self, message: PrefixListed | PrefixChanged) -> None:
+    def _confirm(self) -> None:
+        if self._is_confirming:
+            self._notify(PrefixConfirmed(self._prefix, self._sent_ms))
+
+    def _notify(self, message: PrefixListed | PrefixChanged | PrefixConfirmed) -> None:
         for subscriber in self._subscribers:
             self._context.send(subscriber, message)
 
--- a/src/guavapin/platform/manifest.py
+++ b/src/guavapin/platform/manifest.py
@@ -15,6 +15,8 @@
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
+from guavapin.jobs.table_faults import UnusableTable
+from guavapin.jobs.table_faults import find_organisation_fault
 from guavapin.jobs.terms import AdviceTerms
 from guavapin.machines.model import MaintenanceWave
 from guavapin.platform.bodies import WireInt
@@ -115,11 +117,16 @@
     cap: int = 1
 
 
-def decode_manifest(value: bytes) -> QueueTable | None:
-    """Return the table of a manifest, or None if it cannot be read."""
+def decode_manifest(value: bytes) -> QueueTable | UnusableTable:
+    """Return the table of a manifest, or why it cannot be used."""
     manifest = decode_body(value, _Manifest)
     if manifest is None:
-        return None
+        return UnusableTable("it is not a manifest")
+    fault = find_organisation_fault(
+        (tenant.name, tuple(tenant.api_keys)) for tenant in manifest.tenants
+    )
+    if fault:
+        return UnusableTable(fault)
     return QueueTable(
         manifest.version,
         tuple(_decode_queue(route) for route in manifest.routes),
--- a/src/guavapin/platform/wire_codecs.py
+++ b/src/guavapin/platform/wire_codecs.py
@@ -14,6 +14,7 @@
     from guavapin.jobs.calls import JobCall
     from guavapin.jobs.queues import Queue
     from guavapin.jobs.queues import QueueTable
+    from guavapin.jobs.table_faults import UnusableTable
     from guavapin.machines.model import MaintenanceWave
     from guavapin.serving.messages import Headers
 
@@ -26,8 +27,8 @@
 
     key = manifest.MANIFEST_KEY
 
-    def decode(self, value: bytes) -> QueueTable | None:
-        """Return the table, or None if the value cannot be read."""
+    def decode(self, value: bytes) -> QueueTable | UnusableTable:
+        """Return the table, or why the value does not come into force."""
         return manifest.decode_manifest(value)
 
 
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -15,6 +15,7 @@
 from guavapin.intake.peer_calls import PeerCallsTask
 from guavapin.intake.reachability import ReachabilityTask
 from guavapin.intake.task import IntakeTask
+from guavapin.jobs.table_view import watch_wait_ms
 from guavapin.jobs.tables import TablesTask
 from guavapin.kernel import Kernel
 from guavapin.keyvalue.client import PlatformConfig
@@ -113,13 +114,16 @@
     kernel.register(ExecutorsTask(PlatformExecutorCodec()))
     kernel.register(AdviceTask(PlatformAdviceCodec(), cfg.advice))
     kernel.register(LedgerTask("scheduler"))
+    revoke_ms = _strict_revoke_ms(cfg)
     machine_codec = PlatformMachineCodec(cfg.machines)
     kernel.register(
         MachinesTask(machine_codec, wave_codec, cfg.times, cfg.node, DUTY_KEY)
     )
     kernel.register(SchedulerTask(registry_codec, cfg.times, DUTY, DUTY_KEY))
     kernel.register(
-        IntakeTask(PlatformJobCallCodec(), holder, metrics, cfg.requires_keys)
+        IntakeTask(
+            PlatformJobCallCodec(), holder, metrics, cfg.requires_keys, revoke_ms
+        )
     )
     kernel.register(PeerCallsTask())
     kernel.register(OpsPagesTask("ready_desk", "ready_front", {}))
@@ -127,27 +131,34 @@
     kernel.register(OpsPagesTask("metrics_desk", "metrics_front", pages))
     kernel.register(ReachabilityTask("ready_front", "intake", DUTY_KEY))
     listeners = ("intake", "scheduler", "machines", "reach")
-    kernel.register(TablesTask(table_codec, listeners))
+    kernel.register(TablesTask(table_codec, listeners, revoke_ms, holder))
     kernel.register(DutyTask(DUTY, holder, ("machines", "scheduler"), terms=DUTY_TERMS))
     kernel.register(
         HolderTrackerTask(
             DUTY_KEY,
             f"duty_{DUTY}",
-            ("intake", "scheduler"),
+            ("intake", "scheduler", "tables"),
             election_delay_ms(cfg.cores, cfg.link_mbps),
         ),
     )
-    for follower in _followers(table_codec, registry_codec, wave_codec):
+    for follower in _followers(table_codec, registry_codec, wave_codec, revoke_ms):
         kernel.register(follower)
     for front in _fronts(cfg, metrics_port):
         kernel.register(front)
     return kernel
 
 
+def _strict_revoke_ms(cfg: ResidentSettings) -> int:
+    """Return the time within which each host refuses a removed key, 0 for no limit."""
+    is_strict = cfg.requires_keys and cfg.key_terms.is_strict
+    return cfg.key_terms.revoke_ms if is_strict else 0
+
+
 def _followers(
     table_codec: PlatformTableCodec,
     registry_codec: PlatformRegistryCodec,
     wave_codec: PlatformWaveCodec,
+    revoke_ms: int,
 ) -> tuple[PrefixFollower, ...]:
     scheduler = ("scheduler",)
     registry = registry_codec.prefix
@@ -156,9 +167,10 @@
             "follow_table",
             table_codec.key,
             ("tables",),
-            WATCH_WAIT_MS,
+            watch_wait_ms(revoke_ms, WATCH_WAIT_MS),
             is_eager=True,
             observer="reach",
+            is_confirming=revoke_ms > 0,
         ),
         PrefixFollower(
             "follow_duty", DUTY_KEY, ("roster",), WATCH_WAIT_MS, is_eager=True
--- a/tests/intake/test_authentication.py
+++ b/tests/intake/test_authentication.py
@@ -8,7 +8,10 @@
 
 from guavapin.intake.authentication import KEY_MISSING
 from guavapin.intake.authentication import KEY_UNKNOWN
+from guavapin.intake.authentication import VIEW_EXPIRED
 from guavapin.intake.authentication import Authenticated
+from guavapin.intake.authentication import Credentials
+from guavapin.intake.authentication import LookUpKey
 from guavapin.intake.authentication import authenticate
 from guavapin.jobs.access import Access
 from guavapin.jobs.access import may_access
@@ -16,6 +19,7 @@
 from guavapin.jobs.organisations import key_digest
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
+from guavapin.jobs.table_view import TableView
 from guavapin.platform.job_calls import read_key
 from guavapin.platform.manifest import decode_manifest
 
@@ -23,6 +27,12 @@
 PUBLIC = Queue("p", "h", "/p/", "pool", is_public=True)
 ACME = Organisation("acme", key_digests=frozenset((key_digest("k1"),)))
 TABLE = QueueTable(1, (PRIVATE, PUBLIC), (), (ACME,))
+VIEW = TableView(5_000, 1, 10_000)
+
+
+def decide(table, queue, key, requires_keys=False, view=VIEW, now_ms=10_100):
+    credentials = Credentials(now_ms, key)
+    return authenticate(table, queue, credentials, requires_keys, view, now_ms)
 
 
 @pytest.mark.parametrize(
@@ -37,13 +47,28 @@
 )
 def test_calls_are_attributed_to_the_organisation_of_their_key(queue, key, expected):
     # Guards against a call that is served with a key that no table holds.
-    assert authenticate(TABLE, queue, key, requires_keys=False) == expected
+    assert decide(TABLE, queue, key) == expected
 
 
 def test_keys_are_needed_only_where_the_deployment_has_organisations():
     table = QueueTable(1, (PRIVATE,))
-    assert authenticate(table, PRIVATE, "", False) == Authenticated("")
-    assert authenticate(table, PRIVATE, "k1", True) == KEY_UNKNOWN
+    assert decide(table, PRIVATE, "") == Authenticated("")
+    assert decide(table, PRIVATE, "k1", True) == KEY_UNKNOWN
+
+
+def test_a_view_that_is_too_old_serves_no_call_with_a_key():
+    # Guards against a removed key that a host without the store still accepts.
+    assert decide(TABLE, PRIVATE, "k1", now_ms=14_749) == Authenticated("acme")
+    assert decide(TABLE, PRIVATE, "k1", now_ms=14_750) == VIEW_EXPIRED
+    assert decide(TABLE, PUBLIC, "", now_ms=60_000) == Authenticated("")
+    never = TableView(5_000, 1)
+    assert decide(TABLE, PRIVATE, "k1", view=never) == VIEW_EXPIRED
+
+
+def test_an_unknown_key_is_looked_up_unless_the_view_is_recent():
+    # Guards against a 401 for a key that was added after the last proof.
+    assert decide(TABLE, PRIVATE, "k2", now_ms=10_500) == KEY_UNKNOWN
+    assert decide(TABLE, PRIVATE, "k2", now_ms=10_501) == LookUpKey()
 
 
 def test_jobs_are_open_to_their_own_organisation():
