Do not compare a restarted entry process with the former one

The monitor keeps the highest generation by the id of the process object. The object of a stopped process is freed, and a new one can get its address and so its id; a process that starts without a configuration then looks like one that reverted. Change: the monitor keeps the process beside its generation. The check is as strict as before for one process.

--- a/src/guavapin_scenarios/generations.py
+++ b/src/guavapin_scenarios/generations.py
@@ -31,7 +31,9 @@
         self._stopped = threading.Event()
         self._executor = ThreadPoolExecutor(1, thread_name_prefix="generations")
         self._fut: Future[None] | None = None
-        self._highest: dict[int, int] = {}
+        # Highest generation by the `id` of a process. The process is kept beside it,
+        # since a later one could get the same `id` otherwise.
+        self._highest: dict[int, tuple[EntryProcess, int]] = {}
 
     def start(self) -> None:
         """Start polling on a thread of its own."""
@@ -56,7 +58,7 @@
         except FutureTimeoutError:
             # The process stopped before it could reply.
             return
-        seen = self._highest.get(id(entry), 0)
+        _, seen = self._highest.get(id(entry), (entry, 0))
         if generation < seen:
             self.reverted.append(f"{name}: generation {seen}, then {generation}")
-        self._highest[id(entry)] = max(seen, generation)
+        self._highest[id(entry)] = entry, max(seen, generation)
