Let the soak replace keys and check keys and caps

Cause: the fault soak knew neither keys nor organisations, so that no run of real processes showed that removed keys are refused and caps hold. Change: callers of two organisations call with keys that the operator replaces during the faults, and now and then with removed or made-up ones; the second organisation has a cap. Checks: no call is served later than 2,000 ms after the removal of its key was stored, or with a key that never was one; no start exceeds the cap by more than its burst share and one subtask.

--- a/src/guavapin_soak/caller.py
+++ b/src/guavapin_soak/caller.py
@@ -11,12 +11,15 @@
 
 from guavapin_soak.checks import CallerEvent
 from guavapin_soak.checks import EventKind
+from guavapin_soak.key_checks import ServedCall
+from guavapin_soak.organisations import organisation_of
 from guavapin_standins.resident_executor import WORK_SPEC
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavapin_soak.checks import JobShape
+    from guavapin_soak.organisations import Operator
 
 HOST = "jobs.example"
 PREFIX = "/q/"
@@ -65,6 +68,9 @@
 class Caller:
     """One caller; `caller_events` lists its calls and their results, in order.
 
+    `served_calls` has the calls that were answered with success. Most are sent with the
+    key that the operator has in force.
+
     `ports` are the fronts of all entry hosts. A connection is reused until it fails.
     """
 
@@ -75,9 +81,15 @@
         ports: list[int],
         shape: JobShape,
         now_ms: Callable[[], int],
+        operator: Operator,
         profile: JobProfile = SHORT_JOBS,
     ) -> None:
         self.caller_events: list[CallerEvent] = []
+        self.served_calls: list[ServedCall] = []
+        self._operator = operator
+        self._organisation = organisation_of(number)
+        # Keys have their own random numbers, so that they do not change other draws.
+        self._key_rng = random.Random(f"{seed}.{number}.keys")
         self._number = number
         self._rng = random.Random(f"{seed}.{number}")
         self._ports = ports
@@ -140,7 +152,7 @@
                 if self._is_drawn(self._profile.cancelled_at_once):
                     self._cancel(port, job_id)
                 return
-            is_refused = status in (429, 503)
+            is_refused = status in (401, 429, 503)
             self._record(
                 job_id, EventKind.REFUSED if is_refused else EventKind.UNANSWERED
             )
@@ -177,7 +189,13 @@
         if conn is None:
             conn = http.client.HTTPConnection("127.0.0.1", port, timeout=CALL_TIMEOUT_S)
             self._conns[port] = conn
-        headers = {"Host": HOST, "X-Deadline-Ms": str(round(CALL_TIMEOUT_S * 1_000))}
+        key = self._operator.draw_key(self._organisation, self._key_rng)
+        sent_ms = self._now_ms()
+        headers = {
+            "Host": HOST,
+            "X-Deadline-Ms": str(round(CALL_TIMEOUT_S * 1_000)),
+            "Authorization": f"Token {key}",
+        }
         try:
             conn.request(method, f"{PREFIX}{job_id}", body, headers)
             answer = conn.getresponse()
@@ -187,4 +205,6 @@
             conn.close()
             del self._conns[port]
             return 0, {}
+        if 200 <= answer.status < 300:
+            self.served_calls.append(ServedCall(sent_ms, key))
         return answer.status, json.loads(text) if text.startswith(b"{") else {}
--- a/src/guavapin_soak/deployment.py
+++ b/src/guavapin_soak/deployment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import signal
 from typing import TYPE_CHECKING
 from typing import Any
@@ -18,6 +17,8 @@
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
 from guavapin_soak.odd_entries import ODD_ENTRIES
+from guavapin_soak.organisations import REVOKE_MS
+from guavapin_soak.organisations import Operator
 from guavapin_soak.plan import FaultKind
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
@@ -59,6 +60,10 @@
     "services": [{"name": "pool"}, {"name": "off", "standby": True}],
 }
 
+KEY_SETTINGS = (
+    f"contracts=base,tenants\nbounds.strict-revoke=true\nbounds.revoke-ms={REVOKE_MS}\n"
+)
+
 _LINK_MODES = {
     FaultKind.LINK_DELAYED: LinkMode.DELAYED,
     FaultKind.LINK_ONE_WAY: LinkMode.ONE_WAY,
@@ -91,11 +96,18 @@
         if not isinstance(outcome, Ok):
             raise InvariantError(f"the stand-ins did not start: {outcome}")
         platform.addresses = (f"127.0.0.1:{proxies[-1].port}",)
-        self._ask(
-            self._platform, PutItem("op/config", json.dumps(CONFIGURATION).encode())
+        self.operator = Operator(
+            CONFIGURATION,
+            lambda value: self._ask(self._platform, PutItem("op/config", value)),
+            self.clock.now_ms,
         )
         self.entries = [
-            EntryProcess(folder, f"e{number}", entry_ports(proxies[number].port))
+            EntryProcess(
+                folder,
+                f"e{number}",
+                entry_ports(proxies[number].port),
+                KEY_SETTINGS,
+            )
             for number in range(hosts)
         ]
 
--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -39,8 +39,8 @@
     return EntryPorts(front, ready, peer, metrics, platform)
 
 
-def settings_text(name: str, ports: EntryPorts) -> str:
-    """Return the text of the settings file of an entry host."""
+def settings_text(name: str, ports: EntryPorts, more: str = "") -> str:
+    """Return the text of the settings file of an entry host, and `more` lines."""
     return (
         f"node={name}\nip=127.0.0.1\nzone=z\n"
         f"listen.front=127.0.0.1:{ports.front}\n"
@@ -52,6 +52,7 @@
         "bounds.grace-s=6\nbounds.max-hold-ms=6000\n"
         f"bounds.stop-timeout-ms={STOP_TIMEOUT_MS}\n"
         "bounds.status_s=120\nbounds.migrate-s=0.3\nbounds.maintenance-s=0.3\n"
+        f"{more}"
     )
 
 
@@ -69,12 +70,14 @@
 class EntryProcess:
     """Starts, signals and ends the process of one entry host by its process id."""
 
-    def __init__(self, folder: Path, name: str, ports: EntryPorts) -> None:
+    def __init__(
+        self, folder: Path, name: str, ports: EntryPorts, more_settings: str = ""
+    ) -> None:
         self.name = name
         self.ports = ports
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
-        self._settings.write_text(settings_text(name, ports))
+        self._settings.write_text(settings_text(name, ports, more_settings))
         self._signals: set[signal.Signals] = set()
         self._own_ends: list[str] = []
         self.process = self._start()
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -18,7 +18,11 @@
 from guavapin_soak.checks import JobShape
 from guavapin_soak.checks import violations
 from guavapin_soak.deployment import Deployment
+from guavapin_soak.key_checks import cap_violations
+from guavapin_soak.key_checks import key_violations
 from guavapin_soak.odd_entries import ODD_ENTRIES
+from guavapin_soak.organisations import organisation_of
+from guavapin_soak.organisations import plan_key_changes
 from guavapin_soak.plan import plan_entries
 from guavapin_soak.plan import plan_faults
 
@@ -26,6 +30,7 @@
     from pathlib import Path
 
     from guavapin_soak.checks import CallerEvent
+    from guavapin_soak.organisations import KeyChange
     from guavapin_soak.plan import Fault
     from guavapin_standins.resident_executor import RunEvent
 
@@ -64,6 +69,7 @@
 def run_soak(seed: int, length_ms: int, hosts: int, folder: Path) -> RunResult:
     """Run one seed; write process logs, and events on failure, to `folder`."""
     faults = plan_faults(seed, length_ms, hosts)
+    key_changes = plan_key_changes(seed, length_ms + CALM_MS)
     entries = plan_entries(seed, length_ms + CALM_MS, tuple(ODD_ENTRIES))
     deployment = Deployment(folder, hosts)
     try:
@@ -71,19 +77,29 @@
         pause.wait(STARTUP_S)
         ports = [entry.ports.front for entry in deployment.entries]
         callers = [
-            Caller(number, seed, ports, JOB_SHAPE, deployment.clock.now_ms, profile)
+            Caller(
+                number,
+                seed,
+                ports,
+                JOB_SHAPE,
+                deployment.clock.now_ms,
+                deployment.operator,
+                profile,
+            )
             for number, profile in enumerate(PROFILES)
         ]
         stop = threading.Event()
-        with ThreadPoolExecutor(len(callers) + 1) as executor:
+        with ThreadPoolExecutor(len(callers) + 2) as executor:
             futs = [executor.submit(caller.run, stop) for caller in callers]
             entries_fut = executor.submit(
                 _inject, deployment, entries, length_ms + CALM_MS
             )
+            keys_fut = executor.submit(_change_keys, deployment, key_changes)
             _inject(deployment, faults, length_ms)
             deployment.heal()
             calm_ms = deployment.clock.now_ms()
             entries_fut.result()
+            keys_fut.result()
             stop.set()
             for fut in futs:
                 fut.result()
@@ -102,13 +118,18 @@
     found = (
         *violations(caller_events, log, JOB_SHAPE),
         *cancelling_violations(caller_events, log, calm_ms, end_ms),
+        *key_violations(
+            (call for caller in callers for call in caller.served_calls),
+            deployment.operator.removed_ms,
+        ),
+        *cap_violations(log, _organisation_of_task),
         *own_ends,
     )
     if found:
         events: list[CallerEvent | RunEvent] = [*caller_events, *log]
         lines = [str(row) for row in sorted(events, key=lambda row: row.at_ms)]
         calm = f"only odd entries from {calm_ms} ms, all events until {end_ms} ms"
-        rows = [*map(str, faults + entries), calm, *lines]
+        rows = [*map(str, (*faults, *entries, *key_changes)), calm, *lines]
         (folder / "events.txt").write_text("\n".join(rows))
     counts = {
         kind: sum(row.kind is kind for row in caller_events) for kind in EventKind
@@ -124,6 +145,20 @@
     )
 
 
+def _organisation_of_task(task: str) -> str:
+    """Return the organisation of a subtask by the number of its caller."""
+    return organisation_of(int(task[:4], 16))
+
+
+def _change_keys(deployment: Deployment, changes: tuple[KeyChange, ...]) -> None:
+    """Replace keys at their times, counted from the call."""
+    began_ms = deployment.clock.now_ms()
+    pause = threading.Event()
+    for change in changes:
+        pause.wait(max(began_ms + change.at_ms - deployment.clock.now_ms(), 0) / 1_000)
+        deployment.operator.replace_key(change.organisation)
+
+
 def _inject(deployment: Deployment, faults: tuple[Fault, ...], length_ms: int) -> None:
     """Inject and undo each fault at its time, counted from the call."""
     began_ms = deployment.clock.now_ms()
