Order waiting steps by shares and reject jobs beyond them

Cause: with one organisation at several times its usual rate, the jobs of all others became late, and none of its own callers were turned away.

Change: the order of waiting steps has two more criteria where the table has organisations: jobs within the rate of their organisation first, and organisations that use less than their weighted share of the scarcest resource in use (scheduling/organisation_share.py). A token bucket marks jobs at their acceptance (organisation_rate.py). A job beyond the rate is rejected if the organisation's own backlog would make it late, and so is a gang wider than the cap (organisation_admission.py). Operators see organisations in `guavapin scheduling`, the cap as the reason of a job that waits for it, and two metrics with at most 64 organisations. The end of a hold is also logged when nothing waits any more.

--- a/src/guavapin/console/commands/scheduling.py
+++ b/src/guavapin/console/commands/scheduling.py
@@ -46,14 +46,43 @@
         (row["executor"], row["pool"], row["runs"], row["free_cpu"], row["state"])
         for row in body["hosts"]
     ]
-    tables = (
+    tables = [
         f"token {body['token']}",
         render_table(("queue", "pool", "waiting", "running"), queues),
         render_table(("executor", "pool", "runs", "free cpu", "state"), hosts),
-    )
+    ]
+    if body.get("organisations"):
+        tables.append(_organisations_text(body["organisations"]))
     return "\n\n".join(tables)
 
 
+def _organisations_text(rows: Any) -> str:
+    cells = [
+        (
+            row["organisation"],
+            row["runs"],
+            _amount(row["running"]),
+            _amount(row["possible"]),
+            _amount(row["cap"]),
+            f"{row['share']:.0%} of {row['weighted_share']:.0%}",
+            row["jobs"],
+            row["waiting"],
+            "yes" if row["is_held"] else "no",
+            "; ".join(f"{count} {reason}" for reason, count in row["rejected"]) or "-",
+        )
+        for row in rows
+    ]
+    columns = (
+        *("organisation", "runs", "running", "at most", "cap", "share"),
+        *("jobs", "waiting", "held", "rejected"),
+    )
+    return render_table(columns, cells)
+
+
+def _amount(row: Any) -> str:
+    return f"{row['cpu_millis']}/{row['memory_mb']}/{row['gpus']}"
+
+
 def _job_text(body: Any) -> str:
     head = f"job {body['job']}: {body['state']}, {body['age_ms']} ms, {body['reason']}"
     steps = [
--- a/src/guavapin/metrics/resident.py
+++ b/src/guavapin/metrics/resident.py
@@ -29,6 +29,11 @@
 WORK_BUCKETS = (0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 60.0)
 
 
+# Organisations with a label of their own; all others share one.
+MAX_ORGANISATIONS = 64
+OTHER_ORGANISATIONS = "other"
+
+
 class CallObserver(Protocol):
     """Observes every answered call of a caller."""
 
@@ -72,6 +77,19 @@
             "1 while this process schedules.",
             registry=self._registry,
         )
+        self._refused = Counter(
+            "guavapin_organisation_refused",
+            "Jobs of an organisation that the scheduler refused, by reason.",
+            ("organisation", "reason"),
+            registry=self._registry,
+        )
+        self._held = Gauge(
+            "guavapin_organisation_held",
+            "1 while the cap of an organisation holds waiting work.",
+            ("organisation",),
+            registry=self._registry,
+        )
+        self._organisations: set[str] = set()
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_s = time.monotonic()
         self._unreported = 0
@@ -113,6 +131,22 @@
             self._scheduling.set(1)
         elif message == "term ends":
             self._scheduling.set(0)
+            self._held.clear()
+        elif message == "job refused" and hasattr(record, "organisation"):
+            if record.organisation:
+                label = self._organisation_label(record)
+                self._refused.labels(label, str(getattr(record, "detail", ""))).inc()
+        elif message == "organisation held by its cap":
+            is_held = str(getattr(record, "state", "")) == "begins"
+            self._held.labels(self._organisation_label(record)).set(is_held)
+
+    def _organisation_label(self, record: logging.LogRecord) -> str:
+        name = str(getattr(record, "organisation", ""))
+        if name not in self._organisations:
+            if len(self._organisations) >= MAX_ORGANISATIONS:
+                return OTHER_ORGANISATIONS
+            self._organisations.add(name)
+        return name
 
     def _take_token(self) -> bool:
         now_s = time.monotonic()
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -119,7 +119,9 @@
     kernel.register(
         MachinesTask(machine_codec, wave_codec, cfg.times, cfg.node, DUTY_KEY)
     )
-    kernel.register(SchedulerTask(registry_codec, cfg.times, DUTY, DUTY_KEY))
+    kernel.register(
+        SchedulerTask(registry_codec, cfg.times, DUTY, DUTY_KEY, cfg.quota_window_ms)
+    )
     kernel.register(
         IntakeTask(
             PlatformJobCallCodec(), holder, metrics, cfg.requires_keys, revoke_ms
--- a/src/guavapin/scheduling/cap_gate.py
+++ b/src/guavapin/scheduling/cap_gate.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -15,13 +16,17 @@
 from guavapin.jobs.organisations import NO_CAP
 
 if TYPE_CHECKING:
+    from guavapin.jobs.model import Step
     from guavapin.jobs.organisations import Organisation
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.term import Term
 
-# Width of a class of needs, in thousandths of a core.
+# Width of a class of needs, in thousandths of a core, and the number of such classes
+# that an organisation's class covers. With classes as narrow as the others, a dispatch
+# would take the heads of thousands of lists with 20 organisations.
 NEED_CLASS_MILLIS = 50
+ORGANISATION_CLASSES = 4
 
 # Steps of a class that the cap may refuse in one dispatch before the rest of the class
 # is passed over. Their needs differ by less than a class, so the rest hardly ever fits.
@@ -38,8 +43,9 @@
     """Steps of about the same need, which wait for the same room and the same cap.
 
     `cpu` counts in steps of `NEED_CLASS_MILLIS`, 0 for steps that are tried in any
-    case. The other fields are set for organisations of the table only; `memory` is the
-    number of bits of the need in MB.
+    case. The other fields are set for organisations of the table only, and those behind
+    `organisation` only as far as its cap limits them; `memory` is the number of bits of
+    the need in MB.
     """
 
     cpu: int
@@ -50,6 +56,28 @@
     is_gang: bool = False
 
 
+def class_of(
+    step: Step, organisation: Organisation | None, needs_room: bool
+) -> NeedClass:
+    """Return the class of a step of an organisation of the table, None for no such."""
+    cpu = step.reserved.cpu_millis // NEED_CLASS_MILLIS if needs_room else 0
+    if organisation is None:
+        return NeedClass(cpu)
+    cpu -= cpu % ORGANISATION_CLASSES
+    cap, need = organisation.cap, step.need
+    if cap == NO_CAP:
+        return NeedClass(cpu, organisation.name)
+    width = NEED_CLASS_MILLIS * ORGANISATION_CLASSES
+    return NeedClass(
+        cpu,
+        organisation.name,
+        need.cpu_millis // width * width if cap.cpu_millis else 0,
+        need.memory_mb.bit_length() if cap.memory_mb else 0,
+        need.gpus if cap.gpus else 0,
+        step.is_gang,
+    )
+
+
 class CapGate:
     """Applies the caps of the table in force to the steps of one term."""
 
@@ -58,6 +86,9 @@
         self._hosts = hosts
         self._refusals: Counter[NeedClass] = Counter()
         self._refused_step: StepRun | None = None
+        # Processor time that each cap leaves, for the use at which it was determined.
+        self._cpu_rooms: dict[str, float] = {}
+        self._cpu_rooms_at: Resources | None = None
         # Times of the first and the last refusal of the organisations that are held.
         self._held: dict[str, tuple[int, int]] = {}
 
@@ -69,10 +100,9 @@
     def begin_dispatch(self) -> None:
         """Refresh what may be running, and forget the refusals of the last dispatch."""
         self._refusals.clear()
+        self._cpu_rooms_at = None
         if self._term.table.organisations:
             self._hosts.refresh_unseen()
-        if self._held:
-            self._end_holds()
 
     def may_start(self, step_run: StepRun, count: int = 1) -> bool:
         """Return whether `count` subtasks of a step may start now."""
@@ -94,18 +124,35 @@
 
     def is_held(self, need_class: NeedClass) -> bool:
         """Return whether the rest of a class is passed over in this dispatch."""
-        organisation = self._capped(need_class.organisation)
-        if organisation is None:
-            return False
-        if self._refusals[need_class] >= MAX_REFUSALS:
+        name = need_class.organisation
+        if need_class.min_cpu_millis > self._cpu_room(name):
+            self._record(name)
+            return True
+        if self._refusals.get(need_class, 0) >= MAX_REFUSALS:
             return True
+        if not need_class.memory and not need_class.gpus:
+            return False
+        organisation = self._capped(name)
         memory_mb = 1 << need_class.memory - 1 if need_class.memory else 0
         least = Resources(need_class.min_cpu_millis, memory_mb, need_class.gpus)
-        if self._hosts.usage.allows(organisation, least, 1):
+        if organisation is None or self._hosts.usage.allows(organisation, least, 1):
             return False
-        self._record(need_class.organisation)
+        self._record(name)
         return True
 
+    def _cpu_room(self, name: str) -> float:
+        """Return the processor time that the cap of an organisation leaves."""
+        usage = self._hosts.usage
+        if self._cpu_rooms_at is not usage.total:
+            self._cpu_rooms_at = usage.total
+            self._cpu_rooms.clear()
+        room = self._cpu_rooms.get(name)
+        if room is None:
+            organisation = self._capped(name)
+            room = math.inf if organisation is None else usage.cpu_room(organisation)
+            self._cpu_rooms[name] = room
+        return room
+
     def _capped(self, name: str) -> Organisation | None:
         """Return an organisation of the table that has a cap."""
         organisation = self._term.table.organisation(name) if name else None
@@ -120,7 +167,8 @@
         if held is None:
             self._log(name, {"state": "begins"})
 
-    def _end_holds(self) -> None:
+    def end_holds(self) -> None:
+        """Log the organisations that their cap holds no more."""
         now_ms = self._term.now_ms
         for name, (first_ms, last_ms) in [*self._held.items()]:
             is_capped = self._capped(name) is not None
--- a/src/guavapin/scheduling/describe.py
+++ b/src/guavapin/scheduling/describe.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.describe_organisations import OrganisationView
+from guavapin.scheduling.describe_organisations import cap_reason
+from guavapin.scheduling.describe_organisations import describe_organisations
+
 if TYPE_CHECKING:
+    from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
 
@@ -33,11 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulingView:
-    """Overview of a term: its token, the queues with open jobs, and all hosts."""
+    """Overview of a term: its token, queues with open jobs, hosts, organisations."""
 
     token: int
     queues: tuple[QueueView, ...]
     hosts: tuple[HostView, ...]
+    organisations: tuple[OrganisationView, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +101,8 @@
     )
     ordered = sorted(hosts, key=lambda host: (host.pool, host.executor))
     rows = tuple(queues[name] for name in sorted(queues))
-    return SchedulingView(scheduler.term.token, rows, tuple(ordered))
+    organisations = describe_organisations(scheduler)
+    return SchedulingView(scheduler.term.token, rows, tuple(ordered), organisations)
 
 
 def describe_job(scheduler: Scheduler, job_id: str) -> JobView | None:
@@ -112,17 +119,19 @@
         job_run.visible_state.value,
         scheduler.term.now_ms - job_run.accepted_ms,
         steps,
-        _reason(scheduler, pool, job_run.is_inherited, steps),
+        _reason(scheduler, pool, job_run, steps),
     )
 
 
 def _reason(
-    scheduler: Scheduler, pool: str, is_inherited: bool, steps: tuple[StepView, ...]
+    scheduler: Scheduler, pool: str, job_run: JobRun, steps: tuple[StepView, ...]
 ) -> str:
     if not any(step.waiting and step.is_open for step in steps):
         return "nothing waits"
-    if is_inherited and pool in scheduler.hosts.unresolved_pools():
+    if job_run.is_inherited and pool in scheduler.hosts.unresolved_pools():
         return "hosts of the pool have not answered this scheduler yet"
+    if held := cap_reason(scheduler, job_run):
+        return held
     now_ms = scheduler.term.now_ms
     hosts = [host for host in scheduler.hosts.by_id.values() if host.pool == pool]
     usable = sum(host.is_usable(now_ms) for host in hosts)
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.organisation_share import OrganisationShares
 from guavapin.scheduling.shortage import Shortage
 from guavapin.scheduling.starter import Starter
 from guavapin.scheduling.waiting_steps import WaitingSteps
@@ -29,6 +30,9 @@
         self._rules = rules
         self._starter = Starter(term, hosts, rules)
         self._caps = self._starter.caps
+        self.shares = OrganisationShares(
+            term, hosts.usage, lambda: hosts.by_id.values()
+        )
         self._waiting = WaitingSteps(rules)
         self._table = term.table
 
@@ -41,8 +45,14 @@
         """Start no more subtasks of a step."""
         self._waiting.discard(step_run)
 
+    @property
+    def held_organisations(self) -> frozenset[str]:
+        """Return the organisations whose cap holds steps at present."""
+        return self._caps.held
+
     def dispatch(self) -> None:
         """Start the waiting subtasks that fit on a host, in order of position."""
+        self._caps.end_holds()
         if not len(self._waiting):
             return
         self._hosts.room.refresh(self._term.now_ms)
@@ -51,6 +61,8 @@
             self._waiting.sort_again()
         self._waiting.mark_late(self._term.now_ms)
         self._caps.begin_dispatch()
+        if self._term.table.organisations:
+            self.shares.begin_dispatch(self._waiting.organisations())
         unresolved = self._hosts.unresolved_pools()
         for pool in self._waiting.pools():
             room = self._hosts.room.pool(pool)
@@ -61,7 +73,10 @@
         shortage = Shortage()
         started = []
         for need_class, step_run in self._waiting.candidates(
-            pool, lambda: room.max_free_cpu, self._caps.is_held
+            pool,
+            lambda: room.max_free_cpu,
+            self._caps.is_held,
+            self.shares.over_share,
         ):
             step = step_run.step
             is_held_up = step_run.job_run.is_inherited and is_unresolved
--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -327,6 +327,11 @@
         )
 
 
+def critical_path_ms(job: Job) -> int:
+    """Return the estimated time of the longest chain of a job's steps."""
+    return max(_remaining_ms(job), default=0)
+
+
 def _remaining_ms(job: Job) -> tuple[int, ...]:
     """Return for each step the estimated time of the longest chain that begins with it.
 
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -26,6 +27,7 @@
 from guavapin.scheduling.messages import FetchJob
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.organisation_rate import OrganisationRate
 from guavapin.scheduling.record import CANCELLED_SUFFIX
 from guavapin.scheduling.record import INBOX_PREFIX
 from guavapin.scheduling.record import JOBS_PREFIX
@@ -111,6 +113,7 @@
         self._term = term
         self._listener = listener
         self._admission = Admission()
+        self._rate = OrganisationRate(term.quota_window_ms)
         self._rules: tuple[AdmissionRule, ...] = (self._admission, *rules)
         self._submissions: dict[str, list[JobRequest]] = {}
         self._cancellations: dict[str, list[JobRequest]] = {}
@@ -324,7 +327,7 @@
             self._answer(req, Accepted() if is_allowed else Forbidden())
         elif job.job_id in self._submissions:
             self._submissions[job.job_id].append(req)
-        elif rejection := self._rejection(job):
+        elif rejection := self._rejection(job := self._mark_excess(job)):
             extra = {
                 "job": job.job_id,
                 "queue": job.queue,
@@ -338,10 +341,21 @@
         else:
             self._submissions[job.job_id] = [req]
             self._admission.add(job)
+            organisation = self._term.table.organisation(job.organisation)
+            if organisation is not None and not job.is_excess:
+                self._rate.take(organisation, self._term.now_ms)
             key = f"{JOBS_PREFIX}{job.job_id}"
             entry = Entry(key, encode_job(job), (JobStored(job),), is_create=True)
             self._store(entry, is_urgent=True)
 
+    def _mark_excess(self, job: Job) -> Job:
+        """Return the job, marked if it is beyond the rate of its organisation."""
+        organisation = self._term.table.organisation(job.organisation)
+        is_excess = organisation is not None and self._rate.is_excess(
+            organisation, self._term.now_ms
+        )
+        return job if job.is_excess == is_excess else replace(job, is_excess=is_excess)
+
     def _rejection(self, job: Job) -> Rejected | None:
         """Return the rejection of the first rule that does not accept a job."""
         for rule in self._rules:
--- a/src/guavapin/scheduling/organisation_usage.py
+++ b/src/guavapin/scheduling/organisation_usage.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -37,6 +38,8 @@
 
     def __init__(self) -> None:
         self.unseen_capacity: Resources | None = NOTHING
+        # Needs of the known runs of all organisations.
+        self.total = NOTHING
         self._used: dict[str, Resources] = {}
         self._counts: Counter[str] = Counter()
         # Capacity of the host and organisation of each run of an unknown job.
@@ -56,6 +59,7 @@
         if run.organisation:
             used = self._used.get(run.organisation, NOTHING)
             self._used[run.organisation] = used.plus(run.need)
+            self.total = self.total.plus(run.need)
             self._counts[run.organisation] += 1
             self.mark_seen(run.subtask)
 
@@ -64,6 +68,7 @@
         if not run.is_need_known:
             self._unknown_runs.pop((run.executor_id, run.key), None)
         if run.organisation:
+            self.total = self.total.minus(run.need)
             self._counts[run.organisation] -= 1
             if self._counts[run.organisation]:
                 used = self._used[run.organisation].minus(run.need)
@@ -151,6 +156,17 @@
             and _is_within(possible.gpus, need.gpus * count, cap.gpus)
         )
 
+    def cpu_room(self, organisation: Organisation) -> float:
+        """Return the most processor time with which a subtask may start."""
+        possible, cap_millis = (
+            self.possible(organisation.name),
+            organisation.cap.cpu_millis,
+        )
+        is_idle = possible == NOTHING and not self._counts[organisation.name]
+        return (
+            math.inf if is_idle or not cap_millis else cap_millis - possible.cpu_millis
+        )
+
     def _add_unseen_need(self, organisation: str, need: Resources) -> None:
         needs = self._unseen_needs.get(organisation, NOTHING)
         self._unseen_needs[organisation] = needs.plus(need)
--- a/src/guavapin/scheduling/queue_rules.py
+++ b/src/guavapin/scheduling/queue_rules.py
@@ -8,9 +8,12 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.job_run import critical_path_ms
 from guavapin.scheduling.waiting_steps import Position
 
 if TYPE_CHECKING:
+    from guavapin.jobs.model import Job
+    from guavapin.jobs.organisations import Organisation
     from guavapin.jobs.terms import QueueTerms
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
@@ -29,8 +32,18 @@
 
     def pool_of_job(self, job_run: JobRun) -> str:
         """Return the pool of the job's queue, or of the job if the queue is gone."""
-        queue = self._term.table.queue(job_run.job.queue)
-        return queue.service if queue is not None else job_run.job.service
+        return self.pool_of_queue(job_run.job)
+
+    def pool_of_queue(self, job: Job) -> str:
+        """Return the pool of a job's queue, or of the job if the queue is gone."""
+        queue = self._term.table.queue(job.queue)
+        return queue.service if queue is not None else job.service
+
+    def allowed_ms(self, job: Job) -> float:
+        """Return the time from the acceptance of a job to its objective."""
+        queue = self._term.table.queue(job.queue)
+        terms = queue.terms if queue is not None else job.terms
+        return terms.stretch * critical_path_ms(job) + terms.latency_objective_ms
 
     def terms_of(self, job_run: JobRun) -> QueueTerms:
         """Return the terms of the job's queue, or of the job if the queue is gone."""
@@ -43,6 +56,7 @@
         late_after_ms = self.late_after_ms(step_run)
         return Position(
             self.terms_of(job_run).priority,
+            job_run.job.is_excess and self.organisation_of(step_run) is not None,
             late_after_ms is not None and self._term.now_ms > late_after_ms,
             self.objective_ms(job_run),
             job_run.job.job_id,
@@ -65,10 +79,10 @@
         allowed_ms = terms.stretch * job_run.critical_path_ms
         return job_run.accepted_ms + allowed_ms + terms.latency_objective_ms
 
-    def organisation_of(self, step_run: StepRun) -> str:
-        """Return the step's organisation, "" if the table in force has none."""
+    def organisation_of(self, step_run: StepRun) -> Organisation | None:
+        """Return the step's organisation, None if the table in force has none."""
         name = step_run.job_run.job.organisation
-        return name if name and self._term.table.organisation(name) else ""
+        return self._term.table.organisation(name) if name else None
 
     def needs_room(self, step_run: StepRun) -> bool:
         """Return whether a step can do nothing until a host has room for it.
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from guavapin.scheduling.job_table import EndStored
 from guavapin.scheduling.job_table import JobTable
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.organisation_admission import OrganisationAdmission
 from guavapin.scheduling.pool_demand import DemandTable
 from guavapin.scheduling.queue_rules import QueueRules
 from guavapin.scheduling.run import Run
@@ -41,6 +42,7 @@
     from guavapin.scheduling.messages import AdviceReply
     from guavapin.scheduling.messages import MachinesListed
     from guavapin.scheduling.messages import PoolDemand
+    from guavapin.scheduling.organisation_share import OrganisationShares
     from guavapin.scheduling.term import Term
 
 _NO_RESOURCES = Resources()
@@ -62,13 +64,16 @@
 
     def __init__(self, term: Term) -> None:
         self.term = term
-        self.jobs = JobTable(term, self)
         self.hosts = HostTable(term, self)
         self.run_times = RunTimes()
+        self._rules = QueueRules(term)
+        self.organisation_admission = OrganisationAdmission(
+            term, self.hosts.usage, self._rules, self.run_times.work
+        )
+        self.jobs = JobTable(term, self, (self.organisation_admission,))
         self.arrivals = Arrivals()
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
-        self._rules = QueueRules(term)
         self._dispatcher = Dispatcher(term, self.hosts, self._rules)
         self._supervisor = RunSupervisor(term, self.hosts, self)
         self._demand = DemandTable(self.pool_of)
@@ -130,6 +135,7 @@
         """Open the steps of a job that may run, and count its work as arrived."""
         if job_run.is_inherited and job_run.job.organisation:
             self.hosts.usage.inherit(job_run)
+        self.organisation_admission.open(job_run.job)
         if job_run.job.repeats:
             self._repeating[job_run.job.job_id] = job_run
         elif not job_run.is_inherited:
@@ -146,6 +152,7 @@
     def job_closed(self, job_run: JobRun) -> None:
         """Stop all runs of a job."""
         self._repeating.pop(job_run.job.job_id, None)
+        self.organisation_admission.close(job_run.job.job_id)
         for step_run in job_run.steps.values():
             self._close_step(step_run)
             for runs in [*step_run.runs.values()]:
@@ -353,6 +360,16 @@
         else:
             self.jobs.handle_durable(tag)
 
+    @property
+    def shares(self) -> OrganisationShares:
+        """Return the weighted shares as of the last dispatch."""
+        return self._dispatcher.shares
+
+    @property
+    def held_organisations(self) -> frozenset[str]:
+        """Return the organisations whose cap holds steps at present."""
+        return self._dispatcher.held_organisations
+
     def objective_ms(self, job_run: JobRun) -> float:
         """Return the monotonic time, in ms, by which a job should have succeeded."""
         return self._rules.objective_ms(job_run)
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -48,6 +48,7 @@
 from guavapin.scheduling.messages import SchedulingDescribed
 from guavapin.scheduling.messages import SchedulingEnded
 from guavapin.scheduling.messages import StepDown
+from guavapin.scheduling.organisation_rate import DEFAULT_WINDOW_MS
 from guavapin.scheduling.record import JOBS_PREFIX
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import decode_job
@@ -162,10 +163,16 @@
     name = "scheduler"
 
     def __init__(
-        self, decoder: RegistryDecoder, times: Times, duty: str, key: str
+        self,
+        decoder: RegistryDecoder,
+        times: Times,
+        duty: str,
+        key: str,
+        quota_window_ms: int = DEFAULT_WINDOW_MS,
     ) -> None:
         self._decoder = decoder
         self._times = times
+        self._quota_window_ms = quota_window_ms
         self._duty_service = f"duty_{duty}"
         self._key = key
         self._phase = Phase.IDLE
@@ -330,7 +337,9 @@
         if self._table is None:
             return
         now_ms = self._context.clock.now_ms()
-        term = Term(self._token, self._times, self._table, now_ms)
+        term = Term(
+            self._token, self._times, self._table, now_ms, self._quota_window_ms
+        )
         term.wall_ms = self._context.clock.wall_ms()
         fence = kv.KeyRevision(self._key, self._token)
         self._context.send("ledger", OpenLedger(fence, self._loader.revisions))
--- a/src/guavapin/scheduling/term.py
+++ b/src/guavapin/scheduling/term.py
@@ -6,6 +6,7 @@
 
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.organisation_rate import DEFAULT_WINDOW_MS
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import encode_progress
 
@@ -35,16 +36,23 @@
 
     `now_ms` is monotonic and `wall_ms` counts from the Unix epoch; both are set before
     each event. `actions` collects the actions that result from the event.
+    `quota_window_ms` is the window of `OrganisationRate`.
     """
 
     def __init__(
-        self, token: int, times: Times, table: QueueTable, now_ms: int
+        self,
+        token: int,
+        times: Times,
+        table: QueueTable,
+        now_ms: int,
+        quota_window_ms: int = DEFAULT_WINDOW_MS,
     ) -> None:
         self.token = token
         self.times = times
         self.table = table
         self.now_ms = now_ms
         self.wall_ms = 0
+        self.quota_window_ms = quota_window_ms
         self.lease_ms = min(LEASE_MS, times.max_lease_ms)
         # Until this time, a host that has not answered may run subtasks of an earlier
         # scheduler: that one may have extended leases during a store outage.
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -14,12 +14,14 @@
 from sortedcontainers import SortedList
 
 from guavapin.scheduling.cap_gate import NEED_CLASS_MILLIS
-from guavapin.scheduling.cap_gate import NeedClass
+from guavapin.scheduling.cap_gate import class_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    from guavapin.jobs.organisations import Organisation
+    from guavapin.scheduling.cap_gate import NeedClass
     from guavapin.scheduling.job_run import StepRun
 
 
@@ -28,10 +30,12 @@
 
     In a burst that exceeds the capacity of a pool, sorting by objective alone would
     make every job a little late. Jobs that will miss their objective in any case
-    therefore sort last. `number` is that of the step's opening.
+    therefore sort last. A job that `is_excess` is beyond the rate of its organisation's
+    share. `number` is that of the step's opening.
     """
 
     priority: int
+    is_excess: bool
     is_late: bool
     objective_ms: float
     job_id: str
@@ -57,11 +61,25 @@
         """Return whether a step can do nothing until a host has room for it."""
         ...
 
-    def organisation_of(self, step_run: StepRun) -> str:
-        """Return the step's organisation, "" if the table in force has none."""
+    def organisation_of(self, step_run: StepRun) -> Organisation | None:
+        """Return the step's organisation, None if the table in force has none."""
         ...
 
 
+class _Rank(NamedTuple):
+    """Position, and whether the organisation uses more than its share at present."""
+
+    priority: int
+    is_excess: bool
+    is_late: bool
+    is_over_share: bool
+    position: Position
+
+
+def _rank(position: Position, is_over_share: bool) -> _Rank:
+    return _Rank(*position[:3], is_over_share, position)
+
+
 class _Place(NamedTuple):
     pool: str
     need_class: NeedClass
@@ -91,7 +109,9 @@
         if step_run in self._places:
             return
         position = self._rules.position(step_run)
-        need_class = self._need_class(step_run)
+        organisation = self._rules.organisation_of(step_run)
+        needs_room = self._rules.needs_room(step_run)
+        need_class = class_of(step_run.step, organisation, needs_room)
         place = _Place(self._rules.pool_of(step_run), need_class, position)
         lists = self._lists.setdefault(place.pool, {})
         lists.setdefault(need_class, SortedList()).add((position, step_run))
@@ -128,6 +148,14 @@
                 self.discard(step_run)
                 self.add(step_run)
 
+    def organisations(self) -> set[str]:
+        """Return the organisations of the table that have steps in any pool."""
+        return {
+            need_class.organisation
+            for lists in self._lists.values()
+            for need_class in lists
+        } - {""}
+
     def pools(self) -> list[str]:
         """Return the pools that have steps."""
         return [pool for pool, lists in self._lists.items() if lists]
@@ -137,24 +165,37 @@
         pool: str,
         max_free_cpu: Callable[[], int],
         is_held: Callable[[NeedClass], bool] = lambda need_class: False,
+        over_share: Callable[[], frozenset[str]] = frozenset,
     ) -> Iterator[tuple[NeedClass, StepRun]]:
         """Return the steps of a pool that may fit, in order, with their classes.
 
         `max_free_cpu` returns the most free processor time of a host, which may fall
         meanwhile: steps that need more are left out. So is the rest of a class of an
-        organisation once it `is_held`. No step may be added or discarded before the
-        iterator is exhausted.
+        organisation once it `is_held`. The organisations in `over_share` come after the
+        others; these may change as steps start. No step may be added or discarded
+        before the iterator is exhausted.
         """
         heads: list[
-            tuple[Position, StepRun, NeedClass, Iterator[tuple[Position, StepRun]]]
+            tuple[_Rank, StepRun, NeedClass, Iterator[tuple[Position, StepRun]]]
         ] = []
-        limit = max_free_cpu()
+        limit, over = max_free_cpu(), over_share()
         for need_class, steps in self._lists.get(pool, {}).items():
-            if not need_class.cpu or need_class.cpu * NEED_CLASS_MILLIS <= limit:
-                rest = iter(steps)
-                heads.append((*next(rest), need_class, rest))
+            if need_class.cpu and need_class.cpu * NEED_CLASS_MILLIS > limit:
+                continue
+            if need_class.organisation and is_held(need_class):
+                continue
+            rest = iter(steps)
+            position, step_run = next(rest)
+            rank = _rank(position, need_class.organisation in over)
+            heads.append((rank, step_run, need_class, rest))
         heapq.heapify(heads)
         while heads:
+            if over is not (over := over_share()):
+                heads = [
+                    (_rank(rank.position, kind.organisation in over), step, kind, rest)
+                    for rank, step, kind, rest in heads
+                ]
+                heapq.heapify(heads)
             _, step_run, need_class, rest = heads[0]
             if need_class.cpu and need_class.cpu * NEED_CLASS_MILLIS > max_free_cpu():
                 heapq.heappop(heads)
@@ -167,21 +208,6 @@
             if following is None:
                 heapq.heappop(heads)
             else:
-                heapq.heapreplace(heads, (*following, need_class, rest))
-
-    def _need_class(self, step_run: StepRun) -> NeedClass:
-        step = step_run.step
-        cpu = 0
-        if self._rules.needs_room(step_run):
-            cpu = step.reserved.cpu_millis // NEED_CLASS_MILLIS
-        organisation = self._rules.organisation_of(step_run)
-        if not organisation:
-            return NeedClass(cpu)
-        return NeedClass(
-            cpu,
-            organisation,
-            step.need.cpu_millis // NEED_CLASS_MILLIS * NEED_CLASS_MILLIS,
-            step.need.memory_mb.bit_length(),
-            step.need.gpus,
-            step.is_gang,
-        )
+                position, step_run = following
+                rank = _rank(position, need_class.organisation in over)
+                heapq.heapreplace(heads, (rank, step_run, need_class, rest))
--- a/tests/metrics/test_resident.py
+++ b/tests/metrics/test_resident.py
@@ -108,3 +108,22 @@
         ("guavapin.scheduling.task", "scheduling"): 1,
         ("guavapin.scheduling.task", "term ends"): 1,
     }
+
+
+def test_organisations_beyond_the_first_64_share_a_label(
+    metrics: ResidentMetrics,
+) -> None:
+    # Guards against a time series for each of any number of organisations.
+    log = logging.getLogger("guavapin.scheduling")
+    for number in range(70):
+        extra = {"organisation": f"o{number}", "detail": "too long"}
+        log.info("job refused", extra=extra)
+        log.info("job refused", extra=extra | {"organisation": ""})
+    refused = samples(metrics, "guavapin_organisation_refused_total")
+    assert len(refused) == 65
+    assert refused["other", "too long"] == 6
+    held = {"organisation": "o1", "state": "begins"}
+    log.info("organisation held by its cap", extra=held)
+    assert samples(metrics, "guavapin_organisation_held") == {("o1",): 1}
+    log.info("organisation held by its cap", extra=held | {"state": "ends"})
+    assert samples(metrics, "guavapin_organisation_held") == {("o1",): 0}
