--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -26,6 +27,7 @@
 from guavapin.scheduling.messages import FetchJob
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.organisation_rate import OrganisationRate
 from guavapin.scheduling.record import CANCELLED_SUFFIX
 from guavapin.scheduling.record import INBOX_PREFIX
 from guavapin.scheduling.record import JOBS_PREFIX
@@ -39,6 +41,7 @@
 
     from guavapin.jobs.calls import JobAnswer
     from guavapin.jobs.model import Job
+    from guavapin.jobs.model import Resources
     from guavapin.scheduling.admission_rule import AdmissionRule
     from guavapin.scheduling.record import Progress
     from guavapin.scheduling.term import Term
@@ -94,6 +97,10 @@
         """Stop all runs of a job that has ended."""
         ...
 
+    def ended_job_loaded(self, organisation: str, running: Resources) -> None:
+        """Count what may still run of a job that ended before this term."""
+        ...
+
 
 class JobTable:
     """All jobs of a term by id; ended ones stay as long as callers may query them."""
@@ -106,6 +113,7 @@
         self._term = term
         self._listener = listener
         self._admission = Admission()
+        self._rate = OrganisationRate(term.quota_window_ms)
         self._rules: tuple[AdmissionRule, ...] = (self._admission, *rules)
         self._submissions: dict[str, list[JobRequest]] = {}
         self._cancellations: dict[str, list[JobRequest]] = {}
@@ -124,6 +132,7 @@
                 self._ended[job_id] = EndedJob(
                     stored.state, stored.ended_ms, stored.organisation, stored.queue
                 )
+                self._listener.ended_job_loaded(stored.organisation, stored.running)
         for job in jobs:
             if job.job_id in self._ended:
                 self._store(Entry(f"{JOBS_PREFIX}{job.job_id}", None))
@@ -156,6 +165,11 @@
             case CountWaiting(queue=queue):
                 self._answer(req, WaitingIs(self._count_waiting(queue)))
 
+    def ended_organisation(self, job_id: str) -> str:
+        """Return the organisation of a job that ended before this term, "" for none."""
+        ended = self._ended.get(job_id)
+        return ended.organisation if ended is not None else ""
+
     def pending_requests(self) -> list[JobRequest]:
         """Return the submissions and cancellations that wait for the store."""
         waiting = [*self._submissions.values(), *self._cancellations.values()]
@@ -253,7 +267,7 @@
         if job_run is not None:
             tags = self._refused_tags.get(job_id, ())
             self._refused_tags[job_id] = tags + entry.tags
-            if encode_progress(job_run.progress()) != entry.value:
+            if encode_progress(self._term.progress(job_run)) != entry.value:
                 self._store_progress(job_run)
 
     def store_progress(
@@ -280,6 +294,11 @@
             job_run, StateStored(job_run.job.job_id, state), is_urgent=True
         )
 
+    def handle_run_of_ended_job_removed(self, job_run: JobRun) -> None:
+        """Store that no run is left, so that no successor counts one for the cap."""
+        if job_run.job.organisation and not job_run.has_runs:
+            self._store_progress(job_run)
+
     def remove_expired(self) -> None:
         """Remove ended jobs after twice the time for which callers may query them."""
         retention_ms = 2 * self._term.times.ended_job_retention_ms
@@ -308,7 +327,7 @@
             self._answer(req, Accepted() if is_allowed else Forbidden())
         elif job.job_id in self._submissions:
             self._submissions[job.job_id].append(req)
-        elif rejection := self._rejection(job):
+        elif rejection := self._rejection(job := self._mark_excess(job)):
             extra = {
                 "job": job.job_id,
                 "queue": job.queue,
@@ -322,10 +341,21 @@
         else:
             self._submissions[job.job_id] = [req]
             self._admission.add(job)
+            organisation = self._term.table.organisation(job.organisation)
+            if organisation is not None and not job.is_excess:
+                self._rate.take(organisation, self._term.now_ms)
             key = f"{JOBS_PREFIX}{job.job_id}"
             entry = Entry(key, encode_job(job), (JobStored(job),), is_create=True)
             self._store(entry, is_urgent=True)
 
+    def _mark_excess(self, job: Job) -> Job:
+        """Return the job, marked if it is beyond the rate of its organisation."""
+        organisation = self._term.table.organisation(job.organisation)
+        is_excess = organisation is not None and self._rate.is_excess(
+            organisation, self._term.now_ms
+        )
+        return job if job.is_excess == is_excess else replace(job, is_excess=is_excess)
+
     def _rejection(self, job: Job) -> Rejected | None:
         """Return the rejection of the first rule that does not accept a job."""
         for rule in self._rules:
--- a/src/guavapin/scheduling/term.py
+++ b/src/guavapin/scheduling/term.py
@@ -6,6 +6,7 @@
 
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.organisation_rate import DEFAULT_WINDOW_MS
 from guavapin.scheduling.record import PROGRESS_PREFIX
 from guavapin.scheduling.record import encode_progress
 
@@ -13,6 +14,7 @@
     from guavapin.jobs.queues import QueueTable
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.messages import Action
+    from guavapin.scheduling.record import Progress
     from guavapin.settings.resident import Times
 
 # Attempt numbers of a term begin at this multiple of its token. The numbers of a
@@ -34,16 +36,23 @@
 
     `now_ms` is monotonic and `wall_ms` counts from the Unix epoch; both are set before
     each event. `actions` collects the actions that result from the event.
+    `quota_window_ms` is the window of `OrganisationRate`.
     """
 
     def __init__(
-        self, token: int, times: Times, table: QueueTable, now_ms: int
+        self,
+        token: int,
+        times: Times,
+        table: QueueTable,
+        now_ms: int,
+        quota_window_ms: int = DEFAULT_WINDOW_MS,
     ) -> None:
         self.token = token
         self.times = times
         self.table = table
         self.now_ms = now_ms
         self.wall_ms = 0
+        self.quota_window_ms = quota_window_ms
         self.lease_ms = min(LEASE_MS, times.max_lease_ms)
         # Until this time, a host that has not answered may run subtasks of an earlier
         # scheduler: that one may have extended leases during a store outage.
@@ -67,12 +76,16 @@
         if is_urgent:
             self._urgent_jobs.add(job_run)
 
+    def progress(self, job_run: JobRun) -> Progress:
+        """Return the progress that a job has now."""
+        return job_run.progress(may_have_unseen_runs=self.now_ms < self.resolve_by_ms)
+
     def drain_actions(self) -> list[Action]:
         """Return the pending actions and clear them."""
         actions, self.actions = self.actions, []
         for job_run, tags in self._changed_jobs.items():
             key = f"{PROGRESS_PREFIX}{job_run.job.job_id}"
-            value = encode_progress(job_run.progress())
+            value = encode_progress(self.progress(job_run))
             entry = Entry(key, value, tuple(tags))
             actions.append(StoreEntry(entry, job_run in self._urgent_jobs))
         self._changed_jobs.clear()
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -13,26 +13,29 @@
 
 from sortedcontainers import SortedList
 
+from guavapin.scheduling.cap_gate import NEED_CLASS_MILLIS
+from guavapin.scheduling.cap_gate import class_of
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    from guavapin.jobs.organisations import Organisation
+    from guavapin.scheduling.cap_gate import NeedClass
     from guavapin.scheduling.job_run import StepRun
 
-# Width of a class of needs, in thousandths of a core. Each class has a list of its own:
-# narrow classes make more lists to merge, wide ones hold more steps that do not fit.
-NEED_CLASS_MILLIS = 50
-
 
 class Position(NamedTuple):
     """Sort key of a waiting step within its pool; the lowest starts first.
 
     In a burst that exceeds the capacity of a pool, sorting by objective alone would
     make every job a little late. Jobs that will miss their objective in any case
-    therefore sort last. `number` is that of the step's opening.
+    therefore sort last. A job that `is_excess` is beyond the rate of its organisation's
+    share. `number` is that of the step's opening.
     """
 
     priority: int
+    is_excess: bool
     is_late: bool
     objective_ms: float
     job_id: str
@@ -58,10 +61,28 @@
         """Return whether a step can do nothing until a host has room for it."""
         ...
 
+    def organisation_of(self, step_run: StepRun) -> Organisation | None:
+        """Return the step's organisation, None if the table in force has none."""
+        ...
+
+
+class _Rank(NamedTuple):
+    """Position, and whether the organisation uses more than its share at present."""
+
+    priority: int
+    is_excess: bool
+    is_late: bool
+    is_over_share: bool
+    position: Position
+
+
+def _rank(position: Position, is_over_share: bool) -> _Rank:
+    return _Rank(*position[:3], is_over_share, position)
+
 
 class _Place(NamedTuple):
     pool: str
-    need_class: int
+    need_class: NeedClass
     position: Position
 
 
@@ -70,7 +91,11 @@
 
     def __init__(self, rules: StepRules) -> None:
         self._rules = rules
-        self._lists: dict[str, dict[int, SortedList[tuple[Position, StepRun]]]] = {}
+        # Each class has a list of its own: narrow classes make more lists to merge,
+        # wide ones hold more steps that do not fit.
+        self._lists: dict[
+            str, dict[NeedClass, SortedList[tuple[Position, StepRun]]]
+        ] = {}
         self._places: dict[StepRun, _Place] = {}
         # Steps by the time after which they are late. A step that was removed in the
         # meantime is skipped when that time comes.
@@ -84,9 +109,9 @@
         if step_run in self._places:
             return
         position = self._rules.position(step_run)
-        need_class = 0
-        if self._rules.needs_room(step_run):
-            need_class = step_run.step.reserved.cpu_millis // NEED_CLASS_MILLIS
+        organisation = self._rules.organisation_of(step_run)
+        needs_room = self._rules.needs_room(step_run)
+        need_class = class_of(step_run.step, organisation, needs_room)
         place = _Place(self._rules.pool_of(step_run), need_class, position)
         lists = self._lists.setdefault(place.pool, {})
         lists.setdefault(need_class, SortedList()).add((position, step_run))
@@ -123,35 +148,66 @@
                 self.discard(step_run)
                 self.add(step_run)
 
+    def organisations(self) -> set[str]:
+        """Return the organisations of the table that have steps in any pool."""
+        return {
+            need_class.organisation
+            for lists in self._lists.values()
+            for need_class in lists
+        } - {""}
+
     def pools(self) -> list[str]:
         """Return the pools that have steps."""
         return [pool for pool, lists in self._lists.items() if lists]
 
     def candidates(
-        self, pool: str, max_free_cpu: Callable[[], int]
-    ) -> Iterator[StepRun]:
-        """Return the steps of a pool that may fit, in order.
+        self,
+        pool: str,
+        max_free_cpu: Callable[[], int],
+        is_held: Callable[[NeedClass], bool] = lambda need_class: False,
+        over_share: Callable[[], frozenset[str]] = frozenset,
+    ) -> Iterator[tuple[NeedClass, StepRun]]:
+        """Return the steps of a pool that may fit, in order, with their classes.
 
         `max_free_cpu` returns the most free processor time of a host, which may fall
-        meanwhile: steps that need more are left out. No step may be added or discarded
+        meanwhile: steps that need more are left out. So is the rest of a class of an
+        organisation once it `is_held`. The organisations in `over_share` come after the
+        others; these may change as steps start. No step may be added or discarded
         before the iterator is exhausted.
         """
-        heads: list[tuple[Position, StepRun, int, Iterator[tuple[Position, StepRun]]]]
-        heads = []
-        limit = max_free_cpu()
+        heads: list[
+            tuple[_Rank, StepRun, NeedClass, Iterator[tuple[Position, StepRun]]]
+        ] = []
+        limit, over = max_free_cpu(), over_share()
         for need_class, steps in self._lists.get(pool, {}).items():
-            if not need_class or need_class * NEED_CLASS_MILLIS <= limit:
-                rest = iter(steps)
-                heads.append((*next(rest), need_class, rest))
+            if need_class.cpu and need_class.cpu * NEED_CLASS_MILLIS > limit:
+                continue
+            if need_class.organisation and is_held(need_class):
+                continue
+            rest = iter(steps)
+            position, step_run = next(rest)
+            rank = _rank(position, need_class.organisation in over)
+            heads.append((rank, step_run, need_class, rest))
         heapq.heapify(heads)
         while heads:
+            if over is not (over := over_share()):
+                heads = [
+                    (_rank(rank.position, kind.organisation in over), step, kind, rest)
+                    for rank, step, kind, rest in heads
+                ]
+                heapq.heapify(heads)
             _, step_run, need_class, rest = heads[0]
-            if need_class and need_class * NEED_CLASS_MILLIS > max_free_cpu():
+            if need_class.cpu and need_class.cpu * NEED_CLASS_MILLIS > max_free_cpu():
+                heapq.heappop(heads)
+                continue
+            if need_class.organisation and is_held(need_class):
                 heapq.heappop(heads)
                 continue
-            yield step_run
+            yield need_class, step_run
             following = next(rest, None)
             if following is None:
                 heapq.heappop(heads)
             else:
-                heapq.heapreplace(heads, (*following, need_class, rest))
+                position, step_run = following
+                rank = _rank(position, need_class.organisation in over)
+                heapq.heapreplace(heads, (rank, step_run, need_class, rest))
