Bound copies on unknown hosts by the runs that a subtask may have

Cause: after a takeover, an organisation with steps that allow copies counted the whole capacity of all hosts that had not reported. While a zone is cut off these are a third of the fleet, so that the caps held up nearly all organisations until the hosts were resolved. Change: an inherited subtask counts at most twice if its step allows copies or runs long, since a copy starts only beside a single run; once a run of it is known or has ended, it counts once less.

--- a/src/guavapin/scheduling/organisation_usage.py
+++ b/src/guavapin/scheduling/organisation_usage.py
@@ -22,8 +22,9 @@
 
 NOTHING = Resources()
 
-# Bound of what runs on hosts of unknown capacity, if copies may run there too.
-_UNLIMITED = Resources(1 << 50, 1 << 50, 1 << 50)
+# Most runs of a subtask at one time: a copy starts only beside a single run, and a
+# long-running subtask starts again once its run is lost or being stopped.
+MAX_RUNS_WITH_COPIES = 2
 
 
 class OrganisationUsage:
@@ -44,12 +45,11 @@
         self._counts: Counter[str] = Counter()
         # Capacity of the host and organisation of each run of an unknown job.
         self._unknown_runs: dict[tuple[str, RunKey], tuple[str, Resources]] = {}
-        # Inherited subtasks that are not known to have ended or to run, with their
-        # organisation and need, and the sum of these needs and of ended jobs' runs.
-        self._unseen: dict[Subtask, tuple[str, Resources]] = {}
+        # Inherited subtasks with runs that are not known to have ended or to run: their
+        # organisation, their need and the most such runs. Beside them the sum of these
+        # needs and of ended jobs' runs.
+        self._unseen: dict[Subtask, tuple[str, Resources, int]] = {}
         self._unseen_needs: dict[str, Resources] = {}
-        # Organisations that may have several runs of one inherited subtask.
-        self._unbounded: set[str] = set()
 
     def add(self, run: Run, capacity: Resources) -> None:
         """Count a run on a host with this capacity."""
@@ -80,20 +80,22 @@
         """Count what a predecessor may have started of an open job.
 
         The members of a gang are all done once one of them is, so they count in any
-        case. Copies and long-running subtasks may have more than one run.
+        case. A copy may go on beside a run that is done.
         """
         job = job_run.job
         for occurrence in range(job.occurrences):
             for number, step in enumerate(job.steps):
                 step_run = job_run.steps.get((occurrence, number))
                 done = step_run.done if step_run and not step.is_gang else ()
+                has_copies = step.allows_copies or step.is_long_running
+                max_runs = MAX_RUNS_WITH_COPIES if has_copies else 1
                 for index in range(step.count):
-                    if index not in done:
+                    runs = max_runs - (index in done)
+                    if runs:
                         subtask = Subtask(job.job_id, occurrence, number, index)
-                        self._unseen[subtask] = (job.organisation, step.need)
+                        self._unseen[subtask] = (job.organisation, step.need, runs)
+                    for _ in range(runs):
                         self._add_unseen_need(job.organisation, step.need)
-                if step.allows_copies or step.is_long_running:
-                    self._unbounded.add(job.organisation)
 
     def inherit_ended(self, organisation: str, running: Resources) -> None:
         """Count what may still run of a job that ended under a predecessor."""
@@ -101,15 +103,15 @@
             self._add_unseen_need(organisation, running)
 
     def mark_seen(self, subtask: Subtask) -> None:
-        """Record that an inherited subtask is done, or is known to run."""
+        """Record that one run of an inherited subtask has ended, or is known."""
         row = self._unseen.pop(subtask, None)
         if row is not None:
-            organisation, need = row
-            if organisation not in self._unseen_needs:
-                return
+            organisation, need, runs = row
+            if runs > 1:
+                self._unseen[subtask] = (organisation, need, runs - 1)
             left = self._unseen_needs[organisation].minus(need)
             self._unseen_needs[organisation] = left
-            if left == NOTHING and organisation not in self._unbounded:
+            if left == NOTHING:
                 del self._unseen_needs[organisation]
 
     def forget_unseen(self) -> None:
@@ -117,7 +119,6 @@
         self.unseen_capacity = NOTHING
         self._unseen.clear()
         self._unseen_needs.clear()
-        self._unbounded.clear()
 
     @property
     def has_unseen(self) -> bool:
@@ -190,9 +191,7 @@
         """Return the bound of what runs of an organisation on unknown hosts."""
         needs, capacity = self._unseen_needs[organisation], self.unseen_capacity
         if capacity is None:
-            return _UNLIMITED if organisation in self._unbounded else needs
-        if organisation in self._unbounded:
-            return capacity
+            return needs
         return Resources(
             min(needs.cpu_millis, capacity.cpu_millis),
             min(needs.memory_mb, capacity.memory_mb),
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -280,6 +280,8 @@
         last = step_run.last_attempt.get(index, 0)
         step_run.last_attempt[index] = max(last, row.attempt)
         step_run.record_saved(index, row.saved)
+        if run is None:
+            self.hosts.usage.mark_seen(row.subtask)
         extra = {
             "job": row.subtask.job_id,
             "step": row.subtask.step,
@@ -295,7 +297,6 @@
             if run is not None:
                 run_ms = self.term.now_ms - run.started_ms
                 self.run_times.record(step_run.job_run.job.queue, run_ms)
-            self.hosts.usage.mark_seen(row.subtask)
             self._handle_done(step_run, index)
         elif row.kind is EndKind.FAILED:
             self._handle_failure(host, step_run, row)
