Prefer hosts without an interfering neighbour

Cause: subtasks disturb one another although their reservations fit, and best fit puts the victim beside the cause again. A filler that is paced to 0 beside a service over its target stayed there for good. A filler beside a service over its target for 3 s, paced to 0 for 1 s, is stopped if its step may miss one and another host has room without the trouble.

--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.placement import NO_PREFERENCE
 from guavapin.scheduling.shortage import Shortage
 from guavapin.scheduling.starter import Starter
 from guavapin.scheduling.waiting_steps import WaitingSteps
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.placement import HostPreference
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.room_index import PoolRoom
     from guavapin.scheduling.term import Term
@@ -23,11 +25,17 @@
 class Dispatcher:
     """Starts waiting subtasks, pool by pool, as far as they fit on a host."""
 
-    def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
+    def __init__(
+        self,
+        term: Term,
+        hosts: HostTable,
+        rules: QueueRules,
+        preference: HostPreference = NO_PREFERENCE,
+    ) -> None:
         self._term = term
         self._hosts = hosts
         self._rules = rules
-        self._starter = Starter(term, hosts, rules)
+        self._starter = Starter(term, hosts, rules, preference)
         self._waiting = WaitingSteps(rules)
         self._table = term.table
 
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -75,6 +75,10 @@
         """Apply the end of a run; True if it must be stored before it is confirmed."""
         ...
 
+    def handle_loads(self, host: Host) -> None:
+        """Handle that a report of the host has updated the loads of its runs."""
+        ...
+
     def handle_lost_run(self, host: Host, run: Run, reason: str) -> None:
         """Handle the loss of a run whose end was not reported."""
         ...
@@ -414,6 +418,7 @@
                 self._handler.adopt(host, row)
             else:
                 self._update_running(known, row)
+        self._handler.handle_loads(host)
         # The end of an unlisted run may be among those that the report leaves out.
         if report.has_all_ends:
             for run in [*host.runs.values()]:
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -40,7 +40,9 @@
     that works on what other runs leave. `is_need_known` is unset for an adopted run
     whose job is not known, so that `reserved` says nothing about its resources. `need`
     has all resources of the subtask, also the processor time that a filler does not
-    reserve; they count for `organisation`, "" for none.
+    reserve; they count for `organisation`, "" for none. `image` is that of its step.
+    `over_target_since_ms` is the time since which each report has shown a load above
+    the target of its step, 0 if the last one has not.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "counted_ms",
         "executor_id",
         "first_stop_ms",
+        "image",
         "is_filler",
         "is_listed",
         "is_long_running",
@@ -59,6 +62,7 @@
         "need",
         "ordered_ms",
         "organisation",
+        "over_target_since_ms",
         "pace",
         "paced_ms",
         "percent",
@@ -101,6 +105,8 @@
         self.is_need_known = True
         self.percent = 0
         self.load = 0.0
+        self.image = ""
+        self.over_target_since_ms = 0
         self.pace = 100
         self.paced_ms = now_ms
 
--- a/src/guavapin/scheduling/run_supervisor.py
+++ b/src/guavapin/scheduling/run_supervisor.py
@@ -1,4 +1,4 @@
-"""Stops stalled runs, paces fillers and evacuates hosts."""
+"""Stops stalled runs, paces and moves fillers, and evacuates hosts."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.supervision import RunView
 from guavapin.scheduling.supervision import copies_needed
+from guavapin.scheduling.supervision import fillers_in_the_way
+from guavapin.scheduling.supervision import may_miss_one
 from guavapin.scheduling.supervision import needs_supervision
+from guavapin.scheduling.supervision import note_targets
 from guavapin.scheduling.supervision import pace_changes
 from guavapin.scheduling.supervision import stalled_runs
 
@@ -19,6 +22,7 @@
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.neighbour_preference import NeighbourPreference
     from guavapin.scheduling.run import Run
     from guavapin.scheduling.run_times import RunTimes
     from guavapin.scheduling.term import Term
@@ -50,7 +54,14 @@
 class RunSupervisor:
     """Applies the rules of `supervision` to the hosts of a term."""
 
-    def __init__(self, term: Term, hosts: HostTable, scheduler: Supervised) -> None:
+    def __init__(
+        self,
+        term: Term,
+        hosts: HostTable,
+        scheduler: Supervised,
+        preference: NeighbourPreference,
+    ) -> None:
+        self._preference = preference
         self._term = term
         self._hosts = hosts
         self._scheduler = scheduler
@@ -88,6 +99,9 @@
                 extra = {"job": run.subtask.job_id, "executor": host.executor_id}
                 log.info("run paced", extra={**extra, "percent": percent})
                 self._hosts.pace(run, percent)
+            note_targets(views, self._term.now_ms)
+            if not host.unanswered:
+                self._move_filler(host, views)
         if host.registration.is_draining:
             self.evacuate(host, is_urgent=False)
 
@@ -104,15 +118,38 @@
             if run.phase is not RunPhase.RUNNING:
                 continue
             if step_run.step.is_long_running:
-                allowed = step_run.step.may_be_absent
-                is_allowed = step_run.absent_count() < (
-                    1 if allowed is None else allowed
-                )
-                if is_allowed and self._fits_on_another_host(step_run):
+                if may_miss_one(step_run) and self._fits_on_another_host(step_run):
                     self._hosts.stop(run)
             elif is_urgent:
                 self._hosts.stop(run)
 
+    def _move_filler(self, host: Host, views: list[RunView]) -> None:
+        """Stop one filler that is in the way and can start on a better host."""
+        for view in fillers_in_the_way(views, self._term.now_ms):
+            run, step_run = view.run, view.step_run
+            if not may_miss_one(step_run):
+                continue
+            # The start that follows must avoid this host, like the search here.
+            self._preference.avoid(step_run, host.executor_id)
+            pool = self._scheduler.pool_of(step_run.job_run)
+            self._hosts.room.refresh(self._term.now_ms)
+            room = self._hosts.room.pool(pool)
+            target = choose_host(step_run, room, "", self._preference)
+            if target is None or self._preference.penalty(step_run, target):
+                self._preference.forget(step_run, host.executor_id)
+                continue
+            extra = {
+                "job": run.subtask.job_id,
+                "step": run.subtask.step,
+                "index": run.subtask.index,
+                "executor": host.executor_id,
+                "over_target_ms": self._term.now_ms
+                - max(row.run.over_target_since_ms for row in views),
+            }
+            log.info("filler moved", extra=extra)
+            self._hosts.stop(run)
+            return
+
     def _stalled(self, host: Host, views: list[RunView]) -> list[Run]:
         stalled = []
         for view in views:
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -14,9 +14,11 @@
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
 from guavapin.scheduling.host_table import HostTable
+from guavapin.scheduling.interference_evidence import InterferenceEvidence
 from guavapin.scheduling.job_table import EndStored
 from guavapin.scheduling.job_table import JobTable
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.neighbour_preference import NeighbourPreference
 from guavapin.scheduling.pool_demand import DemandTable
 from guavapin.scheduling.queue_rules import QueueRules
 from guavapin.scheduling.run import Run
@@ -69,8 +71,10 @@
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
         self._rules = QueueRules(term)
-        self._dispatcher = Dispatcher(term, self.hosts, self._rules)
-        self._supervisor = RunSupervisor(term, self.hosts, self)
+        self.interference = InterferenceEvidence(self.step_of)
+        self.preference = NeighbourPreference(term, self.interference.table)
+        self._dispatcher = Dispatcher(term, self.hosts, self._rules, self.preference)
+        self._supervisor = RunSupervisor(term, self.hosts, self, self.preference)
         self._demand = DemandTable(self.pool_of)
         self._opened_count = 0
         self._repeating: dict[str, JobRun] = {}
@@ -89,6 +93,7 @@
             for host in [*self.hosts.by_id.values()]:
                 if host.runs:
                     self._supervisor.supervise(host)
+            self.interference.judge(self.term.now_ms)
         self._needs_dispatch = True
 
     def pool_of(self, job_run: JobRun) -> str:
@@ -231,6 +236,7 @@
         run.is_need_known = step_run is not None
         run.is_long_running = step_run is not None and step_run.step.is_long_running
         run.is_filler = step_run is not None and step_run.step.is_filler
+        run.image = step_run.step.image if step_run is not None else ""
         host.extend_lease(self.term.lease_ms, self.term.now_ms)
         return run
 
@@ -241,6 +247,12 @@
         step_run = self.step_of(row)
         if run is not None:
             host.remove(run, self.term.now_ms)
+            # The start of a run of an earlier term is not known here.
+            is_own = row.attempt >= self.term.next_attempt(0)
+            is_timed = is_own and row.kind is EndKind.DONE
+            self.interference.record_end(
+                host, run, step_run, is_timed, self.term.now_ms
+            )
             if step_run is not None:
                 self._remove_run(step_run, run)
         if step_run is None or step_run.job_run.state.is_final:
@@ -289,6 +301,10 @@
         self._finish_if_complete(step_run.job_run)
         return True
 
+    def handle_loads(self, host: Host) -> None:
+        """Learn from the loads of a host's runs, which a report has just updated."""
+        self.interference.record_report(host, self.term.now_ms)
+
     def handle_lost_run(self, host: Host, run: Run, reason: str) -> None:
         """Remove a run that is gone without an end, so that its subtask waits again."""
         self._needs_dispatch = True
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.executors.model import Start
+from guavapin.scheduling.placement import NO_PREFERENCE
 from guavapin.scheduling.placement import choose_host
 from guavapin.scheduling.placement import choose_hosts_for_gang
 from guavapin.scheduling.room_index import PoolRoom
@@ -17,6 +18,7 @@
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.placement import HostPreference
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.term import Term
 
@@ -24,7 +26,14 @@
 class Starter:
     """Chooses the hosts for waiting subtasks and orders their start."""
 
-    def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
+    def __init__(
+        self,
+        term: Term,
+        hosts: HostTable,
+        rules: QueueRules,
+        preference: HostPreference = NO_PREFERENCE,
+    ) -> None:
+        self._preference = preference
         self._term = term
         self._hosts = hosts
         self._rules = rules
@@ -53,7 +62,7 @@
         for index in sorted(step_run.waiting):
             if step_run.not_before_ms.get(index, 0) > now_ms:
                 continue
-            host = choose_host(step_run, room, rack)
+            host = choose_host(step_run, room, rack, self._preference)
             if host is None:
                 return room is not pool_room
             self._start(step_run, index, host)
@@ -68,7 +77,7 @@
         """Start all members of a gang if they fit, and return their hosts."""
         if len(step_run.waiting) < step_run.step.count:
             return []
-        chosen = choose_hosts_for_gang(step_run, hosts)
+        chosen = choose_hosts_for_gang(step_run, hosts, self._preference)
         if chosen is None:
             return []
         attempt = self._term.next_attempt(
@@ -95,6 +104,7 @@
         )
         run.is_long_running = step_run.step.is_long_running
         run.is_filler = step_run.step.is_filler
+        run.image = step_run.step.image
         step_run.add(index, run)
         job_run = step_run.job_run
         job_run.mark_started()
--- a/src/guavapin/scheduling/supervision.py
+++ b/src/guavapin/scheduling/supervision.py
@@ -41,6 +41,15 @@
 SLOW_DOWN_PERCENTS = (100, 40, 15, 0)
 SPEED_UP_PERCENT = 20
 
+# A serving subtask that has exceeded its target for this long, although the fillers
+# beside it are paced to 0, has one of them moved. Pacing takes 1.8 s to reach 0, and
+# the load shows it half a second later; a subtask may exceed its target for 4 s.
+MOVE_AFTER_MS = 3_000
+
+# Time for which a filler has been paced to 0 before it is moved, and time between two
+# moves from one host. The load shows the effect of each after half a second.
+MOVE_INTERVAL_MS = 1_000
+
 
 @dataclass(frozen=True, slots=True)
 class RunView:
@@ -139,3 +148,52 @@
         ):
             changes.append((run, min(run.pace + SPEED_UP_PERCENT, 100)))
     return changes
+
+
+def note_targets(views: Iterable[RunView], now_ms: int) -> None:
+    """Record on each serving run since when its load exceeds its target."""
+    for view in views:
+        target_ms = view.step_run.step.target_ms
+        if not target_ms or view.run.load <= target_ms:
+            view.run.over_target_since_ms = 0
+        elif not view.run.over_target_since_ms:
+            view.run.over_target_since_ms = now_ms
+
+
+def fillers_in_the_way(views: list[RunView], now_ms: int) -> list[RunView]:
+    """Return the fillers of a host that may be moved, those paced longest first.
+
+    A filler that has long been paced to 0 beside a serving subtask over its target
+    neither works nor, as it seems, gets out of the way: it may still hold memory.
+    """
+    is_over = any(
+        view.run.over_target_since_ms
+        and now_ms - view.run.over_target_since_ms >= MOVE_AFTER_MS
+        for view in views
+        if view.run.is_wanted and view.run.phase is RunPhase.RUNNING
+    )
+    last_stop_ms = max((view.run.first_stop_ms for view in views), default=0)
+    if not is_over or (last_stop_ms and now_ms - last_stop_ms < MOVE_INTERVAL_MS):
+        return []
+    fillers = [
+        view
+        for view in views
+        if view.step_run.step.is_filler
+        and not view.step_run.step.is_gang
+        and view.run.is_wanted
+        and view.run.phase is RunPhase.RUNNING
+        and view.run.pace == 0
+        and now_ms - view.run.paced_ms >= MOVE_INTERVAL_MS
+    ]
+    return sorted(fillers, key=lambda view: view.run.paced_ms)
+
+
+def may_miss_one(step_run: StepRun) -> bool:
+    """Return whether one more subtask of a step may be missing.
+
+    A step without a bound may miss any number, a long-running one without a bound one.
+    """
+    allowed = step_run.step.may_be_absent
+    if step_run.step.is_long_running:
+        return step_run.absent_count() < (1 if allowed is None else allowed)
+    return allowed is None or len(step_run.waiting - step_run.done) < allowed
