--- a/src/guavapin/console/commands/scheduling.py
+++ b/src/guavapin/console/commands/scheduling.py
@@ -20,7 +20,8 @@
     name = "scheduling"
     summary = "show queues and hosts of the scheduler, or why a job waits"
     description = """\
-Show the scheduler's queues and hosts, or one job with its steps and what it waits for.
+Show the scheduler's queues and hosts and the images that slow down others beside them,
+or one job with its steps and what it waits for.
 --url is the peer address of an entry host; one that does not schedule names the one
 that does.
 """
@@ -46,14 +47,34 @@
         (row["executor"], row["pool"], row["runs"], row["free_cpu"], row["state"])
         for row in body["hosts"]
     ]
-    tables = (
+    tables = [
         f"token {body['token']}",
         render_table(("queue", "pool", "waiting", "running"), queues),
         render_table(("executor", "pool", "runs", "free cpu", "state"), hosts),
-    )
+    ]
+    if body.get("pairs"):
+        tables.append(_pairs_text(body["pairs"]))
     return "\n\n".join(tables)
 
 
+def _pairs_text(pairs: list[Any]) -> str:
+    rows = [
+        (
+            row["image"],
+            row["neighbour"],
+            f"{row['slowdown']:.2f}",
+            row["measure"],
+            f"{row['confidence']:.1%}",
+            row["executors"],
+            row["samples"],
+            row["renewed_ms"],
+        )
+        for row in pairs
+    ]
+    columns = ("image", "slowed by", "times", "measure", "confidence")
+    return render_table((*columns, "executors", "samples", "ms ago"), rows)
+
+
 def _job_text(body: Any) -> str:
     head = f"job {body['job']}: {body['state']}, {body['age_ms']} ms, {body['reason']}"
     steps = [
--- a/src/guavapin/metrics/resident.py
+++ b/src/guavapin/metrics/resident.py
@@ -72,6 +72,11 @@
             "1 while this process schedules.",
             registry=self._registry,
         )
+        self._pairs = Gauge(
+            "guavapin_interference_pairs",
+            "Pairs of images of which one is known to slow down the other.",
+            registry=self._registry,
+        )
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_s = time.monotonic()
         self._unreported = 0
@@ -113,6 +118,9 @@
             self._scheduling.set(1)
         elif message == "term ends":
             self._scheduling.set(0)
+            self._pairs.set(0)
+        elif message in ("interference found", "interference dropped"):
+            self._pairs.set(getattr(record, "pairs", 0))
 
     def _take_token(self) -> bool:
         now_s = time.monotonic()
--- a/src/guavapin/scheduling/describe.py
+++ b/src/guavapin/scheduling/describe.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from guavapin.scheduling.interference import InterferenceTable
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
 
@@ -31,13 +32,32 @@
     state: str
 
 
+@dataclass(frozen=True, slots=True)
+class PairView:
+    """An image that runs slower beside another one, at present `slowdown` times.
+
+    `confidence` is the probability that such evidence does not occur by chance;
+    `renewed_ms` is the time since evidence renewed the pair last.
+    """
+
+    image: str
+    neighbour: str
+    measure: str
+    slowdown: float
+    confidence: float
+    executors: int
+    samples: int
+    renewed_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SchedulingView:
-    """Overview of a term: its token, the queues with open jobs, and all hosts."""
+    """Overview of a term: token, queues with open jobs, all hosts and known pairs."""
 
     token: int
     queues: tuple[QueueView, ...]
     hosts: tuple[HostView, ...]
+    pairs: tuple[PairView, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +115,24 @@
     )
     ordered = sorted(hosts, key=lambda host: (host.pool, host.executor))
     rows = tuple(queues[name] for name in sorted(queues))
-    return SchedulingView(scheduler.term.token, rows, tuple(ordered))
+    pairs = _pair_views(scheduler.interference.table, scheduler.term.now_ms)
+    return SchedulingView(scheduler.term.token, rows, tuple(ordered), pairs)
+
+
+def _pair_views(table: InterferenceTable, now_ms: int) -> tuple[PairView, ...]:
+    return tuple(
+        PairView(
+            pair.image,
+            pair.neighbour,
+            pair.measure.value,
+            round(pair.slowdown_at(now_ms), 2),
+            round(pair.confidence, 4),
+            pair.executors,
+            pair.samples,
+            now_ms - pair.renewed_ms,
+        )
+        for pair in table.pairs()
+    )
 
 
 def describe_job(scheduler: Scheduler, job_id: str) -> JobView | None:
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -4,13 +4,17 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
+from guavapin.console.commands.scheduling import _overview_text
 from guavapin.executors.model import EndKind
 from guavapin.executors.model import Look
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
+from guavapin.metrics.resident import ResidentMetrics
 from guavapin.scheduling import placement
+from guavapin.scheduling.describe import describe_scheduling
 from guavapin.scheduling.interference import Measure
 from guavapin.scheduling.interference import Pair
 from guavapin.scheduling.supervision import MOVE_AFTER_MS
@@ -155,6 +159,15 @@
     assert (found.image, found.neighbour) == ("web", "noisy")
     (line,) = [row for row in caplog.records if row.message == "interference found"]
     assert (line.slowdown, line.executors, line.pairs) == (2.25, 2, 1)
+    (view,) = describe_scheduling(sim.scheduler).pairs
+    slowdown = round(found.slowdown_at(sim.now_ms), 2)
+    assert (view.image, view.neighbour, view.slowdown) == ("web", "noisy", slowdown)
+    body = msgspec.to_builtins(describe_scheduling(sim.scheduler))
+    text = _overview_text(body)
+    assert "SLOWED BY" in text and "noisy" in text and f"{slowdown:.2f}" in text
+    metrics = ResidentMetrics()
+    metrics.filter(line)
+    assert b"guavapin_interference_pairs 1.0" in metrics.render()
 
 
 def test_a_failing_host_gives_no_evidence(sim) -> None:
