Explain where a job would go, at any entry host

Cause: operators saw why a job waits only in one sentence, and could not ask before a submission where a job would go or whether it would be rejected. Change: guavapin where and GET /v1/where on the listener for peers. Admission has a preview without an effect, placement names its exclusions, and a CapRule is the place for the caps of organisations. A host that does not schedule answers by its own table and the age of its proof, so each host's follower confirms the table; the watch without a wait after a failure stays with strict keys (is_prompt). make demo prints an answer.

--- a/src/guavapin/console/app.py
+++ b/src/guavapin/console/app.py
@@ -20,6 +20,7 @@
 from guavapin.console.commands.status import StatusCommand
 from guavapin.console.commands.undrain import UndrainCommand
 from guavapin.console.commands.wave import WaveCommand
+from guavapin.console.commands.where import WhereCommand
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -59,6 +60,7 @@
     CapacityCommand(),
     ExplainCommand(),
     SchedulingCommand(),
+    WhereCommand(),
 )
 
 
--- a/src/guavapin/console/client.py
+++ b/src/guavapin/console/client.py
@@ -51,6 +51,12 @@
         suffix = f"?{urlencode(query)}" if query else ""
         return self._call("GET", path + suffix, None)
 
+    def query(
+        self, path: str, query: Mapping[str, str], body: bytes
+    ) -> Outcome[Answer]:
+        """Read `path` with a body that describes what is queried, if not empty."""
+        return self._call("GET", f"{path}?{urlencode(query)}", body or None)
+
     def post(self, path: str, body: object) -> Outcome[Answer]:
         """Send `body` as JSON to `path`."""
         return self._call("POST", path, msgspec.json.encode(body))
--- a/src/guavapin/intake/peer_calls.py
+++ b/src/guavapin/intake/peer_calls.py
@@ -12,6 +12,9 @@
 from guavapin.intake.peer_codec import decode_scheduler
 from guavapin.intake.peer_codec import encode_peer_answer
 from guavapin.intake.peer_codec import encode_scheduler
+from guavapin.intake.where import WHERE_PATH
+from guavapin.intake.where import WhereAnswer
+from guavapin.intake.where import WhereQuery
 from guavapin.jobs.table_messages import DescribeTable
 from guavapin.jobs.table_messages import TableDescribed
 from guavapin.jobs.table_relay import TABLE_PATH
@@ -72,6 +75,8 @@
         elif isinstance(message, TableDescribed):
             body = encode_described(message)
             self.answer(message.request_id, 200, JSON, body)
+        elif isinstance(message, WhereAnswer):
+            self.answer(message.request_id, message.status, JSON, message.body)
         elif not self.handle_front_message(message):
             raise InvariantError(f"peer_desk: unexpected message {message!r}")
 
@@ -97,6 +102,10 @@
             query = DescribeScheduling(self.name, req.request_id, job_id)
             self._context.send("scheduler", query)
             return
+        if req.method == "GET" and path == WHERE_PATH:
+            where = WhereQuery(self.name, req.request_id, query_text, req.body)
+            self._context.send("where", where)
+            return
         if req.target == SCHEDULER_PATH:
             self._handle_announcement(req)
             return
--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -77,7 +77,8 @@
     prefix that changes continuously. When the store's history is gone, or is too long
     for one answer, the prefix is listed again. With `is_eager`, following begins at the
     start. The service `observer` is notified whether each call was answered. With
-    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer.
+    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer; with
+    `is_prompt`, the first watch after a failure is answered at once.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         is_eager: bool = False,
         observer: str = "",
         is_confirming: bool = False,
+        is_prompt: bool = False,
     ) -> None:
         self.name = name
         self._prefix = prefix
@@ -99,6 +101,7 @@
         self._is_eager = is_eager
         self._observer = observer
         self._is_confirming = is_confirming
+        self._is_prompt = is_prompt
         self._sent_ms = 0
         self._follow_id = 0
         self._request_id = 0
@@ -150,7 +153,7 @@
             request = kv.ReadItems(self.name, self._request_id, self._prefix, after)
         else:
             # After a failure, an answer at once proves that nothing was missed.
-            is_urgent = self._is_confirming and self._retry_delay_ms > 0
+            is_urgent = self._is_prompt and self._retry_delay_ms > 0
             request = kv.WatchItems(
                 self.name,
                 self._request_id,
--- a/src/guavapin/platform/job_calls.py
+++ b/src/guavapin/platform/job_calls.py
@@ -31,6 +31,7 @@
 from guavapin.platform.bodies import WireNumber
 from guavapin.platform.bodies import decode_body
 from guavapin.platform.bodies import encode_body
+from guavapin.platform.bodies import find_body_fault
 
 if TYPE_CHECKING:
     from guavapin.jobs.queues import Queue
@@ -110,6 +111,11 @@
     return BadCall(f"method {method}: expected GET, POST or DELETE")
 
 
+def find_job_fault(body: bytes) -> str:
+    """Return which field of a submission cannot be read and why, "" if all can."""
+    return find_body_fault(body, _Job)
+
+
 def encode_answer(
     answer: JobAnswer,
 ) -> tuple[int, tuple[tuple[bytes, bytes], ...], bytes]:
--- a/src/guavapin/platform/wire_codecs.py
+++ b/src/guavapin/platform/wire_codecs.py
@@ -82,6 +82,10 @@
         """Return the call to `queue` in a request that arrived at `wall_ms`."""
         return job_calls.decode_call(queue, method, path, body, wall_ms, organisation)
 
+    def find_job_fault(self, body: bytes) -> str:
+        """Return which field of a submission cannot be read and why, "" if all can."""
+        return job_calls.find_job_fault(body)
+
     def encode(self, answer: JobAnswer) -> tuple[int, Headers, bytes]:
         """Return HTTP status, headers and body of an answer."""
         return job_calls.encode_answer(answer)
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -15,6 +15,7 @@
 from guavapin.intake.peer_calls import PeerCallsTask
 from guavapin.intake.reachability import ReachabilityTask
 from guavapin.intake.task import IntakeTask
+from guavapin.intake.where import WhereTask
 from guavapin.jobs.table_view import watch_wait_ms
 from guavapin.jobs.tables import TablesTask
 from guavapin.kernel import Kernel
@@ -126,6 +127,7 @@
         )
     )
     kernel.register(PeerCallsTask())
+    kernel.register(WhereTask(PlatformJobCallCodec()))
     kernel.register(OpsPagesTask("ready_desk", "ready_front", {}))
     pages = {METRICS_PATH: metrics.render}
     kernel.register(OpsPagesTask("metrics_desk", "metrics_front", pages))
@@ -170,7 +172,8 @@
             watch_wait_ms(revoke_ms, WATCH_WAIT_MS),
             is_eager=True,
             observer="reach",
-            is_confirming=revoke_ms > 0,
+            is_confirming=True,
+            is_prompt=revoke_ms > 0,
         ),
         PrefixFollower(
             "follow_duty", DUTY_KEY, ("roster",), WATCH_WAIT_MS, is_eager=True
--- a/src/guavapin/scheduling/admission.py
+++ b/src/guavapin/scheduling/admission.py
@@ -90,10 +90,16 @@
 
     def rejection(self, job: Job, now_ms: int) -> Rejected | None:
         """Return the rejection of a job, None if there is a place for it."""
+        rejection = self.preview(job, now_ms)
+        if rejection is not None:
+            self._rejected.record(now_ms)
+        return rejection
+
+    def preview(self, job: Job, now_ms: int) -> Rejected | None:
+        """Return what `rejection` would, without recording it."""
         if self._has_place_for(job):
             return None
-        self._rejected.record(now_ms)
-        waiting = self._rejected.count(now_ms)
+        waiting = self._rejected.count(now_ms) + 1
         ended = max(self._ended.count(now_ms), 1)
         return_ms = RATE_WINDOW_MS * waiting // ended
         return_ms = min(max(return_ms, MIN_RETURN_MS), MAX_RETURN_MS)
--- /dev/null
+++ b/src/guavapin/scheduling/cap_rule.py
@@ -0,0 +1,25 @@
+"""Protocol of the rule that holds a step until its organisation has less running."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+if TYPE_CHECKING:
+    from guavapin.scheduling.job_run import StepRun
+
+
+class CapRule(Protocol):
+    """Decides whether the cap of its organisation holds a step."""
+
+    def is_held(self, step_run: StepRun) -> bool:
+        """Return whether one more subtask of a step would exceed the cap."""
+        ...
+
+
+class _NoCap:
+    def is_held(self, step_run: StepRun) -> bool:
+        return False
+
+
+NO_CAP: CapRule = _NoCap()
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
 from guavapin.scheduling.placement import NO_PREFERENCE
@@ -14,6 +15,8 @@
 from guavapin.scheduling.waiting_steps import WaitingSteps
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.placement import HostPreference
@@ -35,7 +38,7 @@
         self._term = term
         self._hosts = hosts
         self._rules = rules
-        self._starter = Starter(term, hosts, rules, preference)
+        self.starter = Starter(term, hosts, rules, preference)
         self._waiting = WaitingSteps(rules)
         self._table = term.table
 
@@ -48,6 +51,16 @@
         """Start no more subtasks of a step."""
         self._waiting.discard(step_run)
 
+    def waiting_in(self, pool: str) -> Iterator[StepRun]:
+        """Return the waiting steps of a pool in order, also those that do not fit."""
+        return self._waiting.candidates(pool, lambda: sys.maxsize)
+
+    def is_held_up(self, step_run: StepRun) -> bool:
+        """Return whether a step waits for hosts that have not listed their runs."""
+        pool = self._rules.pool_of(step_run)
+        is_unresolved = pool in self._hosts.unresolved_pools()
+        return _is_held_up(step_run, is_unresolved)
+
     def dispatch(self) -> None:
         """Start the waiting subtasks that fit on a host, in order of position."""
         if not len(self._waiting):
@@ -68,8 +81,7 @@
         started = []
         for step_run in self._waiting.candidates(pool, lambda: room.max_free_cpu):
             step = step_run.step
-            is_held_up = step_run.job_run.is_inherited and is_unresolved
-            if is_held_up and not step.allows_copies:
+            if _is_held_up(step_run, is_unresolved):
                 continue
             if step.reserved.cpu_millis > room.max_free_cpu and self._rules.needs_room(
                 step_run
@@ -77,9 +89,14 @@
                 continue
             if shortage.applies(pool, step):
                 continue
-            if not self._starter.start_waiting(step_run, room):
+            if not self.starter.start_waiting(step_run, room):
                 shortage.record(pool, step)
             if not step_run.waiting:
                 started.append(step_run)
         for step_run in started:
             self._waiting.discard(step_run)
+
+
+def _is_held_up(step_run: StepRun, is_unresolved: bool) -> bool:
+    is_inherited = step_run.job_run.is_inherited
+    return is_inherited and is_unresolved and not step_run.step.allows_copies
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -21,6 +21,7 @@
 from guavapin.jobs.model import JobState
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.admission import Admission
+from guavapin.scheduling.admission_rule import PreviewableRule
 from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.messages import AnswerCall
 from guavapin.scheduling.messages import FetchJob
@@ -326,6 +327,18 @@
             entry = Entry(key, encode_job(job), (JobStored(job),), is_create=True)
             self._store(entry, is_urgent=True)
 
+    def preview_rejection(self, job: Job) -> Rejected | None:
+        """Return the rejection that a submission would get, without an effect.
+
+        A rule that cannot be asked without an effect is left out.
+        """
+        for rule in self._rules:
+            if isinstance(rule, PreviewableRule):
+                rejection = rule.preview(job, self._term.now_ms)
+                if rejection is not None:
+                    return rejection
+        return None
+
     def _rejection(self, job: Job) -> Rejected | None:
         """Return the rejection of the first rule that does not accept a job."""
         for rule in self._rules:
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -13,11 +13,13 @@
     from guavapin.executors.model import Order
     from guavapin.jobs.calls import JobAnswer
     from guavapin.jobs.calls import JobCall
+    from guavapin.jobs.model import Job
     from guavapin.jobs.model import Subtask
     from guavapin.jobs.queues import QueueTable
     from guavapin.ledger.ledger import Entry
     from guavapin.scheduling.describe import JobView
     from guavapin.scheduling.describe import SchedulingView
+    from guavapin.scheduling.where import PlacementView
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,33 @@
     scheduler: str
 
 
+@dataclass(frozen=True, slots=True)
+class ExplainPlacement:
+    """To ``scheduler``: where a job would start now.
+
+    `job` is a job that was not submitted; without one, `job_id` names a submitted job.
+    """
+
+    reply_to: str
+    request_id: int
+    job_id: str = ""
+    job: Job | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementExplained:
+    """From ``scheduler``: the explanation, None if the job is not known here.
+
+    `is_scheduling` is unset if this process does not schedule; `scheduler` is then the
+    last one known to it.
+    """
+
+    request_id: int
+    view: PlacementView | None
+    is_scheduling: bool
+    scheduler: KnownScheduler
+
+
 @dataclass(frozen=True, slots=True)
 class PeerScheduler:
     """The scheduler that another entry host named; it may be out of date."""
--- a/src/guavapin/scheduling/placement.py
+++ b/src/guavapin/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from itertools import islice
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -23,6 +24,14 @@
 MAX_SEARCHED = 32
 
 
+class Exclusion(Enum):
+    """Reason for which a usable host does not get one more subtask of a step."""
+
+    ROOM = "room"
+    LABEL = "label"
+    SPREAD = "spread"
+
+
 class HostPreference(Protocol):
     """Prefers some of the hosts that have room for a step."""
 
@@ -108,13 +117,21 @@
     return best
 
 
-def _fits(step_run: StepRun, host: Host) -> bool:
-    """Return whether one more subtask of a step may start on a usable host."""
+def find_exclusion(step_run: StepRun, host: Host) -> Exclusion | None:
+    """Return why one more subtask of a step may not start on a usable host, if so."""
     step = step_run.step
-    if not host.free.covers(step.reserved) or not has_required_label(step, host):
-        return False
+    if not host.free.covers(step.reserved):
+        return Exclusion.ROOM
+    if not has_required_label(step, host):
+        return Exclusion.LABEL
     bound = step.max_per_host
-    return not bound or step_run.count_runs_on(host.executor_id) < bound
+    if bound and step_run.count_runs_on(host.executor_id) >= bound:
+        return Exclusion.SPREAD
+    return None
+
+
+def _fits(step_run: StepRun, host: Host) -> bool:
+    return find_exclusion(step_run, host) is None
 
 
 def choose_hosts_for_gang(
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from guavapin.jobs.model import Resources
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.arrivals import Arrivals
+from guavapin.scheduling.cap_rule import NO_CAP
 from guavapin.scheduling.dispatcher import Dispatcher
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
@@ -35,6 +36,7 @@
     from guavapin.executors.model import RunningRow
     from guavapin.executors.model import Start
     from guavapin.jobs.model import Subtask
+    from guavapin.scheduling.cap_rule import CapRule
     from guavapin.scheduling.handover import HandedHost
     from guavapin.scheduling.handover import HandedRun
     from guavapin.scheduling.host import Host
@@ -71,6 +73,7 @@
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
         self._rules = QueueRules(term)
+        self.cap_rule: CapRule = NO_CAP
         self.interference = InterferenceEvidence(self.step_of)
         self.preference = NeighbourPreference(term, self.interference.table)
         self._dispatcher = Dispatcher(term, self.hosts, self._rules, self.preference)
@@ -112,6 +115,21 @@
         )
         return tuple(demands)
 
+    @property
+    def is_start_allowed(self) -> bool:
+        """Whether the record of the predecessor is removed, so that work may start."""
+        return self._is_start_allowed
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Return the order of the waiting steps, for explanations."""
+        return self._dispatcher
+
+    @property
+    def rules(self) -> QueueRules:
+        """Return the rules of the queue table, for explanations."""
+        return self._rules
+
     @property
     def needs_dispatch(self) -> bool:
         """Whether a change since the last dispatch may allow a subtask to start."""
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -58,7 +58,7 @@
             for chosen in self._start_gang(step_run, room.hosts()):
                 pool_room.put(chosen)
             return True
-        rack = self._rack_in_use(step_run) if step_run.step.is_tightly_coupled else ""
+        rack = self.rack_of(step_run)
         for index in sorted(step_run.waiting):
             if step_run.not_before_ms.get(index, 0) > now_ms:
                 continue
@@ -73,6 +73,26 @@
                 rack = rack or host.registration.rack
         return True
 
+    def preview(self, step_run: StepRun, pool_room: PoolRoom) -> list[Host]:
+        """Return where one more subtask of a step would start now, or the gang.
+
+        The list is empty if it would not start. Nothing is changed or requested.
+        """
+        now_ms = self._term.now_ms
+        room = pool_room
+        if self._rules.terms_of(step_run.job_run).advice is not None:
+            hosts = pool_room.hosts()
+            room = PoolRoom(host for host in hosts if ticket(step_run, host, now_ms))
+        if step_run.step.is_gang:
+            hosts = room.hosts()
+            return choose_hosts_for_gang(step_run, hosts, self._preference) or []
+        host = choose_host(step_run, room, self.rack_of(step_run), self._preference)
+        return [] if host is None else [host]
+
+    def rack_of(self, step_run: StepRun) -> str:
+        """Return the rack that a tightly coupled step uses already, "" without one."""
+        return self._rack_in_use(step_run) if step_run.step.is_tightly_coupled else ""
+
     def _start_gang(self, step_run: StepRun, hosts: list[Host]) -> list[Host]:
         """Start all members of a gang if they fit, and return their hosts."""
         if len(step_run.waiting) < step_run.step.count:
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -39,11 +39,13 @@
 from guavapin.scheduling.messages import AdviceReply
 from guavapin.scheduling.messages import CordonHosts
 from guavapin.scheduling.messages import DescribeScheduling
+from guavapin.scheduling.messages import ExplainPlacement
 from guavapin.scheduling.messages import JobReply
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import KnownScheduler
 from guavapin.scheduling.messages import MachinesListed
 from guavapin.scheduling.messages import PeerScheduler
+from guavapin.scheduling.messages import PlacementExplained
 from guavapin.scheduling.messages import QueueTableChanged
 from guavapin.scheduling.messages import SchedulingDescribed
 from guavapin.scheduling.messages import SchedulingEnded
@@ -56,6 +58,8 @@
 from guavapin.scheduling.term import MAX_UNCONFIRMED_MS
 from guavapin.scheduling.term import Term
 from guavapin.scheduling.term_loader import TermLoader
+from guavapin.scheduling.where import explain_job
+from guavapin.scheduling.where import explain_waiting
 
 if TYPE_CHECKING:
     from guavapin.jobs.queues import QueueTable
@@ -65,6 +69,7 @@
     from guavapin.scheduling.describe import SchedulingView
     from guavapin.scheduling.scheduler import Scheduler
     from guavapin.scheduling.term_loader import RegistryDecoder
+    from guavapin.scheduling.where import PlacementView
     from guavapin.settings.resident import Times
 
 # Interval of the timer that sends due polls, detects lost hosts and opens the steps
@@ -236,6 +241,8 @@
                     self._end("the duty was lost")
             case DescribeScheduling():
                 self._describe(message)
+            case ExplainPlacement():
+                self._explain(message)
             case KnownScheduler():
                 self._handle_known_scheduler(message)
             case PeerScheduler(scheduler=scheduler):
@@ -415,6 +422,21 @@
         answer = SchedulingDescribed(req.request_id, view, address)
         self._context.send(req.reply_to, answer)
 
+    def _explain(self, req: ExplainPlacement) -> None:
+        """Answer where a job would start, unless another process may schedule."""
+        view: PlacementView | None = None
+        is_scheduling = self._scheduler is not None and not self._unconfirmed_until_ms
+        if self._scheduler is not None and is_scheduling:
+            self._update_time()
+            if req.job is not None:
+                view = explain_job(self._scheduler, req.job)
+            else:
+                view = explain_waiting(self._scheduler, req.job_id)
+        answer = PlacementExplained(
+            req.request_id, view, is_scheduling, self._known_scheduler
+        )
+        self._context.send(req.reply_to, answer)
+
     def _handle_request(self, req: JobRequest) -> None:
         # While the lease is unconfirmed, another process may schedule and the state
         # of this one may be out of date.
--- a/src/guavapin_demo/job_run.py
+++ b/src/guavapin_demo/job_run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import random
 import signal
 import tempfile
@@ -11,9 +13,12 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from guavapin.console.app import main
 from guavapin_demo.job_callers import COMPLETION_TIMEOUT_MS
+from guavapin_demo.job_demand import HOST
 from guavapin_demo.job_demand import build_queues
 from guavapin_demo.job_demand import plan_jobs
+from guavapin_demo.job_demand import submission_body
 from guavapin_demo.job_report import Handover
 from guavapin_demo.job_report import WaveOrder
 from guavapin_demo.job_report import build_job_report
@@ -23,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavapin_demo.job_demand import PlannedJob
     from guavapin_demo.job_report import JobReport
     from guavapin_demo.sites import Site
 
@@ -96,6 +102,7 @@
         self._sleep_until(plan.wave_ms)
         self._site.put(wave.key, wave.encode())
         self._print_event(f"a wave over {len(wave.machines)} machines was ordered")
+        self._print_where(jobs[0])
         self._sleep_until(plan.handover_ms)
         handover = self._hand_over()
         wait([fut], (plan.load_ms + COMPLETION_TIMEOUT_MS) / 1_000)
@@ -110,6 +117,20 @@
         view = self._site.view()
         return build_job_report(jobs, caller_events, view, wave, handover, end_ms)
 
+    def _print_where(self, job: PlannedJob) -> None:
+        """Print where a job of a queue would go now, as operators see it."""
+        entry = self._site.entries[0]
+        path = Path(self._site.folder) / "job.json"
+        path.write_bytes(submission_body(job))
+        request = ("--host", HOST, "--path", job.queue.prefix)
+        args = ["where", *request, "--job-file", str(path)]
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            code = main([*args, "--url", f"http://127.0.0.1:{entry.ports.peer}"])
+        self._print_event(f"guavapin where {' '.join(request)} (exit code {code})")
+        for line in output.getvalue().splitlines():
+            self._print_line(f"         {line}")
+
     def _choose_wave(self) -> WaveOrder:
         count = len(self._queues) * self._machines_per_pool
         machines = self._rng.sample(range(count), min(WAVE_MACHINES, count))
--- a/src/guavapin_demo/job_site.py
+++ b/src/guavapin_demo/job_site.py
@@ -57,7 +57,7 @@
         self.clock = SystemClock()
         self.entries: list[EntryProcess] = []
         self._entry_hosts = entry_hosts
-        self._folder = folder
+        self.folder = folder
         self._manifest = build_manifest(queues, STANDBY_POOL)
         self._kernel = Kernel(self.clock)
         machines = len(queues) * machines_per_pool
@@ -84,7 +84,7 @@
             raise InvariantError(f"the stand-ins did not start: {outcome}")
         self.put("op/config", self._manifest)
         self.entries = [
-            EntryProcess(self._folder, f"e{number}", entry_ports(self._port))
+            EntryProcess(self.folder, f"e{number}", entry_ports(self._port))
             for number in range(self._entry_hosts)
         ]
         return self
--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -273,6 +273,40 @@
     assert f"ask 127.0.0.1:{scheduler.peer}" in capsys.readouterr().err
 
 
+def test_any_entry_host_says_where_a_job_would_go(site: Site, capsys, tmp_path) -> None:
+    # Guards against an explanation that only the scheduler can give, that submits the
+    # job, or that goes silent at a host that is cut off from the scheduler.
+    scheduler = site.scheduler()
+    other = next(entry for entry in site.entries if entry is not scheduler)
+    path = tmp_path / "job.json"
+    path.write_text(json.dumps({"spec": "x", "steps": [{"count": 1, "cpu": 99_000}]}))
+    query = ["where", "--host", "jobs.example", "--path", "/q/", "--job-file"]
+    for entry in site.entries:
+        url = f"http://127.0.0.1:{entry.peer}"
+        assert main([*query, str(path), "--url", url]) == 0
+        out = capsys.readouterr().out
+        assert "queue jobs.example/q/, pool pool" in out
+        assert "would be accepted" in out and "no host of the pool" in out
+    assert main([*query, str(path), "--url", url, "--output", "json"]) == 0
+    (step,) = json.loads(capsys.readouterr().out)["placement"]["steps"]
+    assert step["excluded"] == {"room": 4} and step["pool_hosts"] == 4
+    path.write_text('{"spec": "x", "steps": [{"count": "two"}]}')
+    assert main([*query, str(path), "--url", url]) == 2
+    assert "$.steps[0].count" in capsys.readouterr().err
+    assert main([*query, str(tmp_path / "none"), "--url", url]) == 2
+    assert "none" in capsys.readouterr().err
+    scheduler.signal(signal.SIGSTOP)
+    try:
+        path.write_text(json.dumps({"spec": "x", "steps": [{"count": 1}]}))
+        url = f"http://127.0.0.1:{other.peer}"
+        args = [*query, str(path), "--url", url, "--timeout-ms", "300"]
+        assert main(args) == 0
+        assert "scheduler: 127.0.0.1" in capsys.readouterr().out
+    finally:
+        scheduler.signal(signal.SIGCONT)
+    assert site.view().log == ()
+
+
 def test_a_wave_is_carried_out_and_its_status_is_stored(site: Site) -> None:
     # Guards against a wave that is never done, or is reported as done too early.
     machines = ["m-0", "m-1"]
--- a/tests/demo/test_job_run.py
+++ b/tests/demo/test_job_run.py
@@ -23,3 +23,5 @@
     assert report.jobs.accepted == report.jobs.succeeded > 0
     assert report.wave_machines == 6 and report.machine_moves > 0
     assert any("told to stop" in line for line in lines)
+    assert any("guavapin where" in line and "code 0" in line for line in lines)
+    assert any("would be accepted" in line for line in lines)
--- a/tests/intake/test_revocation.py
+++ b/tests/intake/test_revocation.py
@@ -80,7 +80,13 @@
         wait_ms = watch_wait_ms(REVOKE_MS, 2_000)
         tasks = (
             PrefixFollower(
-                "follow", KEY, ("tables",), wait_ms, is_eager=True, is_confirming=True
+                "follow",
+                KEY,
+                ("tables",),
+                wait_ms,
+                is_eager=True,
+                is_confirming=True,
+                is_prompt=True,
             ),
             TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, holder),
             IntakeTask(PlatformJobCallCodec(), holder, observer, True, REVOKE_MS),
