Explain which upstream a request would get

Cause: operators of guavapin-entry saw answers and metrics, and not why an upstream gets a request or none. The service exchanges explains by the functions that send a request: the route, the zone, the refusals of quota and queue, and ExchangePool.preview, which is place on copies of the tables and of the random state. The checks of WaitQueue.push and PoolQueue.push are methods of their own, so that both use them.

--- a/src/guavapin/console/commands/where.py
+++ b/src/guavapin/console/commands/where.py
@@ -19,6 +19,7 @@
     from guavapin.kernel.outcome import Outcome
 
 WHERE_PATH = "/v1/where"
+ENTRY_PATH = "/operator/v1/where"
 
 
 class WhereCommand:
@@ -32,6 +33,9 @@
 it would be rejected. Nothing is submitted and nothing changes. --url is the peer
 address of an entry host. If that host does not schedule, the scheduler that it names is
 asked; if it does not answer, the host's own view is shown with its age.
+
+With --entry, --url is the operators' address of guavapin-entry: the answer is the
+service, the upstream that would be chosen, and why each upstream is a candidate or not.
 """
 
     def configure(self, parser: argparse.ArgumentParser) -> None:
@@ -42,11 +46,25 @@
         parser.add_argument("--job-file", default="", help="JSON file of a job")
         parser.add_argument("--organisation", default="", help="its organisation")
         parser.add_argument("--job", default="", help="id of a waiting job")
+        parser.add_argument("--entry", action="store_true", help="ask guavapin-entry")
+        parser.add_argument("--method", default="GET", help="method, with --entry")
+        parser.add_argument("--team", default="", help="team, with --entry")
 
     def run(self, args: argparse.Namespace, console: Console) -> ExitCode:
         """Read and render the explanation."""
         query: dict[str, str] = {}
         body = b""
+        if args.entry:
+            if args.job or args.job_file:
+                detail = "--entry: given with a job, expected --host and --path"
+                return console.fail(detail, ExitCode.BAD_INPUT)
+            query = {
+                name: str(getattr(args, name) or "")
+                for name in ("host", "path", "method", "team")
+            }
+            query["size"] = str(args.size or 0)
+            outcome = console.client.get(ENTRY_PATH, query)
+            return console.finish(outcome, _entry_text)
         if args.job:
             if args.host or args.path or args.job_file:
                 detail = "--job: given with a request, expected one of both"
@@ -147,3 +165,37 @@
         table = render_table(("left out for", "hosts"), rows)
         lines += [f"  {line}" for line in table.splitlines()]
     return lines
+
+
+def _entry_text(body: Any) -> str:
+    long_text = ", long work" if body["is_long"] else ""
+    lines = [
+        f"generation {body['generation']}",
+        f"service {body['service']}, pool {body['pool']}, zone {body['zone']}"
+        + long_text,
+    ]
+    if body["rejection"]:
+        retry = body["retry_after_s"]
+        after = f", retry after {retry} s" if retry else ""
+        lines.append(f"would be refused: {body['rejection']}{after}")
+    elif body["chosen"]:
+        what = "entry host of another zone" if body["is_other_zone"] else "upstream"
+        trial = " as its trial" if body["is_trial"] else ""
+        lines.append(f"would be sent to {what} {body['chosen']}{trial}")
+    else:
+        lines.append(
+            f"would wait for {body['expected_wait_ms']} ms behind "
+            f"{body['ahead']} requests"
+        )
+    rows = [
+        (
+            row["host"],
+            row["reason"] or "candidate",
+            row["outstanding"],
+            row["usable_slots"],
+            row["score"],
+        )
+        for row in body["upstreams"]
+    ]
+    columns = ("upstream", "state", "outstanding", "slots", "score")
+    return "\n".join([*lines, "", render_table(columns, rows)])
--- a/src/guavapin/limits/queue.py
+++ b/src/guavapin/limits/queue.py
@@ -102,6 +102,17 @@
         `wait_ms` is the expected wait. A request is refused when the queue is full,
         when it is urgent and would wait too long, or when it would miss its deadline.
         """
+        refused = self.check(request, wait_ms, now_ms)
+        if refused is not None:
+            return refused
+        self._by_service[request.service] += 1
+        self._enqueue(request, is_parked)
+        return Ok(None)
+
+    def check(
+        self, request: QueuedRequest, wait_ms: float, now_ms: int
+    ) -> Refused | None:
+        """Return why `push` would refuse a request, None if it would queue it."""
         count = self._by_service[request.service]
         reserve = self._settings.urgent_reserve if request.is_urgent else 0
         if count >= request.limit + reserve:
@@ -114,9 +125,7 @@
                 f"expected wait {wait_ms:.0f} ms and run {request.run_ms:.0f} ms, "
                 f"deadline in {request.deadline_ms - now_ms} ms",
             )
-        self._by_service[request.service] += 1
-        self._enqueue(request, is_parked)
-        return Ok(None)
+        return None
 
     def cancel(self, request_id: int) -> QueuedRequest | None:
         """Remove and return a request; return None if it is not queued."""
--- a/src/guavapin/operators/report_calls.py
+++ b/src/guavapin/operators/report_calls.py
@@ -30,6 +30,7 @@
 from guavapin.reports.explain import explain_wave
 from guavapin.reports.status import EntryLine
 from guavapin.reports.status import build_status
+from guavapin.serving.exchange_where import ExplainRequest
 
 if TYPE_CHECKING:
     from guavapin.fleet.effective import FollowedFleet
@@ -43,6 +44,9 @@
 LIVE = "live"
 DEFAULT_AUDIT_LIMIT = 50
 
+# Characters of a value that an error repeats.
+MAX_SHOWN = 80
+
 
 @dataclass(frozen=True, slots=True)
 class _ReportInputs:
@@ -115,6 +119,13 @@
         detail = f"kind = {call.names['kind']!r}; expected host or wave"
         return answer_refused(Refused(Reason.MISSING, detail))
 
+    def read_where(self, call: OperatorCall) -> ApiAnswer:
+        """Return where this entry host would send a request now, and why."""
+        query = _request_query(call.query)
+        if isinstance(query, Refused):
+            return answer_refused(query)
+        return _answer(await_reply(self._services.ask("exchanges", query.value)))
+
     def read_audit(self, call: OperatorCall) -> ApiAnswer:
         """Return audit entries of the fleet and of publications, newest first."""
         query = _audit_query(call.query)
@@ -171,3 +182,23 @@
             **values,
         )
     )
+
+
+def _request_query(query: Any) -> Outcome[ExplainRequest]:
+    path, size = query.get("path", ""), query.get("size", "0")
+    if not path.startswith("/"):
+        detail = f"path = {path[:MAX_SHOWN]!r}; expected the path of a request"
+        return Refused(Reason.BAD_INPUT, detail)
+    number = parse_decimal(size)
+    if number is None:
+        detail = f"size = {size[:MAX_DIGITS]!r}; expected a number of bytes"
+        return Refused(Reason.BAD_INPUT, detail)
+    return Ok(
+        ExplainRequest(
+            query.get("host", ""),
+            path,
+            number,
+            query.get("method", "GET"),
+            query.get("team", ""),
+        )
+    )
--- a/src/guavapin/operators/routes.py
+++ b/src/guavapin/operators/routes.py
@@ -26,6 +26,7 @@
         Route("GET", "/status", reports.read_status),
         Route("GET", "/capacity", reports.read_capacity),
         Route("GET", "/explain/<kind>/<name>", reports.explain),
+        Route("GET", "/where", reports.read_where),
         Route("GET", "/audit", reports.read_audit),
         Route("GET", "/objects", configuration.read_objects),
         Route("POST", "/publish", configuration.publish),
--- a/src/guavapin/serving/exchange_pool.py
+++ b/src/guavapin/serving/exchange_pool.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import copy
 import logging
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -174,6 +175,28 @@
             request = replace(request, tried=(*request.tried, host))
         return None
 
+    def preview(
+        self,
+        request: PickRequest,
+        deadline_ms: int,
+        is_idempotent: bool,
+        now_ms: int,
+        rng: random.Random,
+    ) -> Placement | None:
+        """Return what `place` would, on a copy of the state.
+
+        Records are frozen, so that the tables and sets which hold them are copied.
+        """
+        pool = copy.copy(self)
+        pool.records, pool.health = dict(self.records), dict(self.health)
+        pool._usable_slots = dict(self._usable_slots)
+        pool._ejected_hosts = set(self._ejected_hosts)
+        pool._free_hosts = IndexedSet(self._free_hosts.items)
+        pool._long_free_hosts = IndexedSet(self._long_free_hosts.items)
+        pool._trial_hosts = IndexedSet(self._trial_hosts.items)
+        pool._time_dependent_hosts = IndexedSet(self._time_dependent_hosts.items)
+        return pool.place(request, deadline_ms, is_idempotent, now_ms, rng)
+
     def place_probe(self, deadline_ms: int, now_ms: int) -> Placement | None:
         """Reserve a slot for an active probe of an upstream whose trial is due."""
         return self._place_trial(deadline_ms, now_ms)
--- a/src/guavapin/serving/exchange_queue.py
+++ b/src/guavapin/serving/exchange_queue.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from guavapin.kernel import Outcome
+    from guavapin.kernel import Refused
     from guavapin.limits.queue import QueuedRequest
     from guavapin.serving.exchange_pool import ExchangePool
     from guavapin.serving.exchange_settings import ExchangeSettings
@@ -52,12 +53,25 @@
         its kind's run times: under overload, a request that is started but ends after
         its deadline is wasted work.
         """
+        waiting, wait_ms = self._bounded(waiting, p95_ms)
+        return self.waiting.push(waiting, wait_ms, now_ms, is_parked)
+
+    def check(
+        self, waiting: QueuedRequest, p95_ms: float, now_ms: int
+    ) -> Refused | None:
+        """Return why `push` would refuse a request, None if it would queue it."""
+        return self.waiting.check(*self._bounded(waiting, p95_ms), now_ms)
+
+    def _bounded(
+        self, waiting: QueuedRequest, p95_ms: float
+    ) -> tuple[QueuedRequest, float]:
+        """Return a request with the run time to reckon with, and its expected wait."""
         wait_ms = self.expected_wait_ms(waiting)
         if not self._refuses_early:
-            return self.waiting.push(replace(waiting, run_ms=0), 0, now_ms, is_parked)
+            return replace(waiting, run_ms=0), 0
         if wait_ms > 0:
             waiting = replace(waiting, run_ms=max(p95_ms, waiting.run_ms))
-        return self.waiting.push(waiting, wait_ms, now_ms, is_parked)
+        return waiting, wait_ms
 
     def _is_allowed(self, waiting: QueuedRequest) -> bool:
         return not waiting.is_long or self.pool.allows_long()
--- a/src/guavapin/serving/exchange_router.py
+++ b/src/guavapin/serving/exchange_router.py
@@ -58,6 +58,11 @@
         for service in services_by_name.values():
             self._configure_service(service, now_ms)
 
+    @property
+    def generation(self) -> int:
+        """Return the generation of the configuration in force."""
+        return self._table.generation
+
     def match(self, headers: Headers, target: str) -> Service | None:
         """Return the service that a request is for, None if no route matches."""
         host = b""
--- a/src/guavapin/serving/exchange_service.py
+++ b/src/guavapin/serving/exchange_service.py
@@ -72,6 +72,11 @@
         self._teams[team] = replace(state, bucket=bucket)
         return wait_ms
 
+    def preview_token(self, team: str, now_ms: int) -> int:
+        """Return the wait that `take_token` would, without taking a token."""
+        state = self._teams.get(team)
+        return 0 if state is None else take_token(state.bucket, state.quota, now_ms)[1]
+
     def is_team_full(self, team: str) -> bool:
         """Return whether the admitted requests of the team use all of its slots."""
         state = self._teams.get(team)
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -35,6 +35,8 @@
 from guavapin.serving.exchange_relay import SupplyReport
 from guavapin.serving.exchange_relay import UpstreamLeaving
 from guavapin.serving.exchange_router import ExchangeRouter
+from guavapin.serving.exchange_where import ExplainRequest
+from guavapin.serving.exchange_where import explain_request
 from guavapin.serving.messages import AttemptBody
 from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
@@ -162,6 +164,9 @@
                 self._context.send(reply_to, supply)
             case Call(GetSupply(), fut):
                 fut.set_result(self._router.supply())
+            case Call(ExplainRequest() as query, fut):
+                now_ms = self._context.now_ms()
+                fut.set_result(explain_request(self._router, query, now_ms))
             case Call(GetCounts(), fut):
                 fut.set_result(self._read_counts())
 
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -130,3 +130,16 @@
     assert json.loads(out)["entries"][0]["reason"] == "new disk"
     assert run("undrain", host)[0] == 0
     assert run("drain", "missing")[0] == 2
+
+
+def test_where_names_the_upstream_of_a_request(published, run):
+    # Guards against operators who cannot see why an upstream gets no requests.
+    code, out, _ = run("where", "--entry", "--path", "/renewals/1")
+    assert code == 0 and "service renewals" in out and "would be sent to" in out
+    code, out, _ = run("where", "--entry", "--path", "/renewals/1", "--output", "json")
+    body = json.loads(out)
+    assert body["chosen"] in {row["host"] for row in body["upstreams"]}
+    code, _, err = run("where", "--entry", "--path", "/none")
+    assert code == 2 and "'/none'" in err and "renewals" in err
+    code, _, err = run("where", "--entry", "--path", "none")
+    assert code == 2 and "expected the path" in err
