--- a/src/guavapin/metrics/resident.py
+++ b/src/guavapin/metrics/resident.py
@@ -90,6 +90,11 @@
             registry=self._registry,
         )
         self._organisations: set[str] = set()
+        self._pairs = Gauge(
+            "guavapin_interference_pairs",
+            "Pairs of images of which one is known to slow down the other.",
+            registry=self._registry,
+        )
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_s = time.monotonic()
         self._unreported = 0
@@ -132,6 +137,9 @@
         elif message == "term ends":
             self._scheduling.set(0)
             self._held.clear()
+            self._pairs.set(0)
+        elif message in ("interference found", "interference dropped"):
+            self._pairs.set(getattr(record, "pairs", 0))
         elif message == "job refused" and hasattr(record, "organisation"):
             if record.organisation:
                 label = self._organisation_label(record)
--- a/src/guavapin/scheduling/cap_gate.py
+++ b/src/guavapin/scheduling/cap_gate.py
@@ -122,7 +122,17 @@
             self._refused_step = None
             self._refusals[need_class] += 1
 
-    def is_held(self, need_class: NeedClass) -> bool:
+    def is_held(self, step_run: StepRun) -> bool:
+        """Return whether its cap holds a step, without recording it."""
+        organisation = self._capped(step_run.job_run.job.organisation)
+        step = step_run.step
+        count = step.count if step.is_gang else 1
+        usage = self._hosts.usage
+        return organisation is not None and not usage.allows(
+            organisation, step.need, count
+        )
+
+    def passes_over(self, need_class: NeedClass) -> bool:
         """Return whether the rest of a class is passed over in this dispatch."""
         name = need_class.organisation
         if need_class.min_cpu_millis > self._cpu_room(name):
--- a/src/guavapin/scheduling/describe.py
+++ b/src/guavapin/scheduling/describe.py
@@ -10,6 +10,7 @@
 from guavapin.scheduling.describe_organisations import describe_organisations
 
 if TYPE_CHECKING:
+    from guavapin.scheduling.interference import InterferenceTable
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
@@ -36,14 +37,36 @@
     state: str
 
 
+@dataclass(frozen=True, slots=True)
+class PairView:
+    """An image that runs slower beside another one, at present `slowdown` times.
+
+    `confidence` is the probability that such evidence does not occur by chance;
+    `renewed_ms` is the time since evidence renewed the pair last.
+    """
+
+    image: str
+    neighbour: str
+    measure: str
+    slowdown: float
+    confidence: float
+    executors: int
+    samples: int
+    renewed_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class SchedulingView:
-    """Overview of a term: its token, queues with open jobs, hosts, organisations."""
+    """Overview of a term: its token, queues with open jobs, hosts, organisations.
+
+    `pairs` are the pairs of images of which one slows down the other.
+    """
 
     token: int
     queues: tuple[QueueView, ...]
     hosts: tuple[HostView, ...]
     organisations: tuple[OrganisationView, ...] = ()
+    pairs: tuple[PairView, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,8 +124,27 @@
     )
     ordered = sorted(hosts, key=lambda host: (host.pool, host.executor))
     rows = tuple(queues[name] for name in sorted(queues))
+    pairs = _pair_views(scheduler.interference.table, scheduler.term.now_ms)
     organisations = describe_organisations(scheduler)
-    return SchedulingView(scheduler.term.token, rows, tuple(ordered), organisations)
+    return SchedulingView(
+        scheduler.term.token, rows, tuple(ordered), organisations, pairs
+    )
+
+
+def _pair_views(table: InterferenceTable, now_ms: int) -> tuple[PairView, ...]:
+    return tuple(
+        PairView(
+            pair.image,
+            pair.neighbour,
+            pair.measure.value,
+            round(pair.slowdown_at(now_ms), 2),
+            round(pair.confidence, 4),
+            pair.executors,
+            pair.samples,
+            now_ms - pair.renewed_ms,
+        )
+        for pair in table.pairs()
+    )
 
 
 def describe_job(scheduler: Scheduler, job_id: str) -> JobView | None:
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -6,16 +6,21 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
 from guavapin.scheduling.organisation_share import OrganisationShares
+from guavapin.scheduling.placement import NO_PREFERENCE
 from guavapin.scheduling.shortage import Shortage
 from guavapin.scheduling.starter import Starter
 from guavapin.scheduling.waiting_steps import WaitingSteps
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.placement import HostPreference
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.room_index import PoolRoom
     from guavapin.scheduling.term import Term
@@ -24,12 +29,18 @@
 class Dispatcher:
     """Starts waiting subtasks, pool by pool, as far as they fit on a host."""
 
-    def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
+    def __init__(
+        self,
+        term: Term,
+        hosts: HostTable,
+        rules: QueueRules,
+        preference: HostPreference = NO_PREFERENCE,
+    ) -> None:
         self._term = term
         self._hosts = hosts
         self._rules = rules
-        self._starter = Starter(term, hosts, rules)
-        self._caps = self._starter.caps
+        self.starter = Starter(term, hosts, rules, preference)
+        self._caps = self.starter.caps
         self.shares = OrganisationShares(
             term, hosts.usage, lambda: hosts.by_id.values()
         )
@@ -50,6 +61,19 @@
         """Return the organisations whose cap holds steps at present."""
         return self._caps.held
 
+    def waiting_in(self, pool: str) -> Iterator[StepRun]:
+        """Return the waiting steps of a pool in order, also those that do not fit."""
+        candidates = self._waiting.candidates(
+            pool, lambda: sys.maxsize, over_share=self.shares.over_share
+        )
+        return (step_run for _, step_run in candidates)
+
+    def is_held_up(self, step_run: StepRun) -> bool:
+        """Return whether a step waits for hosts that have not listed their runs."""
+        pool = self._rules.pool_of(step_run)
+        is_unresolved = pool in self._hosts.unresolved_pools()
+        return _is_held_up(step_run, is_unresolved)
+
     def dispatch(self) -> None:
         """Start the waiting subtasks that fit on a host, in order of position."""
         self._caps.end_holds()
@@ -75,12 +99,11 @@
         for need_class, step_run in self._waiting.candidates(
             pool,
             lambda: room.max_free_cpu,
-            self._caps.is_held,
+            self._caps.passes_over,
             self.shares.over_share,
         ):
             step = step_run.step
-            is_held_up = step_run.job_run.is_inherited and is_unresolved
-            if is_held_up and not step.allows_copies:
+            if _is_held_up(step_run, is_unresolved):
                 continue
             if step.reserved.cpu_millis > room.max_free_cpu and self._rules.needs_room(
                 step_run
@@ -88,7 +111,7 @@
                 continue
             if shortage.applies(pool, step):
                 continue
-            if not self._starter.start_waiting(step_run, room):
+            if not self.starter.start_waiting(step_run, room):
                 shortage.record(pool, step)
             if not step_run.waiting:
                 started.append(step_run)
@@ -96,3 +119,8 @@
                 self._caps.count_refusal(need_class, step_run)
         for step_run in started:
             self._waiting.discard(step_run)
+
+
+def _is_held_up(step_run: StepRun, is_unresolved: bool) -> bool:
+    is_inherited = step_run.job_run.is_inherited
+    return is_inherited and is_unresolved and not step_run.step.allows_copies
--- a/src/guavapin/scheduling/organisation_admission.py
+++ b/src/guavapin/scheduling/organisation_admission.py
@@ -105,19 +105,21 @@
 
     def rejection(self, job: Job, now_ms: int) -> Rejected | None:
         """Return the rejection of a job, None to accept it."""
+        rejection = self.preview(job, now_ms)
+        if rejection is not None:
+            reasons = self._rejected.setdefault(job.organisation, Counter())
+            reasons[rejection.detail] += 1
+        return rejection
+
+    def preview(self, job: Job, now_ms: int) -> Rejected | None:
+        """Return what `rejection` would, without counting it."""
         name = job.organisation
         organisation = self._term.table.organisation(name) if name else None
         if organisation is None:
             return None
-        rejection = None
         if _has_gang_wider_than_cap(job, organisation):
-            rejection = Rejected(WIDER_THAN_CAP, MAX_RETURN_MS)
-        elif job.is_excess:
-            rejection = self._beyond_share(job, organisation)
-        if rejection is not None:
-            reasons = self._rejected.setdefault(name, Counter())
-            reasons[rejection.detail] += 1
-        return rejection
+            return Rejected(WIDER_THAN_CAP, MAX_RETURN_MS)
+        return self._beyond_share(job, organisation) if job.is_excess else None
 
     def _beyond_share(self, job: Job, organisation: Organisation) -> Rejected | None:
         pool = self._rules.pool_of_queue(job)
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -6,6 +6,7 @@
 
 from guavapin.executors.model import Start
 from guavapin.scheduling.cap_gate import CapGate
+from guavapin.scheduling.placement import NO_PREFERENCE
 from guavapin.scheduling.placement import choose_host
 from guavapin.scheduling.placement import choose_hosts_for_gang
 from guavapin.scheduling.room_index import PoolRoom
@@ -18,6 +19,7 @@
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.placement import HostPreference
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.term import Term
 
@@ -25,7 +27,14 @@
 class Starter:
     """Chooses the hosts for waiting subtasks and orders their start."""
 
-    def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
+    def __init__(
+        self,
+        term: Term,
+        hosts: HostTable,
+        rules: QueueRules,
+        preference: HostPreference = NO_PREFERENCE,
+    ) -> None:
+        self._preference = preference
         self._term = term
         self._hosts = hosts
         self._rules = rules
@@ -52,13 +61,13 @@
             for chosen in self._start_gang(step_run, room.hosts()):
                 pool_room.put(chosen)
             return True
-        rack = self._rack_in_use(step_run) if step_run.step.is_tightly_coupled else ""
+        rack = self.rack_of(step_run)
         for index in sorted(step_run.waiting):
             if step_run.not_before_ms.get(index, 0) > now_ms:
                 continue
             if not self.caps.may_start(step_run):
                 return True
-            host = choose_host(step_run, room, rack)
+            host = choose_host(step_run, room, rack, self._preference)
             if host is None:
                 return room is not pool_room
             self._start(step_run, index, host)
@@ -69,13 +78,33 @@
                 rack = rack or host.registration.rack
         return True
 
+    def preview(self, step_run: StepRun, pool_room: PoolRoom) -> list[Host]:
+        """Return where one more subtask of a step would start now, or the gang.
+
+        The list is empty if it would not start. Nothing is changed or requested.
+        """
+        now_ms = self._term.now_ms
+        room = pool_room
+        if self._rules.terms_of(step_run.job_run).advice is not None:
+            hosts = pool_room.hosts()
+            room = PoolRoom(host for host in hosts if ticket(step_run, host, now_ms))
+        if step_run.step.is_gang:
+            hosts = room.hosts()
+            return choose_hosts_for_gang(step_run, hosts, self._preference) or []
+        host = choose_host(step_run, room, self.rack_of(step_run), self._preference)
+        return [] if host is None else [host]
+
+    def rack_of(self, step_run: StepRun) -> str:
+        """Return the rack that a tightly coupled step uses already, "" without one."""
+        return self._rack_in_use(step_run) if step_run.step.is_tightly_coupled else ""
+
     def _start_gang(self, step_run: StepRun, hosts: list[Host]) -> list[Host]:
         """Start all members of a gang if they fit, and return their hosts."""
         if len(step_run.waiting) < step_run.step.count:
             return []
         if not self.caps.may_start(step_run, step_run.step.count):
             return []
-        chosen = choose_hosts_for_gang(step_run, hosts)
+        chosen = choose_hosts_for_gang(step_run, hosts, self._preference)
         if chosen is None:
             return []
         attempt = self._term.next_attempt(
@@ -102,6 +131,7 @@
         )
         run.is_long_running = step_run.step.is_long_running
         run.is_filler = step_run.step.is_filler
+        run.image = step_run.step.image
         step_run.add(index, run)
         job_run = step_run.job_run
         job_run.mark_started()
