Test the bound of an executor without a registration

Cause: the sums after a takeover count an executor that is listed and has no registration with the capacity of its machine. No test covered it, nor the bound without a list and with copies.

Change: a test of the three cases.

--- a/tests/scheduling/test_organisation_caps.py
+++ b/tests/scheduling/test_organisation_caps.py
@@ -13,10 +13,12 @@
 from guavapin.jobs.model import Step
 from guavapin.jobs.organisations import Organisation
 from guavapin.scheduling.cap_gate import MAX_REFUSALS
+from guavapin.scheduling.messages import MachinesListed
 from guavapin.scheduling.organisation_usage import OrganisationUsage
 from guavapin.scheduling.record import Progress
 from guavapin.scheduling.record import decode_progress
 from guavapin.scheduling.record import encode_progress
+from tests.scheduling.simulation import HOST_CAPACITY
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import TABLE
 from tests.scheduling.simulation import FakeExecutor
@@ -212,3 +214,37 @@
     sim.submit(make_job(f"{1:016x}", Step(4, SMALL)))
     assert len(sim.running()) == 4
     assert sim.scheduler.hosts.usage._used == {}
+
+
+@pytest.mark.parametrize(
+    ("capacities", "is_speculative", "expected"),
+    [
+        # Nothing tells the capacity of the missing executor: all inherited needs count.
+        ((), False, 8_000),
+        ((HOST_CAPACITY, Resources(3_000, 9_000, 0)), False, 3_000),
+        # Copies of subtasks that are known to run may run there too.
+        ((HOST_CAPACITY, HOST_CAPACITY), True, 16_000),
+    ],
+)
+def test_an_executor_without_a_registration_bounds_what_may_run(
+    capacities: tuple[Resources, ...], is_speculative: bool, expected: int
+) -> None:
+    # Guards against runs of a predecessor on an executor that the store has lost.
+    sim = simulation(8_000)
+    sim.submit(owned(1, Step(8, SMALL, is_speculative=is_speculative)))
+    # The runs are on one host, which loses its registration.
+    (holder,) = {name for _, name in sim.running()}
+    (other,) = sim.executors.keys() - {holder}
+    lost = sim.executors.pop(holder)
+    sim.take_over(6)
+    sim.scheduler.term.table = capped(8_000)
+    listed = ((other, "pool"), (holder, "pool"))
+    sim.scheduler.apply_machines(MachinesListed(listed, (), capacities))
+    sim.advance(100)
+    usage = sim.scheduler.hosts.usage
+    assert usage.possible("a").cpu_millis == expected
+    assert usage.used("a") == Resources()
+    sim.executors[holder] = lost
+    sim.scheduler.hosts.register(lost.registration())
+    sim.advance(200)
+    assert usage.possible("a").cpu_millis == 8_000
