Find interfering pairs only by evidence that lasts

Cause: with hundreds of comparisons a second, a standard score of 3 is reached by chance. Change: loads need a score of 3.5, and each score must last for 1.5 s. Neighbours that are not slower by the plain medians are left out before the test. The comparison is a module of its own.

--- a/src/guavapin/scheduling/interference.py
+++ b/src/guavapin/scheduling/interference.py
@@ -17,30 +17,32 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
-from bisect import bisect_right
 from collections import OrderedDict
 from collections import defaultdict
 from collections import deque
 from dataclasses import dataclass
-from enum import Enum
 from statistics import median
 from typing import TYPE_CHECKING
-from typing import NamedTuple
+
+from guavapin.scheduling.interference_comparison import DROPPED_SLOWDOWN
+from guavapin.scheduling.interference_comparison import FOUND_SLOWDOWN
+from guavapin.scheduling.interference_comparison import MIN_EXECUTORS
+from guavapin.scheduling.interference_comparison import Measure
+from guavapin.scheduling.interference_comparison import compare
+from guavapin.scheduling.interference_comparison import slower_beside
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from guavapin.scheduling.interference_comparison import Comparison
+    from guavapin.scheduling.interference_comparison import Sample
+
 # Loads and run times older than this are ignored. Amounts change within seconds. Loads
 # arrive every half second, run times only with the ends of runs.
 LOAD_EVIDENCE_MS = 4_000
 RUN_EVIDENCE_MS = 8_000
 
-# Loads are compared with those of the same interval, since the latency of a service
-# follows its demand, which turns within seconds. A load covers half a second.
-INTERVAL_MS = 2_000
-
 # Bounds of the table. A sample takes about 170 bytes, so all of them take 7 MB at most.
 MAX_IMAGES = 400
 MAX_SAMPLES = 96
@@ -49,54 +51,21 @@
 MAX_EXECUTORS = 2_000
 MAX_RATED_IMAGES = 8
 
-# Images of which the evidence is judged in one pass. One takes up to 1.5 ms.
+# Images of which the evidence is judged in one pass. One takes up to 1 ms.
 IMAGES_PER_PASS = 8
 
-# Fewest samples of an image without a neighbour in one interval, and fewest samples,
-# executors and jobs with the neighbour, for a comparison. The run times of two jobs out
-# of a hundred are several times the mean, so that three jobs are needed.
-MIN_BASELINE = 3
-MIN_SAMPLES = 4
-MIN_EXECUTORS = 2
-MIN_JOBS = 3
-
-# A pair is found from this slowdown on, and dropped below the lower one.
-FOUND_SLOWDOWN = 1.25
-DROPPED_SLOWDOWN = 1.1
-
-# Standard scores of the rank-sum test from which a pair is found, and down to which its
-# evidence is renewed. A score of 3 is exceeded by chance once in 700 comparisons.
-FOUND_SCORE = 3.0
+# Standard scores of the rank-sum test from which a pair is found, by loads and by the
+# fewer run times, and down to which its evidence is renewed. Hundreds of pairs are
+# compared every second, so that a score must also last for `CONFIRM_MS`.
+FOUND_LOAD_SCORE = 3.5
+FOUND_RUN_SCORE = 3.0
 RENEWED_SCORE = 1.6
+CONFIRM_MS = 1_500
 
 # Time after which half of a slowdown is left if no evidence renews it.
 HALF_LIFE_MS = 5_000
 
 
-class Measure(Enum):
-    """What a sample measures; a larger value is a slower subtask in each case.
-
-    `LATENCY` is the tail latency in ms. `RUN_TIME` is the run time of an ended run in
-    ms, divided by its estimate if there is one. `PROCESSOR` is the reserved processor
-    time divided by that in use.
-    """
-
-    LATENCY = "latency"
-    RUN_TIME = "run time"
-    PROCESSOR = "processor"
-
-
-class Sample(NamedTuple):
-    """One figure of a subtask and the images that ran beside it."""
-
-    at_ms: int
-    executor_id: str
-    job_id: str
-    value: float
-    neighbours: frozenset[str]
-    is_full: bool
-
-
 @dataclass(frozen=True, slots=True)
 class Pair:
     """An image that is slowed down by another one beside it.
@@ -129,13 +98,6 @@
     reason: str = ""
 
 
-class _Comparison(NamedTuple):
-    slowdown: float
-    score: float
-    executors: int
-    samples: int
-
-
 class InterferenceTable:
     """Evidence and pairs of a term; only the scheduler changes it."""
 
@@ -145,6 +107,8 @@
         self._changed: dict[tuple[str, Measure], None] = {}
         self._pairs: dict[tuple[str, str], Pair] = {}
         self._paired_images: set[str] = set()
+        # Pairs that may be found: since when, and when they were judged last.
+        self._suspected: dict[tuple[str, str], tuple[int, int]] = {}
         # Slowness of each executor by image, and when it was judged.
         self._rates: OrderedDict[str, OrderedDict[str, tuple[float, int]]]
         self._rates = OrderedDict()
@@ -220,11 +184,11 @@
         # The neighbour with the clearest evidence explains the samples beside it, so
         # that another image that often runs beside both is not blamed for them.
         while True:
-            neighbours = {name for row in pool for name in row.neighbours} - judged
+            neighbours = slower_beside(pool) | self._known_neighbours(image)
             results = [
                 (found, name)
-                for name in sorted(neighbours)
-                if (found := _compare(pool, name, measure)) is not None
+                for name in sorted(neighbours - judged)
+                if (found := compare(pool, name, measure)) is not None
             ]
             if not results:
                 return
@@ -244,12 +208,18 @@
             yield from self._record(image, name, measure, found, now_ms)
             pool = [row for row in pool if name not in row.neighbours]
 
+    def _known_neighbours(self, image: str) -> set[str]:
+        if image not in self._paired_images:
+            return set()
+        return {neighbour for other, neighbour in self._pairs if other == image}
+
     def _record(
-        self, image: str, name: str, measure: Measure, found: _Comparison, now_ms: int
+        self, image: str, name: str, measure: Measure, found: Comparison, now_ms: int
     ) -> Iterator[PairChange]:
         known = self._pairs.get((image, name))
-        is_found = found.score >= FOUND_SCORE and found.slowdown >= FOUND_SLOWDOWN
-        if known is None and (not is_found or len(self._pairs) >= MAX_PAIRS):
+        if known is None and not self._is_confirmed(
+            image, name, measure, found, now_ms
+        ):
             return
         pair = Pair(
             image,
@@ -266,6 +236,25 @@
         if known is None:
             yield PairChange(pair)
 
+    def _is_confirmed(
+        self, image: str, name: str, measure: Measure, found: Comparison, now_ms: int
+    ) -> bool:
+        """Return whether the evidence of a pair has been clear for long enough."""
+        is_run_time = measure is Measure.RUN_TIME
+        min_score = FOUND_RUN_SCORE if is_run_time else FOUND_LOAD_SCORE
+        first_ms, last_ms = self._suspected.pop((image, name), (now_ms, now_ms))
+        if found.score < min_score or found.slowdown < FOUND_SLOWDOWN:
+            return False
+        if now_ms - last_ms > CONFIRM_MS:
+            first_ms = now_ms
+        has_place = len(self._pairs) < MAX_PAIRS
+        if now_ms - first_ms >= CONFIRM_MS:
+            return has_place
+        self._suspected[image, name] = first_ms, now_ms
+        if len(self._suspected) > MAX_PAIRS:
+            del self._suspected[next(iter(self._suspected))]
+        return False
+
     def _drop(self, pair: Pair, reason: str) -> PairChange:
         del self._pairs[pair.image, pair.neighbour]
         return PairChange(pair, reason)
@@ -303,73 +292,3 @@
             if other != image and now_ms - at_ms <= RUN_EVIDENCE_MS
         ]
         return bool(rates) and min(rates) >= FOUND_SLOWDOWN
-
-
-def _compare(
-    samples: Iterable[Sample], neighbour: str, measure: Measure
-) -> _Comparison | None:
-    """Compare the samples beside a neighbour with the others, None if too few.
-
-    Values are divided by the median of the others under the same conditions.
-    """
-    beside: dict[tuple[bool, int], list[Sample]] = defaultdict(list)
-    others: dict[tuple[bool, int], list[Sample]] = defaultdict(list)
-    for row in samples:
-        interval = 0 if measure is Measure.RUN_TIME else row.at_ms // INTERVAL_MS
-        group = beside if neighbour in row.neighbours else others
-        group[row.is_full, interval].append(row)
-    slow: list[tuple[Sample, float]] = []
-    base: list[tuple[Sample, float]] = []
-    for condition, rows in beside.items():
-        usual_rows = others.get(condition, [])
-        if len(usual_rows) < MIN_BASELINE:
-            continue
-        usual = median(row.value for row in usual_rows)
-        if usual > 0:
-            slow += [(row, row.value / usual) for row in rows]
-            base += [(row, row.value / usual) for row in usual_rows]
-    # An executor that is slow without the neighbour too says nothing about it.
-    alone: dict[str, list[float]] = defaultdict(list)
-    for row, value in base:
-        alone[row.executor_id].append(value)
-    slow_alone = {
-        name for name, values in alone.items() if median(values) >= FOUND_SLOWDOWN
-    }
-    slow = [row for row in slow if row[0].executor_id not in slow_alone]
-    executors = len({row.executor_id for row, _ in slow})
-    slow_values, base_values = _values(slow, measure), _values(base, measure)
-    min_samples = MIN_JOBS if measure is Measure.RUN_TIME else MIN_SAMPLES
-    if executors < MIN_EXECUTORS or len(slow_values) < min_samples or not base_values:
-        return None
-    usual = median(base_values)
-    slowdown = median(slow_values) / usual if usual > 0 else 1.0
-    score = _rank_sum_score(slow_values, base_values)
-    return _Comparison(slowdown, score, executors, len(slow))
-
-
-def _values(rows: Iterable[tuple[Sample, float]], measure: Measure) -> list[float]:
-    """Return the values to compare.
-
-    The latency varies with the load, so that each sample is one value. The run times of
-    one job vary together, and so does its processor use on one executor: they are one
-    value each.
-    """
-    if measure is Measure.LATENCY:
-        return [value for _, value in rows]
-    groups: dict[tuple[str, str], list[float]] = defaultdict(list)
-    for row, value in rows:
-        executor_id = row.executor_id if measure is Measure.PROCESSOR else ""
-        groups[row.job_id, executor_id].append(value)
-    return [median(values) for values in groups.values()]
-
-
-def _rank_sum_score(slow: list[float], base: list[float]) -> float:
-    """Return the standard score of the rank-sum test that `slow` has larger values."""
-    ordered = sorted(base)
-    wins = sum(
-        (bisect_left(ordered, value) + bisect_right(ordered, value)) / 2
-        for value in slow
-    )
-    pairs = len(slow) * len(base)
-    deviation = math.sqrt(pairs * (len(slow) + len(base) + 1) / 12)
-    return (wins - pairs / 2) / deviation
--- a/src/guavapin/scheduling/interference_evidence.py
+++ b/src/guavapin/scheduling/interference_evidence.py
@@ -11,9 +11,9 @@
 from typing import TypeVar
 
 from guavapin.scheduling.interference import InterferenceTable
-from guavapin.scheduling.interference import Measure
 from guavapin.scheduling.interference import PairChange
-from guavapin.scheduling.interference import Sample
+from guavapin.scheduling.interference_comparison import Measure
+from guavapin.scheduling.interference_comparison import Sample
 from guavapin.scheduling.run import RunPhase
 
 if TYPE_CHECKING:
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -15,8 +15,8 @@
 from guavapin.metrics.resident import ResidentMetrics
 from guavapin.scheduling import placement
 from guavapin.scheduling.describe import describe_scheduling
-from guavapin.scheduling.interference import Measure
 from guavapin.scheduling.interference import Pair
+from guavapin.scheduling.interference_comparison import Measure
 from guavapin.scheduling.supervision import MOVE_AFTER_MS
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import FakeExecutor
@@ -215,6 +215,15 @@
     return host
 
 
+def add_small_host(sim: Simulation) -> None:
+    sim.executors["e9"] = LoadedExecutor("e9")
+    row = sim.executors["e9"].registration()
+    small = replace(row, capacity=Resources(2_000, 9_000))
+    sim.scheduler.hosts.replace_registrations(
+        [sim.executors["e0"].registration(), small]
+    )
+
+
 FILLER = Step(1, SMALL, is_filler=True, is_long_running=True, saves_progress=True)
 
 
@@ -237,14 +246,32 @@
     assert host_of(sim, "f") == "e9"
 
 
+def test_a_moved_filler_does_not_return_to_the_host_that_it_left() -> None:
+    # Guards against a filler that returns at once, since its host has the most room.
+    LoadedExecutor.loads = {}
+    sim = simulation(1)
+    first = filler_beside_service(sim, FILLER)
+    add_small_host(sim)
+    sim.advance(MOVE_AFTER_MS + 1_500)
+    assert first == "e0" and host_of(sim, "f") == "e9"
+
+
 @pytest.mark.parametrize(
-    "filler", [FILLER, replace(FILLER, may_be_absent=0), replace(FILLER, image="f")]
+    "filler",
+    [
+        FILLER,
+        replace(FILLER, image="f"),
+        replace(FILLER, may_be_absent=0),
+        replace(FILLER, may_be_absent=0, is_long_running=False),
+    ],
 )
 def test_a_filler_stays_if_it_may_not_miss_one_or_fits_nowhere_else(filler) -> None:
     # Guards against a stop that only costs the work of the filler.
     LoadedExecutor.loads = {}
-    sim = simulation(2 if filler.may_be_absent == 0 else 1)
+    sim = simulation(1)
     first = filler_beside_service(sim, filler)
+    if filler.may_be_absent == 0:
+        add_small_host(sim)
     sim.starts.clear()
     sim.advance(3 * MOVE_AFTER_MS)
     assert host_of(sim, "f") == first and not sim.starts
