--- a/src/guavapin/composition.py
+++ b/src/guavapin/composition.py
@@ -253,6 +253,7 @@
         port=int(port),
         max_connections=cfg.limits.callers,
         max_head_bytes=cfg.limits.header_bytes,
+        held_bytes=cfg.limits.held_bytes or cfg.limits.buffered_bytes,
         idle_timeout_ms=cfg.limits.idle_timeout_ms,
         certificate_file=cfg.callers_tls.tls_certificate_file,
         key_file=cfg.callers_tls.tls_key_file,
--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -12,6 +12,8 @@
 
 from guavapin.http.address import is_address
 from guavapin.http.address import is_header_value
+from guavapin.http.answer_memory import DEFAULT_ANSWER_BYTES
+from guavapin.http.answer_memory import AnswerMemory
 from guavapin.http.messages import AbortCalls
 from guavapin.http.messages import Answered
 from guavapin.http.messages import PeerCall
@@ -56,12 +58,14 @@
 
     A dead connection is detected only by a timeout. After a timeout, the next calls to
     the address open new connections, as many as may be kept for it, so that no call is
-    sent on another dead connection.
+    sent on another dead connection. All answers in progress have at most `answer_bytes`
+    together.
     """
 
     name = "http"
 
-    def __init__(self) -> None:
+    def __init__(self, answer_bytes: int = DEFAULT_ANSWER_BYTES) -> None:
+        self._memory = AnswerMemory(answer_bytes)
         self.counters: Counter[tuple[str, str]] = Counter()
         self._transfers: dict[Any, Transfer[PeerCall]] = {}
         self._idle: list[Any] = []
@@ -117,7 +121,10 @@
 
     def _send(self, call: PeerCall) -> None:
         transfer = Transfer(
-            call, is_sent_once=True, may_transmit=lambda: not self._is_overdue(call)
+            call,
+            is_sent_once=True,
+            may_transmit=lambda: not self._is_overdue(call),
+            memory=self._memory,
         )
         is_reconnect = self._reconnects_left[call.address] > 0
         if is_reconnect:
@@ -168,12 +175,13 @@
                 self._reply(call, Unanswered(was_sent, "the call is overdue"))
 
     def _remove(self, curl: Any) -> None:
-        del self._transfers[curl]
+        self._transfers.pop(curl).release()
         self._driver.remove(curl)
         self._keep_idle(curl)
 
     def _on_done(self, curl: Any, code: int, detail: str) -> None:
         transfer = self._transfers.pop(curl)
+        transfer.release()
         call = transfer.owner
         outcome: CallOutcome
         if code == 0:
--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -12,6 +12,7 @@
 
 import pycurl
 
+from guavapin.http.answer_memory import AnswerMemory
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.kernel.outcome import Reason
@@ -64,7 +65,9 @@
     """A call in flight on behalf of `owner`; collects the answer from libcurl.
 
     With `is_sent_once` the call is never transmitted a second time. It is not
-    transmitted either if `may_transmit` returns False when its connection is ready.
+    transmitted either if `may_transmit` returns False when its connection is ready. The
+    body counts in `memory` until `release`; without room there the call is aborted, as
+    if its answer had been lost.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         owner: T,
         is_sent_once: bool,
         may_transmit: Callable[[], bool] | None = None,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self.owner = owner
         self._may_transmit = may_transmit
@@ -81,6 +85,7 @@
         # Whether the transfer ended because the answer exceeds `MAX_ANSWER_BYTES`.
         self.is_too_long = False
         self._is_sent_once = is_sent_once
+        self._memory = memory or AnswerMemory()
 
     def on_transmission(self, *_: object) -> int:
         """Allow the first transmission only.
@@ -109,9 +114,15 @@
         if len(self.body) + len(data) > MAX_ANSWER_BYTES:
             self.is_too_long = True
             return 0
+        if not self._memory.take(len(data)):
+            return 0
         self.body += data
         return len(data)
 
+    def release(self) -> None:
+        """Stop counting the body; called once when the transfer has ended."""
+        self._memory.release(len(self.body))
+
 
 def transfer_ms(length: int) -> int:
     """Return the time that the slowest link takes for this number of bytes."""
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -10,6 +10,8 @@
 
 import pycurl
 
+from guavapin.http.answer_memory import DEFAULT_ANSWER_BYTES
+from guavapin.http.answer_memory import AnswerMemory
 from guavapin.http.multi_driver import MultiDriver
 from guavapin.http.multi_driver import MultiTimer
 from guavapin.http.transfer import HttpRequest
@@ -47,7 +49,8 @@
     Lists, whose answers are large, have `list_deadline_ms` instead, and a list whose
     transfer stalls is abandoned earlier. The rates limit this process's share of the
     platform's limits. At most `max_queued` calls wait for a token or for a free
-    transfer; further calls are not sent.
+    transfer; further calls are not sent. All answers in progress have at most
+    `answer_bytes` together.
     """
 
     url: str
@@ -60,6 +63,7 @@
     max_queued: int = 1_024
     writes_per_second: float = 60.0
     reads_per_second: float = 250.0
+    answer_bytes: int = DEFAULT_ANSWER_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +94,7 @@
         self._codec = codec or NativeCodec(cfg.zone)
         self.counters: Counter[tuple[str, str]] = Counter()
         self._cfg = cfg
+        self._memory = AnswerMemory(cfg.answer_bytes)
         # Watches have their own queue, so that they cannot delay reads once
         # `max_watches` are in use.
         self._queues: dict[str, deque[_PendingCall]] = {
@@ -196,7 +201,7 @@
             self._timer = self._context.set_timer(min(delays), _SendQueued())
 
     def _send(self, pending: _PendingCall, now_ms: int) -> None:
-        transfer = Transfer(pending, pending.call.is_write)
+        transfer = Transfer(pending, pending.call.is_write, memory=self._memory)
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         remaining_ms = max(pending.due_ms - now_ms, 1)
         prepared = self._prepare_handle(curl, transfer, remaining_ms)
@@ -228,6 +233,7 @@
 
     def _on_done(self, curl: Any, code: int, detail: str) -> None:
         transfer = self._transfers.pop(curl)
+        transfer.release()
         pending = transfer.owner
         self._watches -= pending.call.kind == "watch"
         outcome: PlatformOutcome
--- a/src/guavapin/metrics/catalog.py
+++ b/src/guavapin/metrics/catalog.py
@@ -51,6 +51,7 @@
     _gauge("front_open_connections", "Callers' connections open"),
     _gauge("front_requests_in_progress", "Requests received and not yet answered"),
     _gauge("front_largest_output_bytes", "Largest output held for one caller"),
+    _gauge("front_held_bytes", "Memory that callers' connections hold"),
     _counter("exchanges_events", "Events of requests and attempts", "event"),
     _gauge("exchanges_requests_in_progress", "Requests queued, running or answering"),
     _gauge("exchanges_attempts_in_progress", "Attempts that hold a slot"),
--- a/src/guavapin/metrics/resident.py
+++ b/src/guavapin/metrics/resident.py
@@ -8,6 +8,7 @@
 
 import logging
 import time
+from typing import TYPE_CHECKING
 from typing import Protocol
 
 from prometheus_client import CollectorRegistry
@@ -16,6 +17,9 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 # Log lines per second and in one burst. The busiest second of a usual day has about 150
 # decisions. A line takes 30 microseconds, so 300 lines take one percent of a core.
 MAX_LINES_PER_SECOND = 300
@@ -72,6 +76,24 @@
             "1 while this process schedules.",
             registry=self._registry,
         )
+        self._client_connections = Gauge(
+            "guavapin_client_connections",
+            "Open connections of a listener.",
+            ("listener",),
+            registry=self._registry,
+        )
+        self._client_bytes = Gauge(
+            "guavapin_client_held_bytes",
+            "Memory that the connections of a listener hold, as last accounted.",
+            ("listener",),
+            registry=self._registry,
+        )
+        self._clients_refused = Counter(
+            "guavapin_clients_refused",
+            "Requests and connections that a listener refused, by cause.",
+            ("listener", "cause"),
+            registry=self._registry,
+        )
         self._tokens = float(MAX_BURST_LINES)
         self._refilled_s = time.monotonic()
         self._unreported = 0
@@ -84,6 +106,19 @@
         """Record the time of a call by the kinds of the call and its answer."""
         self._calls.labels(call, answer).observe(elapsed_ms / 1_000)
 
+    def observe_clients(
+        self,
+        listener: str,
+        connections: int,
+        held_bytes: int,
+        refused: Mapping[str, int],
+    ) -> None:
+        """Record open connections, held bytes, and refusals since the last call."""
+        self._client_connections.labels(listener).set(connections)
+        self._client_bytes.labels(listener).set(held_bytes)
+        for cause, count in refused.items():
+            self._clients_refused.labels(listener, cause).inc(count)
+
     def filter(self, record: logging.LogRecord) -> bool:
         """Count a log line and return whether it is within the rate limit.
 
--- a/src/guavapin/metrics/sources.py
+++ b/src/guavapin/metrics/sources.py
@@ -54,7 +54,12 @@
 
 
 def _read_front(counts: dict[str, int]) -> Iterator[Sample]:
-    names = ("open_connections", "requests_in_progress", "largest_output_bytes")
+    names = (
+        "open_connections",
+        "requests_in_progress",
+        "largest_output_bytes",
+        "held_bytes",
+    )
     return _events("front_events", counts, {n: f"front_{n}" for n in names})
 
 
--- a/src/guavapin/platform/settings.py
+++ b/src/guavapin/platform/settings.py
@@ -14,6 +14,12 @@
 from guavapin.settings.resident import ResidentSettings
 from guavapin.settings.resident import Times
 
+# Largest values of the limits of a process: a terabyte of memory, the highest number of
+# descriptors that Linux allows by default, and a body of 256 KB in a fifth of a second.
+MAX_MEMORY_MB = 1_048_576
+MAX_FDS = 1_048_576
+MAX_BODY_RATE = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class _Fields:
@@ -40,6 +46,13 @@
             self.faults.append(f"{name}: is {text!r}, expected a number")
             return 0
 
+    def limit(self, name: str, default: int, highest: int) -> int:
+        """Return a number from 0 to `highest`."""
+        number = self.number(name, default=default)
+        if not 0 <= number <= highest:
+            self.faults.append(f"{name}: is {number}, expected 0 to {highest}")
+        return number
+
     def address(self, name: str) -> tuple[str, int]:
         host, _, port = self.text(name).rpartition(":")
         number = parse_decimal(port)
@@ -110,8 +123,12 @@
         * fields.number("limits.cores", 1_000, 1)
         / 1_000_000,
         link_mbps=fields.number("limits.link-mbps", default=0),
-        memory_mb=fields.number("limits.memory-mb", default=0),
-        max_fds=fields.number("limits.max-fds", default=0),
+        memory_mb=fields.limit("limits.memory-mb", 0, MAX_MEMORY_MB),
+        max_fds=fields.limit("limits.max-fds", 0, MAX_FDS),
+        clients_mb=fields.limit("limits.clients-mb", 0, MAX_MEMORY_MB),
+        min_body_bytes_per_s=fields.limit(
+            "limits.min-body-bytes-per-s", 1_000, MAX_BODY_RATE
+        ),
         requires_keys="tenants" in fields.text("contracts", "").split(","),
         key_terms=KeyTerms(
             fields.flag("bounds.strict-revoke"),
--- a/src/guavapin/platform/wire_codecs.py
+++ b/src/guavapin/platform/wire_codecs.py
@@ -22,6 +22,10 @@
 READY_PATH = "/guavapin/ready"
 
 
+# Headers of callers' requests that are read; others are not kept.
+CALL_HEADERS = frozenset((b"host", job_calls.DEADLINE_HEADER, job_calls.KEY_HEADER))
+
+
 class PlatformTableCodec:
     """Decodes the operator's manifest into a table; never raises."""
 
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -15,6 +15,7 @@
 from guavapin.intake.peer_calls import PeerCallsTask
 from guavapin.intake.reachability import ReachabilityTask
 from guavapin.intake.task import IntakeTask
+from guavapin.jobs.caller_limits_task import CallerLimitsTask
 from guavapin.jobs.table_view import watch_wait_ms
 from guavapin.jobs.tables import TablesTask
 from guavapin.kernel import Kernel
@@ -30,6 +31,7 @@
 from guavapin.platform.executors import PlatformExecutorCodec
 from guavapin.platform.machines import PlatformMachineCodec
 from guavapin.platform.store import PlatformStoreCodec
+from guavapin.platform.wire_codecs import CALL_HEADERS
 from guavapin.platform.wire_codecs import READY_PATH
 from guavapin.platform.wire_codecs import PlatformJobCallCodec
 from guavapin.platform.wire_codecs import PlatformRegistryCodec
@@ -46,13 +48,18 @@
 from guavapin.scheduling.task import FOLLOW_REGISTRY
 from guavapin.scheduling.task import SchedulerTask
 from guavapin.scheduling.term import MAX_UNCONFIRMED_MS
+from guavapin.serving.client_budget import divide
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
 from guavapin.serving.ops_pages import OpsPagesTask
+from guavapin.serving.request_handler import MAX_BODY_BYTES
 
 if TYPE_CHECKING:
     from guavapin.kernel import Clock
     from guavapin.metrics.resident import ResidentMetrics
+    from guavapin.serving.client_budget import ListenerBudget
+    from guavapin.serving.client_budget import ProcessBudget
+    from guavapin.serving.refusal_report import ClientObserver
     from guavapin.settings.resident import Address
     from guavapin.settings.resident import ResidentSettings
 
@@ -90,6 +97,9 @@
 # Delay before the inbox is read again after a change.
 INBOX_READ_DELAY_MS = 50
 
+# What the kernel holds unread for a connection. It counts as memory of the process.
+RECEIVE_BUFFER_BYTES = 65_536
+
 
 def compose_resident(
     cfg: ResidentSettings, metrics: ResidentMetrics, metrics_port: int, clock: Clock
@@ -99,6 +109,7 @@
     Metrics are served at `metrics_port` of the peer address, 0 for any free port.
     """
     kernel = Kernel(clock)
+    budget = divide(cfg.memory_mb, cfg.max_fds, cfg.clients_mb)
     holder = holder_name(cfg.node, cfg.peer, clock.wall_ms())
     table_codec, registry_codec = PlatformTableCodec(), PlatformRegistryCodec()
     wave_codec = PlatformWaveCodec()
@@ -108,9 +119,10 @@
         list_deadline_ms=STORE_LIST_TIMEOUT_MS,
         writes_per_second=cfg.store_writes_per_second,
         reads_per_second=cfg.store_reads_per_second,
+        answer_bytes=budget.answer_bytes // 2,
     )
     kernel.register(PlatformTask(store, PlatformStoreCodec()))
-    kernel.register(HttpClientTask())
+    kernel.register(HttpClientTask(budget.answer_bytes // 2))
     kernel.register(ExecutorsTask(PlatformExecutorCodec()))
     kernel.register(AdviceTask(PlatformAdviceCodec(), cfg.advice))
     kernel.register(LedgerTask("scheduler"))
@@ -130,7 +142,7 @@
     pages = {METRICS_PATH: metrics.render}
     kernel.register(OpsPagesTask("metrics_desk", "metrics_front", pages))
     kernel.register(ReachabilityTask("ready_front", "intake", DUTY_KEY))
-    listeners = ("intake", "scheduler", "machines", "reach")
+    listeners = ("intake", "scheduler", "machines", "reach", "caller_limits")
     kernel.register(TablesTask(table_codec, listeners, revoke_ms, holder))
     kernel.register(DutyTask(DUTY, holder, ("machines", "scheduler"), terms=DUTY_TERMS))
     kernel.register(
@@ -143,7 +155,8 @@
     )
     for follower in _followers(table_codec, registry_codec, wave_codec, revoke_ms):
         kernel.register(follower)
-    for front in _fronts(cfg, metrics_port):
+    kernel.register(CallerLimitsTask("front"))
+    for front in _fronts(cfg, metrics_port, budget, metrics):
         kernel.register(front)
     return kernel
 
@@ -195,18 +208,47 @@
     )
 
 
-def _fronts(cfg: ResidentSettings, metrics_port: int) -> tuple[FrontTask, ...]:
-    ready = _front_config(cfg.ready, ready_path=READY_PATH)
+def _fronts(
+    cfg: ResidentSettings,
+    metrics_port: int,
+    budget: ProcessBudget,
+    observer: ClientObserver,
+) -> tuple[FrontTask, ...]:
+    callers = _front_config(
+        cfg.front,
+        budget.callers,
+        kept_headers=CALL_HEADERS,
+        min_body_rate=cfg.min_body_bytes_per_s,
+    )
+    ready = _front_config(cfg.ready, budget.probes, ready_path=READY_PATH)
+    metrics = _front_config((cfg.peer[0], metrics_port), budget.metrics)
+    peers = _front_config(cfg.peer, budget.peers)
     return (
-        FrontTask(_front_config(cfg.front), "front", "intake"),
-        FrontTask(ready, "ready_front", "ready_desk"),
-        FrontTask(_front_config(cfg.peer), "peer_front", "peer_desk"),
-        FrontTask(
-            _front_config((cfg.peer[0], metrics_port)), "metrics_front", "metrics_desk"
-        ),
+        FrontTask(callers, "front", "intake", observer),
+        FrontTask(ready, "ready_front", "ready_desk", observer),
+        FrontTask(peers, "peer_front", "peer_desk", observer),
+        FrontTask(metrics, "metrics_front", "metrics_desk", observer),
     )
 
 
-def _front_config(address: Address, ready_path: str = "") -> FrontConfig:
+def _front_config(
+    address: Address,
+    budget: ListenerBudget,
+    ready_path: str = "",
+    kept_headers: frozenset[bytes] = frozenset(),
+    min_body_rate: int = 0,
+) -> FrontConfig:
     host, port = address
-    return FrontConfig(address=host, port=port, health_path="", ready_path=ready_path)
+    return FrontConfig(
+        address=host,
+        port=port,
+        health_path="",
+        ready_path=ready_path,
+        max_connections=budget.max_connections,
+        held_bytes=budget.held_bytes,
+        max_body_bytes=MAX_BODY_BYTES,
+        min_body_bytes_per_s=min_body_rate,
+        holds_bodies=True,
+        kept_headers=kept_headers,
+        receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+    )
--- a/src/guavapin/serving/answer_encoder.py
+++ b/src/guavapin/serving/answer_encoder.py
@@ -106,6 +106,8 @@
 def plain_answer(encoder: AnswerEncoder, status: int, text: str) -> bytes:
     """Return a complete answer whose body is one line of text."""
     data = text.encode() + b"\n"
-    headers = ((b"content-type", b"text/plain; charset=utf-8"),)
+    headers: Headers = ((b"content-type", b"text/plain; charset=utf-8"),)
+    if encoder.closes and status == 503:
+        headers = (*headers, (b"retry-after", b"1"))
     head = encoder.head(status, headers, len(data))
     return head + (encoder.body(data) or b"")
--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -6,11 +6,11 @@
 import ssl
 import struct
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 from guavapin.serving.answer_encoder import CONTINUE
 from guavapin.serving.answer_encoder import AnswerEncoder
 from guavapin.serving.answer_encoder import plain_answer
+from guavapin.serving.client_budget import CONNECTION_BYTES
 from guavapin.serving.hop_headers import end_to_end
 from guavapin.serving.messages import RequestBody
 from guavapin.serving.messages import RequestReceived
@@ -20,9 +20,15 @@
 from guavapin.serving.request_parser import RequestParser
 
 if TYPE_CHECKING:
+    from guavapin.serving.connection_owner import ConnectionOwner
     from guavapin.serving.messages import AnswerHead
 
-READ_BYTES = 65_536
+# What remains behind a complete request is held until its answer has been sent, so that
+# one read must be small.
+READ_BYTES = 16_384
+# Input that is dropped so that the caller receives the answer of a refusal. What
+# exceeds it is not read.
+MAX_DROPPED_BYTES = 262_144
 # Water marks of the output buffer (design, section 6.8).
 LOW_WATER_BYTES = 65_536
 HIGH_WATER_BYTES = 262_144
@@ -30,56 +36,6 @@
 TLS_WRITE_BYTES = 16_384
 
 
-class ConnectionOwner(Protocol):
-    """Interface of the task that owns a connection."""
-
-    @property
-    def max_head_bytes(self) -> int:
-        """Return the limit on the size of a request's head."""
-        ...
-
-    @property
-    def asks_to_close(self) -> bool:
-        """Whether answers ask their callers to close the connection."""
-        ...
-
-    @property
-    def is_stopping(self) -> bool:
-        """Whether each connection is closed after its request."""
-        ...
-
-    def now_ms(self) -> int:
-        """Return monotonic time in milliseconds."""
-        ...
-
-    def open_request(self, conn: CallerConnection) -> int:
-        """Register a request of `conn` and return its id."""
-        ...
-
-    def close_request(self, conn: CallerConnection, is_caller_gone: bool) -> None:
-        """Remove the request of `conn`.
-
-        `is_caller_gone` is set if its answer is not complete.
-        """
-        ...
-
-    def forward(self, message: object) -> None:
-        """Send a message to `exchanges`."""
-        ...
-
-    def answer_local(self, target: str) -> tuple[int, str] | None:
-        """Return status and text if the front answers `target` itself, else None."""
-        ...
-
-    def pause_answer(self, request_id: int, is_paused: bool) -> None:
-        """Request that the sender of the answer pause or resume it."""
-        ...
-
-    def record_output_size(self, size_bytes: int) -> None:
-        """Record the size of an output buffer above the high water mark."""
-        ...
-
-
 class CallerConnection:
     """State of one connection, which serves one request at a time.
 
@@ -101,7 +57,14 @@
         self.deadline_kind = ""
         self.last_progress_ms = 0
         self.output = bytearray()
-        self.parser = RequestParser(owner.max_head_bytes)
+        self.parser = RequestParser(owner.parser_limits)
+        # Held memory as last counted by the owner.
+        self.counted_bytes = 0
+        self.has_served = False
+        self.request_started_ms = owner.now_ms()
+        self.received_bytes = 0
+        self._request_held_bytes = 0
+        self._droppable_bytes = MAX_DROPPED_BYTES
         self._owner = owner
         self._encoder: AnswerEncoder | None = None
         self._is_request_read = True
@@ -128,12 +91,39 @@
         """Whether the request makes no progress until `exchanges` sends a message."""
         return self.request_id != 0 and not self.output and self._is_request_read
 
+    @property
+    def is_refusable(self) -> bool:
+        """Whether the request is incomplete and nothing of it has run."""
+        if self.is_lingering or self._is_head_sent:
+            return False
+        if self.request_id:
+            return self._owner.holds_bodies and not self._is_request_read
+        return self.is_reading_head
+
+    @property
+    def is_receiving_body(self) -> bool:
+        """Whether a part of the request's body has not arrived yet."""
+        return self.request_id != 0 and not self._is_request_read
+
     @property
     def wants_read(self) -> bool:
         """Whether more bytes may be read; pipelined requests stay in the socket."""
-        if self.is_lingering or self.is_handshaking:
+        if self.is_lingering:
+            return self._droppable_bytes > 0
+        if self.is_handshaking:
             return True
-        return not self.parser.events and not self.is_body_paused
+        parser = self.parser
+        return not (parser.events or parser.has_rest or self.is_body_paused)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that this connection takes, unread input included."""
+        held = CONNECTION_BYTES + self._request_held_bytes + len(self.output)
+        if not self.parser.is_between_requests:
+            held += self.parser.held_bytes
+        if not self.wants_read:
+            held += self._owner.receive_buffer_bytes
+        return held
 
     def read(self) -> None:
         """Read the available bytes of the socket and process them."""
@@ -151,16 +141,46 @@
                 self.close()
                 return
             if self.is_lingering:
+                self._droppable_bytes -= len(data)
                 return
+            if self.is_busy:
+                self.received_bytes += len(data)
+            else:
+                self.request_started_ms = self._owner.now_ms()
+                self.received_bytes = len(data)
             self.parser.feed(data)
             self.process_events()
             if not (isinstance(self.sock, ssl.SSLSocket) and self.sock.pending()):
                 return
 
+    def handshake(self) -> bool:
+        """Continue the TLS handshake; returns False if it has failed."""
+        assert isinstance(self.sock, ssl.SSLSocket)
+        self.wants_write = False
+        try:
+            self.sock.do_handshake()
+        except ssl.SSLWantReadError:
+            pass
+        except ssl.SSLWantWriteError:
+            self.wants_write = True
+        except OSError:
+            self.close()
+            return False
+        else:
+            self.is_handshaking = False
+            self.read()
+        return True
+
     def process_events(self) -> None:
         """Process parsed events until the request in progress blocks the next one."""
         events = self.parser.events
-        while events and not self.is_closed and not self.is_lingering:
+        while not self.is_closed and not self.is_lingering:
+            if not events:
+                if self._encoder is not None or not self.parser.has_rest:
+                    return
+                self.parser.resume()
+                if not events:
+                    return
             event = events[0]
             if isinstance(event, BodyPart):
                 events.popleft()
@@ -262,6 +282,9 @@
         if self.request_id:
             self._owner.close_request(self, is_caller_gone=True)
             self.request_id = 0
+        self._owner.count_refusal(status)
+        self.parser.discard()
+        self._request_held_bytes = 0
         encoder = self._encoder or AnswerEncoder("GET", False, True)
         encoder.closes = True
         self._encoder = encoder
@@ -286,6 +309,10 @@
         if local_answer is not None:
             self._answer_local(*local_answer)
             return
+        if not self._owner.admits(self, head.held_bytes):
+            self.refuse(503, "memory is short")
+            return
+        self._request_held_bytes = head.held_bytes
         self.request_id = self._owner.open_request(self)
         self._owner.forward(
             RequestReceived(
@@ -315,6 +342,8 @@
         if part.is_last:
             self._is_request_read = True
         if self.request_id:
+            if self._owner.holds_bodies:
+                self._request_held_bytes += len(part.data)
             self._owner.forward(RequestBody(self.request_id, part.data, part.is_last))
 
     def _on_fault(self, fault: ParseFault) -> None:
@@ -341,14 +370,18 @@
         self._is_answer_ended = False
         self._is_head_sent = False
         self.is_body_paused = False
+        self._request_held_bytes = 0
+        self.has_served = True
         if encoder is not None and not encoder.closes and not self._owner.is_stopping:
             return
-        if self._is_request_read and not self.parser.events:
+        parser = self.parser
+        if self._is_request_read and not (parser.events or parser.has_rest):
             self.close()
             return
         # Closing the socket with unread bytes resets the connection, and the caller may
         # lose the answer. Therefore incoming bytes are read and dropped for a while.
         self.is_lingering = True
+        parser.discard()
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/src/guavapin/serving/caller_listener.py
+++ b/src/guavapin/serving/caller_listener.py
@@ -19,8 +19,9 @@
 class CallerListener:
     """Accepts connections and passes each socket to `on_socket`.
 
-    After a failed accept, `resume_message` is delivered to the owning task, which must
-    then call `resume`.
+    With `receive_buffer_bytes` above 0, the kernel holds at most this much unread input
+    of a connection. After a failed accept, `resume_message` is delivered to the owning
+    task, which must then call `resume`.
     """
 
     def __init__(
@@ -28,10 +29,12 @@
         context: TaskContext,
         resume_message: object,
         on_socket: Callable[[socket.socket], None],
+        receive_buffer_bytes: int = 0,
     ) -> None:
         self._context = context
         self._resume_message = resume_message
         self._on_socket = on_socket
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._socket: socket.socket | None = None
         self._is_watched = False
 
@@ -45,6 +48,11 @@
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            if self._receive_buffer_bytes:
+                # Accepted sockets inherit the size; the kernel doubles it.
+                listener.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer_bytes // 2
+                )
             listener.bind((address, port))
             listener.listen(socket.SOMAXCONN)
             listener.setblocking(False)
@@ -70,12 +78,15 @@
             self._is_watched = False
             self._context.unwatch(self._socket.fileno())
 
-    def close(self) -> None:
-        """Accept queued connections, which closing would reset; close the socket."""
+    def close(self, max_accepts: int = 0) -> None:
+        """Accept queued connections, which closing would reset; close the socket.
+
+        Connections beyond `max_accepts` are reset; nothing of them has been read.
+        """
         if self._socket is None:
             return
         self.pause()
-        for _ in range(socket.SOMAXCONN):
+        for _ in range(min(max_accepts, socket.SOMAXCONN)):
             if not self._accept():
                 break
         self._socket.close()
--- a/src/guavapin/serving/connection_deadlines.py
+++ b/src/guavapin/serving/connection_deadlines.py
@@ -7,6 +7,8 @@
 from guavapin.serving.deadlines import DeadlineTimer
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from guavapin.kernel import TaskContext
     from guavapin.serving.caller_connection import CallerConnection
     from guavapin.serving.front_config import FrontConfig
@@ -24,12 +26,23 @@
     def __init__(self, context: TaskContext, message: object, cfg: FrontConfig) -> None:
         self._context = context
         self._timer = DeadlineTimer(context, message)
+        self._min_body_rate = cfg.min_body_bytes_per_s
         self._timeouts_ms = {
             "linger": LINGER_TIMEOUT_MS,
             "head": cfg.header_timeout_ms,
             "progress": cfg.idle_timeout_ms,
         }
 
+    def set_timeouts(
+        self, header_ms: int, idle_ms: int, conns: Iterable[CallerConnection]
+    ) -> None:
+        """Apply other timeouts, to the open connections too."""
+        self._timeouts_ms["head"] = header_ms
+        self._timeouts_ms["progress"] = idle_ms
+        now_ms = self._context.now_ms()
+        for conn in conns:
+            self._timer.set(conn.conn_id, max(self._due_ms(conn, now_ms) - now_ms, 0))
+
     def record_progress(self, conn: CallerConnection) -> None:
         """Record progress of `conn`, and start another timeout if its state changed."""
         if conn.is_lingering:
@@ -68,4 +81,10 @@
         is_progress = conn.deadline_kind == "progress"
         if is_progress and (conn.is_waiting_for_answer or conn.is_body_paused):
             return now_ms + timeout_ms
-        return conn.last_progress_ms + timeout_ms
+        due_ms = conn.last_progress_ms + timeout_ms
+        if is_progress and self._min_body_rate and conn.is_receiving_body:
+            # Two idle times on top let a body begin slowly or pause once.
+            allowed_ms = conn.received_bytes * 1_000 // self._min_body_rate
+            allowed_ms += 2 * timeout_ms
+            due_ms = min(due_ms, conn.request_started_ms + allowed_ms)
+        return due_ms
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -5,7 +5,6 @@
 import itertools
 import selectors
 import socket
-import ssl
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -16,6 +15,9 @@
 from guavapin.kernel import Refused
 from guavapin.serving.caller_connection import CallerConnection
 from guavapin.serving.caller_listener import CallerListener
+from guavapin.serving.client_guard import ClientGuard
+from guavapin.serving.client_guard import CloseIdle
+from guavapin.serving.client_guard import ReportClients
 from guavapin.serving.connection_deadlines import ConnectionDeadlines
 from guavapin.serving.front_config import tls_context
 from guavapin.serving.messages import AnswerBody
@@ -26,9 +28,13 @@
 from guavapin.serving.messages import FlowControl
 from guavapin.serving.messages import GetCounts
 from guavapin.serving.messages import SetReady
+from guavapin.serving.messages import SetRequestLimits
 from guavapin.serving.messages import StopAccepting
+from guavapin.serving.refusal_report import NO_OBSERVER
+from guavapin.serving.request_parser import ParserLimits
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Callable
     from concurrent.futures import Future
     from typing import Any
@@ -36,6 +42,7 @@
     from guavapin.kernel import Outcome
     from guavapin.kernel import TaskContext
     from guavapin.serving.front_config import FrontConfig
+    from guavapin.serving.refusal_report import ClientObserver
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,14 +70,22 @@
     """
 
     def __init__(
-        self, cfg: FrontConfig, name: str = "front", handler: str = "exchanges"
+        self,
+        cfg: FrontConfig,
+        name: str = "front",
+        handler: str = "exchanges",
+        observer: ClientObserver = NO_OBSERVER,
     ) -> None:
         self.name = name
         self._handler = handler
         self.port = cfg.port
-        self.max_head_bytes = cfg.max_head_bytes
-        self.is_stopping = False
-        self.asks_to_close = False
+        self.parser_limits = ParserLimits(
+            cfg.max_head_bytes, cfg.max_body_bytes, cfg.kept_headers
+        )
+        self.holds_bodies = cfg.holds_bodies
+        self.receive_buffer_bytes = cfg.receive_buffer_bytes
+        self._observer = observer
+        self.is_stopping = self.asks_to_close = False
         self.counts: Counter[str] = Counter()
         self._cfg = cfg
         self._is_ready = False
@@ -94,7 +109,10 @@
             Call: self._on_call,
             _FlushAnswer: self._on_flush,
             _DeadlinePassed: self._on_deadlines,
-            _ResumeAccepting: lambda message: self._listener.resume(),
+            _ResumeAccepting: lambda message: self._resume_accepting(),
+            CloseIdle: lambda message: self._guard.close_idle(),
+            ReportClients: lambda message: self._report_clients(),
+            SetRequestLimits: self._on_limits,
         }
         self._context: TaskContext
         self._deadlines: ConnectionDeadlines
@@ -104,8 +122,13 @@
         """Open the listener; refused if the address or the TLS files are unusable."""
         self._context = context
         self._deadlines = ConnectionDeadlines(context, _DeadlinePassed(), self._cfg)
-        self._listener = CallerListener(context, _ResumeAccepting(), self._open)
         cfg = self._cfg
+        self._guard = ClientGuard(
+            context, self.name, cfg, self._observer, self._conns, self.sync_connection
+        )
+        self._listener = CallerListener(
+            context, _ResumeAccepting(), self._open, cfg.receive_buffer_bytes
+        )
         try:
             self._tls = tls_context(cfg)
         except OSError as exc:
@@ -114,8 +137,8 @@
         try:
             self.port = self._listener.open(cfg.address, cfg.port)
         except OSError as exc:
-            endpoint = f"{cfg.address}:{cfg.port}"
-            return Refused(Reason.UNREACHABLE, f"cannot listen on {endpoint}: {exc}")
+            detail = f"cannot listen on {cfg.address}:{cfg.port}: {exc}"
+            return Refused(Reason.UNREACHABLE, detail)
         return Ok(None)
 
     def stop(self) -> None:
@@ -201,11 +224,42 @@
         if events != conn.watched_events:
             self._watch(conn, events)
         self._deadlines.record_progress(conn)
+        self._guard.count(conn)
+
+    def admits(self, conn: CallerConnection, held_bytes: int) -> bool:
+        """Whether a request of `conn` may begin that takes this memory."""
+        return self._guard.admits(conn, held_bytes)
+
+    def count_refusal(self, status: int) -> None:
+        """Count a request that the front has refused with `status`."""
+        self._guard.count_refusal(status)
+
+    def _on_limits(self, message: SetRequestLimits) -> None:
+        cfg = self._cfg
+        self.parser_limits = ParserLimits(
+            message.max_head_bytes or cfg.max_head_bytes,
+            message.max_body_bytes or cfg.max_body_bytes,
+            cfg.kept_headers,
+        )
+        for conn in self._conns.values():
+            conn.parser.limits = self.parser_limits
+        self._deadlines.set_timeouts(
+            message.header_timeout_ms or cfg.header_timeout_ms,
+            message.idle_timeout_ms or cfg.idle_timeout_ms,
+            self._conns.values(),
+        )
+
+    def _resume_accepting(self) -> None:
+        if not self._guard.is_full:
+            self._listener.resume()
+
+    def _report_clients(self) -> None:
+        for cause, count in self._guard.report().items():
+            self.counts[f"refused: {cause}"] += count
 
     def _find_answering(self, request_id: int) -> CallerConnection | None:
         conn = self._by_request_id.get(request_id)
-        if conn is None:
-            self.counts["late_messages"] += 1
+        self.counts["late_messages"] += conn is None
         return conn
 
     def _on_answer_head(self, message: AnswerHead) -> None:
@@ -263,7 +317,8 @@
 
     def _on_ready(self, conn: CallerConnection, events: int) -> None:
         if conn.is_handshaking:
-            self._handshake(conn)
+            self.counts["failed_handshakes"] += not conn.handshake()
+            self.sync_connection(conn)
             return
         if events & selectors.EVENT_WRITE:
             conn.flush()
@@ -272,23 +327,6 @@
             conn.read()
         self.sync_connection(conn)
 
-    def _handshake(self, conn: CallerConnection) -> None:
-        assert isinstance(conn.sock, ssl.SSLSocket)
-        conn.wants_write = False
-        try:
-            conn.sock.do_handshake()
-        except ssl.SSLWantReadError:
-            pass
-        except ssl.SSLWantWriteError:
-            conn.wants_write = True
-        except OSError:
-            self.counts["failed_handshakes"] += 1
-            conn.close()
-        else:
-            conn.is_handshaking = False
-            conn.read()
-        self.sync_connection(conn)
-
     def _open(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -300,17 +338,20 @@
         self._conns[conn.conn_id] = conn
         self.counts["connections"] += 1
         self.sync_connection(conn)
-        if len(self._conns) >= self._cfg.max_connections:
+        self._guard.observe()
+        if self._guard.is_full:
             self._listener.pause()
+            self._guard.on_full()
 
     def _close(self, conn: CallerConnection) -> None:
         if self._conns.pop(conn.conn_id, None) is None:
             return
+        self._guard.discard(conn)
         self._deadlines.discard(conn)
         self._context.unwatch(conn.fd)
         conn.sock.close()
-        if len(self._conns) < self._cfg.max_connections:
-            self._listener.resume()
+        self._guard.observe()
+        self._resume_accepting()
         self._resolve_stop()
 
     def _watch(self, conn: CallerConnection, events: int) -> None:
@@ -332,7 +373,7 @@
             self.sync_connection(conn)
 
     def _stop_accepting(self) -> None:
-        self._listener.close()
+        self._listener.close(self._guard.stop_room)
         self.is_stopping = True
         self.asks_to_close = True
         for conn in list(self._conns.values()):
@@ -354,5 +395,6 @@
         return {
             **self.counts,
             "open_connections": len(self._conns),
+            "held_bytes": self._guard.held_bytes,
             "requests_in_progress": len(self._by_request_id),
         }
--- a/src/guavapin/serving/front_config.py
+++ b/src/guavapin/serving/front_config.py
@@ -14,6 +14,14 @@
     body and between two writes that make progress. `header_timeout_ms` limits the time
     from the first byte of a head to its end. An empty health or ready path disables
     that answer.
+
+    `max_body_bytes` limits a body that the service behind the front collects, and
+    `min_body_bytes_per_s` the rate at which it arrives; 0 means no limit. With
+    `holds_bodies` the service keeps a body until the answer, so that it counts as held
+    by the connection, and nothing runs before the body is complete. All connections
+    hold at most `held_bytes`. Headers that are not in `kept_headers` are dropped; None
+    keeps all. `receive_buffer_bytes` limits what the kernel holds unread for a
+    connection; 0 leaves the size to the kernel.
     """
 
     address: str = "127.0.0.1"
@@ -26,6 +34,12 @@
     key_file: str = ""
     health_path: str = "/healthz"
     ready_path: str = "/readyz"
+    max_body_bytes: int = 0
+    min_body_bytes_per_s: int = 0
+    holds_bodies: bool = False
+    held_bytes: int = 64 * 1024 * 1024
+    kept_headers: frozenset[bytes] | None = None
+    receive_buffer_bytes: int = 0
 
 
 def tls_context(cfg: FrontConfig) -> ssl.SSLContext | None:
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -201,6 +201,16 @@
     is_stopping: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SetRequestLimits:
+    """To `front`: limits of requests from now on; 0 means the listener's own limit."""
+
+    max_head_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopAccepting:
     """To `front`: close the listener and idle connections, and finish the others.
--- a/src/guavapin/serving/request_handler.py
+++ b/src/guavapin/serving/request_handler.py
@@ -18,9 +18,14 @@
     from guavapin.kernel.task import TaskContext
     from guavapin.serving.messages import Headers
 
-# Larger bodies are refused. The largest jobs have a few dozen steps and a short text.
+# The front refuses larger bodies unless the configuration sets another limit. The
+# largest jobs have a few dozen steps and a short text.
 MAX_BODY_BYTES = 262_144
 
+# Bodies above this are refused whatever the configuration allows: the store does not
+# take records of that size.
+LARGEST_BODY_BYTES = 4 * 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class WholeRequest:
@@ -100,7 +105,7 @@
         if body is None:
             return
         body += data
-        if len(body) > MAX_BODY_BYTES:
+        if len(body) > LARGEST_BODY_BYTES:
             self._heads.pop(request_id, None)
             del self._bodies[request_id]
             self.answer(request_id, 413)
--- a/src/guavapin/serving/request_parser.py
+++ b/src/guavapin/serving/request_parser.py
@@ -14,10 +14,54 @@
 if TYPE_CHECKING:
     from guavapin.serving.messages import Headers
 
+# Memory of a header besides its bytes: a tuple, two bytes objects and a list slot.
+HEADER_OBJECT_BYTES = 160
+# Memory of a request besides its headers: events, messages and the encoder.
+REQUEST_OBJECT_BYTES = 1_024
+
+# The shortest header line, "a:" with its line end.
+MIN_LINE_BYTES = 4
+
+# Bytes of chunk sizes and extensions that a body may have for each byte of its own.
+# Chunks of one byte take five.
+FRAMING_PER_BODY_BYTE = 8
+
+# Bytes of a request line that do not count as bytes of the head's limit, which is often
+# understood as that of the header lines.
+REQUEST_LINE_BYTES = 256
+
+# Headers that the parser itself reads.
+FRAMING_HEADERS = frozenset(
+    (b"host", b"content-length", b"transfer-encoding", b"expect", b"connection")
+)
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class ParserLimits:
+    """Limits of one request; a `max_body_bytes` of 0 means no limit.
+
+    The header lines have at most `max_head_bytes`, and there are at most as many as fit
+    into these bytes. A request line of usual length is not counted. Only the headers in
+    `kept_headers` are kept, or all if it is None.
+    """
+
+    max_head_bytes: int
+    max_body_bytes: int = 0
+    kept_headers: frozenset[bytes] | None = None
+
+    @property
+    def max_head_lines(self) -> int:
+        """Return the number of lines that no head within `max_head_bytes` exceeds."""
+        return self.max_head_bytes // MIN_LINE_BYTES
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """The head of a request, with all its headers."""
+    """The head of a request, with the headers that are kept.
+
+    `held_bytes` is the memory that it takes.
+    """
 
     method: str
     target: str
@@ -26,6 +70,7 @@
     keep_alive: bool
     is_http_10: bool
     expects_continue: bool
+    held_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,62 +100,157 @@
     smuggling relies on requests that two parsers split differently.
     """
 
-    def __init__(self, max_head_bytes: int) -> None:
+    def __init__(self, limits: ParserLimits) -> None:
         self.events: deque[ParserEvent] = deque()
-        self._max_head_bytes = max_head_bytes
+        self.limits = limits
         self._parser = httptools.HttpRequestParser(self)
+        self._rest = b""
+        self._offset = 0
         self._unproductive_bytes = 0
-        self._fed_bytes = 0
-        self._request_bytes = 0
         self._has_failed = False
-        self._parts: list[bytes] = []
         self._reset()
 
+    def _reset(self) -> None:
+        self._url = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        # A body is collected in one growing buffer, since a small object for each chunk
+        # would take many times the memory of its bytes.
+        self._part: bytes | bytearray = b""
+        self._head_bytes = 0
+        self._head_lines = 0
+        self._held_head_bytes = 0
+        self._body_bytes = 0
+        self._framing_bytes = 0
+        self._length_left = 0
+        self._is_head_done = False
+        self._is_idle = True
+        self._body_follows = False
+
     @property
     def is_between_requests(self) -> bool:
         """Whether no byte of another request has been read."""
-        return self._is_idle and not self.events
+        return self._is_idle and not self.events and not self._rest
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether bytes behind a complete request have not been parsed yet."""
+        return bool(self._rest)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that unprocessed input takes."""
+        held = self._held_head_bytes + len(self._rest)
+        for event in self.events:
+            if isinstance(event, RequestHead):
+                held += event.held_bytes
+        return held
 
     def feed(self, data: bytes) -> None:
-        """Parse `data`; after a fault, all input is ignored."""
+        """Parse `data` up to the end of a request; the rest waits for `resume`.
+
+        After a fault, all input is ignored.
+        """
         if self._has_failed:
             return
+        self._rest = self._rest[self._offset :] + data if self._rest else data
+        self._offset = 0
+        self.resume()
+
+    def resume(self) -> None:
+        """Parse the rest of the input up to the end of a request."""
         before = len(self.events)
-        self._fed_bytes = len(data)
-        self._request_bytes += len(data)
-        rest = data
-        while rest and not self._has_failed:
-            rest = self._feed_once(rest)
+        length = len(self._rest) - self._offset
+        while self._rest and not self._has_failed:
+            data = self._next_slice()
+            self._feed_once(data)
+            if self._is_idle and self.events:
+                break
         self._flush_body()
-        self._check_progress(len(data), len(self.events) > before)
+        left = len(self._rest) - self._offset
+        self._check_progress(length - left, len(self.events) > before)
 
-    def _feed_once(self, data: bytes) -> bytes:
-        """Parse `data` up to a request for an upgrade; returns the bytes after it."""
+    def discard(self) -> None:
+        """Drop all input; what follows is ignored too."""
+        self._has_failed = True
+        self.events.clear()
+        self._reset()
+        self._clear_rest()
+
+    def _next_slice(self) -> bytes:
+        """Take the bytes up to the next place at which a request can end.
+
+        A request ends with an empty line or with its announced length, so that a slice
+        holds the end of one request and at most one more. Parsed requests therefore do
+        not accumulate.
+        """
+        rest, begin = self._rest, self._offset
+        if self._length_left:
+            end = begin + self._length_left
+        else:
+            found = rest.find(HEAD_END, begin)
+            end = found + len(HEAD_END) if found >= 0 else len(rest)
+        if end < len(rest):
+            self._offset = end
+            return rest[begin:end]
+        self._clear_rest()
+        return rest[begin:] if begin else rest
+
+    def _clear_rest(self) -> None:
+        self._rest = b""
+        self._offset = 0
+
+    def _feed_once(self, data: bytes) -> None:
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             # An upgrade may be ignored (RFC 9110, 7.8), but the C parser stops at it.
             self._parser = httptools.HttpRequestParser(self)
-            return data[exc.args[0] :]
+            self._rest = data[exc.args[0] :] + self._rest[self._offset :]
+            self._offset = 0
         except httptools.HttpParserInvalidMethodError:
             self._fail(501, "method not supported")
         except httptools.HttpParserError as exc:
             self._fail(400, str(exc) or "malformed request")
-        return b""
+        # A smaller number belongs to the next request.
+        if 0 < body_bytes <= self._body_bytes:
+            self._count_framing(len(data) - (self._body_bytes - body_bytes))
+
+    def _count_framing(self, length: int) -> None:
+        # Counted only once a body has begun, so that heads do not count.
+        if self._is_idle:
+            return
+        self._framing_bytes += length
+        allowed = FRAMING_PER_BODY_BYTE * self._body_bytes + self.limits.max_head_bytes
+        if self._framing_bytes > allowed:
+            self._fail(431, "chunk extensions too large")
 
     def on_message_begin(self) -> None:
         self._reset()
         self._is_idle = False
-        # An upper bound of the request's bytes so far: all data of this `feed` call.
-        self._request_bytes = self._fed_bytes
 
     def on_url(self, url: bytes) -> None:
         self._url += url
+        self._held_head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Headers after the head are trailers and are dropped.
-        if not self._is_head_done:
-            self._headers.append((name.lower(), value))
+        if self._is_head_done or self._has_failed:
+            return
+        limits = self.limits
+        self._head_lines += 1
+        length = len(name) + len(value)
+        # A line has a colon and a line end at least.
+        self._head_bytes += length + 3
+        is_long = self._head_bytes > limits.max_head_bytes
+        if is_long or self._head_lines > limits.max_head_lines:
+            self._fail(431, "request head too large")
+            return
+        name = name.lower()
+        kept = limits.kept_headers
+        if kept is None or name in kept or name in FRAMING_HEADERS:
+            self._headers.append((name, value))
+            self._held_head_bytes += length + HEADER_OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
         self._is_head_done = True
@@ -118,6 +258,8 @@
             return
         self._flush_body()
         event = self._read_head()
+        self._headers = []
+        self._held_head_bytes = 0
         if isinstance(event, ParseFault):
             self._fail(event.status, event.detail)
             return
@@ -125,31 +267,35 @@
         self.events.append(event)
 
     def on_body(self, data: bytes) -> None:
-        self._parts.append(data)
+        self._body_bytes += len(data)
+        if self._length_left:
+            self._length_left -= len(data)
+        if self._has_failed:
+            return
+        max_bytes = self.limits.max_body_bytes
+        if max_bytes and self._body_bytes > max_bytes:
+            self._fail(413, "request body too large")
+        elif not self._part:
+            self._part = data
+        elif isinstance(self._part, bytearray):
+            self._part += data
+        else:
+            self._part = bytearray(self._part)
+            self._part += data
 
     def on_message_complete(self) -> None:
         self._is_idle = True
         if self._body_follows and not self._has_failed:
-            self.events.append(BodyPart(b"".join(self._parts), True))
-        self._parts = []
-
-    def _reset(self) -> None:
-        self._url = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._parts = []
-        self._is_head_done = False
-        self._is_idle = True
-        self._body_follows = False
+            self.events.append(BodyPart(bytes(self._part), True))
+        self._part = b""
 
     def _read_head(self) -> RequestHead | ParseFault:
         headers = tuple(self._headers)
         version = self._parser.get_http_version()
         if version not in ("1.1", "1.0"):
             return ParseFault(505, "only HTTP/1.1 and HTTP/1.0 are supported")
-        # The sum is needed only if more bytes were read than a head may have.
-        is_long = self._request_bytes > self._max_head_bytes
-        if is_long and self._head_bytes() > self._max_head_bytes:
-            return ParseFault(431, "request head too large")
+        if len(self._url) > self.limits.max_head_bytes:
+            return ParseFault(431, "request target too large")
         hosts = length = chunked = 0
         expects_continue = False
         options: frozenset[bytes] = frozenset()
@@ -177,6 +323,13 @@
             # The C parser does not parse the body of a request with an upgrade, so the
             # body would be parsed as the next request.
             return ParseFault(501, "upgrade with a body is not supported")
+        max_body_bytes = self.limits.max_body_bytes
+        if max_body_bytes and length > max_body_bytes:
+            return ParseFault(413, "request body too large")
+        self._length_left = length
+        kept = self.limits.kept_headers
+        if kept is not None:
+            headers = tuple(header for header in headers if header[0] in kept)
         return RequestHead(
             method=method,
             target=target,
@@ -185,28 +338,29 @@
             keep_alive=_keeps_alive(options, version),
             is_http_10=version == "1.0",
             expects_continue=expects_continue and version == "1.1",
+            held_bytes=self._held_head_bytes + REQUEST_OBJECT_BYTES,
         )
 
-    def _head_bytes(self) -> int:
-        return len(self._url) + sum(len(n) + len(v) + 4 for n, v in self._headers)
-
     def _flush_body(self) -> None:
-        if self._parts and not self._has_failed:
-            self.events.append(BodyPart(b"".join(self._parts), False))
-            self._parts = []
+        if self._part and not self._has_failed:
+            self.events.append(BodyPart(bytes(self._part), False))
+            self._part = b""
 
     def _check_progress(self, length: int, has_events: bool) -> None:
         # Counts bytes without a resulting event: an endless head, trailer or extension.
         self._unproductive_bytes = (
             0 if has_events else self._unproductive_bytes + length
         )
-        if self._unproductive_bytes > self._max_head_bytes:
+        if self._unproductive_bytes > self.limits.max_head_bytes + REQUEST_LINE_BYTES:
             self._fail(431, "request head too large")
 
     def _fail(self, status: int, detail: str) -> None:
         if not self._has_failed:
             self._has_failed = True
-            self._parts = []
+            self._part = b""
+            self._clear_rest()
+            self._headers = []
+            self._held_head_bytes = 0
             self.events.append(ParseFault(status, detail))
 
 
--- a/src/guavapin/settings/entry.py
+++ b/src/guavapin/settings/entry.py
@@ -51,14 +51,16 @@
     """Limits of one entry process.
 
     `callers` limits the open connections, `requests` the requests in progress and
-    `buffered_bytes` the bodies buffered for them. On a planned stop the process
-    reports unready for `unready_notice_ms` before it closes the listener. Requests in
-    progress then have `stop_timeout_ms` to finish.
+    `buffered_bytes` the bodies buffered for them. Heads and unsent answers on callers'
+    connections have at most `held_bytes`; 0 means the value of `buffered_bytes`. On a
+    planned stop the process reports unready for `unready_notice_ms` before it closes
+    the listener. Requests in progress then have `stop_timeout_ms` to finish.
     """
 
     callers: int = 4_096
     requests: int = 2_048
     buffered_bytes: int = 64 * 1024 * 1024
+    held_bytes: int = 0
     header_bytes: int = 32 * 1024
     idle_timeout_ms: int = 60_000
     stop_timeout_ms: int = 60_000
@@ -98,6 +100,7 @@
         "callers": IntegerRule(1, 100_000),
         "requests": IntegerRule(1, 100_000),
         "buffered_bytes": IntegerRule(1024 * 1024, 2**36),
+        "held_bytes": IntegerRule(0, 2**36),
         "header_bytes": IntegerRule(1024, 1024 * 1024),
         "idle_timeout_ms": IntegerRule(100, 3_600_000),
         "stop_timeout_ms": IntegerRule(0, 3_600_000),
--- a/src/guavapin/settings/resident.py
+++ b/src/guavapin/settings/resident.py
@@ -52,9 +52,11 @@
     `store`, `machines` and `advice` are ``host:port`` of the platform's services, or
     "" if the deployment has none. `cores` and `link_mbps` are the limits of the host,
     or 0 if they are unknown, like `memory_mb` and `max_fds`, the limits of this process
-    in megabytes and file descriptors. With `requires_keys`, calls need a key even while
-    the table holds no organisation. `quota_window_ms` is the time over which the jobs
-    of an organisation are counted.
+    in megabytes and file descriptors. `clients_mb` is the memory that connections may
+    hold, 0 for a share of `memory_mb`; a body that arrives slower than
+    `min_body_bytes_per_s` for long is refused. With `requires_keys`, calls need a key
+    even while the table holds no organisation. `quota_window_ms` is the time over which
+    the jobs of an organisation are counted.
     """
 
     node: str
@@ -73,6 +75,8 @@
     link_mbps: float = 0.0
     memory_mb: int = 0
     max_fds: int = 0
+    clients_mb: int = 0
+    min_body_bytes_per_s: int = 1_000
     requires_keys: bool = False
     key_terms: KeyTerms = KeyTerms()
     quota_window_ms: int = 5_000
--- a/tests/hostile/test_decoders.py
+++ b/tests/hostile/test_decoders.py
@@ -45,6 +45,7 @@
 from guavapin.serving.exchange_relay import encode_relay
 from guavapin.serving.hop_headers import end_to_end
 from guavapin.serving.request_parser import ParseFault
+from guavapin.serving.request_parser import ParserLimits
 from guavapin.serving.request_parser import RequestParser
 from guavapin.serving.seat_record import decode_seat
 from guavapin.settings.parts import NodeSettings
@@ -150,7 +151,7 @@
 @FIXED
 @given(st.lists(REQUEST_PARTS | st.binary(max_size=40), max_size=12), st.booleans())
 def test_arbitrary_bytes_of_callers_never_raise(parts, is_whole):
-    parser = RequestParser(1_024)
+    parser = RequestParser(ParserLimits(1_024))
     for data in [b"".join(parts)] if is_whole else parts:
         parser.feed(data)
     faults = [event for event in parser.events if isinstance(event, ParseFault)]
