--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -119,10 +119,11 @@
     def held_bytes(self) -> int:
         """Return the memory that this connection takes, unread input included."""
         held = CONNECTION_BYTES + self._request_held_bytes + len(self.output)
-        if not self.parser.is_between_requests:
-            held += self.parser.held_bytes
-        if not self.wants_read:
-            held += self._owner.receive_buffer_bytes
+        parser = self.parser
+        if self.is_body_paused or self.is_lingering or not parser.is_between_requests:
+            held += parser.held_bytes
+            if not self.wants_read:
+                held += self._owner.receive_buffer_bytes
         return held
 
     def read(self) -> None:
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -242,7 +242,7 @@
             cfg.kept_headers,
         )
         for conn in self._conns.values():
-            conn.parser.limits = self.parser_limits
+            conn.parser.set_limits(self.parser_limits)
         self._deadlines.set_timeouts(
             message.header_timeout_ms or cfg.header_timeout_ms,
             message.idle_timeout_ms or cfg.idle_timeout_ms,
--- a/src/guavapin/serving/request_parser.py
+++ b/src/guavapin/serving/request_parser.py
@@ -19,9 +19,6 @@
 # Memory of a request besides its headers: events, messages and the encoder.
 REQUEST_OBJECT_BYTES = 1_024
 
-# The shortest header line, "a:" with its line end.
-MIN_LINE_BYTES = 4
-
 # Bytes of chunk sizes and extensions that a body may have for each byte of its own.
 # Chunks of one byte take five.
 FRAMING_PER_BODY_BYTE = 8
@@ -41,20 +38,15 @@
 class ParserLimits:
     """Limits of one request; a `max_body_bytes` of 0 means no limit.
 
-    The header lines have at most `max_head_bytes`, and there are at most as many as fit
-    into these bytes. A request line of usual length is not counted. Only the headers in
-    `kept_headers` are kept, or all if it is None.
+    The header lines have at most `max_head_bytes`; each counts four bytes or more, so
+    that this limits their number too. A request line of usual length is not counted.
+    Only the headers in `kept_headers` are kept, or all if it is None.
     """
 
     max_head_bytes: int
     max_body_bytes: int = 0
     kept_headers: frozenset[bytes] | None = None
 
-    @property
-    def max_head_lines(self) -> int:
-        """Return the number of lines that no head within `max_head_bytes` exceeds."""
-        return self.max_head_bytes // MIN_LINE_BYTES
-
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
@@ -102,7 +94,7 @@
 
     def __init__(self, limits: ParserLimits) -> None:
         self.events: deque[ParserEvent] = deque()
-        self.limits = limits
+        self.set_limits(limits)
         self._parser = httptools.HttpRequestParser(self)
         self._rest = b""
         self._offset = 0
@@ -110,6 +102,13 @@
         self._has_failed = False
         self._reset()
 
+    def set_limits(self, limits: ParserLimits) -> None:
+        """Apply other limits from the next header on."""
+        self.limits = limits
+        self._max_head_bytes = limits.max_head_bytes
+        kept = limits.kept_headers
+        self._kept_names = None if kept is None else kept | FRAMING_HEADERS
+
     def _reset(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
@@ -117,8 +116,6 @@
         # would take many times the memory of its bytes.
         self._part: bytes | bytearray = b""
         self._head_bytes = 0
-        self._head_lines = 0
-        self._held_head_bytes = 0
         self._body_bytes = 0
         self._framing_bytes = 0
         self._length_left = 0
@@ -139,7 +136,10 @@
     @property
     def held_bytes(self) -> int:
         """Return the memory that unprocessed input takes."""
-        held = self._held_head_bytes + len(self._rest)
+        # Bytes of dropped headers count too; a sum over the kept ones at each part that
+        # arrives would cost more than they hold.
+        held = len(self._rest) + len(self._part) + self._head_bytes
+        held += HEADER_OBJECT_BYTES * len(self._headers)
         for event in self.events:
             if isinstance(event, RequestHead):
                 held += event.held_bytes
@@ -152,6 +152,16 @@
         """
         if self._has_failed:
             return
+        is_whole = data.find(HEAD_END) == len(data) - len(HEAD_END)
+        if is_whole and not (self._rest or self._length_left):
+            # The usual input, one head, needs no search for the end of a request.
+            before = len(self.events)
+            self._feed_once(data)
+            if not self._rest:
+                self._flush_body()
+                self._check_progress(len(data), len(self.events) > before)
+                return
+            data = b""
         self._rest = self._rest[self._offset :] + data if self._rest else data
         self._offset = 0
         self.resume()
@@ -231,26 +241,21 @@
 
     def on_url(self, url: bytes) -> None:
         self._url += url
-        self._held_head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Headers after the head are trailers and are dropped.
-        if self._is_head_done or self._has_failed:
+        if self._is_head_done:
             return
-        limits = self.limits
-        self._head_lines += 1
-        length = len(name) + len(value)
-        # A line has a colon and a line end at least.
-        self._head_bytes += length + 3
-        is_long = self._head_bytes > limits.max_head_bytes
-        if is_long or self._head_lines > limits.max_head_lines:
+        # A line has a colon and a line end at least, so that each counts four bytes or
+        # more, and this limit is also one on the number of lines.
+        self._head_bytes += len(name) + len(value) + 3
+        if self._head_bytes > self._max_head_bytes:
             self._fail(431, "request head too large")
             return
         name = name.lower()
-        kept = limits.kept_headers
-        if kept is None or name in kept or name in FRAMING_HEADERS:
+        kept = self._kept_names
+        if kept is None or name in kept:
             self._headers.append((name, value))
-            self._held_head_bytes += length + HEADER_OBJECT_BYTES
 
     def on_headers_complete(self) -> None:
         self._is_head_done = True
@@ -259,7 +264,7 @@
         self._flush_body()
         event = self._read_head()
         self._headers = []
-        self._held_head_bytes = 0
+        self._head_bytes = 0
         if isinstance(event, ParseFault):
             self._fail(event.status, event.detail)
             return
@@ -327,9 +332,13 @@
         if max_body_bytes and length > max_body_bytes:
             return ParseFault(413, "request body too large")
         self._length_left = length
+        held_bytes = REQUEST_OBJECT_BYTES + len(self._url)
         kept = self.limits.kept_headers
-        if kept is not None:
+        if kept is None:
+            held_bytes += self._head_bytes
+        else:
             headers = tuple(header for header in headers if header[0] in kept)
+            held_bytes += sum(len(name) + len(value) for name, value in headers)
         return RequestHead(
             method=method,
             target=target,
@@ -338,7 +347,7 @@
             keep_alive=_keeps_alive(options, version),
             is_http_10=version == "1.0",
             expects_continue=expects_continue and version == "1.1",
-            held_bytes=self._held_head_bytes + REQUEST_OBJECT_BYTES,
+            held_bytes=held_bytes + HEADER_OBJECT_BYTES * len(headers),
         )
 
     def _flush_body(self) -> None:
@@ -360,7 +369,8 @@
             self._part = b""
             self._clear_rest()
             self._headers = []
-            self._held_head_bytes = 0
+            self._head_bytes = 0
+            self._is_head_done = True
             self.events.append(ParseFault(status, detail))
 
 
