Try hosts with one subtask after failures or silence

A host was set aside after three failures in a row, and each failure of one load doubled the time; afterwards it received a full load. A host that did not answer an order received a full load at its next answered poll.

Each host now has a health (scheduling/host_health.py). Two failures without enough successes between them put it on trial, three make it avoided for 4 s, up to 8 s; a silence puts it on trial, repeated ones are followed by 250 ms to 4 s of avoidance. On trial, one subtask is started until it succeeds, or until its start is answered after a silence. A single failure has no effect, since three in a hundred subtasks fail for reasons of their own. The plain search of the dispatcher's test skips a host that takes no further subtask, as the dispatcher does.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.jobs.model import Resources
+from guavapin.scheduling.host_health import Health
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,16 +24,6 @@
 # since. A busy host is polled within 100 ms of its last report.
 MAX_CONFIRMING_REPORT_AGE_MS = 500
 
-# Time for which a host is set aside after a streak of failures. It is doubled up to
-# the maximum as long as the host keeps failing.
-SET_ASIDE_MS = 1_500
-MAX_SET_ASIDE_MS = 6_000
-
-# Length of a streak: failures in a row of subtasks that had not failed before. A
-# single failure does not indicate a faulty host, since three in a hundred subtasks
-# fail for reasons of their own.
-FAILURE_STREAK = 3
-
 
 class Host:
     """Clock, lease, runs, ends and free resources of an executor.
@@ -82,13 +73,11 @@
         # Whether a predecessor has handed over what runs here.
         self.is_handed_over = False
         self.unanswered = 0
-        self.set_aside_until_ms = 0
-        self.failure_streak = 0
+        self.health = Health()
         self.is_cordoned = False
         self.idle_since_ms = now_ms
         self._clock_ms = registration.clock_ms
         self._clock_read_ms = now_ms
-        self._set_aside_ms = SET_ASIDE_MS
 
     @property
     def pool(self) -> str:
@@ -100,6 +89,11 @@
         """Return the time at which the executor's clock was last read."""
         return self._clock_read_ms
 
+    @property
+    def set_aside_until_ms(self) -> int:
+        """Return the time before which nothing starts here because of past signs."""
+        return self.health.not_before_ms
+
     @property
     def has_long_running(self) -> bool:
         """Whether a long-running subtask runs here."""
@@ -132,6 +126,7 @@
             (self.registration.is_draining, "draining"),
             (self.is_cordoned, "cordoned"),
             (self._unknown_needs > 0, "runs an unknown job"),
+            (self.health.is_trial_running, "on trial with one subtask"),
             (now_ms < self.set_aside_until_ms, "set aside"),
         )
         return next((text for holds, text in reasons if holds), "in use")
@@ -200,6 +195,7 @@
             self.free = self.free.plus(run.reserved)
             if not self.runs:
                 self.idle_since_ms = now_ms
+            self.health = self.health.after_end(run.ordered_ms, now_ms)
             self._on_change(self)
 
     def record_answer(self) -> None:
@@ -220,33 +216,39 @@
             self.has_answered = True
             self._on_change(self)
 
-    def record_no_answer(self) -> None:
-        """Count an order without an answer."""
+    def record_no_answer(self, now_ms: int) -> None:
+        """Count an order without an answer; the first one is a sign of its health."""
         self.unanswered += 1
+        if self.unanswered == 1:
+            self.health = self.health.after_silence(now_ms)
         self._on_change(self)
 
-    def record_success(self) -> None:
-        """End the streak of failures, and reset the time of being set aside."""
-        self.failure_streak = 0
-        self._set_aside_ms = SET_ASIDE_MS
+    def record_start(self, now_ms: int) -> None:
+        """Apply that a start order was sent, which may be a trial."""
+        self._set_health(self.health.after_start(now_ms))
+
+    def record_answered_start(self, sent_ms: int, now_ms: int) -> None:
+        """Apply that the host has accepted a start order sent at `sent_ms`."""
+        self._set_health(self.health.after_answered_start(sent_ms, now_ms))
 
-    def record_failure(self, now_ms: int) -> bool:
-        """Count a failure; True if it completed a streak and the host was set aside."""
-        self.failure_streak += 1
-        if self.failure_streak < FAILURE_STREAK:
-            return False
-        self.set_aside(now_ms)
-        return True
+    def record_success(self, started_ms: int, now_ms: int) -> None:
+        """Apply that a run that was started at `started_ms` has succeeded."""
+        self._set_health(self.health.after_success(started_ms, now_ms))
+
+    def record_failure(self, started_ms: int, now_ms: int) -> bool:
+        """Apply a failure; True if the host is avoided because of it."""
+        before = self.health
+        self._set_health(before.after_failure(started_ms, now_ms))
+        return self.health.avoidances > before.avoidances
 
     def set_aside(self, now_ms: int) -> None:
-        """Start nothing here for a time that doubles with each call.
+        """Start nothing here for a time that doubles with each failed trial."""
+        self._set_health(self.health.avoided(now_ms))
 
-        The next failure then completes a streak, unless a run succeeds before it.
-        """
-        self.failure_streak = FAILURE_STREAK - 1
-        self.set_aside_until_ms = now_ms + self._set_aside_ms
-        self._set_aside_ms = min(self._set_aside_ms * 2, MAX_SET_ASIDE_MS)
-        self._on_change(self)
+    def _set_health(self, health: Health) -> None:
+        if health != self.health:
+            self.health = health
+            self._on_change(self)
 
     def confirmable(self, now_ms: int) -> int:
         """Return the number up to which a poll that is sent now may confirm ends.
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -240,6 +240,7 @@
         """Reserve the resources of a run and send the order that starts it."""
         host.add(run)
         host.extend_lease(self._term.lease_ms, self._term.now_ms)
+        host.record_start(self._term.now_ms)
         self._send(host, order, ORDER_TIMEOUT_MS)
 
     def stop(self, run: Run) -> None:
@@ -335,6 +336,7 @@
                 if not run.is_wanted:
                     self.stop(run)
             host.next_poll_ms = min(host.next_poll_ms, self._term.now_ms)
+            host.record_answered_start(run.ordered_ms, self._term.now_ms)
             return
         extra = {
             "executor": host.executor_id,
@@ -354,7 +356,7 @@
         self, host: Host, context: OrderContext, no_answer: NoAnswer
     ) -> None:
         now_ms = self._term.now_ms
-        host.record_no_answer()
+        host.record_no_answer(now_ms)
         if isinstance(context.order, Look):
             host.next_poll_ms = now_ms + POLL_RETRY_MS
         else:
--- a/src/guavapin/scheduling/room_index.py
+++ b/src/guavapin/scheduling/room_index.py
@@ -48,11 +48,20 @@
         self._order.add((free_cpu, host.executor_id))
         self._racks.setdefault(rack, {})[host.executor_id] = host
 
+    def update(self, host: Host, now_ms: int) -> None:
+        """Sort a host anew after a start, or remove it if it takes no further one."""
+        if host.is_usable(now_ms):
+            self.put(host)
+        else:
+            self.remove(host.executor_id)
+
     def remove(self, executor_id: str) -> None:
-        """Remove the host that was put here with this id."""
-        _, free_cpu, rack = self._hosts.pop(executor_id)
-        self._order.remove((free_cpu, executor_id))
-        del self._racks[rack][executor_id]
+        """Remove the host that was put here with this id, if it is still here."""
+        known = self._hosts.pop(executor_id, None)
+        if known is not None:
+            _, free_cpu, rack = known
+            self._order.remove((free_cpu, executor_id))
+            del self._racks[rack][executor_id]
 
     def hosts(self) -> list[Host]:
         """Return all hosts in order."""
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -276,13 +276,13 @@
         }
         log.info("run ended", extra=extra)
         if row.kind is EndKind.DONE and not step_run.step.is_long_running:
-            host.record_success()
             if run is not None:
+                host.record_success(run.ordered_ms, self.term.now_ms)
                 run_ms = self.term.now_ms - run.started_ms
                 self.run_times.record(step_run.job_run.job.queue, run_ms)
             self._handle_done(step_run, index)
         elif row.kind is EndKind.FAILED:
-            self._handle_failure(host, step_run, row)
+            self._handle_failure(host, step_run, row, run)
         elif not row.saved:
             return False
         self.jobs.store_progress(step_run.job_run, tag)
@@ -355,7 +355,9 @@
             step_run.job_run.done_steps.add(step_run.key)
             self._open_steps(step_run.job_run)
 
-    def _handle_failure(self, host: Host, step_run: StepRun, row: EndedRow) -> None:
+    def _handle_failure(
+        self, host: Host, step_run: StepRun, row: EndedRow, run: Run | None
+    ) -> None:
         index = row.subtask.index
         if step_run.step.is_long_running:
             step_run.delay_restart(index, self.term.now_ms)
@@ -363,8 +365,18 @@
         if index in step_run.done:
             return
         count = step_run.record_failure(index, row.attempt)
-        if count == 1 and host.record_failure(self.term.now_ms):
-            extra = {"executor": host.executor_id, "failures": host.failure_streak}
+        # A subtask that has failed elsewhere says little of the host, except on trial.
+        is_sign = count == 1 or host.health.is_on_trial
+        if (
+            run is not None
+            and is_sign
+            and host.record_failure(run.ordered_ms, self.term.now_ms)
+        ):
+            extra = {
+                "executor": host.executor_id,
+                "avoidances": host.health.avoidances,
+                "until_ms": host.set_aside_until_ms - self.term.now_ms,
+            }
             log.info("host set aside", extra=extra)
         if count >= self._rules.terms_of(step_run.job_run).attempts:
             self.jobs.close(step_run.job_run, JobState.FAILED)
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -47,7 +47,7 @@
             room = PoolRoom(host for host in hosts if ticket(step_run, host, now_ms))
         if step_run.step.is_gang:
             for chosen in self._start_gang(step_run, room.hosts()):
-                pool_room.put(chosen)
+                pool_room.update(chosen, now_ms)
             return True
         rack = self._rack_in_use(step_run) if step_run.step.is_tightly_coupled else ""
         for index in sorted(step_run.waiting):
@@ -57,9 +57,9 @@
             if host is None:
                 return room is not pool_room
             self._start(step_run, index, host)
-            pool_room.put(host)
+            pool_room.update(host, now_ms)
             if room is not pool_room:
-                room.put(host)
+                room.update(host, now_ms)
             if step_run.step.is_tightly_coupled:
                 rack = rack or host.registration.rack
         return True
@@ -68,6 +68,8 @@
         """Start all members of a gang if they fit, and return their hosts."""
         if len(step_run.waiting) < step_run.step.count:
             return []
+        now_ms = self._term.now_ms
+        hosts = [host for host in hosts if host.health.takes_gang(now_ms)]
         chosen = choose_hosts_for_gang(step_run, hosts)
         if chosen is None:
             return []
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -58,7 +58,9 @@
         for index in sorted(step_run.waiting):
             if step_run.not_before_ms.get(index, 0) > self._term.now_ms:
                 continue
-            host = _choose_host(step_run, hosts, rack)
+            # A host on trial takes one subtask.
+            usable = [host for host in hosts if host.is_usable(self._term.now_ms)]
+            host = _choose_host(step_run, usable, rack)
             if host is None:
                 return
             self._starter._start(step_run, index, host)
--- a/tests/scheduling/test_supervision.py
+++ b/tests/scheduling/test_supervision.py
@@ -151,7 +151,7 @@
     filler.is_filler = True
     for change, is_needed in (
         (lambda host: None, False),
-        (lambda host: host.record_no_answer(), True),
+        (lambda host: host.record_no_answer(0), True),
         (lambda host: host.add(filler), True),
         (
             lambda host: host.update_registration(
