Judge lateness by learned run times and let late work run

Whether a waiting job can be in time was judged by the caller's estimate, which is off by half and more, and late work waited as long as work in time arrived.

Run times are now learned from ended runs by queue and step (scheduling/learned_times.py): of the mean, a scaled estimate and the estimate, the one with the least error is used. Objective and lateness of a job follow the expected times of its acceptance. Late work gets a turn at five times its objective, one step each 500 ms in a pool, and the last step of a begun job precedes other late work (scheduling/lateness.py). Fields of Position are unchanged.

--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -10,6 +10,8 @@
 from guavapin.scheduling.record import StepProgress
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from guavapin.jobs.model import Job
     from guavapin.jobs.model import Step
     from guavapin.scheduling.run import Run
@@ -46,6 +48,8 @@
         self._progress = -1, StepProgress()
         # Position among the steps of the term in order of their opening.
         self.number = 0
+        # Time at which the step was given a turn before other work, 0 without one.
+        self.turn_ms = 0
         self.done: set[int] = set()
         # Numbers of the attempts that failed, by subtask.
         self.failures: dict[int, set[int]] = {}
@@ -191,14 +195,29 @@
         self._unopened: dict[int, list[int]] = {}
         self._next_occurrence = 0
         self.ended_wall_ms = 0
-        self._remaining_ms = _remaining_ms(job)
-        self.critical_path_ms = max(self._remaining_ms, default=0)
+        self._remaining_ms: tuple[int, ...] = ()
+        self.critical_path_ms = 0
+        self.expect([step.estimate_ms for step in job.steps])
+        followed = {number for step in job.steps for number in step.after}
+        self._last_steps = frozenset(range(len(job.steps))) - followed
         self.work = sum(
             step.count * step.need.cpu_millis * step.estimate_ms for step in job.steps
         )
 
+    def expect(self, steps_ms: Sequence[int]) -> None:
+        """Set the expected run time of a subtask of each step, in milliseconds.
+
+        It must not change while a step waits, since the order depends on it.
+        """
+        self._remaining_ms = _remaining_ms(self.job, steps_ms)
+        self.critical_path_ms = max(self._remaining_ms, default=0)
+
+    def is_last_step(self, step: int) -> bool:
+        """Return whether no other step follows a step."""
+        return step in self._last_steps
+
     def remaining_ms(self, step: int) -> int:
-        """Return the estimated time from the start of a step to the end of the job."""
+        """Return the expected time from the start of a step to the end of the job."""
         return self._remaining_ms[step]
 
     def mark_started(self) -> None:
@@ -286,16 +305,16 @@
         )
 
 
-def _remaining_ms(job: Job) -> tuple[int, ...]:
-    """Return for each step the estimated time of the longest chain that begins with it.
+def _remaining_ms(job: Job, steps_ms: Sequence[int]) -> tuple[int, ...]:
+    """Return for each step the expected time of the longest chain that begins with it.
 
     A step only names earlier steps as predecessors, so that one pass from the last step
     to the first is enough.
     """
-    remaining = [step.estimate_ms for step in job.steps]
+    remaining = [*steps_ms]
     for number in reversed(range(len(job.steps))):
         for predecessor in job.steps[number].after:
-            path_ms = job.steps[predecessor].estimate_ms + remaining[number]
+            path_ms = steps_ms[predecessor] + remaining[number]
             remaining[predecessor] = max(remaining[predecessor], path_ms)
     return tuple(remaining)
 
--- a/src/guavapin/scheduling/queue_rules.py
+++ b/src/guavapin/scheduling/queue_rules.py
@@ -8,6 +8,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.lateness import WorkTimes
 from guavapin.scheduling.waiting_steps import Position
 
 if TYPE_CHECKING:
@@ -44,7 +45,7 @@
         return Position(
             self.terms_of(job_run).priority,
             late_after_ms is not None and self._term.now_ms > late_after_ms,
-            self.objective_ms(job_run),
+            self._sorting_objective_ms(step_run),
             job_run.job.job_id,
             step_run.number,
         )
@@ -53,17 +54,37 @@
         """Return the time after which a step that starts misses the job's objective.
 
         A long-running step has none, since its service is missing as long as it waits.
+        Nor has a step that has been given a turn.
         """
-        if step_run.step.is_long_running:
+        if step_run.step.is_long_running or step_run.turn_ms:
             return None
-        job_run = step_run.job_run
-        return self.objective_ms(job_run) - job_run.remaining_ms(step_run.key[1])
+        return self.work_times(step_run).late_after_ms
+
+    def work_times(self, step_run: StepRun) -> WorkTimes:
+        """Return the times by which the lateness of a step is judged."""
+        job_run, number = step_run.job_run, step_run.key[1]
+        return WorkTimes(
+            job_run.accepted_ms,
+            self.allowed_ms(job_run),
+            job_run.remaining_ms(number),
+            bool(step_run.step.after) and job_run.is_last_step(number),
+        )
+
+    def allowed_ms(self, job_run: JobRun) -> float:
+        """Return the objective of a job, counted from its acceptance, in ms."""
+        terms = self.terms_of(job_run)
+        return terms.stretch * job_run.critical_path_ms + terms.latency_objective_ms
 
     def objective_ms(self, job_run: JobRun) -> float:
         """Return the monotonic time, in ms, by which a job should have succeeded."""
-        terms = self.terms_of(job_run)
-        allowed_ms = terms.stretch * job_run.critical_path_ms
-        return job_run.accepted_ms + allowed_ms + terms.latency_objective_ms
+        return job_run.accepted_ms + self.allowed_ms(job_run)
+
+    def _sorting_objective_ms(self, step_run: StepRun) -> float:
+        if step_run.turn_ms:
+            return step_run.turn_ms
+        if step_run.step.is_long_running:
+            return self.objective_ms(step_run.job_run)
+        return self.work_times(step_run).sorting_ms(self._term.now_ms)
 
     def needs_room(self, step_run: StepRun) -> bool:
         """Return whether a step can do nothing until a host has room for it.
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -16,6 +16,8 @@
 from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.job_table import EndStored
 from guavapin.scheduling.job_table import JobTable
+from guavapin.scheduling.lateness import TurnQueue
+from guavapin.scheduling.learned_times import LearnedTimes
 from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.pool_demand import DemandTable
 from guavapin.scheduling.queue_rules import QueueRules
@@ -65,6 +67,7 @@
         self.jobs = JobTable(term, self)
         self.hosts = HostTable(term, self)
         self.run_times = RunTimes()
+        self.learned_times = LearnedTimes()
         self.arrivals = Arrivals()
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
@@ -72,6 +75,7 @@
         self._dispatcher = Dispatcher(term, self.hosts, self._rules)
         self._supervisor = RunSupervisor(term, self.hosts, self)
         self._demand = DemandTable(self.pool_of)
+        self._turns = TurnQueue()
         self._opened_count = 0
         self._repeating: dict[str, JobRun] = {}
         self._next_supervision_ms = 0
@@ -84,6 +88,10 @@
         self.hosts.tick()
         for job_run in [*self._repeating.values()]:
             self._open_steps(job_run)
+        for step_run in self._turns.pop_due(self.term.now_ms, self._is_waiting):
+            self._dispatcher.discard(step_run)
+            step_run.turn_ms = self.term.now_ms
+            self._dispatcher.add(step_run)
         if self.term.now_ms >= self._next_supervision_ms:
             self._next_supervision_ms = self.term.now_ms + SUPERVISION_INTERVAL_MS
             for host in [*self.hosts.by_id.values()]:
@@ -134,6 +142,7 @@
             work = self.run_times.work(job_run.job)
             if work:
                 self.arrivals.record(self.term.now_ms, self.pool_of(job_run), work)
+        job_run.expect(self.learned_times.expected_steps_ms(job_run.job))
         self._open_steps(job_run)
         self._finish_if_complete(job_run)
 
@@ -279,7 +288,7 @@
             if run is not None:
                 host.record_success(run.ordered_ms, self.term.now_ms)
                 run_ms = self.term.now_ms - run.started_ms
-                self.run_times.record(step_run.job_run.job.queue, run_ms)
+                self._record_run_time(step_run, run_ms)
             self._handle_done(step_run, index)
         elif row.kind is EndKind.FAILED:
             self._handle_failure(host, step_run, row, run)
@@ -388,8 +397,26 @@
             if not step_run.is_done:
                 self.steps[step_run] = None
                 self._dispatcher.add(step_run)
+                self._schedule_turn(step_run)
             self._needs_dispatch = True
 
+    def _schedule_turn(self, step_run: StepRun) -> None:
+        """Let a step have a turn when it is late; long-running ones never are."""
+        if not step_run.step.is_long_running:
+            turn_ms = self._rules.work_times(step_run).turn_ms
+            self._turns.add(self._rules.pool_of(step_run), step_run, turn_ms)
+
+    def _is_waiting(self, step_run: StepRun) -> bool:
+        return step_run in self.steps and bool(step_run.waiting)
+
+    def _record_run_time(self, step_run: StepRun, run_ms: int) -> None:
+        queue, step = step_run.job_run.job.queue, step_run.step
+        self.run_times.record(queue, run_ms)
+        # A filler runs at the pace that its neighbours leave it.
+        if not step.is_filler:
+            number = step_run.key[1]
+            self.learned_times.record(queue, number, step.estimate_ms, run_ms)
+
     def _close_step(self, step_run: StepRun) -> None:
         self.steps.pop(step_run, None)
         self._dispatcher.discard(step_run)
--- a/tests/loads/pool.py
+++ b/tests/loads/pool.py
@@ -23,6 +23,7 @@
     from collections.abc import Sequence
 
     from guavapin.jobs.model import Subtask
+    from guavapin.jobs.terms import QueueTerms
 
 TICK_MS = 50
 
@@ -63,9 +64,11 @@
         self.sim.list_machines()
         self.sim.advance(200)
 
-    def submit(self, *steps: Step, queue: str = QUEUE.key) -> Job:
+    def submit(
+        self, *steps: Step, queue: str = QUEUE.key, terms: QueueTerms = QUEUE.terms
+    ) -> Job:
         job_id = f"{len(self.submitted_ms):016x}"
-        job = Job(job_id, queue, "pool", "spec", steps, terms=QUEUE.terms)
+        job = Job(job_id, queue, "pool", "spec", steps, terms=terms)
         self.submitted_ms[job_id] = self.sim.now_ms
         self.sim.submit(job)
         return job
@@ -89,6 +92,10 @@
             for job_id, submitted_ms in self.submitted_ms.items()
         )
 
+    def run_time_ms(self, subtask: Subtask, rng: random.Random) -> int:
+        """Return the run time of a run that does not fail early, in ms."""
+        return self._run_ms(rng)
+
     def _update_reachability(self) -> None:
         for executor in self.sim.executors.values():
             if isinstance(executor, FaultyExecutor):
@@ -103,19 +110,21 @@
                 if key not in self._ends:
                     draw = f"{self._seed}/{subtask}/{len(self._attempts[subtask])}"
                     self._attempts[subtask].append(attempt)
-                    self._ends[key] = self._draw_end(executor, random.Random(draw))
+                    self._ends[key] = self._draw_end(
+                        executor, subtask, random.Random(draw)
+                    )
                 end_ms, kind = self._ends[key]
                 if self.sim.now_ms >= end_ms and subtask not in executor.stopping:
                     self.failures += kind is EndKind.FAILED
                     executor.end(subtask, kind)
 
     def _draw_end(
-        self, executor: FakeExecutor, rng: random.Random
+        self, executor: FakeExecutor, subtask: Subtask, rng: random.Random
     ) -> tuple[int, EndKind]:
         """Return the end of a run, drawn by its subtask and the number of its try."""
         now_ms = self.sim.now_ms
         is_failed = rng.random() < self._own_failures
-        run_ms = self._run_ms(rng)
+        run_ms = self.run_time_ms(subtask, rng)
         if isinstance(executor, FaultyExecutor) and now_ms < executor.faulty_until_ms:
             is_failed = is_failed or rng.random() < executor.failing_share
             run_ms = executor.fail_after_ms if is_failed else run_ms
