Reject jobs that no machine can ever hold

A job whose subtask fits on no machine of any pool was accepted and waited for ever, counted as demand, and was inherited by each successor.

An admission rule (scheduling/unservable.py) now rejects such a job before it is stored. It compares the steps with the registered capacities and labels, and with the capacities of the machines that are off, which MachinesListed reports too. Nothing is rejected before the list of machines was read, and a machine of which something is not known may hold anything that this allows.

--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -402,7 +402,12 @@
             for machine in self._pages
             if machine.state is MachineState.UP and machine.executor_id
         )
-        self._context.send("scheduler", MachinesListed(pools, ended))
+        off = tuple(
+            machine.capacity
+            for machine in self._pages
+            if machine.state is not MachineState.UP or not machine.executor_id
+        )
+        self._context.send("scheduler", MachinesListed(pools, ended, off))
 
     def _log_changes(self) -> None:
         listed = {machine.name: machine for machine in self._pages}
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -25,15 +25,19 @@
 from guavapin.scheduling.room_index import RoomIndex
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
+from guavapin.scheduling.unservable import shapes_of_fleet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from guavapin.executors.model import EndedRow
     from guavapin.executors.model import Order
     from guavapin.executors.model import Registration
     from guavapin.executors.model import RunningRow
+    from guavapin.jobs.model import Resources
     from guavapin.scheduling.term import Term
+    from guavapin.scheduling.unservable import MachineShape
 
 # A host answers within a few milliseconds. An answer that takes longer than this is
 # treated as lost; its order may have been carried out.
@@ -97,6 +101,8 @@
         # Pool of each executor in the platform's list of machines, None before the
         # first list.
         self._listed_pools: dict[str, str] | None = None
+        # Capacities of the other machines in that list, None if they are not known.
+        self._off_capacities: tuple[Resources, ...] | None = None
         # Result of `unresolved_pools`, None after a change that may affect it.
         self._unresolved: set[str] | None = None
         # Hosts that have answered, but have never listed all ends of their runs.
@@ -212,8 +218,18 @@
         host.is_handed_over = True
         self._unresolved = None
 
-    def apply_listed_pools(self, listed_pools: dict[str, str]) -> None:
-        """Replace the pool of each executor in the platform's list of machines."""
+    def machine_shapes(self) -> Iterator[MachineShape]:
+        """Return what each machine offers, as far as it is known."""
+        return shapes_of_fleet(self.by_id, self._listed_pools, self._off_capacities)
+
+    def apply_listed_pools(
+        self, listed_pools: dict[str, str], off: tuple[Resources, ...] | None = None
+    ) -> None:
+        """Replace the pool of each executor in the platform's list of machines.
+
+        `off` has the capacities of the machines without an executor, None if unknown.
+        """
+        self._off_capacities = off
         self._listed_pools = listed_pools
         self._unresolved = None
 
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -13,6 +13,7 @@
     from guavapin.executors.model import Order
     from guavapin.jobs.calls import JobAnswer
     from guavapin.jobs.calls import JobCall
+    from guavapin.jobs.model import Resources
     from guavapin.jobs.model import Subtask
     from guavapin.jobs.queues import QueueTable
     from guavapin.ledger.ledger import Entry
@@ -166,11 +167,13 @@
     """From ``machines``: the executors in the platform's list of machines.
 
     `pools` has each executor of a machine that is up with its pool. `ended` has the
-    executors that no longer run because of an order for their machine.
+    executors that no longer run because of an order for their machine. `off` has the
+    capacity of each machine without an executor that is up, None if it is not known.
     """
 
     pools: tuple[tuple[str, str], ...]
     ended: tuple[str, ...] = ()
+    off: tuple[Resources, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -27,6 +27,7 @@
 from guavapin.scheduling.run_times import RunTimes
 from guavapin.scheduling.tickets import apply_advice
 from guavapin.scheduling.tickets import handle_refused_ticket
+from guavapin.scheduling.unservable import UnservableRule
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -64,8 +65,8 @@
 
     def __init__(self, term: Term) -> None:
         self.term = term
-        self.jobs = JobTable(term, self)
         self.hosts = HostTable(term, self)
+        self.jobs = JobTable(term, self, (UnservableRule(self.hosts.machine_shapes),))
         self.run_times = RunTimes()
         self.learned_times = LearnedTimes()
         self.arrivals = Arrivals()
@@ -321,7 +322,7 @@
 
     def apply_machines(self, listed: MachinesListed) -> None:
         """Apply the platform's list, and remove executors of machines taken down."""
-        self.hosts.apply_listed_pools(dict(listed.pools))
+        self.hosts.apply_listed_pools(dict(listed.pools), listed.off)
         self._needs_dispatch = True
         for executor_id in listed.ended:
             host = self.hosts.by_id.get(executor_id)
