Reject jobs behind a backlog that outlasts their use

A pool that cannot grow accepted all jobs that a scheduler can hold, also those that could only be served after three times their objective.

An admission rule (scheduling/backlog.py) compares the open work of a pool, at the job's priority and before, with the rate at which the pool completed work in the last 2 s, or with all processor time that it has or can get while it can grow. Nothing is rejected while a machine is not known. Times of return follow the backlog, 1 to 10 s with a spread of 25%, less the time that the caller has waited, so that those that have waited longest return first.

--- a/src/guavapin/scheduling/admission.py
+++ b/src/guavapin/scheduling/admission.py
@@ -98,7 +98,7 @@
         return_ms = RATE_WINDOW_MS * waiting // ended
         return_ms = min(max(return_ms, MIN_RETURN_MS), MAX_RETURN_MS)
         return Rejected(
-            "too much work of the queue is open", _spread(return_ms, job.job_id)
+            "too much work of the queue is open", spread(return_ms, job.job_id)
         )
 
     def _has_place_for(self, job: Job) -> bool:
@@ -108,7 +108,7 @@
         return self._open_by_queue[job.queue] < free_jobs and subtasks <= free_subtasks
 
 
-def _spread(delay_ms: int, job_id: str) -> int:
+def spread(delay_ms: int, job_id: str) -> int:
     """Return the delay, changed by a share that depends on the job."""
     share = zlib.crc32(job_id.encode()) / 0xFFFF_FFFF
     return round(delay_ms * (1 + RETURN_SPREAD * (2 * share - 1)))
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -102,7 +102,7 @@
         # first list.
         self._listed_pools: dict[str, str] | None = None
         # Capacities of the other machines in that list, None if they are not known.
-        self._off_capacities: tuple[Resources, ...] | None = None
+        self.off_capacities: tuple[Resources, ...] | None = None
         # Result of `unresolved_pools`, None after a change that may affect it.
         self._unresolved: set[str] | None = None
         # Hosts that have answered, but have never listed all ends of their runs.
@@ -218,9 +218,18 @@
         host.is_handed_over = True
         self._unresolved = None
 
+    @property
+    def are_machines_known(self) -> bool:
+        """Whether the machines are listed and each that is up has its entry."""
+        return (
+            self.off_capacities is not None
+            and self._listed_pools is not None
+            and all(executor_id in self.by_id for executor_id in self._listed_pools)
+        )
+
     def machine_shapes(self) -> Iterator[MachineShape]:
         """Return what each machine offers, as far as it is known."""
-        return shapes_of_fleet(self.by_id, self._listed_pools, self._off_capacities)
+        return shapes_of_fleet(self.by_id, self._listed_pools, self.off_capacities)
 
     def apply_listed_pools(
         self, listed_pools: dict[str, str], off: tuple[Resources, ...] | None = None
@@ -229,7 +238,7 @@
 
         `off` has the capacities of the machines without an executor, None if unknown.
         """
-        self._off_capacities = off
+        self.off_capacities = off
         self._listed_pools = listed_pools
         self._unresolved = None
 
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -10,6 +10,8 @@
 from guavapin.jobs.model import Resources
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.arrivals import Arrivals
+from guavapin.scheduling.backlog import BacklogRule
+from guavapin.scheduling.backlog import OpenWork
 from guavapin.scheduling.dispatcher import Dispatcher
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
@@ -20,6 +22,9 @@
 from guavapin.scheduling.learned_times import LearnedTimes
 from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.pool_demand import DemandTable
+from guavapin.scheduling.pool_load import TermLoad
+from guavapin.scheduling.pool_load import open_work
+from guavapin.scheduling.pool_load import subtask_work
 from guavapin.scheduling.queue_rules import QueueRules
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
@@ -66,13 +71,16 @@
     def __init__(self, term: Term) -> None:
         self.term = term
         self.hosts = HostTable(term, self)
-        self.jobs = JobTable(term, self, (UnservableRule(self.hosts.machine_shapes),))
         self.run_times = RunTimes()
         self.learned_times = LearnedTimes()
+        self._rules = QueueRules(term)
+        self._work = OpenWork()
+        load = TermLoad(term, self.hosts, self._rules, self.learned_times, self._work)
+        rules = (UnservableRule(self.hosts.machine_shapes), BacklogRule(load))
+        self.jobs = JobTable(term, self, rules)
         self.arrivals = Arrivals()
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
-        self._rules = QueueRules(term)
         self._dispatcher = Dispatcher(term, self.hosts, self._rules)
         self._supervisor = RunSupervisor(term, self.hosts, self)
         self._demand = DemandTable(self.pool_of)
@@ -144,12 +152,19 @@
             if work:
                 self.arrivals.record(self.term.now_ms, self.pool_of(job_run), work)
         job_run.expect(self.learned_times.expected_steps_ms(job_run.job))
+        self._work.add(
+            job_run.job.job_id,
+            self.pool_of(job_run),
+            self._rules.terms_of(job_run).priority,
+            open_work(job_run, self.learned_times),
+        )
         self._open_steps(job_run)
         self._finish_if_complete(job_run)
 
     def job_closed(self, job_run: JobRun) -> None:
         """Stop all runs of a job."""
         self._repeating.pop(job_run.job.job_id, None)
+        self._work.remove(job_run.job.job_id)
         for step_run in job_run.steps.values():
             self._close_step(step_run)
             for runs in [*step_run.runs.values()]:
@@ -356,7 +371,14 @@
         return self._rules.objective_ms(job_run)
 
     def _handle_done(self, step_run: StepRun, index: int) -> None:
+        before = len(step_run.done)
         step_run.mark_done(index)
+        self._work.complete(
+            step_run.job_run.job.job_id,
+            (len(step_run.done) - before)
+            * subtask_work(step_run.job_run, step_run.key[1], self.learned_times),
+            self.term.now_ms,
+        )
         if not step_run.step.is_gang:
             for run in step_run.wanted_runs(index):
                 self.hosts.stop(run)
--- a/tests/loads/test_unservable.py
+++ b/tests/loads/test_unservable.py
@@ -11,6 +11,7 @@
 from guavapin.jobs.calls import SubmitJob
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
+from guavapin.scheduling.backlog import BacklogRule
 from guavapin.scheduling.messages import JobRequest
 from guavapin.scheduling.messages import MachinesListed
 from guavapin.scheduling.unservable import UNKNOWN_MACHINE
@@ -23,6 +24,13 @@
 from tests.scheduling.simulation import Simulation
 from tests.scheduling.simulation import make_job
 
+
+@pytest.fixture(autouse=True)
+def without_backlog_rule(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Leave the rule under test alone: the jobs that fit nowhere are a backlog too."""
+    monkeypatch.setattr(BacklogRule, "rejection", lambda rule, job, now_ms: None)
+
+
 HUGE = Resources(40_000, 1_000, 0)
 MACHINE = MachineShape(HOST_CAPACITY, ("a",))
 OFF = MachineShape(HOST_CAPACITY, None)
