Reject submissions that cannot be handed in in time

Without a scheduler, a submission was written to the store until the caller's deadline, also when no answer could arrive before it. Such callers got an undecided answer, although many of the writes had been refused.

The entry host now compares the time left with the fastest answer of the store in the last 2 s (intake/hand_in.py), before the first write and before the repeat of a refused one. A call that certainly comes too late is rejected at once. Calls that a scheduler or the store may have received are not.

--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -17,6 +17,9 @@
 from guavapin.intake.authentication import Credentials
 from guavapin.intake.authentication import LookUpKey
 from guavapin.intake.authentication import authenticate
+from guavapin.intake.hand_in import REJECTION as TOO_LATE
+from guavapin.intake.hand_in import StoreAnswers
+from guavapin.intake.hand_in import can_hand_in
 from guavapin.intake.key_lookups import LOOKUP_TIMEOUT_MS
 from guavapin.intake.key_lookups import KeyLookups
 from guavapin.intake.peer_calls import NOT_FOUND
@@ -183,6 +186,9 @@
         self._pending: dict[int, _Pending] = {}
         # Request of each call in flight to a peer or the store, by the call's number.
         self._request_by_call: dict[int, int] = {}
+        # Time at which each call in flight to the store was sent.
+        self._store_sent_ms: dict[int, int] = {}
+        self._store_answers = StoreAnswers()
         self._call_id = 0
         self._is_cut_off = False
 
@@ -399,6 +405,9 @@
         if not may_have_effect and self._must_reject(pending):
             self._finish(request_id, REJECTION)
             return
+        if not may_have_effect and self._is_too_late(pending):
+            self._finish(request_id, TOO_LATE)
+            return
         log.info("asking the store", extra={"job": _job_id(pending.call)})
         self._call_id += 1
         transition = store_fallback.begin(
@@ -408,6 +417,7 @@
 
     def _handle_store_reply(self, call_id: int, outcome: kv.PlatformOutcome) -> None:
         request_id = self._request_by_call.pop(call_id, 0)
+        self._record_store_answer(call_id, outcome)
         is_failed = isinstance(outcome, kv.Unknown | kv.NotSent)
         self._context.send("reach", ReachabilityReport(not is_failed))
         pending = self._pending.get(request_id)
@@ -428,14 +438,38 @@
             if not fallback.may_have_effect and self._must_reject(pending):
                 self._finish(request_id, REJECTION)
                 return
+            is_late = self._is_too_late(pending, action.delay_ms)
+            if not fallback.may_have_effect and is_late:
+                self._finish(request_id, TOO_LATE)
+                return
             self._context.set_timer(action.delay_ms, _RetryStore(request_id))
         elif isinstance(action, kv.Get | kv.Transact):
-            self._request_by_call[self._call_id] = request_id
-            self._context.send("platform", action)
+            self._send_to_store(request_id, action)
         else:
             assert not isinstance(action, kv.PlatformRequest)
             self._finish(request_id, action)
 
+    def _send_to_store(self, request_id: int, request: kv.PlatformRequest) -> None:
+        self._request_by_call[self._call_id] = request_id
+        self._store_sent_ms[self._call_id] = self._context.now_ms()
+        self._context.send("platform", request)
+
+    def _record_store_answer(self, call_id: int, outcome: kv.PlatformOutcome) -> None:
+        now_ms = self._context.now_ms()
+        sent_ms = self._store_sent_ms.pop(call_id, now_ms)
+        if isinstance(outcome, kv.Written | kv.Mismatch | kv.Found | kv.Missing):
+            answers = self._store_answers.after_answer(now_ms - sent_ms, now_ms)
+            self._store_answers = answers
+
+    def _is_too_late(self, pending: _Pending, delay_ms: int = 0) -> bool:
+        """Return whether a submission cannot be handed in in time any more."""
+        now_ms = self._context.now_ms()
+        left_ms = pending.due_ms - now_ms
+        is_submission = isinstance(pending.call, SubmitJob)
+        return is_submission and not can_hand_in(
+            left_ms, delay_ms, self._store_answers, now_ms
+        )
+
     def _must_reject(self, pending: _Pending) -> bool:
         """Return whether a call without an effect so far is rejected at once."""
         left_ms = pending.due_ms - self._context.now_ms()
@@ -445,11 +479,10 @@
         pending = self._pending.get(request_id)
         if pending is not None and pending.fallback is not None:
             self._call_id += 1
-            self._request_by_call[self._call_id] = request_id
             request = store_fallback.build_request(
                 pending.fallback, self.name, self._call_id
             )
-            self._context.send("platform", request)
+            self._send_to_store(request_id, request)
 
     def _expire(self, request_id: int) -> None:
         pending = self._pending.get(request_id)
