Adapt tests to the merged list of machines and health of hosts

Change: the tests name the field, and set the health of a failing host. Measured: tests/scheduling and tests/loads pass.

--- a/tests/loads/test_backlog.py
+++ b/tests/loads/test_backlog.py
@@ -56,7 +56,7 @@
         executors = [FakeExecutor(f"e{number}") for number in range(4)]
         super().__init__(seed, executors, lambda rng: RUN_MS, 0.0)
         pools = tuple((row.executor_id, "pool") for row in executors)
-        self.sim.scheduler.apply_machines(MachinesListed(pools, (), off))
+        self.sim.scheduler.apply_machines(MachinesListed(pools, off=off))
         self.callers: list[Caller] = []
 
     def arrive(self) -> None:
--- a/tests/loads/test_unservable.py
+++ b/tests/loads/test_unservable.py
@@ -38,7 +38,7 @@
 
 def listed(sim: Simulation, *off: Resources) -> Simulation:
     pools = tuple((name, "pool") for name in sim.executors)
-    sim.scheduler.apply_machines(MachinesListed(pools, (), off))
+    sim.scheduler.apply_machines(MachinesListed(pools, off=off))
     sim.advance(100)
     return sim
 
@@ -92,7 +92,7 @@
     assert all(isinstance(row, Accepted) for row in submit_all(sim)[0])
     sim = Simulation([FakeExecutor("e")])
     unregistered = (("e", "pool"), ("other", "pool"))
-    sim.scheduler.apply_machines(MachinesListed(unregistered, (), ()))
+    sim.scheduler.apply_machines(MachinesListed(unregistered, off=()))
     assert all(isinstance(row, Accepted) for row in submit_all(sim)[0])
 
 
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -15,6 +15,7 @@
 from guavapin.metrics.resident import ResidentMetrics
 from guavapin.scheduling import placement
 from guavapin.scheduling.describe import describe_scheduling
+from guavapin.scheduling.host_health import Health
 from guavapin.scheduling.interference import Measure
 from guavapin.scheduling.interference import Pair
 from guavapin.scheduling.supervision import MOVE_AFTER_MS
@@ -177,7 +178,8 @@
     noisy = {name for task, name in sim.running() if task.job_id == "b" * 16}
     for name, executor in sim.executors.items():
         executor.loads = {"a" * 16: 90.0 if name in noisy else 40.0}
-        sim.scheduler.hosts.by_id[name].failure_streak = int(name in noisy)
+        health = Health(evidence=float(name in noisy))
+        sim.scheduler.hosts.by_id[name].health = health
     sim.advance(6_000)
     assert not sim.scheduler.interference.table.pairs()
 
