--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -27,9 +27,11 @@
 from guavapin.scheduling.room_index import RoomIndex
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
+from guavapin.scheduling.unservable import shapes_of_fleet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from guavapin.executors.model import EndedRow
     from guavapin.executors.model import Order
@@ -37,6 +39,7 @@
     from guavapin.executors.model import RunningRow
     from guavapin.jobs.model import Resources
     from guavapin.scheduling.term import Term
+    from guavapin.scheduling.unservable import MachineShape
 
 # A host answers within a few milliseconds. An answer that takes longer than this is
 # treated as lost; its order may have been carried out.
@@ -106,6 +109,8 @@
         # first list.
         self._listed_pools: dict[str, str] | None = None
         self._listed_capacities: dict[str, Resources] = {}
+        # Capacities of the other machines in that list, None if they are not known.
+        self.off_capacities: tuple[Resources, ...] | None = None
         # Result of `unresolved_pools`, None after a change that may affect it.
         self._unresolved: set[str] | None = None
         # Hosts that have answered, but have never listed all ends of their runs.
@@ -256,10 +261,31 @@
         host.is_handed_over = True
         self._unresolved = None
 
+    @property
+    def are_machines_known(self) -> bool:
+        """Whether the machines are listed and each that is up has its entry."""
+        return (
+            self.off_capacities is not None
+            and self._listed_pools is not None
+            and all(executor_id in self.by_id for executor_id in self._listed_pools)
+        )
+
+    def machine_shapes(self) -> Iterator[MachineShape]:
+        """Return what each machine offers, as far as it is known."""
+        return shapes_of_fleet(self.by_id, self._listed_pools, self.off_capacities)
+
     def apply_listed_pools(
-        self, listed_pools: dict[str, str], capacities: dict[str, Resources]
+        self,
+        listed_pools: dict[str, str],
+        capacities: dict[str, Resources],
+        off: tuple[Resources, ...] | None = None,
     ) -> None:
-        """Replace the pool of each executor in the platform's list of machines."""
+        """Replace the pool of each executor in the platform's list of machines.
+
+        `capacities` has those of their machines, as far as they are known. `off` has
+        the capacities of the machines without an executor, None if unknown.
+        """
+        self.off_capacities = off
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self._unresolved = None
@@ -287,6 +313,7 @@
         """Reserve the resources of a run and send the order that starts it."""
         host.add(run)
         host.extend_lease(self._term.lease_ms, self._term.now_ms)
+        host.record_start(self._term.now_ms)
         self._send(host, order, ORDER_TIMEOUT_MS)
 
     def stop(self, run: Run) -> None:
@@ -382,6 +409,7 @@
                 if not run.is_wanted:
                     self.stop(run)
             host.next_poll_ms = min(host.next_poll_ms, self._term.now_ms)
+            host.record_answered_start(run.ordered_ms, self._term.now_ms)
             return
         extra = {
             "executor": host.executor_id,
@@ -401,7 +429,7 @@
         self, host: Host, context: OrderContext, no_answer: NoAnswer
     ) -> None:
         now_ms = self._term.now_ms
-        host.record_no_answer()
+        host.record_no_answer(now_ms)
         if isinstance(context.order, Look):
             host.next_poll_ms = now_ms + POLL_RETRY_MS
         else:
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -10,6 +10,8 @@
 from guavapin.jobs.model import Resources
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.arrivals import Arrivals
+from guavapin.scheduling.backlog import BacklogRule
+from guavapin.scheduling.backlog import OpenWork
 from guavapin.scheduling.dispatcher import Dispatcher
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
@@ -17,10 +19,15 @@
 from guavapin.scheduling.interference_evidence import InterferenceEvidence
 from guavapin.scheduling.job_table import EndStored
 from guavapin.scheduling.job_table import JobTable
+from guavapin.scheduling.lateness import TurnQueue
+from guavapin.scheduling.learned_times import LearnedTimes
 from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.neighbour_preference import NeighbourPreference
 from guavapin.scheduling.organisation_admission import OrganisationAdmission
 from guavapin.scheduling.pool_demand import DemandTable
+from guavapin.scheduling.pool_load import TermLoad
+from guavapin.scheduling.pool_load import open_work
+from guavapin.scheduling.pool_load import subtask_work
 from guavapin.scheduling.queue_rules import QueueRules
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
@@ -28,6 +35,7 @@
 from guavapin.scheduling.run_times import RunTimes
 from guavapin.scheduling.tickets import apply_advice
 from guavapin.scheduling.tickets import handle_refused_ticket
+from guavapin.scheduling.unservable import UnservableRule
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -73,7 +81,15 @@
         self.organisation_admission = OrganisationAdmission(
             term, self.hosts.usage, self._rules, self.run_times.work
         )
-        self.jobs = JobTable(term, self, (self.organisation_admission,))
+        self.learned_times = LearnedTimes()
+        self._work = OpenWork()
+        load = TermLoad(term, self.hosts, self._rules, self.learned_times, self._work)
+        rules = (
+            self.organisation_admission,
+            UnservableRule(self.hosts.machine_shapes),
+            BacklogRule(load),
+        )
+        self.jobs = JobTable(term, self, rules)
         self.arrivals = Arrivals()
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
@@ -83,6 +99,7 @@
         self.cap_rule: CapRule = self._dispatcher.starter.caps
         self._supervisor = RunSupervisor(term, self.hosts, self, self.preference)
         self._demand = DemandTable(self.pool_of)
+        self._turns = TurnQueue()
         self._opened_count = 0
         self._repeating: dict[str, JobRun] = {}
         self._next_supervision_ms = 0
@@ -95,6 +112,10 @@
         self.hosts.tick()
         for job_run in [*self._repeating.values()]:
             self._open_steps(job_run)
+        for step_run in self._turns.pop_due(self.term.now_ms, self._is_waiting):
+            self._dispatcher.discard(step_run)
+            step_run.turn_ms = self.term.now_ms
+            self._dispatcher.add(step_run)
         if self.term.now_ms >= self._next_supervision_ms:
             self._next_supervision_ms = self.term.now_ms + SUPERVISION_INTERVAL_MS
             for host in [*self.hosts.by_id.values()]:
@@ -164,6 +185,13 @@
             work = self.run_times.work(job_run.job)
             if work:
                 self.arrivals.record(self.term.now_ms, self.pool_of(job_run), work)
+        job_run.expect(self.learned_times.expected_steps_ms(job_run.job))
+        self._work.add(
+            job_run.job.job_id,
+            self.pool_of(job_run),
+            self._rules.terms_of(job_run).priority,
+            open_work(job_run, self.learned_times),
+        )
         self._open_steps(job_run)
         self._finish_if_complete(job_run)
 
@@ -175,6 +203,7 @@
         """Stop all runs of a job."""
         self._repeating.pop(job_run.job.job_id, None)
         self.organisation_admission.close(job_run.job.job_id)
+        self._work.remove(job_run.job.job_id)
         for step_run in job_run.steps.values():
             self._close_step(step_run)
             for runs in [*step_run.runs.values()]:
@@ -322,13 +351,13 @@
         }
         log.info("run ended", extra=extra)
         if row.kind is EndKind.DONE and not step_run.step.is_long_running:
-            host.record_success()
             if run is not None:
+                host.record_success(run.ordered_ms, self.term.now_ms)
                 run_ms = self.term.now_ms - run.started_ms
-                self.run_times.record(step_run.job_run.job.queue, run_ms)
+                self._record_run_time(step_run, run_ms)
             self._handle_done(step_run, index)
         elif row.kind is EndKind.FAILED:
-            self._handle_failure(host, step_run, row)
+            self._handle_failure(host, step_run, row, run)
         elif not row.saved:
             return False
         self.jobs.store_progress(step_run.job_run, tag)
@@ -365,7 +394,7 @@
         capacities = dict(
             zip((row[0] for row in listed.pools), listed.capacities, strict=False)
         )
-        self.hosts.apply_listed_pools(dict(listed.pools), capacities)
+        self.hosts.apply_listed_pools(dict(listed.pools), capacities, listed.off)
         self._needs_dispatch = True
         for executor_id in listed.ended:
             host = self.hosts.by_id.get(executor_id)
@@ -409,7 +438,14 @@
         return self._rules.objective_ms(job_run)
 
     def _handle_done(self, step_run: StepRun, index: int) -> None:
+        before = len(step_run.done)
         step_run.mark_done(index)
+        self._work.complete(
+            step_run.job_run.job.job_id,
+            (len(step_run.done) - before)
+            * subtask_work(step_run.job_run, step_run.key[1], self.learned_times),
+            self.term.now_ms,
+        )
         if not step_run.step.is_gang:
             for run in step_run.wanted_runs(index):
                 self.hosts.stop(run)
@@ -418,7 +454,9 @@
             step_run.job_run.done_steps.add(step_run.key)
             self._open_steps(step_run.job_run)
 
-    def _handle_failure(self, host: Host, step_run: StepRun, row: EndedRow) -> None:
+    def _handle_failure(
+        self, host: Host, step_run: StepRun, row: EndedRow, run: Run | None
+    ) -> None:
         index = row.subtask.index
         if step_run.step.is_long_running:
             step_run.delay_restart(index, self.term.now_ms)
@@ -426,8 +464,18 @@
         if index in step_run.done:
             return
         count = step_run.record_failure(index, row.attempt)
-        if count == 1 and host.record_failure(self.term.now_ms):
-            extra = {"executor": host.executor_id, "failures": host.failure_streak}
+        # A subtask that has failed elsewhere says little of the host, except on trial.
+        is_sign = count == 1 or host.health.is_on_trial
+        if (
+            run is not None
+            and is_sign
+            and host.record_failure(run.ordered_ms, self.term.now_ms)
+        ):
+            extra = {
+                "executor": host.executor_id,
+                "avoidances": host.health.avoidances,
+                "until_ms": host.set_aside_until_ms - self.term.now_ms,
+            }
             log.info("host set aside", extra=extra)
         if count >= self._rules.terms_of(step_run.job_run).attempts:
             self.jobs.close(step_run.job_run, JobState.FAILED)
@@ -439,8 +487,26 @@
             if not step_run.is_done:
                 self.steps[step_run] = None
                 self._dispatcher.add(step_run)
+                self._schedule_turn(step_run)
             self._needs_dispatch = True
 
+    def _schedule_turn(self, step_run: StepRun) -> None:
+        """Let a step have a turn when it is late; long-running ones never are."""
+        if not step_run.step.is_long_running:
+            turn_ms = self._rules.work_times(step_run).turn_ms
+            self._turns.add(self._rules.pool_of(step_run), step_run, turn_ms)
+
+    def _is_waiting(self, step_run: StepRun) -> bool:
+        return step_run in self.steps and bool(step_run.waiting)
+
+    def _record_run_time(self, step_run: StepRun, run_ms: int) -> None:
+        queue, step = step_run.job_run.job.queue, step_run.step
+        self.run_times.record(queue, run_ms)
+        # A filler runs at the pace that its neighbours leave it.
+        if not step.is_filler:
+            number = step_run.key[1]
+            self.learned_times.record(queue, number, step.estimate_ms, run_ms)
+
     def _close_step(self, step_run: StepRun) -> None:
         self.steps.pop(step_run, None)
         self._dispatcher.discard(step_run)
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -59,7 +59,7 @@
             room = PoolRoom(host for host in hosts if ticket(step_run, host, now_ms))
         if step_run.step.is_gang:
             for chosen in self._start_gang(step_run, room.hosts()):
-                pool_room.put(chosen)
+                pool_room.update(chosen, now_ms)
             return True
         rack = self.rack_of(step_run)
         for index in sorted(step_run.waiting):
@@ -71,9 +71,9 @@
             if host is None:
                 return room is not pool_room
             self._start(step_run, index, host)
-            pool_room.put(host)
+            pool_room.update(host, now_ms)
             if room is not pool_room:
-                room.put(host)
+                room.update(host, now_ms)
             if step_run.step.is_tightly_coupled:
                 rack = rack or host.registration.rack
         return True
@@ -104,6 +104,8 @@
             return []
         if not self.caps.may_start(step_run, step_run.step.count):
             return []
+        now_ms = self._term.now_ms
+        hosts = [host for host in hosts if host.health.takes_gang(now_ms)]
         chosen = choose_hosts_for_gang(step_run, hosts, self._preference)
         if chosen is None:
             return []
