Decide weighted shares by pool

Cause: the share of an organisation was that of all pools together. One that used much of a pool with free room came last in a pool that was full, so that its jobs there were starved after a takeover. Change: the table of uses sums up by pool too, and the order of waiting steps compares shares within their pool.

--- a/src/guavapin/scheduling/describe_organisations.py
+++ b/src/guavapin/scheduling/describe_organisations.py
@@ -52,7 +52,7 @@
             usage.possible(row.name),
             row.cap,
             round(shares.share(row.name), 3),
-            round(shares.weighted_share(row.name), 3),
+            round(shares.weighted_share(row.name, +waiting), 3),
             admission.open_jobs(row.name),
             waiting[row.name],
             row.name in scheduler.held_organisations,
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -86,7 +86,7 @@
         self._waiting.mark_late(self._term.now_ms)
         self._caps.begin_dispatch()
         if self._term.table.organisations:
-            self.shares.begin_dispatch(self._waiting.organisations())
+            self.shares.begin_dispatch()
         unresolved = self._hosts.unresolved_pools()
         for pool in self._waiting.pools():
             room = self._hosts.room.pool(pool)
@@ -94,6 +94,8 @@
                 self._dispatch_pool(pool, room, pool in unresolved)
 
     def _dispatch_pool(self, pool: str, room: PoolRoom, is_unresolved: bool) -> None:
+        if self._term.table.organisations:
+            self.shares.begin_pool(pool, self._waiting.organisations(pool))
         shortage = Shortage()
         started = []
         for need_class, step_run in self._waiting.candidates(
--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -186,7 +186,7 @@
         self.used = self.used.plus(run.reserved)
         self.free = self.free.minus(run.reserved)
         if self._usage is not None:
-            self._usage.add(run, self.registration.capacity)
+            self._usage.add(run, self.registration.capacity, self.pool)
         self._on_change(self)
 
     def remove(self, run: Run, now_ms: int) -> None:
--- a/src/guavapin/scheduling/organisation_usage.py
+++ b/src/guavapin/scheduling/organisation_usage.py
@@ -42,6 +42,10 @@
         # Needs of the known runs of all organisations.
         self.total = NOTHING
         self._used: dict[str, Resources] = {}
+        # The same by pool, and by pool and organisation.
+        self._pool_totals: dict[str, Resources] = {}
+        self._pool_used: dict[tuple[str, str], Resources] = {}
+        self._pool_by_run: dict[tuple[str, RunKey], str] = {}
         self._counts: Counter[str] = Counter()
         # Capacity of the host and organisation of each run of an unknown job.
         self._unknown_runs: dict[tuple[str, RunKey], tuple[str, Resources]] = {}
@@ -51,8 +55,8 @@
         self._unseen: dict[Subtask, tuple[str, Resources, int]] = {}
         self._unseen_needs: dict[str, Resources] = {}
 
-    def add(self, run: Run, capacity: Resources) -> None:
-        """Count a run on a host with this capacity."""
+    def add(self, run: Run, capacity: Resources, pool: str = "") -> None:
+        """Count a run on a host of a pool with this capacity."""
         if not run.is_need_known:
             key = (run.executor_id, run.key)
             self._unknown_runs[key] = (run.organisation, capacity)
@@ -61,6 +65,7 @@
             self._used[run.organisation] = used.plus(run.need)
             self.total = self.total.plus(run.need)
             self._counts[run.organisation] += 1
+            self._add_to_pool(run, pool)
             self.mark_seen(run.subtask)
 
     def remove(self, run: Run) -> None:
@@ -68,6 +73,7 @@
         if not run.is_need_known:
             self._unknown_runs.pop((run.executor_id, run.key), None)
         if run.organisation:
+            self._remove_from_pool(run)
             self.total = self.total.minus(run.need)
             self._counts[run.organisation] -= 1
             if self._counts[run.organisation]:
@@ -129,6 +135,14 @@
         """Return the needs of the known runs of an organisation."""
         return self._used.get(organisation, NOTHING)
 
+    def used_in_pool(self, pool: str, organisation: str) -> Resources:
+        """Return the needs of the known runs of an organisation in a pool."""
+        return self._pool_used.get((pool, organisation), NOTHING)
+
+    def total_in_pool(self, pool: str) -> Resources:
+        """Return the needs of the known runs of all organisations in a pool."""
+        return self._pool_totals.get(pool, NOTHING)
+
     def run_count(self, organisation: str) -> int:
         """Return the number of known runs of an organisation."""
         return self._counts[organisation]
@@ -168,6 +182,22 @@
             math.inf if is_idle or not cap_millis else cap_millis - possible.cpu_millis
         )
 
+    def _add_to_pool(self, run: Run, pool: str) -> None:
+        self._pool_by_run[run.executor_id, run.key] = pool
+        self._pool_totals[pool] = self.total_in_pool(pool).plus(run.need)
+        used = self.used_in_pool(pool, run.organisation).plus(run.need)
+        self._pool_used[pool, run.organisation] = used
+
+    def _remove_from_pool(self, run: Run) -> None:
+        pool = self._pool_by_run.pop((run.executor_id, run.key), None)
+        if pool is None:
+            return
+        self._pool_totals[pool] = self.total_in_pool(pool).minus(run.need)
+        used = self.used_in_pool(pool, run.organisation).minus(run.need)
+        self._pool_used[pool, run.organisation] = used
+        if used == NOTHING:
+            del self._pool_used[pool, run.organisation]
+
     def _add_unseen_need(self, organisation: str, need: Resources) -> None:
         needs = self._unseen_needs.get(organisation, NOTHING)
         self._unseen_needs[organisation] = needs.plus(need)
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -148,13 +148,10 @@
                 self.discard(step_run)
                 self.add(step_run)
 
-    def organisations(self) -> set[str]:
-        """Return the organisations of the table that have steps in any pool."""
-        return {
-            need_class.organisation
-            for lists in self._lists.values()
-            for need_class in lists
-        } - {""}
+    def organisations(self, pool: str) -> set[str]:
+        """Return the organisations of the table that have steps in a pool."""
+        lists = self._lists.get(pool, {})
+        return {need_class.organisation for need_class in lists} - {""}
 
     def pools(self) -> list[str]:
         """Return the pools that have steps."""
--- a/tests/model/test_caps.py
+++ b/tests/model/test_caps.py
@@ -97,9 +97,9 @@
 def count_running_work_only(patch: pytest.MonkeyPatch) -> None:
     add = OrganisationUsage.add
 
-    def count(usage, run, capacity) -> None:
+    def count(usage, run, *args) -> None:
         if run.phase is not RunPhase.STARTING:
-            add(usage, run, capacity)
+            add(usage, run, *args)
 
     remove = OrganisationUsage.remove
 
