--- a/src/guavapin/scheduling/admission_rule.py
+++ b/src/guavapin/scheduling/admission_rule.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 from typing import Protocol
-from typing import runtime_checkable
 
 if TYPE_CHECKING:
     from guavapin.jobs.calls import Rejected
@@ -18,11 +17,9 @@
         """Return the rejection of a job at a monotonic time, None to accept it."""
         ...
 
-
-@runtime_checkable
-class PreviewableRule(Protocol):
-    """Rule that can be asked without an effect, to explain what it would decide."""
-
     def preview(self, job: Job, now_ms: int) -> Rejected | None:
-        """Return what `rejection` would, without recording anything."""
+        """Return what `rejection` would, without recording anything.
+
+        Explanations ask it, so that they follow the decision of a real submission.
+        """
         ...
--- a/src/guavapin/scheduling/backlog.py
+++ b/src/guavapin/scheduling/backlog.py
@@ -136,16 +136,24 @@
         which it has been turned away is subtracted, so that those that have waited
         longest return first.
         """
+        rejection = self.preview(job, now_ms)
+        if rejection is None:
+            self._first_rejected_ms.pop(job.job_id, None)
+            return None
+        self._first_rejected_ms.setdefault(job.job_id, now_ms)
+        if len(self._first_rejected_ms) > MAX_REJECTED_JOBS:
+            self._first_rejected_ms.popitem(last=False)
+        return rejection
+
+    def preview(self, job: Job, now_ms: int) -> Rejected | None:
+        """Return what `rejection` would, without remembering it."""
         useful_ms = USEFUL_FACTOR * self._view.allowed_ms(job)
         if useful_ms <= 0:
             return None
         excess_ms = self._view.load_before(job).backlog_ms - useful_ms
         if excess_ms <= 0:
-            self._first_rejected_ms.pop(job.job_id, None)
             return None
-        first_ms = self._first_rejected_ms.setdefault(job.job_id, now_ms)
-        if len(self._first_rejected_ms) > MAX_REJECTED_JOBS:
-            self._first_rejected_ms.popitem(last=False)
+        first_ms = self._first_rejected_ms.get(job.job_id, now_ms)
         return_ms = round(excess_ms) - (now_ms - first_ms)
         return_ms = min(max(return_ms, MIN_RETURN_MS), MAX_RETURN_MS)
         return Rejected(
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -22,7 +22,6 @@
 from guavapin.jobs.model import JobState
 from guavapin.ledger.ledger import Entry
 from guavapin.scheduling.admission import Admission
-from guavapin.scheduling.admission_rule import PreviewableRule
 from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.messages import AnswerCall
 from guavapin.scheduling.messages import FetchJob
@@ -358,16 +357,12 @@
         return job if job.is_excess == is_excess else replace(job, is_excess=is_excess)
 
     def preview_rejection(self, job: Job) -> Rejected | None:
-        """Return the rejection that a submission would get, without an effect.
-
-        A rule that cannot be asked without an effect is left out.
-        """
+        """Return the rejection that a submission would get, without an effect."""
         job = self._mark_excess(job)
         for rule in self._rules:
-            if isinstance(rule, PreviewableRule):
-                rejection = rule.preview(job, self._term.now_ms)
-                if rejection is not None:
-                    return rejection
+            rejection = rule.preview(job, self._term.now_ms)
+            if rejection is not None:
+                return rejection
         return None
 
     def _rejection(self, job: Job) -> Rejected | None:
--- a/src/guavapin/scheduling/unservable.py
+++ b/src/guavapin/scheduling/unservable.py
@@ -111,6 +111,10 @@
 
     def rejection(self, job: Job, now_ms: int) -> Rejected | None:
         """Return the rejection of a job that the machines can never hold."""
+        return self.preview(job, now_ms)
+
+    def preview(self, job: Job, now_ms: int) -> Rejected | None:
+        """Return what `rejection` would; it has no effect either."""
         step = unservable_step(job, self._shapes)
         if step is None:
             return None
--- a/tests/daemons/test_resident.py
+++ b/tests/daemons/test_resident.py
@@ -19,6 +19,8 @@
 from guavapin_soak.entry_process import EntryProcess
 from guavapin_soak.entry_process import entry_ports
 from guavapin_standins.ports import free_ports
+from guavapin_standins.resident_executor import WORK_SPEC
+from guavapin_standins.resident_platform import MACHINE_CAPACITY
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import QueryPlatform
 from guavapin_standins.resident_platform import ResidentPlatformTask
@@ -262,8 +264,12 @@
     # Guards against a job that waits for a reason that operators cannot see.
     scheduler = site.scheduler()
     other = next(entry for entry in site.entries if entry is not scheduler)
-    huge = {"spec": "x", "steps": [{"count": 1, "cpu": 99_000, "estimate-ms": 100}]}
-    assert other.jobs("POST", f"/q/{job_id(5)}", huge)[0] == 200
+    # The first job takes all machines for a minute.
+    for number, count in ((4, 4), (5, 1)):
+        steps = [{"count": count, "cpu": MACHINE_CAPACITY["cpu"], "estimate-ms": 100}]
+        job = {"spec": f"{WORK_SPEC}60000", "steps": steps}
+        assert other.jobs("POST", f"/q/{job_id(number)}", job)[0] == 200
+        wait_until(lambda: len(site.view().log) == 4, "runs on all machines")
     url = f"http://127.0.0.1:{scheduler.peer}"
     assert main(["scheduling", "--url", url]) == 0
     assert "jobs.example/q/" in capsys.readouterr().out
@@ -283,10 +289,18 @@
     query = ["where", "--host", "jobs.example", "--path", "/q/", "--job-file"]
     for entry in site.entries:
         url = f"http://127.0.0.1:{entry.peer}"
+        # The job is rejected once the scheduler knows all machines.
+        wait_until(
+            lambda url=url: (
+                main([*query, str(path), "--url", url]) == 0
+                and "no machine can ever hold step 0" in capsys.readouterr().out
+            ),
+            "the rejection of a job that no machine can hold",
+        )
         assert main([*query, str(path), "--url", url]) == 0
         out = capsys.readouterr().out
         assert "queue jobs.example/q/, pool pool" in out
-        assert "would be accepted" in out and "no host of the pool" in out
+        assert "would be rejected" in out and "no host of the pool" in out
     assert main([*query, str(path), "--url", url, "--output", "json"]) == 0
     (step,) = json.loads(capsys.readouterr().out)["placement"]["steps"]
     assert step["excluded"] == {"room": 4} and step["pool_hosts"] == 4
