Split inherited runs and the codec's protocol into modules

Change: moves only: InheritedRuns adopts and reserves the runs of earlier terms, and the protocol JobCallCodec has a module of its own. Measured: tests of scheduling, loads, intake and the model pass.

--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 from guavapin.http.messages import Answered
 from guavapin.http.messages import PeerCall
@@ -56,13 +55,13 @@
 from guavapin.serving.request_handler import RequestHandler
 
 if TYPE_CHECKING:
+    from guavapin.intake.job_call_codec import JobCallCodec
     from guavapin.jobs.calls import JobAnswer
     from guavapin.jobs.calls import JobCall
     from guavapin.jobs.queues import Queue
     from guavapin.jobs.queues import QueueTable
     from guavapin.kernel.task import TaskContext
     from guavapin.metrics.resident import CallObserver
-    from guavapin.serving.messages import Headers
     from guavapin.serving.request_handler import WholeRequest
 
 # Timeout of a call to another entry host. The scheduler answers after one write to the
@@ -82,43 +81,6 @@
 log = logging.getLogger("guavapin.intake")
 
 
-class JobCallCodec(Protocol):
-    """Translates callers' requests and the answers to them; never raises."""
-
-    @property
-    def deadline_header(self) -> bytes:
-        """Return the name of the header with a caller's deadline in milliseconds."""
-        ...
-
-    @property
-    def key_header(self) -> bytes:
-        """Return the name of the header with a caller's key."""
-        ...
-
-    def read_key(self, value: str) -> str:
-        """Return the key in the value of that header, "" if there is none."""
-        ...
-
-    def decode(
-        self,
-        queue: Queue,
-        method: str,
-        path: str,
-        body: bytes,
-        wall_ms: int,
-        organisation: str,
-    ) -> JobCall | BadCall:
-        """Return the call to `queue` in a request that arrived at `wall_ms`.
-
-        `organisation` is that of the caller's key, "" for a call without one.
-        """
-        ...
-
-    def encode(self, answer: JobAnswer) -> tuple[int, Headers, bytes]:
-        """Return status, headers and body of an answer."""
-        ...
-
-
 @dataclass(frozen=True, slots=True)
 class _Deadline:
     """Timer: the deadline of a caller, less the margin, has passed."""
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
 from guavapin.scheduling.host_table import HostTable
+from guavapin.scheduling.inherited_runs import InheritedRuns
 from guavapin.scheduling.interference_evidence import InterferenceEvidence
 from guavapin.scheduling.job_table import EndStored
 from guavapin.scheduling.job_table import JobTable
@@ -29,8 +30,6 @@
 from guavapin.scheduling.pool_load import open_work
 from guavapin.scheduling.pool_load import subtask_work
 from guavapin.scheduling.queue_rules import QueueRules
-from guavapin.scheduling.run import Run
-from guavapin.scheduling.run import RunPhase
 from guavapin.scheduling.run_supervisor import RunSupervisor
 from guavapin.scheduling.run_times import RunTimes
 from guavapin.scheduling.tickets import apply_advice
@@ -46,7 +45,6 @@
     from guavapin.jobs.model import Subtask
     from guavapin.scheduling.cap_rule import CapRule
     from guavapin.scheduling.handover import HandedHost
-    from guavapin.scheduling.handover import HandedRun
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
@@ -54,6 +52,7 @@
     from guavapin.scheduling.messages import MachinesListed
     from guavapin.scheduling.messages import PoolDemand
     from guavapin.scheduling.organisation_share import OrganisationShares
+    from guavapin.scheduling.run import Run
     from guavapin.scheduling.term import Term
 
 _NO_RESOURCES = Resources()
@@ -90,6 +89,9 @@
             BacklogRule(load),
         )
         self.jobs = JobTable(term, self, rules)
+        self._inherited = InheritedRuns(
+            term, self.hosts, self._find_step, self.jobs.ended_organisation
+        )
         self.arrivals = Arrivals()
         # Open steps that are not done, in order of their opening.
         self.steps: dict[StepRun, None] = {}
@@ -219,29 +221,8 @@
             self._needs_dispatch = True
 
     def adopt(self, host: Host, row: RunningRow) -> None:
-        """Adopt a run that an earlier scheduler started, or stop it if not needed.
-
-        The job of a run may have ended before this term, so that only its final state
-        is known. Nothing starts on the host until such a run is gone.
-        """
-        step_run = self.step_of(row)
-        run = self._inherited_run(host, row.subtask, row.attempt, step_run)
-        run.percent = row.percent
-        run.is_listed = True
-        host.add(run)
-        is_needed = step_run is not None and step_run.needs_run(row.subtask.index)
-        extra = {
-            "job": row.subtask.job_id,
-            "executor": host.executor_id,
-            "attempt": row.attempt,
-            "needed": is_needed,
-        }
-        log.info("run adopted", extra=extra)
-        if step_run is not None:
-            step_run.add(row.subtask.index, run)
-            step_run.job_run.mark_started()
-        if not is_needed:
-            self.hosts.stop(run)
+        """Adopt a run that an earlier scheduler started, or stop it if not needed."""
+        self._inherited.adopt(host, row)
 
     def apply_handover(self, handed_hosts: Iterable[HandedHost] | None) -> None:
         """Reserve what a predecessor handed over, until the hosts answer.
@@ -249,58 +230,11 @@
         Nothing starts before the record is removed: it does not hold what this term
         starts. `handed_hosts` is None for a record that cannot be read.
         """
-        for handed in handed_hosts or ():
-            host = self.hosts.by_id.get(handed.executor_id)
-            if host is None or not host.born_ms or host.born_ms != handed.born_ms:
-                continue
-            self.hosts.mark_handed_over(host)
-            for row in handed.runs:
-                self._reserve_handed(host, row)
+        self._inherited.reserve(handed_hosts or ())
         self._is_start_allowed = False
         entry = Entry(HANDOVER_KEY, None, (RemovalStored(),))
         self.term.actions.append(StoreEntry(entry, is_urgent=True))
 
-    def _reserve_handed(self, host: Host, row: HandedRun) -> None:
-        step_run = self._find_step(row.subtask)
-        run = self._inherited_run(host, row.subtask, row.attempt, step_run)
-        if not row.is_settled:
-            run.phase = RunPhase.UNSETTLED
-        host.add(run)
-        index = row.subtask.index
-        is_needed = row.is_wanted and step_run is not None and step_run.needs_run(index)
-        if step_run is not None:
-            step_run.add(index, run)
-            step_run.job_run.mark_started()
-        if not is_needed:
-            self.hosts.stop(run)
-
-    def _inherited_run(
-        self, host: Host, subtask: Subtask, attempt: int, step_run: StepRun | None
-    ) -> Run:
-        """Return a run that an earlier scheduler started on a host."""
-        reserved, need, organisation = _NO_RESOURCES, _NO_RESOURCES, ""
-        if step_run is not None:
-            reserved, need = step_run.step.reserved, step_run.step.need
-            organisation = step_run.job_run.job.organisation
-        else:
-            organisation = self.jobs.ended_organisation(subtask.job_id)
-        run = Run(
-            subtask,
-            attempt,
-            host.executor_id,
-            reserved,
-            RunPhase.RUNNING,
-            self.term.now_ms,
-            organisation,
-            need,
-        )
-        run.is_need_known = step_run is not None
-        run.is_long_running = step_run is not None and step_run.step.is_long_running
-        run.is_filler = step_run is not None and step_run.step.is_filler
-        run.image = step_run.step.image if step_run is not None else ""
-        host.extend_lease(self.term.lease_ms, self.term.now_ms)
-        return run
-
     def handle_end(self, host: Host, row: EndedRow) -> bool:
         """Apply the end of a run; True if it must be stored before it is confirmed."""
         self._needs_dispatch = True
