Set the level of the package's logger in tests of log lines

Cause: two tests set the level of the root logger. Change: they set the level of the package's logger, as other tests do.

--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -148,7 +148,7 @@
 def test_loads_of_reports_reveal_the_neighbour(sim, caplog) -> None:
     # Guards against evidence that is not taken from reports, and pairs that operators
     # cannot see.
-    caplog.set_level("INFO")
+    caplog.set_level("INFO", "guavapin")
     web = replace(WEB, count=4, max_per_host=1)
     sim.submit(make_job("a" * 16, web))
     sim.submit(make_job("b" * 16, replace(NOISY, count=2, max_per_host=1)))
--- a/tests/scheduling/test_organisation_admission.py
+++ b/tests/scheduling/test_organisation_admission.py
@@ -115,7 +115,7 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     # Guards against a line for each start of an organisation that stays at its cap.
-    caplog.set_level("INFO")
+    caplog.set_level("INFO", "guavapin")
     sim = simulation(0.2, Resources(2_000, 0, 0))
     submit(sim, 1, Step(8, SMALL))
     sim.advance(2_000)
