--- a/src/guavapin/scheduling/handover.py
+++ b/src/guavapin/scheduling/handover.py
@@ -5,7 +5,7 @@
 With a stored record of them it holds up only the subtasks that may run on such a host.
 
 Answers the load pattern of entry hosts that are restarted in turn while an availability
-zone is cut off (gagnon-jobs-large scale-1).
+zone is cut off.
 """
 
 from __future__ import annotations
--- a/tests/scheduling/test_organisation_caps.py
+++ b/tests/scheduling/test_organisation_caps.py
@@ -11,8 +11,10 @@
 from guavapin.jobs.model import JobState
 from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
+from guavapin.jobs.model import Subtask
 from guavapin.jobs.organisations import Organisation
 from guavapin.scheduling.cap_gate import MAX_REFUSALS
+from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.messages import MachinesListed
 from guavapin.scheduling.organisation_usage import OrganisationUsage
 from guavapin.scheduling.record import Progress
@@ -151,6 +153,21 @@
     assert not usage.allows(organisation, need, 4)
 
 
+@pytest.mark.parametrize(("copies", "most"), [(False, 1), (True, 2)])
+def test_an_inherited_subtask_counts_for_the_runs_it_may_have(
+    copies: bool, most: int
+) -> None:
+    # Guards against steps with copies that count as all hosts which have not reported,
+    # and against a copy of a known run that does not count.
+    usage, step = OrganisationUsage(), Step(1, SMALL, is_speculative=copies)
+    usage.unseen_capacity = Resources(100_000, 100_000, 100)
+    job = owned(1, step)
+    usage.inherit(JobRun(job, 0, is_inherited=True))
+    for left in range(most, -1, -1):
+        assert usage.possible("a").cpu_millis == left * step.need.cpu_millis
+        usage.mark_seen(Subtask(job.job_id, 0, 0, 0))
+
+
 def cancelled_on_a_silent_host(sim: Simulation) -> int:
     """Cancel a job whose host does not answer, take over, and submit another one."""
     sim.submit(owned(1, Step(4, SMALL)))
