Log work that waits although its pool has room

No line said that work waits although there is room for it twice over, nor why, so that five suspected causes could not be told apart. The supervision of runs now looks for jobs, and subtasks of long-running steps, without a run, by the users' own figures (3 s, twice over, half of the cap), and logs them with what holds them, the states of the hosts with room, and the use of the organisation. At most four lines a check; the number of all is in each. Nothing else changes.

--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -296,6 +296,16 @@
         """Whether a run of the job is known, wanted or not."""
         return any(step_run.runs for step_run in self.steps.values())
 
+    @property
+    def has_wanted_runs(self) -> bool:
+        """Whether a run of the job is known that is not being stopped."""
+        return any(
+            run.is_wanted
+            for step_run in self.steps.values()
+            for runs in step_run.runs.values()
+            for run in runs
+        )
+
     def _running(self, may_have_unseen_runs: bool) -> Resources:
         """Return the needs of all runs, and of those that a predecessor may have begun.
 
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from guavapin.scheduling.dispatcher import Dispatcher
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
+from guavapin.scheduling.held_work import HeldWork
 from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.inherited_runs import InheritedRuns
 from guavapin.scheduling.interference_evidence import InterferenceEvidence
@@ -100,6 +101,7 @@
         self._dispatcher = Dispatcher(term, self.hosts, self._rules, self.preference)
         self.cap_rule: CapRule = self._dispatcher.starter.caps
         self._supervisor = RunSupervisor(term, self.hosts, self, self.preference)
+        self.held_work = HeldWork(self)
         self._demand = DemandTable(self.pool_of)
         self._turns = TurnQueue()
         self._opened_count = 0
@@ -124,6 +126,7 @@
                 if host.runs:
                     self._supervisor.supervise(host)
             self.interference.judge(self.term.now_ms)
+            self.held_work.check(self.term.now_ms)
         self._needs_dispatch = True
 
     def pool_of(self, job_run: JobRun) -> str:
--- a/src/guavapin/scheduling/where.py
+++ b/src/guavapin/scheduling/where.py
@@ -116,7 +116,7 @@
     scheduler.hosts.room.refresh(scheduler.term.now_ms)
     room = scheduler.hosts.room.pool(pool)
     chosen: list[Host] = []
-    reason = _held_up_reason(scheduler, step_run)
+    reason = held_up_reason(scheduler, step_run)
     if not reason:
         chosen = scheduler.dispatcher.starter.preview(step_run, room)
         if not chosen:
@@ -135,7 +135,11 @@
     )
 
 
-def _held_up_reason(scheduler: Scheduler, step_run: StepRun) -> str:
+def held_up_reason(scheduler: Scheduler, step_run: StepRun) -> str:
+    """Return what keeps a step from starting whatever room hosts have, "" if nothing.
+
+    For example, the cap of its organisation.
+    """
     if scheduler.dispatcher.is_held_up(step_run):
         return "hosts of the pool have not answered this scheduler yet"
     if not scheduler.is_start_allowed:
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -32,16 +32,20 @@
     def discard(self, step_run: StepRun) -> None:
         self._steps.discard(step_run)
 
+    def is_held_up(self, step_run: StepRun, unresolved: set[str] | None = None) -> bool:
+        if unresolved is None:
+            unresolved = self._hosts.unresolved_pools()
+        is_unresolved = self._rules.pool_of(step_run) in unresolved
+        is_inherited = step_run.job_run.is_inherited
+        return is_inherited and is_unresolved and not step_run.step.allows_copies
+
     def dispatch(self) -> None:
         now_ms = self._term.now_ms
         self._starter.caps.begin_dispatch()
         unresolved = self._hosts.unresolved_pools()
         for step_run in sorted(self._steps, key=self._rules.position):
             pool = self._rules.pool_of(step_run)
-            is_held_up = step_run.job_run.is_inherited and pool in unresolved
-            if not step_run.waiting:
-                continue
-            if is_held_up and not step_run.step.allows_copies:
+            if not step_run.waiting or self.is_held_up(step_run, unresolved):
                 continue
             hosts = [
                 host
