Leave executors that are gone out of the caps after a takeover

Callers of an organisation got nothing started for 12 s after a takeover that had no record of the predecessor: the cap held all of its jobs, also new ones, although nothing of it ran.

Cause: the registry keeps the entry of an executor for up to 4.5 s after its machine has moved or ended. A successor makes a host of each, which never answers and stays until no lease of the predecessor can be left (12.3 s). Each counted with its whole capacity as a host whose runs are unknown. unresolved_pools leaves out what the platform's list of machines does not name; _unseen_capacity did not.

The test failed before: 0 of 8 subtasks started within a second.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -233,7 +233,8 @@
     def _unseen_capacity(self) -> Resources | None:
         """Return the capacity of the hosts whose runs are not known, None if unknown.
 
-        An executor that is listed and has no registration is such a host too.
+        An executor that is listed and has no registration is such a host too. One that
+        is not listed has ended: its registration is removed seconds later.
         """
         if self._listed_pools is None:
             return None
@@ -245,7 +246,9 @@
             capacity = capacity.plus(listed)
         for host in self.by_id.values():
             is_known = host.has_answered or host.is_handed_over
-            if not is_known and host not in self._partly_known:
+            if is_known or host in self._partly_known:
+                continue
+            if host.executor_id in self._listed_pools:
                 capacity = capacity.plus(host.registration.capacity)
         return capacity
 
--- a/tests/scheduling/test_organisation_caps.py
+++ b/tests/scheduling/test_organisation_caps.py
@@ -265,3 +265,31 @@
     sim.scheduler.hosts.register(lost.registration())
     sim.advance(200)
     assert usage.possible("a").cpu_millis == 8_000
+
+
+def take_over_beside_stale_entries(sim: Simulation, stale: int) -> None:
+    """Take over while the registry has entries of executors that are gone.
+
+    Their machines have moved, so that the platform's list does not name them.
+    """
+    sim.take_over(6)
+    sim.scheduler.term.table = capped(8_000)
+    for number in range(stale):
+        gone = FakeExecutor(f"gone{number}")
+        sim.scheduler.hosts.register(gone.registration())
+    sim.list_machines()
+
+
+def test_executors_that_are_gone_do_not_count_after_a_takeover() -> None:
+    # Guards against an organisation whose cap holds everything, though nothing of it
+    # runs, until no lease of the predecessor can be left.
+    sim = simulation(8_000)
+    sim.submit(owned(1, Step(16, SMALL)))
+    take_over_beside_stale_entries(sim, 4)
+    for subtask, holder in sim.running():
+        sim.executors[holder].end(subtask, EndKind.DONE)
+    sim.advance(1_000)
+    assert count(sim) == 8
+    for number in range(4):
+        sim.scheduler.hosts.unregister(f"gone{number}")
+    assert sim.scheduler.hosts.usage.possible("a").cpu_millis == 8_000
