Count a run's stop from its first answer

The room of a start that never arrived, and its share of a cap, stayed in use for ever once its job was cancelled, and its host never became empty for maintenance.

Cause: each answered repetition of a stop renewed the time from which a report may show that the run is gone. Stops are repeated 0.5 s plus the time of a stop after the last one, 0.9 s at 400 ms, and a poll is held open for 1 s, so that no poll was sent after the last stop and answered before the next one. After the first answer the host refuses the start, so a report that was asked for after it proves enough.

The test failed before: the run was still listed after 5 s.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -395,7 +395,9 @@
         self, host: Host, run: Run, order: Order, outcome: Done | Refusal
     ) -> None:
         if isinstance(order, Stop):
-            if isinstance(outcome, Done):
+            # From the first answer on, the host refuses the run's start. A repetition
+            # proves nothing more, and polls may take longer than its interval.
+            if isinstance(outcome, Done) and not run.is_stop_answered:
                 run.is_stop_answered = True
                 run.counted_ms = self._term.now_ms
         elif isinstance(order, Start):
