Bound the runs of ended jobs by what their record says

While the runs of a cancelled job were being stopped after a takeover, caps held work of organisations that had room left.

Cause: the run of a job that the successor knows only by its final record counted as the whole capacity of its host. A job without an organisation, as those of public queues, counted for every organisation, although its record shows that it has none. 24 runs of such a job on 24 hosts of 64 cores exceeded every cap.

The record of an ended job holds the needs of what may still run, which now bounds its runs; a job that is known to have no organisation counts for none. The run of a job that is not known at all counts as before.

The test failed before: 64 cores counted instead of 4 and of none.

--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -31,7 +31,8 @@
     """Adds the runs of earlier terms to their hosts and steps.
 
     `find_step` returns the step of a subtask, None if it is not known, and
-    `ended_organisation` that of a job which ended before this term.
+    `ended_organisation` the organisation of a job which ended before this term, "" if
+    it has none and None if the job is not known.
     """
 
     def __init__(
@@ -39,7 +40,7 @@
         term: Term,
         hosts: HostTable,
         find_step: Callable[[Subtask], StepRun | None],
-        ended_organisation: Callable[[str], str],
+        ended_organisation: Callable[[str], str | None],
     ) -> None:
         self._term = term
         self._hosts = hosts
@@ -99,7 +100,8 @@
         self, host: Host, subtask: Subtask, attempt: int, step_run: StepRun | None
     ) -> Run:
         """Return a run that an earlier scheduler started on a host."""
-        reserved, need, organisation = _NO_RESOURCES, _NO_RESOURCES, ""
+        reserved, need = _NO_RESOURCES, _NO_RESOURCES
+        organisation: str | None
         if step_run is not None:
             reserved, need = step_run.step.reserved, step_run.step.need
             organisation = step_run.job_run.job.organisation
@@ -112,9 +114,10 @@
             reserved,
             RunPhase.RUNNING,
             self._term.now_ms,
-            organisation,
+            organisation or "",
             need,
         )
+        run.is_owner_known = organisation is not None
         run.is_need_known = step_run is not None
         run.is_long_running = step_run is not None and step_run.step.is_long_running
         run.is_filler = step_run is not None and step_run.step.is_filler
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -97,7 +97,9 @@
         """Stop all runs of a job that has ended."""
         ...
 
-    def ended_job_loaded(self, organisation: str, running: Resources) -> None:
+    def ended_job_loaded(
+        self, job_id: str, organisation: str, running: Resources
+    ) -> None:
         """Count what may still run of a job that ended before this term."""
         ...
 
@@ -132,7 +134,9 @@
                 self._ended[job_id] = EndedJob(
                     stored.state, stored.ended_ms, stored.organisation, stored.queue
                 )
-                self._listener.ended_job_loaded(stored.organisation, stored.running)
+                self._listener.ended_job_loaded(
+                    job_id, stored.organisation, stored.running
+                )
         for job in jobs:
             if job.job_id in self._ended:
                 self._store(Entry(f"{JOBS_PREFIX}{job.job_id}", None))
@@ -165,10 +169,13 @@
             case CountWaiting(queue=queue):
                 self._answer(req, WaitingIs(self._count_waiting(queue)))
 
-    def ended_organisation(self, job_id: str) -> str:
-        """Return the organisation of a job that ended before this term, "" for none."""
+    def ended_organisation(self, job_id: str) -> str | None:
+        """Return the organisation of a job that ended before this term, "" for none.
+
+        The result is None for a job that is not known.
+        """
         ended = self._ended.get(job_id)
-        return ended.organisation if ended is not None else ""
+        return ended.organisation if ended is not None else None
 
     def pending_requests(self) -> list[JobRequest]:
         """Return the submissions and cancellations that wait for the store."""
--- a/src/guavapin/scheduling/organisation_usage.py
+++ b/src/guavapin/scheduling/organisation_usage.py
@@ -15,6 +15,8 @@
 from guavapin.jobs.model import Subtask
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from guavapin.jobs.organisations import Organisation
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.run import Run
@@ -31,8 +33,9 @@
     """Resources of the runs of each organisation; only the table of hosts changes it.
 
     A run counts from its start order until its end is known. It thus also counts while
-    its start is not answered, and while it is being stopped. A run of a job that is not
-    known (`Run.is_need_known` unset) counts as the whole capacity of its host.
+    its start is not answered, and while it is being stopped. A run whose need is not
+    known (`Run.is_need_known` unset) counts as the whole capacity of its host; runs of
+    a job that has ended count at most for what its record says that may still run.
     `unseen_capacity` is that of the hosts whose runs are not known yet, None if it is
     not known either.
     """
@@ -47,8 +50,11 @@
         self._pool_used: dict[tuple[str, str], Resources] = {}
         self._pool_by_run: dict[tuple[str, RunKey], str] = {}
         self._counts: Counter[str] = Counter()
-        # Capacity of the host and organisation of each run of an unknown job.
+        # Organisation, "" if it is not known either, and capacity of the host of each
+        # run whose need is not known.
         self._unknown_runs: dict[tuple[str, RunKey], tuple[str, Resources]] = {}
+        # What may still run of jobs that ended before this term, by job.
+        self._ended_needs: dict[str, Resources] = {}
         # Inherited subtasks with runs that are not known to have ended or to run: their
         # organisation, their need and the most such runs. Beside them the sum of these
         # needs and of ended jobs' runs.
@@ -57,7 +63,7 @@
 
     def add(self, run: Run, capacity: Resources, pool: str = "") -> None:
         """Count a run on a host of a pool with this capacity."""
-        if not run.is_need_known:
+        if not run.is_need_known and (run.organisation or not run.is_owner_known):
             key = (run.executor_id, run.key)
             self._unknown_runs[key] = (run.organisation, capacity)
         if run.organisation:
@@ -103,9 +109,10 @@
                     for _ in range(runs):
                         self._add_unseen_need(job.organisation, step.need)
 
-    def inherit_ended(self, organisation: str, running: Resources) -> None:
+    def inherit_ended(self, job_id: str, organisation: str, running: Resources) -> None:
         """Count what may still run of a job that ended under a predecessor."""
         if organisation and running != NOTHING:
+            self._ended_needs[job_id] = running
             self._add_unseen_need(organisation, running)
 
     def mark_seen(self, subtask: Subtask) -> None:
@@ -203,30 +210,46 @@
         self._unseen_needs[organisation] = needs.plus(need)
 
     def _unknown_run_capacity(self, organisation: str) -> Resources:
-        """Return the capacity of the hosts on which unknown jobs run.
+        """Return the bound of the runs whose need is not known, by their jobs.
 
         The run of a job without a known organisation may belong to any of them.
         """
-        hosts = {
-            executor_id: capacity
-            for (executor_id, _), (owner, capacity) in self._unknown_runs.items()
-            if owner in ("", organisation)
-        }
+        hosts_by_job: dict[str, dict[str, Resources]] = {}
+        for (executor_id, key), (owner, capacity) in self._unknown_runs.items():
+            if owner in ("", organisation):
+                hosts = hosts_by_job.setdefault(key[0].job_id, {})
+                hosts[executor_id] = capacity
         total = NOTHING
-        for capacity in hosts.values():
-            total = total.plus(capacity)
-        return total
+        for job_id, hosts in hosts_by_job.items():
+            bound = _sum(hosts.values())
+            needs = self._ended_needs.get(job_id)
+            total = total.plus(bound if needs is None else _least(bound, needs))
+        all_hosts: dict[str, Resources] = {}
+        for hosts in hosts_by_job.values():
+            all_hosts.update(hosts)
+        return _least(total, _sum(all_hosts.values()))
 
     def _unseen_bound(self, organisation: str) -> Resources:
         """Return the bound of what runs of an organisation on unknown hosts."""
         needs, capacity = self._unseen_needs[organisation], self.unseen_capacity
         if capacity is None:
             return needs
-        return Resources(
-            min(needs.cpu_millis, capacity.cpu_millis),
-            min(needs.memory_mb, capacity.memory_mb),
-            min(needs.gpus, capacity.gpus),
-        )
+        return _least(needs, capacity)
+
+
+def _sum(amounts: Iterable[Resources]) -> Resources:
+    total = NOTHING
+    for amount in amounts:
+        total = total.plus(amount)
+    return total
+
+
+def _least(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        min(one.cpu_millis, other.cpu_millis),
+        min(one.memory_mb, other.memory_mb),
+        min(one.gpus, other.gpus),
+    )
 
 
 def _is_within(used: int, need: int, cap: int) -> bool:
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -38,7 +38,8 @@
     be stopped. `is_listed` is set once a report of the host has listed the run, which
     proves that this incarnation of the executor has it. `is_filler` is set for a run
     that works on what other runs leave. `is_need_known` is unset for an adopted run
-    whose job is not known, so that `reserved` says nothing about its resources. `need`
+    whose job is not known, so that `reserved` says nothing about its resources, and
+    `is_owner_known` if its organisation is not known either. `need`
     has all resources of the subtask, also the processor time that a filler does not
     reserve; they count for `organisation`, "" for none. `image` is that of its step.
     `over_target_since_ms` is the time since which each report has shown a load above
@@ -55,6 +56,7 @@
         "is_listed",
         "is_long_running",
         "is_need_known",
+        "is_owner_known",
         "is_stop_answered",
         "is_wanted",
         "load",
@@ -103,6 +105,7 @@
         self.is_long_running = False
         self.is_filler = False
         self.is_need_known = True
+        self.is_owner_known = True
         self.percent = 0
         self.load = 0.0
         self.image = ""
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -200,9 +200,11 @@
         self._open_steps(job_run)
         self._finish_if_complete(job_run)
 
-    def ended_job_loaded(self, organisation: str, running: Resources) -> None:
+    def ended_job_loaded(
+        self, job_id: str, organisation: str, running: Resources
+    ) -> None:
         """Count what may still run of a job that ended before this term."""
-        self.hosts.usage.inherit_ended(organisation, running)
+        self.hosts.usage.inherit_ended(job_id, organisation, running)
 
     def job_closed(self, job_run: JobRun) -> None:
         """Stop all runs of a job."""
--- a/tests/scheduling/test_organisation_caps.py
+++ b/tests/scheduling/test_organisation_caps.py
@@ -147,7 +147,7 @@
     usage, organisation = OrganisationUsage(), capped(*cap).organisation("a")
     assert organisation is not None
     need = Resources(1_000, 1_000, 1)
-    usage.inherit_ended("a", need)
+    usage.inherit_ended("0", "a", need)
     usage.unseen_capacity = need
     assert usage.allows(organisation, need, 3)
     assert not usage.allows(organisation, need, 4)
@@ -293,3 +293,24 @@
     for number in range(4):
         sim.scheduler.hosts.unregister(f"gone{number}")
     assert sim.scheduler.hosts.usage.possible("a").cpu_millis == 8_000
+
+
+@pytest.mark.parametrize("owner", ["", "a"])
+def test_runs_of_an_ended_job_count_for_no_more_than_they_need(owner: str) -> None:
+    # Guards against caps that hold everything while the runs of one cancelled job are
+    # being stopped: each counted as its whole host, for all organisations if the job
+    # has none.
+    sim = simulation(20_000, executors=4)
+    for executor in sim.executors.values():
+        executor.stop_duration_ms = 900
+    sim.submit(owned(1, Step(4, SMALL, max_per_host=1), owner=owner))
+    sim.scheduler.jobs.close(sim.scheduler.jobs.by_id[f"{1:016x}"], JobState.CANCELLED)
+    sim.run()
+    assert len(sim.running()) == 4
+    sim.take_over(6)
+    sim.scheduler.term.table = capped(20_000)
+    sim.list_machines()
+    sim.advance(200)
+    assert len(sim.running()) == 4
+    possible = sim.scheduler.hosts.usage.possible("a")
+    assert possible.cpu_millis == (4_000 if owner else 0)
