Start work at once on machines from the standby pool

Callers saw jobs of a pool wait for more than 3 s with nothing running while machines that had been moved to the pool for them were up and idle.

Cause: the planner cordons an ordered machine until the list no longer shows the executor that it had at the order. A machine of the standby pool has none, and as long as another standby machine is listed without one, the empty name counted as listed. The machine's new executor therefore stayed cordoned until the order was forgotten, for the time of a move and the lag of the list after the answer, which is a second or more after the executor came up. Cordoning also moved away long-running subtasks that had started there meanwhile.

The test failed before: the new executor was in the plan's cordon.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -94,8 +94,9 @@
         self._fenced_machines: set[str] = set()
         self._unconfirmed_moves: dict[str, str] = {}
         self._standby_pool = ""
-        # Executor by ordered machine, as of the order: the list may show the machine's
-        # next executor before the answer to the order arrives.
+        # Executor by ordered machine, as of the order, "" for a machine that was off:
+        # the list may show the machine's next executor before the answer to the order
+        # arrives.
         self._executor_at_order: dict[str, str] = {}
 
     def update_machines(
@@ -114,7 +115,7 @@
         listed = {
             machine.executor_id
             for machine in machines
-            if machine.state is MachineState.UP
+            if machine.state is MachineState.UP and machine.executor_id
         }
         ended = [
             machine.executor_id
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -89,6 +89,28 @@
     assert plan.moves == (("m", "b"),)
 
 
+def test_a_machine_that_came_from_the_standby_pool_is_not_cordoned() -> None:
+    # Guards against hosts that get no work in the second after their arrival, while
+    # the jobs that they were moved for wait.
+    planner = Planner(TIMES, 0)
+    standby = [
+        replace(machine(name, "off"), executor_id="") for name in ("m", "n", "o")
+    ]
+    planner.update_machines(tuple(standby), 0)
+    demand = PoolDemand("b", waiting_cpu=1_000, oldest_waiting_ms=500)
+    plan = planner.plan(load(demands=(demand,)), TABLE, BEGIN_MS)
+    assert plan.moves == (("m", "b"),)
+    sent_ms = BEGIN_MS + 10
+    planner.record_completed_order(MoveMachine("m", "b", "", 3), sent_ms)
+    moving = replace(standby[0], pool="b", state=MachineState.MOVING)
+    planner.update_machines((moving, *standby[1:]), sent_ms + 100)
+    up_ms = sent_ms + TIMES.move_ms
+    planner.update_machines((machine("m", "b"), *standby[1:]), up_ms)
+    busy = load(host("m", "b", runs=1), demands=(demand,))
+    plan = planner.plan(busy, TABLE, up_ms)
+    assert not plan.cordon.executor_ids
+
+
 def test_a_machine_that_does_not_answer_adds_no_capacity_to_its_pool() -> None:
     # Guards against the fault of smn-guavapin seed 559227999949: jobs kept waiting in a
     # pool whose only machine was listed as up but did not answer.
