Tell full hosts from free ones in the line on held work

The line 'work held up' counted a host that excludes a step for want of room as 'room', the same word as for a host that has room.

The test failed before: the full host was shown as 'room, in use'.

--- a/src/guavapin/scheduling/held_work.py
+++ b/src/guavapin/scheduling/held_work.py
@@ -150,7 +150,7 @@
         states: Counter[str] = Counter()
         for host in self._hosts(pool):
             exclusion = find_exclusion(step_run, host)
-            state = exclusion.value if exclusion is not None else "room"
+            state = "room" if exclusion is None else f"no {exclusion.value}"
             states[f"{state}, {host.describe(now_ms)}"] += 1
         organisation = step_run.job_run.job.organisation
         usage = self._scheduler.hosts.usage
--- a/tests/scheduling/test_held_work.py
+++ b/tests/scheduling/test_held_work.py
@@ -60,6 +60,17 @@
     assert not held_lines(lines)
 
 
+def test_hosts_without_room_are_told_from_those_with_room(lines) -> None:
+    # Guards against a line that shows full hosts as hosts which nobody chooses.
+    sim = small_simulation()
+    sim.scheduler.cordon(frozenset({"e1", "e2"}), frozenset())
+    sim.submit(make_job("a" * 16, Step(1, sim_need(16_000), 60_000)))
+    sim.submit(make_job("b" * 16, Step(1, SMALL, 600)))
+    sim.advance(HELD_MS + 1_000)
+    (line,) = held_lines(lines)
+    assert line.hosts == {"no room, in use": 1, "room, cordoned": 2}
+
+
 def sim_need(cpu_millis: int) -> Resources:
     return Resources(cpu_millis, 1_000, 0)
 
