Give up a list only if its answer stalls

Cause: a list had 6 s in all, whatever arrived meanwhile. A table of 2.6 MB on the wire needs longer on the slowest links while other answers share them, and each attempt began anew: 'timed out after 6000 milliseconds with 1376180 out of 2637082 bytes received', again and again. Calls already had more time for a long body, but answers had not.

A list whose answer stalls was given up after a second before; now only that, or the time that a link takes for four answers of the largest size, ends it.

The test failed before: 15,000 of 40,087 bytes when the call timed out.

--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -14,6 +14,7 @@
 from guavapin.http.answer_memory import AnswerMemory
 from guavapin.http.multi_driver import MultiDriver
 from guavapin.http.multi_driver import MultiTimer
+from guavapin.http.transfer import MAX_ANSWER_BYTES
 from guavapin.http.transfer import HttpRequest
 from guavapin.http.transfer import Transfer
 from guavapin.http.transfer import prepare
@@ -40,14 +41,23 @@
     from guavapin.keyvalue.codec import StoreCodec
 
 
+# Transfers that may share the link of a list's answer, each of the largest size.
+MAX_LINK_SHARES = 4
+
+# Time that the answer to a list may take beyond the deadline for its first bytes. Such
+# an answer would be as large the next time, so that it is given up only if it stalls.
+LIST_TRANSFER_MS = MAX_LINK_SHARES * transfer_ms(MAX_ANSWER_BYTES)
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformConfig:
     """Settings of the client.
 
     `deadline_ms` limits a call from its arrival at this task to its answer; a watch
     adds its own wait time, and a body the time that the slowest link takes for it.
-    Lists, whose answers are large, have `list_deadline_ms` instead, and a list whose
-    transfer stalls is abandoned earlier. The rates limit this process's share of the
+    Lists, whose answers are large, have `list_deadline_ms` instead, and their answers
+    as much more time as a shared link takes; a list whose transfer stalls is abandoned
+    earlier. The rates limit this process's share of the
     platform's limits. At most `max_queued` calls wait for a token or for a free
     transfer; further calls are not sent. All answers in progress have at most
     `answer_bytes` together.
@@ -217,6 +227,8 @@
         self, curl: Any, transfer: Transfer[_PendingCall], remaining_ms: int
     ) -> Outcome[None]:
         call = transfer.owner.call
+        is_list = call.kind == "list"
+        answer_ms = LIST_TRANSFER_MS if is_list else call.wait_ms
         return prepare(
             curl,
             transfer,
@@ -225,9 +237,9 @@
                 url=self._cfg.url + call.path,
                 headers=("Expect:", *self._codec.headers),
                 body=call.body,
-                timeout_ms=remaining_ms + call.wait_ms + transfer_ms(len(call.body)),
+                timeout_ms=remaining_ms + answer_ms + transfer_ms(len(call.body)),
                 connect_timeout_ms=min(self._cfg.connect_ms, remaining_ms),
-                aborts_stalled=call.kind == "list",
+                aborts_stalled=is_list,
             ),
         )
 
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import base64
 import contextlib
+import json
 import socket
 import threading
 import time
@@ -23,6 +25,7 @@
 from guavapin.keyvalue.messages import Get
 from guavapin.keyvalue.messages import Hosts
 from guavapin.keyvalue.messages import HostState
+from guavapin.keyvalue.messages import Items
 from guavapin.keyvalue.messages import ItemsChanged
 from guavapin.keyvalue.messages import KeyRevision
 from guavapin.keyvalue.messages import Leased
@@ -36,6 +39,7 @@
 from guavapin.keyvalue.messages import NotSent
 from guavapin.keyvalue.messages import Put
 from guavapin.keyvalue.messages import RateLimited
+from guavapin.keyvalue.messages import ReadItems
 from guavapin.keyvalue.messages import Unknown
 from guavapin.keyvalue.messages import Watch
 from guavapin.keyvalue.messages import WatchItems
@@ -335,6 +339,55 @@
         listener.close()
 
 
+def test_a_list_that_makes_progress_is_not_given_up() -> None:
+    # Guards against a large value that a slow link cannot carry within the time of one
+    # call, and whose reader begins anew without end: a host that restarts has no table
+    # and rejects every call.
+    item = {"key": "p/1", "value": base64.b64encode(b"v" * 30_000).decode()}
+    items = [{**item, "revision": 3, "created": 3}]
+    body = json.dumps({"items": items, "current-rev": 9}).encode()
+    listener = socket.create_server(("127.0.0.1", 0))
+    pause = threading.Event()
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        with sock, contextlib.suppress(OSError):
+            sock.recv(65536)
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            sock.sendall(head.encode())
+            for first in range(0, len(body), 5_000):
+                sock.sendall(body[first : first + 5_000])
+                pause.wait(0.1)
+
+    threading.Thread(target=serve, daemon=True).start()
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    client = Client(url, codec=PlatformStoreCodec(), list_deadline_ms=300)
+    try:
+        listed = client.call(ReadItems("", 0, "p/", ""))
+    finally:
+        client.kernel.stop()
+        listener.close()
+    assert isinstance(listed, Items)
+    assert listed.items[0].value == b"v" * 30_000
+
+
+def test_a_list_that_stalls_is_given_up() -> None:
+    # Guards against a dead connection that holds up the list of a successor.
+    listener = socket.create_server(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    client = Client(url, codec=PlatformStoreCodec(), list_deadline_ms=300)
+    try:
+        listing = client.begin(ReadItems("", 0, "p/", ""))
+        sock, _ = listener.accept()
+        with sock:
+            sock.recv(65536)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n{")
+            assert isinstance(listing.result(10), Unknown)
+    finally:
+        client.kernel.stop()
+        listener.close()
+
+
 def test_a_call_that_libcurl_does_not_take_is_not_sent() -> None:
     # Guards against a part of a call from outside that ends the process, as the address
     # of a registration did.
