Ask for the first table once at a time

A host without a table asked the scheduler for it every 500 ms and gave up each query after 2 s, so that up to four answers of the whole table shared its link with the list of the store, and none arrived. At the scheduler they held 60 MB and other calls of entry hosts were refused for want of memory.

A host that has a table may still ask in parallel: the answer is short then, and it proves its view in time although one query is lost.

The test failed before: eight queries in 4 s instead of one.

--- a/src/guavapin/jobs/table_relay.py
+++ b/src/guavapin/jobs/table_relay.py
@@ -15,6 +15,10 @@
 # Timeout of a query. A table of 1 MB takes 1.7 s on the slowest link.
 QUERY_TIMEOUT_MS = 2_000
 
+# Timeout of the query of a host that has no table, so that the answer holds one, while
+# the host may read the same table from the store over the same link.
+FIRST_QUERY_TIMEOUT_MS = 3 * QUERY_TIMEOUT_MS
+
 
 class _Described(msgspec.Struct, omit_defaults=True):
     version: int
@@ -25,7 +29,8 @@
 def table_query(reply_to: str, request_id: int, address: str, version: int) -> PeerCall:
     """Return the call that asks for a table above `version` and its proof."""
     path = f"{TABLE_PATH}?version={max(version, 0)}"
-    return PeerCall(reply_to, request_id, address, "GET", path, b"", QUERY_TIMEOUT_MS)
+    timeout_ms = QUERY_TIMEOUT_MS if version >= 0 else FIRST_QUERY_TIMEOUT_MS
+    return PeerCall(reply_to, request_id, address, "GET", path, b"", timeout_ms)
 
 
 def queried_version(query: str) -> int:
--- a/src/guavapin/jobs/tables.py
+++ b/src/guavapin/jobs/tables.py
@@ -174,7 +174,9 @@
         now_ms = self._context.clock.now_ms()
         scheduler = self._scheduler
         is_other = scheduler.address and scheduler.holder != self._own_holder
-        if is_other and self._view.needs_relay(now_ms):
+        # Each answer to a host without a table holds the whole table.
+        is_loading = self._table is None and bool(self._peer_sent_ms)
+        if is_other and not is_loading and self._view.needs_relay(now_ms):
             self._request_id += 1
             self._peer_sent_ms[self._request_id] = now_ms
             query = table_query(
--- a/tests/intake/test_revocation.py
+++ b/tests/intake/test_revocation.py
@@ -22,6 +22,7 @@
 from guavapin.jobs.table_view import watch_wait_ms
 from guavapin.jobs.tables import TablesTask
 from guavapin.kernel.clock import ManualClock
+from guavapin.kernel.harness import TaskHarness
 from guavapin.kernel.task import TimerHandle
 from guavapin.keyvalue import messages as kv
 from guavapin.keyvalue.follower import PrefixFollower
@@ -339,3 +340,19 @@
     (row, *_) = [row for row in caplog.records if row.levelname == "ERROR"]
     assert "key 2 of organisation 'acme'" in row.detail
     assert "k1" not in row.detail
+
+
+def test_a_host_without_a_table_asks_for_it_once_at_a_time() -> None:
+    # Guards against a link that carries the same large table several times, so that no
+    # answer arrives in time and the host rejects every call.
+    task = TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, "n2@n2:1#1")
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(KnownScheduler("n1:1", "n1@n1:1#1", 1))
+    harness.advance(4_000)
+    calls = [row.message for row in harness.sent if row.service == "http"]
+    assert len(calls) == 1
+    unanswered = Unanswered(True, "the answer took too long")
+    task.handle(PeerReply(calls[0].request_id, unanswered))
+    harness.advance(600)
+    assert len([row for row in harness.sent if row.service == "http"]) == 2
