Add a soak of planned work on open connections

A connection that ends without a whole answer more than 200 ms after the request is reported, unless the kernel of the process answered the request with a reset, which shows that it was not read. A process that ends by a signal's default action, with a failure, without a SIGTERM or after its grace is reported too.

--- a/src/guavapin_soak/__main__.py
+++ b/src/guavapin_soak/__main__.py
@@ -8,6 +8,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from guavapin_soak.planned_run import PlannedResult
+from guavapin_soak.planned_run import run_planned_work
 from guavapin_soak.run import RunResult
 from guavapin_soak.run import run_soak
 
@@ -21,21 +23,30 @@
     parser.add_argument("--hosts", type=int, default=3, help="entry hosts of a run")
     parser.add_argument("--at-once", type=int, default=2, help="runs at a time")
     parser.add_argument("--folder", type=Path, help="where logs go; else a new folder")
+    parser.add_argument(
+        "--planned", action="store_true", help="planned work only, on open connections"
+    )
     options = parser.parse_args(arguments)
     folder = options.folder or Path(tempfile.mkdtemp(prefix="guavapin-soak-"))
     print(f"logs go to {folder}")
 
-    def run_seed(seed: int) -> RunResult:
+    def run_seed(seed: int) -> RunResult | PlannedResult:
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True)
-        return run_soak(seed, options.seconds * 1_000, options.hosts, seed_folder)
+        run = run_planned_work if options.planned else run_soak
+        return run(seed, options.seconds * 1_000, options.hosts, seed_folder)
 
     failed = 0
     seeds = range(options.first, options.first + options.runs)
     with ThreadPoolExecutor(options.at_once) as executor:
         for result in executor.map(run_seed, seeds):
             failed += bool(result.violations)
-            _print_result(result)
+            if isinstance(result, PlannedResult):
+                _print_planned(result)
+            else:
+                _print_result(result)
+            for text in result.violations:
+                print(f"  {text}", flush=True)
     print(f"{options.runs} runs, {failed} failed")
     return 1 if failed else 0
 
@@ -49,8 +60,16 @@
         f"{'FAILED' if result.violations else 'ok'}",
         flush=True,
     )
-    for text in result.violations:
-        print(f"  {text}", flush=True)
+
+
+def _print_planned(result: PlannedResult) -> None:
+    kinds = sorted({step.kind.name for step in result.steps})
+    ends = ", ".join(f"{count} {end.value}" for end, count in result.ends.items())
+    print(
+        f"seed {result.seed}: {len(result.steps)} steps ({', '.join(kinds)}), "
+        f"{result.stops} stops; {ends}: {'FAILED' if result.violations else 'ok'}",
+        flush=True,
+    )
 
 
 if __name__ == "__main__":
--- a/src/guavapin_soak/organisations.py
+++ b/src/guavapin_soak/organisations.py
@@ -95,6 +95,21 @@
         self._store()
         self.removed_ms[removed] = self._now_ms()
 
+    def change_routes(self, prefix: str) -> None:
+        """Store a version in which a second route has `prefix`, and no third one."""
+        first = self._base["routes"][0]
+        other = {**first, "name": "other", "prefix": prefix}
+        self._base = {**self._base, "routes": [first, other]}
+        self._version += 1
+        self._store()
+
+    def change_limits(self, idle_timeout_ms: int) -> None:
+        """Store a version with another timeout of idle connections."""
+        limits = {"idle-timeout-ms": idle_timeout_ms}
+        self._base = {**self._base, "limits": limits}
+        self._version += 1
+        self._store()
+
     def _store(self) -> None:
         tenants = [
             {
--- /dev/null
+++ b/tests/soak/test_planned_work.py
@@ -0,0 +1,165 @@
+"""The planned work of a run, and what the checks of its requests report."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+
+from guavapin_soak.answer_checks import LOSS_SLACK_MS
+from guavapin_soak.answer_checks import Exchange
+from guavapin_soak.answer_checks import ExchangeEnd
+from guavapin_soak.answer_checks import answer_violations
+from guavapin_soak.answer_checks import exit_violation
+from guavapin_soak.open_connection import OpenConnection
+from guavapin_soak.planned_host import GRACE_MS
+from guavapin_soak.planned_work import MANIFEST_KINDS
+from guavapin_soak.planned_work import WorkKind
+from guavapin_soak.planned_work import plan_work
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LENGTH_MS = 12_000
+
+REQUEST = b"GET /q/a HTTP/1.1\r\nHost: jobs.example\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+NOTHING_HELD_BACK = (0, 0.0)
+
+
+def exchange(end: ExchangeEnd, after_ms: int) -> Exchange:
+    return Exchange("e0", "GET a", 1_000, 1_000 + after_ms, end)
+
+
+def test_lost_and_silent_requests_are_reported() -> None:
+    # Guards against a check that cannot fail.
+    lost = exchange(ExchangeEnd.CUT, LOSS_SLACK_MS + 1)
+    silent = exchange(ExchangeEnd.SILENT, 9_000)
+    assert len([*answer_violations([lost, silent])]) == 2
+
+
+def test_requests_that_the_rule_excuses_are_not_reported() -> None:
+    # Guards against runs that fail although no rule is broken.
+    excused = (
+        exchange(ExchangeEnd.ANSWERED, 9_000),
+        exchange(ExchangeEnd.NOT_READ, 9_000),
+        exchange(ExchangeEnd.CUT, LOSS_SLACK_MS),
+    )
+    assert [*answer_violations(excused)] == []
+
+
+@pytest.mark.parametrize(
+    ("code", "after_ms", "is_reported"),
+    [
+        (0, 3_000, False),
+        (0, GRACE_MS, False),
+        (0, GRACE_MS + 1, True),
+        (0, -1, True),
+        (1, 3_000, True),
+        (-signal.SIGTERM, 3_000, True),
+        (-signal.SIGHUP, -1, True),
+    ],
+)
+def test_ends_other_than_a_graceful_stop_are_reported(
+    code: int, after_ms: int, is_reported: bool
+) -> None:
+    # Guards against a process that ends by a signal's default action unnoticed.
+    assert bool(exit_violation("e0", code, after_ms, GRACE_MS)) is is_reported
+
+
+def test_a_seed_gives_the_same_planned_work_each_time() -> None:
+    # Guards against a failed seed that cannot be reproduced.
+    assert plan_work(7, LENGTH_MS, 3) == plan_work(7, LENGTH_MS, 3)
+    assert plan_work(7, LENGTH_MS, 3) != plan_work(8, LENGTH_MS, 3)
+
+
+def test_fifty_seeds_draw_every_kind_on_known_hosts() -> None:
+    # Guards against a kind of planned work that the default fifty seeds never draw.
+    steps = [step for seed in range(1, 51) for step in plan_work(seed, LENGTH_MS, 3)]
+    assert {step.kind for step in steps} == set(WorkKind)
+    for step in steps:
+        assert set(step.targets) <= {0, 1, 2}
+        assert bool(step.targets) is (step.kind not in MANIFEST_KINDS)
+    assert any(len(step.targets) > 1 for step in steps)
+
+
+class OneConnection:
+    """Listener whose only connection is handled by `serve` on its own thread."""
+
+    def __init__(self, serve: Callable[[socket.socket], object]) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run, args=(serve,))
+        self._thread.start()
+
+    def _run(self, serve: Callable[[socket.socket], object]) -> None:
+        with self._listener, self._listener.accept()[0] as sock:
+            serve(sock)
+
+    def join(self) -> None:
+        self._thread.join()
+
+
+def read_request(sock: socket.socket) -> None:
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        data += sock.recv(4_096)
+
+
+def answer_one(sock: socket.socket) -> None:
+    read_request(sock)
+    sock.sendall(ANSWER)
+
+
+def answer_in_part(sock: socket.socket) -> None:
+    read_request(sock)
+    sock.sendall(ANSWER[:-1])
+
+
+def close_unread(sock: socket.socket) -> None:
+    sock.recv(1)
+
+
+@pytest.mark.parametrize(
+    ("serve", "expected"),
+    [
+        (answer_one, ExchangeEnd.ANSWERED),
+        (read_request, ExchangeEnd.CUT),
+        (answer_in_part, ExchangeEnd.CUT),
+        (close_unread, ExchangeEnd.NOT_READ),
+    ],
+)
+def test_a_lost_request_is_told_from_an_unread_one(
+    serve: Callable[[socket.socket], object], expected: ExchangeEnd
+) -> None:
+    # Guards against lost requests that count as unread, and the reverse.
+    site = OneConnection(serve)
+    conn = OpenConnection("e0", site.port, lambda: 0)
+    row, body = conn.ask("GET a", REQUEST, 1_000, NOTHING_HELD_BACK)
+    assert row.end is expected
+    assert body == (b"ok" if expected is ExchangeEnd.ANSWERED else b"")
+    conn.close()
+    site.join()
+
+
+def test_a_request_sent_after_the_close_counts_as_unread() -> None:
+    # Guards against runs that fail by callers who use a connection that was closed.
+    site = OneConnection(lambda sock: None)
+    conn = OpenConnection("e0", site.port, lambda: 0)
+    site.join()
+    row, _ = conn.ask("GET a", REQUEST, 1_000, NOTHING_HELD_BACK)
+    assert row.end is ExchangeEnd.NOT_READ
+
+
+def test_a_request_without_an_answer_is_reported_as_silent() -> None:
+    # Guards against a process that hangs while callers wait for it.
+    done = threading.Event()
+    site = OneConnection(lambda sock: done.wait())
+    conn = OpenConnection("e0", site.port, lambda: 0)
+    row, _ = conn.ask("GET a", REQUEST, 0, NOTHING_HELD_BACK)
+    assert row.end is ExchangeEnd.SILENT
+    done.set()
+    site.join()
