Hold signals back while a resident starts

What callers and the platform saw: a process ended by SIGHUP or SIGTERM with code -1 or -15 if the signal arrived while it started. After SIGHUP the host was away until it was started again.

Cause: the handlers were installed after all modules had been imported, which takes most of a start, so that the signal's default action applied.

guavapin-resident now blocks these signals before it imports its services and releases them once their handlers are installed. A SIGTERM that arrived before the services start ends the process at once, with code 0.

The new tests send the signal at the first import of the services; they failed before with codes -15 and -1.

--- a/src/guavapin/daemons/lifecycle.py
+++ b/src/guavapin/daemons/lifecycle.py
@@ -4,13 +4,13 @@
 
 import logging
 import os
-import selectors
-import signal
-import socket
 import traceback
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from guavapin.daemons.signals import FAILURE_BYTE
+from guavapin.daemons.signals import STOP_SIGNALS
+from guavapin.daemons.signals import SignalReceiver
 from guavapin.kernel.outcome import Refused
 
 if TYPE_CHECKING:
@@ -22,9 +22,7 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 
-# Reports a failed loop; no signal has the number 0.
-FAILURE_BYTE = 0
-STOP_BYTES = frozenset((FAILURE_BYTE, signal.SIGTERM, signal.SIGINT))
+STOP_BYTES = STOP_SIGNALS | {FAILURE_BYTE}
 
 # Innermost frames of a failure in its log line. They lead from the event loop through
 # the task to the failed call.
@@ -36,21 +34,20 @@
 def run_daemon(kernel: Kernel, drain: Callable[[], None]) -> int:
     """Run `kernel` until SIGTERM or SIGINT and return the exit code.
 
-    `drain` finishes the work in progress before the services stop. A broken invariant
-    in any task ends the process with exit code 1.
+    `drain` finishes the work in progress before the services stop. A signal to stop
+    that arrives before the services start ends the process at once. A broken invariant in any task ends the process with exit code 1.
     """
-    receiver, sender = socket.socketpair()
-    sender.setblocking(False)
-    signal.set_wakeup_fd(sender.fileno())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, _ignore_signal)
+    signals = SignalReceiver(kernel.clock)
+    if signals.stop_ms >= 0:
+        log.info("stopped before the start")
+        return EXIT_DONE
     outcome = kernel.start()
     if isinstance(outcome, Refused):
         log.error("start failed", extra={"reason": outcome.detail})
         return EXIT_FAILED
     log.info("started", extra={"pid": os.getpid()})
-    kernel.on_failure(lambda: sender.send(bytes([FAILURE_BYTE])))
-    _wait_for_stop(receiver)
+    kernel.on_failure(signals.report_failure)
+    _wait_for_stop(signals)
     failure = kernel.failure
     if failure is not None:
         extra = {"failure": repr(failure), "frames": describe_frames(failure)}
@@ -79,19 +76,9 @@
     ]
 
 
-def _ignore_signal(number: int, frame: object) -> None:
-    """Do nothing: the wake-up descriptor reports the signal."""
-
-
-def _wait_for_stop(receiver: socket.socket) -> None:
-    """Block until a signal to stop arrives, or a loop fails.
-
-    Python writes the number of every signal that has a handler to the wake-up
-    descriptor, including signals that do not stop the process.
-    """
-    with selectors.DefaultSelector() as selector:
-        selector.register(receiver, selectors.EVENT_READ)
-        while True:
-            selector.select()
-            if any(number in STOP_BYTES for number in receiver.recv(64)):
-                return
+def _wait_for_stop(signals: SignalReceiver) -> None:
+    """Block until a signal to stop arrives, or a loop fails."""
+    while True:
+        numbers = signals.wait()
+        if any(number in STOP_BYTES for number in numbers):
+            return
--- a/src/guavapin/daemons/resident.py
+++ b/src/guavapin/daemons/resident.py
@@ -1,103 +1,24 @@
-"""``guavapin-resident``: the process of an entry host on the users' platform."""
+"""Console command ``guavapin-resident``; holds signals back until they are handled."""
 
 from __future__ import annotations
 
-import argparse
-import logging
-import os
-import signal
 import sys
-from concurrent.futures import wait
-from pathlib import Path
 from typing import TYPE_CHECKING
 
-from guavapin.daemons.lifecycle import EXIT_BAD_SETTINGS
-from guavapin.daemons.lifecycle import run_daemon
-from guavapin.kernel import Refused
-from guavapin.kernel import SystemClock
-from guavapin.metrics.logs import configure_logs
-from guavapin.metrics.resident import ResidentMetrics
-from guavapin.platform.settings import parse_settings
-from guavapin.resident import compose_resident
-from guavapin.scheduling.task import HandOver
-from guavapin.serving.messages import SetReady
-from guavapin.serving.messages import StopAccepting
+from guavapin.daemons.signals import hold_signals
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from guavapin.kernel import Kernel
-    from guavapin.settings.resident import ResidentSettings
-
-log = logging.getLogger("guavapin.daemon")
-
-SETTINGS_VARIABLE = "GUAVAPIN_SETTINGS"
-
-DESCRIPTION = """\
-Take callers' jobs and, in one process of all, schedule them on the executors and move
-and maintain machines. The settings are the file that GUAVAPIN_SETTINGS names.
-"""
-
-# Time between the answer "not ready" and the closing of the listener. The platform
-# probes once a second and removes a process after two failed probes.
-UNREADY_NOTICE_MS = 2_500
-
-# Part of the grace period that is reserved for stopping the services.
-STOP_RESERVE_MS = 1_000
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run the daemon and return its exit code; 2 for faults in the settings."""
-    parser = argparse.ArgumentParser("guavapin-resident", description=DESCRIPTION)
-    parser.add_argument("--metrics-port", type=int, default=0, help="0 for any port")
-    parser.add_argument("--log-level", default="info")
-    args = parser.parse_args(argv)
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        text = Path(path).read_text(encoding="utf-8", errors="replace")
-    except OSError as exc:
-        message = f"{SETTINGS_VARIABLE}: {path!r} cannot be read: {exc}"
-        print(f"guavapin-resident: {message}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    cfg = parse_settings(text)
-    if isinstance(cfg, Refused):
-        for fault in cfg.detail.splitlines():
-            print(f"guavapin-resident: {fault}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    metrics = ResidentMetrics()
-    configure_logs(args.log_level, cfg.value.node, sys.stdout, metrics)
-    signal.signal(
-        signal.SIGHUP, lambda number, frame: _check_changed_settings(Path(path))
-    )
-    kernel = compose_resident(cfg.value, metrics, args.metrics_port, SystemClock())
-    return run_daemon(kernel, lambda: _drain(kernel, cfg.value))
-
-
-def _check_changed_settings(path: Path) -> None:
-    """Check a changed settings file and log the result.
-
-    The settings are addresses and limits that are fixed for the life of a process, so
-    a changed file takes effect at the next start.
-    """
-    try:
-        text = path.read_text(encoding="utf-8", errors="replace")
-    except OSError as exc:
-        log.error("settings cannot be read", extra={"failure": str(exc)})
-        return
-    cfg = parse_settings(text)
-    faults = cfg.detail.splitlines() if isinstance(cfg, Refused) else []
-    log.info("settings changed", extra={"faults": faults})
-
+    hold_signals()
+    # Importing the services takes most of a start. A signal that arrives meanwhile
+    # must not end the process by its default action.
+    from guavapin.daemons.resident_process import run_resident
 
-def _drain(kernel: Kernel, cfg: ResidentSettings) -> None:
-    """Hand the duty over, stop accepting and finish the requests in progress."""
-    kernel.deliver("ready_front", SetReady(False, is_stopping=True))
-    kernel.deliver("front", SetReady(False, is_stopping=True))
-    kernel.deliver("scheduler", HandOver())
-    kernel.wait_for_failure(UNREADY_NOTICE_MS)
-    fut = kernel.ask("front", StopAccepting())
-    left_ms = cfg.times.grace_ms - UNREADY_NOTICE_MS - STOP_RESERVE_MS
-    wait([fut], max(left_ms, 0) / 1_000)
+    return run_resident(argv)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/guavapin/daemons/signals.py
@@ -0,0 +1,58 @@
+"""The signals of a daemon, from its start to its end."""
+
+from __future__ import annotations
+
+import selectors
+import signal
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from guavapin.kernel import Clock
+
+# Reports a failed loop; no signal has the number 0.
+FAILURE_BYTE = 0
+STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
+HANDLED_SIGNALS = STOP_SIGNALS | {signal.SIGHUP}
+
+
+def hold_signals() -> None:
+    """Keep signals pending until a `SignalReceiver` releases them.
+
+    Must be called before other threads start, since they inherit the mask.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+
+
+class SignalReceiver:
+    """Receives the signals to stop on the main thread and releases all held signals.
+
+    The handler of SIGHUP is installed before.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        # Time of the first signal to stop, below 0 if there was none.
+        self.stop_ms = -1
+        self._clock = clock
+        self._receiver, self._sender = socket.socketpair()
+        self._receiver.setblocking(False)
+        self._sender.setblocking(False)
+        signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
+        for number in STOP_SIGNALS:
+            signal.signal(number, self._record_stop)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+    def report_failure(self) -> None:
+        """Report a failed loop; may be called from any thread."""
+        self._sender.send(bytes([FAILURE_BYTE]))
+
+    def wait(self) -> bytes:
+        """Block until signals arrive or a loop fails; return their numbers."""
+        with selectors.DefaultSelector() as selector:
+            selector.register(self._receiver, selectors.EVENT_READ)
+            selector.select()
+        return self._receiver.recv(64)
+
+    def _record_stop(self, number: int, frame: object) -> None:
+        if self.stop_ms < 0:
+            self.stop_ms = self._clock.now_ms()
--- a/tests/daemons/test_lifecycle.py
+++ b/tests/daemons/test_lifecycle.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 from guavapin.daemons.lifecycle import MAX_LOGGED_FRAMES
 from guavapin.daemons.lifecycle import describe_frames
 
@@ -34,3 +37,12 @@
     frames = describe_frames(failure_after(100))
     assert len(frames) == MAX_LOGGED_FRAMES
     assert all(frame.endswith(" raise_after") for frame in frames)
+
+
+def test_the_services_of_a_resident_are_imported_while_signals_are_held() -> None:
+    # Guards against an import that is moved before the signals are held.
+    code = (
+        "import sys, guavapin.daemons.resident;"
+        "sys.exit('guavapin.kernel' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", code]).returncode == 0
--- /dev/null
+++ b/tests/daemons/test_signals.py
@@ -0,0 +1,67 @@
+"""A resident keeps running through signals that arrive at awkward moments."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+import pytest
+
+from guavapin_soak.entry_process import entry_ports
+from guavapin_soak.entry_process import settings_text
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+# Far above the grace of a stop, so that only a process that hangs exceeds it.
+TIMEOUT_S = 30
+
+# Sends the signal whose number is the first argument when the first module of the
+# services is imported, and SIGTERM once the services have started.
+SIGNAL_IN_AN_IMPORT = """
+import logging, os, runpy, signal, sys
+number = int(sys.argv.pop())
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "guavapin.kernel":
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), number)
+            logging.getLogger("guavapin.daemon").addFilter(stop_at_start)
+def stop_at_start(record):
+    if record.msg == "started":
+        os.kill(os.getpid(), signal.SIGTERM)
+    return True
+sys.meta_path.insert(0, Finder())
+runpy.run_module("guavapin.daemons.resident", run_name="__main__")
+"""
+
+
+def run_resident(
+    folder: Path, code: str, *args: str
+) -> subprocess.CompletedProcess[str]:
+    """Run `code` with the settings of an entry host whose platform is away."""
+    path = folder / "settings"
+    path.write_text(settings_text("e0", entry_ports(9)))
+    return subprocess.run(
+        [sys.executable, "-c", code, *args],
+        env={**os.environ, "GUAVAPIN_SETTINGS": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+
+
+@pytest.mark.parametrize(
+    ("number", "is_started"), [(signal.SIGTERM, False), (signal.SIGHUP, True)]
+)
+def test_a_signal_during_the_start_does_not_end_the_process_by_default(
+    number: signal.Signals, is_started: bool, tmp_path: Path
+) -> None:
+    # Guards against processes that ended by SIGHUP or SIGTERM while they imported their
+    # modules, before the handlers were installed.
+    done = run_resident(tmp_path, SIGNAL_IN_AN_IMPORT, str(int(number)))
+    assert done.returncode == 0, done.stderr
+    assert ('"started"' in done.stdout) is is_started
