Reload on SIGHUP outside of the signal handler

What callers would see: the process stops answering, on all connections, and is killed at the end of its grace or never.

Cause: the handler of SIGHUP wrote a log line. It runs between any two instructions of the main thread, also while that thread counts a line in the metrics, whose lock is not reentrant (prometheus_client uses threading.Lock). The main thread then waited for a lock that it held, and each loop waited for it at its next log line.

Handlers now only record. The main thread reads the signals from the wake-up descriptor and reloads where it holds no lock; a SIGHUP during a stop has no effect, since settings take effect at the next start. guavapin-entry and guavapin-control no longer end on SIGHUP.

The new test sends SIGHUP while the main thread counts a line; before, the process hung and the test failed at its timeout of 30 s.

--- a/src/guavapin/daemons/lifecycle.py
+++ b/src/guavapin/daemons/lifecycle.py
@@ -31,11 +31,16 @@
 log = logging.getLogger("guavapin.daemon")
 
 
-def run_daemon(kernel: Kernel, drain: Callable[[], None]) -> int:
+def run_daemon(
+    kernel: Kernel,
+    drain: Callable[[], None],
+    reload: Callable[[], None] = lambda: None,
+) -> int:
     """Run `kernel` until SIGTERM or SIGINT and return the exit code.
 
-    `drain` finishes the work in progress before the services stop. A signal to stop
-    that arrives before the services start ends the process at once. A broken invariant in any task ends the process with exit code 1.
+    `drain` finishes the work in progress before the services stop; `reload` is called
+    on SIGHUP. A signal to stop that arrives before the services start ends the process
+    at once. A broken invariant in any task ends the process with exit code 1.
     """
     signals = SignalReceiver(kernel.clock)
     if signals.stop_ms >= 0:
@@ -47,7 +52,7 @@
         return EXIT_FAILED
     log.info("started", extra={"pid": os.getpid()})
     kernel.on_failure(signals.report_failure)
-    _wait_for_stop(signals)
+    _wait_for_stop(signals, reload)
     failure = kernel.failure
     if failure is not None:
         extra = {"failure": repr(failure), "frames": describe_frames(failure)}
@@ -76,9 +81,10 @@
     ]
 
 
-def _wait_for_stop(signals: SignalReceiver) -> None:
-    """Block until a signal to stop arrives, or a loop fails."""
+def _wait_for_stop(signals: SignalReceiver, reload: Callable[[], None]) -> None:
+    """Block until a signal to stop arrives, or a loop fails; reload on others."""
     while True:
         numbers = signals.wait()
         if any(number in STOP_BYTES for number in numbers):
             return
+        reload()
--- a/src/guavapin/daemons/resident_process.py
+++ b/src/guavapin/daemons/resident_process.py
@@ -5,7 +5,6 @@
 import argparse
 import logging
 import os
-import signal
 import sys
 from concurrent.futures import wait
 from pathlib import Path
@@ -66,11 +65,12 @@
         return EXIT_BAD_SETTINGS
     metrics = ResidentMetrics()
     configure_logs(args.log_level, cfg.value.node, sys.stdout, metrics)
-    signal.signal(
-        signal.SIGHUP, lambda number, frame: _check_changed_settings(Path(path))
-    )
     kernel = compose_resident(cfg.value, metrics, args.metrics_port, SystemClock())
-    return run_daemon(kernel, lambda: _drain(kernel, cfg.value))
+    return run_daemon(
+        kernel,
+        lambda: _drain(kernel, cfg.value),
+        lambda: _check_changed_settings(Path(path)),
+    )
 
 
 def _check_changed_settings(path: Path) -> None:
--- a/src/guavapin/daemons/signals.py
+++ b/src/guavapin/daemons/signals.py
@@ -25,9 +25,10 @@
 
 
 class SignalReceiver:
-    """Receives the signals to stop on the main thread and releases all held signals.
+    """Receives the signals of the process on its main thread.
 
-    The handler of SIGHUP is installed before.
+    Handlers only record: they run between any two instructions of the main thread,
+    which may hold a lock of the log or of the metrics.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -40,6 +41,7 @@
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
         for number in STOP_SIGNALS:
             signal.signal(number, self._record_stop)
+        signal.signal(signal.SIGHUP, _ignore_signal)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
 
     def report_failure(self) -> None:
@@ -56,3 +58,7 @@
     def _record_stop(self, number: int, frame: object) -> None:
         if self.stop_ms < 0:
             self.stop_ms = self._clock.now_ms()
+
+
+def _ignore_signal(number: int, frame: object) -> None:
+    """Do nothing: the wake-up descriptor reports the signal."""
--- a/tests/daemons/test_signals.py
+++ b/tests/daemons/test_signals.py
@@ -19,6 +19,25 @@
 # Far above the grace of a stop, so that only a process that hangs exceeds it.
 TIMEOUT_S = 30
 
+# Sends SIGHUP while the main thread counts a log line, and SIGTERM once the SIGHUP has
+# been logged.
+HANG_UP_IN_A_LOG_LINE = """
+import os, signal, sys, threading
+from guavapin.metrics import resident
+LOCK = threading.Lock()
+class LockingMetrics(resident.ResidentMetrics):
+    def filter(self, record):
+        with LOCK:
+            if record.msg == "started":
+                os.kill(os.getpid(), signal.SIGHUP)
+        if record.msg == "settings changed":
+            os.kill(os.getpid(), signal.SIGTERM)
+        return super().filter(record)
+resident.ResidentMetrics = LockingMetrics
+from guavapin.daemons.resident import main
+sys.exit(main([]))
+"""
+
 # Sends the signal whose number is the first argument when the first module of the
 # services is imported, and SIGTERM once the services have started.
 SIGNAL_IN_AN_IMPORT = """
@@ -54,6 +73,16 @@
     )
 
 
+def test_a_sighup_while_a_line_is_logged_does_not_block_the_process(
+    tmp_path: Path,
+) -> None:
+    # Guards against a process that waits for a lock that its own main thread holds: the
+    # handler of SIGHUP logged, and every loop then waited for the lock of the metrics.
+    done = run_resident(tmp_path, HANG_UP_IN_A_LOG_LINE)
+    assert done.returncode == 0, done.stderr
+    assert '"settings changed"' in done.stdout
+
+
 @pytest.mark.parametrize(
     ("number", "is_started"), [(signal.SIGTERM, False), (signal.SIGHUP, True)]
 )
