Ignore signals once a daemon has stopped

What the platform saw: a process that had stopped gracefully ended with code -15 or -1 instead of 0, if a second SIGTERM or a SIGHUP arrived in its last moments.

Cause: at its end the interpreter restores the default action of each signal that has a handler, before it removes its modules, which takes 50 ms and more.

The new test sends the signal while the modules are removed; it failed before with both codes.

--- a/src/guavapin/daemons/lifecycle.py
+++ b/src/guavapin/daemons/lifecycle.py
@@ -40,9 +40,22 @@
 
     `drain` finishes the work in progress before the services stop; `reload` is called
     on SIGHUP. A signal to stop that arrives before the services start ends the process
-    at once. A broken invariant in any task ends the process with exit code 1.
+    at once. A broken invariant in any task ends the process with exit code 1. Signals
+    are ignored from then on.
     """
     signals = SignalReceiver(kernel.clock)
+    try:
+        return _run_until_stopped(kernel, signals, drain, reload)
+    finally:
+        signals.close()
+
+
+def _run_until_stopped(
+    kernel: Kernel,
+    signals: SignalReceiver,
+    drain: Callable[[], None],
+    reload: Callable[[], None],
+) -> int:
     if signals.stop_ms >= 0:
         log.info("stopped before the start")
         return EXIT_DONE
--- a/src/guavapin/daemons/signals.py
+++ b/src/guavapin/daemons/signals.py
@@ -55,6 +55,18 @@
             selector.select()
         return self._receiver.recv(64)
 
+    def close(self) -> None:
+        """Ignore further signals, until the process has ended.
+
+        The interpreter restores the default action of a signal at its end if the signal
+        has a handler then, but not if it is ignored.
+        """
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+        signal.set_wakeup_fd(-1)
+        self._receiver.close()
+        self._sender.close()
+
     def _record_stop(self, number: int, frame: object) -> None:
         if self.stop_ms < 0:
             self.stop_ms = self._clock.now_ms()
--- a/tests/daemons/test_signals.py
+++ b/tests/daemons/test_signals.py
@@ -57,6 +57,23 @@
 runpy.run_module("guavapin.daemons.resident", run_name="__main__")
 """
 
+# Stops the process once it has started, and sends the signal whose number is the first
+# argument when the interpreter removes its modules at the end.
+SIGNAL_AT_THE_END = """
+import logging, os, signal, sys
+class SignalAtTheEnd:
+    def __del__(self, kill=os.kill, number=int(sys.argv.pop()), pid=os.getpid()):
+        kill(pid, number)
+sys.modules["signal_at_the_end"] = SignalAtTheEnd()
+def stop_at_start(record):
+    if record.msg == "started":
+        os.kill(os.getpid(), signal.SIGTERM)
+    return True
+logging.getLogger("guavapin.daemon").addFilter(stop_at_start)
+from guavapin.daemons.resident import main
+sys.exit(main([]))
+"""
+
 
 def run_resident(
     folder: Path, code: str, *args: str
@@ -94,3 +111,14 @@
     done = run_resident(tmp_path, SIGNAL_IN_AN_IMPORT, str(int(number)))
     assert done.returncode == 0, done.stderr
     assert ('"started"' in done.stdout) is is_started
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_at_the_end_does_not_change_the_exit_code(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    # Guards against processes that had stopped gracefully and ended by another signal:
+    # the interpreter restores the default actions before it removes its modules.
+    done = run_resident(tmp_path, SIGNAL_AT_THE_END, str(int(number)))
+    assert done.returncode == 0, done.stderr
+    assert '"stopped"' in done.stdout
