Answer the requests in progress before a resident ends

What callers saw: a connection that ended without an answer, seconds after the whole request was sent, at a process that got SIGTERM.

Cause: a process that stops serves new requests for 2.5 s, waits for those in progress until 5.0 s and then stops its services, which drops the rest. A caller's deadline may be later: a call with a deadline of 3 s that is read 2.2 s after the SIGTERM may wait until then for the store, one with a longer deadline from the first moment on.

0.4 s before the services stop, intake now answers each call as at its deadline: 503 only if it certainly had no effect, else 504. Calls that arrive later are answered 503 at once. The phases of a stop fit into shorter grace periods too; before, the notice of 2.5 s did not depend on them.

--- a/src/guavapin/daemons/resident_process.py
+++ b/src/guavapin/daemons/resident_process.py
@@ -7,6 +7,7 @@
 import os
 import sys
 from concurrent.futures import wait
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,7 @@
 from guavapin.platform.settings import parse_settings
 from guavapin.resident import compose_resident
 from guavapin.scheduling.task import HandOver
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import SetReady
 from guavapin.serving.messages import StopAccepting
 
@@ -26,7 +28,6 @@
     from collections.abc import Sequence
 
     from guavapin.kernel import Kernel
-    from guavapin.settings.resident import ResidentSettings
 
 log = logging.getLogger("guavapin.daemon")
 
@@ -44,6 +45,30 @@
 # Part of the grace period that is reserved for stopping the services.
 STOP_RESERVE_MS = 1_000
 
+# Part of the grace period before it, in which the requests that are still in progress
+# are answered without their outcome. Loops that are busy take up to 0.2 s for a step.
+ANSWER_RESERVE_MS = 400
+
+
+@dataclass(frozen=True, slots=True)
+class StopPlan:
+    """Durations of the phases of a stop, in order.
+
+    New requests are served, then those in progress are finished, then the rest of them
+    is answered at once.
+    """
+
+    serve_ms: int
+    finish_ms: int
+    answer_ms: int
+
+
+def plan_stop(grace_ms: int) -> StopPlan:
+    """Return the phases of a stop whose services end before the grace period does."""
+    left_ms = max(grace_ms - STOP_RESERVE_MS - ANSWER_RESERVE_MS, 0)
+    serve_ms = min(UNREADY_NOTICE_MS, left_ms)
+    return StopPlan(serve_ms, left_ms - serve_ms, ANSWER_RESERVE_MS)
+
 
 def run_resident(argv: Sequence[str] | None = None) -> int:
     """Run the daemon and return its exit code; 2 for faults in the settings."""
@@ -68,7 +93,7 @@
     kernel = compose_resident(cfg.value, metrics, args.metrics_port, SystemClock())
     return run_daemon(
         kernel,
-        lambda: _drain(kernel, cfg.value),
+        lambda: drain_resident(kernel, plan_stop(cfg.value.times.grace_ms)),
         lambda: _check_changed_settings(Path(path)),
     )
 
@@ -89,12 +114,19 @@
     log.info("settings changed", extra={"faults": faults})
 
 
-def _drain(kernel: Kernel, cfg: ResidentSettings) -> None:
-    """Hand the duty over, stop accepting and finish the requests in progress."""
+def drain_resident(kernel: Kernel, plan: StopPlan) -> None:
+    """Hand the duty over, stop accepting, and answer each request in progress.
+
+    A caller's deadline may be later than the end of the process. Its request is then
+    answered without its outcome, while there is time to write the answer.
+    """
     kernel.deliver("ready_front", SetReady(False, is_stopping=True))
     kernel.deliver("front", SetReady(False, is_stopping=True))
     kernel.deliver("scheduler", HandOver())
-    kernel.wait_for_failure(UNREADY_NOTICE_MS)
+    kernel.wait_for_failure(plan.serve_ms)
     fut = kernel.ask("front", StopAccepting())
-    left_ms = cfg.times.grace_ms - UNREADY_NOTICE_MS - STOP_RESERVE_MS
-    wait([fut], max(left_ms, 0) / 1_000)
+    done, _ = wait([fut], plan.finish_ms / 1_000)
+    if not done:
+        log.info("answering the requests in progress")
+        kernel.deliver("intake", AnswerPending())
+        wait([fut], plan.answer_ms / 1_000)
--- a/src/guavapin/intake/key_lookups.py
+++ b/src/guavapin/intake/key_lookups.py
@@ -38,6 +38,12 @@
         """Remove a call; returns whether it waited."""
         return self._waiting.pop(request_id, None) is not None
 
+    def pop_all(self) -> list[int]:
+        """Remove all calls and return the ids of their requests."""
+        request_ids = [*self._waiting]
+        self._waiting.clear()
+        return request_ids
+
     def pop_decided(self, as_of_ms: int) -> list[tuple[WholeRequest, int]]:
         """Remove and return the calls that a view proven at `as_of_ms` decides."""
         decided = [
--- a/src/guavapin/intake/task.py
+++ b/src/guavapin/intake/task.py
@@ -52,6 +52,7 @@
 from guavapin.scheduling.messages import KnownScheduler
 from guavapin.scheduling.messages import PeerScheduler
 from guavapin.scheduling.messages import QueueTableChanged
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.request_handler import RequestHandler
 
 if TYPE_CHECKING:
@@ -78,6 +79,8 @@
 # the deadline, because the last retries of a caller have little time left.
 ANSWER_MARGIN_MS = 150
 
+PROCESS_ENDS = Rejected("the process is about to end")
+
 log = logging.getLogger("guavapin.intake")
 
 
@@ -153,6 +156,7 @@
         self._store_answers = StoreAnswers()
         self._call_id = 0
         self._is_cut_off = False
+        self._is_ending = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Wait for requests."""
@@ -160,7 +164,7 @@
         return Ok(None)
 
     def stop(self) -> None:
-        """Drop the pending calls; their callers get no answer."""
+        """Drop what is pending; `AnswerPending` has answered the callers before."""
         self._pending.clear()
 
     def handle(self, message: object) -> None:
@@ -193,12 +197,17 @@
                 self._retry_store(request_id)
             case _Deadline(request_id=request_id):
                 self._expire(request_id)
+            case AnswerPending():
+                self._answer_pending()
             case _:
                 if not self.handle_front_message(message):
                     raise InvariantError(f"intake: unexpected message {message!r}")
 
     def handle_request(self, req: WholeRequest) -> None:
         """Answer a request that cannot be served, or forward its call."""
+        if self._is_ending:
+            self._finish(req.request_id, PROCESS_ENDS)
+            return
         # The loop's own time may be older than the request after a suspension.
         self._authenticate(req, self._context.clock.now_ms())
 
@@ -455,6 +464,14 @@
         else:
             self._finish(request_id, Undecided("the scheduler did not answer in time"))
 
+    def _answer_pending(self) -> None:
+        """Answer all calls as at their deadlines: rejected only without an effect."""
+        self._is_ending = True
+        for request_id in self._key_lookups.pop_all():
+            self._finish(request_id, LOOKUP_FAILED)
+        for request_id in [*self._pending]:
+            self._expire(request_id)
+
     def _finish(self, request_id: int, answer: JobAnswer) -> None:
         pending = self._pending.pop(request_id, None)
         if pending is not None:
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -219,6 +219,15 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerPending:
+    """To the service that handles requests: answer all of them now.
+
+    Sent shortly before the process ends. Requests that arrive later are answered at
+    once, too.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class GetCounts:
     """To a task of the path, as a `Call`: the reply is a dict of counters."""
--- a/tests/intake/test_redirect.py
+++ b/tests/intake/test_redirect.py
@@ -24,6 +24,7 @@
 from guavapin.intake.rejection import REJECTION
 from guavapin.intake.task import IntakeTask
 from guavapin.jobs.calls import QueryJob
+from guavapin.jobs.calls import Rejected
 from guavapin.jobs.calls import StateIs
 from guavapin.jobs.calls import Undecided
 from guavapin.jobs.model import JobState
@@ -35,6 +36,7 @@
 from guavapin.scheduling.messages import KnownScheduler
 from guavapin.scheduling.messages import PeerScheduler
 from guavapin.scheduling.messages import QueueTableChanged
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.request_handler import WholeRequest
 from tests.scheduling.simulation import QUEUE
 
@@ -202,3 +204,31 @@
     target = f"{QUEUE.prefix}{CALL.job_id}"
     rig.task.handle_request(WholeRequest(1, "GET", target, headers, b"", 0))
     assert len(sent(rig, PeerCall)) == 1
+
+
+def test_calls_in_progress_are_answered_before_the_process_ends(rig) -> None:
+    # Guards against callers whose connections are closed without an answer, because
+    # their deadlines are later than the end of the process.
+    send_query(rig)
+    rig.task.handle(AnswerPending())
+    assert [type(answer) for answer in rig.codec.answers] == [Undecided]
+    rig.harness.advance(3_000)
+    assert len(rig.codec.answers) == 1
+
+
+def test_a_call_without_effect_is_rejected_before_the_process_ends(rig) -> None:
+    # Guards against an undecided answer to a caller who may be told to come again.
+    call = send_query(rig)
+    rig.task.handle(PeerReply(call.request_id, Answered(NOT_SCHEDULING, b"")))
+    rig.task.handle(AnswerPending())
+    assert [type(answer) for answer in rig.codec.answers] == [Rejected]
+
+
+def test_a_call_that_arrives_before_the_end_is_rejected_at_once(rig) -> None:
+    # Guards against a request that is read in the last moments of a process and gets no
+    # answer.
+    rig.task.handle(AnswerPending())
+    headers = ((b"host", QUEUE.host.encode()),)
+    rig.task.handle_request(WholeRequest(1, "GET", QUEUE.prefix, headers, b"", 0))
+    assert [type(answer) for answer in rig.codec.answers] == [Rejected]
+    assert not sent(rig, PeerCall)
