--- a/src/guavapin_soak/planned_host.py
+++ b/src/guavapin_soak/planned_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from guavapin_soak.answer_checks import exit_violation
@@ -29,7 +30,8 @@
         self.entry = entry
         self.violations: list[str] = []
         self.stop_count = 0
-        self._started_ms = now_ms
+        # Time at which the interpreter was first seen to run, below 0 before.
+        self._begun_ms = now_ms
         self._stopped_ms = -1
         self._restart_ms = -1
         self._restart_delay_ms = 0
@@ -61,7 +63,7 @@
         """Start a process that has ended, and kill one that exceeds its grace."""
         if self._restart_ms >= 0:
             if now_ms >= self._restart_ms:
-                self._start(now_ms)
+                self._start()
             return
         after_ms = now_ms - self._stopped_ms if self._stopped_ms >= 0 else -1
         code = self.entry.process.poll()
@@ -78,6 +80,8 @@
                 self.violations.append(text)
             self._restart_ms = now_ms + self._restart_delay_ms
         else:
+            if self._begun_ms < 0 and has_interpreter(self.entry.process.pid):
+                self._begun_ms = now_ms
             self._signal_at_start(now_ms)
 
     @property
@@ -98,18 +102,30 @@
             self._at_start.setdefault(number, START_SIGNAL_MS[0])
 
     def _has_begun(self, now_ms: int) -> bool:
-        return now_ms >= self._started_ms + START_SIGNAL_MS[0]
+        return 0 <= self._begun_ms <= now_ms - START_SIGNAL_MS[0]
 
-    def _start(self, now_ms: int) -> None:
+    def _start(self) -> None:
         self.entry.restart()
-        self._started_ms, self._stopped_ms, self._restart_ms = now_ms, -1, -1
+        self._begun_ms = self._stopped_ms = self._restart_ms = -1
 
     def _signal_at_start(self, now_ms: int) -> None:
+        if self._begun_ms < 0:
+            return
         for number, delay_ms in [*self._at_start.items()]:
             # A process that still stops gets the signal after its next start.
-            if self._stopped_ms < 0 and now_ms >= self._started_ms + delay_ms:
+            if self._stopped_ms < 0 and now_ms >= self._begun_ms + delay_ms:
                 del self._at_start[number]
                 if number == signal.SIGTERM:
                     self._stop(now_ms)
                 else:
                     self.entry.signal(number)
+
+
+def has_interpreter(pid: int) -> bool:
+    """Whether the interpreter of a process is initialized, by its handler of SIGINT."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    rows = dict(row.split(":", 1) for row in text.splitlines())
+    return bool(int(rows["SigCgt"], 16) & 1 << signal.SIGINT - 1)
--- a/tests/soak/test_planned_work.py
+++ b/tests/soak/test_planned_work.py
@@ -16,15 +16,21 @@
 from guavapin_soak.answer_checks import exit_violation
 from guavapin_soak.open_connection import OpenConnection
 from guavapin_soak.planned_host import GRACE_MS
+from guavapin_soak.planned_run import run_planned_work
 from guavapin_soak.planned_work import MANIFEST_KINDS
 from guavapin_soak.planned_work import WorkKind
 from guavapin_soak.planned_work import plan_work
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from pathlib import Path
 
 LENGTH_MS = 12_000
 
+# A seed with stops, a second SIGTERM in a stop, a SIGHUP in a start and a manifest.
+SHORT_SEED = 3
+SHORT_LENGTH_MS = 3_000
+
 REQUEST = b"GET /q/a HTTP/1.1\r\nHost: jobs.example\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 NOTHING_HELD_BACK = (0, 0.0)
@@ -163,3 +169,11 @@
     assert row.end is ExchangeEnd.SILENT
     done.set()
     site.join()
+
+
+def test_a_short_run_of_planned_work_loses_no_request(tmp_path: Path) -> None:
+    # Guards against requests that are read and not answered while processes stop.
+    result = run_planned_work(SHORT_SEED, SHORT_LENGTH_MS, 2, tmp_path)
+    assert result.violations == ()
+    assert result.stops > 1
+    assert result.ends[ExchangeEnd.ANSWERED] > 0
