Keep ended jobs through jumps of the wall clock

Callers: a query for a job that had ended a moment ago got 410 (no such job) once the wall clock of the scheduling host jumped ahead by twice the retention of ended jobs (240 s by default), or once a host with such a clock took over.

Cause: the age of an ended job was the difference of two readings of the wall clock, possibly of two hosts. A job is now removed only if it has also ended, or been loaded, in this term for the whole time for which callers may query it, by the monotonic clock.

Ended jobs are still removed in time.

--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -196,6 +196,8 @@
         self._unopened: dict[int, list[int]] = {}
         self._next_occurrence = 0
         self.ended_wall_ms = 0
+        # Monotonic time of the end in this term.
+        self.ended_ms = 0
         self._remaining_ms: tuple[int, ...] = ()
         self.critical_path_ms = 0
         self.expect([step.estimate_ms for step in job.steps])
--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -112,6 +112,8 @@
     ) -> None:
         self.by_id: dict[str, JobRun] = {}
         self._ended: dict[str, EndedJob] = {}
+        # Monotonic time from which the jobs in `_ended` are known here.
+        self._loaded_ms = term.now_ms
         self._term = term
         self._listener = listener
         self._admission = Admission()
@@ -289,6 +291,7 @@
             return
         job_run.state = state
         job_run.ended_wall_ms = self._term.wall_ms
+        job_run.ended_ms = self._term.now_ms
         self._admission.remove(job_run.job.job_id, self._term.now_ms)
         extra = {
             "job": job_run.job.job_id,
@@ -308,18 +311,28 @@
 
     def remove_expired(self) -> None:
         """Remove ended jobs after twice the time for which callers may query them."""
-        retention_ms = 2 * self._term.times.ended_job_retention_ms
         for job_id, job_run in [*self.by_id.items()]:
             if not job_run.visible_state.is_final or not job_run.ended_wall_ms:
                 continue
-            if self._term.wall_ms - job_run.ended_wall_ms > retention_ms:
+            if self._has_expired(job_run.ended_wall_ms, job_run.ended_ms):
                 del self.by_id[job_id]
                 self._store(Entry(f"{PROGRESS_PREFIX}{job_id}", None))
         for job_id, ended in [*self._ended.items()]:
-            if self._term.wall_ms - ended.ended_wall_ms > retention_ms:
+            if self._has_expired(ended.ended_wall_ms, self._loaded_ms):
                 del self._ended[job_id]
                 self._store(Entry(f"{PROGRESS_PREFIX}{job_id}", None))
 
+    def _has_expired(self, ended_wall_ms: int, known_ms: int) -> bool:
+        """Return whether a job that ended at `ended_wall_ms` is to be removed.
+
+        Wall clocks may jump, and differ between the host where the job ended and this
+        one. A job therefore also stays for as long as callers may query it from the
+        monotonic time `known_ms`, at which it ended or was loaded in this term.
+        """
+        retention_ms = self._term.times.ended_job_retention_ms
+        is_old = self._term.wall_ms - ended_wall_ms > 2 * retention_ms
+        return is_old and self._term.now_ms - known_ms > retention_ms
+
     def _store_progress(
         self, job_run: JobRun, tags: tuple[object, ...] = (), is_urgent: bool = False
     ) -> None:
