Check in the soak that queries are answered in calm

A query that got 503, 504, another unexpected status or no answer left no event, so a run passed in which entry hosts answered no query for seconds after the last fault. A 401 is not counted, since callers also use removed keys on purpose.

--- a/src/guavapin_soak/caller.py
+++ b/src/guavapin_soak/caller.py
@@ -28,6 +28,9 @@
 # Attempts to submit one job, each at an entry host that is drawn anew.
 SUBMIT_ATTEMPTS = 4
 
+# Status of calls with a key that is not in force, or not known to the host yet.
+UNAUTHORIZED = 401
+
 # Share of accepted jobs that are cancelled by their caller.
 CANCELLED_SHARE = 0.08
 
@@ -168,12 +171,17 @@
 
     def _poll_job(self, job_id: str) -> None:
         port = self._rng.choice(self._ports)
+        sent_ms = self._now_ms()
         status, answer = self._call(port, "GET", job_id)
         kind = _JOB_STATES.get(str(answer.get("state")))
         if status == 410:
             kind = EventKind.UNKNOWN
         if kind is not None:
             self._record(job_id, kind)
+        elif status != UNAUTHORIZED:
+            kind = EventKind.QUERY_UNANSWERED
+            row = CallerEvent(self._now_ms(), job_id, kind, sent_ms)
+            self.caller_events.append(row)
         ended = (EventKind.SUCCEEDED, EventKind.FAILED, EventKind.CANCELLED)
         if kind in ended and job_id in self._open_jobs:
             self._open_jobs.remove(job_id)
--- a/src/guavapin_soak/checks.py
+++ b/src/guavapin_soak/checks.py
@@ -34,15 +34,20 @@
     SUCCEEDED = "succeeded"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    QUERY_UNANSWERED = "query unanswered"
 
 
 @dataclass(frozen=True, slots=True)
 class CallerEvent:
-    """An event of a caller's job at `at_ms`."""
+    """An event of a caller's job at `at_ms`.
+
+    `sent_ms` is the time at which a query was sent that got no answer with a state.
+    """
 
     at_ms: int
     job_id: str
     kind: EventKind
+    sent_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin_soak/run.py
+++ b/src/guavapin_soak/run.py
@@ -25,6 +25,7 @@
 from guavapin_soak.organisations import plan_key_changes
 from guavapin_soak.plan import plan_entries
 from guavapin_soak.plan import plan_faults
+from guavapin_soak.query_checks import query_violations
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -118,6 +119,7 @@
     found = (
         *violations(caller_events, log, JOB_SHAPE),
         *cancelling_violations(caller_events, log, calm_ms, end_ms),
+        *query_violations(caller_events, calm_ms),
         *key_violations(
             (call for caller in callers for call in caller.served_calls),
             deployment.operator.removed_ms,
