Repeat a refused removal of the handover record

Callers: jobs would be accepted and shown as queued, and none would start for the rest of the term. Not seen in a run; found by reading apply_handover.

Cause: nothing starts before the record of the predecessor is removed, and the ledger gives up an entry that the store refuses for good (400, 403 or 413). The refusal of the removal was dropped, since only entries of jobs were handled. The removal is now repeated every 500 ms.

Evidence: the new test failed before, the waiting job did not start after the store had stopped to refuse the removal.

--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -62,6 +62,9 @@
 # half a second.
 SUPERVISION_INTERVAL_MS = 200
 
+# Delay before a removal of the handover record that the store has refused is repeated.
+REMOVAL_RETRY_MS = 500
+
 log = logging.getLogger("guavapin.scheduling")
 
 
@@ -110,10 +113,14 @@
         self._needs_dispatch = True
         # Unset until the record of the predecessor is removed.
         self._is_start_allowed = True
+        # Time of the next removal after a refused one, 0 without one.
+        self._next_removal_ms = 0
 
     def tick(self) -> None:
         """Poll hosts, open due steps of repeating jobs and supervise runs."""
         self.hosts.tick()
+        if 0 < self._next_removal_ms <= self.term.now_ms:
+            self._remove_handover()
         for job_run in [*self._repeating.values()]:
             self._open_steps(job_run)
         for step_run in self._turns.pop_due(self.term.now_ms, self._is_waiting):
@@ -237,8 +244,7 @@
         """
         self._inherited.reserve(handed_hosts or ())
         self._is_start_allowed = False
-        entry = Entry(HANDOVER_KEY, None, (RemovalStored(),))
-        self.term.actions.append(StoreEntry(entry, is_urgent=True))
+        self._remove_handover()
 
     def handle_end(self, host: Host, row: EndedRow) -> bool:
         """Apply the end of a run; True if it must be stored before it is confirmed."""
@@ -362,6 +368,17 @@
         else:
             self.jobs.handle_durable(tag)
 
+    def handle_refused(self, entry: Entry, may_be_stored: bool) -> None:
+        """Apply that the store refuses an entry, which is not written any more.
+
+        The removal of the predecessor's record is repeated, since nothing may start
+        before it.
+        """
+        if entry.key == HANDOVER_KEY:
+            self._next_removal_ms = self.term.now_ms + REMOVAL_RETRY_MS
+        else:
+            self.jobs.handle_refused(entry, may_be_stored)
+
     @property
     def shares(self) -> OrganisationShares:
         """Return the weighted shares as of the last dispatch."""
@@ -376,6 +393,11 @@
         """Return the monotonic time, in ms, by which a job should have succeeded."""
         return self._rules.objective_ms(job_run)
 
+    def _remove_handover(self) -> None:
+        self._next_removal_ms = 0
+        entry = Entry(HANDOVER_KEY, None, (RemovalStored(),))
+        self.term.actions.append(StoreEntry(entry, is_urgent=True))
+
     def _handle_done(self, step_run: StepRun, index: int) -> None:
         before = len(step_run.done)
         step_run.mark_done(index)
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -486,7 +486,7 @@
             return
         self._update_time()
         for entry in entries:
-            self._scheduler.jobs.handle_refused(entry, may_be_stored)
+            self._scheduler.handle_refused(entry, may_be_stored)
         self._finish_event()
 
     def _handle_fetched(self, request_id: int, outcome: kv.PlatformOutcome) -> None:
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -234,7 +234,7 @@
         elif isinstance(action, StoreEntry):
             entry = action.entry
             if self.is_refused(entry):
-                self.scheduler.jobs.handle_refused(entry, False)
+                self.scheduler.handle_refused(entry, False)
             elif not self.is_store_down:
                 if entry.value is not None and entry.key.startswith(PROGRESS_PREFIX):
                     self.stored[entry.key] = entry.value
--- a/tests/scheduling/test_handover.py
+++ b/tests/scheduling/test_handover.py
@@ -145,3 +145,17 @@
 def test_a_record_that_cannot_be_read_is_no_record(value: bytes) -> None:
     # Guards against a term that cannot begin because of the record of another build.
     assert decode_handover(value) is None
+
+
+def test_a_refused_removal_of_the_record_is_repeated(sim: Simulation) -> None:
+    # Guards against a term in which nothing ever starts: the store refused to remove
+    # the record of the predecessor, and the removal was given up.
+    sim.is_refused = lambda entry: entry.key == HANDOVER_KEY
+    cut_off_and_hand_over(sim)
+    sim.starts.clear()
+    sim.list_machines()
+    sim.advance(3_000)
+    assert jobs_started(sim) == []
+    sim.is_refused = lambda entry: False
+    sim.advance(1_000)
+    assert jobs_started(sim) == [OTHER_JOB]
