Leave the markers of an unreadable job in the store

Callers: a cancellation that was acknowledged from the store was lost if the scheduler could not read the stored job, as while entry hosts of two builds with different limits run beside each other: a successor that reads the job ran it on. A repeated submission of such a job was rejected although the job is stored.

Cause: a job that was found and could not be decoded was handled like one that does not exist, so that its markers were removed and waiting submissions rejected. The markers now stay, and the submissions are left to the store, which shows that the job was accepted.

--- a/src/guavapin/scheduling/job_table.py
+++ b/src/guavapin/scheduling/job_table.py
@@ -224,6 +224,17 @@
                 self._remove_cancel_marker(job_id)
         self._store(Entry(f"{INBOX_PREFIX}{job_id}{SUBMITTED_SUFFIX}", None))
 
+    def handle_unreadable(self, job_id: str) -> None:
+        """Leave a stored job that cannot be decoded, and its markers, in the store.
+
+        A scheduler of another build may be able to read it. Submissions that wait for
+        the job are left to the store too, which shows that it was accepted.
+        """
+        log.error("job cannot be read", extra={"key": f"{JOBS_PREFIX}{job_id}"})
+        self._fetching.discard(job_id)
+        self._cancel_when_fetched.discard(job_id)
+        self._leave_submissions(job_id)
+
     def handle_durable(self, tag: object) -> None:
         """Update the job, and answer the calls, whose entry with `tag` is stored."""
         if isinstance(tag, JobStored):
@@ -394,13 +405,19 @@
         return None
 
     def _reject_refused(self, job_id: str, may_be_stored: bool) -> None:
+        if may_be_stored:
+            self._leave_submissions(job_id)
+            return
         self._admission.remove(job_id, self._term.now_ms)
         for req in self._submissions.pop(job_id, []):
-            if may_be_stored:
-                action = AnswerCall(req.reply_to, req.request_id, None, True)
-                self._term.actions.append(action)
-            else:
-                self._answer(req, Rejected("the store refuses the job"))
+            self._answer(req, Rejected("the store refuses the job"))
+
+    def _leave_submissions(self, job_id: str) -> None:
+        """Leave the submissions of a job that may be stored to the store."""
+        self._admission.remove(job_id, self._term.now_ms)
+        for req in self._submissions.pop(job_id, []):
+            action = AnswerCall(req.reply_to, req.request_id, None, True)
+            self._term.actions.append(action)
 
     def _cancel(self, req: JobRequest, job_id: str) -> None:
         job_run = self.by_id.get(job_id)
--- a/src/guavapin/scheduling/task.py
+++ b/src/guavapin/scheduling/task.py
@@ -497,7 +497,10 @@
         if is_read and not self._unconfirmed_until_ms:
             found = decode_job(outcome.value) if isinstance(outcome, kv.Found) else None
             self._update_time()
-            self._scheduler.jobs.handle_fetched(job_id, found)
+            if found is None and isinstance(outcome, kv.Found):
+                self._scheduler.jobs.handle_unreadable(job_id)
+            else:
+                self._scheduler.jobs.handle_fetched(job_id, found)
             self._finish_event()
         else:
             self._context.set_timer(FETCH_RETRY_MS, _RetryFetch(job_id))
