Read an idle connection before closing it at its timeout

What callers saw: a reset instead of an answer, if a request arrived in the moment in which its connection was closed as idle. A manifest that shortens the idle timeout closes all idle connections at once.

Cause: the timers of an iteration of the loop run after its reads; what has arrived since then was not read before the close.

The connection is now read first, as it is where idle connections are closed for want of connections, and a request that has arrived is served.

--- a/src/guavapin/serving/connection_deadlines.py
+++ b/src/guavapin/serving/connection_deadlines.py
@@ -59,6 +59,12 @@
             # A head that arrives byte by byte must not extend its deadline.
             conn.last_progress_ms = self._context.now_ms()
 
+    def restart(self, conn: CallerConnection) -> None:
+        """Set a timeout again for a connection that was returned as expired."""
+        # Without a recorded state, the next progress starts the timeout of its state.
+        conn.deadline_kind = ""
+        self.record_progress(conn)
+
     def discard(self, conn: CallerConnection) -> None:
         """Remove the deadline of a closed connection."""
         self._timer.discard(conn.conn_id)
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -365,6 +365,14 @@
 
     def _on_deadlines(self, message: _DeadlinePassed) -> None:
         for conn in self._deadlines.pop_expired(self._conns):
+            if not (conn.is_busy or conn.is_lingering or conn.is_handshaking):
+                # A request that has arrived meanwhile is served.
+                before_ms = conn.request_started_ms
+                conn.read()
+                if conn.is_busy or conn.request_started_ms != before_ms:
+                    self._deadlines.restart(conn)
+                    self.sync_connection(conn)
+                    continue
             self.counts["timeouts"] += 1
             if conn.is_busy and not (conn.output or conn.is_lingering):
                 conn.refuse(408, "request not received in time")
