End a resident at once on a SIGTERM before its services start

What the platform saw: a process that got SIGTERM while it started was killed at the end of its grace, since signals were held back until its modules had been imported, and an import takes seconds on a busy machine.

Nothing has been read or started by then, so that the process now ends at once with code 0. SIGHUP is ignored until the settings have been read.

--- a/src/guavapin/daemons/lifecycle.py
+++ b/src/guavapin/daemons/lifecycle.py
@@ -39,11 +39,10 @@
     """Run `kernel` until SIGTERM or SIGINT and return the exit code.
 
     `drain` finishes the work in progress before the services stop; `reload` is called
-    on SIGHUP. A signal to stop that arrives before the services start ends the process
-    at once. A broken invariant in any task ends the process with exit code 1. Signals
-    are ignored from then on.
+    on SIGHUP. A broken invariant in any task ends the process with exit code 1. Signals
+    are ignored after the services have stopped.
     """
-    signals = SignalReceiver(kernel.clock)
+    signals = SignalReceiver()
     try:
         return _run_until_stopped(kernel, signals, drain, reload)
     finally:
@@ -56,9 +55,6 @@
     drain: Callable[[], None],
     reload: Callable[[], None],
 ) -> int:
-    if signals.stop_ms >= 0:
-        log.info("stopped before the start")
-        return EXIT_DONE
     outcome = kernel.start()
     if isinstance(outcome, Refused):
         log.error("start failed", extra={"reason": outcome.detail})
--- a/src/guavapin/daemons/signals.py
+++ b/src/guavapin/daemons/signals.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import selectors
 import signal
 import socket
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from guavapin.kernel import Clock
 
 # Reports a failed loop; no signal has the number 0.
 FAILURE_BYTE = 0
@@ -16,33 +13,31 @@
 HANDLED_SIGNALS = STOP_SIGNALS | {signal.SIGHUP}
 
 
-def hold_signals() -> None:
-    """Keep signals pending until a `SignalReceiver` releases them.
+def handle_early_signals() -> None:
+    """End the process on a signal to stop, and ignore SIGHUP.
 
-    Must be called before other threads start, since they inherit the mask.
+    For the time before a `SignalReceiver` takes over: nothing has been started or read
+    that a signal could concern.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    for number in STOP_SIGNALS:
+        signal.signal(number, _exit_at_once)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 class SignalReceiver:
     """Receives the signals of the process on its main thread.
 
-    Handlers only record: they run between any two instructions of the main thread,
+    Handlers do nothing: they run between any two instructions of the main thread,
     which may hold a lock of the log or of the metrics.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        # Time of the first signal to stop, below 0 if there was none.
-        self.stop_ms = -1
-        self._clock = clock
+    def __init__(self) -> None:
         self._receiver, self._sender = socket.socketpair()
         self._receiver.setblocking(False)
         self._sender.setblocking(False)
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
-        for number in STOP_SIGNALS:
-            signal.signal(number, self._record_stop)
-        signal.signal(signal.SIGHUP, _ignore_signal)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        for number in HANDLED_SIGNALS:
+            signal.signal(number, _ignore_signal)
 
     def report_failure(self) -> None:
         """Report a failed loop; may be called from any thread."""
@@ -67,9 +62,10 @@
         self._receiver.close()
         self._sender.close()
 
-    def _record_stop(self, number: int, frame: object) -> None:
-        if self.stop_ms < 0:
-            self.stop_ms = self._clock.now_ms()
+
+def _exit_at_once(number: int, frame: object) -> None:
+    # An exception could be caught by the import that the signal interrupts.
+    os._exit(0)
 
 
 def _ignore_signal(number: int, frame: object) -> None:
--- a/tests/daemons/test_lifecycle.py
+++ b/tests/daemons/test_lifecycle.py
@@ -39,8 +39,8 @@
     assert all(frame.endswith(" raise_after") for frame in frames)
 
 
-def test_the_services_of_a_resident_are_imported_while_signals_are_held() -> None:
-    # Guards against an import that is moved before the signals are held.
+def test_a_resident_imports_its_services_after_it_handles_signals() -> None:
+    # Guards against an import that is moved before the signals are handled.
     code = (
         "import sys, guavapin.daemons.resident;"
         "sys.exit('guavapin.kernel' in sys.modules)"
--- a/tests/daemons/test_signals.py
+++ b/tests/daemons/test_signals.py
@@ -122,3 +122,14 @@
     done = run_resident(tmp_path, SIGNAL_AT_THE_END, str(int(number)))
     assert done.returncode == 0, done.stderr
     assert '"stopped"' in done.stdout
+
+
+def test_a_stop_during_the_start_does_not_wait_for_the_imports(tmp_path: Path) -> None:
+    # Guards against processes that were killed at the end of their grace, because their
+    # imports took longer on a busy machine and signals were held back until then.
+    code = SIGNAL_IN_AN_IMPORT.replace(
+        "os.kill(os.getpid(), number)",
+        "os.kill(os.getpid(), number); print('imported', flush=True)",
+    )
+    done = run_resident(tmp_path, code, str(int(signal.SIGTERM)))
+    assert (done.returncode, done.stdout) == (0, "")
