Find steps within the cap behind larger ones of their class

Callers saw a job that its organisation's cap allows wait with nothing running as long as 16 slightly larger steps were ahead of it.

Cause: after 16 refusals of a class by the cap, the rest of the class was passed over, and each dispatch began again at the same first step. The refusals were also counted over all pools, so that those in one pool kept the steps of another from being tried at all.

The second half of the refusals now goes to other steps in each dispatch, and refusals count by pool. The first steps are still tried in each dispatch, so the order is kept.

Tests that failed before: the step behind 16 and 80 larger ones, by processor time and by memory, and the step of another pool. The test of the order guards the new search and passed before.

--- a/src/guavapin/scheduling/cap_gate.py
+++ b/src/guavapin/scheduling/cap_gate.py
@@ -29,7 +29,9 @@
 ORGANISATION_CLASSES = 4
 
 # Steps of a class that the cap may refuse in one dispatch before the rest of the class
-# is passed over. Their needs differ by less than a class, so the rest hardly ever fits.
+# is passed over; the second half are other steps in each dispatch. The needs of a class
+# differ by less than its width, so the rest seldom fits, and a dispatch must not go
+# through thousands of held steps.
 MAX_REFUSALS = 16
 
 # Time without a refusal after which an organisation counts as no longer held. Ends of
@@ -98,12 +100,15 @@
         return frozenset(self._held)
 
     def begin_dispatch(self) -> None:
-        """Refresh what may be running, and forget the refusals of the last dispatch."""
-        self._refusals.clear()
+        """Refresh what may be running."""
         self._cpu_rooms_at = None
         if self._term.table.organisations:
             self._hosts.refresh_unseen()
 
+    def begin_pool(self) -> None:
+        """Forget the refusals in the previous pool, whose classes have other steps."""
+        self._refusals.clear()
+
     def may_start(self, step_run: StepRun, count: int = 1) -> bool:
         """Return whether `count` subtasks of a step may start now."""
         name = step_run.job_run.job.organisation
@@ -132,6 +137,13 @@
             organisation, step.need, count
         )
 
+    def skips_ahead(self, need_class: NeedClass) -> bool:
+        """Return whether the cap has refused enough of the first steps of a class.
+
+        The search then goes on where that of the last dispatch ended.
+        """
+        return self._refusals.get(need_class, 0) >= MAX_REFUSALS // 2
+
     def passes_over(self, need_class: NeedClass) -> bool:
         """Return whether the rest of a class is passed over in this dispatch."""
         name = need_class.organisation
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -96,6 +96,7 @@
     def _dispatch_pool(self, pool: str, room: PoolRoom, is_unresolved: bool) -> None:
         if self._term.table.organisations:
             self.shares.begin_pool(pool, self._waiting.organisations(pool))
+        self._caps.begin_pool()
         shortage = Shortage()
         started = []
         for need_class, step_run in self._waiting.candidates(
@@ -103,6 +104,7 @@
             lambda: room.max_free_cpu,
             self._caps.passes_over,
             self.shares.over_share,
+            self._caps.skips_ahead,
         ):
             step = step_run.step
             if _is_held_up(step_run, is_unresolved):
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -97,6 +97,9 @@
             str, dict[NeedClass, SortedList[tuple[Position, StepRun]]]
         ] = {}
         self._places: dict[StepRun, _Place] = {}
+        # Step from which the search in a class goes on behind its first steps, by pool
+        # and class; it may have been removed in the meantime.
+        self._next_steps: dict[tuple[str, NeedClass], tuple[Position, StepRun]] = {}
         # Steps by the time after which they are late. A step that was removed in the
         # meantime is skipped when that time comes.
         self._becoming_late: list[tuple[float, int, StepRun]] = []
@@ -130,12 +133,14 @@
         steps.remove((place.position, step_run))
         if not steps:
             del self._lists[place.pool][place.need_class]
+            self._next_steps.pop((place.pool, place.need_class), None)
 
     def sort_again(self) -> None:
         """Sort all steps again, since the rules have changed."""
         steps = [*self._places]
         self._lists.clear()
         self._places.clear()
+        self._next_steps.clear()
         self._becoming_late.clear()
         for step_run in steps:
             self.add(step_run)
@@ -163,15 +168,19 @@
         max_free_cpu: Callable[[], int],
         is_held: Callable[[NeedClass], bool] = lambda need_class: False,
         over_share: Callable[[], frozenset[str]] = frozenset,
+        skips_ahead: Callable[[NeedClass], bool] = lambda need_class: False,
     ) -> Iterator[tuple[NeedClass, StepRun]]:
         """Return the steps of a pool that may fit, in order, with their classes.
 
         `max_free_cpu` returns the most free processor time of a host, which may fall
         meanwhile: steps that need more are left out. So is the rest of a class of an
-        organisation once it `is_held`. The organisations in `over_share` come after the
-        others; these may change as steps start. No step may be added or discarded
-        before the iterator is exhausted.
+        organisation once it `is_held`. Once a class `skips_ahead`, the steps up to the
+        one at which the last search was held are left out, so that repeated searches
+        try each step. The organisations in `over_share` come after the others; these
+        may change as steps start. No step may be added or discarded before the iterator
+        is exhausted.
         """
+        skipped: set[NeedClass] = set()
         heads: list[
             tuple[_Rank, StepRun, NeedClass, Iterator[tuple[Position, StepRun]]]
         ] = []
@@ -193,18 +202,41 @@
                     for rank, step, kind, rest in heads
                 ]
                 heapq.heapify(heads)
-            _, step_run, need_class, rest = heads[0]
+            rank, step_run, need_class, rest = heads[0]
             if need_class.cpu and need_class.cpu * NEED_CLASS_MILLIS > max_free_cpu():
                 heapq.heappop(heads)
                 continue
             if need_class.organisation and is_held(need_class):
+                if need_class in skipped:
+                    self._next_steps[pool, need_class] = (rank.position, step_run)
                 heapq.heappop(heads)
                 continue
             yield need_class, step_run
+            if need_class not in skipped and skips_ahead(need_class):
+                skipped.add(need_class)
+                rest = self._skip_ahead(pool, need_class, rank.position, rest)
             following = next(rest, None)
             if following is None:
+                if need_class in skipped:
+                    self._next_steps.pop((pool, need_class), None)
                 heapq.heappop(heads)
             else:
                 position, step_run = following
                 rank = _rank(position, need_class.organisation in over)
                 heapq.heapreplace(heads, (rank, step_run, need_class, rest))
+
+    def _skip_ahead(
+        self,
+        pool: str,
+        need_class: NeedClass,
+        position: Position,
+        rest: Iterator[tuple[Position, StepRun]],
+    ) -> Iterator[tuple[Position, StepRun]]:
+        """Return the steps of a class from where the last search in it ended.
+
+        These are `rest`, those behind `position`, if no search ended behind it.
+        """
+        start = self._next_steps.get((pool, need_class))
+        if start is None or start[0] <= position:
+            return rest
+        return self._lists[pool][need_class].irange(minimum=start)
--- a/tests/scheduling/test_dispatcher.py
+++ b/tests/scheduling/test_dispatcher.py
@@ -20,6 +20,7 @@
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
+from guavapin.scheduling.cap_gate import MAX_REFUSALS
 from guavapin.scheduling.messages import MachinesListed
 from tests.scheduling.plain_dispatcher import PlainDispatcher
 from tests.scheduling.simulation import HOST_CAPACITY
@@ -193,6 +194,24 @@
         check_sums(sims[1])
 
 
+def test_refusals_in_one_pool_do_not_hold_steps_of_another() -> None:
+    # Guards against a step within the cap that is never tried, since the cap has
+    # refused many steps of about the same need in another pool.
+    sim = simulation(is_plain=False)
+    cap = Resources(8_150, 0, 0)
+    rows = (Organisation("small", 1.0, cap),)
+    sim.scheduler.term.table = replace(TABLE, organisations=rows)
+    needs = [("q", 6_000), *[("q", 2_180)] * MAX_REFUSALS, ("s", 2_100)]
+    for number, (name, cpu_millis) in enumerate(needs):
+        queue = next(queue for queue in QUEUES if queue.name == name)
+        step = Step(1, Resources(cpu_millis, 100, 0), 60_000)
+        job = Job(f"{number:016x}", queue.key, queue.service, "spec", (step,))
+        sim.submit(replace(job, organisation="small"))
+    sim.advance(100)
+    last = f"{MAX_REFUSALS + 1:016x}"
+    assert {row.job_id for row, _ in sim.running()} == {f"{0:016x}", last}
+
+
 def end_a_run(sim: Simulation, rng: random.Random) -> None:
     running = sorted(sim.running())
     if running:
--- a/tests/scheduling/test_organisation_caps.py
+++ b/tests/scheduling/test_organisation_caps.py
@@ -122,6 +122,63 @@
     assert len(checks) <= 4 * MAX_REFUSALS
 
 
+def held_simulation(cap: Resources, used: Resources) -> Simulation:
+    """Return a simulation in which `a` has one run of this need."""
+    sim = Simulation([FakeExecutor(f"e{number}") for number in range(4)])
+    rows = (Organisation("a", 1.0, cap), Organisation("b", 1.0))
+    sim.scheduler.term.table = replace(TABLE, organisations=rows)
+    sim.list_machines()
+    sim.advance(100)
+    sim.submit(owned(0, Step(1, used, 60_000)))
+    assert count(sim) == 1
+    return sim
+
+
+def submit_each(sim: Simulation, needs: list[Resources]) -> None:
+    for number, need in enumerate(needs, start=1):
+        job = owned(number, Step(1, need, 60_000))
+        sim.jobs[job.job_id] = job
+        sim.scheduler.jobs.open_stored(job)
+    sim.run()
+
+
+@pytest.mark.parametrize("ahead", [MAX_REFUSALS, 5 * MAX_REFUSALS])
+@pytest.mark.parametrize(
+    ("large", "small"),
+    [
+        (Resources(4_150, 1_000, 0), Resources(4_000, 1_000, 0)),
+        (Resources(4_000, 2_000, 0), Resources(4_000, 1_100, 0)),
+    ],
+)
+def test_a_step_that_fits_is_found_behind_larger_ones(
+    ahead: int, large: Resources, small: Resources
+) -> None:
+    # Guards against a step within the cap that waits as long as the larger steps of its
+    # class ahead of it, since each dispatch begins with these.
+    cap, used = Resources(10_000, 10_000, 0), Resources(6_000, 8_500, 0)
+    sim = held_simulation(cap, used)
+    submit_each(sim, [*[large] * ahead, small])
+    sim.advance(500)
+    assert (f"{ahead + 1:016x}", 2) in {
+        (subtask.job_id, count(sim)) for subtask, _ in sim.running()
+    }
+
+
+def test_the_first_step_comes_before_those_behind_the_refused_ones() -> None:
+    # Guards against a search that goes on behind the refused steps and gives them the
+    # room that has become enough for the first one.
+    cap, used = Resources(10_000, 0, 0), Resources(6_000, 1_000, 0)
+    sim = held_simulation(cap, used)
+    submit_each(sim, [Resources(4_150, 1_000, 0)] * 5 * MAX_REFUSALS)
+    sim.advance(200)
+    ((subtask, holder),) = sim.running()
+    sim.executors[holder].end(subtask, EndKind.DONE)
+    sim.advance(100)
+    assert [row.job_id for row, _ in sim.running()] == [
+        f"{number:016x}" for number in (1, 2)
+    ]
+
+
 def test_a_changed_table_applies_to_the_next_start() -> None:
     # Guards against starts under a cap that is no longer in force.
     sim = simulation(8_000)
