Look a key up without reading an unchanged table

While callers use keys that no table holds, as after a revocation, each entry host read the whole table from the store every half second, in a call that ends after 0.9 s.

The lookup now watches from the revision that the follower has confirmed, without a wait: the answer is short unless the table has changed. The test counts what the service asks for instead of one kind of call.

The new test failed before: each lookup was a read of the value.

--- a/src/guavapin/jobs/tables.py
+++ b/src/guavapin/jobs/tables.py
@@ -93,6 +93,8 @@
         self._scheduler = KnownScheduler("", "", 0)
         self._is_expired = False
         self._request_id = 0
+        # Revision of the store up to which the table is known, 0 before the first.
+        self._revision = 0
         # Time at which the query of a peer, or the read of the store, was sent.
         self._peer_sent_ms: dict[int, int] = {}
         self._refresh_sent_ms: dict[int, int] = {}
@@ -113,10 +115,9 @@
         """Adopt tables and proofs, and answer queries of other entry hosts."""
         match message:
             case PrefixListed() | PrefixChanged():
-                for item in message.items:
-                    if item.key == self._codec.key and item.value is not None:
-                        self._adopt_value(item.value)
-            case PrefixConfirmed(as_of_ms=as_of_ms):
+                self._adopt_items(message.items)
+            case PrefixConfirmed(as_of_ms=as_of_ms, revision=revision):
+                self._revision = revision
                 self._confirm(self._view.version, as_of_ms)
             case KnownScheduler():
                 self._scheduler = message
@@ -136,6 +137,11 @@
             case _:
                 raise InvariantError(f"tables: unexpected message {message!r}")
 
+    def _adopt_items(self, items: tuple[kv.Item, ...]) -> None:
+        for item in items:
+            if item.key == self._codec.key and item.value is not None:
+                self._adopt_value(item.value)
+
     def _adopt_value(self, value: bytes) -> None:
         table = self._codec.decode(value)
         if isinstance(table, UnusableTable):
@@ -209,14 +215,24 @@
         self._next_refresh_ms = now_ms + REFRESH_INTERVAL_MS
         self._request_id += 1
         self._refresh_sent_ms[self._request_id] = now_ms
-        read = kv.Get(self.name, self._request_id, self._codec.key)
+        # The answer to a watch holds the table only if it has changed. A large table
+        # on a slow link takes longer than the calls that wait for it.
+        key, number = self._codec.key, self._request_id
+        read: kv.PlatformRequest = kv.ReadItems(self.name, number, key, "")
+        if self._revision:
+            read = kv.WatchItems(self.name, number, key, self._revision, 0)
         self._context.send("platform", read)
 
     def _handle_refreshed(self, request_id: int, outcome: object) -> None:
         sent_ms = self._refresh_sent_ms.pop(request_id, None)
-        if sent_ms is not None and isinstance(outcome, kv.Found):
-            self._adopt_value(outcome.value)
+        if sent_ms is None:
+            return
+        if isinstance(outcome, kv.Items | kv.ItemsChanged):
+            self._adopt_items(outcome.items)
             self._confirm(self._view.version, sent_ms)
+        elif isinstance(outcome, kv.Compacted | kv.ChangesTooLong):
+            # The next refresh reads the table.
+            self._revision = 0
 
     def _handle_peer_reply(self, request_id: int, outcome: object) -> None:
         sent_ms = self._peer_sent_ms.pop(request_id, None)
--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -56,10 +56,12 @@
     """Sent to the subscribers: they have had all changes up to `as_of_ms`.
 
     The time is monotonic and is that at which a call was sent that the store answered.
+    All changes up to the store's `revision` are known.
     """
 
     prefix: str
     as_of_ms: int
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,7 +209,7 @@
 
     def _confirm(self) -> None:
         if self._is_confirming:
-            self._notify(PrefixConfirmed(self._prefix, self._sent_ms))
+            self._notify(PrefixConfirmed(self._prefix, self._sent_ms, self._revision))
 
     def _notify(self, message: PrefixListed | PrefixChanged | PrefixConfirmed) -> None:
         for subscriber in self._subscribers:
--- a/tests/intake/test_revocation.py
+++ b/tests/intake/test_revocation.py
@@ -161,7 +161,7 @@
         self.value, self.revision = value, self.revision + 1
 
     def call_store(self, host: Host, req: object) -> None:
-        self.reads += isinstance(req, kv.Get)
+        self.reads += req.reply_to == "tables"
         self.schedule(host.delay_ms // 2, self._read_store, host, req, 0)
 
     def _read_store(self, host: Host, req, waited_ms: int) -> None:
@@ -171,8 +171,6 @@
         elif host.mode in ("away", "one way"):
             self.schedule(900, self._reply, host, req, kv.Unknown("no answer"))
             return
-        elif isinstance(req, kv.Get):
-            outcome = kv.Found(self.value, self.revision)
         elif isinstance(req, kv.ReadItems):
             outcome = kv.Items((item,), False, self.revision)
         elif req.after_revision < self.revision:
@@ -356,3 +354,20 @@
     task.handle(PeerReply(calls[0].request_id, unanswered))
     harness.advance(600)
     assert len([row for row in harness.sent if row.service == "http"]) == 2
+
+
+def test_the_lookup_of_a_key_does_not_read_an_unchanged_table(play: Play) -> None:
+    # Guards against a link that is full of copies of a large table, none of which
+    # arrives in the time of a call, while callers use keys that were removed.
+    read: list[kv.PlatformRequest] = []
+    call_store = play.call_store
+
+    def record(host: Host, req) -> None:
+        read.append(req)
+        call_store(host, req)
+
+    play.call_store = record
+    assert answer(play, play.hosts[1], "made up") == 401
+    looked_up = [req for req in read if req.reply_to == "tables"]
+    assert looked_up
+    assert all(isinstance(req, kv.WatchItems) for req in looked_up)
