Cancel model jobs on their own queue

The plays cancelled each job through one queue, which may not access the jobs of a public one, so that no long-running job was ever cancelled. Each job is cancelled on its own queue now.

--- a/tests/model/test_waiting.py
+++ b/tests/model/test_waiting.py
@@ -31,6 +31,9 @@
 # of the rule and 6 s since the last run of a long-running subtask.
 CALM_MS = 20_000
 
+# Time in which the backlog of a play has to end.
+LAST_CALM_MS = 120_000
+
 LASTING = Queue("lasting", "h", "/lasting/", "pool", is_public=True)
 SECOND = Queue("second", "h", "/second/", "second", attempts=3, stretch=1.6)
 
@@ -95,6 +98,7 @@
             if world.violations:
                 return world
     world.heal()
+    world.calm_ms = LAST_CALM_MS
     _cancel_lasting(world, len(world.submissions))
     world.run_until_ended()
     if not world.violations:
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -81,6 +81,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavapin.jobs.queues import Queue
     from guavapin.jobs.queues import QueueTable
 
 LATENCY_MS = (1, 6)
@@ -235,18 +236,20 @@
         for service in ("scheduler", "machines", "intake", "reach"):
             self.deliver(service, QueueTableChanged(table))
 
-    def receive(self, number: int, call: Any, deadline_ms: int) -> None:
+    def receive(
+        self, number: int, call: Any, deadline_ms: int, queue: Queue = QUEUE
+    ) -> None:
         """Receive a caller's request with a deadline; `number` identifies it."""
-        if self._is_deferred(self.receive, number, call, deadline_ms):
+        if self._is_deferred(self.receive, number, call, deadline_ms, queue):
             return
         body = str(number).encode()
         self.codec.calls[body] = call
         headers = (
-            (b"host", QUEUE.host.encode()),
+            (b"host", queue.host.encode()),
             (CallCodec.deadline_header, str(deadline_ms).encode()),
         )
         now_ms = self.world.clock.now_ms()
-        req = WholeRequest(number, "POST", QUEUE.prefix, headers, body, now_ms)
+        req = WholeRequest(number, "POST", queue.prefix, headers, body, now_ms)
         self._handle("intake", self.intake.handle_request, req)
         self._pump()
 
@@ -452,7 +455,12 @@
                 reply_to(message)
 
     def request(
-        self, node: Node, call: Any, deadline_ms: int, callback: Callable[[Any], None]
+        self,
+        node: Node,
+        call: Any,
+        deadline_ms: int,
+        callback: Callable[[Any], None],
+        queue: Queue = QUEUE,
     ) -> int:
         """Send a caller's request to a node; `callback` gets the answer.
 
@@ -460,7 +468,7 @@
         """
         number = self.next_number()
         self.callers[number] = callback
-        node.receive(number, call, deadline_ms)
+        node.receive(number, call, deadline_ms, queue)
         return number
 
     def _send_peer_call(self, node: Node, call: PeerCall) -> None:
@@ -575,9 +583,9 @@
             if self.callers.pop(number, None) is not None:
                 repeat()
 
-        number = self.request(
-            node, CancelJob(submission.job.job_id), CANCEL_DEADLINE_MS, handle
-        )
+        queue = self.table.queue(submission.job.queue) or QUEUE
+        call = CancelJob(submission.job.job_id)
+        number = self.request(node, call, CANCEL_DEADLINE_MS, handle, queue)
         self.schedule(CANCEL_DEADLINE_MS, expire)
 
     def _acknowledge(self, submission: Submission) -> None:
