Try avoided hosts while work has no other host

Callers saw jobs and long-running subtasks with nothing running for up to 8 s although the hosts of their pool answered and had room.

Cause: a host that failed is avoided for 4 s, and for up to 8 s after failed trials, also when all hosts of the pool, or all with room, are avoided. A trial that still runs keeps its host from other subtasks for 3 s in the same way.

After 2 s, one such host now gets one more subtask on trial, a host each 250 ms. Plain jobs count only while less than half of the pool is in use, long-running subtasks at any time. The plain search has the same rule.

Tests that failed before: a job and a long-running subtask on a pool of avoided hosts, a long-running subtask beside full hosts, and the trial with one subtask.

--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import sys
+from itertools import islice
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.avoided_hosts import AvoidedHosts
 from guavapin.scheduling.organisation_share import OrganisationShares
 from guavapin.scheduling.placement import NO_PREFERENCE
 from guavapin.scheduling.shortage import Shortage
@@ -26,6 +28,10 @@
     from guavapin.scheduling.term import Term
 
 
+# Steps of a pool that are searched for one that only an avoided host can take.
+MAX_SEARCHED_STEPS = 500
+
+
 class Dispatcher:
     """Starts waiting subtasks, pool by pool, as far as they fit on a host."""
 
@@ -45,6 +51,7 @@
             term, hosts.usage, lambda: hosts.by_id.values()
         )
         self._waiting = WaitingSteps(rules)
+        self._avoided = AvoidedHosts(term, hosts)
         self._table = term.table
 
     def add(self, step_run: StepRun) -> None:
@@ -77,14 +84,16 @@
     def dispatch(self) -> None:
         """Start the waiting subtasks that fit on a host, in order of position."""
         self._caps.end_holds()
-        if not len(self._waiting):
-            return
         self._hosts.room.refresh(self._term.now_ms)
         if self._table is not self._term.table:
             self._table = self._term.table
             self._waiting.sort_again()
         self._waiting.mark_late(self._term.now_ms)
         self._caps.begin_dispatch()
+        self._avoided.permit_trials(self._waiting_for_a_host)
+        if not len(self._waiting):
+            return
+        self._hosts.room.refresh(self._term.now_ms)
         if self._term.table.organisations:
             self.shares.begin_dispatch()
         unresolved = self._hosts.unresolved_pools()
@@ -93,6 +102,23 @@
             if len(room):
                 self._dispatch_pool(pool, room, pool in unresolved)
 
+    def _waiting_for_a_host(
+        self, pool: str, only_long_running: bool
+    ) -> Iterator[StepRun]:
+        """Return the first steps of a pool that only wait for a host, in order."""
+        is_unresolved = pool in self._hosts.unresolved_pools()
+        steps: Iterator[StepRun] = iter(self._waiting.long_running_in(pool))
+        if not only_long_running:
+            self._caps.begin_pool()
+            candidates = self._waiting.candidates(
+                pool, lambda: sys.maxsize, self._caps.passes_over
+            )
+            steps = (row for _, row in islice(candidates, MAX_SEARCHED_STEPS))
+        for step_run in steps:
+            is_held_up = _is_held_up(step_run, is_unresolved)
+            if not is_held_up and not self._caps.is_held(step_run):
+                yield step_run
+
     def _dispatch_pool(self, pool: str, room: PoolRoom, is_unresolved: bool) -> None:
         if self._term.table.organisations:
             self.shares.begin_pool(pool, self._waiting.organisations(pool))
--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -120,6 +120,11 @@
             and now_ms >= self.set_aside_until_ms
         )
 
+    def is_avoided(self, now_ms: int) -> bool:
+        """Return whether nothing but past signs keeps subtasks from starting here."""
+        until_ms = self.set_aside_until_ms
+        return now_ms < until_ms and self.is_usable(until_ms)
+
     def describe(self, now_ms: int) -> str:
         """Return the first reason for not starting work here, or "in use"."""
         reasons = (
@@ -252,6 +257,10 @@
         """Start nothing here for a time that doubles with each failed trial."""
         self._set_health(self.health.avoided(now_ms))
 
+    def permit_trial(self, now_ms: int) -> None:
+        """Let one more subtask start here now, whatever the past signs."""
+        self._set_health(self.health.with_trial(now_ms))
+
     def _set_health(self, health: Health) -> None:
         if health != self.health:
             self.health = health
--- a/src/guavapin/scheduling/host_health.py
+++ b/src/guavapin/scheduling/host_health.py
@@ -179,6 +179,15 @@
             silence_ms=now_ms,
         )
 
+    def with_trial(self, now_ms: int) -> Health:
+        """Return the health with which one more subtask may be tried now.
+
+        A trial subtask that runs already has not succeeded by this.
+        """
+        return replace(
+            self, not_before_ms=now_ms, is_on_trial=True, is_trial_running=False
+        )
+
     def _passed(self, now_ms: int) -> Health:
         """Return the health after a trial that succeeded.
 
--- a/src/guavapin/scheduling/room_index.py
+++ b/src/guavapin/scheduling/room_index.py
@@ -105,6 +105,10 @@
         """Return the usable hosts of a pool, as of the last refresh."""
         return self._pools.setdefault(name, PoolRoom())
 
+    def set_aside_hosts(self) -> list[Host]:
+        """Return the hosts that were set aside at the last refresh, in any order."""
+        return [*self._set_aside]
+
     def refresh(self, now_ms: int) -> None:
         """Apply the changes of hosts since the last refresh."""
         due = [host for host in self._set_aside if now_ms >= host.set_aside_until_ms]
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -97,6 +97,7 @@
             str, dict[NeedClass, SortedList[tuple[Position, StepRun]]]
         ] = {}
         self._places: dict[StepRun, _Place] = {}
+        self._long_running: set[StepRun] = set()
         # Step from which the search in a class goes on behind its first steps, by pool
         # and class; it may have been removed in the meantime.
         self._next_steps: dict[tuple[str, NeedClass], tuple[Position, StepRun]] = {}
@@ -119,6 +120,8 @@
         lists = self._lists.setdefault(place.pool, {})
         lists.setdefault(need_class, SortedList()).add((position, step_run))
         self._places[step_run] = place
+        if step_run.step.is_long_running:
+            self._long_running.add(step_run)
         late_after_ms = self._rules.late_after_ms(step_run)
         if late_after_ms is not None and not position.is_late:
             row = (late_after_ms, position.number, step_run)
@@ -129,6 +132,7 @@
         place = self._places.pop(step_run, None)
         if place is None:
             return
+        self._long_running.discard(step_run)
         steps = self._lists[place.pool][place.need_class]
         steps.remove((place.position, step_run))
         if not steps:
@@ -140,6 +144,7 @@
         steps = [*self._places]
         self._lists.clear()
         self._places.clear()
+        self._long_running.clear()
         self._next_steps.clear()
         self._becoming_late.clear()
         for step_run in steps:
@@ -162,6 +167,12 @@
         """Return the pools that have steps."""
         return [pool for pool, lists in self._lists.items() if lists]
 
+    def long_running_in(self, pool: str) -> list[StepRun]:
+        """Return the long-running steps of a pool in order of position."""
+        places = self._places
+        steps = [row for row in self._long_running if places[row].pool == pool]
+        return sorted(steps, key=lambda row: places[row].position)
+
     def candidates(
         self,
         pool: str,
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin.scheduling.avoided_hosts import AvoidedHosts
 from guavapin.scheduling.placement import has_required_label
 from guavapin.scheduling.starter import Starter
 
@@ -25,6 +26,7 @@
         self._term, self._hosts, self._rules = term, hosts, rules
         self._starter = Starter(term, hosts, rules)
         self._steps: set[StepRun] = set()
+        self._avoided = AvoidedHosts(term, hosts)
 
     def add(self, step_run: StepRun) -> None:
         self._steps.add(step_run)
@@ -43,6 +45,8 @@
         now_ms = self._term.now_ms
         self._starter.caps.begin_dispatch()
         unresolved = self._hosts.unresolved_pools()
+        self._hosts.room.refresh(now_ms)
+        self._avoided.permit_trials(self._waiting_for_a_host)
         for step_run in sorted(self._steps, key=self._rules.position):
             pool = self._rules.pool_of(step_run)
             if not step_run.waiting or self.is_held_up(step_run, unresolved):
@@ -57,6 +61,17 @@
             else:
                 self._start_each(step_run, hosts)
 
+    def _waiting_for_a_host(self, pool: str, only_long_running: bool) -> list[StepRun]:
+        return [
+            step_run
+            for step_run in sorted(self._steps, key=self._rules.position)
+            if step_run.waiting
+            and (step_run.step.is_long_running or not only_long_running)
+            and self._rules.pool_of(step_run) == pool
+            and not self.is_held_up(step_run)
+            and not self._starter.caps.is_held(step_run)
+        ]
+
     def _start_each(self, step_run: StepRun, hosts: list[Host]) -> None:
         is_coupled = step_run.step.is_tightly_coupled
         rack = self._starter._rack_in_use(step_run) if is_coupled else ""
