Leave machines whose maintenance order was fenced

Operators saw the scheduler repeat a maintenance order that the fence had refused, until the end of the term, and callers got no work on the machine's host meanwhile: it stayed cordoned, however short its pool was of hosts.

Cause: the planner drops a refused move of a fenced machine, but not its maintenance order. An order for a machine that is no longer listed was repeated in the same way.

The test failed before: the order was planned again 500 ms after the refusal.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -199,9 +199,13 @@
         maintenance: dict[str, int] = {}
         draining: set[str] = set()
         urgent: set[str] = set()
-        for name, open_order in self._orders.items():
+        for name, open_order in [*self._orders.items()]:
             order = open_order.order
-            if isinstance(order, MaintainMachine) and now_ms >= open_order.until_ms:
+            if not isinstance(order, MaintainMachine) or now_ms < open_order.until_ms:
+                continue
+            if name in self._fenced_machines or name not in self._machines:
+                del self._orders[name]
+            else:
                 maintenance[name] = order.wave
         for name in maintenance:
             # The order is repeated until an answer arrives.
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -195,6 +195,27 @@
     assert planner.plan(report, TABLE, BEGIN_MS + 9_000).moves == ()
 
 
+def test_a_fenced_maintenance_order_is_not_repeated() -> None:
+    # Guards against a host that stays cordoned for the whole term, and against orders
+    # that the fence has refused already.
+    planner = Planner(TIMES, 0)
+    planner.update_machines((machine("m", "a"), machine("n", "a")), 0)
+    planner.add_wave(MaintenanceWave(1, ("m",), 60_000, 1), 0)
+    report = load(host("m", "a"), host("n", "a"))
+    begin_ms = BEGIN_MS + TIMES.maintenance_ms
+    plan = planner.plan(report, TABLE, begin_ms)
+    while not plan.maintenance:
+        begin_ms += 500
+        plan = planner.plan(report, TABLE, begin_ms)
+    planner.record_failed_order(MaintainMachine("m", 1, "", 3), True, begin_ms)
+    for delay_ms in range(500, 10_000, 500):
+        plan = planner.plan(report, TABLE, begin_ms + delay_ms)
+        assert not plan.maintenance
+    planner.update_machines((machine("m", "a"), machine("n", "a")), begin_ms + 10_000)
+    plan = planner.plan(report, TABLE, begin_ms + 10_000)
+    assert "i-m" not in plan.cordon.executor_ids
+
+
 def test_a_host_that_does_not_answer_is_not_maintained() -> None:
     # Guards against the fault of gagnon-jobs trouble-1, seed 267036063944: right after
     # a takeover, maintenance ended the runs of a host that had not answered yet, while
