List the model's store in pages beside queries

A term of the model read each list in one page, so that jobs which are stored without a scheduler between two pages were never played.

--- a/tests/model/store.py
+++ b/tests/model/store.py
@@ -31,6 +31,8 @@
         self.items: dict[str, kv.Item] = {}
         self.revision = 1
         self.is_down = False
+        # Items in a page of a list, 0 for lists of one page in the order of insertion.
+        self.max_listed_items = 0
         # End of each lease and its keys.
         self._leases: dict[str, tuple[int, int]] = {}
         self._lease_of: dict[str, str] = {}
@@ -87,11 +89,8 @@
                 if item is None or item.value is None:
                     return kv.Missing()
                 return kv.Found(item.value, item.revision)
-            case kv.ReadItems(prefix=prefix):
-                items = tuple(
-                    item for key, item in self.items.items() if key.startswith(prefix)
-                )
-                return kv.Items(items, False, self.revision)
+            case kv.ReadItems(prefix=prefix, after_key=after):
+                return self._list(prefix, after)
             case kv.Put(key=key, value=value, expected=expected, lease_id=lease_id):
                 if lease_id and lease_id not in self._leases:
                     return kv.Missing()
@@ -123,6 +122,14 @@
                 return kv.Written(self.revision)
         raise AssertionError(f"unexpected request {request!r}")
 
+    def _list(self, prefix: str, after: str) -> kv.Items:
+        keys = [key for key in self.items if key.startswith(prefix) and key > after]
+        page = keys
+        if self.max_listed_items:
+            page = sorted(keys)[: self.max_listed_items]
+        items = tuple(self.items[key] for key in page)
+        return kv.Items(items, len(page) < len(keys), self.revision)
+
     def discard_history(self) -> None:
         """Discard all changes; a watch that needs one of them has to list again."""
         self._log.clear()
--- a/tests/model/test_queries.py
+++ b/tests/model/test_queries.py
@@ -35,6 +35,9 @@
 # Share of the runs that fail; one subtask in 64 fails three times.
 FAILING_SHARE = 0.25
 
+# Items in a page of a list of the store, so that a term reads several pages.
+MAX_LISTED_ITEMS = 6
+
 # Longest step of the wall clock in one direction.
 MAX_CLOCK_STEP_MS = 5_000
 
@@ -92,6 +95,7 @@
 
 
 def _begin(world: World) -> None:
+    world.store.max_listed_items = MAX_LISTED_ITEMS
     world.fleet.failing_share = FAILING_SHARE
     _call_at_fronts(world)
 
