Bound the search for held work

A need that covers one without room is not searched, hosts are tried from the one with the most room on, and a check ends after 5,000 looks at hosts; it runs once a second. Work that was not searched stays as it was.

--- a/src/guavapin/scheduling/held_work.py
+++ b/src/guavapin/scheduling/held_work.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.scheduling.placement import find_exclusion
+from guavapin.scheduling.shortage import Shortage
 from guavapin.scheduling.where import held_up_reason
 
 if TYPE_CHECKING:
@@ -31,7 +32,11 @@
 ROOM_FACTOR = 2
 CAP_SHARE = 0.5
 
-CHECK_INTERVAL_MS = 500
+CHECK_INTERVAL_MS = 1_000
+
+# Looks at hosts in one check. A look takes a microsecond or two, and the check delays
+# the starts of a pool that is full.
+MAX_LOOKS = 5_000
 
 # Lines that one check may log; the number of all held work is in each of them.
 MAX_LINES = 4
@@ -89,27 +94,39 @@
             self._log(key, step_run, now_ms)
 
     def _find_waiting(self) -> dict[WorkKey, StepRun]:
-        """Return the work without a wanted run that has room, by key."""
+        """Return the work without a wanted run that has room, by key.
+
+        Work that is not searched because of `MAX_LOOKS` stays as it was.
+        """
         found: dict[WorkKey, StepRun] = {}
-        rooms: dict[tuple[str, Resources], bool] = {}
+        search = _RoomSearch(self._hosts_by_pool())
         for step_run in self._scheduler.steps:
             keys = [*_keys_without_runs(step_run)]
             if not keys or self._uses_half_of_cap(step_run):
                 continue
-            pool = self._scheduler.pool_of(step_run.job_run)
-            step = step_run.step
-            is_restricted = step.required_label or step.max_per_host
-            need = (pool, step.reserved)
-            if is_restricted or need not in rooms:
-                has_room = self._has_room(step_run, pool)
-                if not is_restricted:
-                    rooms[need] = has_room
-            else:
-                has_room = rooms[need]
-            if has_room:
-                found.update((key, step_run) for key in keys)
+            has_room = search.has_room(step_run, self._pool_of(step_run))
+            for key in keys:
+                if has_room or (has_room is None and key in self._since_ms):
+                    found[key] = step_run
         return found
 
+    def _pool_of(self, step_run: StepRun) -> str:
+        return self._scheduler.pool_of(step_run.job_run)
+
+    def _hosts_by_pool(self) -> dict[str, list[Host]]:
+        """Return the hosts that answer and stay, those with the most room first.
+
+        They count whatever else keeps work from them.
+        """
+        by_pool: dict[str, list[Host]] = {}
+        for host in self._scheduler.hosts.by_id.values():
+            is_up = host.is_registered and host.has_answered and not host.unanswered
+            if is_up and not host.registration.is_draining:
+                by_pool.setdefault(host.pool, []).append(host)
+        for hosts in by_pool.values():
+            hosts.sort(key=lambda host: -host.free.cpu_millis)
+        return by_pool
+
     def _uses_half_of_cap(self, step_run: StepRun) -> bool:
         name = step_run.job_run.job.organisation
         organisation = self._scheduler.term.table.organisation(name) if name else None
@@ -125,30 +142,10 @@
             )
         )
 
-    def _has_room(self, step_run: StepRun, pool: str) -> bool:
-        """Return whether the pool could run one more subtask, or a gang, twice over.
-
-        Each host counts that answers and stays, whatever else keeps work from it.
-        """
-        step = step_run.step
-        needed = ROOM_FACTOR * (step.count if step.is_gang else 1)
-        for host in self._hosts(pool):
-            if find_exclusion(step_run, host) is None:
-                needed -= _fitting(step_run, host)
-                if needed <= 0:
-                    return True
-        return False
-
-    def _hosts(self, pool: str) -> Iterator[Host]:
-        for host in self._scheduler.hosts.by_id.values():
-            is_up = host.is_registered and host.has_answered and not host.unanswered
-            if host.pool == pool and is_up and not host.registration.is_draining:
-                yield host
-
     def _log(self, key: WorkKey, step_run: StepRun, now_ms: int) -> None:
-        pool = self._scheduler.pool_of(step_run.job_run)
+        pool = self._pool_of(step_run)
         states: Counter[str] = Counter()
-        for host in self._hosts(pool):
+        for host in self._hosts_by_pool().get(pool, ()):
             exclusion = find_exclusion(step_run, host)
             state = "room" if exclusion is None else f"no {exclusion.value}"
             states[f"{state}, {host.describe(now_ms)}"] += 1
@@ -174,6 +171,43 @@
         log.warning("work held up", extra=extra)
 
 
+class _RoomSearch:
+    """Searches for hosts with room twice over, within `MAX_LOOKS` in all."""
+
+    def __init__(self, hosts_by_pool: dict[str, list[Host]]) -> None:
+        self._hosts_by_pool = hosts_by_pool
+        self._looks = 0
+        self._with_room: set[tuple[str, Resources]] = set()
+        self._shortage = Shortage()
+
+    def has_room(self, step_run: StepRun, pool: str) -> bool | None:
+        """Return whether a pool could run one more subtask, or a gang, twice over.
+
+        The result is None if it was not searched.
+        """
+        step = step_run.step
+        need = pool, step.reserved
+        is_restricted = step.required_label or step.max_per_host or step.is_gang
+        if not is_restricted and need in self._with_room:
+            return True
+        if self._shortage.applies(pool, step):
+            return False
+        needed = ROOM_FACTOR * (step.count if step.is_gang else 1)
+        for host in self._hosts_by_pool.get(pool, ()):
+            if host.free.cpu_millis < step.reserved.cpu_millis:
+                break
+            if self._looks >= MAX_LOOKS:
+                return None
+            self._looks += 1
+            if find_exclusion(step_run, host) is None:
+                needed -= _fitting(step_run, host)
+                if needed <= 0:
+                    self._with_room.add(need)
+                    return True
+        self._shortage.record(pool, step)
+        return False
+
+
 def _keys_without_runs(step_run: StepRun) -> Iterator[WorkKey]:
     """Yield the work of an open step that has nothing running and is not done."""
     job_run = step_run.job_run
