Count executors that renew their entries although no list names them

A list may be older than an executor, which then may run what a predecessor started while it does not answer: its work could start again (TWICE), beyond the cap (QUOTA). unresolved_pools had the same hole before.

An executor that is up writes its registration again every 1.5 s; one that has ended does not, and its entry is removed within 4.5 s. A host that is not listed now counts as long as its entry was written again in this term.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -48,6 +48,8 @@
         # the registry may still name it.
         self.former_born_ms = 0
         self.is_registered = True
+        # Whether its registration has been written again in this term.
+        self.has_renewed_entry = False
         self.runs: dict[RunKey, Run] = {}
         # Runs of `runs` that are to be stopped.
         self.unwanted_runs: dict[RunKey, Run] = {}
@@ -162,7 +164,7 @@
     def update_registration(self, registration: Registration) -> None:
         """Replace the registration, and recompute the free resources."""
         self.registration = registration
-        self.is_registered = True
+        self.is_registered = self.has_renewed_entry = True
         self.free = registration.capacity.minus(self.used)
         self._on_change(self)
 
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -208,8 +208,7 @@
             self._unresolved = {
                 host.pool
                 for host in self.by_id.values()
-                if not self.are_runs_known(host)
-                and host.executor_id in self._listed_pools
+                if not self.are_runs_known(host) and self._may_be_up(host)
             } | {
                 pool
                 for executor_id, pool in self._listed_pools.items()
@@ -233,8 +232,7 @@
     def _unseen_capacity(self) -> Resources | None:
         """Return the capacity of the hosts whose runs are not known, None if unknown.
 
-        An executor that is listed and has no registration is such a host too. One that
-        is not listed has ended: its registration is removed seconds later.
+        An executor that is listed and has no registration is such a host too.
         """
         if self._listed_pools is None:
             return None
@@ -248,10 +246,20 @@
             is_known = host.has_answered or host.is_handed_over
             if is_known or host in self._partly_known:
                 continue
-            if host.executor_id in self._listed_pools:
+            if self._may_be_up(host):
                 capacity = capacity.plus(host.registration.capacity)
         return capacity
 
+    def _may_be_up(self, host: Host) -> bool:
+        """Return whether a host may be up, once the machines are listed.
+
+        The registry keeps the entry of an executor for seconds after its end, and a
+        list of machines may be older than the executor. One that is up renews its
+        entry.
+        """
+        is_listed = self._listed_pools is None or host.executor_id in self._listed_pools
+        return is_listed or (host.is_registered and host.has_renewed_entry)
+
     def are_runs_known(self, host: Host) -> bool:
         """Return whether nothing may run on a host that is not in its `runs`."""
         if host.has_answered or host.is_handed_over:
--- a/tests/scheduling/test_avoided_hosts.py
+++ b/tests/scheduling/test_avoided_hosts.py
@@ -81,3 +81,17 @@
     host = sim.scheduler.hosts.by_id[holder]
     assert host.set_aside_until_ms - sim.now_ms > MAX_SET_ASIDE_MS - 200
     assert len(sim.running()) <= 1
+
+
+def test_an_avoided_host_gets_no_trial_beside_a_running_one() -> None:
+    # Guards against a full load for a host whose trial subtask hangs, while other
+    # avoided hosts get none: each trial was permitted on the same host.
+    sim = simulation()
+    for name in sim.executors:
+        avoid(sim, name)
+    step = Step(30, SMALL, 600, is_long_running=True)
+    sim.submit(make_job("a" * 16, step))
+    sim.advance(HELD_MS)
+    holders = [name for _, name in sim.running()]
+    assert holders
+    assert max(map(holders.count, holders)) == 1
--- /dev/null
+++ b/tests/scheduling/test_unlisted_executors.py
@@ -0,0 +1,48 @@
+"""Executors that run work and that the platform's list of machines does not name."""
+
+from __future__ import annotations
+
+from guavapin.jobs.model import Step
+from guavapin.scheduling.messages import MachinesListed
+from tests.scheduling.simulation import SMALL
+from tests.scheduling.simulation import Simulation
+from tests.scheduling.test_organisation_caps import capped
+from tests.scheduling.test_organisation_caps import count
+from tests.scheduling.test_organisation_caps import owned
+from tests.scheduling.test_organisation_caps import simulation
+
+CAP_MILLIS = 4_000
+
+
+def take_over_beside_an_unlisted_executor() -> Simulation:
+    """Take over without a record, while the executor with all runs does not answer.
+
+    It renews its registration, and the list of machines does not name it (yet).
+    """
+    sim = simulation(CAP_MILLIS)
+    sim.submit(owned(1, Step(4, SMALL)))
+    (holder,) = {name for _, name in sim.running()}
+    (other,) = sim.executors.keys() - {holder}
+    silent = sim.executors[holder]
+    silent.is_reachable = False
+    sim.take_over(6)
+    sim.scheduler.term.table = capped(CAP_MILLIS)
+    sim.scheduler.apply_machines(MachinesListed(((other, "pool"),)))
+    sim.submit(owned(2, Step(4, SMALL)))
+    for _ in range(4):
+        sim.scheduler.hosts.register(silent.registration())
+        sim.advance(250)
+    return sim
+
+
+def test_runs_on_an_unlisted_executor_count_for_the_cap() -> None:
+    # Guards against starts beyond a cap (QUOTA) while an executor that the list does
+    # not name runs what a predecessor started.
+    assert count(take_over_beside_an_unlisted_executor()) <= 5
+
+
+def test_runs_on_an_unlisted_executor_do_not_start_twice() -> None:
+    # Guards against a second run (TWICE) of what an executor runs that the list does
+    # not name; before 39f7b58 the cap of an organisation kept it from starting.
+    running = [row for row, _ in take_over_beside_an_unlisted_executor().running()]
+    assert len(running) == len(set(running))
