Permit no trial beside a running one

While all hosts of a pool are avoided, each trial went to the host whose time ends first. That is the one whose trial subtask runs, so that it got one more every 250 ms and the others none: a full load for a host that may fail.

The test failed before: 13 subtasks on one host before another one got its first.

--- a/src/guavapin/scheduling/avoided_hosts.py
+++ b/src/guavapin/scheduling/avoided_hosts.py
@@ -57,7 +57,8 @@
         self._next_check_ms = now_ms + CHECK_INTERVAL_MS
         avoided: dict[str, list[Host]] = {}
         for host in self._hosts.room.set_aside_hosts():
-            if host.is_avoided(now_ms):
+            # A trial that runs tells first whether the host works.
+            if host.is_avoided(now_ms) and not host.health.is_trial_running:
                 avoided.setdefault(host.pool, []).append(host)
         since_ms, self._since_ms = self._since_ms, {}
         for pool, hosts in avoided.items():
