Leave a changed table to its follower

After a lookup of a key whose watch met a change that is too long, the next lookup listed the whole table beside the list of the follower, and both shared the link. The lookup now waits until the follower has confirmed a revision.

The test failed before: a list followed the watch.

--- a/src/guavapin/jobs/tables.py
+++ b/src/guavapin/jobs/tables.py
@@ -97,7 +97,7 @@
         self._scheduler = KnownScheduler("", "", 0)
         self._is_expired = False
         self._request_id = 0
-        # Revision of the store up to which the table is known, 0 before the first.
+        # Revision of the store up to which the table is known, 0 without one.
         self._revision = 0
         # Time at which the query of a peer, or the read of the store, was sent.
         self._peer_sent_ms: dict[int, int] = {}
@@ -219,7 +219,8 @@
 
     def _refresh(self) -> None:
         now_ms = self._context.clock.now_ms()
-        if self._refresh_sent_ms or self._is_refresh_queued:
+        if self._refresh_sent_ms or self._is_refresh_queued or not self._revision:
+            # Without a revision, the follower is reading the table.
             return
         if now_ms < self._next_refresh_ms:
             self._is_refresh_queued = True
@@ -230,21 +231,20 @@
         self._refresh_sent_ms[self._request_id] = now_ms
         # The answer to a watch holds the table only if it has changed. A large table
         # on a slow link takes longer than the calls that wait for it.
-        key, number = self._codec.key, self._request_id
-        read: kv.PlatformRequest = kv.ReadItems(self.name, number, key, "")
-        if self._revision:
-            read = kv.WatchItems(self.name, number, key, self._revision, 0)
-        self._context.send("platform", read)
+        watch = kv.WatchItems(
+            self.name, self._request_id, self._codec.key, self._revision, 0
+        )
+        self._context.send("platform", watch)
 
     def _handle_refreshed(self, request_id: int, outcome: object) -> None:
         sent_ms = self._refresh_sent_ms.pop(request_id, None)
         if sent_ms is None:
             return
-        if isinstance(outcome, kv.Items | kv.ItemsChanged):
+        if isinstance(outcome, kv.ItemsChanged):
             self._adopt_items(outcome.items)
             self._confirm(self._view.version, sent_ms)
         elif isinstance(outcome, kv.Compacted | kv.ChangesTooLong):
-            # The next refresh reads the table.
+            # The follower reads the table; a second copy would delay the first.
             self._revision = 0
 
     def _handle_peer_reply(self, request_id: int, outcome: object) -> None:
--- a/tests/intake/test_revocation.py
+++ b/tests/intake/test_revocation.py
@@ -18,6 +18,7 @@
 from guavapin.http.messages import Unanswered
 from guavapin.intake.peer_calls import PeerCallsTask
 from guavapin.intake.task import IntakeTask
+from guavapin.jobs.table_messages import RefreshTable
 from guavapin.jobs.table_messages import ViewExpired
 from guavapin.jobs.table_view import watch_wait_ms
 from guavapin.jobs.tables import TablesTask
@@ -389,3 +390,26 @@
     looked_up = [req for req in read if req.reply_to == "tables"]
     assert looked_up
     assert all(isinstance(req, kv.WatchItems) for req in looked_up)
+
+
+def test_the_lookup_of_a_key_leaves_a_changed_table_to_the_follower() -> None:
+    # Guards against a second copy of a large table beside the one that the follower
+    # reads, which delays both.
+    task = TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, "n2@n2:1#1")
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(PrefixListed(KEY, (kv.Item(KEY, configuration(1, "k1"), 10),)))
+    task.handle(PrefixConfirmed(KEY, 0, 10))
+    task.handle(RefreshTable())
+    (read,) = [row.message for row in harness.sent if row.service == "platform"]
+    task.handle(kv.Reply(read.request_id, kv.ChangesTooLong()))
+    harness.advance(600)
+    task.handle(RefreshTable())
+    harness.advance(600)
+    reads = [row.message for row in harness.sent if row.service == "platform"]
+    assert reads == [read]
+    task.handle(PrefixConfirmed(KEY, 1_200, 12))
+    task.handle(RefreshTable())
+    harness.advance(600)
+    last = [row.message for row in harness.sent if row.service == "platform"][-1]
+    assert last.after_revision == 12
