Bound the time of a list by two answers on its link

A list that a new term begins does not end the one of the term before, which lived for up to 34 s beside it.

--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -41,8 +41,9 @@
     from guavapin.keyvalue.codec import StoreCodec
 
 
-# Transfers that may share the link of a list's answer, each of the largest size.
-MAX_LINK_SHARES = 4
+# Transfers that may share the link of a list's answer, each of the largest size: the
+# table of a host that starts comes from the store and from the scheduler.
+MAX_LINK_SHARES = 2
 
 # Time that the answer to a list may take beyond the deadline for its first bytes. Such
 # an answer would be as large the next time, so that it is given up only if it stalls.
