Log what the end of a lease rests on

No line told apart why a subtask starts again on another host while its executor still runs it: 'leases ended' had the number of unanswered orders only, and a wrong estimate of an executor's clock left no trace.

'leases ended' now has the age of the last order that extended the lease, the time that the executor was told by its last known clock, and the age of that reading. 'clock estimate was ahead' says by how much an answer corrects the estimate, beyond the allowed drift of 2% and the time that the answer may have been under way. Clock and lease of a host move to HostLease; no decision changes.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -6,6 +6,7 @@
 
 from guavapin.jobs.model import Resources
 from guavapin.scheduling.host_health import Health
+from guavapin.scheduling.host_lease import HostLease
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,19 +16,13 @@
     from guavapin.scheduling.run import Run
     from guavapin.scheduling.run import RunKey
 
-# Fraction by which an executor's clock may run slower than the scheduler's.
-CLOCK_DRIFT = 0.02
-
-# Added to the end of a lease for the duration of a call in both directions.
-LEASE_SLACK_MS = 250
-
 # An executor that has reported within this time has not started again and ended a run
 # since. A busy host is polled within 100 ms of its last report.
 MAX_CONFIRMING_REPORT_AGE_MS = 500
 
 
 class Host:
-    """Clock, lease, runs, ends and free resources of an executor.
+    """Lease, runs, ends and free resources of an executor.
 
     Only the scheduler changes it. Times are the scheduler's monotonic time unless they
     are said to be on the executor's clock. `on_change` is called with the host after
@@ -70,7 +65,7 @@
         self.confirmed = 0
         # The `confirmed` number that was last sent to the host in a `Look`.
         self.acknowledged = 0
-        self.lease_end_ms = 0
+        self.lease = HostLease(registration.clock_ms, now_ms)
         self.reported_ms = 0
         self.is_poll_pending = False
         self.next_poll_ms = now_ms
@@ -81,8 +76,6 @@
         self.health = Health()
         self.is_cordoned = False
         self.idle_since_ms = now_ms
-        self._clock_ms = registration.clock_ms
-        self._clock_read_ms = now_ms
 
     @property
     def pool(self) -> str:
@@ -92,7 +85,12 @@
     @property
     def clock_read_ms(self) -> int:
         """Return the time at which the executor's clock was last read."""
-        return self._clock_read_ms
+        return self.lease.reading.read_ms
+
+    @property
+    def lease_end_ms(self) -> int:
+        """Return the time at which the runs here have ended if the host is silent."""
+        return self.lease.end_ms
 
     @property
     def set_aside_until_ms(self) -> int:
@@ -141,26 +139,6 @@
         )
         return next((text for holds, text in reasons if holds), "in use")
 
-    def clock(self, now_ms: int) -> int:
-        """Return the executor's clock in ms, extrapolated from its last answer."""
-        return self._clock_ms + now_ms - self._clock_read_ms
-
-    def update_clock(self, clock_ms: int, now_ms: int) -> None:
-        """Set the clock to that of an answer; 0 leaves it as it is."""
-        if clock_ms:
-            self._clock_ms = clock_ms
-            self._clock_read_ms = now_ms
-
-    def extend_lease(self, lease_ms: int, now_ms: int) -> None:
-        """Extend the lease for an order that is sent now.
-
-        The order may be carried out although no answer arrives. Its lease therefore
-        counts from the time of sending, plus allowances for clock drift and for the
-        duration of the call.
-        """
-        end_ms = now_ms + round(lease_ms * (1 + CLOCK_DRIFT)) + LEASE_SLACK_MS
-        self.lease_end_ms = max(self.lease_end_ms, end_ms)
-
     def update_registration(self, registration: Registration) -> None:
         """Replace the registration, and recompute the free resources."""
         self.registration = registration
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -314,7 +314,7 @@
             if self._is_lease_expired(host):
                 reason = "the lease has ended and the host does not answer"
                 extra = {"executor": host.executor_id, "unanswered": host.unanswered}
-                log.info("leases ended", extra=extra)
+                log.info("leases ended", extra=extra | host.lease.describe(now_ms))
                 self._remove_all_runs(host, reason)
                 self._remove_if_empty(host)
             for run in [*host.unwanted_runs.values()]:
@@ -323,7 +323,7 @@
     def start(self, host: Host, run: Run, order: Start) -> None:
         """Reserve the resources of a run and send the order that starts it."""
         host.add(run)
-        host.extend_lease(self._term.lease_ms, self._term.now_ms)
+        host.lease.extend(self._term.lease_ms, self._term.now_ms)
         host.record_start(self._term.now_ms)
         self._send(host, order, ORDER_TIMEOUT_MS)
 
@@ -349,7 +349,7 @@
 
     def until_ms(self, host: Host) -> int:
         """Return the end of a new lease on the host's clock."""
-        return host.clock(self._term.now_ms) + self._term.lease_ms
+        return host.lease.reading.at(self._term.now_ms) + self._term.lease_ms
 
     def handle_answer(self, context: OrderContext, outcome: OrderOutcome) -> None:
         """Apply the answer to an order of this term; drop it if the host is gone."""
@@ -373,15 +373,32 @@
                 self.end_incarnation(host, "another executor answers at its address")
                 return
             case HostReport():
-                host.update_clock(outcome.clock_ms, self._term.now_ms)
+                self._read_clock(host, context, outcome.clock_ms)
                 self._handle_report(host, context, outcome)
                 return
-        host.update_clock(outcome.clock_ms, self._term.now_ms)
+        self._read_clock(host, context, outcome.clock_ms)
         host.record_answer()
         run = self._find_run(host, context.order)
         if run is not None:
             self._handle_order_answer(host, run, context.order, outcome)
 
+    def _read_clock(self, host: Host, context: OrderContext, clock_ms: int) -> None:
+        """Read the clock in an answer, 0 without one, and log a wrong estimate."""
+        now_ms = self._term.now_ms
+        if not clock_ms:
+            return
+        lead_ms = host.lease.reading.lead_ms(clock_ms, context.sent_ms, now_ms)
+        host.lease.read(clock_ms, now_ms)
+        if lead_ms and host.has_answered:
+            extra = {
+                "executor": host.executor_id,
+                "order": type(context.order).__name__,
+                "ahead_ms": lead_ms,
+                "runs": len(host.runs),
+            }
+            fields = host.lease.describe(now_ms)
+            log.info("clock estimate was ahead", extra=extra | fields)
+
     def _handle_former_answer(
         self, host: Host, order: Order, outcome: OrderOutcome
     ) -> None:
@@ -478,7 +495,7 @@
             host = self._replace_incarnation(host, registration)
             # Only its own entry tells its kind and resources.
             host.unregister()
-            host.update_clock(report.clock_ms, self._term.now_ms)
+            self._read_clock(host, context, report.clock_ms)
         if host.unanswered:
             log.info("host answers again", extra={"executor": host.executor_id})
         if not host.has_answered:
@@ -584,7 +601,7 @@
         # would delay the time at which its runs count as ended.
         if host.runs and not host.unanswered:
             until_ms = self.until_ms(host)
-            host.extend_lease(self._term.lease_ms, now_ms)
+            host.lease.extend(self._term.lease_ms, now_ms)
         host.is_poll_pending = True
         confirmed = host.confirmable(now_ms)
         host.acknowledged = max(host.acknowledged, confirmed)
--- a/src/guavapin/scheduling/incarnation.py
+++ b/src/guavapin/scheduling/incarnation.py
@@ -29,7 +29,7 @@
     """
     host = Host(registration, now_ms, on_change, usage)
     host.former_born_ms = former.born_ms
-    host.lease_end_ms = former.lease_end_ms
+    host.lease.end_ms = former.lease.end_ms
     host.cordon(former.is_cordoned)
     for run in [*former.runs.values()]:
         if run.is_listed:
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -170,7 +170,7 @@
 
     def take_over(self, token: int) -> None:
         """Begin a new term, with a new scheduler that loads what is stored."""
-        term = Term(token, TIMES, TABLE, self.now_ms)
+        term = Term(token, self.times(), TABLE, self.now_ms)
         self.scheduler = Scheduler(term)
         self._update_time()
         self.scheduler.hosts.replace_registrations(
@@ -182,6 +182,10 @@
         }
         self.scheduler.jobs.load(self.jobs.values(), progress)
 
+    def times(self) -> Times:
+        """Return the times of the deployment."""
+        return TIMES
+
     def list_machines(self) -> None:
         """Deliver the platform's list of machines."""
         pools = tuple((name, "pool") for name in self.executors)
