Reproduce two runs of a subtask after an executor has started again

Callers saw one subtask on two executors for over three seconds. In a simulation of executors with clocks of their own and leases of up to 10,000 ms, four orders of events give the same: a restart under the same id, with and without an answer to the first order after it, a restart before a takeover, and a clock that stood still.

--- a/tests/scheduling/clocked_executor.py
+++ b/tests/scheduling/clocked_executor.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from guavapin.executors.model import Look
+from guavapin.executors.model import NoAnswer
 from guavapin.executors.model import Start
 from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
@@ -49,6 +50,7 @@
         self.max_lease_ms = max_lease_ms
         self.longest_overlap_ms = 0
         self._overlaps: dict = {}
+        self._is_answer_lost = False
         names = [f"e{number + 1}" for number in range(count)]
         super().__init__(
             [ClockedExecutor(name, max_lease_ms=max_lease_ms) for name in names]
@@ -57,6 +59,21 @@
     def times(self):
         return replace(super().times(), max_lease_ms=self.max_lease_ms)
 
+    def lose_next_answer(self) -> None:
+        """Let the next order be carried out without an answer."""
+        self._is_answer_lost = True
+
+    def _deliver(self, action) -> None:
+        if not self._is_answer_lost:
+            super()._deliver(action)
+            return
+        self._is_answer_lost = False
+        executor = self.executors[action.context.executor_id]
+        executor.handle_order(action.context.order, self.now_ms)
+        executor.is_reachable = False
+        outcome = NoAnswer(True, "answer lost")
+        self.scheduler.hosts.handle_answer(action.context, outcome)
+
     def advance(self, delta_ms: int, step_ms: int = 50) -> None:
         for _ in range(delta_ms // step_ms):
             self.now_ms += step_ms
--- a/tests/scheduling/test_host_lease.py
+++ b/tests/scheduling/test_host_lease.py
@@ -75,3 +75,77 @@
     sim.submit(make_job("a" * 16, Step(1, SMALL, 60_000)))
     sim.advance(20_000)
     assert not any(row.message == "clock estimate was ahead" for row in caplog.records)
+
+
+def test_a_restart_does_not_shorten_the_lease_that_is_waited_for(
+    sim: ClockedSimulation,
+) -> None:
+    # Guards against a second run beside one on an executor that has started again under
+    # its id: the order's end, by the clock of its former life, gave the longest lease.
+    executor = sim.executors["e1"]
+    executor.restart_at(sim.now_ms)
+    start_work(sim)
+    sim.advance(100)
+    sim.scheduler.hosts.register(executor.registration())
+    sim.advance(100)
+    fall_silent(sim)
+    assert sim.longest_overlap_ms == 0
+    assert [name for _, name in sim.running()] == ["e2"]
+
+
+def test_a_restart_is_allowed_for_by_an_order_without_an_answer(
+    sim: ClockedSimulation,
+) -> None:
+    # Guards against a second run if the executor falls silent before it has answered
+    # the first order after its restart.
+    sim.advance(4_000)
+    sim.executors["e1"].restart_at(sim.now_ms)
+    sim.lose_next_answer()
+    start_work(sim)
+    fall_silent(sim)
+    assert sim.longest_overlap_ms == 0
+    assert [name for _, name in sim.running()] == ["e2"]
+
+
+def test_a_clock_that_stood_still_lengthens_the_lease_that_is_waited_for(
+    sim: ClockedSimulation,
+) -> None:
+    # Guards against a second run beside one whose lease ends later than was counted.
+    sim.advance(3_000)
+    sim.executors["e1"].lag_ms = 2_000
+    start_work(sim)
+    fall_silent(sim)
+    assert sim.longest_overlap_ms == 0
+    assert [name for _, name in sim.running()] == ["e2"]
+
+
+def test_a_successor_allows_for_a_restart_in_the_term_before(
+    sim: ClockedSimulation,
+) -> None:
+    # Guards against a second run after a takeover: the successor reads the run in a
+    # report, and cannot know which end the order of its predecessor had.
+    sim.executors["e1"].restart_at(sim.now_ms)
+    start_work(sim)
+    sim.take_over(token=9)
+    sim.list_machines()
+    sim.scheduler.cordon(frozenset({"e2"}), frozenset())
+    sim.advance(50)
+    fall_silent(sim)
+    assert sim.longest_overlap_ms == 0
+    assert [name for _, name in sim.running()] == ["e2"]
+
+
+@pytest.mark.parametrize("max_lease_ms", [6_000, 10_000])
+def test_work_of_a_silent_host_starts_again_after_its_lease(max_lease_ms: int) -> None:
+    # Guards against work that waits for the longest lease although the executor was
+    # read at the time of the order.
+    sim = ClockedSimulation(max_lease_ms=max_lease_ms)
+    sim.list_machines()
+    sim.advance(100)
+    sim.scheduler.cordon(frozenset({"e2"}), frozenset())
+    start_work(sim)
+    sim.advance(3_000)
+    sim.executors["e1"].is_reachable = False
+    sim.scheduler.cordon(frozenset(), frozenset())
+    sim.advance(6_600)
+    assert "e2" in [name for _, name in sim.running()]
