Count the lease that an executor has really given

Cause: an order names the end of a lease on the executor's clock, extrapolated from the last answer, and the scheduler counted 6,370 ms from the order whatever the executor made of it. An executor that has started again under its id has a clock that begins anew, and one whose clock stood still is behind: both keep their runs for up to their longest lease, 10,000 ms where two runs were seen.

The clock in the answer to the order now tells how long the lease lasts, and later readings correct that of an order without an answer, which may still reach another life of the executor. What is counted goes with the executor into its next life.

Work of a host that was read at the time of the order starts again after 6.4 s as before.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -6,12 +6,12 @@
 
 from guavapin.jobs.model import Resources
 from guavapin.scheduling.host_health import Health
-from guavapin.scheduling.host_lease import HostLease
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from guavapin.executors.model import Registration
+    from guavapin.scheduling.host_lease import HostLease
     from guavapin.scheduling.organisation_usage import OrganisationUsage
     from guavapin.scheduling.run import Run
     from guavapin.scheduling.run import RunKey
@@ -32,6 +32,7 @@
     def __init__(
         self,
         registration: Registration,
+        lease: HostLease,
         now_ms: int,
         on_change: Callable[[Host], None] = lambda host: None,
         usage: OrganisationUsage | None = None,
@@ -65,7 +66,7 @@
         self.confirmed = 0
         # The `confirmed` number that was last sent to the host in a `Look`.
         self.acknowledged = 0
-        self.lease = HostLease(registration.clock_ms, now_ms)
+        self.lease = lease
         self.reported_ms = 0
         self.is_poll_pending = False
         self.next_poll_ms = now_ms
--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -1,8 +1,21 @@
-"""Lease of the runs on an executor: what orders told it, and when it ends."""
+"""Lease of the runs on an executor: what orders told it, and when it ends.
+
+An order tells an executor the end of the lease on the executor's own clock, which the
+scheduler extrapolates from the last answer. The estimate runs ahead if the executor has
+started again since, with a clock that begins anew, or if its clock stood still; the
+lease then lasts longer than meant, up to the longest one that the executor keeps. The
+clock in the answer to the order shows what it has really given.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from guavapin.executors.model import Look
+    from guavapin.executors.model import Start
 
 # Fraction by which an executor's clock may run slower than the scheduler's.
 CLOCK_DRIFT = 0.02
@@ -14,6 +27,18 @@
 # drift, before it counts as wrong.
 READING_TOLERANCE_MS = 100
 
+# An order without an answer is carried out within this time after it was sent, or not
+# at all.
+MAX_DELIVERY_MS = 12_000
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """Lease that an order gives, and the longest one that an executor keeps, in ms."""
+
+    given_ms: int
+    longest_ms: int
+
 
 @dataclass(frozen=True, slots=True)
 class ClockReading:
@@ -40,14 +65,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Lease that an order gives: its end on the executor's clock, as it was estimated.
+    """Lease that an order gives, until the order is answered.
 
-    `clock_age_ms` is the age of the reading that the estimate is based on.
+    `until_ms` is its end on the executor's clock, from a reading that was
+    `clock_age_ms` old, and `end_ms` the latest time at which it ends.
     """
 
     until_ms: int
     sent_ms: int
     clock_age_ms: int
+    end_ms: int
+
+    def bounded(self, terms: LeaseTerms, clock_ms: int, now_ms: int) -> Grant:
+        """Return the grant with its end by a reading that was handled at `now_ms`.
+
+        An order that has not been carried out yet may reach another life of the
+        executor, whose clock is behind; the longest lease then counts from its arrival.
+        """
+        delivery_ms = max(self.sent_ms + MAX_DELIVERY_MS - now_ms, 0)
+        left_ms = min(self.until_ms - clock_ms, delivery_ms + terms.longest_ms)
+        return replace(self, end_ms=_latest_end_ms(left_ms, now_ms))
 
 
 class HostLease:
@@ -57,30 +94,79 @@
     said to be on the executor's clock.
     """
 
-    def __init__(self, clock_ms: int, now_ms: int) -> None:
+    def __init__(self, terms: LeaseTerms, clock_ms: int, now_ms: int) -> None:
         self.reading = ClockReading(clock_ms, now_ms)
         self.last_grant: Grant | None = None
-        self.end_ms = 0
-
-    def read(self, clock_ms: int, now_ms: int) -> None:
-        """Replace the reading of the clock by that of an answer."""
-        self.reading = ClockReading(clock_ms, now_ms)
-
-    def extend(self, lease_ms: int, now_ms: int) -> None:
+        self._terms = terms
+        # Leases of the orders without an answer, which may still be carried out, and
+        # the latest end of all others.
+        self._open: dict[Look | Start, Grant] = {}
+        self._settled_end_ms = 0
+
+    @property
+    def end_ms(self) -> int:
+        """Return the time at which a lease that was given has ended for certain."""
+        open_ends = (grant.end_ms for grant in self._open.values())
+        return max(self._settled_end_ms, *open_ends, 0)
+
+    def until_ms(self, now_ms: int) -> int:
+        """Return the end of a new lease on the executor's clock."""
+        return self.reading.at(now_ms) + self._terms.given_ms
+
+    def extend(self, order: Look | Start, now_ms: int) -> None:
         """Extend the lease for an order that is sent now.
 
         The order may be carried out although no answer arrives. Its lease therefore
         counts from the time of sending, plus allowances for clock drift and for the
         duration of the call.
         """
-        until_ms = self.reading.at(now_ms) + lease_ms
-        self.last_grant = Grant(until_ms, now_ms, now_ms - self.reading.read_ms)
-        self.assume(lease_ms, now_ms)
+        clock_age_ms = now_ms - self.reading.read_ms
+        end_ms = _latest_end_ms(self._terms.given_ms, now_ms)
+        self.last_grant = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
+        self._open[order] = self.last_grant
 
-    def assume(self, lease_ms: int, now_ms: int) -> None:
-        """Assume that another scheduler has given a lease that may begin now."""
-        end_ms = now_ms + round(lease_ms * (1 + CLOCK_DRIFT)) + LEASE_SLACK_MS
-        self.end_ms = max(self.end_ms, end_ms)
+    def settle(self, order: Look | Start, clock_ms: int, now_ms: int) -> None:
+        """Count the lease that an order has given, by the clock in its answer.
+
+        An answer without a clock, for which `clock_ms` is 0, bounds nothing.
+        """
+        grant = self._open.pop(order, None)
+        if grant is not None:
+            left_ms = self._terms.longest_ms
+            if clock_ms:
+                left_ms = min(grant.until_ms - clock_ms, left_ms)
+            self._settle_until(_latest_end_ms(left_ms, now_ms))
+
+    def withdraw(self, order: Look | Start) -> None:
+        """Drop the lease of an order that was not sent."""
+        self._open.pop(order, None)
+
+    def assume(self, now_ms: int) -> None:
+        """Assume that another scheduler has given a lease that begins now at most."""
+        self._settle_until(_latest_end_ms(self._terms.given_ms, now_ms))
+
+    def read(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
+        """Read the clock in the answer to an order that was sent at `sent_ms`."""
+        self.reading = ClockReading(clock_ms, now_ms)
+        for order, grant in [*self._open.items()]:
+            bounded = grant.bounded(self._terms, clock_ms, now_ms)
+            # The answer to an earlier order may be one of an earlier life.
+            if sent_ms > grant.sent_ms or bounded.end_ms > grant.end_ms:
+                self._open[order] = bounded
+            if now_ms > grant.sent_ms + MAX_DELIVERY_MS:
+                self._settle_until(self._open.pop(order).end_ms)
+
+    def next_life(self, clock_ms: int, now_ms: int) -> HostLease:
+        """Return the lease of the executor after it has started again.
+
+        Orders without an answer may have reached either life, or may reach the next.
+        """
+        lease = HostLease(self._terms, clock_ms, now_ms)
+        lease._settled_end_ms = self._settled_end_ms
+        for order, grant in self._open.items():
+            bounded = grant.bounded(self._terms, clock_ms, now_ms)
+            lease._open[order] = max(grant, bounded, key=lambda row: row.end_ms)
+        return lease
 
     def describe(self, now_ms: int) -> dict[str, int]:
         """Return the fields of a log line about the end of the lease.
@@ -94,3 +180,11 @@
             fields["told_ms"] = self.last_grant.until_ms - self.reading.at(now_ms)
             fields["clock_age_ms"] = self.last_grant.clock_age_ms
         return fields
+
+    def _settle_until(self, end_ms: int) -> None:
+        self._settled_end_ms = max(self._settled_end_ms, end_ms)
+
+
+def _latest_end_ms(left_ms: int, now_ms: int) -> int:
+    """Return when a lease with `left_ms` on the executor's clock ends at the latest."""
+    return now_ms + round(max(left_ms, 0) * (1 + CLOCK_DRIFT)) + LEASE_SLACK_MS
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -18,6 +18,7 @@
 from guavapin.executors.model import Start
 from guavapin.executors.model import Stop
 from guavapin.scheduling.host import Host
+from guavapin.scheduling.host_lease import HostLease
 from guavapin.scheduling.incarnation import begin_incarnation
 from guavapin.scheduling.messages import OrderContext
 from guavapin.scheduling.messages import SendOrder
@@ -134,7 +135,9 @@
         host = self.by_id.get(registration.executor_id)
         if host is None:
             now_ms, on_change = self._term.now_ms, self.room.mark_changed
-            host = Host(registration, now_ms, on_change, self.usage)
+            terms = self._term.lease_terms
+            lease = HostLease(terms, registration.clock_ms, now_ms)
+            host = Host(registration, lease, now_ms, on_change, self.usage)
             self._add(host)
             return
         # An entry without a start time does not show whether the executor restarted.
@@ -323,7 +326,7 @@
     def start(self, host: Host, run: Run, order: Start) -> None:
         """Reserve the resources of a run and send the order that starts it."""
         host.add(run)
-        host.lease.extend(self._term.lease_ms, self._term.now_ms)
+        host.lease.extend(order, self._term.now_ms)
         host.record_start(self._term.now_ms)
         self._send(host, order, ORDER_TIMEOUT_MS)
 
@@ -349,13 +352,14 @@
 
     def until_ms(self, host: Host) -> int:
         """Return the end of a new lease on the host's clock."""
-        return host.lease.reading.at(self._term.now_ms) + self._term.lease_ms
+        return host.lease.until_ms(self._term.now_ms)
 
     def handle_answer(self, context: OrderContext, outcome: OrderOutcome) -> None:
         """Apply the answer to an order of this term; drop it if the host is gone."""
         host = self.by_id.get(context.executor_id)
         if host is None:
             return
+        self._settle_lease(host, context.order, outcome)
         if host.born_ms != context.born_ms:
             self._handle_former_answer(host, context.order, outcome)
             return
@@ -382,13 +386,23 @@
         if run is not None:
             self._handle_order_answer(host, run, context.order, outcome)
 
+    def _settle_lease(self, host: Host, order: Order, outcome: OrderOutcome) -> None:
+        """Count the lease of an answered order, and drop that of an order not sent."""
+        if not isinstance(order, Look | Start):
+            return
+        if isinstance(outcome, NoAnswer):
+            if not outcome.was_sent:
+                host.lease.withdraw(order)
+        else:
+            host.lease.settle(order, outcome.clock_ms, self._term.now_ms)
+
     def _read_clock(self, host: Host, context: OrderContext, clock_ms: int) -> None:
         """Read the clock in an answer, 0 without one, and log a wrong estimate."""
         now_ms = self._term.now_ms
         if not clock_ms:
             return
         lead_ms = host.lease.reading.lead_ms(clock_ms, context.sent_ms, now_ms)
-        host.lease.read(clock_ms, now_ms)
+        host.lease.read(clock_ms, context.sent_ms, now_ms)
         if lead_ms and host.has_answered:
             extra = {
                 "executor": host.executor_id,
@@ -601,11 +615,12 @@
         # would delay the time at which its runs count as ended.
         if host.runs and not host.unanswered:
             until_ms = self.until_ms(host)
-            host.lease.extend(self._term.lease_ms, now_ms)
         host.is_poll_pending = True
         confirmed = host.confirmable(now_ms)
         host.acknowledged = max(host.acknowledged, confirmed)
         look = Look(self._term.token, confirmed, until_ms, wait_ms)
+        if until_ms:
+            host.lease.extend(look, now_ms)
         self._send(host, look, ORDER_TIMEOUT_MS + wait_ms)
 
     def _send(self, host: Host, order: Order, timeout_ms: int) -> None:
--- a/src/guavapin/scheduling/incarnation.py
+++ b/src/guavapin/scheduling/incarnation.py
@@ -27,9 +27,9 @@
     reports show whether it is there. A run that a report of the former incarnation has
     listed has ended with it, and stays with `former`.
     """
-    host = Host(registration, now_ms, on_change, usage)
+    lease = former.lease.next_life(registration.clock_ms, now_ms)
+    host = Host(registration, lease, now_ms, on_change, usage)
     host.former_born_ms = former.born_ms
-    host.lease.end_ms = former.lease.end_ms
     host.cordon(former.is_cordoned)
     for run in [*former.runs.values()]:
         if run.is_listed:
--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -122,5 +122,5 @@
         run.is_long_running = step_run is not None and step_run.step.is_long_running
         run.is_filler = step_run is not None and step_run.step.is_filler
         run.image = step_run.step.image if step_run is not None else ""
-        host.lease.assume(self._term.lease_ms, self._term.now_ms)
+        host.lease.assume(self._term.now_ms)
         return run
--- a/src/guavapin/scheduling/term.py
+++ b/src/guavapin/scheduling/term.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.ledger.ledger import Entry
+from guavapin.scheduling.host_lease import LeaseTerms
 from guavapin.scheduling.messages import StoreEntry
 from guavapin.scheduling.organisation_rate import DEFAULT_WINDOW_MS
 from guavapin.scheduling.record import PROGRESS_PREFIX
@@ -53,10 +54,11 @@
         self.now_ms = now_ms
         self.wall_ms = 0
         self.quota_window_ms = quota_window_ms
-        self.lease_ms = min(LEASE_MS, times.max_lease_ms)
+        given_ms = min(LEASE_MS, times.max_lease_ms)
+        self.lease_terms = LeaseTerms(given_ms, times.max_lease_ms)
         # Until this time, a host that has not answered may run subtasks of an earlier
         # scheduler: that one may have extended leases during a store outage.
-        self.resolve_by_ms = now_ms + MAX_UNCONFIRMED_MS + round(self.lease_ms * 1.05)
+        self.resolve_by_ms = now_ms + MAX_UNCONFIRMED_MS + round(given_ms * 1.05)
         # Set while the store cannot be reached; another term may have begun by then.
         self.is_unconfirmed = False
         self.actions: list[Action] = []
--- a/tests/scheduling/test_supervision.py
+++ b/tests/scheduling/test_supervision.py
@@ -9,6 +9,8 @@
 from guavapin.jobs.model import Step
 from guavapin.jobs.terms import AdviceTerms
 from guavapin.scheduling.host import Host
+from guavapin.scheduling.host_lease import HostLease
+from guavapin.scheduling.host_lease import LeaseTerms
 from guavapin.scheduling.job_run import JobRun
 from guavapin.scheduling.messages import AdviceReply
 from guavapin.scheduling.messages import AdviceRequest
@@ -160,7 +162,8 @@
             True,
         ),
     ):
-        host = Host(FakeExecutor("e").registration(), 0)
+        lease = HostLease(LeaseTerms(6_000, 6_000), 0, 0)
+        host = Host(FakeExecutor("e").registration(), lease, 0)
         host.add(view(Step(1)).run)
         change(host)
         assert needs_supervision(host, MIN_STALL_MS) is is_needed
