Allow for a restart before an order without an answer

An executor that has started again, carries out the first order after it and falls silent before it answers keeps its runs for its longest lease; the scheduler counted 6,370 ms, and started them elsewhere beside it.

A reading of the clock that is older than the polls of a busy host proves nothing about the executor's life. Until such an order is answered, the longest lease counts. Work of executors that were read at most 1.25 s before the order is not delayed.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -32,6 +32,11 @@
 MAX_DELIVERY_MS = 12_000
 
 
+# Age up to which a reading shows that the executor has not started again since. The
+# poll of a busy host is answered at least this often.
+MAX_READING_AGE_MS = 1_250
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseTerms:
     """Lease that an order gives, and the longest one that an executor keeps, in ms."""
@@ -118,10 +123,13 @@
 
         The order may be carried out although no answer arrives. Its lease therefore
         counts from the time of sending, plus allowances for clock drift and for the
-        duration of the call.
+        duration of the call. Beside an older reading, the longest lease counts until
+        an answer shows that the executor has not started again.
         """
         clock_age_ms = now_ms - self.reading.read_ms
-        end_ms = _latest_end_ms(self._terms.given_ms, now_ms)
+        is_recent = clock_age_ms <= MAX_READING_AGE_MS
+        left_ms = self._terms.given_ms if is_recent else self._terms.longest_ms
+        end_ms = _latest_end_ms(left_ms, now_ms)
         self.last_grant = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
         self._open[order] = self.last_grant
 
