Allow for a restart before a takeover

After a takeover, the lease of a run that the successor reads in a report was counted as 6,370 ms from that report. If the executor had started again under its predecessor, it keeps the run for up to its longest lease, and the subtask started elsewhere beside it once the executor had fallen silent.

The successor cannot know by which clock its predecessor gave the lease. It counts the longest one, unless the executor's start is 40 s ago, so that no lease can rest on the clock of its former life.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -37,6 +37,12 @@
 MAX_READING_AGE_MS = 1_250
 
 
+# Time after its start from which no lease on an executor rests on its former clock: a
+# scheduler reads the clock of an idle host every 8 s, an order is under way for up to
+# 12 s, and its lease lasts 10 s. The rest allows for clocks of day that differ.
+SETTLED_LIFE_MS = 40_000
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseTerms:
     """Lease that an order gives, and the longest one that an executor keeps, in ms."""
@@ -149,9 +155,15 @@
         """Drop the lease of an order that was not sent."""
         self._open.pop(order, None)
 
-    def assume(self, now_ms: int) -> None:
-        """Assume that another scheduler has given a lease that begins now at most."""
-        self._settle_until(_latest_end_ms(self._terms.given_ms, now_ms))
+    def assume(self, is_settled_life: bool, now_ms: int) -> None:
+        """Assume that another scheduler has given a lease that begins now at most.
+
+        By which reading of the clock it did is not known, so the longest lease counts
+        unless the executor has long been in its present life.
+        """
+        terms = self._terms
+        left_ms = terms.given_ms if is_settled_life else terms.longest_ms
+        self._settle_until(_latest_end_ms(left_ms, now_ms))
 
     def read(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
         """Read the clock in the answer to an order that was sent at `sent_ms`."""
--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.jobs.model import Resources
+from guavapin.scheduling.host_lease import SETTLED_LIFE_MS
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
 
@@ -122,5 +123,6 @@
         run.is_long_running = step_run is not None and step_run.step.is_long_running
         run.is_filler = step_run is not None and step_run.step.is_filler
         run.image = step_run.step.image if step_run is not None else ""
-        host.lease.assume(self._term.now_ms)
+        life_ms = self._term.wall_ms - host.born_ms if host.born_ms else 0
+        host.lease.assume(life_ms > SETTLED_LIFE_MS, self._term.now_ms)
         return run
--- a/tests/scheduling/test_host_lease.py
+++ b/tests/scheduling/test_host_lease.py
@@ -7,6 +7,7 @@
 import pytest
 
 from guavapin.jobs.model import Step
+from guavapin.scheduling.host_lease import SETTLED_LIFE_MS
 from tests.scheduling.clocked_executor import ClockedSimulation
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import make_job
@@ -135,6 +136,20 @@
     assert [name for _, name in sim.running()] == ["e2"]
 
 
+def test_a_successor_does_not_delay_work_of_an_executor_in_a_settled_life(
+    sim: ClockedSimulation,
+) -> None:
+    # Guards against work that waits for the longest lease after each takeover.
+    start_work(sim)
+    sim.advance(SETTLED_LIFE_MS)
+    sim.take_over(token=9)
+    sim.list_machines()
+    sim.advance(50)
+    sim.executors["e1"].is_reachable = False
+    sim.advance(6_600)
+    assert "e2" in [name for _, name in sim.running()]
+
+
 @pytest.mark.parametrize("max_lease_ms", [6_000, 10_000])
 def test_work_of_a_silent_host_starts_again_after_its_lease(max_lease_ms: int) -> None:
     # Guards against work that waits for the longest lease although the executor was
