Ignore entries of a life before the one that is known

A subtask started on a second executor while the first still ran it, in a simulation: an executor starts again twice, its report names the second new life, and the entry of the first arrives after it. Only the last life before was remembered, so the entry counted as a new start, and what ran there as ended.

An entry whose start time is before the known one is out of date. If the executor's time of day was set back, its next report names its life.

Its test fails without the change and passes with it; a second one guards the case of the clock.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -142,7 +142,9 @@
             return
         # An entry without a start time does not show whether the executor restarted.
         born_ms = registration.born_ms or host.born_ms
-        if born_ms == host.former_born_ms != host.born_ms:
+        # A new life after the executor's time of day was set back shows in its report.
+        is_former = born_ms == host.former_born_ms != host.born_ms
+        if is_former or born_ms < host.born_ms:
             log.info("entry is out of date", extra={"executor": host.executor_id})
             return
         if host.born_ms and born_ms != host.born_ms:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -519,3 +519,43 @@
     assert len(sim.starts) == 2
     assert state(sim, "b" * 16) is JobState.SUCCEEDED
     assert not any(executor.ended for executor in sim.executors.values())
+
+
+def test_an_entry_of_an_older_life_ends_nothing(sim: Simulation) -> None:
+    # Guards against subtasks that run twice: an executor has started again twice before
+    # the registry shows the first of its new lives, and its reports name the second.
+    sim.submit(make_job("a" * 16))
+    ((_, name),) = sim.running()
+    executor = sim.executors[name]
+    executor.restart()
+    between = executor.registration()
+    executor.restart()
+    sim.scheduler.cordon(frozenset(sim.executors) - {name}, frozenset())
+    sim.scheduler.hosts.register(executor.registration())
+    sim.advance(500)
+    assert [row for _, row in sim.running()] == [name]
+    sim.scheduler.cordon(frozenset(), frozenset())
+    sim.scheduler.hosts.register(between)
+    sim.advance(500)
+    assert [row for _, row in sim.running()] == [name]
+    assert len(sim.starts) == 2
+
+
+def test_a_life_after_a_clock_that_was_set_back_is_recognised(sim: Simulation) -> None:
+    # Guards against subtasks that wait for ever because the entry of a new life looks
+    # older than that of the life before.
+    for executor in sim.executors.values():
+        executor.born_ms = 5_000
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(100)
+    sim.submit(make_job("a" * 16, Step(2, SMALL)))
+    sim.advance(100)
+    for executor in sim.executors.values():
+        executor.restart()
+        executor.born_ms = 3_000
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(200)
+    for executor in sim.executors.values():
+        sim.scheduler.hosts.register(executor.registration())
+    sim.advance(200)
+    assert len(sim.starts) == 4 and len(sim.running()) == 2
