Read an executor's clock before an order that gives a lease

And a lease that is given by the clock of a former life counts from the arrival of the order, which may be late.

An order now gives a lease only if the clock was read at most 1.25 s before. The start on an idle executor waits for the answer to a poll, a few milliseconds; if none comes, the start was never sent and the subtask starts elsewhere at once. Entries of the registry are no readings.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from guavapin.executors.model import Registration
+    from guavapin.executors.model import Start
     from guavapin.scheduling.host_lease import HostLease
     from guavapin.scheduling.organisation_usage import OrganisationUsage
     from guavapin.scheduling.run import Run
@@ -49,6 +50,8 @@
         self.runs: dict[RunKey, Run] = {}
         # Runs of `runs` that are to be stopped.
         self.unwanted_runs: dict[RunKey, Run] = {}
+        # Start orders that wait for a reading of the executor's clock.
+        self.waiting_starts: dict[RunKey, Start] = {}
         self.used = Resources()
         # Capacity less `used`; stored because every search for a host reads it.
         self.free = registration.capacity
@@ -179,6 +182,7 @@
         """Remove a run and free its resources; do nothing if it is not listed."""
         if self.runs.pop(run.key, None) is not None:
             self.unwanted_runs.pop(run.key, None)
+            self.waiting_starts.pop(run.key, None)
             self._unknown_needs -= not run.is_need_known
             self._long_running_count -= run.is_long_running
             self._filler_count -= run.is_filler
--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -3,8 +3,9 @@
 An order tells an executor the end of the lease on the executor's own clock, which the
 scheduler extrapolates from the last answer. The estimate runs ahead if the executor has
 started again since, with a clock that begins anew, or if its clock stood still; the
-lease then lasts longer than meant, up to the longest one that the executor keeps. The
-clock in the answer to the order shows what it has really given.
+lease then lasts longer than meant, up to the longest one that the executor keeps. So
+an order gives a lease only by a recent reading, and the clock in its answer shows what
+it has really given.
 """
 
 from __future__ import annotations
@@ -33,7 +34,7 @@
 
 
 # Age up to which a reading shows that the executor has not started again since. The
-# poll of a busy host is answered at least this often.
+# poll of a busy host is answered more often.
 MAX_READING_AGE_MS = 1_250
 
 
@@ -109,6 +110,9 @@
         self.reading = ClockReading(clock_ms, now_ms)
         self.last_grant: Grant | None = None
         self._terms = terms
+        # Unset until an answer has stated the clock; an entry of the registry may be
+        # one of a former life.
+        self._is_read = False
         # Leases of the orders without an answer, which may still be carried out, and
         # the latest end of all others.
         self._open: dict[Look | Start, Grant] = {}
@@ -120,6 +124,10 @@
         open_ends = (grant.end_ms for grant in self._open.values())
         return max(self._settled_end_ms, *open_ends, 0)
 
+    def may_extend(self, now_ms: int) -> bool:
+        """Return whether the clock was read recently enough to give a lease by it."""
+        return self._is_read and now_ms - self.reading.read_ms <= MAX_READING_AGE_MS
+
     def until_ms(self, now_ms: int) -> int:
         """Return the end of a new lease on the executor's clock."""
         return self.reading.at(now_ms) + self._terms.given_ms
@@ -129,13 +137,10 @@
 
         The order may be carried out although no answer arrives. Its lease therefore
         counts from the time of sending, plus allowances for clock drift and for the
-        duration of the call. Beside an older reading, the longest lease counts until
-        an answer shows that the executor has not started again.
+        duration of the call.
         """
         clock_age_ms = now_ms - self.reading.read_ms
-        is_recent = clock_age_ms <= MAX_READING_AGE_MS
-        left_ms = self._terms.given_ms if is_recent else self._terms.longest_ms
-        end_ms = _latest_end_ms(left_ms, now_ms)
+        end_ms = _latest_end_ms(self._terms.given_ms, now_ms)
         self.last_grant = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
         self._open[order] = self.last_grant
 
@@ -168,6 +173,7 @@
     def read(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
         """Read the clock in the answer to an order that was sent at `sent_ms`."""
         self.reading = ClockReading(clock_ms, now_ms)
+        self._is_read = True
         for order, grant in [*self._open.items()]:
             bounded = grant.bounded(self._terms, clock_ms, now_ms)
             # The answer to an earlier order may be one of an earlier life.
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -326,11 +326,18 @@
                 self._retry_stop_if_due(host, run)
 
     def start(self, host: Host, run: Run, order: Start) -> None:
-        """Reserve the resources of a run and send the order that starts it."""
+        """Reserve the resources of a run and send the order that starts it.
+
+        The order waits for an answer of the host if its clock was not read lately.
+        """
         host.add(run)
-        host.lease.extend(order, self._term.now_ms)
         host.record_start(self._term.now_ms)
-        self._send(host, order, ORDER_TIMEOUT_MS)
+        if host.lease.may_extend(self._term.now_ms):
+            self._send_start(host, order)
+            return
+        host.waiting_starts[run.key] = order
+        if not host.is_poll_pending:
+            self._poll_if_needed(host)
 
     def stop(self, run: Run) -> None:
         """Stop a run; its resources are freed when its end is known."""
@@ -338,6 +345,9 @@
         run.is_wanted = False
         if host is None or run.key not in host.runs:
             return
+        if run.key in host.waiting_starts:
+            self._drop_start(host, run)
+            return
         host.unwanted_runs[run.key] = run
         if run.phase is RunPhase.RUNNING:
             run.phase = RunPhase.STOPPING
@@ -352,10 +362,6 @@
             order = Pace(run.subtask, run.attempt, percent, self._term.token)
             self._send(host, order, ORDER_TIMEOUT_MS)
 
-    def until_ms(self, host: Host) -> int:
-        """Return the end of a new lease on the host's clock."""
-        return host.lease.until_ms(self._term.now_ms)
-
     def handle_answer(self, context: OrderContext, outcome: OrderOutcome) -> None:
         """Apply the answer to an order of this term; drop it if the host is gone."""
         host = self.by_id.get(context.executor_id)
@@ -383,6 +389,7 @@
                 self._handle_report(host, context, outcome)
                 return
         self._read_clock(host, context, outcome.clock_ms)
+        self._send_waiting_starts(host)
         host.record_answer()
         run = self._find_run(host, context.order)
         if run is not None:
@@ -492,13 +499,31 @@
         run = self._find_run(host, context.order)
         if run is not None and isinstance(context.order, Start):
             self._handle_unanswered_start(host, run, no_answer)
+        for key in [*host.waiting_starts]:
+            self._drop_start(host, host.runs[key])
+
+    def _drop_start(self, host: Host, run: Run) -> None:
+        host.remove(run, self._term.now_ms)
+        self._handler.handle_lost_run(host, run, "the start order was not sent")
+
+    def _send_start(self, host: Host, order: Start) -> None:
+        now_ms = self._term.now_ms
+        order = replace(order, until_ms=host.lease.until_ms(now_ms))
+        host.lease.extend(order, now_ms)
+        self._send(host, order, ORDER_TIMEOUT_MS)
+
+    def _send_waiting_starts(self, host: Host) -> None:
+        """Send the starts that wait for a reading of the host's clock."""
+        if host.lease.may_extend(self._term.now_ms):
+            orders, host.waiting_starts = host.waiting_starts, {}
+            for order in orders.values():
+                self._send_start(host, order)
 
     def _handle_unanswered_start(
         self, host: Host, run: Run, no_answer: NoAnswer
     ) -> None:
         if not no_answer.was_sent:
-            host.remove(run, self._term.now_ms)
-            self._handler.handle_lost_run(host, run, "the start order was not sent")
+            self._drop_start(host, run)
         elif run.phase is RunPhase.STARTING:
             run.phase = RunPhase.UNSETTLED
             run.counted_ms = self._term.now_ms
@@ -541,6 +566,7 @@
             for run in [*host.runs.values()]:
                 if run.key not in listed and context.sent_ms > run.counted_ms:
                     self._handle_unlisted(host, run)
+        self._send_waiting_starts(host)
         self._remove_if_empty(host)
 
     def _update_running(self, run: Run, row: RunningRow) -> None:
@@ -607,16 +633,17 @@
         )
         if not is_needed:
             return
+        is_extending = host.lease.may_extend(now_ms) and not host.unanswered
         # The first answer must not wait for an end: the host may be needed.
-        is_waiting = host.runs and host.has_answered and not host.unanswered
+        is_waiting = host.runs and host.has_answered and is_extending
         wait_ms = POLL_WAIT_MS if is_waiting else 0
         if wait_ms and host.has_fillers:
             wait_ms = FILLER_POLL_WAIT_MS
         until_ms = 0
         # A host whose answers are lost may still receive the poll. Extending its lease
         # would delay the time at which its runs count as ended.
-        if host.runs and not host.unanswered:
-            until_ms = self.until_ms(host)
+        if host.runs and is_extending:
+            until_ms = host.lease.until_ms(now_ms)
         host.is_poll_pending = True
         confirmed = host.confirmable(now_ms)
         host.acknowledged = max(host.acknowledged, confirmed)
--- a/src/guavapin/scheduling/incarnation.py
+++ b/src/guavapin/scheduling/incarnation.py
@@ -25,14 +25,15 @@
     Orders name an executor by its id only, so a start that was sent to the former
     incarnation may have reached this one. Such a run moves to the new host, whose
     reports show whether it is there. A run that a report of the former incarnation has
-    listed has ended with it, and stays with `former`.
+    listed has ended with it, and stays with `former`. So does one whose start was not
+    sent.
     """
     lease = former.lease.next_life(registration.clock_ms, now_ms)
     host = Host(registration, lease, now_ms, on_change, usage)
     host.former_born_ms = former.born_ms
     host.cordon(former.is_cordoned)
     for run in [*former.runs.values()]:
-        if run.is_listed:
+        if run.is_listed or run.key in former.waiting_starts:
             continue
         former.remove(run, now_ms)
         # The former incarnation may have answered the stop.
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -142,7 +142,8 @@
             attempt=attempt,
             spec=job_run.job.spec,
             saved=step_run.saved_value(index),
-            until_ms=self._hosts.until_ms(host),
+            # Set when the order is sent.
+            until_ms=0,
             token=self._term.token,
             ticket=ticket(step_run, host, self._term.now_ms),
         )
--- a/tests/scheduling/test_host_lease.py
+++ b/tests/scheduling/test_host_lease.py
@@ -54,9 +54,10 @@
 ) -> None:
     # Guards against a clock that starts again or stands still without a trace.
     caplog.set_level(logging.INFO)
-    sim.advance(2_000)
-    sim.executors["e1"].lag_ms = 1_500
     start_work(sim)
+    sim.advance(100)
+    sim.executors["e1"].lag_ms = 1_500
+    sim.advance(50)
     (record,) = [
         row for row in caplog.records if row.message == "clock estimate was ahead"
     ]
@@ -94,7 +95,7 @@
     assert [name for _, name in sim.running()] == ["e2"]
 
 
-def test_a_restart_is_allowed_for_by_an_order_without_an_answer(
+def test_an_idle_executor_is_read_before_its_first_order(
     sim: ClockedSimulation,
 ) -> None:
     # Guards against a second run if the executor falls silent before it has answered
@@ -102,7 +103,7 @@
     sim.advance(4_000)
     sim.executors["e1"].restart_at(sim.now_ms)
     sim.lose_next_answer()
-    start_work(sim)
+    sim.submit(make_job("a" * 16, Step(1, SMALL, 60_000)))
     fall_silent(sim)
     assert sim.longest_overlap_ms == 0
     assert [name for _, name in sim.running()] == ["e2"]
