Ignore the clock in an overtaken answer of a former life

An answer of an executor's former life that arrives after one of its new life set the estimate of its clock back to the former one, so the next orders gave the longest lease again.

An answer to an order that was sent before that of the last reading is no reading if it states a later clock than the last one allows.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -113,6 +113,8 @@
         # Unset until an answer has stated the clock; an entry of the registry may be
         # one of a former life.
         self._is_read = False
+        # Time at which the latest of the orders was sent whose answers were read.
+        self._read_sent_ms = 0
         # Leases of the orders without an answer, which may still be carried out, and
         # the latest end of all others.
         self._open: dict[Look | Start, Grant] = {}
@@ -171,8 +173,16 @@
         self._settle_until(_latest_end_ms(left_ms, now_ms))
 
     def read(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
-        """Read the clock in the answer to an order that was sent at `sent_ms`."""
+        """Read the clock in the answer to an order that was sent at `sent_ms`.
+
+        An answer that was overtaken and states a later clock is one of a former life.
+        """
+        is_overtaken = sent_ms < self._read_sent_ms
+        latest_ms = self.reading.at(now_ms) + READING_TOLERANCE_MS
+        if is_overtaken and clock_ms > latest_ms:
+            return
         self.reading = ClockReading(clock_ms, now_ms)
+        self._read_sent_ms = max(self._read_sent_ms, sent_ms)
         self._is_read = True
         for order, grant in [*self._open.items()]:
             bounded = grant.bounded(self._terms, clock_ms, now_ms)
