Count the age of an answer from its order

A scheduler that was paused reads the answers in its sockets before its timers fire. Such an answer counted as new: an executor that had started again during the pause got an order by the clock of its former life, or a poll that confirmed ends which it had never listed.

An answer that is handled more than 1.75 s after its order, longer than any poll may take, neither counts as a reading to give a lease by nor as a recent report.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -6,6 +6,7 @@
 
 from guavapin.jobs.model import Resources
 from guavapin.scheduling.host_health import Health
+from guavapin.scheduling.host_lease import is_answer_recent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -201,14 +202,15 @@
             self.unanswered = 0
             self._on_change(self)
 
-    def record_report(self, has_all_ends: bool, now_ms: int) -> None:
-        """Record that the host has answered a poll with its runs.
+    def record_report(self, has_all_ends: bool, sent_ms: int, now_ms: int) -> None:
+        """Record that the host has answered a poll, sent at `sent_ms`, with its runs.
 
         The first answers count only once one has all ends: until then, subtasks may
         have ended that are not known to have run here.
         """
         self.record_answer()
-        self.reported_ms = now_ms
+        if is_answer_recent(sent_ms, now_ms):
+            self.reported_ms = now_ms
         if has_all_ends and not self.has_answered:
             self.has_answered = True
             self._on_change(self)
--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -37,6 +37,10 @@
 # poll of a busy host is answered more often.
 MAX_READING_AGE_MS = 1_250
 
+# Time from an order to the handling of its answer up to which the answer is recent. A
+# poll times out after 1.7 s; if its answer is handled later, the scheduler was paused.
+MAX_ANSWER_AGE_MS = 1_750
+
 
 # Time after its start from which no lease on an executor rests on its former clock: a
 # scheduler reads the clock of an idle host every 8 s, an order is under way for up to
@@ -110,8 +114,8 @@
         self.reading = ClockReading(clock_ms, now_ms)
         self.last_grant: Grant | None = None
         self._terms = terms
-        # Unset until an answer has stated the clock; an entry of the registry may be
-        # one of a former life.
+        # Whether the last reading is a recent answer. An entry of the registry may be
+        # one of a former life, and so may an answer that waited in its socket.
         self._is_read = False
         # Time at which the latest of the orders was sent whose answers were read.
         self._read_sent_ms = 0
@@ -183,7 +187,7 @@
             return
         self.reading = ClockReading(clock_ms, now_ms)
         self._read_sent_ms = max(self._read_sent_ms, sent_ms)
-        self._is_read = True
+        self._is_read = is_answer_recent(sent_ms, now_ms)
         for order, grant in [*self._open.items()]:
             bounded = grant.bounded(self._terms, clock_ms, now_ms)
             # The answer to an earlier order may be one of an earlier life.
@@ -221,6 +225,11 @@
         self._settled_end_ms = max(self._settled_end_ms, end_ms)
 
 
+def is_answer_recent(sent_ms: int, now_ms: int) -> bool:
+    """Return whether an answer says what its executor is now, as it is handled."""
+    return now_ms - sent_ms <= MAX_ANSWER_AGE_MS
+
+
 def _latest_end_ms(left_ms: int, now_ms: int) -> int:
     """Return when a lease with `left_ms` on the executor's clock ends at the latest."""
     return now_ms + round(max(left_ms, 0) * (1 + CLOCK_DRIFT)) + LEASE_SLACK_MS
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -545,7 +545,7 @@
                 self._partly_known.discard(host)
             else:
                 self._partly_known.add(host)
-        host.record_report(report.has_all_ends, self._term.now_ms)
+        host.record_report(report.has_all_ends, context.sent_ms, self._term.now_ms)
         for ended in report.ended:
             if ended.number > host.last_end:
                 host.last_end = ended.number
