Read an idle executor right before a start

An idle executor that starts again less than 1.25 s after a reading got its first order by the clock of its former life. A busy one has a poll pending, which a restart breaks off.

Without a pending poll, a start needs a reading of at most 100 ms, else it waits for the answer to a poll.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -37,6 +37,9 @@
 # poll of a busy host is answered more often.
 MAX_READING_AGE_MS = 1_250
 
+# The same for an executor without a pending poll, which its restart would break off.
+MAX_IDLE_READING_AGE_MS = 100
+
 # Time from an order to the handling of its answer up to which the answer is recent. A
 # poll times out after 1.7 s; if its answer is handled later, the scheduler was paused.
 MAX_ANSWER_AGE_MS = 1_750
@@ -132,7 +135,11 @@
 
     def may_extend(self, now_ms: int) -> bool:
         """Return whether the clock was read recently enough to give a lease by it."""
-        return self._is_read and now_ms - self.reading.read_ms <= MAX_READING_AGE_MS
+        return self._is_read_within(MAX_READING_AGE_MS, now_ms)
+
+    def may_begin(self, now_ms: int) -> bool:
+        """Return the same for an executor on which nothing runs."""
+        return self._is_read_within(MAX_IDLE_READING_AGE_MS, now_ms)
 
     def until_ms(self, now_ms: int) -> int:
         """Return the end of a new lease on the executor's clock."""
@@ -221,6 +228,9 @@
             fields["clock_age_ms"] = self.last_grant.clock_age_ms
         return fields
 
+    def _is_read_within(self, age_ms: int, now_ms: int) -> bool:
+        return self._is_read and now_ms - self.reading.read_ms <= age_ms
+
     def _settle_until(self, end_ms: int) -> None:
         self._settled_end_ms = max(self._settled_end_ms, end_ms)
 
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -330,9 +330,12 @@
 
         The order waits for an answer of the host if its clock was not read lately.
         """
+        now_ms = self._term.now_ms
+        lease, is_polled = host.lease, host.is_poll_pending
+        is_read = lease.may_extend(now_ms) if is_polled else lease.may_begin(now_ms)
         host.add(run)
-        host.record_start(self._term.now_ms)
-        if host.lease.may_extend(self._term.now_ms):
+        host.record_start(now_ms)
+        if is_read:
             self._send_start(host, order)
             return
         host.waiting_starts[run.key] = order
