Allow for a clock that stood still since its reading

A lease is given by a reading of up to 1.25 s before. An executor whose clock stood still since then keeps its runs for that much longer than was counted.

Evidence: a new test of HostLease fails without the change and passes with it.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -153,7 +153,9 @@
         duration of the call.
         """
         clock_age_ms = now_ms - self.reading.read_ms
-        end_ms = _latest_end_ms(self._terms.given_ms, now_ms)
+        # The clock may have stood still since it was read.
+        left_ms = min(self._terms.given_ms + clock_age_ms, self._terms.longest_ms)
+        end_ms = _latest_end_ms(left_ms, now_ms)
         self.last_grant = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
         self._open[order] = self.last_grant
 
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -143,6 +143,16 @@
     assert sim.longest_overlap_ms == 0
 
 
+def test_a_clock_that_stood_still_since_a_poll_is_allowed_for() -> None:
+    # Guards against a lease that outlasts the counted one on a busy executor.
+    lease = HostLease(TERMS, 0, 0)
+    lease.read(500_000, sent_ms=0, now_ms=10)
+    order = Look(1, 0, lease.until_ms(1_010))
+    lease.extend(order, 1_010)
+    given_ms = order.until_ms - 500_000
+    assert lease.end_ms >= 1_010 + given_ms * 1.02
+
+
 def test_a_start_that_was_not_sent_is_not_handed_over() -> None:
     # Guards against a subtask that a successor holds up for a start that waited for a
     # reading, and was never sent.
