Count no lease for an order that an unhealthy executor refused

An answer without a clock counts as the longest lease. An unhealthy executor refuses a start without one and has done nothing, so work of one that falls silent afterwards waited for 10.4 s instead of 6.4 s.

Such a refusal withdraws the lease of its order.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -405,6 +405,9 @@
         if isinstance(outcome, NoAnswer):
             if not outcome.was_sent:
                 host.lease.withdraw(order)
+        elif isinstance(outcome, Refusal) and outcome.kind is RefusalKind.UNHEALTHY:
+            # The executor has done nothing.
+            host.lease.withdraw(order)
         else:
             host.lease.settle(order, outcome.clock_ms, self._term.now_ms)
 
