Hand over no start that was not sent

A start that waits for a reading of its host's clock was handed over as one without an answer, so the successor held its subtask for the lease of a silent host.

Such starts stay out of the record.

--- a/src/guavapin/scheduling/handover.py
+++ b/src/guavapin/scheduling/handover.py
@@ -53,7 +53,8 @@
     """Return all hosts of a term whose runs are known.
 
     An end that is not stored counts as a run: the host lists it until it is confirmed,
-    and its subtask must not start elsewhere before that.
+    and its subtask must not start elsewhere before that. A start that was not sent is
+    none.
     """
     return tuple(
         HandedHost(
@@ -62,6 +63,7 @@
             tuple(
                 HandedRun(run.subtask, run.attempt, run.is_settled, run.is_wanted)
                 for run in host.runs.values()
+                if run.key not in host.waiting_starts
             )
             + tuple(
                 HandedRun(subtask, attempt, is_wanted=False)
