Drop starts that wait for a host which begins to drain

A start that waits for a reading of its host's clock was sent although the host said meanwhile that it drains, or was cordoned.

It is dropped then, and its subtask starts elsewhere.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -505,6 +505,9 @@
         run = self._find_run(host, context.order)
         if run is not None and isinstance(context.order, Start):
             self._handle_unanswered_start(host, run, no_answer)
+        self._drop_waiting_starts(host)
+
+    def _drop_waiting_starts(self, host: Host) -> None:
         for key in [*host.waiting_starts]:
             self._drop_start(host, host.runs[key])
 
@@ -520,6 +523,8 @@
 
     def _send_waiting_starts(self, host: Host) -> None:
         """Send the starts that wait for a reading of the host's clock."""
+        if host.is_cordoned or host.registration.is_draining:
+            self._drop_waiting_starts(host)
         if host.lease.may_extend(self._term.now_ms):
             orders, host.waiting_starts = host.waiting_starts, {}
             for order in orders.values():
