Allow for a start that comes late from a predecessor

A start that a predecessor handed over without an answer may be carried out by a later life of its executor, by the clock of the former one. The lease of a run that a report lists for the first time then lasts up to the longest one, and was counted as 6.4 s from the takeover.

The first report that lists such a run counts the longest lease from then on.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -570,7 +570,7 @@
             if known is None:
                 self._handler.adopt(host, row)
             else:
-                self._update_running(known, row)
+                self._update_running(host, known, row)
         self._handler.handle_loads(host)
         # The end of an unlisted run may be among those that the report leaves out.
         if report.has_all_ends:
@@ -580,8 +580,11 @@
         self._send_waiting_starts(host)
         self._remove_if_empty(host)
 
-    def _update_running(self, run: Run, row: RunningRow) -> None:
+    def _update_running(self, host: Host, run: Run, row: RunningRow) -> None:
         run.is_listed = True
+        if run.phase is RunPhase.UNSETTLED:
+            # The start may have come late, from a predecessor or to another life.
+            host.lease.assume(is_settled_life=False, now_ms=self._term.now_ms)
         if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
             run.phase = RunPhase.RUNNING if run.is_wanted else RunPhase.STOPPING
             run.started_ms = run.moved_ms = self._term.now_ms
