Wait for the registry before a silent executor's late start is ruled out

A start without an answer may be carried out seconds later, by a later life of its executor if that has started again meanwhile, and its run then lasts for the longest lease from its arrival. The scheduler started the subtask elsewhere after 6.4 s.

While such a start may still arrive, the work of a silent executor starts elsewhere only if the registry has removed its entry, or has renewed it for the life that the start was sent to. Entries are renewed every 1.5 s and removed after three of these intervals, so this rarely takes longer than the lease itself.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -46,8 +46,9 @@
         # the registry may still name it.
         self.former_born_ms = 0
         self.is_registered = True
-        # Whether its registration has been written again in this term.
-        self.has_renewed_entry = False
+        # Time at which its registration was last written again in this term, 0 if it
+        # was not.
+        self.renewed_ms = 0
         self.runs: dict[RunKey, Run] = {}
         # Runs of `runs` that are to be stopped.
         self.unwanted_runs: dict[RunKey, Run] = {}
@@ -144,10 +145,11 @@
         )
         return next((text for holds, text in reasons if holds), "in use")
 
-    def update_registration(self, registration: Registration) -> None:
+    def update_registration(self, registration: Registration, now_ms: int) -> None:
         """Replace the registration, and recompute the free resources."""
         self.registration = registration
-        self.is_registered = self.has_renewed_entry = True
+        self.is_registered = True
+        self.renewed_ms = now_ms
         self.free = registration.capacity.minus(self.used)
         self._on_change(self)
 
--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -14,9 +14,10 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavapin.executors.model import Start
+
 if TYPE_CHECKING:
     from guavapin.executors.model import Look
-    from guavapin.executors.model import Start
 
 # Fraction by which an executor's clock may run slower than the scheduler's.
 CLOCK_DRIFT = 0.02
@@ -133,6 +134,20 @@
         open_ends = (grant.end_ms for grant in self._open.values())
         return max(self._settled_end_ms, *open_ends, 0)
 
+    @property
+    def unanswered_start_ms(self) -> int:
+        """Return when the last start without an answer was sent, 0 without one."""
+        starts = (
+            grant.sent_ms
+            for order, grant in self._open.items()
+            if isinstance(order, Start)
+        )
+        return max(starts, default=0)
+
+    def late_end_ms(self, sent_ms: int) -> int:
+        """Return when a lease ends that an order gives as late as it can arrive."""
+        return _latest_end_ms(self._terms.longest_ms, sent_ms + MAX_DELIVERY_MS)
+
     def may_extend(self, now_ms: int) -> bool:
         """Return whether the clock was read recently enough to give a lease by it."""
         return self._is_read_within(MAX_READING_AGE_MS, now_ms)
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -152,7 +152,7 @@
             return
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
-        host.update_registration(registration)
+        host.update_registration(registration, self._term.now_ms)
         self._unresolved = None
 
     def unregister(self, executor_id: str) -> None:
@@ -263,7 +263,7 @@
         entry.
         """
         is_listed = self._listed_pools is None or host.executor_id in self._listed_pools
-        return is_listed or (host.is_registered and host.has_renewed_entry)
+        return is_listed or (host.is_registered and host.renewed_ms > 0)
 
     def are_runs_known(self, host: Host) -> bool:
         """Return whether nothing may run on a host that is not in its `runs`."""
@@ -681,9 +681,22 @@
 
         While the store cannot be reached, another scheduler may extend their lease.
         """
-        is_unresponsive = bool(host.unanswered and host.runs)
+        if not host.unanswered or not host.runs or self._term.is_unconfirmed:
+            return False
         is_expired = self._term.now_ms > host.lease_end_ms
-        return is_unresponsive and is_expired and not self._term.is_unconfirmed
+        return is_expired and not self._may_start_late(host)
+
+    def _may_start_late(self, host: Host) -> bool:
+        """Return whether a later life of a silent executor may carry out a start.
+
+        The registry shows within seconds that the executor has ended, or is in the life
+        to which the start was sent.
+        """
+        sent_ms = host.lease.unanswered_start_ms
+        is_settled = not host.is_registered or host.renewed_ms > sent_ms
+        if not sent_ms or is_settled:
+            return False
+        return self._term.now_ms <= host.lease.late_end_ms(sent_ms)
 
     def _may_hide_ends(self, host: Host) -> bool:
         """Return whether a host may still list ends of runs that are not known here.
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from guavapin.executors.model import EndKind
 from guavapin.executors.model import Look
 from guavapin.executors.model import NoAnswer
@@ -331,3 +333,27 @@
     sim.scheduler.hosts.handle_answer(context, outcome)
     sim.advance(100)
     assert looks[0].confirmed == 0
+
+
+@pytest.mark.parametrize("evidence", ["renewed", "removed"])
+def test_an_unanswered_start_delays_no_work_if_the_registry_shows_its_executor(
+    evidence: str,
+) -> None:
+    # Guards against work that waits for a late start although the executor has ended,
+    # or is still in the life to which the start was sent.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    executor = sim.executors["e1"]
+    executor.is_reachable = False
+    sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    sim.scheduler.cordon(frozenset(), frozenset())
+    sim.advance(4_500)
+    if evidence == "renewed":
+        sim.scheduler.hosts.register(executor.registration())
+    else:
+        sim.scheduler.hosts.unregister("e1")
+    sim.advance(2_200)
+    assert [name for _, name in sim.running()] == ["e2"]
--- a/tests/scheduling/test_supervision.py
+++ b/tests/scheduling/test_supervision.py
@@ -157,7 +157,7 @@
         (lambda host: host.add(filler), True),
         (
             lambda host: host.update_registration(
-                replace(host.registration, is_draining=True)
+                replace(host.registration, is_draining=True), 0
             ),
             True,
         ),
