Let a new life of an executor refuse starts that may come late

A start without an answer is settled by an answered stop, after which the subtask may start elsewhere. If the executor starts again, its new life does not know of the stop and carries the start out when it comes late.

A new life gets a stop for each such start as soon as the registry or a report shows it.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -134,14 +134,15 @@
         open_ends = (grant.end_ms for grant in self._open.values())
         return max(self._settled_end_ms, *open_ends, 0)
 
+    @property
+    def unanswered_starts(self) -> list[Start]:
+        """Return the starts without an answer, which may still be carried out."""
+        return [order for order in self._open if isinstance(order, Start)]
+
     @property
     def unanswered_start_ms(self) -> int:
         """Return when the last start without an answer was sent, 0 without one."""
-        starts = (
-            grant.sent_ms
-            for order, grant in self._open.items()
-            if isinstance(order, Start)
-        )
+        starts = (self._open[order].sent_ms for order in self.unanswered_starts)
         return max(starts, default=0)
 
     def late_end_ms(self, sent_ms: int) -> int:
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -189,6 +189,11 @@
         former.mark_removed()
         self._partly_known.discard(former)
         self._add(host)
+        # A former life may have answered the stop of a start that comes late.
+        for order in host.lease.unanswered_starts:
+            if (order.subtask, order.attempt) not in host.runs:
+                stop = Stop(order.subtask, order.attempt, self._term.token)
+                self._send(host, stop, ORDER_TIMEOUT_MS)
         return host
 
     def _add(self, host: Host) -> None:
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -255,6 +255,25 @@
     assert sim.longest_overlap_ms == 0
 
 
+def test_a_new_life_is_told_to_refuse_a_start_that_may_come_late() -> None:
+    # Guards against the same once the registry has shown the next life.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    sim.scheduler.cordon(frozenset({"e1"}), frozenset())
+    sim.advance(1_000)
+    executor = sim.executors["e1"]
+    executor.restart_at(sim.now_ms)
+    sim.scheduler.hosts.register(executor.registration())
+    sim.advance(500)
+    executor.handle_order(context.order, sim.now_ms)
+    sim.advance(10_000)
+    assert sim.longest_overlap_ms == 0
+
+
 def test_an_inherited_job_waits_for_the_longest_lease_of_a_silent_host() -> None:
     # Guards against a second run beside one that the predecessor started, while it
     # could not reach the store, on an executor that has started again and does not
