Play takeovers with clocks of executors that begin anew

The new play lets them start again under their ids while work arrives, fall silent in one or both directions, and have late entries, beside takeovers and other faults.

--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -39,6 +40,8 @@
 from tests.scheduling.simulation import FakeExecutor
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavapin.jobs.model import Job
     from guavapin.jobs.model import Resources
     from guavapin.jobs.model import Step
@@ -53,13 +56,31 @@
 # Time of silence after which the store removes an entry of the registry.
 REGISTRATION_TTL_MS = 4_500
 
+# Longest lease of an executor without a bound: longer than any play.
+UNBOUNDED_MS = 10**9
+
 # Duration of a long-running subtask's run: longer than any play.
 LASTING_RUN_MS = 10**9
 
 
+@dataclass(frozen=True)
+class ExecutorClock:
+    """Clock of one life of an executor, by default that of the world."""
+
+    started_ms: int = 0
+    rate: float = 1.0
+
+    def at(self, now_ms: int) -> int:
+        """Return the time that the clock shows."""
+        return int((now_ms - self.started_ms) * self.rate)
+
+
 @dataclass
 class ModelExecutor(FakeExecutor):
-    """Executor with the start and the duration of each run."""
+    """Executor with the start and the duration of each run.
+
+    An order extends its lease to `max_lease_ms` from the arrival at most.
+    """
 
     pool: str = "pool"
     machine: str = ""
@@ -69,6 +90,8 @@
     ends_ms: dict = field(default_factory=dict)
     # Subtask and time of each end `done` that may still be confirmed, by number.
     done: dict = field(default_factory=dict)
+    clock: ExecutorClock = ExecutorClock()
+    max_lease_ms: int = UNBOUNDED_MS
 
 
 @dataclass(frozen=True)
@@ -113,6 +136,8 @@
         # Bounds of the duration of most runs.
         self.shortest_run_ms = 200
         self.longest_run_ms = 2_500
+        # Share of the runs that may outlast a lease.
+        self.outlasting_share = 0.03
         # Share of the runs that end as failed.
         self.failing_share = 0.0
         self._failures: Counter[Subtask] = Counter()
@@ -123,6 +148,10 @@
         self.lasting_failing_share = 0.0
         # Pools whose machines are off and have no executor.
         self.standby_pools: frozenset[str] = frozenset()
+        # Prepares an executor that has started, before its first order.
+        self.begin_life: Callable[[ModelExecutor], None] = lambda executor: None
+        # Executors whose answers are lost although orders reach them.
+        self.mute: set[str] = set()
         # Number of moves of machines to another pool.
         self.moves = 0
         self.executors: dict[str, ModelExecutor] = {}
@@ -200,6 +229,7 @@
         )
 
     def heal(self) -> None:
+        self.mute.clear()
         for executor in self.executors.values():
             executor.reaches_store = executor.is_reachable = True
 
@@ -217,12 +247,13 @@
         self._world.disturb()
         self._bring_up(name, pool)
 
-    def restart(self, executor: ModelExecutor) -> None:
-        """Start an executor again under its id, after it was away for a moment."""
+    def restart(self, executor: ModelExecutor, delay_ms: int | None = None) -> None:
+        """Start an executor again under its id, by default after a moment."""
         if executor.is_alive:
             executor.is_alive = False
             executor.done.clear()
-            delay_ms = self._world.rng.randint(10, 800)
+            if delay_ms is None:
+                delay_ms = self._world.rng.randint(10, 800)
             self._world.schedule(delay_ms, self._come_back, executor)
 
     def _come_back(self, executor: ModelExecutor) -> None:
@@ -231,6 +262,17 @@
         executor.restart()
         executor.ends_ms.clear()
         executor.is_alive = True
+        self.begin_life(executor)
+
+    def delay_entry(self, executor: ModelExecutor, delay_ms: int) -> None:
+        """Write the present entry of an executor to the store after a delay."""
+        key = f"{self.prefix}{executor.executor_id}"
+        value = encode_body(_entry(executor))
+        self._world.schedule(delay_ms, self._write_late_entry, key, value)
+
+    def _write_late_entry(self, key: str, value: bytes) -> None:
+        if not self._world.store.is_down:
+            self._world.store.write({key: value})
 
     def move(self, name: str) -> None:
         """Move a machine to another pool, or to the same one, if its executor runs.
@@ -307,13 +349,18 @@
         elif wait_ms and not executor.ended and not isinstance(outcome, Refusal):
             until_ms = world.clock.now_ms() + wait_ms
             self._waiting.append((node, order, until_ms))
-        elif world.has_faults and world.rng.random() < LOST_SHARE:
+        elif self._is_answer_lost(order.executor_id):
             world.disturb()
             no_answer = NoAnswer(True, "answer lost")
             world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
         else:
             world.schedule(world.latency_ms(), self._answer, node, order, outcome)
 
+    def _is_answer_lost(self, executor_id: str) -> bool:
+        world = self._world
+        is_lost = world.has_faults and world.rng.random() < LOST_SHARE
+        return is_lost or executor_id in self.mute
+
     def _answer(self, node: Node, order: HostOrder, outcome: Any) -> None:
         node.deliver(order.reply_to, HostAnswer(order.request_id, outcome))
 
@@ -324,18 +371,18 @@
         executor = self.executors.get(host_order.executor_id)
         if executor is None or not executor.is_alive:
             return None
-        executor.expire(now_ms)
+        clock_ms = executor.clock.at(now_ms)
+        executor.expire(clock_ms)
         if isinstance(order, Start) and order.token >= executor.token:
-            if order.until_ms <= now_ms:
+            if order.until_ms <= clock_ms:
                 executor.token = order.token
-                return Refusal(RefusalKind.LATE, now_ms)
+                return Refusal(RefusalKind.LATE, clock_ms)
             known = executor.running.get(order.subtask)
             is_old = order.attempt <= executor.refused.get(order.subtask, 0)
             if known != order.attempt and not is_old:
                 self._check_start(executor, order)
-                # A few runs outlast a lease.
                 longest_ms = self.longest_run_ms
-                if world.rng.random() < 0.03:
+                if world.rng.random() < self.outlasting_share:
                     longest_ms = max(longest_ms, 12_000)
                 run_ms = world.rng.randint(self.shortest_run_ms, longest_ms)
                 if self._step_of(order.subtask).is_long_running:
@@ -345,7 +392,10 @@
         if isinstance(order, Look) and order.token >= executor.token:
             self._check_confirmed(executor, order.confirmed)
         executor.percent = now_ms // 10
-        return executor.handle_order(order, now_ms)
+        if isinstance(order, Look | Start):
+            until_ms = min(order.until_ms, clock_ms + executor.max_lease_ms)
+            order = replace(order, until_ms=until_ms)
+        return executor.handle_order(order, clock_ms)
 
     def _check_start(self, executor: ModelExecutor, order: Start) -> None:
         subtask = order.subtask
@@ -400,8 +450,9 @@
             if not executor.is_alive:
                 continue
             executor.max_listed_ends = self.max_listed_ends
-            executor.expire(now_ms)
-            if now_ms > executor.lease_ms:
+            clock_ms = executor.clock.at(now_ms)
+            executor.expire(clock_ms)
+            if clock_ms > executor.lease_ms:
                 # An end does not count as confirmed if the lease lapsed before.
                 executor.done.clear()
             for subtask in [*executor.running]:
@@ -434,12 +485,14 @@
         waiting, self._waiting = self._waiting, []
         for node, order, until_ms in waiting:
             executor = self.executors[order.executor_id]
-            if self._is_silent(node, order.executor_id) or not executor.is_alive:
+            is_mute = order.executor_id in self.mute
+            is_lost = is_mute or self._is_silent(node, order.executor_id)
+            if is_lost or not executor.is_alive:
                 no_answer = NoAnswer(True, "silent")
                 world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
             elif executor.ended or now_ms >= until_ms:
                 look = Look(order.order.token, 0)
-                outcome = executor.handle_order(look, now_ms)
+                outcome = executor.handle_order(look, executor.clock.at(now_ms))
                 world.schedule(world.latency_ms(), self._answer, node, order, outcome)
             else:
                 self._waiting.append((node, order, until_ms))
@@ -456,6 +509,7 @@
         executor.stop_duration_ms = 300
         executor.registered_ms = self._world.clock.now_ms()
         self.executors[executor_id] = executor
+        self.begin_life(executor)
 
     def _take_down(self, name: str) -> None:
         pool, executor_id, _ = self.machines[name]
--- a/tests/model/test_takeover_model.py
+++ b/tests/model/test_takeover_model.py
@@ -10,12 +10,14 @@
 
 from tests.model.world import World
 from tests.scheduling.simulation import TABLE
+from tests.scheduling.simulation import TIMES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
     from guavapin.jobs.queues import QueueTable
+    from guavapin.settings.resident import Times
 
 SEEDS = 24
 STEPS = 40
@@ -50,21 +52,24 @@
     table: QueueTable = TABLE,
     extra: Mapping[str, Callable[[World], None]] = NO_EXTRA_EVENTS,
     prepare: Callable[[World], None] = lambda world: None,
+    times: Times = TIMES,
+    max_jobs: int = 4,
 ) -> World:
     """Play random events under faults, then a calm time, and check all promises.
 
     The events are drawn from `profile`, or from that of the seed. An executor lists at
     most `max_listed_ends` ends at a time. `extra` has further kinds of events, and
-    `prepare` changes the world before the first one.
+    `prepare` changes the world before the first one. At most `max_jobs` jobs are
+    submitted with each event.
     """
     profile = profile or PROFILES[seed % len(PROFILES)]
-    world = World(seed, table=table)
+    world = World(seed, table=table, times=times)
     world.fleet.max_listed_ends = max_listed_ends
     prepare(world)
     world.run(1_500)
     rng = world.rng
     for _ in range(STEPS):
-        for _ in range(rng.randint(0, 4)):
+        for _ in range(rng.randint(0, max_jobs)):
             world.submit()
         world.query()
         node = rng.choice(world.nodes)
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -83,6 +83,7 @@
 
     from guavapin.jobs.queues import Queue
     from guavapin.jobs.queues import QueueTable
+    from guavapin.settings.resident import Times
 
 LATENCY_MS = (1, 6)
 
@@ -358,18 +359,23 @@
     """Nodes, store and fleet on one clock, with faults drawn from a seed."""
 
     def __init__(
-        self, seed: int, nodes: int = 3, machines: int = 5, table: QueueTable = TABLE
+        self,
+        seed: int,
+        nodes: int = 3,
+        machines: int = 5,
+        table: QueueTable = TABLE,
+        times: Times = TIMES,
     ) -> None:
         self.rng = random.Random(seed)
         self.clock = SteppedClock(1_000_000)
         self.violations: list[str] = []
         self.calm_ms = CALM_MS
-        self.times = TIMES
+        self.times = times
         if table.organisations:
             # The backlog takes longer under caps, and ended jobs are still queried.
             self.calm_ms = CAPPED_CALM_MS
             retention_ms = 2 * CAPPED_CALM_MS
-            self.times = replace(TIMES, ended_job_retention_ms=retention_ms)
+            self.times = replace(times, ended_job_retention_ms=retention_ms)
         self.table = table
         # Tables with the times at which they came into force, for the caps.
         self.tables = [(self.clock.now_ms(), table)]
