--- a/tests/model/clocks.py
+++ b/tests/model/clocks.py
@@ -105,17 +105,36 @@
     def restart_and_silence(self, world: World) -> None:
         """Start an executor again while work arrives, and cut it off soon after it.
 
-        At times its new entry arrives late, or it has nothing running.
+        At times its new entry arrives late, it had nothing running, its answers are
+        lost from the first one on, or another process takes over beside it.
         """
         rng = world.rng
-        downtime_ms = rng.choice((rng.randint(40, 900), 2_000))
+        downtime_ms = rng.choice((rng.randint(40, 200), rng.randint(40, 900), 2_000))
         executor = self._restart(downtime_ms)
         if rng.random() < 0.5:
             executor.reaches_store = False
-        burst_ms = downtime_ms + rng.randint(0, 300)
+        burst_ms = downtime_ms + rng.choice((0, rng.randint(0, 300)))
         world.schedule(burst_ms, self._submit_burst, world)
         silence_ms = burst_ms + rng.randint(20, 1_500)
-        world.schedule(silence_ms, self._silence, executor)
+        if rng.random() < 0.3:
+            takeover_ms = burst_ms + rng.randint(20, 300)
+            world.schedule(takeover_ms, self._take_over, world)
+            silence_ms = takeover_ms + rng.randint(50, 2_500)
+        if rng.random() < 0.3:
+            world.schedule(downtime_ms, self._mute, executor)
+        else:
+            world.schedule(silence_ms, self._silence, executor)
+
+    def _take_over(self, world: World) -> None:
+        """Let another process schedule, with or without a handover."""
+        for node in world.nodes:
+            if node.scheduler._scheduler is None or not world.has_faults:
+                continue
+            if world.rng.random() < 0.5:
+                world.restart(node)
+            else:
+                world.stop(node, world.rng.randint(20, 2_000))
+            return
 
     def _submit_burst(self, world: World) -> None:
         need = Resources(2_000, 1_000, 0)
@@ -138,8 +157,12 @@
 
     def mute(self, world: World) -> None:
         """Lose all answers of an executor, for about a lease or longer."""
-        executor = self._choose()
-        world.fleet.mute.add(executor.executor_id)
+        self._mute(self._choose())
+
+    def _mute(self, executor: ModelExecutor) -> None:
+        if not self._world.has_faults:
+            return
+        self._world.fleet.mute.add(executor.executor_id)
         self._mend_later(executor)
 
     def delay_entry(self, world: World) -> None:
