Add a soak whose executors are processes of their own

Executors of the soak so far shared one process, one exact clock and leases of 6,000 ms, so that no fault of a single executor could show two runs of a subtask at once. Executors are now processes with clocks of their own, and a judge reads what they have written about their runs.

--- a/src/guavapin_soak/__main__.py
+++ b/src/guavapin_soak/__main__.py
@@ -8,6 +8,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from guavapin_soak.executor_run import ExecutorResult
+from guavapin_soak.executor_run import run_executors
 from guavapin_soak.planned_run import PlannedResult
 from guavapin_soak.planned_run import run_planned_work
 from guavapin_soak.run import RunResult
@@ -23,18 +25,27 @@
     parser.add_argument("--hosts", type=int, default=3, help="entry hosts of a run")
     parser.add_argument("--at-once", type=int, default=2, help="runs at a time")
     parser.add_argument("--folder", type=Path, help="where logs go; else a new folder")
-    parser.add_argument(
+    modes = parser.add_mutually_exclusive_group()
+    modes.add_argument(
         "--planned", action="store_true", help="planned work only, on open connections"
     )
+    modes.add_argument(
+        "--executors",
+        action="store_true",
+        help="faults of executors that are processes of their own",
+    )
     options = parser.parse_args(arguments)
     folder = options.folder or Path(tempfile.mkdtemp(prefix="guavapin-soak-"))
     print(f"logs go to {folder}")
 
-    def run_seed(seed: int) -> RunResult | PlannedResult:
+    def run_seed(seed: int) -> RunResult | PlannedResult | ExecutorResult:
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True)
+        length_ms = options.seconds * 1_000
+        if options.executors:
+            return run_executors(seed, length_ms, options.hosts, seed_folder)
         run = run_planned_work if options.planned else run_soak
-        return run(seed, options.seconds * 1_000, options.hosts, seed_folder)
+        return run(seed, length_ms, options.hosts, seed_folder)
 
     failed = 0
     seeds = range(options.first, options.first + options.runs)
@@ -43,6 +54,8 @@
             failed += bool(result.violations)
             if isinstance(result, PlannedResult):
                 _print_planned(result)
+            elif isinstance(result, ExecutorResult):
+                _print_executors(result)
             else:
                 _print_result(result)
             for text in result.violations:
@@ -72,5 +85,20 @@
     )
 
 
+def _print_executors(result: ExecutorResult) -> None:
+    faults = {fault.kind.name for fault in result.plan.faults}
+    counts = ", ".join(
+        f"{result.kinds.get(kind, 0)} {kind}"
+        for kind in ("start", "done", "lapsed", "killed", "suspended")
+    )
+    print(
+        f"seed {result.seed}: longest lease {result.plan.max_lease_ms} ms, "
+        f"{len(result.plan.faults)} faults ({', '.join(sorted(faults))}), "
+        f"{result.accepted} jobs accepted, {counts}: "
+        f"{'FAILED' if result.violations else 'ok'}",
+        flush=True,
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -12,6 +12,7 @@
 
 from guavapin_soak.cancel_checks import STOP_TIMEOUT_MS
 from guavapin_standins.ports import free_ports
+from guavapin_standins.resident_executor import MAX_LEASE_MS
 
 if TYPE_CHECKING:
     from collections.abc import Container
@@ -39,7 +40,9 @@
     return EntryPorts(front, ready, peer, metrics, platform)
 
 
-def settings_text(name: str, ports: EntryPorts, more: str = "") -> str:
+def settings_text(
+    name: str, ports: EntryPorts, more: str = "", max_lease_ms: int = MAX_LEASE_MS
+) -> str:
     """Return the text of the settings file of an entry host, and `more` lines."""
     return (
         f"node={name}\nip=127.0.0.1\nzone=z\n"
@@ -49,7 +52,7 @@
         f"platform.address=127.0.0.1:{ports.platform}\n"
         f"cloud.address=127.0.0.1:{ports.platform}\n"
         "platform.writes-per-s=400\nplatform.reads-per-s=2000\n"
-        "bounds.grace-s=6\nbounds.max-hold-ms=6000\n"
+        f"bounds.grace-s=6\nbounds.max-hold-ms={max_lease_ms}\n"
         f"bounds.stop-timeout-ms={STOP_TIMEOUT_MS}\n"
         "bounds.status_s=120\nbounds.migrate-s=0.3\nbounds.maintenance-s=0.3\n"
         f"{more}"
@@ -71,13 +74,18 @@
     """Starts, signals and ends the process of one entry host by its process id."""
 
     def __init__(
-        self, folder: Path, name: str, ports: EntryPorts, more_settings: str = ""
+        self,
+        folder: Path,
+        name: str,
+        ports: EntryPorts,
+        more_settings: str = "",
+        max_lease_ms: int = MAX_LEASE_MS,
     ) -> None:
         self.name = name
         self.ports = ports
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
-        self._settings.write_text(settings_text(name, ports, more_settings))
+        self._settings.write_text(settings_text(name, ports, more_settings, max_lease_ms))
         self._signals: set[signal.Signals] = set()
         self._own_ends: list[str] = []
         self.process = self._start()
--- /dev/null
+++ b/src/guavapin_soak/executor_run.py
@@ -0,0 +1,119 @@
+"""One run of the soak with executors as processes: work, faults, then the judge."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from guavapin_soak.executor_deployment import ExecutorDeployment
+from guavapin_soak.executor_host import count_kinds
+from guavapin_soak.executor_plan import plan_executors
+from guavapin_soak.long_work import LongWorkCaller
+from guavapin_soak.run_overlaps import events_around
+from guavapin_soak.run_overlaps import find_overlaps
+from guavapin_standins.executor_process import monotonic_ms
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from guavapin_soak.executor_plan import ExecutorPlan
+    from guavapin_soak.run_overlaps import LifeEvent
+    from guavapin_soak.run_overlaps import Overlap
+
+EXECUTORS = 8
+
+# Time in which the processes start and the work is submitted, before the faults.
+STARTUP_MS = 6_000
+
+# Time after the last new fault in which runs are still watched: a lease and more.
+WATCHED_MS = 8_000
+
+TICK_S = 0.02
+
+# Time before an overlap from which its report has the events of both executors.
+REPORTED_MS = 25_000
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorResult:
+    """Result of a run; `violations` is empty if no subtask ran twice at once.
+
+    `kinds` counts the events of executors by kind.
+    """
+
+    seed: int
+    plan: ExecutorPlan
+    accepted: int
+    kinds: dict[str, int]
+    violations: tuple[str, ...]
+
+
+def run_executors(
+    seed: int, length_ms: int, hosts: int, folder: Path
+) -> ExecutorResult:
+    """Run one seed; write process logs, and events on failure, to `folder`."""
+    plan = plan_executors(seed, length_ms, EXECUTORS, hosts)
+    deployment = ExecutorDeployment(folder, hosts, plan)
+    try:
+        caller = LongWorkCaller(seed, [entry.ports.front for entry in deployment.entries])
+        stop = threading.Event()
+        with ThreadPoolExecutor(1) as executor:
+            fut = executor.submit(caller.run, stop)
+            try:
+                _apply(deployment, plan, length_ms)
+            finally:
+                stop.set()
+            fut.result()
+        end_ms = monotonic_ms()
+        events = [event for event in deployment.events() if event.at_ms <= end_ms]
+        own_ends = deployment.own_ends()
+    finally:
+        deployment.stop()
+    overlaps = find_overlaps(events, end_ms)
+    still = {
+        f"i-{number}" for number, row in enumerate(plan.clocks) if row.stands_still
+    }
+    found = (*(_sentence(row, still) for row in overlaps), *own_ends)
+    if found:
+        _write_events(folder, plan, events, overlaps)
+    return ExecutorResult(
+        seed, plan, caller.accepted, dict(count_kinds(events)), tuple(found)
+    )
+
+
+def _apply(deployment: ExecutorDeployment, plan: ExecutorPlan, length_ms: int) -> None:
+    """Apply each step at its time, and renew the entries of executors meanwhile."""
+    # Steps of one fault that are due at the same time keep their order.
+    waiting = sorted(
+        (step for fault in plan.faults for step in deployment.steps(fault)),
+        key=lambda step: step.at_ms,
+    )
+    began_ms = monotonic_ms() + STARTUP_MS
+    pause = threading.Event()
+    while monotonic_ms() < began_ms + length_ms + WATCHED_MS:
+        while waiting and began_ms + waiting[0].at_ms <= monotonic_ms():
+            waiting.pop(0).apply()
+        deployment.renew_entries()
+        pause.wait(TICK_S)
+
+
+def _sentence(overlap: Overlap, still_clocks: set[str]) -> str:
+    """Return the sentence of an overlap; it names clocks that may have stood still."""
+    hosts = {overlap.first.executor, overlap.second.executor} & still_clocks
+    names = ", ".join(sorted(hosts))
+    note = f"; the clock of {names} stands still while suspended" if names else ""
+    return overlap.describe() + note
+
+
+def _write_events(
+    folder: Path, plan: ExecutorPlan, events: list[LifeEvent], overlaps: list[Overlap]
+) -> None:
+    lines = [str(row) for row in (*plan.clocks, *plan.faults)]
+    for overlap in overlaps:
+        lines += ["", overlap.describe()]
+        lines += map(str, events_around(overlap, events, REPORTED_MS))
+    lines += ["", "all events"]
+    lines += map(str, sorted(events, key=lambda event: event.at_ms))
+    (folder / "events.txt").write_text("\n".join(lines))
--- a/src/guavapin_soak/proxy.py
+++ b/src/guavapin_soak/proxy.py
@@ -33,6 +33,8 @@
     OPEN = "open"
     DELAYED = "delayed"
     ONE_WAY = "one way"
+    CUT = "cut"
+    HELD_BACK = "held back"
     REFUSED = "refused"
 
 
@@ -61,6 +63,14 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldData:
+    """Data of a link that is held back; empty data stands for the end."""
+
+    endpoint: _Endpoint
+    data: bytes
+
+
 class _Endpoint:
     """One socket of a proxied connection, and the data not yet sent on it."""
 
@@ -82,6 +92,7 @@
         self._target = port
         self._mode = LinkMode.OPEN
         self._endpoints: set[_Endpoint] = set()
+        self._held: list[_HeldData] = []
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Open the listener and set `port` to its port."""
@@ -106,6 +117,8 @@
                 self._write(endpoint, data)
             case Call(body=SetLink(mode=mode), fut=fut):
                 self._mode = mode
+                if mode is not LinkMode.HELD_BACK:
+                    self._release()
                 fut.set_result(Ok(None))
             case Call(body=SilenceConnections(), fut=fut):
                 for endpoint in self._endpoints:
@@ -124,7 +137,13 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             sock.close()
             return
-        upstream = socket.create_connection(("127.0.0.1", self._target))
+        try:
+            upstream = socket.create_connection(("127.0.0.1", self._target))
+        except OSError:
+            # The process behind the link is down.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            sock.close()
+            return
         caller, target = _Endpoint(sock, True), _Endpoint(upstream, False)
         caller.peer, target.peer = target, caller
         for endpoint in (caller, target):
@@ -157,6 +176,12 @@
         except OSError:
             data = b""
         assert endpoint.peer is not None
+        if self._mode is LinkMode.HELD_BACK and not endpoint.is_silent:
+            self._hold_back(endpoint, data)
+            return
+        if self._mode is LinkMode.CUT:
+            # Neither side learns of the other's end, nor gets later data.
+            endpoint.is_silent = endpoint.peer.is_silent = True
         if not data:
             # The peer of a silent connection must not see its end.
             self._close(endpoint, with_peer=not endpoint.is_silent)
@@ -171,6 +196,20 @@
         else:
             self._write(endpoint.peer, data)
 
+    def _hold_back(self, endpoint: _Endpoint, data: bytes) -> None:
+        assert endpoint.peer is not None
+        self._held.append(_HeldData(endpoint.peer, data))
+        if not data:
+            self._close(endpoint, with_peer=False)
+
+    def _release(self) -> None:
+        held, self._held = self._held, []
+        for row in held:
+            if row.data:
+                self._write(row.endpoint, row.data)
+            else:
+                self._close(row.endpoint)
+
     def _write(self, endpoint: _Endpoint, data: bytes) -> None:
         if endpoint.is_closed:
             return
--- a/src/guavapin_standins/resident_executor.py
+++ b/src/guavapin_standins/resident_executor.py
@@ -9,6 +9,9 @@
 # A run whose spec is this text and a number lasts that many milliseconds.
 WORK_SPEC = "work-ms="
 
+# Longest lease of the deployments that the stand-ins imitate.
+MAX_LEASE_MS = 6_000
+
 
 @dataclass(frozen=True, slots=True)
 class RunEvent:
@@ -40,6 +43,7 @@
     born_ms: int
     work_ms: int
     log: list[RunEvent]
+    max_lease_ms: int = MAX_LEASE_MS
     running: dict[str, RunningTask] = field(default_factory=dict)
     ended: list[list[Any]] = field(default_factory=list)
     highest_attempts: dict[str, int] = field(default_factory=dict)
@@ -73,7 +77,7 @@
             return 409, {"clock-ms": now_ms, "reason": "fence"}
         self.watermarks["token"] = token
         if "deadline-ms" in body:
-            until_ms = min(body["deadline-ms"], now_ms + 6_000)
+            until_ms = min(body["deadline-ms"], now_ms + self.max_lease_ms)
             self.watermarks["until"] = max(self.watermarks["until"], until_ms)
         if path.endswith("/hold"):
             return 200, self._hold(body, now_ms)
