--- a/src/guavapin_soak/entry_process.py
+++ b/src/guavapin_soak/entry_process.py
@@ -85,7 +85,9 @@
         self.ports = ports
         self.log = folder / f"{name}.log"
         self._settings = folder / f"{name}.conf"
-        self._settings.write_text(settings_text(name, ports, more_settings, max_lease_ms))
+        self._settings.write_text(
+            settings_text(name, ports, more_settings, max_lease_ms)
+        )
         self._signals: set[signal.Signals] = set()
         self._own_ends: list[str] = []
         self.process = self._start()
--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -13,7 +13,6 @@
 
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.run_overlaps import LifeEvent
-from guavapin_standins.executor_clock import ClockTraits
 from guavapin_standins.executor_process import monotonic_ms
 from guavapin_standins.resident_platform import MACHINE_CAPACITY
 
@@ -21,6 +20,8 @@
     from collections.abc import Callable
     from pathlib import Path
 
+    from guavapin_standins.executor_clock import ClockTraits
+
 SERVICE = "pool"
 
 # The registry drops an entry that has not been renewed for three intervals of 500 ms.
@@ -181,7 +182,12 @@
             arguments.append("--stands-still")
         with (setup.folder / f"{setup.executor_id}.log").open("ab") as out:
             return subprocess.Popen(
-                [sys.executable, "-m", "guavapin_standins.executor_process", *arguments],
+                [
+                    sys.executable,
+                    "-m",
+                    "guavapin_standins.executor_process",
+                    *arguments,
+                ],
                 stdin=subprocess.PIPE,
                 stdout=out,
                 stderr=subprocess.STDOUT,
--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -57,7 +57,9 @@
     plan = plan_executors(seed, length_ms, EXECUTORS, hosts)
     deployment = ExecutorDeployment(folder, hosts, plan)
     try:
-        caller = LongWorkCaller(seed, [entry.ports.front for entry in deployment.entries])
+        caller = LongWorkCaller(
+            seed, [entry.ports.front for entry in deployment.entries]
+        )
         stop = threading.Event()
         with ThreadPoolExecutor(1) as executor:
             fut = executor.submit(caller.run, stop)
--- a/src/guavapin_soak/long_work.py
+++ b/src/guavapin_soak/long_work.py
@@ -5,13 +5,16 @@
 import http.client
 import json
 import random
-import threading
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from guavapin_soak.caller import HOST
 from guavapin_soak.caller import PREFIX
 from guavapin_standins.resident_executor import WORK_SPEC
 
+if TYPE_CHECKING:
+    import threading
+
 CALL_TIMEOUT_S = 3.0
 ENDLESS_MS = 3_600_000
 
--- a/src/guavapin_standins/executor_process.py
+++ b/src/guavapin_standins/executor_process.py
@@ -35,6 +35,11 @@
     from guavapin.serving.request_handler import WholeRequest
 
 ENTRY_INTERVAL_MS = 250
+
+# A run with more work than this does not end by itself, and is at work throughout.
+MAX_WORK_MS = 60_000
+# Work for each percent that a run still lacks; schedulers stop a run without progress.
+PERCENT_MS = 200
 WORK_MS = 250
 
 
@@ -104,7 +109,7 @@
         body = json.loads(req.body)
         now_ms = monotonic_ms()
         clock_ms = self._clock.at(now_ms)
-        status, answer = self._executor.call(path, body, clock_ms)
+        status, answer = self._call(path, body, clock_ms)
         self._write_runs()
         deadline_ms = body.get("deadline-ms", clock_ms)
         self._write(
@@ -133,7 +138,7 @@
             if now_ms < row.until_ms and not self._executor.ended:
                 self._pending.append(row)
                 continue
-            answer = self._executor.call("/hold", row.body, clock_ms)
+            answer = self._call("/hold", row.body, clock_ms)
             self._reply(row.request_id, *answer)
         self._write_runs()
         if now_ms >= self._next_entry_ms:
@@ -141,6 +146,15 @@
             self._write_entry(clock_ms)
         self._context.set_timer(TICK_MS, _Tick())
 
+    def _call(
+        self, path: str, body: dict[str, Any], clock_ms: int
+    ) -> tuple[int, dict[str, Any]]:
+        status, answer = self._executor.call(path, body, clock_ms)
+        for row in answer.get("running", []):
+            left_ms = self._executor.running[row[0]].done_ms - clock_ms
+            row[3] = 100 if left_ms > MAX_WORK_MS else _percent(left_ms)
+        return status, answer
+
     def _write_runs(self) -> None:
         for event in self._executor.log:
             if event.kind != "confirmed":
@@ -169,6 +183,10 @@
         self.answer(request_id, status, headers, json.dumps(body).encode())
 
 
+def _percent(left_ms: int) -> int:
+    return max(99 - left_ms // PERCENT_MS, 1)
+
+
 def monotonic_ms() -> int:
     """Return the monotonic time in ms that all processes of the machine share."""
     return time.monotonic_ns() // 1_000_000
