Restart idle executors that get work at once and are then cut off

On the code before the fix, an order rested on the clock of a former life only after an idle executor had started again, and the executor then has to be cut off for two runs to overlap.

--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -76,6 +76,12 @@
         self._is_registered = False
         self.process = self._start(setup.traits.first_ms)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the process is up and no fault of a link or a suspension is on."""
+        is_up = self.process.poll() is None
+        return is_up and not self._stops and not self._link_modes
+
     def kill(self) -> None:
         """Kill the process; a suspended one as well."""
         if self.process.poll() is None:
--- a/src/guavapin_soak/executor_plan.py
+++ b/src/guavapin_soak/executor_plan.py
@@ -35,6 +35,7 @@
 
     RESTART = "killed and started again"
     RESTART_AND_CUT = "killed, started again at once and cut off soon after"
+    RESTART_IDLE = "idle ones killed, started again, given work and cut off"
     SUSPEND = "suspended and woken"
     CUT = "cut off"
     ONE_WAY = "answers lost"
@@ -57,6 +58,7 @@
 _DURATIONS_MS = {
     ExecutorFaultKind.RESTART: (0, 4_000),
     ExecutorFaultKind.RESTART_AND_CUT: (3_000, 12_000),
+    ExecutorFaultKind.RESTART_IDLE: (7_000, 12_000),
     ExecutorFaultKind.SUSPEND: (300, 9_000),
     ExecutorFaultKind.CUT: (300, 12_000),
     ExecutorFaultKind.ONE_WAY: (300, 12_000),
@@ -74,6 +76,8 @@
 class ExecutorFault:
     """A fault on `targets` at `at_ms` that lasts `for_ms`.
 
+    For `RESTART_IDLE`, `targets` has all executors, in the order in which the first
+    `count` idle ones are taken.
     `delay_ms` is the time from an executor's start to its cut, and `lag_ms` that from
     its start to its entry in the registry. With `reaches_store` an executor that is cut
     off renews its entry.
@@ -86,6 +90,7 @@
     delay_ms: int = 0
     lag_ms: int = 0
     reaches_store: bool = False
+    count: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,8 +119,8 @@
     )
     # A run draws from few kinds only, so that the same pairs of kinds overlap often.
     kinds = rng.sample(EXECUTOR_KINDS, rng.randint(2, 4))
-    if ExecutorFaultKind.RESTART_AND_CUT not in kinds and rng.random() < 0.5:
-        kinds.append(ExecutorFaultKind.RESTART_AND_CUT)
+    if ExecutorFaultKind.RESTART_IDLE not in kinds and rng.random() < 0.5:
+        kinds.append(ExecutorFaultKind.RESTART_IDLE)
     faults: list[ExecutorFault] = []
     at_ms = rng.randint(*FAULT_INTERVAL_MS)
     while at_ms < length_ms:
@@ -133,12 +138,14 @@
     size = rng.randint(2, max(count // 2, 2)) if rng.random() < GROUP_SHARE else 1
     if kind in ENTRY_KINDS:
         size = 1
+    drawn = count if kind is ExecutorFaultKind.RESTART_IDLE else size
     return ExecutorFault(
         at_ms,
         rng.randint(*_DURATIONS_MS[kind]),
         kind,
-        tuple(rng.sample(range(count), size)),
+        tuple(rng.sample(range(count), drawn)),
         rng.randint(*CUT_DELAY_MS),
         rng.randint(0, ENTRY_LAG_MS),
         rng.random() < 0.5,
+        size,
     )
--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -9,7 +9,10 @@
 
 from guavapin_soak.executor_deployment import ExecutorDeployment
 from guavapin_soak.executor_host import count_kinds
+from guavapin_soak.executor_plan import ExecutorFaultKind
 from guavapin_soak.executor_plan import plan_executors
+from guavapin_soak.idle_restart import IdleRestart
+from guavapin_soak.idle_restart import choose_idle
 from guavapin_soak.long_work import LongWorkCaller
 from guavapin_soak.run_overlaps import events_around
 from guavapin_soak.run_overlaps import find_overlaps
@@ -64,7 +67,7 @@
         with ThreadPoolExecutor(1) as executor:
             fut = executor.submit(caller.run, stop)
             try:
-                _apply(deployment, plan, length_ms)
+                _apply(deployment, plan, length_ms, caller)
             finally:
                 stop.set()
             fut.result()
@@ -85,18 +88,41 @@
     )
 
 
-def _apply(deployment: ExecutorDeployment, plan: ExecutorPlan, length_ms: int) -> None:
+def _apply(
+    deployment: ExecutorDeployment,
+    plan: ExecutorPlan,
+    length_ms: int,
+    caller: LongWorkCaller,
+) -> None:
     """Apply each step at its time, and renew the entries of executors meanwhile."""
+    idle_kind = ExecutorFaultKind.RESTART_IDLE
+    at_idle = [fault for fault in plan.faults if fault.kind is idle_kind]
     # Steps of one fault that are due at the same time keep their order.
     waiting = sorted(
-        (step for fault in plan.faults for step in deployment.steps(fault)),
+        (
+            step
+            for fault in plan.faults
+            if fault.kind is not idle_kind
+            for step in deployment.steps(fault)
+        ),
         key=lambda step: step.at_ms,
     )
+    restarts: list[IdleRestart] = []
     began_ms = monotonic_ms() + STARTUP_MS
     pause = threading.Event()
-    while monotonic_ms() < began_ms + length_ms + WATCHED_MS:
-        while waiting and began_ms + waiting[0].at_ms <= monotonic_ms():
+    while (now_ms := monotonic_ms()) < began_ms + length_ms + WATCHED_MS:
+        while waiting and began_ms + waiting[0].at_ms <= now_ms:
             waiting.pop(0).apply()
+        while at_idle and began_ms + at_idle[0].at_ms <= now_ms:
+            fault = at_idle.pop(0)
+            hosts = deployment.executors
+            restarts += [
+                IdleRestart(host, fault, caller.request_burst, now_ms)
+                for host in choose_idle(hosts, fault.targets, fault.count, now_ms)
+            ]
+        for restart in restarts:
+            restart.tick(now_ms)
+        restarts = [restart for restart in restarts if not restart.is_over]
         deployment.renew_entries()
         pause.wait(TICK_S)
 
--- a/src/guavapin_soak/long_work.py
+++ b/src/guavapin_soak/long_work.py
@@ -5,16 +5,13 @@
 import http.client
 import json
 import random
+import threading
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from guavapin_soak.caller import HOST
 from guavapin_soak.caller import PREFIX
 from guavapin_standins.resident_executor import WORK_SPEC
 
-if TYPE_CHECKING:
-    import threading
-
 CALL_TIMEOUT_S = 3.0
 ENDLESS_MS = 3_600_000
 
@@ -24,6 +21,8 @@
 LONG_RUNNING_SUBTASKS = (2, 3)
 JOB_SUBTASKS = 2
 WORK_MS = (500, 12_000)
+BURST_SUBTASKS = 4
+BURST_WORK_MS = 15_000
 SUBTASK_CPU = 1_900
 POLL_INTERVAL_S = 0.2
 
@@ -58,6 +57,11 @@
         self._ports = ports
         self._count = 0
         self._open: list[str] = []
+        self._burst = threading.Event()
+
+    def request_burst(self) -> None:
+        """Submit a job of several long subtasks next."""
+        self._burst.set()
 
     def run(self, stop: threading.Event) -> None:
         """Submit jobs and poll them."""
@@ -66,6 +70,9 @@
             while not self._submit(job) and not stop.wait(POLL_INTERVAL_S):
                 pass
         while not stop.wait(POLL_INTERVAL_S):
+            if self._burst.is_set():
+                self._burst.clear()
+                self._submit(self._draw(BURST_SUBTASKS, BURST_WORK_MS, False))
             if len(self._open) < OPEN_JOBS:
                 job = self._draw(JOB_SUBTASKS, self._rng.randint(*WORK_MS), False)
                 if self._submit(job):
