Let orders wait for the next life of an idle executor

A poll of the scheduler mostly came before the first order, as the refused connections of the restart had told it of the end of the former life.

--- a/src/guavapin_soak/executor_plan.py
+++ b/src/guavapin_soak/executor_plan.py
@@ -72,12 +72,17 @@
 CUT_DELAY_MS = (100, 1_800)
 
 
+# Time from the kill of idle executors to the submission of work. Their next life begins
+# within a second.
+WORK_DELAY_MS = (0, 800)
+
+
 @dataclass(frozen=True, slots=True)
 class ExecutorFault:
     """A fault on `targets` at `at_ms` that lasts `for_ms`.
 
     For `RESTART_IDLE`, `targets` has all executors, in the order in which the first
-    `count` idle ones are taken.
+    `count` idle ones are taken, and `work_delay_ms` is the time to their new work.
     `delay_ms` is the time from an executor's start to its cut, and `lag_ms` that from
     its start to its entry in the registry. With `reaches_store` an executor that is cut
     off renews its entry.
@@ -91,6 +96,7 @@
     lag_ms: int = 0
     reaches_store: bool = False
     count: int = 1
+    work_delay_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,4 +154,5 @@
         rng.randint(0, ENTRY_LAG_MS),
         rng.random() < 0.5,
         size,
+        rng.randint(*WORK_DELAY_MS),
     )
--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -60,17 +60,20 @@
     plan = plan_executors(seed, length_ms, EXECUTORS, hosts)
     deployment = ExecutorDeployment(folder, hosts, plan)
     try:
-        caller = LongWorkCaller(
-            seed, [entry.ports.front for entry in deployment.entries]
-        )
+        ports = [entry.ports.front for entry in deployment.entries]
+        caller, bursts = (LongWorkCaller(seed, number, ports) for number in (1, 2))
         stop = threading.Event()
-        with ThreadPoolExecutor(1) as executor:
-            fut = executor.submit(caller.run, stop)
+        with ThreadPoolExecutor(2) as executor:
+            futs = [
+                executor.submit(caller.run, stop),
+                executor.submit(bursts.run_bursts, stop),
+            ]
             try:
-                _apply(deployment, plan, length_ms, caller)
+                _apply(deployment, plan, length_ms, bursts)
             finally:
                 stop.set()
-            fut.result()
+            for fut in futs:
+                fut.result()
         end_ms = monotonic_ms()
         events = [event for event in deployment.events() if event.at_ms <= end_ms]
         own_ends = deployment.own_ends()
@@ -84,7 +87,11 @@
     if found:
         _write_events(folder, plan, events, overlaps)
     return ExecutorResult(
-        seed, plan, caller.accepted, dict(count_kinds(events)), tuple(found)
+        seed,
+        plan,
+        caller.accepted + bursts.accepted,
+        dict(count_kinds(events)),
+        tuple(found),
     )
 
 
@@ -92,7 +99,7 @@
     deployment: ExecutorDeployment,
     plan: ExecutorPlan,
     length_ms: int,
-    caller: LongWorkCaller,
+    bursts: LongWorkCaller,
 ) -> None:
     """Apply each step at its time, and renew the entries of executors meanwhile."""
     idle_kind = ExecutorFaultKind.RESTART_IDLE
@@ -117,7 +124,7 @@
             fault = at_idle.pop(0)
             hosts = deployment.executors
             restarts += [
-                IdleRestart(host, fault, caller.request_burst, now_ms)
+                IdleRestart(host, fault, bursts.request_burst, now_ms)
                 for host in choose_idle(hosts, fault.targets, fault.count, now_ms)
             ]
         for restart in restarts:
--- a/src/guavapin_soak/idle_restart.py
+++ b/src/guavapin_soak/idle_restart.py
@@ -47,7 +47,10 @@
         self._began_ms = now_ms
         self._stage = _Stage.STARTING
         self._stage_ms = now_ms
+        self._has_submitted = False
         host.kill()
+        # Orders wait for the next life, as those to a host that does not answer yet.
+        host.begin_link(LinkMode.WAITING, True)
         host.start_again(fault.lag_ms)
 
     @property
@@ -58,13 +61,17 @@
     def tick(self, now_ms: int) -> None:
         """Go on to the next stage when it is due."""
         fault, elapsed_ms = self._fault, now_ms - self._stage_ms
+        if not self._has_submitted and now_ms >= self._began_ms + fault.work_delay_ms:
+            self._has_submitted = True
+            self._submit_work()
+        is_late = elapsed_ms > WORK_TIMEOUT_MS
         match self._stage:
-            case _Stage.STARTING if self._has_event("up"):
-                self._submit_work()
+            case _Stage.STARTING if is_late or self._has_event("up"):
+                self._host.end_link(LinkMode.WAITING, True)
                 self._enter(_Stage.IDLE, now_ms)
             case _Stage.IDLE if self._has_event("start"):
                 self._enter(_Stage.AT_WORK, now_ms)
-            case _Stage.STARTING | _Stage.IDLE if elapsed_ms > WORK_TIMEOUT_MS:
+            case _Stage.IDLE if is_late:
                 self._enter(_Stage.OVER, now_ms)
             case _Stage.AT_WORK if elapsed_ms >= fault.delay_ms:
                 self._host.begin_link(LinkMode.CUT, fault.reaches_store)
--- a/src/guavapin_soak/long_work.py
+++ b/src/guavapin_soak/long_work.py
@@ -21,7 +21,7 @@
 LONG_RUNNING_SUBTASKS = (2, 3)
 JOB_SUBTASKS = 2
 WORK_MS = (500, 12_000)
-BURST_SUBTASKS = 4
+BURST_SUBTASKS = 6
 BURST_WORK_MS = 15_000
 SUBTASK_CPU = 1_900
 POLL_INTERVAL_S = 0.2
@@ -51,18 +51,26 @@
 class LongWorkCaller:
     """Keeps the executors busy until `stop` is set; `accepted` counts its jobs."""
 
-    def __init__(self, seed: int, ports: list[int]) -> None:
+    def __init__(self, seed: int, number: int, ports: list[int]) -> None:
         self.accepted = 0
-        self._rng = random.Random(f"{seed}.work")
+        self._number = number
+        self._rng = random.Random(f"{seed}.{number}.work")
         self._ports = ports
         self._count = 0
         self._open: list[str] = []
         self._burst = threading.Event()
 
     def request_burst(self) -> None:
-        """Submit a job of several long subtasks next."""
+        """Let `run_bursts` submit a job of several long subtasks."""
         self._burst.set()
 
+    def run_bursts(self, stop: threading.Event) -> None:
+        """Submit a job at each request, until `stop` is set."""
+        while not stop.is_set():
+            if self._burst.wait(POLL_INTERVAL_S):
+                self._burst.clear()
+                self._submit(self._draw(BURST_SUBTASKS, BURST_WORK_MS, False))
+
     def run(self, stop: threading.Event) -> None:
         """Submit jobs and poll them."""
         for count in LONG_RUNNING_SUBTASKS:
@@ -70,9 +78,6 @@
             while not self._submit(job) and not stop.wait(POLL_INTERVAL_S):
                 pass
         while not stop.wait(POLL_INTERVAL_S):
-            if self._burst.is_set():
-                self._burst.clear()
-                self._submit(self._draw(BURST_SUBTASKS, BURST_WORK_MS, False))
             if len(self._open) < OPEN_JOBS:
                 job = self._draw(JOB_SUBTASKS, self._rng.randint(*WORK_MS), False)
                 if self._submit(job):
@@ -84,7 +89,8 @@
 
     def _draw(self, count: int, work_ms: int, is_long_running: bool) -> LongJob:
         self._count += 1
-        return LongJob(f"{self._count:016x}", count, work_ms, is_long_running)
+        job_id = f"{self._number:04x}{self._count:012x}"
+        return LongJob(job_id, count, work_ms, is_long_running)
 
     def _submit(self, job: LongJob) -> bool:
         status, _ = self._call("POST", job.job_id, job.encode())
--- a/src/guavapin_soak/proxy.py
+++ b/src/guavapin_soak/proxy.py
@@ -35,6 +35,7 @@
     ONE_WAY = "one way"
     CUT = "cut"
     HELD_BACK = "held back"
+    WAITING = "new connections wait"
     REFUSED = "refused"
 
 
@@ -100,7 +101,7 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._listener.setblocking(False)
         self.port = self._listener.getsockname()[1]
-        self._context.watch(self._listener.fileno(), selectors.EVENT_READ, self._accept)
+        self._watch_listener()
         return Ok(None)
 
     def stop(self) -> None:
@@ -117,6 +118,7 @@
                 self._write(endpoint, data)
             case Call(body=SetLink(mode=mode), fut=fut):
                 self._mode = mode
+                self._watch_listener()
                 if mode is not LinkMode.HELD_BACK:
                     self._release()
                 fut.set_result(Ok(None))
@@ -131,6 +133,12 @@
             case _:
                 raise InvariantError(f"{self.name}: unexpected message {message!r}")
 
+    def _watch_listener(self) -> None:
+        fd = self._listener.fileno()
+        self._context.unwatch(fd)
+        if self._mode is not LinkMode.WAITING:
+            self._context.watch(fd, selectors.EVENT_READ, self._accept)
+
     def _accept(self, events: int) -> None:
         sock, _ = self._listener.accept()
         if self._mode is LinkMode.REFUSED:
