--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -25,7 +25,9 @@
     from guavapin_soak.run_overlaps import LifeEvent
     from guavapin_soak.run_overlaps import Overlap
 
-EXECUTORS = 8
+# Enough executors for the work while a few are cut off, so that a lost run can start
+# again at once. The others are full.
+EXECUTORS = 10
 
 # Time in which the processes start and the work is submitted, before the faults.
 STARTUP_MS = 6_000
--- a/src/guavapin_soak/long_work.py
+++ b/src/guavapin_soak/long_work.py
@@ -17,11 +17,11 @@
 
 # Jobs that are open at once, beside the long-running ones. Some executors are idle for
 # a while between two jobs, as the scheduler then reads their clocks seldom.
-OPEN_JOBS = 4
+OPEN_JOBS = 3
 LONG_RUNNING_SUBTASKS = (2, 3)
 JOB_SUBTASKS = 2
 WORK_MS = (500, 12_000)
-BURST_SUBTASKS = 6
+BURST_SUBTASKS = 4
 BURST_WORK_MS = 15_000
 SUBTASK_CPU = 1_900
 POLL_INTERVAL_S = 0.2
