--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -37,6 +37,13 @@
 # poll of a busy host is answered more often.
 MAX_READING_AGE_MS = 1_250
 
+# The same for an executor without a pending poll, which its restart would break off.
+MAX_IDLE_READING_AGE_MS = 100
+
+# Time from an order to the handling of its answer up to which the answer is recent. A
+# poll times out after 1.7 s; if its answer is handled later, the scheduler was paused.
+MAX_ANSWER_AGE_MS = 1_750
+
 
 # Time after its start from which no lease on an executor rests on its former clock: a
 # scheduler reads the clock of an idle host every 8 s, an order is under way for up to
@@ -110,9 +117,11 @@
         self.reading = ClockReading(clock_ms, now_ms)
         self.last_grant: Grant | None = None
         self._terms = terms
-        # Unset until an answer has stated the clock; an entry of the registry may be
-        # one of a former life.
+        # Whether the last reading is a recent answer. An entry of the registry may be
+        # one of a former life, and so may an answer that waited in its socket.
         self._is_read = False
+        # Time at which the latest of the orders was sent whose answers were read.
+        self._read_sent_ms = 0
         # Leases of the orders without an answer, which may still be carried out, and
         # the latest end of all others.
         self._open: dict[Look | Start, Grant] = {}
@@ -126,7 +135,11 @@
 
     def may_extend(self, now_ms: int) -> bool:
         """Return whether the clock was read recently enough to give a lease by it."""
-        return self._is_read and now_ms - self.reading.read_ms <= MAX_READING_AGE_MS
+        return self._is_read_within(MAX_READING_AGE_MS, now_ms)
+
+    def may_begin(self, now_ms: int) -> bool:
+        """Return the same for an executor on which nothing runs."""
+        return self._is_read_within(MAX_IDLE_READING_AGE_MS, now_ms)
 
     def until_ms(self, now_ms: int) -> int:
         """Return the end of a new lease on the executor's clock."""
@@ -171,9 +184,17 @@
         self._settle_until(_latest_end_ms(left_ms, now_ms))
 
     def read(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
-        """Read the clock in the answer to an order that was sent at `sent_ms`."""
+        """Read the clock in the answer to an order that was sent at `sent_ms`.
+
+        An answer that was overtaken and states a later clock is one of a former life.
+        """
+        is_overtaken = sent_ms < self._read_sent_ms
+        latest_ms = self.reading.at(now_ms) + READING_TOLERANCE_MS
+        if is_overtaken and clock_ms > latest_ms:
+            return
         self.reading = ClockReading(clock_ms, now_ms)
-        self._is_read = True
+        self._read_sent_ms = max(self._read_sent_ms, sent_ms)
+        self._is_read = is_answer_recent(sent_ms, now_ms)
         for order, grant in [*self._open.items()]:
             bounded = grant.bounded(self._terms, clock_ms, now_ms)
             # The answer to an earlier order may be one of an earlier life.
@@ -207,10 +228,18 @@
             fields["clock_age_ms"] = self.last_grant.clock_age_ms
         return fields
 
+    def _is_read_within(self, age_ms: int, now_ms: int) -> bool:
+        return self._is_read and now_ms - self.reading.read_ms <= age_ms
+
     def _settle_until(self, end_ms: int) -> None:
         self._settled_end_ms = max(self._settled_end_ms, end_ms)
 
 
+def is_answer_recent(sent_ms: int, now_ms: int) -> bool:
+    """Return whether an answer says what its executor is now, as it is handled."""
+    return now_ms - sent_ms <= MAX_ANSWER_AGE_MS
+
+
 def _latest_end_ms(left_ms: int, now_ms: int) -> int:
     """Return when a lease with `left_ms` on the executor's clock ends at the latest."""
     return now_ms + round(max(left_ms, 0) * (1 + CLOCK_DRIFT)) + LEASE_SLACK_MS
