--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -82,8 +82,11 @@
     finally:
         deployment.stop()
     overlaps = find_overlaps(events, end_ms)
+    suspended = {event.executor for event in events if event.kind == "suspended"}
     still = {
-        f"i-{number}" for number, row in enumerate(plan.clocks) if row.stands_still
+        executor_id
+        for number, row in enumerate(plan.clocks)
+        if row.stands_still and (executor_id := f"i-{number}") in suspended
     }
     found = (*(_sentence(row, still) for row in overlaps), *own_ends)
     if found:
@@ -137,7 +140,7 @@
 
 
 def _sentence(overlap: Overlap, still_clocks: set[str]) -> str:
-    """Return the sentence of an overlap; it names clocks that may have stood still."""
+    """Return the sentence of an overlap; it names clocks that have stood still."""
     hosts = {overlap.first.executor, overlap.second.executor} & still_clocks
     names = ", ".join(sorted(hosts))
     note = f"; the clock of {names} stands still while suspended" if names else ""
