--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -14,9 +14,10 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavapin.executors.model import Start
+
 if TYPE_CHECKING:
     from guavapin.executors.model import Look
-    from guavapin.executors.model import Start
 
 # Fraction by which an executor's clock may run slower than the scheduler's.
 CLOCK_DRIFT = 0.02
@@ -133,6 +134,21 @@
         open_ends = (grant.end_ms for grant in self._open.values())
         return max(self._settled_end_ms, *open_ends, 0)
 
+    @property
+    def unanswered_starts(self) -> list[Start]:
+        """Return the starts without an answer, which may still be carried out."""
+        return [order for order in self._open if isinstance(order, Start)]
+
+    @property
+    def unanswered_start_ms(self) -> int:
+        """Return when the last start without an answer was sent, 0 without one."""
+        starts = (self._open[order].sent_ms for order in self.unanswered_starts)
+        return max(starts, default=0)
+
+    def late_end_ms(self, sent_ms: int) -> int:
+        """Return when a lease ends that an order gives as late as it can arrive."""
+        return _latest_end_ms(self._terms.longest_ms, sent_ms + MAX_DELIVERY_MS)
+
     def may_extend(self, now_ms: int) -> bool:
         """Return whether the clock was read recently enough to give a lease by it."""
         return self._is_read_within(MAX_READING_AGE_MS, now_ms)
@@ -153,7 +169,9 @@
         duration of the call.
         """
         clock_age_ms = now_ms - self.reading.read_ms
-        end_ms = _latest_end_ms(self._terms.given_ms, now_ms)
+        # The clock may have stood still since it was read.
+        left_ms = min(self._terms.given_ms + clock_age_ms, self._terms.longest_ms)
+        end_ms = _latest_end_ms(left_ms, now_ms)
         self.last_grant = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
         self._open[order] = self.last_grant
 
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -152,7 +152,7 @@
             return
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
-        host.update_registration(registration)
+        host.update_registration(registration, self._term.now_ms)
         self._unresolved = None
 
     def unregister(self, executor_id: str) -> None:
@@ -189,6 +189,11 @@
         former.mark_removed()
         self._partly_known.discard(former)
         self._add(host)
+        # A former life may have answered the stop of a start that comes late.
+        for order in host.lease.unanswered_starts:
+            if (order.subtask, order.attempt) not in host.runs:
+                stop = Stop(order.subtask, order.attempt, self._term.token)
+                self._send(host, stop, ORDER_TIMEOUT_MS)
         return host
 
     def _add(self, host: Host) -> None:
@@ -263,7 +268,7 @@
         entry.
         """
         is_listed = self._listed_pools is None or host.executor_id in self._listed_pools
-        return is_listed or (host.is_registered and host.has_renewed_entry)
+        return is_listed or (host.is_registered and host.renewed_ms > 0)
 
     def are_runs_known(self, host: Host) -> bool:
         """Return whether nothing may run on a host that is not in its `runs`."""
@@ -405,6 +410,9 @@
         if isinstance(outcome, NoAnswer):
             if not outcome.was_sent:
                 host.lease.withdraw(order)
+        elif isinstance(outcome, Refusal) and outcome.kind is RefusalKind.UNHEALTHY:
+            # The executor has done nothing.
+            host.lease.withdraw(order)
         else:
             host.lease.settle(order, outcome.clock_ms, self._term.now_ms)
 
@@ -502,6 +510,9 @@
         run = self._find_run(host, context.order)
         if run is not None and isinstance(context.order, Start):
             self._handle_unanswered_start(host, run, no_answer)
+        self._drop_waiting_starts(host)
+
+    def _drop_waiting_starts(self, host: Host) -> None:
         for key in [*host.waiting_starts]:
             self._drop_start(host, host.runs[key])
 
@@ -517,6 +528,8 @@
 
     def _send_waiting_starts(self, host: Host) -> None:
         """Send the starts that wait for a reading of the host's clock."""
+        if host.is_cordoned or host.registration.is_draining:
+            self._drop_waiting_starts(host)
         if host.lease.may_extend(self._term.now_ms):
             orders, host.waiting_starts = host.waiting_starts, {}
             for order in orders.values():
@@ -562,7 +575,7 @@
             if known is None:
                 self._handler.adopt(host, row)
             else:
-                self._update_running(known, row)
+                self._update_running(host, known, row)
         self._handler.handle_loads(host)
         # The end of an unlisted run may be among those that the report leaves out.
         if report.has_all_ends:
@@ -572,8 +585,11 @@
         self._send_waiting_starts(host)
         self._remove_if_empty(host)
 
-    def _update_running(self, run: Run, row: RunningRow) -> None:
+    def _update_running(self, host: Host, run: Run, row: RunningRow) -> None:
         run.is_listed = True
+        if run.phase is RunPhase.UNSETTLED:
+            # The start may have come late, from a predecessor or to another life.
+            host.lease.assume(is_settled_life=False, now_ms=self._term.now_ms)
         if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
             run.phase = RunPhase.RUNNING if run.is_wanted else RunPhase.STOPPING
             run.started_ms = run.moved_ms = self._term.now_ms
@@ -670,9 +686,22 @@
 
         While the store cannot be reached, another scheduler may extend their lease.
         """
-        is_unresponsive = bool(host.unanswered and host.runs)
+        if not host.unanswered or not host.runs or self._term.is_unconfirmed:
+            return False
         is_expired = self._term.now_ms > host.lease_end_ms
-        return is_unresponsive and is_expired and not self._term.is_unconfirmed
+        return is_expired and not self._may_start_late(host)
+
+    def _may_start_late(self, host: Host) -> bool:
+        """Return whether a later life of a silent executor may carry out a start.
+
+        The registry shows within seconds that the executor has ended, or is in the life
+        to which the start was sent.
+        """
+        sent_ms = host.lease.unanswered_start_ms
+        is_settled = not host.is_registered or host.renewed_ms > sent_ms
+        if not sent_ms or is_settled:
+            return False
+        return self._term.now_ms <= host.lease.late_end_ms(sent_ms)
 
     def _may_hide_ends(self, host: Host) -> bool:
         """Return whether a host may still list ends of runs that are not known here.
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from guavapin.executors.model import EndKind
 from guavapin.executors.model import Look
 from guavapin.executors.model import NoAnswer
@@ -143,6 +145,16 @@
     assert sim.longest_overlap_ms == 0
 
 
+def test_a_clock_that_stood_still_since_a_poll_is_allowed_for() -> None:
+    # Guards against a lease that outlasts the counted one on a busy executor.
+    lease = HostLease(TERMS, 0, 0)
+    lease.read(500_000, sent_ms=0, now_ms=10)
+    order = Look(1, 0, lease.until_ms(1_010))
+    lease.extend(order, 1_010)
+    given_ms = order.until_ms - 500_000
+    assert lease.end_ms >= 1_010 + given_ms * 1.02
+
+
 def test_a_start_that_was_not_sent_is_not_handed_over() -> None:
     # Guards against a subtask that a successor holds up for a start that waited for a
     # reading, and was never sent.
@@ -243,6 +255,25 @@
     assert sim.longest_overlap_ms == 0
 
 
+def test_a_new_life_is_told_to_refuse_a_start_that_may_come_late() -> None:
+    # Guards against the same once the registry has shown the next life.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    sim.scheduler.cordon(frozenset({"e1"}), frozenset())
+    sim.advance(1_000)
+    executor = sim.executors["e1"]
+    executor.restart_at(sim.now_ms)
+    sim.scheduler.hosts.register(executor.registration())
+    sim.advance(500)
+    executor.handle_order(context.order, sim.now_ms)
+    sim.advance(10_000)
+    assert sim.longest_overlap_ms == 0
+
+
 def test_an_inherited_job_waits_for_the_longest_lease_of_a_silent_host() -> None:
     # Guards against a second run beside one that the predecessor started, while it
     # could not reach the store, on an executor that has started again and does not
@@ -321,3 +352,27 @@
     sim.scheduler.hosts.handle_answer(context, outcome)
     sim.advance(100)
     assert looks[0].confirmed == 0
+
+
+@pytest.mark.parametrize("evidence", ["renewed", "removed"])
+def test_an_unanswered_start_delays_no_work_if_the_registry_shows_its_executor(
+    evidence: str,
+) -> None:
+    # Guards against work that waits for a late start although the executor has ended,
+    # or is still in the life to which the start was sent.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    executor = sim.executors["e1"]
+    executor.is_reachable = False
+    sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    sim.scheduler.cordon(frozenset(), frozenset())
+    sim.advance(4_500)
+    if evidence == "renewed":
+        sim.scheduler.hosts.register(executor.registration())
+    else:
+        sim.scheduler.hosts.unregister("e1")
+    sim.advance(2_200)
+    assert [name for _, name in sim.running()] == ["e2"]
