--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -85,9 +85,10 @@
     def kill(self) -> None:
         """Kill the process; a suspended one as well."""
         if self.process.poll() is None:
-            self._note("killed")
             self.process.kill()
             self.process.wait()
+            # Only now, as a run may have started until the process has ended.
+            self._note("killed")
         if self.process.stdin is not None:
             self.process.stdin.close()
         self._stops = 0
