--- a/src/guavapin_soak/proxy.py
+++ b/src/guavapin_soak/proxy.py
@@ -33,6 +33,9 @@
     OPEN = "open"
     DELAYED = "delayed"
     ONE_WAY = "one way"
+    CUT = "cut"
+    HELD_BACK = "held back"
+    WAITING = "new connections wait"
     REFUSED = "refused"
 
 
@@ -61,6 +64,14 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldData:
+    """Data of a link that is held back; empty data stands for the end."""
+
+    endpoint: _Endpoint
+    data: bytes
+
+
 class _Endpoint:
     """One socket of a proxied connection, and the data not yet sent on it."""
 
@@ -82,6 +93,7 @@
         self._target = port
         self._mode = LinkMode.OPEN
         self._endpoints: set[_Endpoint] = set()
+        self._held: list[_HeldData] = []
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Open the listener and set `port` to its port."""
@@ -89,7 +101,7 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._listener.setblocking(False)
         self.port = self._listener.getsockname()[1]
-        self._context.watch(self._listener.fileno(), selectors.EVENT_READ, self._accept)
+        self._watch_listener()
         return Ok(None)
 
     def stop(self) -> None:
@@ -106,6 +118,9 @@
                 self._write(endpoint, data)
             case Call(body=SetLink(mode=mode), fut=fut):
                 self._mode = mode
+                self._watch_listener()
+                if mode is not LinkMode.HELD_BACK:
+                    self._release()
                 fut.set_result(Ok(None))
             case Call(body=SilenceConnections(), fut=fut):
                 for endpoint in self._endpoints:
@@ -118,13 +133,25 @@
             case _:
                 raise InvariantError(f"{self.name}: unexpected message {message!r}")
 
+    def _watch_listener(self) -> None:
+        fd = self._listener.fileno()
+        self._context.unwatch(fd)
+        if self._mode is not LinkMode.WAITING:
+            self._context.watch(fd, selectors.EVENT_READ, self._accept)
+
     def _accept(self, events: int) -> None:
         sock, _ = self._listener.accept()
         if self._mode is LinkMode.REFUSED:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             sock.close()
             return
-        upstream = socket.create_connection(("127.0.0.1", self._target))
+        try:
+            upstream = socket.create_connection(("127.0.0.1", self._target))
+        except OSError:
+            # The process behind the link is down.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+            sock.close()
+            return
         caller, target = _Endpoint(sock, True), _Endpoint(upstream, False)
         caller.peer, target.peer = target, caller
         for endpoint in (caller, target):
@@ -157,6 +184,12 @@
         except OSError:
             data = b""
         assert endpoint.peer is not None
+        if self._mode is LinkMode.HELD_BACK and not endpoint.is_silent:
+            self._hold_back(endpoint, data)
+            return
+        if self._mode is LinkMode.CUT:
+            # Neither side learns of the other's end, nor gets later data.
+            endpoint.is_silent = endpoint.peer.is_silent = True
         if not data:
             # The peer of a silent connection must not see its end.
             self._close(endpoint, with_peer=not endpoint.is_silent)
@@ -171,6 +204,20 @@
         else:
             self._write(endpoint.peer, data)
 
+    def _hold_back(self, endpoint: _Endpoint, data: bytes) -> None:
+        assert endpoint.peer is not None
+        self._held.append(_HeldData(endpoint.peer, data))
+        if not data:
+            self._close(endpoint, with_peer=False)
+
+    def _release(self) -> None:
+        held, self._held = self._held, []
+        for row in held:
+            if row.data:
+                self._write(row.endpoint, row.data)
+            else:
+                self._close(row.endpoint)
+
     def _write(self, endpoint: _Endpoint, data: bytes) -> None:
         if endpoint.is_closed:
             return
