Leave orders that were not sent out of the log of leases

The line now names the last order that was answered or may still be carried out. Evidence: a new test fails without the change and passes with it.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -116,7 +116,6 @@
 
     def __init__(self, terms: LeaseTerms, clock_ms: int, now_ms: int) -> None:
         self.reading = ClockReading(clock_ms, now_ms)
-        self.last_grant: Grant | None = None
         self._terms = terms
         # Whether the last reading is a recent answer. An entry of the registry may be
         # one of a former life, and so may an answer that waited in its socket.
@@ -127,6 +126,8 @@
         # the latest end of all others.
         self._open: dict[Look | Start, Grant] = {}
         self._settled_end_ms = 0
+        # The last of the answered ones, for the log.
+        self._settled_grant: Grant | None = None
 
     @property
     def end_ms(self) -> int:
@@ -172,8 +173,7 @@
         # The clock may have stood still since it was read.
         left_ms = min(self._terms.given_ms + clock_age_ms, self._terms.longest_ms)
         end_ms = _latest_end_ms(left_ms, now_ms)
-        self.last_grant = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
-        self._open[order] = self.last_grant
+        self._open[order] = Grant(order.until_ms, now_ms, clock_age_ms, end_ms)
 
     def settle(self, order: Look | Start, clock_ms: int, now_ms: int) -> None:
         """Count the lease that an order has given, by the clock in its answer.
@@ -186,6 +186,7 @@
             if clock_ms:
                 left_ms = min(grant.until_ms - clock_ms, left_ms)
             self._settle_until(_latest_end_ms(left_ms, now_ms))
+            self._settled_grant = grant
 
     def withdraw(self, order: Look | Start) -> None:
         """Drop the lease of an order that was not sent."""
@@ -240,10 +241,14 @@
         by the executor's clock as it was last read; it is negative in the past.
         """
         fields = {"last_answer_ms": now_ms - self.reading.read_ms}
-        if self.last_grant is not None:
-            fields["last_order_ms"] = now_ms - self.last_grant.sent_ms
-            fields["told_ms"] = self.last_grant.until_ms - self.reading.at(now_ms)
-            fields["clock_age_ms"] = self.last_grant.clock_age_ms
+        grants = [*self._open.values()]
+        if self._settled_grant is not None:
+            grants.append(self._settled_grant)
+        if grants:
+            last = max(grants, key=lambda grant: grant.sent_ms)
+            fields["last_order_ms"] = now_ms - last.sent_ms
+            fields["told_ms"] = last.until_ms - self.reading.at(now_ms)
+            fields["clock_age_ms"] = last.clock_age_ms
         return fields
 
     def _is_read_within(self, age_ms: int, now_ms: int) -> bool:
--- a/tests/scheduling/test_host_lease.py
+++ b/tests/scheduling/test_host_lease.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from guavapin.executors.model import Look
 from guavapin.jobs.model import Step
 from guavapin.scheduling.host_lease import SETTLED_LIFE_MS
+from guavapin.scheduling.host_lease import HostLease
+from guavapin.scheduling.host_lease import LeaseTerms
 from tests.scheduling.clocked_executor import ClockedSimulation
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import make_job
@@ -49,6 +52,18 @@
     assert record.clock_age_ms <= 500
 
 
+def test_the_log_leaves_out_an_order_that_was_not_sent() -> None:
+    # Guards against a line that shows a lease which the executor was never told.
+    lease = HostLease(LeaseTerms(6_000, 10_000), 0, 0)
+    lease.read(500_000, sent_ms=0, now_ms=0)
+    sent, unsent = Look(1, 0, 506_000), Look(1, 0, 507_000)
+    lease.extend(sent, 0)
+    lease.settle(sent, 500_000, 0)
+    lease.extend(unsent, 1_000)
+    lease.withdraw(unsent)
+    assert lease.describe(7_000)["told_ms"] == -1_000
+
+
 def test_an_estimate_ahead_of_the_clock_is_logged(
     sim: ClockedSimulation, caplog: pytest.LogCaptureFixture
 ) -> None:
