Give no lease in the poll that a start waits for

A start on an idle executor waits for a reading if the last one is over 100 ms old. The poll that it sends counted the waiting run as one on the host and gave a lease by a reading of up to 1.25 s, and it was held open for a second.

Such a poll gives no lease and is answered at once.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -652,7 +652,12 @@
         )
         if not is_needed:
             return
-        is_extending = host.lease.may_extend(now_ms) and not host.unanswered
+        # A start that waits for a reading needs an answer at once, and gives no lease.
+        is_extending = (
+            host.lease.may_extend(now_ms)
+            and not host.unanswered
+            and not host.waiting_starts
+        )
         # The first answer must not wait for an end: the host may be needed.
         is_waiting = host.runs and host.has_answered and is_extending
         wait_ms = POLL_WAIT_MS if is_waiting else 0
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -376,3 +376,18 @@
         sim.scheduler.hosts.unregister("e1")
     sim.advance(2_200)
     assert [name for _, name in sim.running()] == ["e2"]
+
+
+def test_the_poll_for_a_waiting_start_gives_no_lease() -> None:
+    # Guards against a lease by the clock of a former life: the poll that a start on an
+    # idle executor waits for reaches the next one.
+    sim = HeldSimulation()
+    sim.advance(200)
+    polls: list = []
+    sim.on_action = lambda action: (
+        polls.append(action.context.order)
+        if isinstance(action, SendOrder) and isinstance(action.context.order, Look)
+        else None
+    )
+    sim.submit_work()
+    assert (polls[0].until_ms, polls[0].wait_ms) == (0, 0)
