Keep the lease of a removed host for its executor

A host without runs whose entry is removed for a moment was forgotten with all that is known of its lease. Its executor may have kept the longest lease from an order by the clock of a former life, and keeps the runs of its next start for that long.

The lease is kept until it has ended, and counts for the host that registers under the same id.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -116,6 +116,8 @@
         self._unresolved: set[str] | None = None
         # Hosts that have answered, but have never listed all ends of their runs.
         self._partly_known: set[Host] = set()
+        # Leases of removed hosts, whose executors may register again under their ids.
+        self._former_leases: dict[str, HostLease] = {}
         # Hosts whose executors have ended while the lease was unconfirmed.
         self._deferred_ends: dict[Host, str] = {}
         self._term = term
@@ -135,8 +137,7 @@
         host = self.by_id.get(registration.executor_id)
         if host is None:
             now_ms, on_change = self._term.now_ms, self.room.mark_changed
-            terms = self._term.lease_terms
-            lease = HostLease(terms, registration.clock_ms, now_ms)
+            lease = self._new_lease(registration)
             host = Host(registration, lease, now_ms, on_change, self.usage)
             self._add(host)
             return
@@ -155,6 +156,17 @@
         host.update_registration(registration, self._term.now_ms)
         self._unresolved = None
 
+    def _new_lease(self, registration: Registration) -> HostLease:
+        """Return the lease of a host that is added.
+
+        An executor whose entry was removed may have kept its lease, or started again.
+        """
+        terms, now_ms = self._term.lease_terms, self._term.now_ms
+        former = self._former_leases.pop(registration.executor_id, None)
+        if former is not None:
+            return former.next_life(registration.clock_ms, now_ms)
+        return HostLease(terms, registration.clock_ms, now_ms)
+
     def unregister(self, executor_id: str) -> None:
         """Mark a host whose registration was removed; its runs may continue."""
         host = self.by_id.get(executor_id)
@@ -734,3 +746,8 @@
             self._partly_known.discard(host)
             host.mark_removed()
             self._unresolved = None
+            now_ms = self._term.now_ms
+            leases = {**self._former_leases, host.executor_id: host.lease}
+            self._former_leases = {
+                name: lease for name, lease in leases.items() if lease.end_ms >= now_ms
+            }
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -391,3 +391,27 @@
     )
     sim.submit_work()
     assert (polls[0].until_ms, polls[0].wait_ms) == (0, 0)
+
+
+def test_the_lease_of_a_removed_host_is_kept_for_its_executor() -> None:
+    # Guards against a second run beside one on an executor whose entry was removed for
+    # a moment while it kept the longest lease from an earlier order.
+    sim = HeldSimulation()
+    executor = sim.executors["e1"]
+    executor.restart_at(sim.now_ms)
+    sim.submit(make_job("b" * 16, Step(1, SMALL, 60_000)))
+    sim.advance(100)
+    sim.scheduler.hosts.register(executor.registration())
+    ((subtask, _),) = sim.running()
+    executor.end(subtask, EndKind.DONE)
+    sim.advance(300)
+    sim.scheduler.hosts.unregister("e1")
+    assert "e1" not in sim.scheduler.hosts.by_id
+    sim.scheduler.hosts.register(executor.registration())
+    sim.advance(300)
+    sim.submit_work()
+    assert [name for _, name in sim.running()] == ["e1"]
+    executor.is_reachable = False
+    sim.fail_over()
+    assert sim.longest_overlap_ms == 0
+    assert [name for _, name in sim.running()] == ["e2"]
