Let all starts on an idle executor wait for its reading

The first start on an idle executor sends a poll and waits for it. The pending poll then counted as one that the present life holds open, so further starts of the same dispatch went out by a reading of up to 1.25 s.

While a start waits, others wait with it. Found by reading; its test fails without the change and passes with it.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -347,12 +347,9 @@
 
         The order waits for an answer of the host if its clock was not read lately.
         """
-        now_ms = self._term.now_ms
-        lease, is_polled = host.lease, host.is_poll_pending
-        is_read = lease.may_extend(now_ms) if is_polled else lease.may_begin(now_ms)
         host.add(run)
-        host.record_start(now_ms)
-        if is_read:
+        host.record_start(self._term.now_ms)
+        if self._is_clock_known(host):
             self._send_start(host, order)
             return
         host.waiting_starts[run.key] = order
@@ -524,6 +521,15 @@
             self._handle_unanswered_start(host, run, no_answer)
         self._drop_waiting_starts(host)
 
+    def _is_clock_known(self, host: Host) -> bool:
+        """Return whether a start may give a lease by the last reading of the clock."""
+        now_ms = self._term.now_ms
+        if host.waiting_starts:
+            return False
+        if host.is_poll_pending:
+            return host.lease.may_extend(now_ms)
+        return host.lease.may_begin(now_ms)
+
     def _drop_waiting_starts(self, host: Host) -> None:
         for key in [*host.waiting_starts]:
             self._drop_start(host, host.runs[key])
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -415,3 +415,18 @@
     sim.fail_over()
     assert sim.longest_overlap_ms == 0
     assert [name for _, name in sim.running()] == ["e2"]
+
+
+def test_all_starts_on_an_idle_executor_wait_for_its_reading() -> None:
+    # Guards against an order by the clock of a former life: the poll that the first
+    # start waits for must not count as one that the present life holds open.
+    sim = HeldSimulation()
+    sim.advance(200)
+    sim.holds_answer = lambda executor_id, order: isinstance(order, Look)
+    sim.submit(make_job(JOB, Step(3, SMALL, 60_000)))
+    assert sim.starts == []
+    sim.holds_answer = lambda executor_id, order: False
+    ((context, outcome),) = sim.held
+    sim.scheduler.hosts.handle_answer(context, outcome)
+    sim.run()
+    assert len(sim.starts) == 3
