Set the level of the project's logger in tests of the lease's log

They set the level of the project's logger, as the other tests of log lines do. With that level at WARNING before, the two fail without the change and pass with it.

--- a/tests/scheduling/test_host_lease.py
+++ b/tests/scheduling/test_host_lease.py
@@ -42,7 +42,7 @@
     sim: ClockedSimulation, caplog: pytest.LogCaptureFixture
 ) -> None:
     # Guards against a second start whose log does not show what the executor was told.
-    caplog.set_level(logging.INFO)
+    caplog.set_level(logging.INFO, "guavapin")
     start_work(sim)
     sim.advance(500)
     fall_silent(sim)
@@ -68,7 +68,7 @@
     sim: ClockedSimulation, caplog: pytest.LogCaptureFixture
 ) -> None:
     # Guards against a clock that starts again or stands still without a trace.
-    caplog.set_level(logging.INFO)
+    caplog.set_level(logging.INFO, "guavapin")
     start_work(sim)
     sim.advance(100)
     sim.executors["e1"].lag_ms = 1_500
@@ -84,7 +84,7 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     # Guards against a line for each answer of a clock that runs 2% slow.
-    caplog.set_level(logging.INFO)
+    caplog.set_level(logging.INFO, "guavapin")
     sim = ClockedSimulation()
     for executor in sim.executors.values():
         executor.drift = 0.02
