Keep new connections open during a stop until their first request

When the listener closed, the front closed every connection without a request, also those that had been accepted in the same moment and whose request was still under way, and connections in their TLS handshake. The client cannot tell whether such a request was received, and libcurl does not repeat it on a new connection.

A connection that has not carried a request stays open for one second after its accept, and its first answer closes it. Connections that have served a request are closed at once as before, since clients repeat requests on those.

test_new_connection_is_not_closed_before_its_first_request_arrives failed before with a connection that was closed without an answer. In test_stop_finishes_requests_in_progress_and_closes_the_rest the unused connection is closed by the end of its second instead of at once; a new test shows that it does not hold up the stop for longer.

--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -81,6 +81,11 @@
             or not self.parser.is_between_requests
         )
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether nothing of a request has arrived since the accept."""
+        return not (self.has_served or self.is_busy or self.is_lingering)
+
     @property
     def is_reading_head(self) -> bool:
         """Whether the head of a request has been received in part."""
--- a/src/guavapin/serving/connection_deadlines.py
+++ b/src/guavapin/serving/connection_deadlines.py
@@ -14,6 +14,9 @@
     from guavapin.serving.front_config import FrontConfig
 
 LINGER_TIMEOUT_MS = 2_000
+# Time from the accept to the first request during a stop. A client whose new connection
+# ends without an answer cannot tell whether its request was received.
+FIRST_REQUEST_TIMEOUT_MS = 1_000
 
 
 class ConnectionDeadlines:
@@ -32,6 +35,7 @@
             "head": cfg.header_timeout_ms,
             "progress": cfg.idle_timeout_ms,
         }
+        self._is_stopping = False
 
     def set_timeouts(
         self, header_ms: int, idle_ms: int, conns: Iterable[CallerConnection]
@@ -39,9 +43,12 @@
         """Apply other timeouts, to the open connections too."""
         self._timeouts_ms["head"] = header_ms
         self._timeouts_ms["progress"] = idle_ms
-        now_ms = self._context.now_ms()
-        for conn in conns:
-            self._timer.set(conn.conn_id, max(self._due_ms(conn, now_ms) - now_ms, 0))
+        self._set_timers(conns)
+
+    def begin_stop(self, conns: Iterable[CallerConnection]) -> None:
+        """Limit how long connections without a request so far stay open."""
+        self._is_stopping = True
+        self._set_timers(conns)
 
     def record_progress(self, conn: CallerConnection) -> None:
         """Record progress of `conn`, and start another timeout if its state changed."""
@@ -54,7 +61,7 @@
         if kind != conn.deadline_kind:
             conn.deadline_kind = kind
             conn.last_progress_ms = self._context.now_ms()
-            self._timer.set(conn.conn_id, self._timeouts_ms[kind])
+            self._set_timers((conn,))
         elif kind == "progress":
             # A head that arrives byte by byte must not extend its deadline.
             conn.last_progress_ms = self._context.now_ms()
@@ -82,7 +89,14 @@
                 expired.append(conn)
         return expired
 
+    def _set_timers(self, conns: Iterable[CallerConnection]) -> None:
+        now_ms = self._context.now_ms()
+        for conn in conns:
+            self._timer.set(conn.conn_id, max(self._due_ms(conn, now_ms) - now_ms, 0))
+
     def _due_ms(self, conn: CallerConnection, now_ms: int) -> int:
+        if self._is_stopping and conn.is_unused:
+            return conn.request_started_ms + FIRST_REQUEST_TIMEOUT_MS
         timeout_ms = self._timeouts_ms[conn.deadline_kind]
         is_progress = conn.deadline_kind == "progress"
         if is_progress and (conn.is_waiting_for_answer or conn.is_body_paused):
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -387,9 +387,10 @@
         for conn in list(self._conns.values()):
             if not conn.is_busy and not conn.is_handshaking:
                 conn.read()
-            if not conn.is_busy and not conn.is_lingering:
+            if not (conn.is_busy or conn.is_lingering or conn.is_unused):
                 conn.close()
             self.sync_connection(conn)
+        self._deadlines.begin_stop(self._conns.values())
         self._resolve_stop()
 
     def _resolve_stop(self) -> None:
--- a/tests/serving/test_planned_stop.py
+++ b/tests/serving/test_planned_stop.py
@@ -33,7 +33,6 @@
     path.send_to_front(SetReady(True))
     fut = path.kernel.ask("front", StopAccepting())
     assert idle.is_closed()
-    assert unused.is_closed()
     assert not fut.done()
     with pytest.raises(ConnectionRefusedError):
         path.connect()
@@ -42,11 +41,33 @@
         assert answer.status == 200
         assert answer.headers[b"connection"] == b"close"
         assert caller.is_closed()
+    # It may still send its first request until shortly after it was accepted.
+    assert unused.is_closed()
     assert fut.result(WAIT_S) == Ok(None)
     assert not [m for m in path.exchanges.received if isinstance(m, CallerGone)]
     assert path.counts()["open_connections"] == 0
 
 
+def test_new_connection_is_not_closed_before_its_first_request_arrives(path):
+    # A client that has connected but not sent yet got an empty reply.
+    caller = path.connect()
+    wait_until(lambda: path.counts()["open_connections"] == 1)
+    fut = path.kernel.ask("front", StopAccepting())
+    path.counts()
+    answer = caller.get("/late")
+    assert answer.status == 200
+    assert answer.headers[b"connection"] == b"close"
+    assert caller.is_closed()
+    assert fut.result(WAIT_S) == Ok(None)
+
+
+def test_connection_without_a_request_does_not_hold_up_the_stop(path):
+    caller = path.connect()
+    wait_until(lambda: path.counts()["open_connections"] == 1)
+    assert path.kernel.ask("front", StopAccepting()).result(WAIT_S) == Ok(None)
+    assert caller.is_closed()
+
+
 def test_request_whose_head_or_body_is_still_arriving_is_finished(path):
     head = path.connect()
     head.send(b"GET /head HTTP/1.1\r\n")
--- a/tests/serving/test_tls.py
+++ b/tests/serving/test_tls.py
@@ -8,6 +8,7 @@
 import pytest
 
 from guavapin.kernel import Kernel
+from guavapin.kernel import Ok
 from guavapin.kernel import Refused
 from guavapin.kernel import SystemClock
 from guavapin.serving.front import FrontTask
@@ -108,3 +109,18 @@
     outcome = kernel.start()
     assert isinstance(outcome, Refused)
     assert __file__ in outcome.detail
+
+
+def test_stop_does_not_end_a_handshake_that_has_just_begun():
+    path = ServingPath(
+        FrontConfig(certificate_file=CERTIFICATE, key_file=str(FILES / "key.pem"))
+    )
+    sock = socket.create_connection(("127.0.0.1", path.front.port), WAIT_S)
+    wait_until(lambda: path.counts().get("open_connections") == 1)
+    fut = path.kernel.ask("front", StopAccepting())
+    path.counts()
+    context = ssl.create_default_context(cafile=CERTIFICATE)
+    caller = Caller(0, context.wrap_socket(sock, server_hostname="localhost"))
+    assert caller.get("/late").status == 200
+    assert fut.result(WAIT_S) == Ok(None)
+    path.close()
