Give a job as running only once an executor has begun a subtask

A job counted as running from the moment at which the order for its first start was sent. If the executor was cut off, the job stayed running for good, although its run was lost and it waited again.

Now the answer to the start, a report that lists the run, or its end makes a job running; so does a handed-over run whose start was answered.

test_a_job_whose_start_was_not_answered_counts_as_waiting failed before with 0 waiting jobs instead of 1.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -82,6 +82,10 @@
         """Apply the end of a run; True if it must be stored before it is confirmed."""
         ...
 
+    def handle_begun_run(self, run: Run) -> None:
+        """Handle that a host has taken a start, or lists its run."""
+        ...
+
     def handle_loads(self, host: Host) -> None:
         """Handle that a report of the host has updated the loads of its runs."""
         ...
@@ -479,6 +483,7 @@
             if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
                 run.phase = RunPhase.RUNNING
                 run.started_ms = run.moved_ms = self._term.now_ms
+                self._handler.handle_begun_run(run)
                 if not run.is_wanted:
                     self.stop(run)
             host.next_poll_ms = min(host.next_poll_ms, self._term.now_ms)
@@ -611,6 +616,7 @@
         if run.phase in (RunPhase.STARTING, RunPhase.UNSETTLED):
             run.phase = RunPhase.RUNNING if run.is_wanted else RunPhase.STOPPING
             run.started_ms = run.moved_ms = self._term.now_ms
+            self._handler.handle_begun_run(run)
         if row.percent != run.percent:
             run.percent = row.percent
             run.moved_ms = self._term.now_ms
--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -93,7 +93,8 @@
         is_needed = row.is_wanted and step_run is not None and step_run.needs_run(index)
         if step_run is not None:
             step_run.add(index, run)
-            step_run.job_run.mark_started()
+            if row.is_settled:
+                step_run.job_run.mark_started()
         if not is_needed:
             self._hosts.stop(run)
 
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -282,6 +282,8 @@
         index = row.subtask.index
         last = step_run.last_attempt.get(index, 0)
         step_run.last_attempt[index] = max(last, row.attempt)
+        # The end may be the first that is known of a run whose start was not answered.
+        step_run.job_run.mark_started()
         step_run.record_saved(index, row.saved)
         if run is None:
             self.hosts.usage.mark_seen(row.subtask)
@@ -309,6 +311,12 @@
         self._finish_if_complete(step_run.job_run)
         return True
 
+    def handle_begun_run(self, run: Run) -> None:
+        """Show the job of a run as running."""
+        step_run = self.step_of(run)
+        if step_run is not None:
+            step_run.job_run.mark_started()
+
     def handle_loads(self, host: Host) -> None:
         """Learn from the loads of a host's runs, which a report has just updated."""
         self.interference.record_report(host, self.term.now_ms)
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -136,7 +136,6 @@
         run.image = step_run.step.image
         step_run.add(index, run)
         job_run = step_run.job_run
-        job_run.mark_started()
         order = Start(
             subtask=run.subtask,
             attempt=attempt,
