Give up a watch only if its answer stalls

Cause: a watch had 900 ms beyond its wait in all, whatever arrived meanwhile. The slowest link carries 0.5 MB in that time. A longer answer was thrown away, and the whole prefix was listed from the start; the list itself had been given a limit by progress before, the watch had not.

A watch still ends if no byte of its answer has come 900 ms after its wait. An answer that has begun now has as much time as that of a list, and ends the call only if it stalls for a second. libcurl's own check of stalls would count the wait, so that the client has checks of its own. A watch that stalls is followed by a list, as before; one whose connection ends is repeated from its revision, as before.

The test of a list that makes progress now plays a watch as well. It failed before for the watch: ChangesTooLong.

--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -15,6 +15,8 @@
 from guavapin.http.multi_driver import MultiDriver
 from guavapin.http.multi_driver import MultiTimer
 from guavapin.http.transfer import MAX_ANSWER_BYTES
+from guavapin.http.transfer import STALL_BYTES_PER_S
+from guavapin.http.transfer import STALL_S
 from guavapin.http.transfer import HttpRequest
 from guavapin.http.transfer import Transfer
 from guavapin.http.transfer import prepare
@@ -35,6 +37,8 @@
 from guavapin.metrics.messages import QueryCounters
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from guavapin.kernel import TaskContext
     from guavapin.kernel import TimerHandle
     from guavapin.keyvalue.codec import HttpCall
@@ -45,9 +49,13 @@
 # table of a host that starts comes from the store and from the scheduler.
 MAX_LINK_SHARES = 2
 
-# Time that the answer to a list may take beyond the deadline for its first bytes. Such
-# an answer would be as large the next time, so that it is given up only if it stalls.
-LIST_TRANSFER_MS = MAX_LINK_SHARES * transfer_ms(MAX_ANSWER_BYTES)
+# Time that the answer to a list or a watch may take beyond the deadline for its first
+# bytes. Such an answer would be as large the next time, so that it is given up only if
+# it stalls.
+ITEMS_TRANSFER_MS = MAX_LINK_SHARES * transfer_ms(MAX_ANSWER_BYTES)
+
+# Kinds of calls whose answers may be long.
+ITEM_KINDS = ("list", "watch")
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +64,9 @@
 
     `deadline_ms` limits a call from its arrival at this task to its answer; a watch
     adds its own wait time, and a body the time that the slowest link takes for it.
-    Lists, whose answers are large, have `list_deadline_ms` instead, and their answers
-    as much more time as a shared link takes; a list whose transfer stalls is abandoned
-    earlier. The rates limit this process's share of the
+    Lists have `list_deadline_ms` instead. The answers to lists and watches, which may
+    be large, have as much more time as a shared link takes once they have begun; one
+    that stalls is abandoned earlier. The rates limit this process's share of the
     platform's limits. At most `max_queued` calls wait for a token or for a free
     transfer; further calls are not sent. All answers in progress have at most
     `answer_bytes` together.
@@ -90,6 +98,14 @@
     """Timer: send the queued calls that tokens and free transfers allow."""
 
 
+@dataclass(frozen=True, slots=True)
+class _CheckProgress:
+    """Timer: abandon a watch without an answer, or whose answer has stalled."""
+
+    pending: _PendingCall
+    received: int
+
+
 class PlatformTask:
     """Service ``platform``: answers each `PlatformRequest` with a `Reply`.
 
@@ -137,6 +153,8 @@
         elif isinstance(message, _SendQueued):
             self._timer = None
             self._send_queued()
+        elif isinstance(message, _CheckProgress):
+            self._check_progress(message)
         elif isinstance(message, Call) and isinstance(message.body, QueryCounters):
             message.fut.set_result(dict(self.counters))
         elif isinstance(message, Call):
@@ -221,15 +239,18 @@
             self._answer(pending, NotSent(prepared.detail))
             return
         self._transfers[curl] = transfer
-        self._watches += pending.call.kind == "watch"
         self._driver.add(curl)
+        if pending.call.kind == "watch":
+            self._watches += 1
+            delay_ms = min(self._answer_due_ms(pending) - now_ms, STALL_S * 1_000)
+            self._context.set_timer(max(delay_ms, 1), _CheckProgress(pending, 0))
 
     def _prepare_handle(
         self, curl: Any, transfer: Transfer[_PendingCall], remaining_ms: int
     ) -> Outcome[None]:
         call = transfer.owner.call
-        is_list = call.kind == "list"
-        answer_ms = LIST_TRANSFER_MS if is_list else call.wait_ms
+        has_items = call.kind in ITEM_KINDS
+        answer_ms = call.wait_ms + (ITEMS_TRANSFER_MS if has_items else 0)
         return prepare(
             curl,
             transfer,
@@ -240,18 +261,56 @@
                 body=call.body,
                 timeout_ms=remaining_ms + answer_ms + transfer_ms(len(call.body)),
                 connect_timeout_ms=min(self._cfg.connect_ms, remaining_ms),
-                aborts_stalled=is_list,
+                # A watch is silent while it waits, so that it has checks of its own.
+                aborts_stalled=call.kind == "list",
             ),
         )
 
-    def _on_done(self, curl: Any, code: int, detail: str) -> None:
+    def _answer_due_ms(self, pending: _PendingCall) -> int:
+        return pending.due_ms + pending.call.wait_ms
+
+    def _check_progress(self, check: _CheckProgress) -> None:
+        curl = self._find(lambda pending: pending is check.pending)
+        if curl is None:
+            return
+        received, stall_ms = len(self._transfers[curl].body), STALL_S * 1_000
+        left_ms = self._answer_due_ms(check.pending) - self._context.now_ms()
+        is_stalled = received - check.received < STALL_S * STALL_BYTES_PER_S
+        if check.received and is_stalled:
+            self._end(curl, ChangesTooLong())
+        elif not received and left_ms <= 0:
+            self._end(curl, Unknown("no answer in time"))
+        else:
+            delay_ms = stall_ms if received else min(left_ms, stall_ms)
+            self._context.set_timer(delay_ms, _CheckProgress(check.pending, received))
+
+    def _find(self, is_meant: Callable[[_PendingCall], bool]) -> Any:
+        """Return the handle of the transfer whose call is meant, or None."""
+        for curl, transfer in self._transfers.items():
+            if is_meant(transfer.owner):
+                return curl
+        return None
+
+    def _end(self, curl: Any, outcome: PlatformOutcome) -> None:
+        """End a call before its answer is complete, which closes its connection."""
+        self._driver.remove(curl)
+        transfer = self._take(curl)
+        self._answer(transfer.owner, outcome)
+        self._send_queued()
+
+    def _take(self, curl: Any) -> Transfer[_PendingCall]:
         transfer = self._transfers.pop(curl)
         transfer.release()
+        self._watches -= transfer.owner.call.kind == "watch"
+        self._keep_idle(curl)
+        return transfer
+
+    def _on_done(self, curl: Any, code: int, detail: str) -> None:
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        transfer = self._take(curl)
         pending = transfer.owner
-        self._watches -= pending.call.kind == "watch"
         outcome: PlatformOutcome
         if code == 0:
-            status = curl.getinfo(pycurl.RESPONSE_CODE)
             body = bytes(transfer.body)
             outcome = self._codec.decode(pending.req, status, transfer.revision, body)
         elif transfer.transmissions == 0:
@@ -260,7 +319,6 @@
             outcome = ChangesTooLong()
         else:
             outcome = Unknown(detail)
-        self._keep_idle(curl)
         self._answer(pending, outcome)
         self._send_queued()
 
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -339,13 +339,17 @@
         listener.close()
 
 
-def test_a_list_that_makes_progress_is_not_given_up() -> None:
+@pytest.mark.parametrize(
+    "req", [ReadItems("", 0, "p/", ""), WatchItems("", 0, "p/", 2, 0)]
+)
+def test_items_that_make_progress_are_not_given_up(req: Any) -> None:
     # Guards against a large value that a slow link cannot carry within the time of one
     # call, and whose reader begins anew without end: a host that restarts has no table
-    # and rejects every call.
+    # and rejects every call, and one that runs keeps an old table.
     item = {"key": "p/1", "value": base64.b64encode(b"v" * 30_000).decode()}
     items = [{**item, "revision": 3, "created": 3}]
-    body = json.dumps({"items": items, "current-rev": 9}).encode()
+    answer = {"items": items, "events": items, "current-rev": 9}
+    body = json.dumps(answer).encode()
     listener = socket.create_server(("127.0.0.1", 0))
     pause = threading.Event()
 
@@ -361,13 +365,14 @@
 
     threading.Thread(target=serve, daemon=True).start()
     url = f"http://127.0.0.1:{listener.getsockname()[1]}"
-    client = Client(url, codec=PlatformStoreCodec(), list_deadline_ms=300)
+    limits = {"list_deadline_ms": 300, "deadline_ms": 300}
+    client = Client(url, codec=PlatformStoreCodec(), **limits)
     try:
-        listed = client.call(ReadItems("", 0, "p/", ""))
+        listed = client.call(req)
     finally:
         client.kernel.stop()
         listener.close()
-    assert isinstance(listed, Items)
+    assert isinstance(listed, Items | ItemsChanged)
     assert listed.items[0].value == b"v" * 30_000
 
 
