Prove a view at once after a late answer of the store

After all processes had been killed, a host on the slowest link rejected calls with keys (503, "this host's view of the keys is too old") although its list of a large table had just arrived.

Cause: an answer proves the view as of the sending of its call. The watch after the list then waited 1.5 s before it proved anything, as did a watch after a changed table that had taken as long.

A follower that has its first watch after a failure answered at once now does so after an answer that came over half a second after the wait of its call, too. What an answer proves, and how long a view lasts, are as before.

The new test failed before: the watch after the late answer waited 2,000 ms. The rig of these tests now gets the confirmations as well, and leaves them out of what it checks.

--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -22,6 +22,10 @@
 MIN_RETRY_DELAY_MS = 100
 MAX_RETRY_DELAY_MS = 500
 
+# Time beyond its wait after which an answer is late. What it proves is old by then, so
+# that a follower with `is_prompt` has it proven again at once.
+LATE_ANSWER_MS = 500
+
 log = logging.getLogger("guavapin.follower")
 
 
@@ -80,7 +84,7 @@
     for one answer, the prefix is listed again. With `is_eager`, following begins at the
     start. The service `observer` is notified whether each call was answered. With
     `is_confirming`, the subscribers get `PrefixConfirmed` after each answer; with
-    `is_prompt`, the first watch after a failure is answered at once.
+    `is_prompt`, the first watch after a failure or a late answer is answered at once.
     """
 
     def __init__(
@@ -110,6 +114,7 @@
         self._revision = -1
         self._listed_items: list[kv.Item] = []
         self._retry_delay_ms = 0
+        self._is_late = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Start following if `is_eager` is set."""
@@ -154,8 +159,9 @@
             after = self._listed_items[-1].key if self._listed_items else ""
             request = kv.ReadItems(self.name, self._request_id, self._prefix, after)
         else:
-            # After a failure, an answer at once proves that nothing was missed.
-            is_urgent = self._is_prompt and self._retry_delay_ms > 0
+            # After a failure or a late answer, an answer at once proves that nothing
+            # was missed.
+            is_urgent = self._is_prompt and (self._retry_delay_ms > 0 or self._is_late)
             request = kv.WatchItems(
                 self.name,
                 self._request_id,
@@ -166,6 +172,8 @@
         self._context.send(PLATFORM, request)
 
     def _handle_outcome(self, outcome: kv.PlatformOutcome) -> None:
+        elapsed_ms = self._context.clock.now_ms() - self._sent_ms
+        self._is_late = elapsed_ms > self._wait_ms + LATE_ANSWER_MS
         match outcome:
             case kv.Items(items=items, has_more=has_more, revision=revision):
                 self._record_success()
--- a/tests/keyvalue/test_follower.py
+++ b/tests/keyvalue/test_follower.py
@@ -8,6 +8,7 @@
 from guavapin.keyvalue import messages as kv
 from guavapin.keyvalue.follower import MIN_RETRY_DELAY_MS
 from guavapin.keyvalue.follower import Follow
+from guavapin.keyvalue.follower import PrefixConfirmed
 from guavapin.keyvalue.follower import PrefixFollower
 from guavapin.keyvalue.follower import PrefixListed
 
@@ -19,7 +20,9 @@
     """A follower that watches after revision 5, and the requests that it sends."""
 
     def __init__(self) -> None:
-        self.follower = PrefixFollower("follow", "p/", ("reader",), 2_000)
+        self.follower = PrefixFollower(
+            "follow", "p/", ("reader",), 2_000, is_confirming=True, is_prompt=True
+        )
         self.harness = TaskHarness(self.follower)
         self.harness.start()
         self.follower.handle(Follow())
@@ -33,9 +36,13 @@
         self.follower.handle(kv.Reply(self.last_request().request_id, outcome))
 
     def last_listed(self) -> PrefixListed:
-        listed = [s.message for s in self.harness.sent if s.service == "reader"]
-        assert isinstance(listed[-1], PrefixListed)
-        return listed[-1]
+        listed = self.told()[-1]
+        assert isinstance(listed, PrefixListed)
+        return listed
+
+    def told(self) -> list[object]:
+        told = [s.message for s in self.harness.sent if s.service == "reader"]
+        return [row for row in told if not isinstance(row, PrefixConfirmed)]
 
 
 @pytest.mark.parametrize("outcome", [kv.Compacted(), kv.ChangesTooLong()])
@@ -68,3 +75,15 @@
     rig.harness.advance(MIN_RETRY_DELAY_MS)
     request = rig.last_request()
     assert isinstance(request, kv.WatchItems) and request.after_revision == 5
+
+
+def test_a_late_answer_is_proven_again_at_once() -> None:
+    # Guards against a list that takes longer than a view lasts, so that its table
+    # serves no call until the next watch has waited.
+    rig = Rig()
+    assert rig.last_request().wait_ms == 2_000
+    rig.harness.advance(4_000)
+    rig.answer(kv.ItemsChanged((SECOND,), 8))
+    assert rig.last_request().wait_ms == 0
+    rig.answer(kv.ItemsChanged((), 8))
+    assert rig.last_request().wait_ms == 2_000
