Read one copy of a large table at a time

Hosts on the slowest links were late with a changed table because several copies of it shared the link: the answer to the follower's watch, the answer to the watch by which an unknown key is looked up, each half second anew, and up to two answers of the scheduler, which is asked once a view is old. None of the last three can end in its time if the table has more than 0.6 MB.

The client tells the reader of items when more than 64 KiB of an answer have come. The follower of the table passes that on, and the service of tables then reads no other copy until the answer has come or is lost: a lookup in progress is abandoned, which closes its connection, no further one is begun, and the scheduler is not asked. A host that starts does not ask it for its first table while the list arrives, either. If the answer stalls, or its connection is cut, the scheduler is asked as before.

The tests play what did not exist before: the announcement and the end of an answer, by a real client at a stand-in, and the reads of the service.

--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -26,6 +26,9 @@
 # The largest answers are pages of a store's items, which hold about 1 MB of values.
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
+# Length from which an answer counts as long: on the slowest link it takes 0.1 s.
+LONG_ANSWER_BYTES = 64 * 1024
+
 # Rate of the slowest link.
 MIN_LINK_BYTES_PER_S = 600_000
 
@@ -67,7 +70,8 @@
     With `is_sent_once` the call is never transmitted a second time. It is not
     transmitted either if `may_transmit` returns False when its connection is ready. The
     body counts in `memory` until `release`; without room there the call is aborted, as
-    if its answer had been lost.
+    if its answer had been lost. `on_long` is called once, during the transfer, if the
+    answer is longer than `LONG_ANSWER_BYTES`.
     """
 
     def __init__(
@@ -76,8 +80,10 @@
         is_sent_once: bool,
         may_transmit: Callable[[], bool] | None = None,
         memory: AnswerMemory | None = None,
+        on_long: Callable[[], None] | None = None,
     ) -> None:
         self.owner = owner
+        self._on_long = on_long
         self._may_transmit = may_transmit
         self.transmissions = 0
         self.revision = b""
@@ -117,6 +123,9 @@
         if not self._memory.take(len(data)):
             return 0
         self.body += data
+        if self._on_long is not None and len(self.body) > LONG_ANSWER_BYTES:
+            self._on_long()
+            self._on_long = None
         return len(data)
 
     def release(self) -> None:
--- a/src/guavapin/jobs/tables.py
+++ b/src/guavapin/jobs/tables.py
@@ -22,9 +22,13 @@
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import PrefixArriving
 from guavapin.keyvalue.follower import PrefixChanged
 from guavapin.keyvalue.follower import PrefixConfirmed
 from guavapin.keyvalue.follower import PrefixListed
+from guavapin.keyvalue.follower import PrefixLost
+from guavapin.keyvalue.long_answers import Abandon
+from guavapin.keyvalue.long_answers import LongAnswer
 from guavapin.scheduling.messages import KnownScheduler
 from guavapin.scheduling.messages import QueueTableChanged
 
@@ -77,7 +81,7 @@
     the store never reverts a process to an older table. With `revoke_ms` above 0 the
     view of the table expires: ``intake`` gets each new proof, another process that
     schedules is asked to prove an old view, and ``reach`` learns whether the view has
-    expired.
+    expired. While the follower receives a large table, no other copy is read.
     """
 
     name = "tables"
@@ -104,6 +108,8 @@
         self._refresh_sent_ms: dict[int, int] = {}
         self._next_refresh_ms = 0
         self._is_refresh_queued = False
+        # Whether the follower receives a large answer, which holds the table.
+        self._is_arriving = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Wait for the follower, and check the age of the view if it can expire."""
@@ -119,7 +125,15 @@
         """Adopt tables and proofs, and answer queries of other entry hosts."""
         match message:
             case PrefixListed() | PrefixChanged():
+                self._is_arriving = False
                 self._adopt_items(message.items)
+            case PrefixArriving():
+                self._handle_arriving()
+            case PrefixLost():
+                self._is_arriving = False
+            case LongAnswer():
+                if self._is_arriving:
+                    self._abandon_refreshes()
             case PrefixConfirmed(as_of_ms=as_of_ms, revision=revision):
                 self._revision = revision
                 self._confirm(self._view.version, as_of_ms)
@@ -196,8 +210,11 @@
         """Return whether a query may be sent beside those in progress.
 
         Each answer to a host without a table holds the whole table, and so does that to
-        a host with an older one. The answer to any other host is short.
+        a host with an older one. The answer to any other host is short. A table that
+        arrives is not read twice.
         """
+        if self._is_arriving:
+            return False
         if self._table is None:
             return not self._peer_sent_ms
         sent_ms = self._peer_sent_ms.values()
@@ -219,8 +236,10 @@
 
     def _refresh(self) -> None:
         now_ms = self._context.clock.now_ms()
-        if self._refresh_sent_ms or self._is_refresh_queued or not self._revision:
-            # Without a revision, the follower is reading the table.
+        if self._refresh_sent_ms or self._is_refresh_queued:
+            return
+        if self._is_arriving or not self._revision:
+            # The follower is reading the table.
             return
         if now_ms < self._next_refresh_ms:
             self._is_refresh_queued = True
@@ -236,6 +255,15 @@
         )
         self._context.send("platform", watch)
 
+    def _handle_arriving(self) -> None:
+        """Leave the link to the follower."""
+        self._is_arriving = True
+        self._abandon_refreshes()
+
+    def _abandon_refreshes(self) -> None:
+        for request_id in self._refresh_sent_ms:
+            self._context.send("platform", Abandon(self.name, request_id))
+
     def _handle_refreshed(self, request_id: int, outcome: object) -> None:
         sent_ms = self._refresh_sent_ms.pop(request_id, None)
         if sent_ms is None:
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -27,12 +27,16 @@
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Refused
 from guavapin.keyvalue.budget import TokenBucket
+from guavapin.keyvalue.long_answers import Abandon
+from guavapin.keyvalue.long_answers import LongAnswer
 from guavapin.keyvalue.messages import ChangesTooLong
 from guavapin.keyvalue.messages import NotSent
 from guavapin.keyvalue.messages import PlatformOutcome
 from guavapin.keyvalue.messages import PlatformRequest
+from guavapin.keyvalue.messages import ReadItems
 from guavapin.keyvalue.messages import Reply
 from guavapin.keyvalue.messages import Unknown
+from guavapin.keyvalue.messages import WatchItems
 from guavapin.keyvalue.native_codec import NativeCodec
 from guavapin.metrics.messages import QueryCounters
 
@@ -112,7 +116,8 @@
     The future of a request that was sent with `Kernel.ask` gets the outcome instead. A
     call that never reached the wire is `NotSent`. A call that was sent and got no
     answer, or one outside the protocol, is `Unknown`; only a watch with too long an
-    answer is `ChangesTooLong`. No call is repeated.
+    answer is `ChangesTooLong`. No call is repeated. The sender of `ReadItems` or
+    `WatchItems` gets `LongAnswer` while a long answer arrives.
     """
 
     name = "platform"
@@ -155,6 +160,8 @@
             self._send_queued()
         elif isinstance(message, _CheckProgress):
             self._check_progress(message)
+        elif isinstance(message, Abandon):
+            self._abandon(message)
         elif isinstance(message, Call) and isinstance(message.body, QueryCounters):
             message.fut.set_result(dict(self.counters))
         elif isinstance(message, Call):
@@ -230,7 +237,12 @@
             self._timer = self._context.set_timer(min(delays), _SendQueued())
 
     def _send(self, pending: _PendingCall, now_ms: int) -> None:
-        transfer = Transfer(pending, pending.call.is_write, memory=self._memory)
+        transfer = Transfer(
+            pending,
+            pending.call.is_write,
+            memory=self._memory,
+            on_long=lambda: self._report_long(pending),
+        )
         curl = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         remaining_ms = max(pending.due_ms - now_ms, 1)
         prepared = self._prepare_handle(curl, transfer, remaining_ms)
@@ -284,6 +296,18 @@
             delay_ms = stall_ms if received else min(left_ms, stall_ms)
             self._context.set_timer(delay_ms, _CheckProgress(check.pending, received))
 
+    def _abandon(self, request: Abandon) -> None:
+        names = (request.reply_to, request.request_id)
+        curl = self._find(
+            lambda pending: (
+                pending.caller is None
+                and isinstance(pending.req, ReadItems | WatchItems)
+                and (pending.req.reply_to, pending.req.request_id) == names
+            )
+        )
+        if curl is not None:
+            self._end(curl, Unknown("the call was abandoned"))
+
     def _find(self, is_meant: Callable[[_PendingCall], bool]) -> Any:
         """Return the handle of the transfer whose call is meant, or None."""
         for curl, transfer in self._transfers.items():
@@ -305,6 +329,11 @@
         self._keep_idle(curl)
         return transfer
 
+    def _report_long(self, pending: _PendingCall) -> None:
+        req = pending.req
+        if pending.caller is None and isinstance(req, ReadItems | WatchItems):
+            self._context.send(req.reply_to, LongAnswer(req.request_id))
+
     def _on_done(self, curl: Any, code: int, detail: str) -> None:
         status = curl.getinfo(pycurl.RESPONSE_CODE)
         transfer = self._take(curl)
--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -5,11 +5,13 @@
 import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.long_answers import LongAnswer
 from guavapin.keyvalue.reach import ReachabilityReport
 
 if TYPE_CHECKING:
@@ -68,6 +70,23 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixArriving:
+    """Sent to the subscribers: a long answer arrives, which takes time on a slow link.
+
+    The next message about the prefix ends this state: its items, or `PrefixLost`.
+    """
+
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixLost:
+    """Sent to the subscribers: the long answer that was arriving does not."""
+
+    prefix: str
+
+
 @dataclass(frozen=True, slots=True)
 class _CallDue:
     """Timer: make the next call, unless following was restarted or stopped."""
@@ -75,6 +94,11 @@
     follow_id: int
 
 
+PrefixMessage: TypeAlias = (
+    PrefixListed | PrefixChanged | PrefixConfirmed | PrefixArriving | PrefixLost
+)
+
+
 class PrefixFollower:
     """Service `name`: sends items under `prefix` and their changes to `subscribers`.
 
@@ -83,8 +107,9 @@
     prefix that changes continuously. When the store's history is gone, or is too long
     for one answer, the prefix is listed again. With `is_eager`, following begins at the
     start. The service `observer` is notified whether each call was answered. With
-    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer; with
-    `is_prompt`, the first watch after a failure or a late answer is answered at once.
+    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer, and
+    `PrefixArriving` while a long one arrives; with `is_prompt`, the first watch after a
+    failure or a late answer is answered at once.
     """
 
     def __init__(
@@ -114,6 +139,7 @@
         self._revision = -1
         self._listed_items: list[kv.Item] = []
         self._retry_delay_ms = 0
+        self._is_arriving = False
         self._is_late = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
@@ -140,6 +166,10 @@
         elif isinstance(message, kv.Reply):
             if message.request_id == self._request_id:
                 self._handle_outcome(message.outcome)
+        elif isinstance(message, LongAnswer):
+            if message.request_id == self._request_id and self._is_confirming:
+                self._is_arriving = True
+                self._notify(PrefixArriving(self._prefix))
         else:
             raise InvariantError(f"{self.name}: unexpected message {message!r}")
 
@@ -174,6 +204,9 @@
     def _handle_outcome(self, outcome: kv.PlatformOutcome) -> None:
         elapsed_ms = self._context.clock.now_ms() - self._sent_ms
         self._is_late = elapsed_ms > self._wait_ms + LATE_ANSWER_MS
+        was_arriving, self._is_arriving = self._is_arriving, False
+        if was_arriving and not isinstance(outcome, kv.Items | kv.ItemsChanged):
+            self._notify(PrefixLost(self._prefix))
         match outcome:
             case kv.Items(items=items, has_more=has_more, revision=revision):
                 self._record_success()
@@ -219,7 +252,7 @@
         if self._is_confirming:
             self._notify(PrefixConfirmed(self._prefix, self._sent_ms, self._revision))
 
-    def _notify(self, message: PrefixListed | PrefixChanged | PrefixConfirmed) -> None:
+    def _notify(self, message: PrefixMessage) -> None:
         for subscriber in self._subscribers:
             self._context.send(subscriber, message)
 
--- a/tests/intake/test_revocation.py
+++ b/tests/intake/test_revocation.py
@@ -26,9 +26,12 @@
 from guavapin.kernel.harness import TaskHarness
 from guavapin.kernel.task import TimerHandle
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import PrefixArriving
 from guavapin.keyvalue.follower import PrefixConfirmed
 from guavapin.keyvalue.follower import PrefixFollower
 from guavapin.keyvalue.follower import PrefixListed
+from guavapin.keyvalue.follower import PrefixLost
+from guavapin.keyvalue.long_answers import Abandon
 from guavapin.platform.wire_codecs import PlatformJobCallCodec
 from guavapin.platform.wire_codecs import PlatformTableCodec
 from guavapin.scheduling.messages import JobRequest
@@ -413,3 +416,34 @@
     harness.advance(600)
     last = [row.message for row in harness.sent if row.service == "platform"][-1]
     assert last.after_revision == 12
+
+
+def test_a_table_that_arrives_is_read_once() -> None:
+    # Guards against copies of a large table that share a slow link.
+    task = TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, "n2@n2:1#1")
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(KnownScheduler("n1:1", "n1@n1:1#1", 1))
+    task.handle(PrefixListed(KEY, (kv.Item(KEY, configuration(1, "k1"), 10),)))
+    task.handle(PrefixConfirmed(KEY, 0, 10))
+    task.handle(RefreshTable())
+    harness.take_sent()
+    task.handle(PrefixArriving(KEY))
+    task.handle(RefreshTable())
+    harness.advance(6_000)
+    sent = [row.message for row in harness.sent if row.service in ("platform", "http")]
+    assert sent == [Abandon("tables", 1)]
+
+
+def test_a_host_whose_list_arrives_asks_nobody_for_the_table() -> None:
+    # Guards against a second copy of a large table on the link of a host that starts.
+    task = TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, "n2@n2:1#1")
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(KnownScheduler("n1:1", "n1@n1:1#1", 1))
+    task.handle(PrefixArriving(KEY))
+    harness.advance(4_000)
+    assert not [row for row in harness.sent if row.service == "http"]
+    task.handle(PrefixLost(KEY))
+    harness.advance(600)
+    assert len([row for row in harness.sent if row.service == "http"]) == 1
--- a/tests/keyvalue/test_client.py
+++ b/tests/keyvalue/test_client.py
@@ -3,6 +3,7 @@
 import base64
 import contextlib
 import json
+import queue
 import socket
 import threading
 import time
@@ -11,12 +12,16 @@
 
 import pytest
 
+from guavapin.http.transfer import LONG_ANSWER_BYTES
 from guavapin.http.transfer import MAX_ANSWER_BYTES
 from guavapin.http.transfer import MIN_LINK_BYTES_PER_S
 from guavapin.kernel import Kernel
+from guavapin.kernel import Ok
 from guavapin.kernel import SystemClock
 from guavapin.keyvalue.client import PlatformConfig
 from guavapin.keyvalue.client import PlatformTask
+from guavapin.keyvalue.long_answers import Abandon
+from guavapin.keyvalue.long_answers import LongAnswer
 from guavapin.keyvalue.messages import Changed
 from guavapin.keyvalue.messages import ChangesTooLong
 from guavapin.keyvalue.messages import Conflict
@@ -40,6 +45,7 @@
 from guavapin.keyvalue.messages import Put
 from guavapin.keyvalue.messages import RateLimited
 from guavapin.keyvalue.messages import ReadItems
+from guavapin.keyvalue.messages import Reply
 from guavapin.keyvalue.messages import Unknown
 from guavapin.keyvalue.messages import Watch
 from guavapin.keyvalue.messages import WatchItems
@@ -52,6 +58,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from guavapin.kernel import Outcome
+    from guavapin.kernel import TaskContext
     from guavapin.keyvalue.codec import StoreCodec
 
 
@@ -376,6 +384,51 @@
     assert listed.items[0].value == b"v" * 30_000
 
 
+def test_a_long_answer_is_announced_and_can_be_abandoned() -> None:
+    # Guards against a large table that fills a slow link although its reader has it
+    # from another process.
+    received: queue.Queue[object] = queue.Queue()
+
+    class Reader:
+        name = "reader"
+
+        def start(self, context: TaskContext) -> Outcome[None]:
+            self.context = context
+            context.send("platform", WatchItems("reader", 5, "p/", 4, 1_000))
+            return Ok(None)
+
+        def handle(self, message: object) -> None:
+            received.put(message)
+            if isinstance(message, LongAnswer):
+                self.context.send("platform", Abandon("reader", 5))
+
+        def stop(self) -> None:
+            pass
+
+    listener = socket.create_server(("127.0.0.1", 0))
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    kernel = Kernel(SystemClock())
+    kernel.register(PlatformTask(PlatformConfig(url), PlatformStoreCodec()))
+    kernel.register(Reader())
+    kernel.start()
+    try:
+        sock, _ = listener.accept()
+        with sock:
+            sock.settimeout(5)
+            sock.recv(65536)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n"
+            sock.sendall(head + b" " * 2 * LONG_ANSWER_BYTES)
+            assert received.get(timeout=5) == LongAnswer(5)
+            assert received.get(timeout=5) == Reply(
+                5, Unknown("the call was abandoned")
+            )
+            with contextlib.suppress(ConnectionResetError):
+                assert sock.recv(1) == b""
+    finally:
+        kernel.stop()
+        listener.close()
+
+
 def test_a_list_that_stalls_is_given_up() -> None:
     # Guards against a dead connection that holds up the list of a successor.
     listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/keyvalue/test_follower.py
+++ b/tests/keyvalue/test_follower.py
@@ -8,9 +8,12 @@
 from guavapin.keyvalue import messages as kv
 from guavapin.keyvalue.follower import MIN_RETRY_DELAY_MS
 from guavapin.keyvalue.follower import Follow
+from guavapin.keyvalue.follower import PrefixArriving
 from guavapin.keyvalue.follower import PrefixConfirmed
 from guavapin.keyvalue.follower import PrefixFollower
 from guavapin.keyvalue.follower import PrefixListed
+from guavapin.keyvalue.follower import PrefixLost
+from guavapin.keyvalue.long_answers import LongAnswer
 
 FIRST = kv.Item("p/1", b"a", 3)
 SECOND = kv.Item("p/2", b"b", 8)
@@ -87,3 +90,15 @@
     assert rig.last_request().wait_ms == 0
     rig.answer(kv.ItemsChanged((), 8))
     assert rig.last_request().wait_ms == 2_000
+
+
+def test_a_long_answer_is_announced_until_it_ends() -> None:
+    # Guards against further copies beside a large answer on a slow link, and against
+    # readers that wait for one that was lost.
+    rig = Rig()
+    rig.follower.handle(LongAnswer(rig.last_request().request_id - 1))
+    assert not isinstance(rig.told()[-1], PrefixArriving)
+    rig.follower.handle(LongAnswer(rig.last_request().request_id))
+    assert rig.told()[-1] == PrefixArriving("p/")
+    rig.answer(kv.Unknown("reset"))
+    assert rig.told()[-1] == PrefixLost("p/")
