--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -5,11 +5,14 @@
 import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import TypeAlias
 
 from guavapin.kernel.outcome import InvariantError
 from guavapin.kernel.outcome import Ok
 from guavapin.kernel.outcome import Outcome
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.long_answers import Abandon
+from guavapin.keyvalue.long_answers import LongAnswer
 from guavapin.keyvalue.reach import ReachabilityReport
 
 if TYPE_CHECKING:
@@ -22,6 +25,10 @@
 MIN_RETRY_DELAY_MS = 100
 MAX_RETRY_DELAY_MS = 500
 
+# Time beyond its wait after which an answer is late. What it proves is old by then, so
+# that a follower with `is_prompt` has it proven again at once.
+LATE_ANSWER_MS = 500
+
 log = logging.getLogger("guavapin.follower")
 
 
@@ -64,6 +71,33 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixArriving:
+    """Sent to the subscribers: a long answer arrives, which takes time on a slow link.
+
+    The next message about the prefix ends this state: its items, or `PrefixLost`.
+    """
+
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixLost:
+    """Sent to the subscribers: the long answer that was arriving does not."""
+
+    prefix: str
+
+
+@dataclass(frozen=True, slots=True)
+class ContinueFrom:
+    """Follow the changes after `revision`, since those up to it are known elsewhere.
+
+    An answer that is arriving is abandoned. Nothing is done if the follower knows more.
+    """
+
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class _CallDue:
     """Timer: make the next call, unless following was restarted or stopped."""
@@ -71,6 +105,11 @@
     follow_id: int
 
 
+PrefixMessage: TypeAlias = (
+    PrefixListed | PrefixChanged | PrefixConfirmed | PrefixArriving | PrefixLost
+)
+
+
 class PrefixFollower:
     """Service `name`: sends items under `prefix` and their changes to `subscribers`.
 
@@ -79,8 +118,9 @@
     prefix that changes continuously. When the store's history is gone, or is too long
     for one answer, the prefix is listed again. With `is_eager`, following begins at the
     start. The service `observer` is notified whether each call was answered. With
-    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer; with
-    `is_prompt`, the first watch after a failure is answered at once.
+    `is_confirming`, the subscribers get `PrefixConfirmed` after each answer, and
+    `PrefixArriving` while a long one arrives; with `is_prompt`, the first watch after a
+    failure or a late answer is answered at once.
     """
 
     def __init__(
@@ -110,6 +150,8 @@
         self._revision = -1
         self._listed_items: list[kv.Item] = []
         self._retry_delay_ms = 0
+        self._is_arriving = False
+        self._is_late = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Start following if `is_eager` is set."""
@@ -135,6 +177,12 @@
         elif isinstance(message, kv.Reply):
             if message.request_id == self._request_id:
                 self._handle_outcome(message.outcome)
+        elif isinstance(message, LongAnswer):
+            if message.request_id == self._request_id and self._is_confirming:
+                self._is_arriving = True
+                self._notify(PrefixArriving(self._prefix))
+        elif isinstance(message, ContinueFrom):
+            self._continue_from(message.revision)
         else:
             raise InvariantError(f"{self.name}: unexpected message {message!r}")
 
@@ -144,6 +192,16 @@
         self._listed_items = []
         self._call()
 
+    def _continue_from(self, revision: int) -> None:
+        if revision <= self._revision:
+            return
+        self._context.send(PLATFORM, Abandon(self.name, self._request_id))
+        self._follow_id += 1
+        self._revision = revision
+        self._listed_items = []
+        self._is_arriving = False
+        self._call()
+
     def _call(self) -> None:
         self._request_id += 1
         if self._revision >= 0 or not self._listed_items:
@@ -154,8 +212,9 @@
             after = self._listed_items[-1].key if self._listed_items else ""
             request = kv.ReadItems(self.name, self._request_id, self._prefix, after)
         else:
-            # After a failure, an answer at once proves that nothing was missed.
-            is_urgent = self._is_prompt and self._retry_delay_ms > 0
+            # After a failure or a late answer, an answer at once proves that nothing
+            # was missed.
+            is_urgent = self._is_prompt and (self._retry_delay_ms > 0 or self._is_late)
             request = kv.WatchItems(
                 self.name,
                 self._request_id,
@@ -166,6 +225,11 @@
         self._context.send(PLATFORM, request)
 
     def _handle_outcome(self, outcome: kv.PlatformOutcome) -> None:
+        elapsed_ms = self._context.clock.now_ms() - self._sent_ms
+        self._is_late = elapsed_ms > self._wait_ms + LATE_ANSWER_MS
+        was_arriving, self._is_arriving = self._is_arriving, False
+        if was_arriving and not isinstance(outcome, kv.Items | kv.ItemsChanged):
+            self._notify(PrefixLost(self._prefix))
         match outcome:
             case kv.Items(items=items, has_more=has_more, revision=revision):
                 self._record_success()
@@ -211,7 +275,7 @@
         if self._is_confirming:
             self._notify(PrefixConfirmed(self._prefix, self._sent_ms, self._revision))
 
-    def _notify(self, message: PrefixListed | PrefixChanged | PrefixConfirmed) -> None:
+    def _notify(self, message: PrefixMessage) -> None:
         for subscriber in self._subscribers:
             self._context.send(subscriber, message)
 
--- a/tests/intake/test_revocation.py
+++ b/tests/intake/test_revocation.py
@@ -19,16 +19,24 @@
 from guavapin.intake.peer_calls import PeerCallsTask
 from guavapin.intake.task import IntakeTask
 from guavapin.jobs.table_messages import RefreshTable
+from guavapin.jobs.table_messages import TableDescribed
 from guavapin.jobs.table_messages import ViewExpired
+from guavapin.jobs.table_relay import CHANGES_PATH
+from guavapin.jobs.table_relay import TABLE_PATH
+from guavapin.jobs.table_relay import encode_described
 from guavapin.jobs.table_view import watch_wait_ms
 from guavapin.jobs.tables import TablesTask
 from guavapin.kernel.clock import ManualClock
 from guavapin.kernel.harness import TaskHarness
 from guavapin.kernel.task import TimerHandle
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import ContinueFrom
+from guavapin.keyvalue.follower import PrefixArriving
 from guavapin.keyvalue.follower import PrefixConfirmed
 from guavapin.keyvalue.follower import PrefixFollower
 from guavapin.keyvalue.follower import PrefixListed
+from guavapin.keyvalue.follower import PrefixLost
+from guavapin.keyvalue.long_answers import Abandon
 from guavapin.platform.wire_codecs import PlatformJobCallCodec
 from guavapin.platform.wire_codecs import PlatformTableCodec
 from guavapin.scheduling.messages import JobRequest
@@ -413,3 +421,64 @@
     harness.advance(600)
     last = [row.message for row in harness.sent if row.service == "platform"][-1]
     assert last.after_revision == 12
+
+
+def test_a_table_that_arrives_is_read_once_and_its_changes_come_first(
+    play: Play,
+) -> None:
+    # Guards against copies of a large table that share a slow link, and against a
+    # change that comes into force only after the whole table has arrived.
+    first, second = play.hosts
+    for host in play.hosts:
+        host.tasks["follow"].handle = lambda message: None
+    item = kv.Item(KEY, configuration(2, "k1", "k3"), 11)
+    sent: list[object] = []
+    second.tasks["platform"] = SimpleNamespace(handle=sent.append)
+    second.tasks["follow_table"] = second.tasks["platform"]
+    second.deliver("tables", RefreshTable())
+    play.run(0)
+    second.deliver("tables", PrefixArriving(KEY))
+    second.deliver("tables", RefreshTable())
+    play.run(50)
+    first.deliver("tables", PrefixListed(KEY, (item,)))
+    first.deliver("tables", PrefixConfirmed(KEY, play.clock.now_ms(), 11))
+    play.run(250)
+    read, abandoned, follow = sent
+    assert abandoned == Abandon("tables", read.request_id)
+    assert follow == ContinueFrom(11)
+    assert status_now(play, second, "k3") == SERVED
+    assert status_now(play, second, "k2") != SERVED
+
+
+def test_a_host_whose_list_arrives_asks_nobody_for_the_table() -> None:
+    # Guards against a second copy of a large table on the link of a host that starts.
+    task = TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, "n2@n2:1#1")
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(KnownScheduler("n1:1", "n1@n1:1#1", 1))
+    task.handle(PrefixArriving(KEY))
+    harness.advance(4_000)
+    assert not [row for row in harness.sent if row.service == "http"]
+    task.handle(PrefixLost(KEY))
+    harness.advance(600)
+    assert len([row for row in harness.sent if row.service == "http"]) == 1
+
+
+@pytest.mark.parametrize("status", [200, 400])
+def test_a_host_with_a_table_asks_for_the_whole_only_without_changes(status) -> None:
+    # Guards against the whole of a large table on the slow link of a host that the
+    # store turns away, where it does not arrive in the time of a query.
+    task = TablesTask(PlatformTableCodec(), ("intake",), REVOKE_MS, "n2@n2:1#1")
+    harness = TaskHarness(task)
+    harness.start()
+    task.handle(KnownScheduler("n1:1", "n1@n1:1#1", 1))
+    task.handle(PrefixListed(KEY, (kv.Item(KEY, configuration(1, "k1"), 10),)))
+    task.handle(PrefixConfirmed(KEY, 0, 10))
+    harness.advance(3_500)
+    (query,) = [row.message for row in harness.sent if row.service == "http"]
+    assert query.path == f"{CHANGES_PATH}?version=1"
+    body = encode_described(TableDescribed(0, 4, 5, None))
+    task.handle(PeerReply(query.request_id, Answered(status, body)))
+    harness.advance(500)
+    last = [row.message for row in harness.sent if row.service == "http"][-1]
+    assert last.path == f"{TABLE_PATH}?version=1"
