Answer requests that outlast the stop of an entry process

Callers whose request was still in progress when `stop_timeout_ms` of a stop was over got an empty reply: the process ended with the request read and the connection closed. Such a stop also left the seat unreleased, so that the next process of the seat used none of its slots for 55 s, and keys claimed by these requests stayed claimed.

`guavapin-entry` now does what `guavapin-resident` does: it tells `exchanges` to answer everything in progress, and waits up to 400 ms for the answers to be written. A request that was sent to an upstream gets 504 with an unknown outcome and its attempt is cancelled; one that was not gets 503 as not run; an answer that has begun is broken off, as before. Their keys are recorded as unknown or released, a claim in progress too. Requests that arrive after that are refused as not run. The stop then goes on to the claims and the seat, as after any other stop.

A refusal during a claim now releases the key in all cases, also at a deadline, since the claim may still be granted.

test_request_that_outlasts_the_stop_is_answered_and_the_seat_released starts the real processes and failed before with RemoteDisconnected. test_requests_that_outlast_the_process_are_answered_truthfully failed before since the requests had no answer. tests/serving and tests/daemons pass.

--- a/src/guavapin/daemons/entry.py
+++ b/src/guavapin/daemons/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import sys
 from concurrent.futures import wait
 from pathlib import Path
@@ -16,6 +17,7 @@
 from guavapin.metrics.logs import configure_logs
 from guavapin.peers.messages import AnnounceLeaving
 from guavapin.serving.exchange_messages import AwaitLoansReturned
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import StopAccepting
 from guavapin.serving.readiness import BeginStop
 from guavapin.serving.seat import ReleaseSeat
@@ -27,6 +29,10 @@
     from guavapin.composition import EntryProcess
     from guavapin.settings.entry import EntrySettings
 
+log = logging.getLogger("guavapin.daemon")
+
+# Time in which the refusals of the requests that outlast the stop are written.
+ANSWER_TIMEOUT_MS = 400
 SEAT_RELEASE_TIMEOUT_MS = 3_000
 CLAIMS_POLL_INTERVAL_MS = 100
 # A caller with libcurl looks for closed connections among its idle ones once a second,
@@ -62,6 +68,7 @@
 def drain_entry(process: EntryProcess, cfg: EntrySettings) -> None:
     """Report unready, let the balancer notice, finish the requests in progress.
 
+    Requests that outlast the stop are answered with an unknown outcome, or as not run.
     The process ends after its callers have had time to notice the closed connections.
     """
     kernel = process.kernel
@@ -71,6 +78,10 @@
     kernel.wait_for_failure(cfg.limits.unready_notice_ms)
     fut = kernel.ask("front", StopAccepting())
     done, _ = wait([fut], cfg.limits.stop_timeout_ms / 1_000)
+    if not done:
+        log.info("answering the requests in progress")
+        kernel.deliver("exchanges", AnswerPending())
+        done, _ = wait([fut], ANSWER_TIMEOUT_MS / 1_000)
     closed_ms = kernel.clock.now_ms()
     if done:
         await_claims(process, cfg)
--- a/src/guavapin/serving/exchange.py
+++ b/src/guavapin/serving/exchange.py
@@ -33,6 +33,8 @@
     from guavapin.serving.messages import Headers
 
 RETRY_AFTER_S = 1
+# Reason of the refusal of a request that outlasts the stop of its process.
+PROCESS_ENDS = "process_ends"
 
 
 class Phase(Enum):
@@ -259,7 +261,9 @@
 def refuse(exchange: Exchange, status: int, reason: str) -> Transition:
     """Refuse a request, with 504 and an unknown outcome if it may have run."""
     outcome = "not-run"
-    claim: tuple[Action, ...] = (ReleaseClaim(),) if exchange.is_claimed else ()
+    # A claim in progress may still be granted, so it is released as well.
+    has_claim = exchange.is_claimed or exchange.phase is Phase.CLAIMING
+    claim: tuple[Action, ...] = (ReleaseClaim(),) if has_claim else ()
     if exchange.may_have_run:
         status, outcome = 504, "unknown"
         claim = (RecordUnknown(),) if exchange.is_claimed else ()
@@ -274,13 +278,12 @@
 
 def on_deadline(exchange: Exchange) -> Transition:
     """Refuse the request, or abort its answer if the answer has begun."""
-    if exchange.phase is Phase.ANSWERING:
-        broken = SendToFront(AnswerBroken(exchange.request_id))
-        return _done(exchange), (broken, *_cancel_actions(exchange))
-    if exchange.phase is Phase.SENT:
-        answer = refusal(exchange.request_id, 504, "unknown", "deadline")
-        return _done(exchange), (*answer, *_cancel_actions(exchange, is_late=True))
-    return refuse(exchange, 503, "deadline")
+    return _end_unfinished(exchange, "deadline", is_late=True)
+
+
+def on_process_end(exchange: Exchange) -> Transition:
+    """End a request as at its deadline, because the process is about to end."""
+    return _end_unfinished(exchange, PROCESS_ENDS, is_late=False)
 
 
 def on_body_too_large(exchange: Exchange) -> Transition:
@@ -314,6 +317,16 @@
     )
 
 
+def _end_unfinished(exchange: Exchange, reason: str, is_late: bool) -> Transition:
+    if exchange.phase is Phase.ANSWERING:
+        broken = SendToFront(AnswerBroken(exchange.request_id))
+        return _done(exchange), (broken, *_cancel_actions(exchange))
+    if exchange.phase is Phase.SENT:
+        answer = refusal(exchange.request_id, 504, "unknown", reason)
+        return _done(exchange), (*answer, *_cancel_actions(exchange, is_late))
+    return refuse(exchange, 503, reason)
+
+
 def _end_answer(exchange: Exchange, ended: EndedAttempt) -> Transition:
     if ended.result is not AttemptResult.COMPLETE:
         claim = (RecordUnknown(),) if exchange.is_claimed else ()
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -71,6 +71,7 @@
         self._teams = TeamSlots(router)
         self._pools_to_dispatch: set[str] = set()
         self._is_dispatching = False
+        self._is_ending = False
 
     def __len__(self) -> int:
         return len(self._exchanges)
@@ -81,6 +82,9 @@
 
     def on_received(self, message: RequestReceived) -> None:
         """Queue a request, send it to another zone, or refuse it at once."""
+        if self._is_ending:
+            self._refuse(message.request_id, 503, state_machine.PROCESS_ENDS)
+            return
         service = self._router.match(message.headers, message.target)
         if service is None:
             self._refuse(message.request_id, 404, "no_such_service")
@@ -130,6 +134,13 @@
             self.counts["deadlines"] += 1
             self.apply(state_machine.on_deadline(exchange))
 
+    def answer_pending(self) -> None:
+        """End all requests, and from now on refuse each new one."""
+        self._is_ending = True
+        # Each end dispatches, so that those without an attempt end first.
+        for exchange in sorted(self._exchanges.values(), key=lambda row: row.attempts):
+            self.apply(state_machine.on_process_end(exchange))
+
     def on_retry_due(self, request_id: int) -> None:
         """Queue a request again when its backoff ends."""
         exchange = self._exchanges.get(request_id)
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -37,6 +37,7 @@
 from guavapin.serving.exchange_router import ExchangeRouter
 from guavapin.serving.exchange_where import ExplainRequest
 from guavapin.serving.exchange_where import explain_request
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import AttemptBody
 from guavapin.serving.messages import AttemptClosed
 from guavapin.serving.messages import AttemptEnded
@@ -153,6 +154,8 @@
                 self._router.configure(table, self._context.now_ms())
                 for name in self._router.pools:
                     self._flow.dispatch(name)
+            case AnswerPending():
+                self._flow.answer_pending()
             case EndHoldOff():
                 self._router.end_hold_off(self._context.now_ms())
                 for name in self._router.pools:
--- a/tests/daemons/test_daemons.py
+++ b/tests/daemons/test_daemons.py
@@ -179,6 +179,26 @@
     assert entry.wait(TIMEOUT_S) == 0
 
 
+def test_request_that_outlasts_the_stop_is_answered_and_the_seat_released(site):
+    # Guards against a connection that ends without an answer after its request was
+    # read, and against a seat whose slots stay unused after such a stop.
+    settings = site.folder / "entry.toml"
+    settings.write_text(settings.read_text() + "stop_timeout_ms = 500\n")
+    entry = site.start_all()
+    site.publish()
+    with ThreadPoolExecutor(1) as executor:
+        fut = executor.submit(site.request, "/renewals/longer", 8_000)
+        PAUSE.wait(0.5)
+        entry.send_signal(signal.SIGTERM)
+        with pytest.raises(urllib.error.HTTPError) as caught:
+            fut.result()
+    assert caught.value.headers["guavapin-outcome"] == "unknown"
+    assert entry.wait(TIMEOUT_S) == 0
+    site.start_entry()
+    site.wait_ready()
+    assert site.request("/renewals/again", 10) == b"/renewals/again"
+
+
 def test_seat_released_by_a_graceful_stop_serves_at_once_when_it_starts_again(site):
     entry = site.start_all()
     site.publish()
--- a/tests/serving/test_exchange_claims.py
+++ b/tests/serving/test_exchange_claims.py
@@ -15,6 +15,7 @@
 from guavapin.kernel import Reason
 from guavapin.serving.messages import AnswerBody
 from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import AttemptResult
 from guavapin.serving.messages import CallerGone
 from guavapin.serving.messages import RequestBody
@@ -153,3 +154,19 @@
         rig.task.handle(CallerGone(request_id))
     assert digests[0] == digests[1]
     assert digests[0] != digests[2]
+
+
+def test_requests_that_outlast_the_process_are_answered_truthfully(rig: Rig) -> None:
+    """Guards against dropped requests, a false "not run" and keys that stay claimed."""
+    for request_id in (1, 2, 3):
+        rig.request(request_id, "POST", idempotency_key=f"k{request_id}")
+    rig.task.handle(ClaimGranted(1))
+    rig.task.handle(AnswerPending())
+    rig.request(4)
+    assert sorted(rig.refusals()) == [
+        (1, 504, "unknown", "process_ends"),
+        *((number, 503, "not-run", "process_ends") for number in (2, 3, 4)),
+    ]
+    assert [message.request_id for message in rig.pop_sent(RecordUnknown)] == [1]
+    assert ReleaseClaim(2) in rig.pop_sent(ReleaseClaim)
+    assert len(rig.pop_sent(StartAttempt)) == 1
