Refuse requests that are still arriving when a process ends

At the end of a stop the services answer the requests that they have, but not those whose head or body had arrived in part only: the front closed their connections without an answer. One such client also kept the front busy until its header timeout, so that the stop of an entry process took all of its time and left the seat unreleased.

The front now gets the same message as the service behind it, and answers each request that it has not received whole as at its timeout, with 408. Nothing of such a request has run. The stop counts as complete once only lingering connections are left.

--- a/src/guavapin/daemons/entry.py
+++ b/src/guavapin/daemons/entry.py
@@ -80,7 +80,8 @@
     done, _ = wait([fut], cfg.limits.stop_timeout_ms / 1_000)
     if not done:
         log.info("answering the requests in progress")
-        kernel.deliver("exchanges", AnswerPending())
+        for service in ("exchanges", "front"):
+            kernel.deliver(service, AnswerPending())
         done, _ = wait([fut], ANSWER_TIMEOUT_MS / 1_000)
     closed_ms = kernel.clock.now_ms()
     if done:
--- a/src/guavapin/daemons/resident_process.py
+++ b/src/guavapin/daemons/resident_process.py
@@ -128,5 +128,6 @@
     done, _ = wait([fut], plan.finish_ms / 1_000)
     if not done:
         log.info("answering the requests in progress")
-        kernel.deliver("intake", AnswerPending())
+        for service in ("intake", "front"):
+            kernel.deliver(service, AnswerPending())
         wait([fut], plan.answer_ms / 1_000)
--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -24,6 +24,7 @@
 from guavapin.serving.messages import AnswerBroken
 from guavapin.serving.messages import AnswerEnd
 from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import CallerGone
 from guavapin.serving.messages import FlowControl
 from guavapin.serving.messages import GetCounts
@@ -45,6 +46,9 @@
     from guavapin.serving.refusal_report import ClientObserver
 
 
+NOT_RECEIVED = (408, "request not received in time")
+
+
 @dataclass(frozen=True, slots=True)
 class _DeadlinePassed:
     """Timer: a deadline of a connection may have passed."""
@@ -106,6 +110,7 @@
             FlowControl: self._on_flow_control,
             SetReady: self._on_set_ready,
             StopAccepting: lambda message: self._stop_accepting(),
+            AnswerPending: lambda message: self._refuse_incomplete(),
             Call: self._on_call,
             _FlushAnswer: self._on_flush,
             _DeadlinePassed: self._on_deadlines,
@@ -375,7 +380,7 @@
                     continue
             self.counts["timeouts"] += 1
             if conn.is_busy and not (conn.output or conn.is_lingering):
-                conn.refuse(408, "request not received in time")
+                conn.refuse(*NOT_RECEIVED)
             else:
                 conn.close()
             self.sync_connection(conn)
@@ -393,6 +398,14 @@
         self._deadlines.begin_stop(self._conns.values())
         self._resolve_stop()
 
+    def _refuse_incomplete(self) -> None:
+        """Answer the requests that the service behind the front has not received."""
+        for conn in list(self._conns.values()):
+            if conn.is_refusable:
+                conn.refuse(*NOT_RECEIVED)
+                self.sync_connection(conn)
+        self._resolve_stop()
+
     def _resolve_stop(self) -> None:
         if any(not conn.is_lingering for conn in self._conns.values()):
             return
--- a/src/guavapin/serving/messages.py
+++ b/src/guavapin/serving/messages.py
@@ -221,10 +221,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerPending:
-    """To the service that handles requests: answer all of them now.
+    """To `front` and the service that handles requests: answer all of them now.
 
-    Sent shortly before the process ends. Requests that arrive later are answered at
-    once, too.
+    Sent shortly before the process ends. The front refuses requests that have not
+    arrived whole. Requests that arrive later are answered at once, too.
     """
 
 
--- a/tests/daemons/test_resident_stop.py
+++ b/tests/daemons/test_resident_stop.py
@@ -62,7 +62,11 @@
     # Guards against requests that were read and are dropped when the services stop.
     kernel = RecordingKernel(stops=False)
     drain_resident(cast("Any", kernel), StopPlan(0, 0, 0))
-    assert kernel.received[-2:] == [("front", StopAccepting), ("intake", AnswerPending)]
+    assert kernel.received[-3:] == [
+        ("front", StopAccepting),
+        ("intake", AnswerPending),
+        ("front", AnswerPending),
+    ]
 
 
 def test_requests_that_end_in_time_are_not_cut_short() -> None:
--- a/tests/serving/test_planned_stop.py
+++ b/tests/serving/test_planned_stop.py
@@ -10,11 +10,13 @@
 from guavapin.kernel import SystemClock
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import CallerGone
 from guavapin.serving.messages import SetReady
 from guavapin.serving.messages import StopAccepting
 from tests.serving.support import WAIT_S
 from tests.serving.support import PassThrough
+from tests.serving.support import ServingPath
 from tests.serving.support import wait_until
 
 
@@ -85,6 +87,21 @@
     assert fut.result(WAIT_S) == Ok(None)
 
 
+def test_requests_that_are_still_arriving_when_the_process_ends_are_refused():
+    # Their connections ended without an answer, and one of them held up the stop.
+    path = ServingPath(FrontConfig(holds_bodies=True))
+    head, body = path.connect(), path.connect()
+    head.send(b"GET /head HTTP/1.1\r\n")
+    body.send(b"POST /body HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\n\r\na")
+    wait_until(lambda: path.counts()["requests_in_progress"] == 1)
+    wait_until(lambda: path.counts()["open_connections"] == 2)
+    fut = path.kernel.ask("front", StopAccepting())
+    path.send_to_front(AnswerPending())
+    assert [caller.read_answer().status for caller in (head, body)] == [408, 408]
+    assert fut.result(WAIT_S) == Ok(None)
+    path.close()
+
+
 def test_requests_that_wait_in_the_listeners_queue_are_answered(small_path):
     # Closing a listener resets the connections in its queue.
     callers = [start_request(small_path, 100) for _ in range(2)]
