Never wait for the reader of the log

A process whose standard output was a pipe that nobody read stopped answering: the event loop waited in the write of a log line while it held requests on open connections. It did not end on SIGTERM either, since the stop writes a line first. The users ask that nothing blocks on the log.

Lines now go to the descriptor without a buffer and only as far as it takes them: a pipe that is ready takes PIPE_BUF bytes, so that lines are written in parts of that size. While the pipe is full, lines are dropped, and the next one that is written carries their number in `lines_lost`. A line that has begun is completed before the next one. A write to a file still waits for its disk.

test_a_reader_that_has_stopped_does_not_hold_up_the_process failed before: the thread that logged was still waiting after 5 s.

--- a/src/guavapin/metrics/logs.py
+++ b/src/guavapin/metrics/logs.py
@@ -8,6 +8,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from guavapin.metrics.prompt_handler import PromptHandler
+
 if TYPE_CHECKING:
     from typing import TextIO
 
@@ -27,9 +29,10 @@
     `level` is a name that `logging` knows; `node` is added to each line. Further
     fields come from the ``extra`` of a call, for example
     ``log.info("host drained", extra={"host": "h1", "generation": 7})``. `metrics`
-    counts the lines and leaves out those above its rate limit.
+    counts the lines and leaves out those above its rate limit. A stream with a
+    descriptor is never waited for.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = _open_handler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             list(LOG_FIELDS),
@@ -43,3 +46,11 @@
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
     root.propagate = False
+
+
+def _open_handler(stream: TextIO) -> logging.Handler:
+    try:
+        return PromptHandler(stream.fileno())
+    except OSError:
+        # A stream in memory.
+        return logging.StreamHandler(stream)
--- a/tests/metrics/test_logs.py
+++ b/tests/metrics/test_logs.py
@@ -5,6 +5,8 @@
 import io
 import json
 import logging
+import os
+import threading
 
 import pytest
 
@@ -49,6 +51,26 @@
     root.setLevel(previous[1])
 
 
+def test_a_reader_that_has_stopped_does_not_hold_up_the_process(lines):
+    # Guards against an event loop that waits for the reader of its log: a process whose
+    # standard output was a full pipe answered no request and did not end on SIGTERM.
+    reader, writer = os.pipe()
+    with os.fdopen(writer, "w") as stream, os.fdopen(reader, "rb", 0) as out:
+        configure_logs("info", "e0", stream)
+        log = logging.getLogger("guavapin.test")
+        thread = threading.Thread(
+            target=lambda: [log.info("x" * 9_000) for _ in range(20)], daemon=True
+        )
+        thread.start()
+        thread.join(5)
+        assert not thread.is_alive()
+        data = out.read(1 << 20)
+        log.info("after")
+        rows = [json.loads(row) for row in (data + out.read(1 << 20)).splitlines()]
+    assert [row["message"] for row in rows[-1:]] == ["after"]
+    assert len(rows) + rows[-1]["lines_lost"] == 21
+
+
 def test_ready_and_unready_are_logged_once(lines):
     task = ReadinessTask()
     TaskHarness(task).start()
