--- a/tests/serving/test_planned_stop.py
+++ b/tests/serving/test_planned_stop.py
@@ -10,11 +10,15 @@
 from guavapin.kernel import SystemClock
 from guavapin.serving.front import FrontTask
 from guavapin.serving.front_config import FrontConfig
+from guavapin.serving.messages import AnswerEnd
+from guavapin.serving.messages import AnswerHead
+from guavapin.serving.messages import AnswerPending
 from guavapin.serving.messages import CallerGone
 from guavapin.serving.messages import SetReady
 from guavapin.serving.messages import StopAccepting
 from tests.serving.support import WAIT_S
 from tests.serving.support import PassThrough
+from tests.serving.support import ServingPath
 from tests.serving.support import wait_until
 
 
@@ -85,6 +89,21 @@
     assert fut.result(WAIT_S) == Ok(None)
 
 
+def test_requests_that_are_still_arriving_when_the_process_ends_are_refused():
+    # Their connections ended without an answer, and one of them held up the stop.
+    path = ServingPath(FrontConfig(holds_bodies=True))
+    head, body = path.connect(), path.connect()
+    head.send(b"GET /head HTTP/1.1\r\n")
+    body.send(b"POST /body HTTP/1.1\r\nHost: t\r\nContent-Length: 3\r\n\r\na")
+    wait_until(lambda: path.counts()["requests_in_progress"] == 1)
+    wait_until(lambda: path.counts()["open_connections"] == 2)
+    fut = path.kernel.ask("front", StopAccepting())
+    path.send_to_front(AnswerPending())
+    assert [caller.read_answer().status for caller in (head, body)] == [408, 408]
+    assert fut.result(WAIT_S) == Ok(None)
+    path.close()
+
+
 def test_requests_that_wait_in_the_listeners_queue_are_answered(small_path):
     # Closing a listener resets the connections in its queue.
     callers = [start_request(small_path, 100) for _ in range(2)]
@@ -109,6 +128,23 @@
     assert len(path.record().runs) == 1
 
 
+def test_stop_answers_a_pipelined_request_if_no_close_was_announced(path):
+    # It had been read, and its connection ended without an answer.
+    path.exchanges.is_mute = True
+    caller = path.connect()
+    caller.send(b"GET /first HTTP/1.1\r\nHost: t\r\n\r\n" * 2)
+    wait_until(lambda: path.exchanges.received)
+    (first,) = path.exchanges.received
+    path.send_to_front(AnswerHead(first.request_id, 200, (), 0))
+    path.counts()
+    fut = path.kernel.ask("front", StopAccepting())
+    path.exchanges.is_mute = False
+    path.send_to_front(AnswerEnd(first.request_id))
+    assert b"connection" not in caller.read_answer().headers
+    assert caller.read_answer().headers[b"connection"] == b"close"
+    assert fut.result(WAIT_S) == Ok(None)
+
+
 def test_stop_without_requests_resolves_at_once_and_may_be_repeated(path):
     assert path.kernel.ask("front", StopAccepting()).result(WAIT_S) == Ok(None)
     assert path.kernel.ask("front", StopAccepting()).result(WAIT_S) == Ok(None)
