Keep serving after a TLS connection is reset before its accept

One client could end all connections of an entry process: it connected to a listener with TLS and reset the connection before the listener accepted it. The call that wraps the accepted socket raises OSError for such a connection, with or without data, and the exception ended the loop of the task `front`, so that every caller's connection ended without an answer.

The listener now drops such a connection and counts it as a failed handshake. A socket that is reset is found before it is wrapped, so that its descriptor is closed at once.

--- a/src/guavapin/serving/front.py
+++ b/src/guavapin/serving/front.py
@@ -333,12 +333,19 @@
         self.sync_connection(conn)
 
     def _open(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self._tls is not None:
-            sock = self._tls.wrap_socket(
-                sock, server_side=True, do_handshake_on_connect=False
-            )
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._tls is not None:
+                # Raises if the client has reset the connection before the accept.
+                sock.getpeername()
+                sock = self._tls.wrap_socket(
+                    sock, server_side=True, do_handshake_on_connect=False
+                )
+        except OSError:
+            self.counts["failed_handshakes"] += self._tls is not None
+            sock.close()
+            return
         conn = CallerConnection(next(self._conn_ids), sock, self)
         self._conns[conn.conn_id] = conn
         self.counts["connections"] += 1
