Count the time for first requests from the begin of a stop

Two callers' connections behaved wrongly in a stop since connections without a request stay open for a while. A client that sent an empty line now and then held up the stop until its own limit, 60 s on an entry host: each received byte moved the deadline, although an empty line is part of no request. And a connection that was accepted 0.8 s before the stop had 0.2 s left for its first request, and none after a second; its caller got an empty reply. The request that led to this wait was planned 750 ms before the listener closed.

The time of one second now counts from the begin of the stop, for all connections without a request. No connection extends it, and a stop still lasts one second longer at most.

--- a/src/guavapin/serving/connection_deadlines.py
+++ b/src/guavapin/serving/connection_deadlines.py
@@ -14,8 +14,10 @@
     from guavapin.serving.front_config import FrontConfig
 
 LINGER_TIMEOUT_MS = 2_000
-# Time from the accept to the first request during a stop. A client whose new connection
-# ends without an answer cannot tell whether its request was received.
+# Time from the begin of a stop to the first request of a connection. A client whose new
+# connection ends without an answer cannot tell whether its request was received. It
+# counts from the stop, since bytes that belong to no request must not extend it, and
+# since a client may have been held up between its connect and its request.
 FIRST_REQUEST_TIMEOUT_MS = 1_000
 
 
@@ -35,7 +37,7 @@
             "head": cfg.header_timeout_ms,
             "progress": cfg.idle_timeout_ms,
         }
-        self._is_stopping = False
+        self._first_requests_end_ms: int | None = None
 
     def set_timeouts(
         self, header_ms: int, idle_ms: int, conns: Iterable[CallerConnection]
@@ -47,7 +49,9 @@
 
     def begin_stop(self, conns: Iterable[CallerConnection]) -> None:
         """Limit how long connections without a request so far stay open."""
-        self._is_stopping = True
+        if self._first_requests_end_ms is None:
+            now_ms = self._context.now_ms()
+            self._first_requests_end_ms = now_ms + FIRST_REQUEST_TIMEOUT_MS
         self._set_timers(conns)
 
     def record_progress(self, conn: CallerConnection) -> None:
@@ -95,8 +99,8 @@
             self._timer.set(conn.conn_id, max(self._due_ms(conn, now_ms) - now_ms, 0))
 
     def _due_ms(self, conn: CallerConnection, now_ms: int) -> int:
-        if self._is_stopping and conn.is_unused:
-            return conn.request_started_ms + FIRST_REQUEST_TIMEOUT_MS
+        if self._first_requests_end_ms is not None and conn.is_unused:
+            return self._first_requests_end_ms
         timeout_ms = self._timeouts_ms[conn.deadline_kind]
         is_progress = conn.deadline_kind == "progress"
         if is_progress and (conn.is_waiting_for_answer or conn.is_body_paused):
--- a/tests/serving/test_planned_stop.py
+++ b/tests/serving/test_planned_stop.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import contextlib
 import socket
+import time
 
 import pytest
 
@@ -72,6 +74,29 @@
     assert caller.is_closed()
 
 
+def test_first_request_that_is_late_by_most_of_a_second_is_answered(path):
+    # Guards against a time that has passed before the stop begins.
+    caller = path.connect()
+    wait_until(lambda: path.counts()["open_connections"] == 1)
+    time.sleep(0.8)
+    fut = path.kernel.ask("front", StopAccepting())
+    time.sleep(0.5)
+    assert caller.get("/late").status == 200
+    assert fut.result(WAIT_S) == Ok(None)
+
+
+def test_empty_lines_before_a_request_do_not_hold_up_the_stop(path):
+    # Guards against a deadline that each received byte moves.
+    caller = path.connect()
+    wait_until(lambda: path.counts()["open_connections"] == 1)
+    fut = path.kernel.ask("front", StopAccepting())
+    for _ in range(10):
+        with contextlib.suppress(ConnectionError):
+            caller.send(b"\r\n")
+        time.sleep(0.2)
+    assert fut.done()
+
+
 def test_request_whose_head_or_body_is_still_arriving_is_finished(path):
     head = path.connect()
     head.send(b"GET /head HTTP/1.1\r\n")
