Show that an early renewal rules out a start that comes late

A start without an answer may be carried out up to 12 s after it was sent, also by a later life of its executor. The scheduler waits for that, unless the registry shows that the executor is still in its former life. It takes the time at which it received an entry after the start as this evidence. Such an entry says only what was so at that moment: one that was renewed 300 ms after the start rules out nothing of the 12 s that follow, and one that is listed again after a break of the watch may be older than the start.

Both forms fail; the cause is not mended here.

--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -430,3 +430,30 @@
     sim.scheduler.hosts.handle_answer(context, outcome)
     sim.run()
     assert len(sim.starts) == 3
+
+
+@pytest.mark.parametrize("evidence", ["renewed", "relisted"])
+def test_an_early_renewal_does_not_rule_out_a_late_start(evidence: str) -> None:
+    # Guards against a second run beside one whose start arrives in the next life of its
+    # executor, if the former life renewed its entry shortly after the start was sent,
+    # or if its entry was merely listed again.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    executor = sim.executors["e1"]
+    executor.is_reachable = False
+    sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    sim.advance(300)
+    hosts, entry = sim.scheduler.hosts, executor.registration()
+    if evidence == "renewed":
+        hosts.register(entry)
+    sim.advance(1_700)
+    executor.restart_at(sim.now_ms)
+    if evidence == "relisted":
+        hosts.replace_registrations([entry, sim.executors["e2"].registration()])
+    sim.advance(3_000)
+    executor.handle_order(context.order, sim.now_ms)
+    sim.fail_over()
+    assert sim.longest_overlap_ms == 0
