Show that a new life does not know the fence of its former one

An executor that has answered a successor refuses the orders of its predecessor, and the successor relies on this for starts that it does not know. After a restart the executor has seen no token. A start of a predecessor that crashed, which is under way for up to 12 s, is then carried out, until the successor sees the new life and reads its runs.

The test fails; the cause is not mended here.

--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -457,3 +457,26 @@
     executor.handle_order(context.order, sim.now_ms)
     sim.fail_over()
     assert sim.longest_overlap_ms == 0
+
+
+def test_a_start_of_a_predecessor_that_a_former_life_would_refuse_is_allowed_for() -> (
+    None
+):
+    # Guards against a second run beside one that a predecessor without a record sent:
+    # the life that has answered its successor would refuse it, the next one does not.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    sim.take_over(9)
+    sim.list_machines()
+    sim.scheduler.cordon(frozenset({"e1"}), frozenset())
+    sim.advance(1_000)
+    assert [name for _, name in sim.running()] == ["e2"]
+    executor = sim.executors["e1"]
+    executor.restart_at(sim.now_ms)
+    sim.advance(500)
+    executor.handle_order(context.order, sim.now_ms)
+    sim.advance(10_000)
+    assert sim.longest_overlap_ms == 0
