Show that a record of an earlier life drops a start that comes late

A subtask ran twice at the same time for 8.75 s in the simulation. A stopping scheduler hands a start over as unanswered, with the life of the executor to which it was sent. If the registry already shows a later life, the successor skips the whole record of this executor, so that nothing holds the subtask once inherited jobs are released, 12.3 s after the begin of the term. The start arrives before that, and its run has the longest lease.

The test fails; the cause is not mended here.

--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -480,3 +480,25 @@
     executor.handle_order(context.order, sim.now_ms)
     sim.advance(10_000)
     assert sim.longest_overlap_ms == 0
+
+
+def test_a_handed_over_start_counts_although_its_executor_has_started_again() -> None:
+    # Guards against a second run beside one whose start the predecessor handed over as
+    # unanswered, if the registry shows a later life of the executor than the record.
+    sim = HeldSimulation()
+    sim.holds_order = lambda executor_id, order: isinstance(order, Start)
+    sim.submit_work()
+    ((context, _),) = sim.held
+    sim.holds_order = lambda executor_id, order: False
+    executor = sim.executors["e1"]
+    sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    handed = collect_hosts(sim.scheduler.hosts)
+    executor.restart_at(sim.now_ms)
+    executor.is_reachable = False
+    sim.take_over(9)
+    sim.scheduler.apply_handover(handed)
+    sim.list_machines()
+    sim.advance(11_000)
+    executor.handle_order(context.order, sim.now_ms)
+    sim.advance(12_000)
+    assert sim.longest_overlap_ms == 0
