Tell how late the callers of a scenario sent a lost request

A lost answer of a scenario had no time. The one in question was planned 750 ms before the listener closed, and nothing told whether its callers sent it late or whether it was held up on its connection.

The detail of a request now has both times. The new test holds the callers up for 0.3 s; it failed before, since the detail named no time.

--- a/src/guavapin_demo/callers.py
+++ b/src/guavapin_demo/callers.py
@@ -153,7 +153,10 @@
         result = classify(transfer.request, code, status, transfer)
         elapsed_ms = self._context.clock.now_ms() - transfer.sent_ms
         curl.close()
+        # A late request shows that the callers themselves were held up.
+        late_ms = transfer.sent_ms - self._started_ms - transfer.request.at_ms
         text = f"{status} {detail} {bytes(transfer.body[:80])!r}"
+        text += f" (sent {late_ms} ms late, ended after {elapsed_ms} ms)"
         self._records.append(CallerRecord(transfer.request, result, elapsed_ms, text))
         self.result_counts[result] += 1
         self._finish_if_done()
