Keep the full distance from orders that may not have been carried out

Two holders of the duty ordered one machine 1,650 to 2,890 ms after each other (ONE, 3,000 ms) in the model of takeovers. A successor infers from the time since a machine came up that its last order is older than that by a move. That holds only if the order took the machine down. It does not for an order that was refused as busy, since the machine was down without one, nor for a repeated order, which the platform reports as carried out if an earlier one was.

The record of orders now has the machines whose orders may not have been carried out: from before the first order until an order that was sent only once is answered as done. Only these wait for the whole separation from the start of the successor's term; all other machines wait as before. Settling a machine shares the interval of the writes that remove machines, so a busy record is written at most once more a second. A record of an earlier build is read as if all orders were carried out; an earlier build takes a new record for one that cannot be read and keeps its distance from all machines.

Tests of the record and of the task use the new type of the record; what they check is the same.

--- a/src/guavapin/machines/order_record.py
+++ b/src/guavapin/machines/order_record.py
@@ -7,30 +7,45 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 from guavapin.keyvalue import messages as kv
 
 ORDERED_KEY = "machines/ordered"
 
-# Minimum interval between two writes that only remove machines from the record.
+# Minimum interval between two writes that only remove or settle recorded machines.
 PRUNE_INTERVAL_MS = 1_000
 
 
+@dataclass(frozen=True, slots=True)
+class RecordedOrders:
+    """Machines that were ordered, and those that their orders may not have taken down.
+
+    The latter are `unsettled`.
+    """
+
+    machines: frozenset[str] = frozenset()
+    unsettled: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class RecordWrite:
     """Write of the record, which expects these revisions."""
 
     expected: tuple[kv.KeyRevision, ...]
-    machines: frozenset[str]
+    orders: RecordedOrders
 
 
 class OrderRecord:
     """Record of one term; a state machine without input or output.
 
     A machine is recorded before it is ordered, and for `separation_ms` after its last
-    order has ended. Every write expects the duty's key at the revision of the term, so
-    the record does not change any more once a successor has read it.
+    order has ended. Until an order was carried out, the machine is recorded as
+    unsettled: a refused order does not take it down, so that the time since it came up
+    does not bound the age of the order. Every write expects the duty's key at the
+    revision of the term, so the record does not change any more once a successor has
+    read it.
     """
 
     def __init__(self, fence: kv.KeyRevision, separation_ms: int) -> None:
@@ -40,7 +55,11 @@
         self._is_loaded = False
         # Time at which the last order of each machine has ended at the latest.
         self._ordered_until_ms: dict[str, int] = {}
-        self._stored: frozenset[str] = frozenset()
+        self._unsettled: set[str] = set()
+        # Number of orders that were sent for each unsettled machine. The platform
+        # reports a repeated order as carried out if an earlier one was.
+        self._sent_orders: Counter[str] = Counter()
+        self._stored = RecordedOrders()
         self._in_flight: RecordWrite | None = None
         self._must_resend = False
         self._written_ms = 0
@@ -50,21 +69,34 @@
         """Whether the record of the predecessor has been read."""
         return self._is_loaded
 
-    def load(self, machines: frozenset[str], revision: int, now_ms: int) -> None:
+    def load(self, orders: RecordedOrders, revision: int, now_ms: int) -> None:
         """Take over the record as the predecessor left it, at its revision."""
         self._is_loaded = True
-        self._stored, self._revision = machines, revision
-        self._ordered_until_ms = dict.fromkeys(machines, now_ms)
+        self._stored, self._revision = orders, revision
+        self._unsettled = set(orders.unsettled)
+        self._sent_orders = Counter(orders.unsettled)
+        self._ordered_until_ms = dict.fromkeys(orders.machines, now_ms)
 
     def add(self, machine: str, until_ms: int) -> None:
         """Add an order for a machine that ends at `until_ms` at the latest."""
         known_ms = self._ordered_until_ms.get(machine, until_ms)
         self._ordered_until_ms[machine] = max(known_ms, until_ms)
+        self._unsettled.add(machine)
+
+    def count_sent(self, machine: str) -> None:
+        """Count an order for a machine that is sent now."""
+        self._sent_orders[machine] += 1
+
+    def settle(self, machine: str) -> None:
+        """Apply that the only order that was sent for a machine was carried out."""
+        if self._sent_orders[machine] == 1:
+            self._unsettled.discard(machine)
+            del self._sent_orders[machine]
 
     def covers(self, machine: str) -> bool:
-        """Return whether a machine is recorded and no write in flight removes it."""
-        is_kept = self._in_flight is None or machine in self._in_flight.machines
-        return machine in self._stored and is_kept
+        """Return whether a machine is recorded as unsettled, and stays so."""
+        is_kept = self._in_flight is None or machine in self._in_flight.orders.unsettled
+        return machine in self._stored.unsettled and is_kept
 
     def next_write(self, now_ms: int) -> RecordWrite | None:
         """Return the write that is due, None if there is none or one is in flight."""
@@ -78,21 +110,27 @@
             if until_ms >= oldest_ms
         }
         machines = frozenset(self._ordered_until_ms)
+        self._unsettled &= machines
+        for machine in self._sent_orders.keys() - machines:
+            del self._sent_orders[machine]
+        orders = RecordedOrders(machines, frozenset(self._unsettled))
+        stored = self._stored
+        is_prune = machines <= stored.machines and orders.unsettled <= stored.unsettled
         is_prune_due = now_ms - self._written_ms >= PRUNE_INTERVAL_MS
-        if machines <= self._stored and (machines == self._stored or not is_prune_due):
+        if orders == stored or (is_prune and not is_prune_due):
             return None
         record = kv.KeyRevision(ORDERED_KEY, self._revision)
-        self._in_flight = RecordWrite((self._fence, record), machines)
+        self._in_flight = RecordWrite((self._fence, record), orders)
         self._written_ms = now_ms
         return self._in_flight
 
     def apply_written(self, revision: int) -> None:
         """Apply that the write in flight took effect at `revision`."""
         if self._in_flight is not None:
-            self._stored, self._revision = self._in_flight.machines, revision
+            self._stored, self._revision = self._in_flight.orders, revision
             self._in_flight = None
 
-    def apply_found(self, machines: frozenset[str], revision: int) -> None:
+    def apply_found(self, orders: RecordedOrders, revision: int) -> None:
         """Apply the record that the store holds, after it refused a write.
 
         Another revision is that of a write whose answer was lost. If the record is as
@@ -100,7 +138,7 @@
         this term can succeed any more.
         """
         if revision != self._revision:
-            self._stored, self._revision = machines, revision
+            self._stored, self._revision = orders, revision
             self._in_flight = None
 
     def apply_failure(self) -> None:
--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -24,6 +24,7 @@
     from guavapin.jobs.queues import QueueTable
     from guavapin.machines.model import Machine
     from guavapin.machines.model import MaintenanceWave
+    from guavapin.machines.order_record import RecordedOrders
     from guavapin.scheduling.messages import FleetLoad
     from guavapin.settings.resident import Times
 
@@ -80,11 +81,11 @@
     """
 
     def __init__(
-        self, times: Times, now_ms: int, recorded: frozenset[str] | None = None
+        self, times: Times, now_ms: int, recorded: RecordedOrders | None = None
     ) -> None:
         self.waves = WaveTracker(times)
         self._times = times
-        self._predecessor_orders = PredecessorOrders(times, recorded)
+        self._predecessor_orders = PredecessorOrders(times, now_ms, recorded)
         self._now_ms = now_ms
         # Until then, a machine that the previous scheduler ordered to maintenance just
         # before its term ended may be down before the list shows it as in maintenance.
--- a/src/guavapin/machines/predecessor_orders.py
+++ b/src/guavapin/machines/predecessor_orders.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from guavapin.machines.model import Machine
+    from guavapin.machines.order_record import RecordedOrders
     from guavapin.settings.resident import Times
 
 
@@ -16,12 +17,17 @@
 
     An order takes a machine down for at least the shorter of a move and a maintenance.
     A machine that is up was therefore last ordered at least that long before it came
-    up, and only the remaining time has to pass. Machines that are not in `recorded`,
-    the record of the previous holder, need no separation; None stands for all machines.
+    up, and only the remaining time has to pass. An order that was refused, or may not
+    have been carried out, does not take it down; the whole time has to pass then since
+    this holder began, at `begin_ms`. Machines that are not in `recorded`, the record of
+    the previous holder, need no separation; None stands for all machines.
     """
 
-    def __init__(self, times: Times, recorded: frozenset[str] | None = None) -> None:
+    def __init__(
+        self, times: Times, begin_ms: int, recorded: RecordedOrders | None = None
+    ) -> None:
         self._recorded = recorded
+        self._unsettled_until_ms = begin_ms + times.order_separation_ms
         shortest_ms = min(times.move_ms, times.maintenance_ms)
         self._min_uptime_ms = max(times.order_separation_ms - shortest_ms, 0)
         self._up_since_ms: dict[str, int] = {}
@@ -51,7 +57,10 @@
 
     def has_separation_passed(self, name: str, now_ms: int) -> bool:
         """Return whether another holder's last order is long enough ago."""
-        is_recorded = self._recorded is None or name in self._recorded
+        is_recorded = self._recorded is None or name in self._recorded.machines
         if name in self._own_orders or not is_recorded:
             return True
+        is_unsettled = self._recorded is not None and name in self._recorded.unsettled
+        if is_unsettled and now_ms < self._unsettled_until_ms:
+            return False
         return now_ms - self._up_since_ms.get(name, now_ms) >= self._min_uptime_ms
--- a/src/guavapin/machines/record_codec.py
+++ b/src/guavapin/machines/record_codec.py
@@ -5,21 +5,34 @@
 import msgspec
 
 from guavapin.kernel.decimal import parse_decimal
+from guavapin.machines.order_record import RecordedOrders
 
-_DECODER = msgspec.json.Decoder(list[str])
 
+class _Ordered(msgspec.Struct, omit_defaults=True):
+    machines: list[str]
+    unsettled: list[str] = []
 
-def encode_ordered(machines: frozenset[str]) -> bytes:
-    """Return the value for a set of machines; equal sets have equal values."""
-    return msgspec.json.encode(sorted(machines))
 
+# Earlier builds wrote the list of machines alone.
+_DECODER = msgspec.json.Decoder(_Ordered | list[str])
 
-def decode_ordered(value: bytes) -> frozenset[str] | None:
-    """Return the recorded machines, None for a value that cannot be read."""
+
+def encode_ordered(orders: RecordedOrders) -> bytes:
+    """Return the value for recorded orders; equal ones have equal values."""
+    return msgspec.json.encode(
+        _Ordered(sorted(orders.machines), sorted(orders.unsettled))
+    )
+
+
+def decode_ordered(value: bytes) -> RecordedOrders | None:
+    """Return the recorded orders, None for a value that cannot be read."""
     try:
-        return frozenset(_DECODER.decode(value))
+        stored = _DECODER.decode(value)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
+    if isinstance(stored, list):
+        return RecordedOrders(frozenset(stored))
+    return RecordedOrders(frozenset(stored.machines), frozenset(stored.unsettled))
 
 
 def encode_due(due_wall_ms: int) -> bytes:
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -31,6 +31,7 @@
 from guavapin.machines.model import Validity
 from guavapin.machines.order_record import ORDERED_KEY
 from guavapin.machines.order_record import OrderRecord
+from guavapin.machines.order_record import RecordedOrders
 from guavapin.machines.planner import Planner
 from guavapin.machines.record_codec import decode_due
 from guavapin.machines.record_codec import decode_ordered
@@ -261,7 +262,7 @@
         if self._record.is_loaded:
             self._handle_record_written(self._record, outcome)
             return
-        recorded: frozenset[str] | None = frozenset()
+        recorded: RecordedOrders | None = RecordedOrders()
         revision = kv.NO_REVISION
         match outcome:
             case kv.Found(value=value, revision=revision):
@@ -274,9 +275,14 @@
                 self._context.set_timer(RECORD_RETRY_MS, _ReadRecord(self._token))
                 return
         now_ms = self._context.clock.now_ms()
-        extra = {"token": self._token, "recorded": len(recorded or ())}
+        orders = recorded or RecordedOrders()
+        extra = {
+            "token": self._token,
+            "recorded": len(orders.machines),
+            "unsettled": len(orders.unsettled),
+        }
         log.info("orders of the predecessor read", extra=extra)
-        self._record.load(recorded or frozenset(), revision, now_ms)
+        self._record.load(orders, revision, now_ms)
         self._planner = Planner(self._times, now_ms, recorded)
         self._context.send(FOLLOW_WAVES, Follow())
         self._context.send(FOLLOW_MAINTAINED, Follow())
@@ -291,8 +297,8 @@
             case kv.Mismatch(items=items):
                 for item in items:
                     if item.key == ORDERED_KEY:
-                        machines = decode_ordered(item.value or b"[]")
-                        record.apply_found(machines or frozenset(), item.revision)
+                        found = decode_ordered(item.value or b"[]")
+                        record.apply_found(found or RecordedOrders(), item.revision)
             case kv.PermanentlyRefused():
                 # The write is repeated with the next report of the load.
                 log.error("record of orders refused", extra={"outcome": repr(outcome)})
@@ -320,6 +326,7 @@
         for order in unrecorded:
             self._record.add(order.machine, now_ms + CALL_TIMEOUT_MS)
             if self._record.covers(order.machine):
+                self._record.count_sent(order.machine)
                 self._send_order(order)
             else:
                 self._unrecorded.append(order)
@@ -327,7 +334,7 @@
         if write is not None:
             self._request_id += 1
             self._record_request_id = self._request_id
-            value = encode_ordered(write.machines)
+            value = encode_ordered(write.orders)
             puts = (kv.KeyValue(ORDERED_KEY, value),)
             request = kv.Transact(self.name, self._request_id, write.expected, puts)
             self._context.send("platform", request)
@@ -373,6 +380,8 @@
         log.info("machine order answered", extra=extra)
         if isinstance(outcome, OrderDone):
             self._planner.record_completed_order(order, now_ms)
+            if self._record is not None:
+                self._record.settle(order.machine)
             if isinstance(order, MaintainMachine):
                 self._record_maintained(order)
             # Only a new list shows whether the order ended the present executor or had
--- a/tests/machines/test_order_record.py
+++ b/tests/machines/test_order_record.py
@@ -6,14 +6,16 @@
 from guavapin.machines.order_record import ORDERED_KEY
 from guavapin.machines.order_record import PRUNE_INTERVAL_MS
 from guavapin.machines.order_record import OrderRecord
+from guavapin.machines.order_record import RecordedOrders
 
 FENCE = kv.KeyRevision("duty/scheduler", 9)
 SEPARATION_MS = 3_000
+M = frozenset({"m"})
 
 
 def loaded(*machines: str, now_ms: int = 0) -> OrderRecord:
     record = OrderRecord(FENCE, SEPARATION_MS)
-    record.load(frozenset(machines), 4, now_ms)
+    record.load(RecordedOrders(frozenset(machines)), 4, now_ms)
     return record
 
 
@@ -42,7 +44,26 @@
     record = loaded("old", now_ms=0)
     record.add("m", 1_500)
     write = record.next_write(SEPARATION_MS)
-    assert write is not None and write.machines == {"old", "m"}
+    assert write is not None and write.orders.machines == {"old", "m"}
+
+
+def test_a_machine_is_settled_once_its_only_order_was_carried_out() -> None:
+    # Guards against a successor that takes a refused order for one that took its
+    # machine down, or the answer to a repeated order for that to the last one.
+    record = loaded()
+    for machine in ("done", "refused", "repeated", "repeated"):
+        record.add(machine, 1_500)
+        record.count_sent(machine)
+    record.next_write(0)
+    record.apply_written(5)
+    record.add("done", 1_500)
+    record.settle("done")
+    record.settle("repeated")
+    assert record.next_write(PRUNE_INTERVAL_MS - 1) is None
+    write = record.next_write(PRUNE_INTERVAL_MS)
+    assert write is not None
+    assert write.orders.unsettled == {"refused", "repeated"}
+    assert not record.covers("done") and "done" in write.orders.machines
 
 
 def test_a_machine_that_is_being_removed_is_not_covered() -> None:
@@ -50,12 +71,12 @@
     record = loaded("m", now_ms=0)
     later_ms = SEPARATION_MS + PRUNE_INTERVAL_MS
     write = record.next_write(later_ms)
-    assert write is not None and write.machines == frozenset()
+    assert write is not None and write.orders.machines == frozenset()
     record.add("m", later_ms + 1_500)
     assert not record.covers("m")
     record.apply_written(5)
     again = record.next_write(later_ms)
-    assert again is not None and again.machines == {"m"}
+    assert again is not None and again.orders.machines == {"m"}
 
 
 def test_a_write_without_an_answer_is_sent_again_unchanged() -> None:
@@ -76,7 +97,7 @@
     record.next_write(0)
     record.apply_failure()
     record.next_write(100)
-    record.apply_found(frozenset({"m"}), 5)
+    record.apply_found(RecordedOrders(M, M), 5)
     assert record.covers("m")
 
 
@@ -85,5 +106,5 @@
     record = loaded()
     record.add("m", 1_500)
     record.next_write(0)
-    record.apply_found(frozenset(), 4)
+    record.apply_found(RecordedOrders(), 4)
     assert not record.covers("m") and record.next_write(10_000) is None
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from guavapin.jobs.model import Resources
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import QueueTable
@@ -12,6 +14,7 @@
 from guavapin.machines.model import MaintainMachine
 from guavapin.machines.model import MaintenanceWave
 from guavapin.machines.model import MoveMachine
+from guavapin.machines.order_record import RecordedOrders
 from guavapin.machines.planner import Planner
 from guavapin.scheduling.messages import FleetLoad
 from guavapin.scheduling.messages import HostLoad
@@ -60,6 +63,22 @@
     assert planner.plan(report, TABLE, 1_000 + wait_ms).cordon.executor_ids
 
 
+@pytest.mark.parametrize("is_unsettled", [True, False])
+def test_a_machine_whose_order_was_refused_waits_for_the_whole_separation(
+    is_unsettled: bool,
+) -> None:
+    # Guards against an order 2 s after a refused one of the previous holder (ONE): the
+    # machine was down without an order, and came up after the refusal.
+    names = frozenset({"m"})
+    recorded = RecordedOrders(names, names if is_unsettled else frozenset())
+    planner = Planner(TIMES, 0, recorded)
+    planner.update_machines((machine("m", "a"),), 0)
+    report, end_ms = load(host("m", "a")), TIMES.order_separation_ms
+    begin_ms = end_ms if is_unsettled else end_ms - TIMES.move_ms
+    assert not planner.plan(report, TABLE, begin_ms - 1).cordon.executor_ids
+    assert planner.plan(report, TABLE, begin_ms).cordon.executor_ids
+
+
 def test_an_idle_machine_is_cordoned_before_it_moves() -> None:
     # Guards against the loss of a subtask that starts between the decision and the
     # move.
@@ -327,7 +346,7 @@
     # takeover no machine may be ordered, and only two of those left with long-running
     # work were drained meanwhile, so that the wave was late.
     names = tuple(f"m{number}" for number in range(6))
-    planner = Planner(TIMES, BEGIN_MS, frozenset())
+    planner = Planner(TIMES, BEGIN_MS, RecordedOrders())
     planner.update_machines(tuple(machine(name, "a") for name in names), BEGIN_MS)
     planner.add_wave(MaintenanceWave(1, names, 60_000, 5), BEGIN_MS)
     hosts = [replace(host(name, "a", runs=1), has_long_running=True) for name in names]
--- a/tests/machines/test_record_codec.py
+++ b/tests/machines/test_record_codec.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from guavapin.machines.order_record import RecordedOrders
 from guavapin.machines.record_codec import decode_due
 from guavapin.machines.record_codec import decode_ordered
 from guavapin.machines.record_codec import encode_due
+from guavapin.machines.record_codec import encode_ordered
 
 
 @pytest.mark.parametrize("value", [b"9" * 5_000, b"", b"-1", b"1.5", b"\xff", b"\xb2"])
@@ -21,3 +23,11 @@
 def test_a_malformed_record_of_ordered_machines_is_unreadable(value: bytes) -> None:
     # Guards against a stored list that ends each process that schedules.
     assert decode_ordered(value) is None
+
+
+def test_recorded_orders_are_decoded_as_they_were_encoded() -> None:
+    # Guards against a refused order that a successor takes for one carried out, and
+    # against a record of an earlier build that cannot be read.
+    orders = RecordedOrders(frozenset({"m", "n"}), frozenset({"n"}))
+    assert decode_ordered(encode_ordered(orders)) == orders
+    assert decode_ordered(b'["m"]') == RecordedOrders(frozenset({"m"}))
--- a/tests/machines/test_task.py
+++ b/tests/machines/test_task.py
@@ -139,7 +139,9 @@
         if isinstance(request, kv.Transact):
             (put,) = request.puts
             if put.key == ORDERED_KEY:
-                self.recorded.append(decode_ordered(put.value) or frozenset())
+                orders = decode_ordered(put.value)
+                assert orders is not None
+                self.recorded.append(orders.machines)
             else:
                 self.written.append((put, request.expected))
             outcome = kv.Written(self.harness.now_ms())
