Start inherited work beside executors that came up in the term

Steps of inherited jobs waited while an executor was listed whose entry in the registry had not been seen yet, also if it had come up long after the takeover: until the entry was seen, at most 12.3 s after the takeover. The capacity of such an executor also counted against the caps of organisations.

The rule guards against runs that a predecessor started on an executor which lost its entry. An executor that the first list of the term does not name came up after that list, when its predecessor's term had ended. Only executors of the first list are now waited for. A predecessor that does not know yet that its term has ended could start work on a new executor, but so it could on one that comes up later, for which nothing waits either.

test_an_executor_that_came_up_in_this_term_holds_no_inherited_job failed before; its second row guards the executors of the first list.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -112,6 +112,8 @@
         # Hosts that the last list of a predecessor named, until the first list.
         self._formerly_listed: set[Host] = set()
         self._listed_capacities: dict[str, Resources] = {}
+        # Executors in the first list of the term.
+        self._first_listed: frozenset[str] = frozenset()
         # Capacities of the other machines in that list, None if they are not known.
         self.off_capacities: tuple[Resources, ...] | None = None
         # Result of `unresolved_pools`, None after a change that may affect it.
@@ -233,13 +235,18 @@
                 host.pool
                 for host in self.by_id.values()
                 if not self.are_runs_known(host) and self._may_be_up(host)
-            } | {
-                pool
-                for executor_id, pool in self._listed_pools.items()
-                if executor_id not in self.by_id
-            }
+            } | {self._listed_pools[name] for name in self._unseen_executors()}
         return self._unresolved
 
+    def _unseen_executors(self) -> frozenset[str]:
+        """Return the listed executors that may run what a predecessor started.
+
+        Their entries are missing. An executor that is not in the first list came up
+        during this term, when no predecessor started anything on it.
+        """
+        listed = self._listed_pools or {}
+        return (self._first_listed & listed.keys()) - self.by_id.keys()
+
     def refresh_unseen(self) -> None:
         """Update the capacity on which runs of a predecessor may be unknown.
 
@@ -256,12 +263,12 @@
     def _unseen_capacity(self) -> Resources | None:
         """Return the capacity of the hosts whose runs are not known, None if unknown.
 
-        An executor that is listed and has no registration is such a host too.
+        An executor that was listed first and has no registration is such a host too.
         """
         if self._listed_pools is None:
             return None
         capacity = NOTHING
-        for executor_id in self._listed_pools.keys() - self.by_id.keys():
+        for executor_id in self._unseen_executors():
             listed = self._listed_capacities.get(executor_id)
             if listed is None:
                 return None
@@ -335,6 +342,8 @@
         the capacities of the machines without an executor, None if unknown.
         """
         self.off_capacities = off
+        if self._listed_pools is None:
+            self._first_listed = frozenset(listed_pools)
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self._unresolved = None
--- a/tests/scheduling/test_unlisted_executors.py
+++ b/tests/scheduling/test_unlisted_executors.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
+
+from guavapin.executors.model import EndKind
 from guavapin.jobs.model import Step
 from guavapin.scheduling.messages import MachinesListed
 from tests.scheduling.simulation import SMALL
+from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
+from tests.scheduling.simulation import make_job
 from tests.scheduling.test_organisation_caps import capped
 from tests.scheduling.test_organisation_caps import count
 from tests.scheduling.test_organisation_caps import owned
@@ -46,3 +51,25 @@
     # not name; before 39f7b58 the cap of an organisation kept it from starting.
     running = [row for row, _ in take_over_beside_an_unlisted_executor().running()]
     assert len(running) == len(set(running))
+
+
+@pytest.mark.parametrize("is_new", [True, False])
+def test_an_executor_that_came_up_in_this_term_holds_no_inherited_job(
+    is_new: bool,
+) -> None:
+    # Guards against steps of inherited jobs that wait for the entry of an executor
+    # which came up during the term (LOST), and against a second run (TWICE) of what one
+    # may run that was up before the term.
+    sim = Simulation([FakeExecutor("e1")])
+    sim.list_machines()
+    sim.advance(100)
+    sim.submit(make_job("a" * 16, Step(1, SMALL), Step(1, SMALL, after=(0,))))
+    sim.take_over(6)
+    listed = [("e1", "pool"), ("e2", "pool")]
+    sim.scheduler.apply_machines(MachinesListed(tuple(listed[: 2 - is_new])))
+    sim.advance(100)
+    sim.scheduler.apply_machines(MachinesListed(tuple(listed)))
+    ((subtask, _),) = sim.running()
+    sim.executors["e1"].end(subtask, EndKind.DONE)
+    sim.advance(100)
+    assert len(sim.running()) == is_new
