Let machines that come up late be ordered without a further wait

After a takeover, idle machines that the predecessor had ordered waited beside work: each of them until it had been up for 1.3 s, at any time of the term, also if the predecessor's term had ended long before.

Orders of the predecessor end before its successor begins. Once the separation of 3.3 s has passed since then, it has passed for every machine, whenever that came up. Before that time nothing changes.

test_a_machine_that_comes_up_late_waits_for_no_further_separation failed before.

--- a/src/guavapin/machines/predecessor_orders.py
+++ b/src/guavapin/machines/predecessor_orders.py
@@ -19,15 +19,17 @@
     A machine that is up was therefore last ordered at least that long before it came
     up, and only the remaining time has to pass. An order that was refused, or may not
     have been carried out, does not take it down; the whole time has to pass then since
-    this holder began, at `begin_ms`. Machines that are not in `recorded`, the record of
-    the previous holder, need no separation; None stands for all machines.
+    this holder began, at `begin_ms`. No earlier order is more recent than that, so
+    after the whole time every machine may be ordered, whenever it came up. Machines
+    that are not in `recorded`, the record of the previous holder, need no separation;
+    None stands for all machines.
     """
 
     def __init__(
         self, times: Times, begin_ms: int, recorded: RecordedOrders | None = None
     ) -> None:
         self._recorded = recorded
-        self._unsettled_until_ms = begin_ms + times.order_separation_ms
+        self._all_separated_ms = begin_ms + times.order_separation_ms
         shortest_ms = min(times.move_ms, times.maintenance_ms)
         self._min_uptime_ms = max(times.order_separation_ms - shortest_ms, 0)
         self._up_since_ms: dict[str, int] = {}
@@ -60,7 +62,8 @@
         is_recorded = self._recorded is None or name in self._recorded.machines
         if name in self._own_orders or not is_recorded:
             return True
-        is_unsettled = self._recorded is not None and name in self._recorded.unsettled
-        if is_unsettled and now_ms < self._unsettled_until_ms:
+        if now_ms >= self._all_separated_ms:
+            return True
+        if self._recorded is not None and name in self._recorded.unsettled:
             return False
         return now_ms - self._up_since_ms.get(name, now_ms) >= self._min_uptime_ms
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -63,6 +63,18 @@
     assert planner.plan(report, TABLE, 1_000 + wait_ms).cordon.executor_ids
 
 
+def test_a_machine_that_comes_up_late_waits_for_no_further_separation() -> None:
+    # Guards against idle machines that wait beside work after a takeover, although
+    # every order of the previous holder is long enough ago.
+    planner = Planner(TIMES, 0)
+    planner.update_machines((machine("m", "a", MachineState.MOVING),), 0)
+    end_ms = TIMES.order_separation_ms
+    planner.update_machines((machine("m", "a"),), end_ms - 100)
+    report = load(host("m", "a"))
+    assert not planner.plan(report, TABLE, end_ms - 1).cordon.executor_ids
+    assert planner.plan(report, TABLE, end_ms).cordon.executor_ids
+
+
 @pytest.mark.parametrize("is_unsettled", [True, False])
 def test_a_machine_whose_order_was_refused_waits_for_the_whole_separation(
     is_unsettled: bool,
