--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -113,7 +113,11 @@
         # Pool of each executor in the platform's list of machines, None before the
         # first list.
         self._listed_pools: dict[str, str] | None = None
+        # Hosts that the last list of a predecessor named, until the first list.
+        self._formerly_listed: set[Host] = set()
         self._listed_capacities: dict[str, Resources] = {}
+        # Executors in the first list of the term.
+        self._first_listed: frozenset[str] = frozenset()
         # Capacities of the other machines in that list, None if they are not known.
         self.off_capacities: tuple[Resources, ...] | None = None
         # Result of `unresolved_pools`, None after a change that may affect it.
@@ -190,7 +194,7 @@
         self._delete(host)
         extra = {"executor": host.executor_id, "reason": reason, "runs": len(host.runs)}
         log.info("host gone", extra=extra)
-        self._remove_all_runs(host, reason)
+        self._remove_runs(host, [*host.runs.values()], reason)
 
     def _replace_incarnation(self, former: Host, registration: Registration) -> Host:
         """Replace the host of an executor that has started again; return the new one.
@@ -235,13 +239,18 @@
                 host.pool
                 for host in self.by_id.values()
                 if not self.are_runs_known(host) and self._may_be_up(host)
-            } | {
-                pool
-                for executor_id, pool in self._listed_pools.items()
-                if executor_id not in self.by_id
-            }
+            } | {self._listed_pools[name] for name in self._unseen_executors()}
         return self._unresolved
 
+    def _unseen_executors(self) -> frozenset[str]:
+        """Return the listed executors that may run what a predecessor started.
+
+        Their entries are missing. An executor that is not in the first list came up
+        during this term, when no predecessor started anything on it.
+        """
+        listed = self._listed_pools or {}
+        return (self._first_listed & listed.keys()) - self.by_id.keys()
+
     def refresh_unseen(self) -> None:
         """Update the capacity on which runs of a predecessor may be unknown.
 
@@ -258,12 +267,12 @@
     def _unseen_capacity(self) -> Resources | None:
         """Return the capacity of the hosts whose runs are not known, None if unknown.
 
-        An executor that is listed and has no registration is such a host too.
+        An executor that was listed first and has no registration is such a host too.
         """
         if self._listed_pools is None:
             return None
         capacity = NOTHING
-        for executor_id in self._listed_pools.keys() - self.by_id.keys():
+        for executor_id in self._unseen_executors():
             listed = self._listed_capacities.get(executor_id)
             if listed is None:
                 return None
@@ -293,10 +302,24 @@
         is_resolved = self._term.now_ms >= self._term.resolve_by_ms
         return is_resolved and not self._may_hide_ends(host)
 
-    def mark_handed_over(self, host: Host) -> None:
-        """Record that a predecessor has handed over all that may run on a host."""
+    def mark_handed_over(self, host: Host, was_listed: bool) -> None:
+        """Record that a predecessor has handed over all that may run on a host.
+
+        `was_listed` is set if its last list of machines named the executor.
+        """
         host.is_handed_over = True
         self._unresolved = None
+        if was_listed:
+            self._formerly_listed.add(host)
+
+    def is_listed(self, host: Host) -> bool:
+        """Return whether the last list of machines names the executor of a host.
+
+        Before the first list of the term, that is the last one of a predecessor.
+        """
+        if self._listed_pools is None:
+            return host in self._formerly_listed
+        return host.executor_id in self._listed_pools
 
     @property
     def are_machines_known(self) -> bool:
@@ -323,9 +346,31 @@
         the capacities of the machines without an executor, None if unknown.
         """
         self.off_capacities = off
+        if self._listed_pools is None:
+            self._first_listed = frozenset(listed_pools)
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self._unresolved = None
+        formerly_listed, self._formerly_listed = self._formerly_listed, set()
+        for host in formerly_listed:
+            if host.executor_id not in listed_pools:
+                self._end_if_silent(host, "its machine was taken down before the term")
+
+    def _end_if_silent(self, host: Host, reason: str) -> None:
+        """Remove a host, or its runs, that one list names and a later one does not.
+
+        An executor that answers or renews its entry may still be up. A start without an
+        answer may reach a later life under the same id, so it is kept, and its host.
+        """
+        is_silent = not host.renewed_ms and not host.reported_ms
+        if self.by_id.get(host.executor_id) is not host or not is_silent:
+            return
+        runs = [*host.runs.values()]
+        ended = [run for run in runs if run.phase is not RunPhase.UNSETTLED]
+        if len(ended) == len(runs):
+            self.end_incarnation(host, reason)
+        elif not self._term.is_unconfirmed:
+            self._remove_runs(host, ended, reason)
 
     def tick(self) -> None:
         """Poll due hosts, remove the runs of ended leases, and repeat due stops."""
@@ -341,7 +386,7 @@
                 reason = "the lease has ended and the host does not answer"
                 extra = {"executor": host.executor_id, "unanswered": host.unanswered}
                 log.info("leases ended", extra=extra | host.lease.describe(now_ms))
-                self._remove_all_runs(host, reason)
+                self._remove_runs(host, [*host.runs.values()], reason)
                 self._remove_if_empty(host)
             for run in [*host.unwanted_runs.values()]:
                 self._retry_stop_if_due(host, run)
@@ -741,8 +786,8 @@
         is_lapsed = host.unanswered and self._term.now_ms > host.lease_end_ms
         return host in self._partly_known and not is_lapsed
 
-    def _remove_all_runs(self, host: Host, reason: str) -> None:
-        for run in [*host.runs.values()]:
+    def _remove_runs(self, host: Host, runs: list[Run], reason: str) -> None:
+        for run in runs:
             host.remove(run, self._term.now_ms)
             self._handler.handle_lost_run(host, run, reason)
 
