Watch an executor for a restart while a start may come late

A start without an answer, and a stop that the executor answered, let the subtask start elsewhere. If the executor then started again under its id, and the start arrived in its new life, two runs went on for 6,550 ms: nothing ran there, so the scheduler read the executor only every 8 s, and did not notice the new life, which it tells to refuse such starts, before the next entry of the registry or the next reading.

An executor that may still receive a start is now polled like a busy one for the 12 s in which a start can arrive. A restart breaks off the pending poll, which is repeated at once and then each 250 ms; the report of the new life is followed by the stop. The poll gives no lease while nothing runs. If an idle executor loses such a poll, a short one follows, and only that counts as a sign of silence. The poll waits for 500 ms, so that no start waits for one that is lost.

What bounds a late start: the HTTP client gives up on a start after 700 ms and closes its connection, which does not take back what was sent; an executor may read it afterwards. The next calls to the address then open new connections. A report that arrives on such a connection shows that the executor has accepted the earlier one too, if it accepts connections in order, so that what was sent there ends with that life. MAX_DELIVERY_MS is an assumption of the product; the protocol gives no bound and no means by which a new life refuses a start for a former one: the id stays, and no fence, attempt or clock is known there. A start that something between holds back and delivers before the first poll reaches the new life is therefore not excluded. Only holding the work for 12 s after each start without an answer would do that.

A new test counts the polls: about two a second for 12 s, then one at most in 7 s; it failed before without a pending poll.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -79,6 +79,8 @@
         # Whether a predecessor has handed over what runs here.
         self.is_handed_over = False
         self.unanswered = 0
+        # Whether the last poll, which it held open while idle, was not answered.
+        self.has_lost_poll = False
         self.health = Health()
         self.is_cordoned = False
         self.idle_since_ms = now_ms
@@ -200,6 +202,7 @@
 
     def record_answer(self) -> None:
         """Reset the count of unanswered orders."""
+        self.has_lost_poll = False
         if self.unanswered:
             self.unanswered = 0
             self._on_change(self)
@@ -220,6 +223,7 @@
     def record_no_answer(self, now_ms: int) -> None:
         """Count an order without an answer; the first one is a sign of its health."""
         self.unanswered += 1
+        self.has_lost_poll = False
         if self.unanswered == 1:
             self.health = self.health.after_silence(now_ms)
         self._on_change(self)
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -54,6 +54,11 @@
 # may disturb other runs, and the load figures of an answer cover the last half second.
 FILLER_POLL_WAIT_MS = 500
 
+# Time for which a host holds a poll open on which nothing runs, but a start may come
+# late. A lost one ends while the reading before it still counts, so that no start waits
+# for it.
+WATCH_POLL_WAIT_MS = 500
+
 # Interval between an answer and the next poll of a busy host. Ends that occur within
 # it share one answer.
 POLL_INTERVAL_MS = 40
@@ -502,6 +507,10 @@
         self, host: Host, context: OrderContext, no_answer: NoAnswer
     ) -> None:
         now_ms = self._term.now_ms
+        if self._may_lose(host, context.order):
+            host.has_lost_poll = True
+            host.next_poll_ms = now_ms
+            return
         host.record_no_answer(now_ms)
         if isinstance(context.order, Look):
             host.next_poll_ms = now_ms + POLL_RETRY_MS
@@ -521,6 +530,16 @@
             self._handle_unanswered_start(host, run, no_answer)
         self._drop_waiting_starts(host)
 
+    def _may_lose(self, host: Host, order: Order) -> bool:
+        """Return whether a lost order is no sign yet that a host does not answer.
+
+        That holds for a poll that an idle host held open: a short one follows at once.
+        Other idle hosts are hardly polled, and stay usable beside lost orders.
+        """
+        is_held = isinstance(order, Look) and order.wait_ms > 0
+        is_idle = not host.runs and not host.unanswered
+        return is_held and is_idle
+
     def _is_clock_known(self, host: Host) -> bool:
         """Return whether a start may give a lease by the last reading of the clock."""
         now_ms = self._term.now_ms
@@ -661,9 +680,12 @@
     def _poll_if_needed(self, host: Host) -> None:
         now_ms = self._term.now_ms
         is_clock_old = now_ms - host.clock_read_ms >= IDLE_POLL_INTERVAL_MS
+        # A restart breaks off a pending poll, so that the next life is told early to
+        # refuse a start that may come late.
+        is_watched = host.runs or host.lease.unanswered_starts
         is_needed = (
             not host.has_answered
-            or host.runs
+            or is_watched
             or host.unanswered
             or host.confirmed > host.acknowledged
             or (is_clock_old and host.is_registered)
@@ -677,8 +699,12 @@
             and not host.waiting_starts
         )
         # The first answer must not wait for an end: the host may be needed.
-        is_waiting = host.runs and host.has_answered and is_extending
+        is_waiting = (
+            is_watched and host.has_answered and is_extending and not host.has_lost_poll
+        )
         wait_ms = POLL_WAIT_MS if is_waiting else 0
+        if wait_ms and not host.runs:
+            wait_ms = WATCH_POLL_WAIT_MS
         if wait_ms and host.has_fillers:
             wait_ms = FILLER_POLL_WAIT_MS
         until_ms = 0
--- a/tests/scheduling/test_held_polls.py
+++ b/tests/scheduling/test_held_polls.py
@@ -10,13 +10,14 @@
 from guavapin.executors.model import Look
 from guavapin.jobs.model import JobState
 from guavapin.jobs.model import Step
+from guavapin.scheduling.messages import SendOrder
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
 from tests.scheduling.simulation import make_job
 
 if TYPE_CHECKING:
-    from guavapin.scheduling.messages import SendOrder
+    from guavapin.scheduling.host import Host
 
 
 class HeldPollSimulation(Simulation):
@@ -86,3 +87,64 @@
     sim.executors["e1"].end(subtask, EndKind.DONE)
     sim.advance(150)
     assert sim.scheduler.jobs.by_id["a" * 16].visible_state is JobState.SUCCEEDED
+
+
+def lose_a_start(sim: HeldPollSimulation) -> Host:
+    """Return a host that runs nothing, and may still receive a start."""
+    sim.executors["e1"].is_reachable = False
+    sim.submit(make_job())
+    job_run = sim.scheduler.jobs.by_id["0" * 16]
+    sim.scheduler.jobs.close(job_run, JobState.CANCELLED)
+    sim.run()
+    sim.executors["e1"].is_reachable = True
+    sim.advance(4_000)
+    host = sim.scheduler.hosts.by_id["e1"]
+    assert not host.runs
+    return host
+
+
+def test_an_idle_host_is_polled_while_a_start_may_come_late(
+    sim: HeldPollSimulation,
+) -> None:
+    # Guards against a restart that stays unseen for seconds while a start that its
+    # former life has refused may arrive, and against polls that go on afterwards.
+    host = lose_a_start(sim)
+    looks: list[Look] = []
+    sim.on_action = lambda action: (
+        looks.append(action.context.order)
+        if isinstance(action, SendOrder) and isinstance(action.context.order, Look)
+        else None
+    )
+    sim.advance(6_000)
+    assert host.is_poll_pending
+    assert 9 <= len(looks) <= 12
+    sim.advance(4_000)
+    looks.clear()
+    sim.advance(7_000)
+    assert len(looks) <= 1
+
+
+def test_a_lost_poll_of_an_idle_host_does_not_keep_work_from_it(
+    sim: HeldPollSimulation,
+) -> None:
+    # Guards against hosts that take less work the more often they are polled, while
+    # some of their orders stay without an answer.
+    host, executor = lose_a_start(sim), sim.executors["e1"]
+    looks: list[Look] = []
+
+    def answer_again(action: object) -> None:
+        if isinstance(action, SendOrder) and isinstance(action.context.order, Look):
+            looks.append(action.context.order)
+            executor.is_reachable = True
+
+    executor.is_reachable = False
+    sim.on_action = answer_again
+    while not looks:
+        sim.advance(50)
+        assert host.is_usable(sim.now_ms)
+    assert looks[0].wait_ms == 0
+    assert host.is_usable(sim.now_ms)
+    executor.is_reachable = False
+    sim.on_action = lambda action: None
+    sim.advance(1_000)
+    assert not host.is_usable(sim.now_ms)
