Count the longest lease on silent hosts that may have restarted

A predecessor that cannot reach the store sends orders for up to 6 s after its successor has begun. If it read an executor, which started again under its id before the start arrived, the run was kept for the longest lease, 10 s, while the successor counted the given one, 6 s: two runs for 3,250 ms, if the executor never answered the successor.

Inherited jobs now wait for 16.5 s instead of 12.3 s, but only in pools with a host that has not answered, was not handed over, and may have started again since the takeover, and in all pools while the machines are not listed. Such a host is not handed over as empty in that time either. Entries that the executor has written in this term rule that out if its own clock advances by 6 s between the first and the last of them, in the life in which the term found it; an entry that was only read again does not count. Executors that answered before they were removed no longer hold their pool in this time. Where the longest lease is the given one, nothing changes.

Two other ways were weighed. A predecessor that sends no starts while its lease is unconfirmed would keep the wait at 12.3 s. No means of the protocol makes a new life refuse such a start: its id is the same, and it has seen no fence, attempt or clock.

Where the host answers within 12.3 s of the takeover, as after shorter cuts, nothing waits longer.

Caps of organisations count unseen runs for 12.3 s as before: the deployments with caps have a longest lease of 6 s.

Of the new test with three kinds of evidence, two failed before. tests/scheduling and tests/model pass.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -46,9 +46,14 @@
         # the registry may still name it.
         self.former_born_ms = 0
         self.is_registered = True
+        self.known_ms = now_ms
         # Time at which its registration was last written again in this term, 0 if it
         # was not.
         self.renewed_ms = 0
+        # Executor's clock in the first registration that was written after the host
+        # became known, 0 before, and the time on it from then until the last one.
+        self._first_renewal_clock_ms = 0
+        self.renewal_span_ms = 0
         self.runs: dict[RunKey, Run] = {}
         # Runs of `runs` that are to be stopped.
         self.unwanted_runs: dict[RunKey, Run] = {}
@@ -149,6 +154,13 @@
 
     def update_registration(self, registration: Registration, now_ms: int) -> None:
         """Replace the registration, and recompute the free resources."""
+        # A list of the registry may contain the same entry again.
+        is_written_again = registration.clock_ms > self.registration.clock_ms > 0
+        if is_written_again and registration.born_ms == self.born_ms:
+            if not self._first_renewal_clock_ms:
+                self._first_renewal_clock_ms = registration.clock_ms
+            span_ms = registration.clock_ms - self._first_renewal_clock_ms
+            self.renewal_span_ms = max(self.renewal_span_ms, span_ms)
         self.registration = registration
         self.is_registered = True
         self.renewed_ms = now_ms
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -28,6 +28,7 @@
 from guavapin.scheduling.room_index import RoomIndex
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
+from guavapin.scheduling.term import MAX_UNCONFIRMED_MS
 from guavapin.scheduling.unservable import shapes_of_fleet
 
 if TYPE_CHECKING:
@@ -117,8 +118,11 @@
         self._listed_capacities: dict[str, Resources] = {}
         # Capacities of the other machines in that list, None if they are not known.
         self.off_capacities: tuple[Resources, ...] | None = None
-        # Result of `unresolved_pools`, None after a change that may affect it.
-        self._unresolved: set[str] | None = None
+        # Pools with hosts whose runs are not known, by whether `resolve_by_ms` has
+        # passed; empty after a change that may affect them.
+        self._unresolved: dict[bool, set[str]] = {}
+        # Executors whose hosts were removed after they had answered.
+        self._answered_ids: set[str] = set()
         # Hosts that have answered, but have never listed all ends of their runs.
         self._partly_known: set[Host] = set()
         # Leases of removed hosts, whose executors may register again under their ids.
@@ -159,7 +163,7 @@
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
         host.update_registration(registration, self._term.now_ms)
-        self._unresolved = None
+        self._unresolved.clear()
 
     def _new_lease(self, registration: Registration) -> HostLease:
         """Return the lease of a host that is added.
@@ -215,7 +219,7 @@
 
     def _add(self, host: Host) -> None:
         self.by_id[host.executor_id] = host
-        self._unresolved = None
+        self._unresolved.clear()
         extra = {"executor": host.executor_id, "pool": host.pool}
         log.info("host known", extra={**extra, "runs": len(host.runs)})
 
@@ -225,23 +229,34 @@
         A host that is cut off from the store loses its registration while its runs
         continue; only the platform's list of machines still shows it.
         """
-        if self._term.now_ms >= self._term.resolve_by_ms:
-            return {
-                host.pool for host in self._partly_known if self._may_hide_ends(host)
-            }
+        term = self._term
+        is_late = term.now_ms >= term.resolve_by_ms
+        if not is_late:
+            return self._pools_of_unknown_runs(is_late)
+        hiding = {host.pool for host in self._partly_known if self._may_hide_ends(host)}
+        if term.now_ms >= term.resolve_restarts_by_ms:
+            return hiding
+        return hiding | self._pools_of_unknown_runs(is_late)
+
+    def _pools_of_unknown_runs(self, is_late: bool) -> set[str]:
         if self._listed_pools is None:
             return {pool.name for pool in self._term.table.pools}
-        if self._unresolved is None:
-            self._unresolved = {
+        pools = self._unresolved.get(is_late)
+        if pools is None:
+            answered = self._answered_ids if is_late else frozenset()
+            pools = {
                 host.pool
                 for host in self.by_id.values()
-                if not self.are_runs_known(host) and self._may_be_up(host)
+                if not (is_late and host in self._partly_known)
+                and not self.are_runs_known(host)
+                and self._may_be_up(host)
             } | {
                 pool
                 for executor_id, pool in self._listed_pools.items()
-                if executor_id not in self.by_id
+                if executor_id not in self.by_id and executor_id not in answered
             }
-        return self._unresolved
+            self._unresolved[is_late] = pools
+        return pools
 
     def refresh_unseen(self) -> None:
         """Update the capacity on which runs of a predecessor may be unknown.
@@ -291,13 +306,30 @@
         """Return whether nothing may run on a host that is not in its `runs`."""
         if host.has_answered or host.is_handed_over:
             return True
-        is_resolved = self._term.now_ms >= self._term.resolve_by_ms
-        return is_resolved and not self._may_hide_ends(host)
+        return self._is_resolved(host) and not self._may_hide_ends(host)
+
+    def _is_resolved(self, host: Host) -> bool:
+        """Return whether no lease of a predecessor can be left on a silent host.
+
+        Entries which the executor has written since the takeover show that it is still
+        in its life of then, if they span the time in which a predecessor gives leases.
+        """
+        term = self._term
+        if term.now_ms < term.resolve_by_ms:
+            return False
+        is_same_life = (
+            host.born_ms > 0
+            and host.known_ms <= term.began_ms
+            and host.renewal_span_ms >= MAX_UNCONFIRMED_MS
+        )
+        is_answering = host in self._partly_known
+        is_over = term.now_ms >= term.resolve_restarts_by_ms
+        return is_same_life or is_answering or is_over
 
     def mark_handed_over(self, host: Host) -> None:
         """Record that a predecessor has handed over all that may run on a host."""
         host.is_handed_over = True
-        self._unresolved = None
+        self._unresolved.clear()
 
     @property
     def are_machines_known(self) -> bool:
@@ -326,7 +358,7 @@
         self.off_capacities = off
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
-        self._unresolved = None
+        self._unresolved.clear()
 
     def tick(self) -> None:
         """Poll due hosts, remove the runs of ended leases, and repeat due stops."""
@@ -593,7 +625,7 @@
         if host.unanswered:
             log.info("host answers again", extra={"executor": host.executor_id})
         if not host.has_answered:
-            self._unresolved = None
+            self._unresolved.clear()
             if report.has_all_ends:
                 self._partly_known.discard(host)
             else:
@@ -777,7 +809,9 @@
             del self.by_id[host.executor_id]
             self._partly_known.discard(host)
             host.mark_removed()
-            self._unresolved = None
+            if host.has_answered:
+                self._answered_ids.add(host.executor_id)
+            self._unresolved.clear()
             now_ms = self._term.now_ms
             leases = {**self._former_leases, host.executor_id: host.lease}
             self._former_leases = {
--- a/src/guavapin/scheduling/term.py
+++ b/src/guavapin/scheduling/term.py
@@ -59,6 +59,11 @@
         # Until this time, a host that has not answered may run subtasks of an earlier
         # scheduler: that one may have extended leases during a store outage.
         self.resolve_by_ms = now_ms + MAX_UNCONFIRMED_MS + round(given_ms * 1.05)
+        # The same for an executor that may have started again during this time: a lease
+        # that was given by its former clock lasts as long as the executor permits.
+        longest_ms = round(times.max_lease_ms * 1.05)
+        self.resolve_restarts_by_ms = now_ms + MAX_UNCONFIRMED_MS + longest_ms
+        self.began_ms = now_ms
         # Set while the store cannot be reached; another term may have begun by then.
         self.is_unconfirmed = False
         self.actions: list[Action] = []
--- a/tests/scheduling/test_lease_evidence.py
+++ b/tests/scheduling/test_lease_evidence.py
@@ -306,6 +306,34 @@
     assert sim.longest_overlap_ms == 0
 
 
+@pytest.mark.parametrize("evidence", ["renewed", "repeated", "restarted"])
+def test_a_silent_host_that_renews_its_entry_holds_inherited_jobs_no_longer(
+    evidence: str,
+) -> None:
+    # Guards against inherited jobs that wait for the longest lease beside a host that
+    # has shown that it is in its life of before, and against waiting less for an entry
+    # that was only read again, or beside a new life.
+    sim = HeldSimulation()
+    executor = sim.executors["e1"]
+    sim.jobs[JOB] = make_job(JOB, Step(1, SMALL, 60_000))
+    sim.take_over(9)
+    executor.is_reachable = False
+    sim.list_machines()
+    for second in range(12):
+        if evidence == "restarted" and second == 2:
+            executor.restart_at(sim.now_ms)
+        written_ms = sim.now_ms if evidence != "repeated" else 1_000
+        clock_ms = executor.clock_ms(written_ms)
+        entry = replace(executor.registration(), clock_ms=clock_ms)
+        sim.scheduler.hosts.register(entry)
+        sim.advance(1_000)
+    sim.advance(500)
+    is_held = evidence != "renewed"
+    assert (sim.running() == []) == is_held
+    sim.advance(4_200)
+    assert [name for _, name in sim.running()] == ["e2"]
+
+
 def test_a_late_start_in_a_later_life_is_waited_for_if_its_entry_is_read() -> None:
     # Guards against a second run beside one whose start was under way while its
     # executor started again, if the registry has shown that.
