--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -28,6 +28,7 @@
 from guavapin.scheduling.room_index import RoomIndex
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
+from guavapin.scheduling.term import MAX_UNCONFIRMED_MS
 from guavapin.scheduling.unservable import shapes_of_fleet
 
 if TYPE_CHECKING:
@@ -54,6 +55,11 @@
 # may disturb other runs, and the load figures of an answer cover the last half second.
 FILLER_POLL_WAIT_MS = 500
 
+# Time for which a host holds a poll open on which nothing runs, but a start may come
+# late. A lost one ends while the reading before it still counts, so that no start waits
+# for it.
+WATCH_POLL_WAIT_MS = 500
+
 # Interval between an answer and the next poll of a busy host. Ends that occur within
 # it share one answer.
 POLL_INTERVAL_MS = 40
@@ -120,8 +126,11 @@
         self._first_listed: frozenset[str] = frozenset()
         # Capacities of the other machines in that list, None if they are not known.
         self.off_capacities: tuple[Resources, ...] | None = None
-        # Result of `unresolved_pools`, None after a change that may affect it.
-        self._unresolved: set[str] | None = None
+        # Pools with hosts whose runs are not known, by whether `resolve_by_ms` has
+        # passed; empty after a change that may affect them.
+        self._unresolved: dict[bool, set[str]] = {}
+        # Executors whose hosts were removed after they had answered.
+        self._answered_ids: set[str] = set()
         # Hosts that have answered, but have never listed all ends of their runs.
         self._partly_known: set[Host] = set()
         # Leases of removed hosts, whose executors may register again under their ids.
@@ -162,7 +171,7 @@
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
         host.update_registration(registration, self._term.now_ms)
-        self._unresolved = None
+        self._unresolved.clear()
 
     def _new_lease(self, registration: Registration) -> HostLease:
         """Return the lease of a host that is added.
@@ -218,7 +227,7 @@
 
     def _add(self, host: Host) -> None:
         self.by_id[host.executor_id] = host
-        self._unresolved = None
+        self._unresolved.clear()
         extra = {"executor": host.executor_id, "pool": host.pool}
         log.info("host known", extra={**extra, "runs": len(host.runs)})
 
@@ -228,19 +237,32 @@
         A host that is cut off from the store loses its registration while its runs
         continue; only the platform's list of machines still shows it.
         """
-        if self._term.now_ms >= self._term.resolve_by_ms:
-            return {
-                host.pool for host in self._partly_known if self._may_hide_ends(host)
-            }
+        term = self._term
+        is_late = term.now_ms >= term.resolve_by_ms
+        if not is_late:
+            return self._pools_of_unknown_runs(is_late)
+        hiding = {host.pool for host in self._partly_known if self._may_hide_ends(host)}
+        if term.now_ms >= term.resolve_restarts_by_ms:
+            return hiding
+        return hiding | self._pools_of_unknown_runs(is_late)
+
+    def _pools_of_unknown_runs(self, is_late: bool) -> set[str]:
         if self._listed_pools is None:
             return {pool.name for pool in self._term.table.pools}
-        if self._unresolved is None:
-            self._unresolved = {
+        pools = self._unresolved.get(is_late)
+        if pools is None:
+            answered = self._answered_ids if is_late else frozenset()
+            pools = {
                 host.pool
                 for host in self.by_id.values()
-                if not self.are_runs_known(host) and self._may_be_up(host)
-            } | {self._listed_pools[name] for name in self._unseen_executors()}
-        return self._unresolved
+                if not (is_late and host in self._partly_known)
+                and not self.are_runs_known(host)
+                and self._may_be_up(host)
+            } | {
+                self._listed_pools[name] for name in self._unseen_executors() - answered
+            }
+            self._unresolved[is_late] = pools
+        return pools
 
     def _unseen_executors(self) -> frozenset[str]:
         """Return the listed executors that may run what a predecessor started.
@@ -299,8 +321,25 @@
         """Return whether nothing may run on a host that is not in its `runs`."""
         if host.has_answered or host.is_handed_over:
             return True
-        is_resolved = self._term.now_ms >= self._term.resolve_by_ms
-        return is_resolved and not self._may_hide_ends(host)
+        return self._is_resolved(host) and not self._may_hide_ends(host)
+
+    def _is_resolved(self, host: Host) -> bool:
+        """Return whether no lease of a predecessor can be left on a silent host.
+
+        Entries which the executor has written since the takeover show that it is still
+        in its life of then, if they span the time in which a predecessor gives leases.
+        """
+        term = self._term
+        if term.now_ms < term.resolve_by_ms:
+            return False
+        is_same_life = (
+            host.born_ms > 0
+            and host.known_ms <= term.began_ms
+            and host.renewal_span_ms >= MAX_UNCONFIRMED_MS
+        )
+        is_answering = host in self._partly_known
+        is_over = term.now_ms >= term.resolve_restarts_by_ms
+        return is_same_life or is_answering or is_over
 
     def mark_handed_over(self, host: Host, was_listed: bool) -> None:
         """Record that a predecessor has handed over all that may run on a host.
@@ -308,7 +347,7 @@
         `was_listed` is set if its last list of machines named the executor.
         """
         host.is_handed_over = True
-        self._unresolved = None
+        self._unresolved.clear()
         if was_listed:
             self._formerly_listed.add(host)
 
@@ -350,7 +389,7 @@
             self._first_listed = frozenset(listed_pools)
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
-        self._unresolved = None
+        self._unresolved.clear()
         formerly_listed, self._formerly_listed = self._formerly_listed, set()
         for host in formerly_listed:
             if host.executor_id not in listed_pools:
@@ -552,6 +591,10 @@
         self, host: Host, context: OrderContext, no_answer: NoAnswer
     ) -> None:
         now_ms = self._term.now_ms
+        if self._may_lose(host, context.order):
+            host.has_lost_poll = True
+            host.next_poll_ms = now_ms
+            return
         host.record_no_answer(now_ms)
         if isinstance(context.order, Look):
             host.next_poll_ms = now_ms + POLL_RETRY_MS
@@ -571,6 +614,16 @@
             self._handle_unanswered_start(host, run, no_answer)
         self._drop_waiting_starts(host)
 
+    def _may_lose(self, host: Host, order: Order) -> bool:
+        """Return whether a lost order is no sign yet that a host does not answer.
+
+        That holds for a poll that an idle host held open: a short one follows at once.
+        Other idle hosts are hardly polled, and stay usable beside lost orders.
+        """
+        is_held = isinstance(order, Look) and order.wait_ms > 0
+        is_idle = not host.runs and not host.unanswered
+        return is_held and is_idle
+
     def _is_clock_known(self, host: Host) -> bool:
         """Return whether a start may give a lease by the last reading of the clock."""
         now_ms = self._term.now_ms
@@ -624,7 +677,7 @@
         if host.unanswered:
             log.info("host answers again", extra={"executor": host.executor_id})
         if not host.has_answered:
-            self._unresolved = None
+            self._unresolved.clear()
             if report.has_all_ends:
                 self._partly_known.discard(host)
             else:
@@ -712,9 +765,12 @@
     def _poll_if_needed(self, host: Host) -> None:
         now_ms = self._term.now_ms
         is_clock_old = now_ms - host.clock_read_ms >= IDLE_POLL_INTERVAL_MS
+        # A restart breaks off a pending poll, so that the next life is told early to
+        # refuse a start that may come late.
+        is_watched = host.runs or host.lease.unanswered_starts
         is_needed = (
             not host.has_answered
-            or host.runs
+            or is_watched
             or host.unanswered
             or host.confirmed > host.acknowledged
             or (is_clock_old and host.is_registered)
@@ -728,8 +784,12 @@
             and not host.waiting_starts
         )
         # The first answer must not wait for an end: the host may be needed.
-        is_waiting = host.runs and host.has_answered and is_extending
+        is_waiting = (
+            is_watched and host.has_answered and is_extending and not host.has_lost_poll
+        )
         wait_ms = POLL_WAIT_MS if is_waiting else 0
+        if wait_ms and not host.runs:
+            wait_ms = WATCH_POLL_WAIT_MS
         if wait_ms and host.has_fillers:
             wait_ms = FILLER_POLL_WAIT_MS
         until_ms = 0
@@ -802,7 +862,9 @@
             del self.by_id[host.executor_id]
             self._partly_known.discard(host)
             host.mark_removed()
-            self._unresolved = None
+            if host.has_answered:
+                self._answered_ids.add(host.executor_id)
+            self._unresolved.clear()
             now_ms = self._term.now_ms
             leases = {**self._former_leases, host.executor_id: host.lease}
             self._former_leases = {
