Take back the answers to pipelined requests at a stop

The fault that mended is open again: a request that was read behind one whose answer had begun before the stop ends without an answer.

--- a/src/guavapin/serving/caller_connection.py
+++ b/src/guavapin/serving/caller_connection.py
@@ -378,12 +378,9 @@
         self.is_body_paused = False
         self._request_held_bytes = 0
         self.has_served = True
-        parser = self.parser
-        # At a stop, what has been read of a next request is answered if this answer has
-        # not announced a close.
-        is_kept = not (self._owner.is_stopping and parser.is_between_requests)
-        if encoder is not None and not encoder.closes and is_kept:
+        if encoder is not None and not encoder.closes and not self._owner.is_stopping:
             return
+        parser = self.parser
         if self._is_request_read and not (parser.events or parser.has_rest):
             self.close()
             return
