Wait again for executors that the first list left out

A list may leave out an executor that is up. That they wait for executors that came up in the term is open again, as read before.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -122,8 +122,6 @@
         # Hosts that the last list of a predecessor named, until the first list.
         self._formerly_listed: set[Host] = set()
         self._listed_capacities: dict[str, Resources] = {}
-        # Executors in the first list of the term.
-        self._first_listed: frozenset[str] = frozenset()
         # Capacities of the other machines in that list, None if they are not known.
         self.off_capacities: tuple[Resources, ...] | None = None
         # Pools with hosts whose runs are not known, by whether `resolve_by_ms` has
@@ -265,13 +263,12 @@
         return pools
 
     def _unseen_executors(self) -> frozenset[str]:
-        """Return the listed executors that may run what a predecessor started.
+        """Return the listed executors without a registration.
 
-        Their entries are missing. An executor that is not in the first list came up
-        during this term, when no predecessor started anything on it.
+        They may run what a predecessor started. A list may leave out an executor that
+        is up, so that one which a later list names is no newer than the term.
         """
-        listed = self._listed_pools or {}
-        return (self._first_listed & listed.keys()) - self.by_id.keys()
+        return frozenset(self._listed_pools or ()) - self.by_id.keys()
 
     def refresh_unseen(self) -> None:
         """Update the capacity on which runs of a predecessor may be unknown.
@@ -289,7 +286,7 @@
     def _unseen_capacity(self) -> Resources | None:
         """Return the capacity of the hosts whose runs are not known, None if unknown.
 
-        An executor that was listed first and has no registration is such a host too.
+        An executor that is listed and has no registration is such a host too.
         """
         if self._listed_pools is None:
             return None
@@ -385,8 +382,6 @@
         the capacities of the machines without an executor, None if unknown.
         """
         self.off_capacities = off
-        if self._listed_pools is None:
-            self._first_listed = frozenset(listed_pools)
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self._unresolved.clear()
