Let the next list decide about hosts while the lease is not sure

Such a host stays noted, and the next list decides.

test_a_machine_that_one_list_left_out_without_a_sure_lease_is_kept failed before with a KeyError: the host was gone.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -399,11 +399,15 @@
         is_silent = not host.renewed_ms and not host.reported_ms
         if self.by_id.get(host.executor_id) is not host or not is_silent:
             return
+        if self._term.is_unconfirmed:
+            # The next list decides, since nothing may be dropped now.
+            self._formerly_listed.add(host)
+            return
         runs = [*host.runs.values()]
         ended = [run for run in runs if run.phase is not RunPhase.UNSETTLED]
         if len(ended) == len(runs):
             self.end_incarnation(host, reason)
-        elif not self._term.is_unconfirmed:
+        else:
             self._remove_runs(host, ended, reason)
 
     def tick(self) -> None:
--- a/tests/scheduling/test_handover.py
+++ b/tests/scheduling/test_handover.py
@@ -136,6 +136,33 @@
     assert jobs_started(sim).count(JOB) == starts
 
 
+def test_a_machine_that_one_list_left_out_without_a_sure_lease_is_kept(
+    sim: Simulation,
+) -> None:
+    # Guards against second runs (TWICE) once the lease is sure again, of an executor
+    # that has answered meanwhile.
+    silent = cut_off_and_hand_over(sim)
+    handed = {row.executor_id: row for row in collect_hosts(sim.scheduler.hosts)}
+    sim.take_over(11)
+    sim.scheduler.apply_handover((handed[silent],))
+    (removal,) = sim.scheduler.term.drain_actions()
+    sim.scheduler.handle_stored(removal.entry.tags[0])
+    left_out = sim.executors.pop(silent)
+    sim.scheduler.term.is_unconfirmed = True
+    sim.list_machines()
+    sim.executors[silent] = left_out
+    left_out.is_reachable = True
+    sim.list_machines()
+    sim.advance(500)
+    sim.scheduler.hosts.register(left_out.registration())
+    sim.advance(500)
+    host = sim.scheduler.hosts.by_id[silent]
+    assert host.has_answered and host.runs
+    sim.scheduler.term.is_unconfirmed = False
+    sim.advance(50)
+    assert sim.scheduler.hosts.by_id[silent] is host
+
+
 def test_an_end_that_is_not_stored_is_handed_over(sim: Simulation) -> None:
     # Guards against a subtask that runs again after its host has listed its end.
     sim.is_store_down = True
