Start no request while a process answers what is pending

Nothing is dispatched any more once the process ends; the order of the ends does not matter then.

test_no_request_is_started_while_the_process_ends failed before with one StartAttempt. tests/serving/test_exchange_claims.py passes.

--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -137,8 +137,7 @@
     def answer_pending(self) -> None:
         """End all requests, and from now on refuse each new one."""
         self._is_ending = True
-        # Each end dispatches, so that those without an attempt end first.
-        for exchange in sorted(self._exchanges.values(), key=lambda row: row.attempts):
+        for exchange in [*self._exchanges.values()]:
             self.apply(state_machine.on_process_end(exchange))
 
     def on_retry_due(self, request_id: int) -> None:
@@ -193,7 +192,8 @@
     def dispatch(self, pool_name: str) -> None:
         """Start waiting requests of the pool while it has free slots."""
         self._pools_to_dispatch.add(pool_name)
-        if self._is_dispatching:
+        # At the end of the process, each request is about to be answered as it is.
+        if self._is_dispatching or self._is_ending:
             return
         self._is_dispatching = True
         while self._pools_to_dispatch:
--- a/tests/serving/test_exchange_claims.py
+++ b/tests/serving/test_exchange_claims.py
@@ -170,3 +170,17 @@
     assert [message.request_id for message in rig.pop_sent(RecordUnknown)] == [1]
     assert ReleaseClaim(2) in rig.pop_sent(ReleaseClaim)
     assert len(rig.pop_sent(StartAttempt)) == 1
+
+
+def test_no_request_is_started_while_the_process_ends() -> None:
+    """Guards against a "not run" for a request that was sent in the same moment."""
+    rig = Rig(make_objects(hosts=3, slots=1), claims_service="claims")
+    rig.request(1, "POST", idempotency_key="k1")
+    for request_id in (2, 3, 4):
+        rig.request(request_id)
+    first = rig.pop_sent(StartAttempt)[0]
+    rig.end(first.attempt_id, AttemptResult.NOT_SENT)
+    rig.harness.advance(1_000)
+    rig.pop_sent(StartAttempt)
+    rig.task.handle(AnswerPending())
+    assert rig.pop_sent(StartAttempt) == []
