--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -199,7 +199,9 @@
         self._follow_id += 1
         self._revision = revision
         self._listed_items = []
-        self._is_arriving = False
+        if self._is_arriving:
+            self._is_arriving = False
+            self._notify(PrefixLost(self._prefix))
         self._call()
 
     def _call(self) -> None:
--- a/tests/keyvalue/test_follower.py
+++ b/tests/keyvalue/test_follower.py
@@ -120,3 +120,11 @@
     assert sent[-1].after_revision == 9
     rig.follower.handle(kv.Reply(before.request_id, kv.Unknown("abandoned")))
     assert rig.last_request() is sent[-1]
+
+
+def test_an_abandoned_answer_is_no_longer_said_to_arrive() -> None:
+    # Guards against a reader that waits for a large answer which was abandoned.
+    rig = Rig()
+    rig.follower.handle(LongAnswer(rig.last_request().request_id))
+    rig.follower.handle(ContinueFrom(9))
+    assert rig.told()[-1] == PrefixLost("p/")
