Describe no changes from a table that repeats a key

The check of the new table now covers the base too.

Changes of several versions had the organisations in full in each: eight of them were 4.2 MB for a table of 0.5 MB, close to the limit of an answer. Only the last ones are sent.

test_changes_of_a_table_that_repeats_a_key_are_not_known and test_changes_have_the_organisations_once failed before.

--- a/src/guavapin/jobs/table_changes.py
+++ b/src/guavapin/jobs/table_changes.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from guavapin.jobs.queues import QueueTable
@@ -46,7 +47,8 @@
     Returns None if a key stands for several queues, which changes cannot describe.
     """
     keys = {queue.key for queue in table.queues}
-    if len(keys) < len(table.queues):
+    base_keys = {queue.key for queue in base.queues}
+    if len(keys) < len(table.queues) or len(base_keys) < len(base.queues):
         return None
     return TableChanges(
         base=base.version,
@@ -92,5 +94,12 @@
 
     def since(self, version: int) -> tuple[TableChanges, ...]:
         """Return all changes after a version, () if they are not known."""
-        changes = tuple(row for row in self._changes if row.base >= version)
-        return changes if changes and changes[0].base == version else ()
+        changes = [row for row in self._changes if row.base >= version]
+        if not changes or changes[0].base != version:
+            return ()
+        # Organisations are given in full, so that only the last ones are needed.
+        given = [row for row in changes if row.organisations is not None]
+        return tuple(
+            replace(row, organisations=None) if row in given[:-1] else row
+            for row in changes
+        )
--- a/tests/jobs/test_table_record.py
+++ b/tests/jobs/test_table_record.py
@@ -8,8 +8,11 @@
 
 import pytest
 
+from guavapin.jobs.model import Resources
+from guavapin.jobs.organisations import Organisation
 from guavapin.jobs.queues import Queue
 from guavapin.jobs.queues import QueueTable
+from guavapin.jobs.table_changes import ChangeHistory
 from guavapin.jobs.table_changes import apply_changes
 from guavapin.jobs.table_changes import find_changes
 from guavapin.jobs.table_faults import MAX_KEY_BYTES
@@ -116,3 +119,28 @@
     fault = find_organisation_fault(rows)
     assert text in fault
     assert bool(fault) == bool(text)
+
+
+def test_changes_of_a_table_that_repeats_a_key_are_not_known() -> None:
+    # Guards against a removed public queue that goes on beside one with its key.
+    public = Queue("a1", "h", "/q/", "pool", is_public=True)
+    other = Queue("a2", "h", "/q/", "pool")
+    base, table = QueueTable(2, (public, other)), QueueTable(3, (other,))
+    assert find_changes(base, table) is None
+
+
+def test_changes_have_the_organisations_once() -> None:
+    # Guards against changes that are many times as long as the table.
+    history = ChangeHistory()
+    tables = [
+        QueueTable(n, (), (), (Organisation(f"o{n}", 1.0, Resources()),))
+        for n in range(4)
+    ]
+    for base, table in itertools.pairwise(tables):
+        history.add(find_changes(base, table))
+    changes = history.since(0)
+    assert [row.organisations is None for row in changes] == [True, True, False]
+    changed = tables[0]
+    for row in changes:
+        changed = apply_changes(changed, row)
+    assert changed == tables[-1]
