--- a/tests/metrics/test_logs.py
+++ b/tests/metrics/test_logs.py
@@ -13,6 +13,7 @@
 from guavapin.duties.task import DutyTask
 from guavapin.kernel.harness import TaskHarness
 from guavapin.metrics.logs import configure_logs
+from guavapin.metrics.prompt_handler import PromptHandler
 from guavapin.objects.model import ObjectSet
 from guavapin.serving.messages import AttemptResult
 from guavapin.serving.messages import StartAttempt
@@ -59,16 +60,40 @@
         configure_logs("info", "e0", stream)
         log = logging.getLogger("guavapin.test")
         thread = threading.Thread(
-            target=lambda: [log.info("x" * 9_000) for _ in range(20)], daemon=True
+            target=lambda: [log.info("x" * 9_000) for _ in range(60)], daemon=True
         )
         thread.start()
         thread.join(5)
         assert not thread.is_alive()
         data = out.read(1 << 20)
         log.info("after")
-        rows = [json.loads(row) for row in (data + out.read(1 << 20)).splitlines()]
+        (handler,) = logging.getLogger("guavapin").handlers
+        while not data.endswith(b"\n") or b"after" not in data:
+            data += out.read(1 << 20)
+            handler.flush()
+        rows = [json.loads(row) for row in data.splitlines()]
     assert [row["message"] for row in rows[-1:]] == ["after"]
-    assert len(rows) + rows[-1]["lines_lost"] == 21
+    assert len(rows) + rows[-1]["lines_lost"] == 61
+    # What the pipe and the handler hold is not lost.
+    assert len(rows) > 262_144 // 9_200
+
+
+def test_a_slow_reader_loses_no_line_and_gets_the_last_one_at_the_end() -> None:
+    # Guards against lines that are dropped, or cut, since a pipe is full for a moment.
+    reader, writer = os.pipe()
+    with os.fdopen(reader, "rb", 0) as out:
+        handler = PromptHandler(writer)
+        for _ in range(20):
+            handler.handle(logging.makeLogRecord({"msg": "y" * 9_000}))
+        data = out.read(1 << 20)
+        handler.flush()
+        data += out.read(1 << 20)
+        handler.flush()
+        data += out.read(1 << 20)
+        handler.close()
+        os.close(writer)
+        data += out.read(1 << 20)
+    assert data == (b"y" * 9_000 + b"\n") * 20
 
 
 def test_ready_and_unready_are_logged_once(lines):
