--- a/src/guavapin/machines/order_record.py
+++ b/src/guavapin/machines/order_record.py
@@ -56,8 +56,8 @@
         # Time at which the last order of each machine has ended at the latest.
         self._ordered_until_ms: dict[str, int] = {}
         self._unsettled: set[str] = set()
-        # Number of orders that were sent for each machine since one was settled. The
-        # platform reports a repeated order as carried out if an earlier one was.
+        # Number of orders that were sent for each unsettled machine. The platform
+        # reports a repeated order as carried out if an earlier one was.
         self._sent_orders: Counter[str] = Counter()
         self._stored = RecordedOrders()
         self._in_flight: RecordWrite | None = None
@@ -74,7 +74,7 @@
         self._is_loaded = True
         self._stored, self._revision = orders, revision
         self._unsettled = set(orders.unsettled)
-        self._sent_orders = Counter(orders.machines)
+        self._sent_orders = Counter(orders.unsettled)
         self._ordered_until_ms = dict.fromkeys(orders.machines, now_ms)
 
     def add(self, machine: str, until_ms: int) -> None:
@@ -111,6 +111,8 @@
         }
         machines = frozenset(self._ordered_until_ms)
         self._unsettled &= machines
+        for machine in self._sent_orders.keys() - machines:
+            del self._sent_orders[machine]
         orders = RecordedOrders(machines, frozenset(self._unsettled))
         stored = self._stored
         is_prune = machines <= stored.machines and orders.unsettled <= stored.unsettled
