--- a/tests/machines/test_order_record.py
+++ b/tests/machines/test_order_record.py
@@ -66,6 +66,22 @@
     assert not record.covers("done") and "done" in write.orders.machines
 
 
+def test_an_order_that_was_done_before_settles_nothing() -> None:
+    # Guards against a successor that orders a machine too early: the platform reports
+    # an order as carried out if that of an earlier holder was.
+    record = loaded("m")
+    later_ms = SEPARATION_MS + PRUNE_INTERVAL_MS
+    record.next_write(later_ms)
+    record.apply_written(5)
+    record.add("m", later_ms + 1_500)
+    record.next_write(later_ms)
+    record.apply_written(6)
+    record.count_sent("m")
+    record.settle("m")
+    record.next_write(later_ms + 2 * PRUNE_INTERVAL_MS)
+    assert record.covers("m")
+
+
 def test_a_machine_that_is_being_removed_is_not_covered() -> None:
     # Guards against an order for a machine that leaves the record meanwhile.
     record = loaded("m", now_ms=0)
