Log each start and the evidence for the run that it replaces

Operators saw two attempts of a subtask on two executors and no line that says why the first one was given up: starts had no line, and "run lost" has neither the attempt nor its age. Lines above the rate limit were left out whatever they were about.

Each start has a line "run ordered" now, with the life of the executor and, if it replaces a lost run, that run, the reason and the ages. Lines about runs have a rate limit of their own, so that a flood of others leaves none out.

The tests of the two lines failed before: there was no such line, and 2,000 other lines left "run lost" out. The test of counted decisions has the new line in its expected set.

--- a/src/guavapin/metrics/resident.py
+++ b/src/guavapin/metrics/resident.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -17,6 +16,8 @@
 from prometheus_client import Histogram
 from prometheus_client import generate_latest
 
+from guavapin.metrics.line_budget import LineBudget
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -25,6 +26,27 @@
 MAX_LINES_PER_SECOND = 300
 MAX_BURST_LINES = 600
 
+# The same for the lines that show where each subtask runs and why. One missing line
+# leaves a second start of a subtask unexplained, so other lines do not use them up.
+# Starts of a large fleet come in bursts of some thousands.
+MAX_RUN_LINES_PER_SECOND = 300
+MAX_RUN_BURST_LINES = 3_000
+RUN_MESSAGES = frozenset(
+    {
+        "host answers after all",
+        "host gone",
+        "host known",
+        "host may have ended",
+        "leases ended",
+        "run adopted",
+        "run ended",
+        "run lost",
+        "run of an ended job ended",
+        "run ordered",
+        "start refused",
+    }
+)
+
 # Buckets of callers' waiting times in seconds. Most answers need one write to the
 # store, and callers time out after about three seconds.
 CALL_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0)
@@ -117,8 +139,8 @@
             ("listener", "cause"),
             registry=self._registry,
         )
-        self._tokens = float(MAX_BURST_LINES)
-        self._refilled_s = time.monotonic()
+        self._lines = LineBudget(MAX_LINES_PER_SECOND, MAX_BURST_LINES)
+        self._run_lines = LineBudget(MAX_RUN_LINES_PER_SECOND, MAX_RUN_BURST_LINES)
         self._unreported = 0
 
     def render(self) -> bytes:
@@ -145,13 +167,14 @@
     def filter(self, record: logging.LogRecord) -> bool:
         """Count a log line and return whether it is within the rate limit.
 
-        Warnings and errors always pass. The next line that passes carries the number of
-        lines left out.
+        Warnings and errors always pass, and lines about runs have a limit of their own.
+        The next line that passes carries the number of lines left out.
         """
         message = str(record.msg)
         self._decisions.labels(record.name, message).inc()
         self._update_from_record(record, message)
-        if record.levelno < logging.WARNING and not self._take_token():
+        budget = self._run_lines if message in RUN_MESSAGES else self._lines
+        if record.levelno < logging.WARNING and not budget.take():
             self._unreported += 1
             self._lines_left_out.inc()
             return False
@@ -190,13 +213,3 @@
                 return OTHER_ORGANISATIONS
             self._organisations.add(name)
         return name
-
-    def _take_token(self) -> bool:
-        now_s = time.monotonic()
-        refill = (now_s - self._refilled_s) * MAX_LINES_PER_SECOND
-        self._refilled_s = now_s
-        self._tokens = min(self._tokens + refill, MAX_BURST_LINES)
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -15,6 +15,7 @@
 
     from guavapin.jobs.model import Job
     from guavapin.jobs.model import Step
+    from guavapin.scheduling.run import LostRun
     from guavapin.scheduling.run import Run
     from guavapin.scheduling.tickets import Ticket
 
@@ -61,6 +62,8 @@
         self.not_before_ms: dict[int, int] = {}
         self.restart_counts: dict[int, int] = {}
         self.last_attempt: dict[int, int] = {}
+        # Last run of each subtask that was given up without a reported end.
+        self.lost: dict[int, LostRun] = {}
         # Last ticket for each executor.
         self.tickets: dict[str, Ticket] = {}
         self.refused_hosts: set[str] = set()
--- a/src/guavapin/scheduling/run.py
+++ b/src/guavapin/scheduling/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -122,3 +123,28 @@
     def is_settled(self) -> bool:
         """Whether the start was answered, so that it cannot arrive later."""
         return self.phase in (RunPhase.RUNNING, RunPhase.STOPPING)
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that was given up without a reported end, with the reason for it.
+
+    Times are the scheduler's monotonic time in ms. The log line of the next start of
+    the subtask says what that start rests on.
+    """
+
+    attempt: int
+    executor_id: str
+    reason: str
+    ordered_ms: int
+    lost_ms: int
+
+    def describe(self, now_ms: int) -> dict[str, int | str]:
+        """Return the fields of a log line about the start that replaces the run."""
+        return {
+            "replaced_attempt": self.attempt,
+            "replaced_on": self.executor_id,
+            "replaced_reason": self.reason,
+            "replaced_ordered_ms": now_ms - self.ordered_ms,
+            "replaced_lost_ms": now_ms - self.lost_ms,
+        }
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from guavapin.scheduling.pool_load import open_work
 from guavapin.scheduling.pool_load import subtask_work
 from guavapin.scheduling.queue_rules import QueueRules
+from guavapin.scheduling.run import LostRun
 from guavapin.scheduling.run_supervisor import RunSupervisor
 from guavapin.scheduling.run_times import RunTimes
 from guavapin.scheduling.tickets import apply_advice
@@ -325,15 +326,22 @@
         """Remove a run that is gone without an end, so that its subtask waits again."""
         self._needs_dispatch = True
         step_run = self.step_of(run)
+        now_ms = self.term.now_ms
         extra = {
             "job": run.subtask.job_id,
             "step": run.subtask.step,
             "index": run.subtask.index,
             "executor": host.executor_id,
+            "attempt": run.attempt,
+            "phase": run.phase.value,
+            "ordered_ms": now_ms - run.ordered_ms,
             "reason": reason,
         }
         log.info("run lost", extra=extra)
         if step_run is not None:
+            step_run.lost[run.subtask.index] = LostRun(
+                run.attempt, host.executor_id, reason, run.ordered_ms, now_ms
+            )
             self._remove_run(step_run, run)
 
     def handle_refused_ticket(self, host: Host, start: Start) -> None:
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from guavapin.executors.model import Start
@@ -24,6 +25,9 @@
     from guavapin.scheduling.term import Term
 
 
+log = logging.getLogger("guavapin.scheduling.starts")
+
+
 class Starter:
     """Chooses the hosts for waiting subtasks and orders their start."""
 
@@ -146,8 +150,24 @@
             token=self._term.token,
             ticket=ticket(step_run, host, self._term.now_ms),
         )
+        self._log_order(step_run, host, run)
         self._hosts.start(host, run, order)
 
+    def _log_order(self, step_run: StepRun, host: Host, run: Run) -> None:
+        """Log an order and, if it replaces a lost run, the evidence for the loss."""
+        extra: dict[str, int | str] = {
+            "job": run.subtask.job_id,
+            "step": run.subtask.step,
+            "index": run.subtask.index,
+            "executor": host.executor_id,
+            "born_ms": host.born_ms,
+            "attempt": run.attempt,
+        }
+        lost = step_run.lost.get(run.subtask.index)
+        if lost is not None:
+            extra |= lost.describe(self._term.now_ms)
+        log.info("run ordered", extra=extra)
+
     def _rack_in_use(self, step_run: StepRun) -> str:
         for runs in step_run.runs.values():
             for run in runs:
--- a/tests/metrics/test_resident.py
+++ b/tests/metrics/test_resident.py
@@ -104,6 +104,7 @@
         ("guavapin.scheduling.hosts", "host known"): 1,
         ("guavapin.scheduling.jobs", "job accepted"): 1,
         ("guavapin.scheduling.jobs", "job ended"): 1,
+        ("guavapin.scheduling.starts", "run ordered"): 2,
         ("guavapin.scheduling.task", "term begins"): 1,
         ("guavapin.scheduling.task", "scheduling"): 1,
         ("guavapin.scheduling.task", "term ends"): 1,
@@ -127,3 +128,22 @@
     assert samples(metrics, "guavapin_organisation_held") == {("o1",): 1}
     log.info("organisation held by its cap", extra=held | {"state": "ends"})
     assert samples(metrics, "guavapin_organisation_held") == {("o1",): 0}
+
+
+def test_a_flood_of_other_lines_leaves_out_no_line_about_a_run(
+    metrics: ResidentMetrics,
+) -> None:
+    # Guards against a second start of a subtask that no line explains: the lines about
+    # its runs were left out beside many others.
+    log = logging.getLogger("guavapin.scheduling")
+    for _ in range(2_000):
+        log.info("job refused", extra={"organisation": "", "detail": ""})
+    assert samples(metrics, "guavapin_log_lines_left_out_total")[()] > 0
+    record = logging.makeLogRecord({"name": log.name, "levelno": 20, "msg": "run lost"})
+    assert metrics.filter(record)
+
+
+def test_lines_about_runs_are_bounded(metrics: ResidentMetrics) -> None:
+    # Guards against a log that grows without limit with the starts of a large fleet.
+    record = logging.makeLogRecord({"levelno": 20, "msg": "run lost"})
+    assert not all(metrics.filter(record) for _ in range(20_000))
