Ask an executor before its runs are given up because of others

Cause: evidence about one life of an executor was taken for its present one. A 421 to any call, or one list of machines without its machine up, ended a host at once, with the starts that were under way to it. A pooled connection may still lead to a former life at the address, and a list may be out of date or leave a machine out.

Such evidence is a sign now. Nothing more starts on the executor, and it is asked over a new connection, which leads to whoever listens at its address. Its answer refutes the sign. A 421 there confirms it; so does a refused connection if a list of machines says that the executor is gone, and a list that was requested 2 s after the executor last showed that it is up. Without any of these, its runs count as ended with its lease. The first list of a term, and ends that were deferred while the lease was not sure, follow the same rule.

In the model, calls over a new connection to an ended executor are refused.

Work of an executor that is gone and silent starts 2 to 3 s after its last sign of life instead of within 0.7 s.

--- a/src/guavapin/executors/model.py
+++ b/src/guavapin/executors/model.py
@@ -178,11 +178,12 @@
     """Outcome: no usable answer came.
 
     An order that `was_sent` may be carried out, even seconds later. Otherwise it has
-    had no effect and never will.
+    had no effect and never will. `is_refused` is set if nobody listens at the address.
     """
 
     was_sent: bool
     detail: str
+    is_refused: bool = False
 
 
 OrderOutcome: TypeAlias = HostReport | Done | Refusal | NoAnswer
@@ -192,7 +193,8 @@
 class HostOrder:
     """To the service ``executors``: an order for one executor at an address.
 
-    An executor with another `executor_id` at the same address refuses the order.
+    An executor with another `executor_id` at the same address refuses the order. With
+    `uses_new_connection` the order reaches the executor that listens there now.
     """
 
     reply_to: str
@@ -201,6 +203,7 @@
     executor_id: str
     order: Order
     timeout_ms: int
+    uses_new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 from collections import Counter
 from dataclasses import dataclass
@@ -141,7 +142,7 @@
                 body=call.body,
                 timeout_ms=max(call.timeout_ms, 1),
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
-                uses_new_connection=is_reconnect,
+                uses_new_connection=is_reconnect or call.uses_new_connection,
                 resets_connection=call.not_after_ms > 0,
             ),
         )
@@ -189,7 +190,11 @@
             outcome = Answered(status, bytes(transfer.body))
             self._reconnects_left.pop(call.address, None)
         else:
-            outcome = Unanswered(transfer.transmissions > 0, detail)
+            is_refused = (
+                code == pycurl.E_COULDNT_CONNECT
+                and curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
+            )
+            outcome = Unanswered(transfer.transmissions > 0, detail, is_refused)
             if code == pycurl.E_OPERATION_TIMEDOUT:
                 self._reconnects_left[call.address] = MAX_HOST_CONNECTIONS
         self._keep_idle(curl)
--- a/src/guavapin/http/messages.py
+++ b/src/guavapin/http/messages.py
@@ -19,6 +19,9 @@
     without an answer its connection is reset, so that bytes which wait in the kernel
     for the end of a network partition are dropped. Either all calls to an address have
     such a time or none.
+
+    With `uses_new_connection` the call reaches whoever listens at the address now. A
+    connection that was opened before may still lead to another process.
     """
 
     reply_to: str
@@ -30,6 +33,7 @@
     timeout_ms: int
     headers: Headers = ()
     not_after_ms: int = 0
+    uses_new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +53,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Unanswered:
-    """No complete answer was received; if `was_sent`, the call may take effect."""
+    """No complete answer was received; if `was_sent`, the call may take effect.
+
+    `is_refused` is set if nobody listens at the address.
+    """
 
     was_sent: bool
     detail: str
+    is_refused: bool = False
 
 
 CallOutcome: TypeAlias = Answered | Unanswered
--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -58,6 +58,17 @@
     statuses: tuple[tuple[int, bool], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class UnlistedExecutors:
+    """Executors that one list of machines names and the next one does not.
+
+    The machines of `ended` are listed without them, those of `missing` are not listed.
+    """
+
+    ended: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class _OpenOrder:
     """Order that is in flight or in effect.
@@ -102,13 +113,13 @@
 
     def update_machines(
         self, machines: tuple[Machine, ...], now_ms: int
-    ) -> tuple[str, ...]:
-        """Replace the list of machines and return the executors that have ended.
+    ) -> UnlistedExecutors:
+        """Replace the list of machines and return the executors that are gone from it.
 
         A machine gets a new executor each time it comes up. Once the machine is listed
-        without its executor, or with another one, all runs of that executor have ended.
-        The answer to an order is no evidence of an end, since the order may have been
-        carried out long before.
+        without its executor, or with another one, that executor has ended, unless the
+        list is older than it. The answer to an order is no evidence of an end, since
+        the order may have been carried out long before.
         """
         previous = self._machines
         self._machines = {machine.name: machine for machine in machines}
@@ -118,8 +129,8 @@
             for machine in machines
             if machine.state is MachineState.UP and machine.executor_id
         }
-        ended = [
-            machine.executor_id
+        unlisted = [
+            machine
             for machine in previous.values()
             if machine.executor_id and machine.executor_id not in listed
         ]
@@ -129,7 +140,12 @@
         for name, open_order in [*self._orders.items()]:
             if open_order.is_answered and now_ms >= open_order.until_ms:
                 del self._orders[name]
-        return tuple(ended)
+        return UnlistedExecutors(
+            tuple(row.executor_id for row in unlisted if row.name in self._machines),
+            tuple(
+                row.executor_id for row in unlisted if row.name not in self._machines
+            ),
+        )
 
     def add_wave(self, wave: MaintenanceWave, now_ms: int) -> bool:
         """Add a maintenance wave of the operator; return whether it is new."""
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -159,6 +159,7 @@
         self._listed_machines: dict[str, Machine] = {}
         self._is_listing = False
         self._listed_ms = 0
+        self._list_requested_ms = 0
         self._cordoned: CordonHosts = CordonHosts(frozenset())
         self._status_writes: dict[int, tuple[int, bool]] = {}
 
@@ -240,6 +241,7 @@
 
     def _list_machines(self) -> None:
         self._is_listing = True
+        self._list_requested_ms = self._context.clock.now_ms()
         self._pages = []
         self._send_order(ListMachines())
 
@@ -405,7 +407,7 @@
         self._is_listing = False
         self._listed_ms = now_ms
         self._log_changes()
-        ended = self._planner.update_machines(tuple(self._pages), now_ms)
+        unlisted = self._planner.update_machines(tuple(self._pages), now_ms)
         working = [
             machine
             for machine in self._pages
@@ -418,7 +420,15 @@
             for machine in self._pages
             if machine.state is not MachineState.UP or not machine.executor_id
         )
-        self._context.send("scheduler", MachinesListed(pools, ended, capacities, off))
+        listed = MachinesListed(
+            pools,
+            unlisted.ended,
+            capacities,
+            off,
+            unlisted.missing,
+            self._list_requested_ms,
+        )
+        self._context.send("scheduler", listed)
 
     def _log_changes(self) -> None:
         listed = {machine.name: machine for machine in self._pages}
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -73,12 +73,13 @@
             body=encode_body(body),
             timeout_ms=order.timeout_ms,
             headers=(JSON_HEADER, ("X-Expect-Instance", order.executor_id)),
+            uses_new_connection=order.uses_new_connection,
         )
 
     def decode(self, order: Order, outcome: CallOutcome) -> OrderOutcome:
         """Return the outcome of an order; an unreadable answer is `NoAnswer`."""
         if not isinstance(outcome, Answered):
-            return NoAnswer(outcome.was_sent, outcome.detail)
+            return NoAnswer(outcome.was_sent, outcome.detail, outcome.is_refused)
         answer = decode_body(outcome.body, _Answer) if outcome.body else _Answer()
         if outcome.status == 200 and answer is not None:
             if not isinstance(order, Look):
--- a/src/guavapin/scheduling/action_sender.py
+++ b/src/guavapin/scheduling/action_sender.py
@@ -84,5 +84,6 @@
             action.context.executor_id,
             action.context.order,
             action.timeout_ms,
+            action.context.is_on_new_connection,
         )
         self._context.send("executors", order)
--- a/src/guavapin/scheduling/avoided_hosts.py
+++ b/src/guavapin/scheduling/avoided_hosts.py
@@ -103,7 +103,7 @@
         """Return whether less than half of the processor time of a pool is in use."""
         used = capacity = 0
         for host in self._hosts.by_id.values():
-            if host.pool == pool and host.has_answered and not host.unanswered:
+            if host.pool == pool and host.has_answered and host.is_answering:
                 used += host.used.cpu_millis
                 capacity += host.registration.capacity.cpu_millis
         return 2 * used < capacity
--- a/src/guavapin/scheduling/fleet_load.py
+++ b/src/guavapin/scheduling/fleet_load.py
@@ -31,5 +31,5 @@
         idle_ms=0 if host.runs else now_ms - host.idle_since_ms,
         is_cordoned=host.is_cordoned,
         has_long_running=host.has_long_running,
-        is_usable=host.has_answered and not host.unanswered,
+        is_usable=host.has_answered and host.is_answering,
     )
--- a/src/guavapin/scheduling/held_work.py
+++ b/src/guavapin/scheduling/held_work.py
@@ -120,7 +120,7 @@
         """
         by_pool: dict[str, list[Host]] = {}
         for host in self._scheduler.hosts.by_id.values():
-            is_up = host.is_registered and host.has_answered and not host.unanswered
+            is_up = host.is_registered and host.has_answered and host.is_answering
             if is_up and not host.registration.is_draining:
                 by_pool.setdefault(host.pool, []).append(host)
         for hosts in by_pool.values():
--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -11,8 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from guavapin.executors.model import Look
     from guavapin.executors.model import Registration
     from guavapin.executors.model import Start
+    from guavapin.scheduling.end_evidence import Doubt
     from guavapin.scheduling.host_lease import HostLease
     from guavapin.scheduling.organisation_usage import OrganisationUsage
     from guavapin.scheduling.run import Run
@@ -84,6 +86,12 @@
         # Whether a predecessor has handed over what runs here.
         self.is_handed_over = False
         self.unanswered = 0
+        # Signs that the executor has ended, None without one.
+        self.doubt: Doubt | None = None
+        # Poll that was sent because of the doubt, beside a pending one; None without.
+        self.probe: Look | None = None
+        # Time at which the latest of the orders was sent that the executor answered.
+        self.answered_sent_ms = 0
         # Whether the last poll, which it held open while idle, was not answered.
         self.has_lost_poll = False
         self.health = Health()
@@ -120,13 +128,28 @@
         """Whether a filler runs here, which may disturb subtasks with a target."""
         return self._filler_count > 0
 
+    @property
+    def last_sign_of_life_ms(self) -> int:
+        """Return when the executor last answered, or wrote its registration."""
+        return max(self.clock_read_ms, self.answered_sent_ms, self.renewed_ms)
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the last order was answered and nothing suggests that this ended."""
+        return not self.unanswered and self.doubt is None
+
+    @property
+    def has_sent_runs(self) -> bool:
+        """Whether a run is here whose start was sent, so that it may be at work."""
+        return len(self.runs) > len(self.waiting_starts)
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether subtasks may be started here."""
         return (
             self.is_registered
             and not self._is_removed
             and self.has_answered
-            and not self.unanswered
+            and self.is_answering
             and not self.is_cordoned
             and not self.registration.is_draining
             and not self._unknown_needs
@@ -143,6 +166,7 @@
         reasons = (
             (not self.has_answered, "not answered yet"),
             (self.unanswered > 0, "does not answer"),
+            (self.doubt is not None, "may have ended"),
             (not self.is_registered, "not registered"),
             (self.registration.is_draining, "draining"),
             (self.is_cordoned, "cordoned"),
@@ -212,20 +236,29 @@
             self.health = self.health.after_end(run.ordered_ms, now_ms)
             self._on_change(self)
 
-    def record_answer(self) -> None:
-        """Reset the count of unanswered orders."""
+    def record_answer(self, sent_ms: int) -> None:
+        """Apply that the executor itself has answered an order sent at `sent_ms`."""
         self.has_lost_poll = False
-        if self.unanswered:
-            self.unanswered = 0
+        self.answered_sent_ms = max(self.answered_sent_ms, sent_ms)
+        was_answering = self.is_answering
+        self.unanswered = 0
+        if self.doubt is not None and self.doubt.is_refuted_by(sent_ms):
+            self.doubt = None
+        if self.is_answering != was_answering:
             self._on_change(self)
 
+    def set_doubt(self, doubt: Doubt | None) -> None:
+        """Replace the signs that the executor has ended; nothing starts beside one."""
+        self.doubt = doubt
+        self._on_change(self)
+
     def record_report(self, has_all_ends: bool, sent_ms: int, now_ms: int) -> None:
         """Record that the host has answered a poll, sent at `sent_ms`, with its runs.
 
         The first answers count only once one has all ends: until then, subtasks may
         have ended that are not known to have run here.
         """
-        self.record_answer()
+        self.record_answer(sent_ms)
         if is_answer_recent(sent_ms, now_ms):
             self.reported_ms = now_ms
         if has_all_ends and not self.has_answered:
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -17,6 +17,11 @@
 from guavapin.executors.model import RefusalKind
 from guavapin.executors.model import Start
 from guavapin.executors.model import Stop
+from guavapin.scheduling.end_evidence import UNLISTED_SIGNS
+from guavapin.scheduling.end_evidence import Sign
+from guavapin.scheduling.end_evidence import add_sign
+from guavapin.scheduling.end_evidence import confirmed_sign
+from guavapin.scheduling.end_evidence import is_list_conclusive
 from guavapin.scheduling.host import Host
 from guavapin.scheduling.host_lease import HostLease
 from guavapin.scheduling.incarnation import begin_incarnation
@@ -74,6 +79,10 @@
 # Interval at which a stop that had no effect is repeated.
 STOP_RETRY_MS = 500
 
+# Refusals after which the executor has not extended its lease: it has done nothing, or
+# another one has received the order.
+_WITHOUT_LEASE = (RefusalKind.UNHEALTHY, RefusalKind.OTHER_LIFE)
+
 log = logging.getLogger("guavapin.scheduling.hosts")
 
 
@@ -134,7 +143,8 @@
         # Leases of removed hosts, whose executors may register again under their ids.
         self._former_leases: dict[str, HostLease] = {}
         # Hosts whose executors have ended while the lease was unconfirmed.
-        self._deferred_ends: dict[Host, str] = {}
+        # They have the reason and the time of each.
+        self._deferred_ends: dict[Host, tuple[str, int]] = {}
         self._term = term
         self._handler = handler
 
@@ -196,13 +206,74 @@
         ends of these runs, and their subtasks must not start again.
         """
         if self._term.is_unconfirmed:
-            self._deferred_ends[host] = reason
+            self._deferred_ends[host] = reason, self._term.now_ms
             return
         self._delete(host)
-        extra = {"executor": host.executor_id, "reason": reason, "runs": len(host.runs)}
+        extra = {
+            "executor": host.executor_id,
+            "reason": reason,
+            "runs": len(host.runs),
+            "last_sign_of_life_ms": self._term.now_ms - host.last_sign_of_life_ms,
+        }
         log.info("host gone", extra=extra)
         self._remove_runs(host, [*host.runs.values()], reason)
 
+    def doubt(self, host: Host, sign: Sign) -> None:
+        """Apply a sign that an executor has ended; nothing starts there beside it.
+
+        Runs whose starts were sent stay, since they may be at work or about to begin.
+        """
+        host.set_doubt(add_sign(host.doubt, sign, self._term.now_ms))
+        extra = {
+            "executor": host.executor_id,
+            "sign": sign.value,
+            "runs": len(host.runs),
+            "last_sign_of_life_ms": self._term.now_ms - host.last_sign_of_life_ms,
+        }
+        log.info("host may have ended", extra=extra)
+        self._drop_waiting_starts(host)
+        if host.probe is None:
+            host.probe = Look(self._term.token, 0)
+            self._send_look(host, host.probe)
+
+    def handle_unlisted(self, executor_id: str, sign: Sign) -> None:
+        """Apply that a list of machines no longer shows an executor.
+
+        A host without runs is removed: if its executor is up, it registers again.
+        """
+        host = self.by_id.get(executor_id)
+        if host is None:
+            return
+        if host.has_sent_runs or self._term.is_unconfirmed:
+            self.doubt(host, sign)
+        else:
+            self.end_incarnation(host, sign.value)
+
+    def apply_list_age(self, requested_ms: int) -> None:
+        """Remove the hosts whose end a list shows that was requested at this time."""
+        for host in [*self.by_id.values()]:
+            is_shown = host.doubt is not None and is_list_conclusive(
+                host.doubt, requested_ms, host.last_sign_of_life_ms
+            )
+            if is_shown:
+                self._apply_end(host, Sign.NOT_LISTED)
+
+    def _apply_end(self, host: Host, sign: Sign) -> None:
+        """Remove a host whose executor has ended, as a sign shows.
+
+        A start of a predecessor without an answer may reach a later life under the same
+        id, so it is kept, and its host.
+        """
+        runs = [*host.runs.values()]
+        ended = runs
+        if not host.has_answered:
+            ended = [run for run in runs if run.phase is not RunPhase.UNSETTLED]
+        if len(ended) == len(runs):
+            self.end_incarnation(host, sign.value)
+        elif not self._term.is_unconfirmed:
+            # The next outcome or list decides again if the lease is not sure now.
+            self._remove_runs(host, ended, sign.value)
+
     def _replace_incarnation(self, former: Host, registration: Registration) -> Host:
         """Replace the host of an executor that has started again; return the new one.
 
@@ -385,38 +456,23 @@
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self._unresolved.clear()
+        for host in self.by_id.values():
+            if host.doubt is not None and host.executor_id in listed_pools:
+                host.set_doubt(host.doubt.without(UNLISTED_SIGNS))
         formerly_listed, self._formerly_listed = self._formerly_listed, set()
         for host in formerly_listed:
-            if host.executor_id not in listed_pools:
-                self._end_if_silent(host, "its machine was taken down before the term")
-
-    def _end_if_silent(self, host: Host, reason: str) -> None:
-        """Remove a host, or its runs, that one list names and a later one does not.
-
-        An executor that answers or renews its entry may still be up. A start without an
-        answer may reach a later life under the same id, so it is kept, and its host.
-        """
-        is_silent = not host.renewed_ms and not host.reported_ms
-        if self.by_id.get(host.executor_id) is not host or not is_silent:
-            return
-        if self._term.is_unconfirmed:
-            # The next list decides, since nothing may be dropped now.
-            self._formerly_listed.add(host)
-            return
-        runs = [*host.runs.values()]
-        ended = [run for run in runs if run.phase is not RunPhase.UNSETTLED]
-        if len(ended) == len(runs):
-            self.end_incarnation(host, reason)
-        else:
-            self._remove_runs(host, ended, reason)
+            if host.executor_id not in listed_pools and host.runs:
+                self.doubt(host, Sign.NOT_LISTED)
 
     def tick(self) -> None:
         """Poll due hosts, remove the runs of ended leases, and repeat due stops."""
         now_ms = self._term.now_ms
         if self._deferred_ends and not self._term.is_unconfirmed:
             ended, self._deferred_ends = self._deferred_ends, {}
-            for host, reason in ended.items():
-                self.end_incarnation(host, reason)
+            for host, (reason, since_ms) in ended.items():
+                # An executor that has answered a later order has not ended.
+                if host.answered_sent_ms <= since_ms:
+                    self.end_incarnation(host, reason)
         for host in [*self.by_id.values()]:
             if not host.is_poll_pending and now_ms >= host.next_poll_ms:
                 self._poll_if_needed(host)
@@ -475,9 +531,15 @@
         if host.born_ms != context.born_ms:
             self._handle_former_answer(host, context.order, outcome)
             return
-        if isinstance(context.order, Look):
+        if context.order is host.probe:
+            host.probe = None
+        elif isinstance(context.order, Look):
             host.is_poll_pending = False
             host.next_poll_ms = self._term.now_ms + POLL_INTERVAL_MS
+        sign = self._confirmed_sign(host, context, outcome)
+        if sign is not None:
+            self._apply_end(host, sign)
+            return
         match outcome:
             case NoAnswer():
                 self._handle_no_answer(host, context, outcome)
@@ -486,7 +548,7 @@
                 self._term.actions.append(StepDown(f"fenced by {host.executor_id}"))
                 return
             case Refusal(kind=RefusalKind.OTHER_LIFE):
-                self.end_incarnation(host, "another executor answers at its address")
+                self._handle_other_life(host, context)
                 return
             case HostReport():
                 self._read_clock(host, context, outcome.clock_ms)
@@ -494,7 +556,7 @@
                 return
         self._read_clock(host, context, outcome.clock_ms)
         self._send_waiting_starts(host)
-        host.record_answer()
+        self._record_answer(host, context.sent_ms)
         run = self._find_run(host, context.order)
         if run is not None:
             self._handle_order_answer(host, run, context.order, outcome)
@@ -506,8 +568,7 @@
         if isinstance(outcome, NoAnswer):
             if not outcome.was_sent:
                 host.lease.withdraw(order)
-        elif isinstance(outcome, Refusal) and outcome.kind is RefusalKind.UNHEALTHY:
-            # The executor has done nothing.
+        elif isinstance(outcome, Refusal) and outcome.kind in _WITHOUT_LEASE:
             host.lease.withdraw(order)
         else:
             host.lease.settle(order, outcome.clock_ms, self._term.now_ms)
@@ -529,6 +590,38 @@
             fields = host.lease.describe(now_ms)
             log.info("clock estimate was ahead", extra=extra | fields)
 
+    def _confirmed_sign(
+        self, host: Host, context: OrderContext, outcome: OrderOutcome
+    ) -> Sign | None:
+        """Return the sign of an executor's end that an outcome confirms, if any.
+
+        It confirms none if the executor itself has answered a later order.
+        """
+        is_overtaken = host.answered_sent_ms >= context.sent_ms
+        if is_overtaken or not context.is_on_new_connection:
+            return None
+        return confirmed_sign(host.doubt, outcome)
+
+    def _handle_other_life(self, host: Host, context: OrderContext) -> None:
+        """Apply that another executor has refused an order for a host.
+
+        It has received the order in the place of the host, so a start has no effect.
+        """
+        run = self._find_run(host, context.order)
+        if run is not None and isinstance(context.order, Start):
+            host.remove(run, self._term.now_ms)
+            self._handler.handle_lost_run(host, run, "start refused: other_life")
+        if host.answered_sent_ms < context.sent_ms:
+            self.doubt(host, Sign.OTHER_LIFE)
+
+    def _record_answer(self, host: Host, sent_ms: int) -> None:
+        """Apply that an executor has answered an order sent at `sent_ms`."""
+        had_doubt = host.doubt is not None
+        host.record_answer(sent_ms)
+        if had_doubt and host.doubt is None:
+            extra = {"executor": host.executor_id, "runs": len(host.runs)}
+            log.info("host answers after all", extra=extra)
+
     def _handle_former_answer(
         self, host: Host, order: Order, outcome: OrderOutcome
     ) -> None:
@@ -681,6 +774,7 @@
                 self._partly_known.discard(host)
             else:
                 self._partly_known.add(host)
+        self._record_answer(host, context.sent_ms)
         host.record_report(report.has_all_ends, context.sent_ms, self._term.now_ms)
         for ended in report.ended:
             if ended.number > host.last_end:
@@ -770,7 +864,7 @@
         is_needed = (
             not host.has_answered
             or is_watched
-            or host.unanswered
+            or not host.is_answering
             or host.confirmed > host.acknowledged
             or (is_clock_old and host.is_registered)
         )
@@ -779,7 +873,7 @@
         # A start that waits for a reading needs an answer at once, and gives no lease.
         is_extending = (
             host.lease.may_extend(now_ms)
-            and not host.unanswered
+            and host.is_answering
             and not host.waiting_starts
         )
         # The first answer must not wait for an end: the host may be needed.
@@ -802,10 +896,29 @@
         look = Look(self._term.token, confirmed, until_ms, wait_ms)
         if until_ms:
             host.lease.extend(look, now_ms)
-        self._send(host, look, ORDER_TIMEOUT_MS + wait_ms)
+        self._send_look(host, look)
+
+    def _send_look(self, host: Host, look: Look) -> None:
+        """Send a poll; while it is in doubt whether the host is up, over a connection
+        that leads to whoever listens at its address now.
+        """
+        is_on_new_connection = host.doubt is not None
+        self._send(host, look, ORDER_TIMEOUT_MS + look.wait_ms, is_on_new_connection)
 
-    def _send(self, host: Host, order: Order, timeout_ms: int) -> None:
-        context = OrderContext(host.executor_id, host.born_ms, order, self._term.now_ms)
+    def _send(
+        self,
+        host: Host,
+        order: Order,
+        timeout_ms: int,
+        is_on_new_connection: bool = False,
+    ) -> None:
+        context = OrderContext(
+            host.executor_id,
+            host.born_ms,
+            order,
+            self._term.now_ms,
+            is_on_new_connection,
+        )
         action = SendOrder(host.registration.address, context, timeout_ms)
         self._term.actions.append(action)
 
@@ -819,7 +932,7 @@
 
         While the store cannot be reached, another scheduler may extend their lease.
         """
-        if not host.unanswered or not host.runs or self._term.is_unconfirmed:
+        if host.is_answering or not host.runs or self._term.is_unconfirmed:
             return False
         is_expired = self._term.now_ms > host.lease_end_ms
         return is_expired and not self._may_start_late(host)
@@ -842,7 +955,7 @@
         The ends on a host that has been silent for a whole lease do not count: its
         runs have lapsed.
         """
-        is_lapsed = host.unanswered and self._term.now_ms > host.lease_end_ms
+        is_lapsed = not host.is_answering and self._term.now_ms > host.lease_end_ms
         return host in self._partly_known and not is_lapsed
 
     def _remove_runs(self, host: Host, runs: list[Run], reason: str) -> None:
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -195,26 +195,35 @@
 class MachinesListed:
     """From ``machines``: the executors in the platform's list of machines.
 
-    `pools` has each executor of a machine that is up with its pool. `ended` has the
-    executors that no longer run because of an order for their machine. `capacities` is
-    in the order of `pools`, empty if it is not known. `off` has the capacity of each
-    machine without an executor that is up, None if it is not known.
+    `pools` has each executor of a machine that is up with its pool. Of the executors in
+    the list before, `ended` has those whose machines are listed without them now, and
+    `missing` those whose machines are not listed. `capacities` is in the order of
+    `pools`, empty if it is not known. `off` has the capacity of each machine without an
+    executor that is up, None if it is not known. `requested_ms` is the scheduler's
+    monotonic time at which the list was requested, 0 if it is not known.
     """
 
     pools: tuple[tuple[str, str], ...]
     ended: tuple[str, ...] = ()
     capacities: tuple[Resources, ...] = ()
     off: tuple[Resources, ...] | None = None
+    missing: tuple[str, ...] = ()
+    requested_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class OrderContext:
-    """The host and run state that an order was sent for, to match its answer."""
+    """The host and run state that an order was sent for, to match its answer.
+
+    An order `is_on_new_connection` if it is sent over a connection of its own, which
+    leads to whoever listens at the host's address then.
+    """
 
     executor_id: str
     born_ms: int
     order: Order
     sent_ms: int
+    is_on_new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -13,6 +13,7 @@
 from guavapin.scheduling.backlog import BacklogRule
 from guavapin.scheduling.backlog import OpenWork
 from guavapin.scheduling.dispatcher import Dispatcher
+from guavapin.scheduling.end_evidence import Sign
 from guavapin.scheduling.handover import HANDOVER_KEY
 from guavapin.scheduling.handover import RemovalStored
 from guavapin.scheduling.held_work import HeldWork
@@ -351,16 +352,19 @@
             handle_refused_ticket(step_run, host, start, self.term.now_ms)
 
     def apply_machines(self, listed: MachinesListed) -> None:
-        """Apply the platform's list, and remove executors of machines taken down."""
+        """Apply the platform's list, and doubt executors that it no longer shows."""
         capacities = dict(
             zip((row[0] for row in listed.pools), listed.capacities, strict=False)
         )
         self.hosts.apply_listed_pools(dict(listed.pools), capacities, listed.off)
+        for sign, executor_ids in (
+            (Sign.NOT_LISTED, listed.ended),
+            (Sign.MISSING, listed.missing),
+        ):
+            for executor_id in executor_ids:
+                self.hosts.handle_unlisted(executor_id, sign)
+        self.hosts.apply_list_age(listed.requested_ms)
         self._needs_dispatch = True
-        for executor_id in listed.ended:
-            host = self.hosts.by_id.get(executor_id)
-            if host is not None:
-                self.hosts.end_incarnation(host, "its machine was taken down")
 
     def apply_advice(self, reply: AdviceReply) -> None:
         """Apply the adviser's reply to the step that it was requested for."""
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -12,6 +12,7 @@
 
 from guavapin.http.client import HttpClientTask
 from guavapin.http.messages import AbortCalls
+from guavapin.http.messages import Answered
 from guavapin.http.messages import PeerCall
 from guavapin.http.messages import PeerReply
 from guavapin.http.messages import Unanswered
@@ -55,18 +56,21 @@
     caller: Caller
     clock: SystemClock
     listener: socket.socket
+    address: str
 
-    def call(self, request_id: int, not_after_ms: int) -> None:
-        address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+    def call(
+        self, request_id: int, not_after_ms: int = 0, uses_new_connection: bool = False
+    ) -> None:
         call = PeerCall(
             "caller",
             request_id,
-            address,
+            self.address,
             "POST",
             "/",
             b"{}",
             timeout_ms=4_000,
             not_after_ms=not_after_ms,
+            uses_new_connection=uses_new_connection,
         )
         self.kernel.deliver("http", call)
 
@@ -90,7 +94,8 @@
     kernel.start()
     with socket.create_server(("127.0.0.1", 0)) as listener:
         listener.settimeout(WAIT_TIMEOUT_S)
-        yield Site(kernel, caller, clock, listener)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        yield Site(kernel, caller, clock, listener, address)
     assert kernel.stop() == ()
     assert kernel.wait_for_failure(0) is None
 
@@ -184,3 +189,44 @@
     site.kernel.deliver("http", call)
     assert isinstance(site.reply().outcome, Unanswered)
     assert site.kernel.wait_for_failure(0) is None
+
+
+def answer(conn: socket.socket, status: int) -> None:
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"
+    conn.sendall(head.encode())
+
+
+def test_a_call_over_a_new_connection_reaches_who_listens_now(site: Site) -> None:
+    # Guards against an answer of a process that has stopped listening and still serves
+    # the connections that it accepted, where its successor is asked.
+    site.call(1)
+    with site.accept() as former:
+        answer(former, 200)
+        assert site.reply().outcome == Answered(200, b"")
+        site.call(2, uses_new_connection=True)
+        with site.accept() as present:
+            answer(present, 421)
+            assert site.reply().outcome == Answered(421, b"")
+        site.call(3)
+        assert former.recv(65_536).startswith(b"POST / ")
+        answer(former, 200)
+        assert site.reply().outcome == Answered(200, b"")
+
+
+def test_a_refused_connection_is_told_from_other_failures(site: Site) -> None:
+    # Guards against a silent address that counts as one where nobody listens.
+    site.call(1)
+    with site.accept():
+        pass
+    outcome = site.reply().outcome
+    assert isinstance(outcome, Unanswered)
+    assert outcome.was_sent
+    assert not outcome.is_refused
+    site.listener.close()
+    address = site.address
+    call = PeerCall("caller", 2, address, "POST", "/", b"{}", timeout_ms=4_000)
+    site.kernel.deliver("http", call)
+    outcome = site.reply().outcome
+    assert isinstance(outcome, Unanswered)
+    assert not outcome.was_sent
+    assert outcome.is_refused
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -16,6 +16,7 @@
 from guavapin.machines.model import MoveMachine
 from guavapin.machines.order_record import RecordedOrders
 from guavapin.machines.planner import Planner
+from guavapin.machines.planner import UnlistedExecutors
 from guavapin.scheduling.messages import FleetLoad
 from guavapin.scheduling.messages import HostLoad
 from guavapin.scheduling.messages import PoolDemand
@@ -204,13 +205,15 @@
     planner.add_wave(MaintenanceWave(1, ("m1",), 30_000, 1), 0)
     planner.plan(load(host("m1", "a")), TABLE, BEGIN_MS)
     planner.record_completed_order(MaintainMachine("m1", 1, "", 3), BEGIN_MS + 10)
-    assert planner.update_machines((machine("m1", "a"),), BEGIN_MS + 20) == ()
+    unlisted = planner.update_machines((machine("m1", "a"),), BEGIN_MS + 20)
+    assert unlisted == UnlistedExecutors()
     planner = Planner(TIMES, 0)
     planner.update_machines((machine("m1", "a"),), 0)
     planner.add_wave(MaintenanceWave(1, ("m1",), 30_000, 1), 0)
     planner.plan(load(host("m1", "a")), TABLE, BEGIN_MS)
     down = machine("m1", "a", MachineState.IN_MAINTENANCE)
-    assert planner.update_machines((down,), BEGIN_MS + 20) == ("i-m1",)
+    unlisted = planner.update_machines((down,), BEGIN_MS + 20)
+    assert unlisted == UnlistedExecutors(ended=("i-m1",))
 
 
 def test_a_refused_machine_order_is_repeated_but_not_a_fenced_one() -> None:
--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -345,7 +345,10 @@
         wait_ms = order.order.wait_ms if isinstance(order.order, Look) else 0
         executor = self.executors.get(order.executor_id)
         if outcome is None or executor is None:
-            self._answer(node, order, NoAnswer(True, "gone"))
+            # Nobody listens at the address; an open connection is reset.
+            is_new = order.uses_new_connection
+            no_answer = NoAnswer(not is_new, "gone", is_refused=is_new)
+            self._answer(node, order, no_answer)
         elif wait_ms and not executor.ended and not isinstance(outcome, Refusal):
             until_ms = world.clock.now_ms() + wait_ms
             self._waiting.append((node, order, until_ms))
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -68,6 +68,8 @@
     refused: dict = field(default_factory=dict)
     last_end_number: int = 0
     is_reachable: bool = True
+    # Unset if nobody listens at the address, so that connections are refused.
+    is_listening: bool = True
     percent: int = 0
     stop_duration_ms: int = 0
     stopping: dict = field(default_factory=dict)
@@ -190,7 +192,7 @@
         """Deliver the platform's list of machines."""
         pools = tuple((name, "pool") for name in self.executors)
         self._update_time()
-        self.scheduler.apply_machines(MachinesListed(pools))
+        self.scheduler.apply_machines(MachinesListed(pools, requested_ms=self.now_ms))
         self.run()
 
     def submit(self, job: Job) -> None:
@@ -256,7 +258,9 @@
         order = action.context.order
         if isinstance(order, Start):
             self.starts.append((order.subtask, action.context.executor_id))
-        if executor is None or not executor.is_reachable:
+        if executor is not None and not executor.is_listening:
+            outcome = NoAnswer(False, "refused", is_refused=True)
+        elif executor is None or not executor.is_reachable:
             outcome = NoAnswer(True, "silent")
             self.undelivered.append((action.context.executor_id, order))
         else:
--- a/tests/scheduling/test_end_evidence.py
+++ b/tests/scheduling/test_end_evidence.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from guavapin.executors.model import Look
 from guavapin.executors.model import Refusal
 from guavapin.executors.model import RefusalKind
 from guavapin.executors.model import Start
 from guavapin.jobs.model import Step
 from guavapin.scheduling.messages import MachinesListed
+from guavapin.scheduling.messages import OrderContext
 from tests.scheduling.clocked_executor import ClockedSimulation
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import make_job
@@ -23,12 +25,14 @@
 
     `former` has the executors whose pooled connections lead to a former life at their
     address, which refuses every order; an order over a new connection reaches the
-    executor itself. While `holds_starts` is set, starts are under way and have neither
-    arrived nor been answered.
+    executor itself. `later` has the executors whose address belongs to a later one,
+    which refuses every order. While `holds_starts` is set, starts are under way and
+    have neither arrived nor been answered.
     """
 
     def __init__(self, count: int = 2) -> None:
         self.former: set[str] = set()
+        self.later: set[str] = set()
         self.holds_starts = False
         self.held: list = []
         super().__init__(count)
@@ -37,15 +41,23 @@
 
     def _deliver(self, action) -> None:
         context = action.context
-        is_new = getattr(context, "is_on_new_connection", False)
+        is_new = context.is_on_new_connection
         if isinstance(context.order, Start) and self.holds_starts:
             self.held.append(context)
-        elif context.executor_id in self.former and not is_new:
+        elif context.executor_id in (
+            self.later if is_new else self.former | self.later
+        ):
             outcome = Refusal(RefusalKind.OTHER_LIFE, 500_000)
             self.scheduler.hosts.handle_answer(context, outcome)
         else:
             super()._deliver(action)
 
+    def advance(self, delta_ms: int, step_ms: int = 50) -> None:
+        for executor in self.executors.values():
+            # A run without progress would be stopped.
+            executor.percent = executor.percent % 90 + 1
+        super().advance(delta_ms, step_ms)
+
     def deliver_held(self) -> None:
         """Let the starts that are under way arrive."""
         held, self.held = self.held, []
@@ -58,6 +70,8 @@
     def list_without(self, name: str) -> None:
         """Deliver a list of machines that does not name an executor."""
         pools = tuple((other, "pool") for other in self.executors if other != name)
+        # Orders of the same millisecond are answered at once here.
+        self.now_ms += 1
         self._update_time()
         self.scheduler.apply_machines(MachinesListed(pools, (name,)))
         self.run()
@@ -88,7 +102,8 @@
         self.advance(500)
         self.former.clear()
         self.renew_entries()
-        self.advance(8_000)
+        for _ in range(16):
+            self.advance(500)
 
 
 @pytest.mark.parametrize("evidence", ["421 to a poll", "list"])
@@ -124,3 +139,82 @@
     sim.arrive_late()
     assert sim.longest_overlap_ms == 0
     assert len(sim.running()) == 1
+
+
+@pytest.mark.parametrize("evidence", ["421", "list"])
+def test_work_of_an_executor_that_has_ended_starts_elsewhere_at_once(
+    evidence: str,
+) -> None:
+    # Guards against work that waits for a lease although its executor is gone, which is
+    # the usual case: its address belongs to another one, or refuses connections.
+    sim = ConnectedSimulation()
+    sim.submit(make_job(JOB, Step(1, SMALL, 15_000)))
+    sim.advance(200)
+    ((subtask, name),) = sim.running()
+    executor = sim.executors[name]
+    executor.running.clear()
+    if evidence == "list":
+        executor.is_listening = False
+        sim.list_without(name)
+    else:
+        sim.later.add(name)
+        sim.advance(1_100)
+    (started,) = sim.running()
+    assert started[0] == subtask
+    assert started[1] != name
+
+
+def test_a_silent_executor_that_no_list_shows_keeps_its_runs_for_their_lease() -> None:
+    # Guards against a second run beside one on an executor that is cut off while the
+    # list of machines is out of date, and against work that waits for ever.
+    sim = ConnectedSimulation()
+    sim.submit(make_job(JOB, Step(1, SMALL, 60_000)))
+    ((_, name),) = sim.running()
+    sim.executors[name].is_reachable = False
+    sim.list_without(name)
+    for _ in range(16):
+        sim.advance(500)
+    assert sim.longest_overlap_ms == 0
+    assert [other for _, other in sim.running()] != [name]
+
+
+def test_an_address_that_refuses_connections_does_not_show_an_end_alone() -> None:
+    # Guards against a second run during a partition that refuses connections.
+    sim = ConnectedSimulation()
+    sim.submit(make_job(JOB, Step(1, SMALL, 60_000)))
+    ((_, name),) = sim.running()
+    sim.executors[name].is_listening = False
+    for _ in range(16):
+        sim.advance(500)
+    assert sim.longest_overlap_ms == 0
+
+
+def test_nothing_starts_on_an_executor_that_may_have_ended() -> None:
+    # Guards against work that is sent to an executor which is gone: it waits for a
+    # lease before it starts elsewhere.
+    sim = ConnectedSimulation()
+    sim.submit(make_job(JOB, Step(1, SMALL, 60_000)))
+    ((_, name),) = sim.running()
+    sim.executors[name].is_reachable = False
+    sim.list_without(name)
+    sim.starts.clear()
+    sim.submit(make_job("b" * 16, Step(8, SMALL, 60_000)))
+    assert {other for _, other in sim.starts} == {"e1", "e2"} - {name}
+
+
+def test_a_refusal_that_a_later_answer_has_overtaken_ends_nothing() -> None:
+    # Guards against a second run beside one at work: the refusal of a former life
+    # arrives after the executor itself has answered a later order.
+    sim = ConnectedSimulation()
+    sim.submit(make_job(JOB, Step(1, SMALL, 60_000)))
+    ((_, name),) = sim.running()
+    sim.advance(200)
+    host = sim.scheduler.hosts.by_id[name]
+    sent_ms = host.answered_sent_ms - 1
+    for is_new in (False, True):
+        context = OrderContext(name, host.born_ms, Look(5, 0), sent_ms, is_new)
+        refusal = Refusal(RefusalKind.OTHER_LIFE)
+        sim.scheduler.hosts.handle_answer(context, refusal)
+    sim.run()
+    assert host.is_answering
+    assert sim.scheduler.hosts.by_id[name] is host
--- a/tests/scheduling/test_handover.py
+++ b/tests/scheduling/test_handover.py
@@ -15,6 +15,7 @@
 from guavapin.scheduling.handover import collect_hosts
 from guavapin.scheduling.handover_codec import decode_handover
 from guavapin.scheduling.handover_codec import encode_handover
+from guavapin.scheduling.messages import MachinesListed
 from guavapin.scheduling.messages import StoreEntry
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import FakeExecutor
@@ -105,7 +106,8 @@
 
 
 @pytest.mark.parametrize(
-    ("doubt", "starts"), [("", 2), ("unlisted", 0), ("renewed", 0), ("unsettled", 1)]
+    ("doubt", "starts"),
+    [("", 2), ("unlisted", 0), ("renewed", 0), ("unsettled", 1), ("silent", 0)],
 )
 def test_runs_on_a_machine_that_went_down_at_a_takeover_start_elsewhere(
     sim: Simulation, doubt: str, starts: int
@@ -127,15 +129,43 @@
     sim.scheduler.apply_handover(decode_handover(encode_handover((record,))))
     (removal,) = sim.scheduler.term.drain_actions()
     sim.scheduler.handle_stored(removal.entry.tags[0])
-    gone = sim.executors.pop(silent)
+    gone = sim.executors[silent]
+    # A list alone may be out of date, so it counts only if nobody listens there either.
+    gone.is_listening = doubt in ("renewed", "silent")
     if doubt == "renewed":
         sim.scheduler.hosts.register(gone.registration())
     sim.starts.clear()
-    sim.list_machines()
+    list_without(sim, silent)
     sim.advance(1_000)
     assert jobs_started(sim).count(JOB) == starts
 
 
+def test_a_machine_that_stays_down_after_a_takeover_is_not_waited_for(
+    sim: Simulation,
+) -> None:
+    # Guards against work that waits for the end of a lease (LOST) on a machine without
+    # power, whose address refuses nothing, although lists show it as down for seconds.
+    silent = cut_off_and_hand_over(sim)
+    sim.starts.clear()
+    for percent in range(6):
+        # A run without progress would be stopped.
+        for executor in sim.executors.values():
+            executor.percent = percent
+        list_without(sim, silent)
+        sim.advance(700)
+    assert jobs_started(sim).count(JOB) == 2
+
+
+def list_without(sim: Simulation, name: str) -> None:
+    """Deliver a list that shows the machine of an executor as down."""
+    sim.now_ms += 1
+    sim._update_time()
+    pools = tuple((other, "pool") for other in sim.executors if other != name)
+    listed = MachinesListed(pools, requested_ms=sim.now_ms)
+    sim.scheduler.apply_machines(listed)
+    sim.run()
+
+
 def test_a_machine_that_one_list_left_out_without_a_sure_lease_is_kept(
     sim: Simulation,
 ) -> None:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -349,6 +349,8 @@
         sim.scheduler.hosts.register(executor.registration())
     else:
         pools = tuple((other, "pool") for other in sim.executors if other != name)
+        # Nobody listens at the address of a machine that was taken down.
+        executor.is_listening = False
         sim.scheduler.apply_machines(MachinesListed(pools, (name,)))
     sim.advance(1_000)
     assert sim.starts == []
