Count only executors of machines that were up as gone from the list

Found while the ways were traced in which a start is given up: the planner compared the executors of all machines in the list before with those of machines that are up now. An executor that is listed with its machine while that is still moving counted as ended with each such list, also if it had registered and had taken work.

Only an executor whose machine was listed as up can be gone from a list. The test failed before: the executor was among the ended ones.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -129,10 +129,13 @@
             for machine in machines
             if machine.state is MachineState.UP and machine.executor_id
         }
+        # A machine that is moving may be listed with the executor that comes up on it.
         unlisted = [
             machine
             for machine in previous.values()
-            if machine.executor_id and machine.executor_id not in listed
+            if machine.state is MachineState.UP
+            and machine.executor_id
+            and machine.executor_id not in listed
         ]
         for name in [*self._executor_at_order]:
             if name not in self._orders or self._executor_at_order[name] not in listed:
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -196,6 +196,19 @@
     assert plan.maintenance == () and plan.statuses == ((1, True),)
 
 
+def test_an_executor_that_is_listed_before_its_machine_is_up_has_not_ended() -> None:
+    # Guards against starts that are given up on a young executor, which serves while
+    # two lists in a row show its machine as moving.
+    planner = Planner(TIMES, 0)
+    moving = machine("m1", "a", MachineState.MOVING)
+    assert moving.executor_id
+    planner.update_machines((moving,), 0)
+    assert planner.update_machines((moving,), 700) == UnlistedExecutors()
+    planner.update_machines((machine("m1", "a"),), 1_400)
+    unlisted = planner.update_machines((moving,), 2_100)
+    assert unlisted == UnlistedExecutors(ended=(moving.executor_id,))
+
+
 def test_an_executor_has_ended_only_once_the_list_shows_it() -> None:
     # Guards against the fault of gagnon-jobs hunt-0238-15: an order that had been
     # carried out long before was answered as done, so the runs of a partitioned host
