Ask an executor again when a former life has answered a poll

The same cause elsewhere: a report with an earlier start time than the known one replaced the life of the executor, whichever connection it came over.

Such a report counts as the refusal of another life now: the executor is asked over a new connection. A report with an earlier start time over that one is a life whose time of day was set back, as before.

--- a/src/guavapin/scheduling/end_evidence.py
+++ b/src/guavapin/scheduling/end_evidence.py
@@ -16,6 +16,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from guavapin.executors.model import HostReport
 from guavapin.executors.model import NoAnswer
 from guavapin.executors.model import Refusal
 from guavapin.executors.model import RefusalKind
@@ -90,3 +91,16 @@
     """
     is_newer = requested_ms - last_sign_of_life_ms >= MAX_LIST_AGE_MS
     return is_newer and Sign.NOT_LISTED in doubt.signs
+
+
+def is_former_report(
+    outcome: OrderOutcome, born_ms: int, is_on_new_connection: bool
+) -> bool:
+    """Return whether an executor that was born at `born_ms` has not sent a report.
+
+    A life that began earlier may still answer over a connection that was open. Over a
+    new one, it is a later life that began after its time of day was set back.
+    """
+    if not isinstance(outcome, HostReport) or is_on_new_connection:
+        return False
+    return 0 < outcome.born_ms < born_ms
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -21,6 +21,7 @@
 from guavapin.scheduling.end_evidence import Sign
 from guavapin.scheduling.end_evidence import add_sign
 from guavapin.scheduling.end_evidence import confirmed_sign
+from guavapin.scheduling.end_evidence import is_former_report
 from guavapin.scheduling.end_evidence import is_list_conclusive
 from guavapin.scheduling.host import Host
 from guavapin.scheduling.host_lease import HostLease
@@ -527,6 +528,8 @@
         host = self.by_id.get(context.executor_id)
         if host is None:
             return
+        if is_former_report(outcome, host.born_ms, context.is_on_new_connection):
+            outcome = Refusal(RefusalKind.OTHER_LIFE)
         self._settle_lease(host, context.order, outcome)
         if host.born_ms != context.born_ms:
             self._handle_former_answer(host, context.order, outcome)
--- a/tests/scheduling/test_end_evidence.py
+++ b/tests/scheduling/test_end_evidence.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from guavapin.executors.model import HostReport
 from guavapin.executors.model import Look
 from guavapin.executors.model import Refusal
 from guavapin.executors.model import RefusalKind
@@ -218,3 +219,29 @@
     sim.run()
     assert host.is_answering
     assert sim.scheduler.hosts.by_id[name] is host
+
+
+def test_the_report_of_a_former_life_ends_no_run() -> None:
+    # Guards against a second run beside one at work, after an executor has started
+    # again under its id: its former life answers a poll over a pooled connection.
+    sim = ConnectedSimulation()
+    sim.executors["e1"].restart_at(sim.now_ms)
+    sim.renew_entries()
+    sim.advance(200)
+    sim.scheduler.cordon(frozenset({"e2"}), frozenset())
+    sim.submit(make_job(JOB, Step(1, SMALL, 60_000)))
+    sim.advance(200)
+    assert [name for _, name in sim.running()] == ["e1"]
+    sim.scheduler.cordon(frozenset(), frozenset())
+    host = sim.scheduler.hosts.by_id["e1"]
+    sim.now_ms += 10
+    sim._update_time()
+    context = OrderContext("e1", host.born_ms, Look(5, 0), sim.now_ms - 5)
+    report = HostReport(900_000, host.born_ms - 1, (), ())
+    sim.scheduler.hosts.handle_answer(context, report)
+    sim.run()
+    for _ in range(16):
+        sim.advance(500)
+    assert sim.longest_overlap_ms == 0
+    assert [name for _, name in sim.running()] == ["e1"]
+    assert sim.scheduler.hosts.by_id["e1"].born_ms == host.born_ms
