Let an executor that answers again refuse the starts that were given up

The scheduler gave the start up when the lease ended; the run was found by the next poll, which the executor holds for up to half a second, and stopped then.

An executor that answers again, or registers again, is first told to refuse the starts without an answer that were given up. Their lease is kept for the time in which they may arrive; it was dropped when it ended.

The test failed before, with two runs for 2,000 ms, for a host that stays registered and for one that is removed and registers again.

--- a/src/guavapin/scheduling/host_lease.py
+++ b/src/guavapin/scheduling/host_lease.py
@@ -146,6 +146,12 @@
         starts = (self._open[order].sent_ms for order in self.unanswered_starts)
         return max(starts, default=0)
 
+    @property
+    def matters_until_ms(self) -> int:
+        """Return until when a lease may last, or a start without an answer arrive."""
+        late_ms = self.unanswered_start_ms + MAX_DELIVERY_MS
+        return max(self.end_ms, late_ms if self.unanswered_start_ms else 0)
+
     def late_end_ms(self, sent_ms: int) -> int:
         """Return when a lease ends that an order gives as late as it can arrive."""
         return _latest_end_ms(self._terms.longest_ms, sent_ms + MAX_DELIVERY_MS)
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -166,6 +166,7 @@
             lease = self._new_lease(registration)
             host = Host(registration, lease, now_ms, on_change, self.usage)
             self._add(host)
+            self._refuse_late_starts(host)
             return
         # An entry without a start time does not show whether the executor restarted.
         born_ms = registration.born_ms or host.born_ms
@@ -289,11 +290,15 @@
         self._partly_known.discard(former)
         self._add(host)
         # A former life may have answered the stop of a start that comes late.
+        self._refuse_late_starts(host)
+        return host
+
+    def _refuse_late_starts(self, host: Host) -> None:
+        """Let an executor refuse the starts that were given up and may still arrive."""
         for order in host.lease.unanswered_starts:
             if (order.subtask, order.attempt) not in host.runs:
                 stop = Stop(order.subtask, order.attempt, self._term.token)
                 self._send(host, stop, ORDER_TIMEOUT_MS)
-        return host
 
     def _add(self, host: Host) -> None:
         self.by_id[host.executor_id] = host
@@ -619,8 +624,10 @@
 
     def _record_answer(self, host: Host, sent_ms: int) -> None:
         """Apply that an executor has answered an order sent at `sent_ms`."""
-        had_doubt = host.doubt is not None
+        had_doubt, was_answering = host.doubt is not None, host.is_answering
         host.record_answer(sent_ms)
+        if not was_answering:
+            self._refuse_late_starts(host)
         if had_doubt and host.doubt is None:
             extra = {"executor": host.executor_id, "runs": len(host.runs)}
             log.info("host answers after all", extra=extra)
@@ -983,5 +990,7 @@
             now_ms = self._term.now_ms
             leases = {**self._former_leases, host.executor_id: host.lease}
             self._former_leases = {
-                name: lease for name, lease in leases.items() if lease.end_ms >= now_ms
+                name: lease
+                for name, lease in leases.items()
+                if lease.matters_until_ms >= now_ms
             }
--- a/tests/scheduling/test_end_evidence.py
+++ b/tests/scheduling/test_end_evidence.py
@@ -8,6 +8,7 @@
 
 from guavapin.executors.model import HostReport
 from guavapin.executors.model import Look
+from guavapin.executors.model import NoAnswer
 from guavapin.executors.model import Refusal
 from guavapin.executors.model import RefusalKind
 from guavapin.executors.model import Start
@@ -245,3 +246,34 @@
     assert sim.longest_overlap_ms == 0
     assert [name for _, name in sim.running()] == ["e1"]
     assert sim.scheduler.hosts.by_id["e1"].born_ms == host.born_ms
+
+
+@pytest.mark.parametrize("reaches_store", [True, False])
+def test_an_executor_that_answers_again_refuses_the_starts_that_were_given_up(
+    reaches_store: bool,
+) -> None:
+    # Guards against a second run beside one whose start was under way for longer than
+    # its lease: the executor's clock stood still, and it answers a poll just before.
+    sim = ConnectedSimulation()
+    name = sim.start_held()
+    (first, second) = sim.held
+    executor = sim.executors[name]
+    executor.is_reachable = False
+    for context in (first, second):
+        sim.scheduler.hosts.handle_answer(context, NoAnswer(True, "silent"))
+    for _ in range(14):
+        executor.lag_ms += 500
+        if reaches_store:
+            sim.renew_entries()
+        else:
+            sim.scheduler.hosts.unregister(name)
+        sim.advance(500)
+    assert {other for _, other in sim.running()} == {"e2"}
+    executor.is_reachable = True
+    sim.renew_entries()
+    sim.advance(1_000)
+    sim.deliver_held()
+    for _ in range(4):
+        sim.advance(500)
+    assert sim.longest_overlap_ms == 0
+    assert len(sim.running()) == 2
