Move what a term does not know of inherited runs out of the table of hosts

The last list of machines, the hosts whose runs are not all known, and what follows for inherited work and for caps stand in a class of their own now; the table tells it of each change. Moved as they were; the tests that patch or call these methods name the new class.

--- a/src/guavapin/scheduling/cap_gate.py
+++ b/src/guavapin/scheduling/cap_gate.py
@@ -103,7 +103,7 @@
         """Refresh what may be running."""
         self._cpu_rooms_at = None
         if self._term.table.organisations:
-            self._hosts.refresh_unseen()
+            self._hosts.unknown_runs.refresh_unseen()
 
     def begin_pool(self) -> None:
         """Forget the refusals in the previous pool, whose classes have other steps."""
--- a/src/guavapin/scheduling/describe.py
+++ b/src/guavapin/scheduling/describe.py
@@ -170,7 +170,7 @@
 ) -> str:
     if not any(step.waiting and step.is_open for step in steps):
         return "nothing waits"
-    if job_run.is_inherited and pool in scheduler.hosts.unresolved_pools():
+    if job_run.is_inherited and pool in scheduler.hosts.unknown_runs.unresolved_pools():
         return "hosts of the pool have not answered this scheduler yet"
     if held := cap_reason(scheduler, job_run):
         return held
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -78,7 +78,7 @@
     def is_held_up(self, step_run: StepRun) -> bool:
         """Return whether a step waits for hosts that have not listed their runs."""
         pool = self._rules.pool_of(step_run)
-        is_unresolved = pool in self._hosts.unresolved_pools()
+        is_unresolved = pool in self._hosts.unknown_runs.unresolved_pools()
         return _is_held_up(step_run, is_unresolved)
 
     def dispatch(self) -> None:
@@ -96,7 +96,7 @@
         self._hosts.room.refresh(self._term.now_ms)
         if self._term.table.organisations:
             self.shares.begin_dispatch()
-        unresolved = self._hosts.unresolved_pools()
+        unresolved = self._hosts.unknown_runs.unresolved_pools()
         for pool in self._waiting.pools():
             room = self._hosts.room.pool(pool)
             if len(room):
@@ -106,7 +106,7 @@
         self, pool: str, only_long_running: bool
     ) -> Iterator[StepRun]:
         """Return the first steps of a pool that only wait for a host, in order."""
-        is_unresolved = pool in self._hosts.unresolved_pools()
+        is_unresolved = pool in self._hosts.unknown_runs.unresolved_pools()
         steps: Iterator[StepRun] = iter(self._waiting.long_running_in(pool))
         if not only_long_running:
             self._caps.begin_pool()
--- a/src/guavapin/scheduling/handover.py
+++ b/src/guavapin/scheduling/handover.py
@@ -74,8 +74,8 @@
                 HandedRun(subtask, attempt, is_wanted=False)
                 for subtask, attempt in host.unstored_ends.values()
             ),
-            hosts.is_listed(host),
+            hosts.unknown_runs.is_listed(host),
         )
         for host in hosts.by_id.values()
-        if hosts.are_runs_known(host)
+        if hosts.unknown_runs.are_runs_known(host)
     )
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -29,17 +29,14 @@
 from guavapin.scheduling.messages import OrderContext
 from guavapin.scheduling.messages import SendOrder
 from guavapin.scheduling.messages import StepDown
-from guavapin.scheduling.organisation_usage import NOTHING
 from guavapin.scheduling.organisation_usage import OrganisationUsage
 from guavapin.scheduling.room_index import RoomIndex
 from guavapin.scheduling.run import Run
 from guavapin.scheduling.run import RunPhase
-from guavapin.scheduling.term import MAX_UNCONFIRMED_MS
-from guavapin.scheduling.unservable import shapes_of_fleet
+from guavapin.scheduling.unknown_runs import UnknownRuns
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Iterator
 
     from guavapin.executors.model import EndedRow
     from guavapin.executors.model import Order
@@ -47,7 +44,6 @@
     from guavapin.executors.model import RunningRow
     from guavapin.jobs.model import Resources
     from guavapin.scheduling.term import Term
-    from guavapin.scheduling.unservable import MachineShape
 
 # A host answers within a few milliseconds. An answer that takes longer than this is
 # treated as lost; its order may have been carried out.
@@ -126,21 +122,7 @@
         self.by_id: dict[str, Host] = {}
         self.room = RoomIndex()
         self.usage = OrganisationUsage()
-        # Pool of each executor in the platform's list of machines, None before the
-        # first list.
-        self._listed_pools: dict[str, str] | None = None
-        # Hosts that the last list of a predecessor named, until the first list.
-        self._formerly_listed: set[Host] = set()
-        self._listed_capacities: dict[str, Resources] = {}
-        # Capacities of the other machines in that list, None if they are not known.
-        self.off_capacities: tuple[Resources, ...] | None = None
-        # Pools with hosts whose runs are not known, by whether `resolve_by_ms` has
-        # passed; empty after a change that may affect them.
-        self._unresolved: dict[bool, set[str]] = {}
-        # Executors whose hosts were removed after they had answered.
-        self._answered_ids: set[str] = set()
-        # Hosts that have answered, but have never listed all ends of their runs.
-        self._partly_known: set[Host] = set()
+        self.unknown_runs = UnknownRuns(term, self.by_id, self.usage)
         # Leases of removed hosts, whose executors may register again under their ids.
         self._former_leases: dict[str, HostLease] = {}
         # Hosts whose executors have ended while the lease was unconfirmed.
@@ -181,7 +163,7 @@
         if registration.is_draining and not host.registration.is_draining:
             log.info("host is draining", extra={"executor": host.executor_id})
         host.update_registration(registration, self._term.now_ms)
-        self._unresolved.clear()
+        self.unknown_runs.mark_changed()
 
     def _new_lease(self, registration: Registration) -> HostLease:
         """Return the lease of a host that is added.
@@ -287,7 +269,7 @@
         )
         self.end_incarnation(former, "the executor has started again")
         former.mark_removed()
-        self._partly_known.discard(former)
+        self.unknown_runs.forget_ends(former)
         self._add(host)
         # A former life may have answered the stop of a start that comes late.
         self._refuse_late_starts(host)
@@ -302,151 +284,10 @@
 
     def _add(self, host: Host) -> None:
         self.by_id[host.executor_id] = host
-        self._unresolved.clear()
+        self.unknown_runs.mark_changed()
         extra = {"executor": host.executor_id, "pool": host.pool}
         log.info("host known", extra={**extra, "runs": len(host.runs)})
 
-    def unresolved_pools(self) -> set[str]:
-        """Return the pools in which a host may have runs that are not known here.
-
-        A host that is cut off from the store loses its registration while its runs
-        continue; only the platform's list of machines still shows it.
-        """
-        term = self._term
-        is_late = term.now_ms >= term.resolve_by_ms
-        if not is_late:
-            return self._pools_of_unknown_runs(is_late)
-        hiding = {host.pool for host in self._partly_known if self._may_hide_ends(host)}
-        if term.now_ms >= term.resolve_restarts_by_ms:
-            return hiding
-        return hiding | self._pools_of_unknown_runs(is_late)
-
-    def _pools_of_unknown_runs(self, is_late: bool) -> set[str]:
-        if self._listed_pools is None:
-            return {pool.name for pool in self._term.table.pools}
-        pools = self._unresolved.get(is_late)
-        if pools is None:
-            answered = self._answered_ids if is_late else frozenset()
-            pools = {
-                host.pool
-                for host in self.by_id.values()
-                if not (is_late and host in self._partly_known)
-                and not self.are_runs_known(host)
-                and self._may_be_up(host)
-            } | {
-                self._listed_pools[name] for name in self._unseen_executors() - answered
-            }
-            self._unresolved[is_late] = pools
-        return pools
-
-    def _unseen_executors(self) -> frozenset[str]:
-        """Return the listed executors without a registration.
-
-        They may run what a predecessor started. A list may leave out an executor that
-        is up, so that one which a later list names is no newer than the term.
-        """
-        return frozenset(self._listed_pools or ()) - self.by_id.keys()
-
-    def refresh_unseen(self) -> None:
-        """Update the capacity on which runs of a predecessor may be unknown.
-
-        A host that has reported once lists all its runs, even while it has more ends
-        to list, and no longer takes orders of a predecessor.
-        """
-        if not self.usage.has_unseen:
-            return
-        if self._term.now_ms >= self._term.resolve_by_ms:
-            self.usage.forget_unseen()
-            return
-        self.usage.unseen_capacity = self._unseen_capacity()
-
-    def _unseen_capacity(self) -> Resources | None:
-        """Return the capacity of the hosts whose runs are not known, None if unknown.
-
-        An executor that is listed and has no registration is such a host too.
-        """
-        if self._listed_pools is None:
-            return None
-        capacity = NOTHING
-        for executor_id in self._unseen_executors():
-            listed = self._listed_capacities.get(executor_id)
-            if listed is None:
-                return None
-            capacity = capacity.plus(listed)
-        for host in self.by_id.values():
-            is_known = host.has_answered or host.is_handed_over
-            if is_known or host in self._partly_known:
-                continue
-            if self._may_be_up(host):
-                capacity = capacity.plus(host.registration.capacity)
-        return capacity
-
-    def _may_be_up(self, host: Host) -> bool:
-        """Return whether a host may be up, once the machines are listed.
-
-        The registry keeps the entry of an executor for seconds after its end, and a
-        list of machines may be older than the executor. One that is up renews its
-        entry.
-        """
-        is_listed = self._listed_pools is None or host.executor_id in self._listed_pools
-        return is_listed or (host.is_registered and host.renewed_ms > 0)
-
-    def are_runs_known(self, host: Host) -> bool:
-        """Return whether nothing may run on a host that is not in its `runs`."""
-        if host.has_answered or host.is_handed_over:
-            return True
-        return self._is_resolved(host) and not self._may_hide_ends(host)
-
-    def _is_resolved(self, host: Host) -> bool:
-        """Return whether no lease of a predecessor can be left on a silent host.
-
-        Entries which the executor has written since the takeover show that it is still
-        in its life of then, if they span the time in which a predecessor gives leases.
-        """
-        term = self._term
-        if term.now_ms < term.resolve_by_ms:
-            return False
-        is_same_life = (
-            host.born_ms > 0
-            and host.known_ms <= term.began_ms
-            and host.renewal_span_ms >= MAX_UNCONFIRMED_MS
-        )
-        is_answering = host in self._partly_known
-        is_over = term.now_ms >= term.resolve_restarts_by_ms
-        return is_same_life or is_answering or is_over
-
-    def mark_handed_over(self, host: Host, was_listed: bool) -> None:
-        """Record that a predecessor has handed over all that may run on a host.
-
-        `was_listed` is set if its last list of machines named the executor.
-        """
-        host.is_handed_over = True
-        self._unresolved.clear()
-        if was_listed:
-            self._formerly_listed.add(host)
-
-    def is_listed(self, host: Host) -> bool:
-        """Return whether the last list of machines names the executor of a host.
-
-        Before the first list of the term, that is the last one of a predecessor.
-        """
-        if self._listed_pools is None:
-            return host in self._formerly_listed
-        return host.executor_id in self._listed_pools
-
-    @property
-    def are_machines_known(self) -> bool:
-        """Whether the machines are listed and each that is up has its entry."""
-        return (
-            self.off_capacities is not None
-            and self._listed_pools is not None
-            and all(executor_id in self.by_id for executor_id in self._listed_pools)
-        )
-
-    def machine_shapes(self) -> Iterator[MachineShape]:
-        """Return what each machine offers, as far as it is known."""
-        return shapes_of_fleet(self.by_id, self._listed_pools, self.off_capacities)
-
     def apply_listed_pools(
         self,
         listed_pools: dict[str, str],
@@ -458,16 +299,11 @@
         `capacities` has those of their machines, as far as they are known. `off` has
         the capacities of the machines without an executor, None if unknown.
         """
-        self.off_capacities = off
-        self._listed_pools = listed_pools
-        self._listed_capacities = capacities
-        self._unresolved.clear()
         for host in self.by_id.values():
             if host.doubt is not None and host.executor_id in listed_pools:
                 host.set_doubt(host.doubt.without(UNLISTED_SIGNS))
-        formerly_listed, self._formerly_listed = self._formerly_listed, set()
-        for host in formerly_listed:
-            if host.executor_id not in listed_pools and host.runs:
+        for host in self.unknown_runs.apply_list(listed_pools, capacities, off):
+            if host.runs:
                 self.doubt(host, Sign.NOT_LISTED)
 
     def tick(self) -> None:
@@ -779,11 +615,7 @@
         if host.unanswered:
             log.info("host answers again", extra={"executor": host.executor_id})
         if not host.has_answered:
-            self._unresolved.clear()
-            if report.has_all_ends:
-                self._partly_known.discard(host)
-            else:
-                self._partly_known.add(host)
+            self.unknown_runs.record_report(host, report.has_all_ends)
         self._record_answer(host, context.sent_ms)
         host.record_report(report.has_all_ends, context.sent_ms, self._term.now_ms)
         for ended in report.ended:
@@ -959,15 +791,6 @@
             return False
         return self._term.now_ms <= host.lease.late_end_ms(sent_ms)
 
-    def _may_hide_ends(self, host: Host) -> bool:
-        """Return whether a host may still list ends of runs that are not known here.
-
-        The ends on a host that has been silent for a whole lease do not count: its
-        runs have lapsed.
-        """
-        is_lapsed = not host.is_answering and self._term.now_ms > host.lease_end_ms
-        return host in self._partly_known and not is_lapsed
-
     def _remove_runs(self, host: Host, runs: list[Run], reason: str) -> None:
         for run in runs:
             host.remove(run, self._term.now_ms)
@@ -975,18 +798,15 @@
 
     def _remove_if_empty(self, host: Host) -> None:
         is_settled = host.has_answered or self._term.now_ms >= self._term.resolve_by_ms
-        is_empty = not host.runs and not self._may_hide_ends(host)
+        is_empty = not host.runs and not self.unknown_runs.may_hide_ends(host)
         if not host.is_registered and is_empty and is_settled:
             self._delete(host)
 
     def _delete(self, host: Host) -> None:
         if self.by_id.get(host.executor_id) is host:
             del self.by_id[host.executor_id]
-            self._partly_known.discard(host)
             host.mark_removed()
-            if host.has_answered:
-                self._answered_ids.add(host.executor_id)
-            self._unresolved.clear()
+            self.unknown_runs.forget(host)
             now_ms = self._term.now_ms
             leases = {**self._former_leases, host.executor_id: host.lease}
             self._former_leases = {
--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -79,7 +79,7 @@
             host = self._hosts.by_id.get(handed.executor_id)
             if host is None or not host.born_ms or host.born_ms != handed.born_ms:
                 continue
-            self._hosts.mark_handed_over(host, handed.is_listed)
+            self._hosts.unknown_runs.mark_handed_over(host, handed.is_listed)
             for row in handed.runs:
                 self._reserve_run(host, row)
 
--- a/src/guavapin/scheduling/pool_load.py
+++ b/src/guavapin/scheduling/pool_load.py
@@ -78,14 +78,14 @@
         It can get the machines that are off, and those of other pools that are idle.
         The result is 0 while a machine is not known.
         """
-        if not self._hosts.are_machines_known:
+        if not self._hosts.unknown_runs.are_machines_known:
             return 0, True
         cpu_millis, can_grow = 0, False
         for host in self._hosts.by_id.values():
             if host.pool == pool or not host.runs:
                 cpu_millis += host.registration.capacity.cpu_millis
                 can_grow = can_grow or host.pool != pool
-        for capacity in self._hosts.off_capacities or ():
+        for capacity in self._hosts.unknown_runs.off_capacities or ():
             cpu_millis += capacity.cpu_millis
             can_grow = True
         return cpu_millis, can_grow
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -91,7 +91,7 @@
         load = TermLoad(term, self.hosts, self._rules, self.learned_times, self._work)
         rules = (
             self.organisation_admission,
-            UnservableRule(self.hosts.machine_shapes),
+            UnservableRule(self.hosts.unknown_runs.machine_shapes),
             BacklogRule(load),
         )
         self.jobs = JobTable(term, self, rules)
@@ -147,7 +147,7 @@
         now_ms = self.term.now_ms
         self._demand.update(self.steps, self.term.table)
         demands = self._demand.demands(
-            self.hosts.unresolved_pools(),
+            self.hosts.unknown_runs.unresolved_pools(),
             lambda pool: self.arrivals.cpu_millis(pool, now_ms),
             self.run_times.expected_queue_ms,
             now_ms,
--- a/tests/model/test_caps.py
+++ b/tests/model/test_caps.py
@@ -12,6 +12,7 @@
 from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.organisation_usage import OrganisationUsage
 from guavapin.scheduling.run import RunPhase
+from guavapin.scheduling.unknown_runs import UnknownRuns
 from tests.model.test_takeover_model import PROFILES
 from tests.model.test_takeover_model import RESTARTS
 from tests.model.test_takeover_model import play
@@ -91,7 +92,7 @@
 
 
 def forget_runs_on_silent_hosts(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(HostTable, "refresh_unseen", lambda hosts: None)
+    patch.setattr(UnknownRuns, "refresh_unseen", lambda hosts: None)
 
 
 def count_running_work_only(patch: pytest.MonkeyPatch) -> None:
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -21,6 +21,7 @@
 from guavapin.scheduling.scheduler import Scheduler
 from guavapin.scheduling.task import SchedulerTask
 from guavapin.scheduling.term_loader import TermLoader
+from guavapin.scheduling.unknown_runs import UnknownRuns
 from tests.model.cancellations import CANCEL_MS
 from tests.model.cancellations import STABLE_MS
 from tests.model.executors import Fleet
@@ -59,7 +60,7 @@
 
 
 def start_inherited_jobs_at_once(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(HostTable, "unresolved_pools", lambda hosts: set())
+    patch.setattr(UnknownRuns, "unresolved_pools", lambda hosts: set())
 
 
 def forget_starts_without_an_answer(patch: pytest.MonkeyPatch) -> None:
--- a/tests/model/test_waiting.py
+++ b/tests/model/test_waiting.py
@@ -15,8 +15,8 @@
 from guavapin.jobs.organisations import Organisation
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
-from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.organisation_usage import NOTHING
+from guavapin.scheduling.unknown_runs import UnknownRuns
 from tests.model.world import World
 from tests.scheduling.simulation import QUEUE
 from tests.scheduling.simulation import TABLE
@@ -211,19 +211,19 @@
 
 def count_hosts_of_ended_executors_as_unseen(patch: pytest.MonkeyPatch) -> None:
     # The registry keeps their entries for 4.5 s, the list of machines does not.
-    def add_up(hosts: HostTable) -> Resources | None:
-        if hosts._listed_pools is None:
+    def add_up(runs: UnknownRuns) -> Resources | None:
+        if runs._listed_pools is None:
             return None
         capacity = NOTHING
-        for executor_id in hosts._listed_pools.keys() - hosts.by_id.keys():
-            capacity = capacity.plus(hosts._listed_capacities[executor_id])
-        for host in hosts.by_id.values():
+        for executor_id in runs._listed_pools.keys() - runs._hosts.keys():
+            capacity = capacity.plus(runs._listed_capacities[executor_id])
+        for host in runs._hosts.values():
             is_known = host.has_answered or host.is_handed_over
-            if not is_known and host not in hosts._partly_known:
+            if not is_known and host not in runs._partly_known:
                 capacity = capacity.plus(host.registration.capacity)
         return capacity
 
-    patch.setattr(HostTable, "_unseen_capacity", add_up)
+    patch.setattr(UnknownRuns, "_unseen_capacity", add_up)
 
 
 def delay_restarts_for_a_minute(patch: pytest.MonkeyPatch) -> None:
--- a/tests/scheduling/plain_demand.py
+++ b/tests/scheduling/plain_demand.py
@@ -82,7 +82,7 @@
     now_ms = scheduler.term.now_ms
     tallies: dict[str, _Tally] = {}
     seen: set[str] = set()
-    unresolved = scheduler.hosts.unresolved_pools()
+    unresolved = scheduler.hosts.unknown_runs.unresolved_pools()
     for step_run in scheduler.steps:
         job_run = step_run.job_run
         if job_run.state.is_final or step_run.is_done:
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -36,7 +36,7 @@
 
     def is_held_up(self, step_run: StepRun, unresolved: set[str] | None = None) -> bool:
         if unresolved is None:
-            unresolved = self._hosts.unresolved_pools()
+            unresolved = self._hosts.unknown_runs.unresolved_pools()
         is_unresolved = self._rules.pool_of(step_run) in unresolved
         is_inherited = step_run.job_run.is_inherited
         return is_inherited and is_unresolved and not step_run.step.allows_copies
@@ -44,7 +44,7 @@
     def dispatch(self) -> None:
         now_ms = self._term.now_ms
         self._starter.caps.begin_dispatch()
-        unresolved = self._hosts.unresolved_pools()
+        unresolved = self._hosts.unknown_runs.unresolved_pools()
         self._hosts.room.refresh(now_ms)
         self._avoided.permit_trials(self._waiting_for_a_host)
         for step_run in sorted(self._steps, key=self._rules.position):
