Doubt silent executors that the first lists of a term leave out

The same cause elsewhere: after a takeover without a record, a silent executor that one list of machines did not name, and whose entry was not written again, counted as gone. Jobs from before started again at once beside what it ran.

It is in doubt now like any other: asked over a new connection, and waited for until its end is confirmed, it answers, or no lease of the predecessor can be left. An executor that is gone refuses the connection, or lists of 2 s leave it out.

The test failed before: two runs at once.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -303,7 +303,7 @@
             if host.doubt is not None and host.executor_id in listed_pools:
                 host.set_doubt(host.doubt.without(UNLISTED_SIGNS))
         for host in self.unknown_runs.apply_list(listed_pools, capacities, off):
-            if host.runs:
+            if host.doubt is None:
                 self.doubt(host, Sign.NOT_LISTED)
 
     def tick(self) -> None:
--- a/src/guavapin/scheduling/unknown_runs.py
+++ b/src/guavapin/scheduling/unknown_runs.py
@@ -55,15 +55,20 @@
     ) -> set[Host]:
         """Replace the list of machines.
 
-        Returns the hosts that the last list of a predecessor named and this one, the
-        first of the term, does not.
+        Returns the hosts that it does not name and on which a predecessor may have
+        started what is not known, or has handed over runs and listed them itself.
         """
         self.off_capacities = off
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self.mark_changed()
         formerly_listed, self._formerly_listed = self._formerly_listed, set()
-        return {host for host in formerly_listed if not self.is_listed(host)}
+        unlisted = {host for host in self._hosts.values() if not self.is_listed(host)}
+        return {
+            host
+            for host in unlisted
+            if host in formerly_listed or not self._is_known(host)
+        }
 
     def mark_changed(self) -> None:
         """Apply that a host was added or removed, or its state has changed."""
@@ -156,22 +161,28 @@
                 return None
             capacity = capacity.plus(listed)
         for host in self._hosts.values():
-            is_known = host.has_answered or host.is_handed_over
-            if is_known or host in self._partly_known:
-                continue
-            if self._may_be_up(host):
+            if not self._is_known(host) and self._may_be_up(host):
                 capacity = capacity.plus(host.registration.capacity)
         return capacity
 
+    def _is_known(self, host: Host) -> bool:
+        """Return whether a host has shown its runs, or a predecessor handed them over.
+
+        It may have more ends to list.
+        """
+        has_reported = host.has_answered or host in self._partly_known
+        return has_reported or host.is_handed_over
+
     def _may_be_up(self, host: Host) -> bool:
         """Return whether a host may be up, once the machines are listed.
 
         The registry keeps the entry of an executor for seconds after its end, and a
-        list of machines may be older than the executor. One that is up renews its
-        entry.
+        list of machines may be out of date. It is in doubt then until its end is
+        confirmed. One that is up renews its entry.
         """
         is_listed = self._listed_pools is None or host.executor_id in self._listed_pools
-        return is_listed or (host.is_registered and host.renewed_ms > 0)
+        is_in_doubt = host.doubt is not None
+        return is_listed or is_in_doubt or (host.is_registered and host.renewed_ms > 0)
 
     def are_runs_known(self, host: Host) -> bool:
         """Return whether nothing may run on a host that is not in its `runs`."""
--- a/tests/scheduling/test_unlisted_executors.py
+++ b/tests/scheduling/test_unlisted_executors.py
@@ -67,3 +67,56 @@
     )
     sim.advance(1_000)
     assert sim.running() == []
+
+
+def take_over_beside_a_silent_executor() -> tuple[Simulation, FakeExecutor]:
+    """Take over without a record; the first list leaves the executor out."""
+    sim = Simulation([FakeExecutor("e1"), FakeExecutor("e2")])
+    sim.list_machines()
+    sim.advance(100)
+    sim.submit(make_job("a" * 16, Step(1, SMALL, 60_000)))
+    ((_, executor_id),) = sim.running()
+    silent = sim.executors[executor_id]
+    silent.is_reachable = False
+    sim.now_ms += 100
+    sim.take_over(6)
+    list_others(sim, silent)
+    return sim, silent
+
+
+def list_others(sim: Simulation, silent: FakeExecutor) -> None:
+    sim.now_ms += 1
+    sim._update_time()
+    others = tuple((name, "pool") for name in {*sim.executors} - {silent.executor_id})
+    sim.scheduler.apply_machines(MachinesListed(others, requested_ms=sim.now_ms))
+    sim.run()
+
+
+def test_a_run_on_an_executor_that_only_its_entry_names_is_waited_for() -> None:
+    # Guards against a second run of a subtask whose executor is silent and not in the
+    # first list of a term, which may be out of date.
+    sim, silent = take_over_beside_a_silent_executor()
+    sim.advance(1_000)
+    assert [name for _, name in sim.running()] == [silent.executor_id]
+
+
+def test_an_executor_that_the_lists_of_two_seconds_leave_out_is_not_waited_for() -> (
+    None
+):
+    # Guards against inherited work that waits for 12 s (LOST) for an executor that is
+    # gone, whose entry the registry keeps.
+    sim, silent = take_over_beside_a_silent_executor()
+    silent.running.clear()
+    for _ in range(4):
+        sim.advance(700)
+        list_others(sim, silent)
+    assert len(sim.running()) == 1
+
+
+def test_an_unlisted_executor_whose_address_refuses_is_not_waited_for() -> None:
+    # Guards against inherited work that waits beside executors that have moved.
+    sim, silent = take_over_beside_a_silent_executor()
+    silent.running.clear()
+    silent.is_listening = False
+    sim.advance(500)
+    assert len(sim.running()) == 1
