Share no connection between executors at one address

An executor that comes up at the address of another one got calls over the connections that its predecessor had accepted and, while it stopped, still served; they were refused with 421.

Calls name their receiver now, and libcurl shares connections by it: the URL has a name made from it as its host, and the call connects to the address. The test failed before: the call for the second executor went over the connection to the first.

--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import hashlib
 import logging
 from collections import Counter
 from dataclasses import dataclass
@@ -132,18 +133,24 @@
             self._reconnects_left[call.address] -= 1
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         headers = tuple(f"{name}: {value}" for name, value in call.headers)
+        host = call.address
+        if call.receiver:
+            # libcurl shares connections by the host of the URL.
+            host = f"r{hashlib.sha256(call.receiver.encode()).hexdigest()[:40]}"
+            headers = (f"Host: {call.address}", *headers)
         prepared = prepare(
             curl,
             transfer,
             HttpRequest(
                 method=call.method,
-                url=f"http://{call.address}{call.path}",
+                url=f"http://{host}{call.path}",
                 headers=("Expect:", "Accept:", "User-Agent:", *headers),
                 body=call.body,
                 timeout_ms=max(call.timeout_ms, 1),
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 uses_new_connection=is_reconnect or call.uses_new_connection,
                 resets_connection=call.not_after_ms > 0,
+                connects_to=call.address if call.receiver else "",
             ),
         )
         if isinstance(prepared, Refused):
--- a/src/guavapin/http/messages.py
+++ b/src/guavapin/http/messages.py
@@ -20,8 +20,10 @@
     for the end of a network partition are dropped. Either all calls to an address have
     such a time or none.
 
-    With `uses_new_connection` the call reaches whoever listens at the address now. A
-    connection that was opened before may still lead to another process.
+    Calls with different values of `receiver` never share a connection, although their
+    address is the same: a connection to an address may still lead to a process that has
+    stopped listening there. With `uses_new_connection` the call reaches whoever listens
+    at the address now.
     """
 
     reply_to: str
@@ -34,6 +36,7 @@
     headers: Headers = ()
     not_after_ms: int = 0
     uses_new_connection: bool = False
+    receiver: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -49,7 +49,8 @@
 class HttpRequest:
     """A call to another process; `timeout_ms` limits the whole call.
 
-    With `aborts_stalled` the call ends earlier if its answer stalls. With
+    `connects_to` is the address to connect to instead of the host of the URL, "" for
+    that host. With `aborts_stalled` the call ends earlier if its answer stalls. With
     `resets_connection` a new connection is reset instead of closed when it ends.
     """
 
@@ -62,6 +63,7 @@
     uses_new_connection: bool = False
     aborts_stalled: bool = False
     resets_connection: bool = False
+    connects_to: str = ""
 
 
 class Transfer(Generic[T]):
@@ -164,6 +166,9 @@
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.TIMEOUT_MS, req.timeout_ms)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, req.connect_timeout_ms)
+    if req.connects_to:
+        # Two empty fields stand for any host and port of the URL.
+        curl.setopt(pycurl.CONNECT_TO, [f"::{req.connects_to}"])
     if req.uses_new_connection:
         curl.setopt(pycurl.FRESH_CONNECT, 1)
     if req.aborts_stalled:
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -74,6 +74,7 @@
             timeout_ms=order.timeout_ms,
             headers=(JSON_HEADER, ("X-Expect-Instance", order.executor_id)),
             uses_new_connection=order.uses_new_connection,
+            receiver=order.executor_id,
         )
 
     def decode(self, order: Order, outcome: CallOutcome) -> OrderOutcome:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -59,7 +59,11 @@
     address: str
 
     def call(
-        self, request_id: int, not_after_ms: int = 0, uses_new_connection: bool = False
+        self,
+        request_id: int,
+        not_after_ms: int = 0,
+        uses_new_connection: bool = False,
+        receiver: str = "",
     ) -> None:
         call = PeerCall(
             "caller",
@@ -71,6 +75,7 @@
             timeout_ms=4_000,
             not_after_ms=not_after_ms,
             uses_new_connection=uses_new_connection,
+            receiver=receiver,
         )
         self.kernel.deliver("http", call)
 
@@ -213,6 +218,30 @@
         assert site.reply().outcome == Answered(200, b"")
 
 
+def test_calls_for_two_receivers_at_one_address_share_no_connection(
+    site: Site,
+) -> None:
+    # Guards against a call for an executor that goes to its predecessor at the address,
+    # which serves the connections that it accepted until it has stopped.
+    site.call(1, receiver="i-1")
+    with site.accept() as former:
+        answer(former, 200)
+        assert site.reply().outcome == Answered(200, b"")
+        site.call(2, receiver="i-2")
+        with site.accept() as present:
+            answer(present, 200)
+            assert site.reply().outcome == Answered(200, b"")
+            for request_id, receiver, conn in (
+                (3, "i-1", former),
+                (4, "i-2", present),
+            ):
+                site.call(request_id, receiver=receiver)
+                head = conn.recv(65_536)
+                assert f"Host: {site.address}\r\n".encode() in head
+                answer(conn, 200)
+                assert site.reply().outcome == Answered(200, b"")
+
+
 def test_a_refused_connection_is_told_from_other_failures(site: Site) -> None:
     # Guards against a silent address that counts as one where nobody listens.
     site.call(1)
