Avoid open connections after one has led to another life

Found by the review: while a former life answered the open connections of an executor that is up, every poll that extends its lease was refused with 421. The question over a new connection refuted the sign and gave no lease, so the runs lapsed 6.0 s after the last poll that had; stops went to the former life too.

After a 421, all orders for the executor go over new connections for 10 s.

--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -24,6 +24,10 @@
 # since. A busy host is polled within 100 ms of its last report.
 MAX_CONFIRMING_REPORT_AGE_MS = 500
 
+# Time for which all orders go over new connections after an open one has led to another
+# life at the address. A lease outlasts the one order that is lost after each such time.
+FORMER_LIFE_MS = 10_000
+
 
 class Host:
     """Lease, runs, ends and free resources of an executor.
@@ -86,6 +90,8 @@
         # Whether a predecessor has handed over what runs here.
         self.is_handed_over = False
         self.unanswered = 0
+        # Time before which no order uses a connection that is open.
+        self._new_connections_until_ms = 0
         # Signs that the executor has ended, None without one.
         self.doubt: Doubt | None = None
         # Poll that was sent because of the doubt, beside a pending one; None without.
@@ -247,6 +253,14 @@
         if self.is_answering != was_answering:
             self._on_change(self)
 
+    def avoid_open_connections(self, now_ms: int) -> None:
+        """Apply that an open connection leads to another life at the address."""
+        self._new_connections_until_ms = now_ms + FORMER_LIFE_MS
+
+    def needs_new_connection(self, now_ms: int) -> bool:
+        """Return whether orders must not use a connection that is open."""
+        return self.doubt is not None or now_ms < self._new_connections_until_ms
+
     def set_doubt(self, doubt: Doubt | None) -> None:
         """Replace the signs that the executor has ended; nothing starts beside one."""
         self.doubt = doubt
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -218,7 +218,7 @@
         self._drop_waiting_starts(host)
         if host.probe is None:
             host.probe = Look(self._term.token, 0)
-            self._send_look(host, host.probe)
+            self._send(host, host.probe, ORDER_TIMEOUT_MS)
 
     def handle_unlisted(self, executor_id: str, sign: Sign) -> None:
         """Apply that a list of machines no longer shows an executor.
@@ -455,6 +455,7 @@
         if run is not None and isinstance(context.order, Start):
             host.remove(run, self._term.now_ms)
             self._handler.handle_lost_run(host, run, "start refused: other_life")
+        host.avoid_open_connections(self._term.now_ms)
         if host.answered_sent_ms < context.sent_ms:
             self.doubt(host, Sign.OTHER_LIFE)
 
@@ -738,28 +739,13 @@
         look = Look(self._term.token, confirmed, until_ms, wait_ms)
         if until_ms:
             host.lease.extend(look, now_ms)
-        self._send_look(host, look)
+        self._send(host, look, ORDER_TIMEOUT_MS + wait_ms)
 
-    def _send_look(self, host: Host, look: Look) -> None:
-        """Send a poll; while it is in doubt whether the host is up, over a connection
-        that leads to whoever listens at its address now.
-        """
-        is_on_new_connection = host.doubt is not None
-        self._send(host, look, ORDER_TIMEOUT_MS + look.wait_ms, is_on_new_connection)
-
-    def _send(
-        self,
-        host: Host,
-        order: Order,
-        timeout_ms: int,
-        is_on_new_connection: bool = False,
-    ) -> None:
+    def _send(self, host: Host, order: Order, timeout_ms: int) -> None:
+        now_ms = self._term.now_ms
+        is_on_new_connection = host.needs_new_connection(now_ms)
         context = OrderContext(
-            host.executor_id,
-            host.born_ms,
-            order,
-            self._term.now_ms,
-            is_on_new_connection,
+            host.executor_id, host.born_ms, order, now_ms, is_on_new_connection
         )
         action = SendOrder(host.registration.address, context, timeout_ms)
         self._term.actions.append(action)
