Count a list of machines by its own age and what it shows itself

A sign that an answer had refuted did not come back with later lists, since the planner named an executor only in the first list without it.

The planner names the executors that are gone with each list for 30 s, and a doubt keeps when the last list without the executor was requested and what that list shows. A refused connection confirms it only if it was requested after the last order that the executor answered.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -43,6 +43,10 @@
 # the order.
 LIST_LAG_MS = 1_000
 
+# Time for which the executors that are gone from the list are reported. No lease lasts
+# as long.
+UNLISTED_MS = 30_000
+
 
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -60,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnlistedExecutors:
-    """Executors that one list of machines names and the next one does not.
+    """Executors that earlier lists of machines named and the last one does not.
 
     The machines of `ended` are listed without them, those of `missing` are not listed.
     """
@@ -102,6 +106,9 @@
         # before its term ended may be down before the list shows it as in maintenance.
         self._waves_start_ms = now_ms + times.maintenance_ms + LIST_LAG_MS
         self._machines: dict[str, Machine] = {}
+        # Machine of each executor that is gone from the list, and when it was last in
+        # it.
+        self._unlisted: dict[str, tuple[str, int]] = {}
         self._orders: dict[str, _OpenOrder] = {}
         self._fenced_machines: set[str] = set()
         self._unconfirmed_moves: dict[str, str] = {}
@@ -116,6 +123,7 @@
     ) -> UnlistedExecutors:
         """Replace the list of machines and return the executors that are gone from it.
 
+        They are returned for `UNLISTED_MS`, since one list alone may be out of date.
         A machine gets a new executor each time it comes up. Once the machine is listed
         without its executor, or with another one, that executor has ended, unless the
         list is older than it. The answer to an order is no evidence of an end, since
@@ -130,13 +138,14 @@
             if machine.state is MachineState.UP and machine.executor_id
         }
         # A machine that is moving may be listed with the executor that comes up on it.
-        unlisted = [
-            machine
-            for machine in previous.values()
-            if machine.state is MachineState.UP
-            and machine.executor_id
-            and machine.executor_id not in listed
-        ]
+        for machine in previous.values():
+            if machine.state is MachineState.UP and machine.executor_id:
+                self._unlisted[machine.executor_id] = machine.name, now_ms
+        self._unlisted = {
+            executor_id: (name, seen_ms)
+            for executor_id, (name, seen_ms) in self._unlisted.items()
+            if executor_id not in listed and now_ms - seen_ms < UNLISTED_MS
+        }
         for name in [*self._executor_at_order]:
             if name not in self._orders or self._executor_at_order[name] not in listed:
                 del self._executor_at_order[name]
@@ -144,9 +153,15 @@
             if open_order.is_answered and now_ms >= open_order.until_ms:
                 del self._orders[name]
         return UnlistedExecutors(
-            tuple(row.executor_id for row in unlisted if row.name in self._machines),
             tuple(
-                row.executor_id for row in unlisted if row.name not in self._machines
+                executor_id
+                for executor_id, (name, _) in self._unlisted.items()
+                if name in self._machines
+            ),
+            tuple(
+                executor_id
+                for executor_id, (name, _) in self._unlisted.items()
+                if name not in self._machines
             ),
         )
 
--- a/src/guavapin/scheduling/end_evidence.py
+++ b/src/guavapin/scheduling/end_evidence.py
@@ -45,52 +45,68 @@
 
 @dataclass(frozen=True, slots=True)
 class Doubt:
-    """Signs that an executor has ended, the first of which came at `since_ms`."""
+    """Signs that an executor has ended, the last of which came at `since_ms`.
+
+    `list_requested_ms` is the time at which the last list without the executor was
+    requested, 0 without one.
+    """
 
     signs: frozenset[Sign]
     since_ms: int
+    list_requested_ms: int = 0
 
     def is_refuted_by(self, sent_ms: int) -> bool:
         """Return whether an answer to an order that was sent then refutes the signs."""
         return sent_ms >= self.since_ms
 
-    def without(self, signs: frozenset[Sign]) -> Doubt | None:
-        """Return the doubt without some signs, None if no other sign is left."""
-        left = self.signs - signs
+    def without_list(self) -> Doubt | None:
+        """Return the doubt after a list that names the executor."""
+        left = self.signs - UNLISTED_SIGNS
         return Doubt(left, self.since_ms) if left else None
 
 
-def add_sign(doubt: Doubt | None, sign: Sign, now_ms: int) -> Doubt:
-    """Return the doubt after a sign; `doubt` is None if there was none before."""
-    if doubt is None:
-        return Doubt(frozenset({sign}), now_ms)
-    return Doubt(doubt.signs | {sign}, doubt.since_ms)
-
+def add_sign(
+    doubt: Doubt | None, sign: Sign, now_ms: int, list_requested_ms: int = 0
+) -> Doubt:
+    """Return the doubt after a sign; `doubt` is None if there was none before.
 
-def confirmed_sign(doubt: Doubt | None, outcome: OrderOutcome) -> Sign | None:
+    What a list says replaces what the list before said.
+    """
+    if doubt is None:
+        return Doubt(frozenset({sign}), now_ms, list_requested_ms)
+    if sign not in UNLISTED_SIGNS:
+        return Doubt(doubt.signs | {sign}, now_ms, doubt.list_requested_ms)
+    signs = doubt.signs - UNLISTED_SIGNS | {sign}
+    # A list that repeats the sign is no reason to ask again.
+    since_ms = doubt.since_ms if doubt.signs & UNLISTED_SIGNS else now_ms
+    return Doubt(signs, since_ms, list_requested_ms)
+
+
+def confirmed_sign(
+    doubt: Doubt | None, outcome: OrderOutcome, answered_sent_ms: int
+) -> Sign | None:
     """Return the sign that an order over a new connection confirms, None without one.
 
     Another life that listens at the address is confirmed by its refusal. If nobody
-    listens there, the list of machines must say so too: some partitions refuse
-    connections.
+    listens there, a list of machines must say so too, since some partitions refuse
+    connections. It must have been requested after the last of the orders was sent that
+    the executor answered.
     """
     if isinstance(outcome, Refusal) and outcome.kind is RefusalKind.OTHER_LIFE:
         return Sign.OTHER_LIFE
     is_refused = isinstance(outcome, NoAnswer) and outcome.is_refused
-    if not is_refused or doubt is None:
+    if not is_refused or doubt is None or doubt.list_requested_ms <= answered_sent_ms:
         return None
     return next((sign for sign in Sign if sign in doubt.signs & UNLISTED_SIGNS), None)
 
 
-def is_list_conclusive(
-    doubt: Doubt, requested_ms: int, last_sign_of_life_ms: int
-) -> bool:
-    """Return whether a list that was requested then confirms that it shows an end.
+def is_list_conclusive(doubt: Doubt, last_sign_of_life_ms: int) -> bool:
+    """Return whether the last list without an executor confirms that it has ended.
 
     It was not made before the executor last showed that it was up.
     """
-    is_newer = requested_ms - last_sign_of_life_ms >= MAX_LIST_AGE_MS
-    return is_newer and Sign.NOT_LISTED in doubt.signs
+    age_ms = doubt.list_requested_ms - last_sign_of_life_ms
+    return age_ms >= MAX_LIST_AGE_MS and Sign.NOT_LISTED in doubt.signs
 
 
 def is_former_report(
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -17,7 +17,6 @@
 from guavapin.executors.model import RefusalKind
 from guavapin.executors.model import Start
 from guavapin.executors.model import Stop
-from guavapin.scheduling.end_evidence import UNLISTED_SIGNS
 from guavapin.scheduling.end_evidence import Sign
 from guavapin.scheduling.end_evidence import add_sign
 from guavapin.scheduling.end_evidence import confirmed_sign
@@ -202,42 +201,46 @@
         log.info("host gone", extra=extra)
         self._remove_runs(host, [*host.runs.values()], reason)
 
-    def doubt(self, host: Host, sign: Sign) -> None:
+    def doubt(self, host: Host, sign: Sign, list_requested_ms: int = 0) -> None:
         """Apply a sign that an executor has ended; nothing starts there beside it.
 
         Runs whose starts were sent stay, since they may be at work or about to begin.
         """
-        host.set_doubt(add_sign(host.doubt, sign, self._term.now_ms))
+        former, now_ms = host.doubt, self._term.now_ms
+        host.set_doubt(add_sign(former, sign, now_ms, list_requested_ms))
+        if former is not None and sign in former.signs:
+            return
         extra = {
             "executor": host.executor_id,
             "sign": sign.value,
             "runs": len(host.runs),
-            "last_sign_of_life_ms": self._term.now_ms - host.last_sign_of_life_ms,
+            "last_sign_of_life_ms": now_ms - host.last_sign_of_life_ms,
         }
         log.info("host may have ended", extra=extra)
         self._drop_waiting_starts(host)
-        if host.probe is None:
-            host.probe = Look(self._term.token, 0)
-            self._send(host, host.probe, ORDER_TIMEOUT_MS)
+        host.probe = Look(self._term.token, 0)
+        self._send(host, host.probe, ORDER_TIMEOUT_MS)
 
-    def handle_unlisted(self, executor_id: str, sign: Sign) -> None:
+    def handle_unlisted(self, executor_id: str, sign: Sign, requested_ms: int) -> None:
         """Apply that a list of machines no longer shows an executor.
 
-        A host without runs is removed: if its executor is up, it registers again.
+        A host on which nothing may run is removed: if its executor is up, it registers
+        again.
         """
         host = self.by_id.get(executor_id)
         if host is None:
             return
-        if host.has_sent_runs or self._term.is_unconfirmed:
-            self.doubt(host, sign)
-        else:
+        is_idle = not host.has_sent_runs and self.unknown_runs.are_runs_known(host)
+        if is_idle and not self._term.is_unconfirmed:
             self.end_incarnation(host, sign.value)
+        else:
+            self.doubt(host, sign, requested_ms)
 
-    def apply_list_age(self, requested_ms: int) -> None:
-        """Remove the hosts whose end a list shows that was requested at this time."""
+    def apply_list_age(self) -> None:
+        """Remove the hosts whose end the last list confirms by its age."""
         for host in [*self.by_id.values()]:
             is_shown = host.doubt is not None and is_list_conclusive(
-                host.doubt, requested_ms, host.last_sign_of_life_ms
+                host.doubt, host.last_sign_of_life_ms
             )
             if is_shown:
                 self._apply_end(host, Sign.NOT_LISTED)
@@ -293,6 +296,7 @@
         listed_pools: dict[str, str],
         capacities: dict[str, Resources],
         off: tuple[Resources, ...] | None = None,
+        requested_ms: int = 0,
     ) -> None:
         """Replace the pool of each executor in the platform's list of machines.
 
@@ -301,10 +305,9 @@
         """
         for host in self.by_id.values():
             if host.doubt is not None and host.executor_id in listed_pools:
-                host.set_doubt(host.doubt.without(UNLISTED_SIGNS))
+                host.set_doubt(host.doubt.without_list())
         for host in self.unknown_runs.apply_list(listed_pools, capacities, off):
-            if host.doubt is None:
-                self.doubt(host, Sign.NOT_LISTED)
+            self.doubt(host, Sign.NOT_LISTED, requested_ms)
 
     def tick(self) -> None:
         """Poll due hosts, remove the runs of ended leases, and repeat due stops."""
@@ -444,7 +447,7 @@
         is_overtaken = host.answered_sent_ms >= context.sent_ms
         if is_overtaken or not context.is_on_new_connection:
             return None
-        return confirmed_sign(host.doubt, outcome)
+        return confirmed_sign(host.doubt, outcome, host.answered_sent_ms)
 
     def _handle_other_life(self, host: Host, context: OrderContext) -> None:
         """Apply that another executor has refused an order for a host.
--- a/src/guavapin/scheduling/messages.py
+++ b/src/guavapin/scheduling/messages.py
@@ -196,7 +196,7 @@
     """From ``machines``: the executors in the platform's list of machines.
 
     `pools` has each executor of a machine that is up with its pool. Of the executors in
-    the list before, `ended` has those whose machines are listed without them now, and
+    the lists before, `ended` has those whose machines are listed without them, and
     `missing` those whose machines are not listed. `capacities` is in the order of
     `pools`, empty if it is not known. `off` has the capacity of each machine without an
     executor that is up, None if it is not known. `requested_ms` is the scheduler's
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -356,14 +356,16 @@
         capacities = dict(
             zip((row[0] for row in listed.pools), listed.capacities, strict=False)
         )
-        self.hosts.apply_listed_pools(dict(listed.pools), capacities, listed.off)
+        self.hosts.apply_listed_pools(
+            dict(listed.pools), capacities, listed.off, listed.requested_ms
+        )
         for sign, executor_ids in (
             (Sign.NOT_LISTED, listed.ended),
             (Sign.MISSING, listed.missing),
         ):
             for executor_id in executor_ids:
-                self.hosts.handle_unlisted(executor_id, sign)
-        self.hosts.apply_list_age(listed.requested_ms)
+                self.hosts.handle_unlisted(executor_id, sign, listed.requested_ms)
+        self.hosts.apply_list_age()
         self._needs_dispatch = True
 
     def apply_advice(self, reply: AdviceReply) -> None:
--- a/src/guavapin/scheduling/unknown_runs.py
+++ b/src/guavapin/scheduling/unknown_runs.py
@@ -34,7 +34,7 @@
         # Pool of each executor in the platform's list of machines, None before the
         # first list.
         self._listed_pools: dict[str, str] | None = None
-        # Hosts that the last list of a predecessor named, until the first list.
+        # Hosts that the last list of a predecessor named, and none of this term has.
         self._formerly_listed: set[Host] = set()
         self._listed_capacities: dict[str, Resources] = {}
         # Capacities of the other machines in that list, None if they are not known.
@@ -62,12 +62,12 @@
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self.mark_changed()
-        formerly_listed, self._formerly_listed = self._formerly_listed, set()
         unlisted = {host for host in self._hosts.values() if not self.is_listed(host)}
+        self._formerly_listed &= unlisted
         return {
             host
             for host in unlisted
-            if host in formerly_listed or not self._is_known(host)
+            if host in self._formerly_listed or not self._is_known(host)
         }
 
     def mark_changed(self) -> None:
--- a/tests/scheduling/test_end_evidence.py
+++ b/tests/scheduling/test_end_evidence.py
@@ -75,7 +75,9 @@
         # Orders of the same millisecond are answered at once here.
         self.now_ms += 1
         self._update_time()
-        self.scheduler.apply_machines(MachinesListed(pools, (name,)))
+        self.scheduler.apply_machines(
+            MachinesListed(pools, (name,), requested_ms=self.now_ms)
+        )
         self.run()
 
     def renew_entries(self) -> None:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -351,7 +351,11 @@
         pools = tuple((other, "pool") for other in sim.executors if other != name)
         # Nobody listens at the address of a machine that was taken down.
         executor.is_listening = False
-        sim.scheduler.apply_machines(MachinesListed(pools, (name,)))
+        sim.now_ms += 1
+        sim._update_time()
+        sim.scheduler.apply_machines(
+            MachinesListed(pools, (name,), requested_ms=sim.now_ms)
+        )
     sim.advance(1_000)
     assert sim.starts == []
     sim.scheduler.term.is_unconfirmed = False
