Reset the connection of an executor's call that was given up

By the users' pages, bytes that a partition holds up are lost if their sender resets the channel.

Calls of executors are sent over connections that are reset when a call ends without an answer, as orders for machines have been. The test of the client fails without the option: the receiver reads the end of the connection, whose bytes it would have got, instead of a reset.

A start that is in the receiver's socket already is not covered, so that an executor that was suspended may still find it there.

--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -149,7 +149,7 @@
                 timeout_ms=max(call.timeout_ms, 1),
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 uses_new_connection=is_reconnect or call.uses_new_connection,
-                resets_connection=call.not_after_ms > 0,
+                resets_connection=call.resets_connection or call.not_after_ms > 0,
                 connects_to=call.address if call.receiver else "",
             ),
         )
--- a/src/guavapin/http/messages.py
+++ b/src/guavapin/http/messages.py
@@ -15,10 +15,12 @@
     `timeout_ms` limits the whole call. A failed call is not retried.
 
     `not_after_ms` is the time of the kernel's clock after which the call must not reach
-    its receiver, 0 if it may. Such a call is not transmitted later, and when it ends
-    without an answer its connection is reset, so that bytes which wait in the kernel
-    for the end of a network partition are dropped. Either all calls to an address have
-    such a time or none.
+    its receiver, 0 if it may. Such a call is not transmitted later, and its connection
+    is reset like that of a call with `resets_connection`.
+
+    With `resets_connection` the connection of a call that ends without an answer is
+    reset, so that bytes which wait in the kernel for the end of a network partition are
+    dropped. Either all calls to an address are sent so or none.
 
     Calls with different values of `receiver` never share a connection, although their
     address is the same: a connection to an address may still lead to a process that has
@@ -37,6 +39,7 @@
     not_after_ms: int = 0
     uses_new_connection: bool = False
     receiver: str = ""
+    resets_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -75,6 +75,8 @@
             headers=(JSON_HEADER, ("X-Expect-Instance", order.executor_id)),
             uses_new_connection=order.uses_new_connection,
             receiver=order.executor_id,
+            # An order that was given up must not arrive at the end of a partition.
+            resets_connection=True,
         )
 
     def decode(self, order: Order, outcome: CallOutcome) -> OrderOutcome:
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -117,6 +117,28 @@
             conn.recv(1)
 
 
+def test_the_connection_of_a_call_that_timed_out_is_reset(site: Site) -> None:
+    # Guards against a start that the kernel delivers at the end of a partition, after
+    # its lease has ended and its subtask has started elsewhere.
+    call = PeerCall(
+        "caller",
+        1,
+        site.address,
+        "POST",
+        "/",
+        b"{}",
+        timeout_ms=300,
+        resets_connection=True,
+    )
+    site.kernel.deliver("http", call)
+    with site.accept() as conn:
+        outcome = site.reply().outcome
+        assert isinstance(outcome, Unanswered)
+        assert outcome.was_sent
+        with pytest.raises(ConnectionResetError):
+            conn.recv(1)
+
+
 def test_the_connection_of_an_aborted_call_is_reset(site: Site) -> None:
     # Guards against an order in flight that outlives the term of its sender.
     site.call(1, site.clock.now_ms() + 4_000)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -212,6 +212,8 @@
     order = HostOrder("s", 1, "10.0.0.1:80", "i-1", Look(7, 57, 9, 100), 500)
     call = PlatformExecutorCodec().encode("executors", 4, order)
     assert ("X-Expect-Instance", "i-1") in call.headers
+    assert call.receiver == "i-1"
+    assert call.resets_connection
     assert json.loads(call.body) == {
         "fencing-token": 7,
         "last-seen": 57,
