Stop a run whose start is answered after it was given up

Found by the review: the answer to a start whose run is no longer known was dropped, and settled the lease of a host without runs, which is hardly polled then; a run that had begun all the same went on until the next poll, up to 8 s.

The run is stopped at that answer. The test failed before: the run was still there. A host that keeps runs after its end was confirmed is polled every 250 ms instead of at once (read, no test).

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -282,8 +282,12 @@
         """Let an executor refuse the starts that were given up and may still arrive."""
         for order in host.lease.unanswered_starts:
             if (order.subtask, order.attempt) not in host.runs:
-                stop = Stop(order.subtask, order.attempt, self._term.token)
-                self._send(host, stop, ORDER_TIMEOUT_MS)
+                self._refuse_start(host, order)
+
+    def _refuse_start(self, host: Host, order: Start) -> None:
+        """Stop a run that was given up, or let its start be refused."""
+        stop = Stop(order.subtask, order.attempt, self._term.token)
+        self._send(host, stop, ORDER_TIMEOUT_MS)
 
     def _add(self, host: Host) -> None:
         self.by_id[host.executor_id] = host
@@ -385,6 +389,7 @@
             host.next_poll_ms = self._term.now_ms + POLL_INTERVAL_MS
         sign = self._confirmed_sign(host, context, outcome)
         if sign is not None:
+            host.next_poll_ms = self._term.now_ms + POLL_RETRY_MS
             self._apply_end(host, sign)
             return
         match outcome:
@@ -407,6 +412,9 @@
         run = self._find_run(host, context.order)
         if run is not None:
             self._handle_order_answer(host, run, context.order, outcome)
+        elif isinstance(context.order, Start) and isinstance(outcome, Done):
+            # The run was given up and has begun all the same.
+            self._refuse_start(host, context.order)
 
     def _settle_lease(self, host: Host, order: Order, outcome: OrderOutcome) -> None:
         """Count the lease of an answered order, and drop that of an order not sent."""
--- a/tests/scheduling/test_end_evidence.py
+++ b/tests/scheduling/test_end_evidence.py
@@ -279,3 +279,21 @@
         sim.advance(500)
     assert sim.longest_overlap_ms == 0
     assert len(sim.running()) == 2
+
+
+def test_a_start_that_is_answered_after_it_was_given_up_is_stopped() -> None:
+    # Guards against a run that goes on beside the second one: the answer to its start
+    # settles the lease of a host without runs, which is hardly polled then.
+    sim = ConnectedSimulation()
+    name = sim.start_held()
+    first, second = sim.held
+    sim.scheduler.hosts.handle_answer(second, NoAnswer(False, "not sent"))
+    host = sim.scheduler.hosts.by_id[name]
+    sim.scheduler.hosts._drop_start(host, host.runs[first.order.subtask, 5001])
+    sim.run()
+    assert [other for _, other in sim.running()] == ["e2", "e2"]
+    executor = sim.executors[name]
+    outcome = executor.handle_order(first.order, sim.now_ms)
+    sim.scheduler.hosts.handle_answer(first, outcome)
+    sim.run()
+    assert not executor.running
