Take an answer that ends within its head for no answer

Found by the soak of calls: if a server closes the connection after the status line and before the end of the head, libcurl reports success. A poll's 200 was read as a report without runs, which ends the runs of the executor at once ("the host does not list it"), a 409 as malformed, and a 429 or 503 to a start as proof that nothing was done.

The transfer records the blank line that ends the head; without it the call counts as sent and not answered, also in the client of the store. An answer to a poll without a body is no report either.

--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -23,6 +23,7 @@
 from guavapin.http.messages import Unanswered
 from guavapin.http.multi_driver import MultiDriver
 from guavapin.http.multi_driver import MultiTimer
+from guavapin.http.transfer import SHORT_HEAD
 from guavapin.http.transfer import HttpRequest
 from guavapin.http.transfer import Transfer
 from guavapin.http.transfer import prepare
@@ -192,7 +193,9 @@
         transfer.release()
         call = transfer.owner
         outcome: CallOutcome
-        if code == 0:
+        if code == 0 and not transfer.is_head_complete:
+            outcome = Unanswered(True, SHORT_HEAD)
+        elif code == 0:
             status = curl.getinfo(pycurl.RESPONSE_CODE)
             outcome = Answered(status, bytes(transfer.body))
             self._reconnects_left.pop(call.address, None)
--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -41,6 +41,9 @@
 # delivery must be prevented. It also applies while the process is suspended.
 UNACKNOWLEDGED_TIMEOUT_MS = 1_000
 
+# Reason of the failure of a call whose answer ended before the end of its head.
+SHORT_HEAD = "the answer ended within its head"
+
 # `struct linger` that makes closing a socket send a reset and drop unsent data.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -88,6 +91,8 @@
         self._on_long = on_long
         self._may_transmit = may_transmit
         self.transmissions = 0
+        # libcurl reports success if a connection is closed within the head.
+        self.is_head_complete = False
         self.revision = b""
         self.body = bytearray()
         # Whether the transfer ended because the answer exceeds `MAX_ANSWER_BYTES`.
@@ -112,7 +117,12 @@
         return int(pycurl.PREREQFUNC_OK)
 
     def on_header(self, line: bytes) -> None:
-        """Record the value of the ``x-revision`` header."""
+        """Record the end of the head and the value of the ``x-revision`` header."""
+        if line.startswith(b"HTTP/"):
+            # An interim answer has a head of its own.
+            self.is_head_complete = False
+        elif not line.strip():
+            self.is_head_complete = True
         name, _, value = line.partition(b":")
         if name.lower() == b"x-revision":
             self.revision = value.strip()
--- a/src/guavapin/keyvalue/client.py
+++ b/src/guavapin/keyvalue/client.py
@@ -15,6 +15,7 @@
 from guavapin.http.multi_driver import MultiDriver
 from guavapin.http.multi_driver import MultiTimer
 from guavapin.http.transfer import MAX_ANSWER_BYTES
+from guavapin.http.transfer import SHORT_HEAD
 from guavapin.http.transfer import STALL_BYTES_PER_S
 from guavapin.http.transfer import STALL_S
 from guavapin.http.transfer import HttpRequest
@@ -339,7 +340,9 @@
         transfer = self._take(curl)
         pending = transfer.owner
         outcome: PlatformOutcome
-        if code == 0:
+        if code == 0 and not transfer.is_head_complete:
+            outcome = Unknown(SHORT_HEAD)
+        elif code == 0:
             body = bytes(transfer.body)
             outcome = self._codec.decode(pending.req, status, transfer.revision, body)
         elif transfer.transmissions == 0:
--- a/src/guavapin/platform/executors.py
+++ b/src/guavapin/platform/executors.py
@@ -87,6 +87,8 @@
         if outcome.status == 200 and answer is not None:
             if not isinstance(order, Look):
                 return Done(int(answer.clock_ms))
+            if not outcome.body:
+                return NoAnswer(True, "the answer to a poll has no body")
             return _decode_report(answer) or NoAnswer(True, "the lists cannot be read")
         clock_ms = int(answer.clock_ms) if answer is not None else 0
         reason = answer.reason if answer is not None else ""
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -206,6 +206,13 @@
     assert isinstance(outcome, Refusal) and outcome.kind is kind
 
 
+def test_an_empty_answer_to_a_poll_lists_nothing() -> None:
+    # Guards against an empty answer that counts as a report without runs, so that those
+    # at work on the executor start again elsewhere.
+    outcome = PlatformExecutorCodec().decode(Look(7, 0), Answered(200, b""))
+    assert isinstance(outcome, NoAnswer)
+
+
 def test_orders_name_the_executor_that_they_are_for() -> None:
     # Guards against an order that is carried out by another executor at the same
     # address.
