--- a/src/guavapin/scheduling/end_evidence.py
+++ b/src/guavapin/scheduling/end_evidence.py
@@ -45,8 +45,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Doubt:
-    """Signs that an executor has ended, the last of which came at `since_ms`.
+    """Signs that an executor has ended.
 
+    Its answer to an order that was sent from `since_ms` on refutes them.
     `list_requested_ms` is the time at which the last list without the executor was
     requested, 0 without one.
     """
