Keep the lines about lost runs apart from those about starts and ends

The lines that explain a loss, and the start that replaces a lost run, have a budget of their own. The test failed before for a flood of "run ended".

--- a/src/guavapin/metrics/resident.py
+++ b/src/guavapin/metrics/resident.py
@@ -26,23 +26,28 @@
 MAX_LINES_PER_SECOND = 300
 MAX_BURST_LINES = 600
 
-# The same for the lines that show where each subtask runs and why. One missing line
-# leaves a second start of a subtask unexplained, so other lines do not use them up.
-# Starts of a large fleet come in bursts of some thousands.
+# The same for the lines that show where each subtask runs, and once more for the rarer
+# ones that show why a run was given up. One missing line leaves a second start of a
+# subtask unexplained, so more frequent lines do not use them up. The starts of a large
+# fleet come in bursts of some thousands.
 MAX_RUN_LINES_PER_SECOND = 300
 MAX_RUN_BURST_LINES = 3_000
 RUN_MESSAGES = frozenset(
     {
-        "host answers after all",
-        "host gone",
         "host known",
-        "host may have ended",
-        "leases ended",
         "run adopted",
         "run ended",
-        "run lost",
         "run of an ended job ended",
         "run ordered",
+    }
+)
+LOSS_MESSAGES = frozenset(
+    {
+        "host answers after all",
+        "host gone",
+        "host may have ended",
+        "leases ended",
+        "run lost",
         "start refused",
     }
 )
@@ -141,6 +146,7 @@
         )
         self._lines = LineBudget(MAX_LINES_PER_SECOND, MAX_BURST_LINES)
         self._run_lines = LineBudget(MAX_RUN_LINES_PER_SECOND, MAX_RUN_BURST_LINES)
+        self._loss_lines = LineBudget(MAX_RUN_LINES_PER_SECOND, MAX_RUN_BURST_LINES)
         self._unreported = 0
 
     def render(self) -> bytes:
@@ -173,8 +179,7 @@
         message = str(record.msg)
         self._decisions.labels(record.name, message).inc()
         self._update_from_record(record, message)
-        budget = self._run_lines if message in RUN_MESSAGES else self._lines
-        if record.levelno < logging.WARNING and not budget.take():
+        if record.levelno < logging.WARNING and not self._budget_of(record).take():
             self._unreported += 1
             self._lines_left_out.inc()
             return False
@@ -182,6 +187,13 @@
             record.lines_left_out, self._unreported = self._unreported, 0
         return True
 
+    def _budget_of(self, record: logging.LogRecord) -> LineBudget:
+        """Return the budget of a line; the start of a lost subtask explains a loss."""
+        message = str(record.msg)
+        if message in LOSS_MESSAGES or hasattr(record, "replaced_on"):
+            return self._loss_lines
+        return self._run_lines if message in RUN_MESSAGES else self._lines
+
     def _update_from_record(self, record: logging.LogRecord, message: str) -> None:
         elapsed_ms = getattr(record, "after_ms", -1)
         if message == "job ended" and elapsed_ms >= 0:
--- a/tests/metrics/test_resident.py
+++ b/tests/metrics/test_resident.py
@@ -130,20 +130,25 @@
     assert samples(metrics, "guavapin_organisation_held") == {("o1",): 0}
 
 
-def test_a_flood_of_other_lines_leaves_out_no_line_about_a_run(
-    metrics: ResidentMetrics,
+@pytest.mark.parametrize("flood", ["job refused", "run ended"])
+@pytest.mark.parametrize(
+    "fields", [{"msg": "run lost"}, {"msg": "run ordered", "replaced_on": "e1"}]
+)
+def test_a_flood_of_other_lines_leaves_out_no_line_about_a_lost_run(
+    metrics: ResidentMetrics, flood: str, fields: dict[str, str]
 ) -> None:
     # Guards against a second start of a subtask that no line explains: the lines about
-    # its runs were left out beside many others.
+    # the loss of its run were left out beside many others.
     log = logging.getLogger("guavapin.scheduling")
-    for _ in range(2_000):
-        log.info("job refused", extra={"organisation": "", "detail": ""})
+    for _ in range(5_000):
+        log.info(flood, extra={"organisation": "", "detail": "", "end": "done"})
     assert samples(metrics, "guavapin_log_lines_left_out_total")[()] > 0
-    record = logging.makeLogRecord({"name": log.name, "levelno": 20, "msg": "run lost"})
+    record = logging.makeLogRecord({"name": log.name, "levelno": 20, **fields})
     assert metrics.filter(record)
 
 
-def test_lines_about_runs_are_bounded(metrics: ResidentMetrics) -> None:
+@pytest.mark.parametrize("message", ["run ended", "run lost"])
+def test_lines_about_runs_are_bounded(metrics: ResidentMetrics, message: str) -> None:
     # Guards against a log that grows without limit with the starts of a large fleet.
-    record = logging.makeLogRecord({"levelno": 20, "msg": "run lost"})
+    record = logging.makeLogRecord({"levelno": 20, "msg": message})
     assert not all(metrics.filter(record) for _ in range(20_000))
