Play evidence about other lives of executors in the model

Cause: in the model each executor had an address of its own, nobody else ever answered there, starts arrived within milliseconds or were lost, and lists of machines were right when they were read.

Change: `Fleet.paths` carries orders and shows lists.

--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 from guavapin.executors.model import EndKind
 from guavapin.executors.model import HostAnswer
@@ -124,6 +125,39 @@
         return None
 
 
+class Paths(Protocol):
+    """The ways of orders to executors, and what a list of machines shows."""
+
+    def address(self, executor: ModelExecutor) -> str:
+        """Return the address in the entry of an executor."""
+        ...
+
+    def deliver(self, node: Node, order: HostOrder) -> None:
+        """Carry an order that is not lost to its address."""
+        ...
+
+    def list_machines(self) -> MachinePage:
+        """Return the machines as a list shows them that is requested now."""
+        ...
+
+
+class DirectPaths:
+    """Each executor has an address of its own, and lists are never out of date."""
+
+    def __init__(self, world: World, fleet: Fleet) -> None:
+        self._world, self._fleet = world, fleet
+
+    def address(self, executor: ModelExecutor) -> str:
+        return f"{executor.executor_id}:1"
+
+    def deliver(self, node: Node, order: HostOrder) -> None:
+        world = self._world
+        world.schedule(world.latency_ms(), self._fleet.arrive, node, order)
+
+    def list_machines(self) -> MachinePage:
+        return MachinePage(self._fleet.list_machines(), "")
+
+
 class Fleet:
     """Executors on machines; also decodes the registry for the schedulers."""
 
@@ -131,6 +165,7 @@
 
     def __init__(self, world: World, machines: int) -> None:
         self._world = world
+        self.paths: Paths = DirectPaths(world, self)
         # Ends in one answer of an executor, at most.
         self.max_listed_ends = 500
         # Bounds of the duration of most runs.
@@ -267,7 +302,7 @@
     def delay_entry(self, executor: ModelExecutor, delay_ms: int) -> None:
         """Write the present entry of an executor to the store after a delay."""
         key = f"{self.prefix}{executor.executor_id}"
-        value = encode_body(_entry(executor))
+        value = encode_body(self._entry(executor))
         self._world.schedule(delay_ms, self._write_late_entry, key, value)
 
     def _write_late_entry(self, key: str, value: bytes) -> None:
@@ -300,7 +335,7 @@
         draw = world.rng.random() if world.has_faults else 1.0
         if not is_address(order.address):
             no_answer = NoAnswer(False, "the call cannot be sent")
-            world.schedule(0, self._answer, node, order, no_answer)
+            world.schedule(0, self.answer, node, order, no_answer)
             return
         is_lost = draw < LOST_SHARE or self._is_stop_lost(order)
         if self._is_silent(node, order.executor_id) or is_lost:
@@ -309,7 +344,7 @@
             else:
                 world.cancellations.disturb()
             no_answer = NoAnswer(True, "lost")
-            world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
+            world.schedule(order.timeout_ms, self.answer, node, order, no_answer)
             if draw < LOST_SHARE * 2 / 3:
                 # Carried out late, or at the end of a partition.
                 delay_ms = world.rng.randint(1, 8_000)
@@ -317,7 +352,7 @@
                 born_ms = executor.born_ms if executor is not None else 0
                 world.schedule(delay_ms, self._apply_late, order, born_ms)
             return
-        world.schedule(world.latency_ms(), self._arrive, node, order)
+        self.paths.deliver(node, order)
 
     def _is_silent(self, node: Node, executor_id: str) -> bool:
         """Return whether calls of a node to an executor are lost."""
@@ -337,37 +372,39 @@
         executor = self.executors.get(order.executor_id)
         if executor is not None and executor.born_ms == born_ms:
             self._world.disturb()
-            self._apply(order)
+            self.apply(order)
 
-    def _arrive(self, node: Node, order: HostOrder) -> None:
+    def arrive(self, node: Node, order: HostOrder) -> None:
+        """Let the executor that an order names carry it out and answer."""
         world = self._world
-        outcome = self._apply(order)
+        outcome = self.apply(order)
         wait_ms = order.order.wait_ms if isinstance(order.order, Look) else 0
         executor = self.executors.get(order.executor_id)
         if outcome is None or executor is None:
             # Nobody listens at the address; an open connection is reset.
             is_new = order.uses_new_connection
             no_answer = NoAnswer(not is_new, "gone", is_refused=is_new)
-            self._answer(node, order, no_answer)
+            self.answer(node, order, no_answer)
         elif wait_ms and not executor.ended and not isinstance(outcome, Refusal):
             until_ms = world.clock.now_ms() + wait_ms
             self._waiting.append((node, order, until_ms))
         elif self._is_answer_lost(order.executor_id):
             world.disturb()
             no_answer = NoAnswer(True, "answer lost")
-            world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
+            world.schedule(order.timeout_ms, self.answer, node, order, no_answer)
         else:
-            world.schedule(world.latency_ms(), self._answer, node, order, outcome)
+            world.schedule(world.latency_ms(), self.answer, node, order, outcome)
 
     def _is_answer_lost(self, executor_id: str) -> bool:
         world = self._world
         is_lost = world.has_faults and world.rng.random() < LOST_SHARE
         return is_lost or executor_id in self.mute
 
-    def _answer(self, node: Node, order: HostOrder, outcome: Any) -> None:
+    def answer(self, node: Node, order: HostOrder, outcome: Any) -> None:
+        """Deliver the outcome of an order to the node that has sent it."""
         node.deliver(order.reply_to, HostAnswer(order.request_id, outcome))
 
-    def _apply(self, host_order: HostOrder) -> Any:
+    def apply(self, host_order: HostOrder) -> Any:
         """Carry out an order and check what it does."""
         world, order = self._world, host_order.order
         now_ms = world.clock.now_ms()
@@ -474,7 +511,7 @@
             key = f"{self.prefix}{executor.executor_id}"
             if executor.reaches_store and not world.store.is_down:
                 executor.registered_ms = now_ms
-                value = encode_body(_entry(executor))
+                value = encode_body(self._entry(executor))
                 if key not in world.store.items or now_ms % 1_500 < STEP_MS:
                     world.store.write({key: value})
         for key in [key for key in world.store.items if key.startswith(self.prefix)]:
@@ -492,11 +529,11 @@
             is_lost = is_mute or self._is_silent(node, order.executor_id)
             if is_lost or not executor.is_alive:
                 no_answer = NoAnswer(True, "silent")
-                world.schedule(order.timeout_ms, self._answer, node, order, no_answer)
+                world.schedule(order.timeout_ms, self.answer, node, order, no_answer)
             elif executor.ended or now_ms >= until_ms:
                 look = Look(order.order.token, 0)
                 outcome = executor.handle_order(look, executor.clock.at(now_ms))
-                world.schedule(world.latency_ms(), self._answer, node, order, outcome)
+                world.schedule(world.latency_ms(), self.answer, node, order, outcome)
             else:
                 self._waiting.append((node, order, until_ms))
         world.check_running()
@@ -553,7 +590,7 @@
     def _order_machine(self, order: Any) -> Any:
         world, now_ms = self._world, self._world.clock.now_ms()
         if isinstance(order, ListMachines):
-            return MachinePage(tuple(map(self._machine, self.machines)), "")
+            return self.paths.list_machines()
         self.machine_orders.append((now_ms, order.holder, order.machine))
         token, holder, ordered_ms = self._machine_tokens.get(order.machine, (0, "", 0))
         detail = f"{order.machine} by {order.holder} {order.token} after {holder}"
@@ -573,27 +610,30 @@
             world.schedule(TIMES.move_ms, self._bring_up, order.machine, order.pool)
         return OrderDone()
 
+    def list_machines(self) -> tuple[Machine, ...]:
+        """Return all machines in their present state."""
+        return tuple(map(self._machine, self.machines))
+
     def _machine(self, name: str) -> Machine:
         pool, executor_id, is_down = self.machines[name]
         state = MachineState.MOVING if is_down else MachineState.UP
         return Machine(name, pool, state, "z", "r1", HOST_CAPACITY, executor_id)
 
-
-def _entry(executor: ModelExecutor) -> dict[str, Any]:
-    """Return the fields of an executor's entry in the registry."""
-    return {
-        "service": executor.pool,
-        "address": f"{executor.executor_id}:1",
-        "zone": "z",
-        "version": "1",
-        "slots": 4,
-        "state": "ready",
-        "capacity": {
-            "cpu": HOST_CAPACITY.cpu_millis,
-            "mem-mb": HOST_CAPACITY.memory_mb,
-            "gpus": HOST_CAPACITY.gpus,
-        },
-        "labels": ["a", "r1"],
-        "seq": executor.registered_ms,
-        "born": executor.born_ms,
-    }
+    def _entry(self, executor: ModelExecutor) -> dict[str, Any]:
+        """Return the fields of an executor's entry in the registry."""
+        return {
+            "service": executor.pool,
+            "address": self.paths.address(executor),
+            "zone": "z",
+            "version": "1",
+            "slots": 4,
+            "state": "ready",
+            "capacity": {
+                "cpu": HOST_CAPACITY.cpu_millis,
+                "mem-mb": HOST_CAPACITY.memory_mb,
+                "gpus": HOST_CAPACITY.gpus,
+            },
+            "labels": ["a", "r1"],
+            "seq": executor.registered_ms,
+            "born": executor.born_ms,
+        }
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -12,6 +12,8 @@
 from guavapin.machines.task import CALL_TIMEOUT_MS
 from guavapin.machines.task import MachinesTask
 from guavapin.platform.bodies import encode_body
+from guavapin.scheduling.end_evidence import UNLISTED_SIGNS
+from guavapin.scheduling.end_evidence import Sign
 from guavapin.scheduling.handover import collect_hosts
 from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.job_table import JobTable
@@ -26,6 +28,7 @@
 from tests.model.cancellations import STABLE_MS
 from tests.model.executors import Fleet
 from tests.model.odd_entries import ENTRY
+from tests.model.other_lives import play_other_lives
 from tests.model.test_cancellations import EVENTS
 from tests.model.test_cancellations import play_cancellations
 from tests.model.test_takeover_model import play
@@ -166,6 +169,26 @@
     patch.setattr(Fleet, "_send", handle)
 
 
+def _end_hosts_at_once(patch: pytest.MonkeyPatch, signs: frozenset[Sign]) -> None:
+    doubt = HostTable.doubt
+
+    def handle(hosts, host, sign) -> None:
+        if sign in signs:
+            hosts.end_incarnation(host, sign.value)
+        else:
+            doubt(hosts, host, sign)
+
+    patch.setattr(HostTable, "doubt", handle)
+
+
+def end_hosts_that_another_life_answers_for(patch: pytest.MonkeyPatch) -> None:
+    _end_hosts_at_once(patch, frozenset({Sign.OTHER_LIFE}))
+
+
+def end_hosts_that_a_list_does_not_show(patch: pytest.MonkeyPatch) -> None:
+    _end_hosts_at_once(patch, UNLISTED_SIGNS)
+
+
 FAULTS = (
     (count_unknown_runs_with_no_resources, "LIMIT", 8),
     (drop_changes_while_lists_are_read, "LOST", 25),
@@ -206,6 +229,22 @@
     assert any("TWICE" in violation for violation in violations)
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [end_hosts_that_another_life_answers_for, end_hosts_that_a_list_does_not_show],
+)
+def test_an_end_that_is_taken_from_another_life_is_found(
+    fault: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a model in which all evidence of an end is about the present life,
+    # so that it cannot find the incident: a refusal or a list ended a host at once, and
+    # the starts that were under way to it ran beside those that replaced them.
+    fault(monkeypatch)
+    played = (play_other_lives(seed) for seed in range(MAX_SEEDS))
+    violations = next((world.violations for world in played if world.violations), [])
+    assert any("TWICE" in violation for violation in violations)
+
+
 @pytest.mark.parametrize(
     ("fault", "rule", "events"),
     [
