Play calls of the HTTP client to servers that misbehave

Nothing checked on real sockets what libcurl reports under resets, full listen queues, suspended processes and listeners that follow one another.

--- a/src/guavapin_soak/__main__.py
+++ b/src/guavapin_soak/__main__.py
@@ -7,7 +7,10 @@
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import TypeAlias
 
+from guavapin_soak.call_run import CallResult
+from guavapin_soak.call_run import run_calls
 from guavapin_soak.executor_run import ExecutorResult
 from guavapin_soak.executor_run import run_executors
 from guavapin_soak.planned_run import PlannedResult
@@ -15,6 +18,8 @@
 from guavapin_soak.run import RunResult
 from guavapin_soak.run import run_soak
 
+Result: TypeAlias = RunResult | PlannedResult | ExecutorResult | CallResult
+
 
 def main(arguments: list[str] | None = None) -> int:
     """Return 0 if every run kept every promise to callers, else 1."""
@@ -34,14 +39,21 @@
         action="store_true",
         help="faults of executors that are processes of their own",
     )
+    modes.add_argument(
+        "--calls",
+        action="store_true",
+        help="calls of the HTTP client to servers that misbehave",
+    )
     options = parser.parse_args(arguments)
     folder = options.folder or Path(tempfile.mkdtemp(prefix="guavapin-soak-"))
     print(f"logs go to {folder}")
 
-    def run_seed(seed: int) -> RunResult | PlannedResult | ExecutorResult:
+    def run_seed(seed: int) -> Result:
         seed_folder = folder / str(seed)
         seed_folder.mkdir(parents=True)
         length_ms = options.seconds * 1_000
+        if options.calls:
+            return run_calls(seed, length_ms, seed_folder)
         if options.executors:
             return run_executors(seed, length_ms, options.hosts, seed_folder)
         run = run_planned_work if options.planned else run_soak
@@ -56,6 +68,8 @@
                 _print_planned(result)
             elif isinstance(result, ExecutorResult):
                 _print_executors(result)
+            elif isinstance(result, CallResult):
+                _print_calls(result)
             else:
                 _print_result(result)
             for text in result.violations:
@@ -101,5 +115,17 @@
     )
 
 
+def _print_calls(result: CallResult) -> None:
+    kinds = sorted({fault.kind.name for fault in result.plan.faults})
+    counts = ", ".join(f"{result.outcomes[name]} {name}" for name in result.outcomes)
+    print(
+        f"seed {result.seed}: {len(result.plan.faults)} faults ({', '.join(kinds)}), "
+        f"{result.servers} servers, {len(result.plan.calls)} calls, "
+        f"{result.reads} read; {counts}: "
+        f"{'FAILED' if result.violations else 'ok'}",
+        flush=True,
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main())
