Show that part of an answer's head counts as a whole answer

Cause: the soak of calls found it. If a server closes the connection after the status line and before the end of the head, libcurl reports success, and the client answers Answered(status, b"") for any status. The codec of executors reads such a 200 to a poll as a report without runs, a 409 as malformed, and a 429 or 503 as a start of which nothing was done.

Measured: an answer of 70 bytes was cut at each length with a regular close. All lengths from the status line to the end of the head gave Answered, apart from those of every second call, which libcurl tried on the connection that had just closed. A reset gave Unanswered at each length. The test fails in its 12 cases.

--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -281,3 +281,19 @@
     assert isinstance(outcome, Unanswered)
     assert not outcome.was_sent
     assert outcome.is_refused
+
+
+@pytest.mark.parametrize("status", [200, 409, 503])
+@pytest.mark.parametrize("part", ["", "Content-Le", "Content-Length: 2", "X: 1\r\n"])
+def test_an_answer_that_ends_within_its_head_is_no_answer(
+    site: Site, status: int, part: str
+) -> None:
+    # Guards against part of an answer that is taken for a whole one without a body: of
+    # a poll, it is a report that lists no run, so that the executor's runs that are at
+    # work are given up at once and start again beside the first ones.
+    site.call(1)
+    with site.accept() as conn:
+        conn.sendall(f"HTTP/1.1 {status} X\r\n{part}".encode())
+    outcome = site.reply().outcome
+    assert isinstance(outcome, Unanswered)
+    assert outcome.was_sent
