Play calls with receivers and reset connections as executors get them

Cause: calls of executors now name their receiver and reset their connections; the soak of calls made none of that form.

--- a/src/guavapin_soak/call_plan.py
+++ b/src/guavapin_soak/call_plan.py
@@ -8,6 +8,10 @@
 
 ADDRESSES = 3
 
+# Calls to this address are made as those of executors: their connections are reset, and
+# two receivers share the address.
+EXECUTORS_ADDRESS = 1
+
 # Calls to this address must not reach their receiver after a time.
 NOT_AFTER_ADDRESS = 2
 
@@ -96,6 +100,8 @@
     timeout_ms: int
     not_after_ms: int
     uses_new_connection: bool
+    receiver: str = ""
+    resets_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +158,8 @@
         rng.choice(TIMEOUTS_MS),
         rng.randint(*NOT_AFTER_MS) if target == NOT_AFTER_ADDRESS else 0,
         rng.random() < NEW_CONNECTION_SHARE,
+        f"i-{at_ms % 2}" if target == EXECUTORS_ADDRESS else "",
+        target == EXECUTORS_ADDRESS,
     )
 
 
--- a/src/guavapin_soak/calling_task.py
+++ b/src/guavapin_soak/calling_task.py
@@ -107,6 +107,8 @@
             headers=(("X-Call", str(due.call_id)),),
             not_after_ms=now_ms + call.not_after_ms if call.not_after_ms else 0,
             uses_new_connection=call.uses_new_connection,
+            receiver=call.receiver,
+            resets_connection=call.resets_connection,
         )
         self._context.send("http", peer_call)
 
