Play executors that come back under other ids in the soak

Cause: in the soak every executor keeps its id, no one else ever listens at its address, the list of machines is always right and no former life answers, so that it could not show two runs after a 421 or a list that is wrong.

The former life has ended its runs, goes on answering over its connections for 0.2 to 4 s, in part suspended meanwhile, and answers 421 to orders for another id. Registry entries lag or are removed for a moment, the list of machines lags by up to 3 s, shows machines as moving or down although they are up or leaves them out; starts are delayed on links while other orders pass; the entry hosts are rolled. The report of two runs names the attempt that began first and what was done to both executors before.

--- a/src/guavapin_soak/__main__.py
+++ b/src/guavapin_soak/__main__.py
@@ -20,6 +20,10 @@
 
 Result: TypeAlias = RunResult | PlannedResult | ExecutorResult | CallResult
 
+# Kinds of events of executors that are counted for each seed.
+KINDS = ("start", "done", "lapsed", "killed", "suspended")
+SUCCESSION_KINDS = ("succeeds", "other life")
+
 
 def main(arguments: list[str] | None = None) -> int:
     """Return 0 if every run kept every promise to callers, else 1."""
@@ -44,7 +48,15 @@
         action="store_true",
         help="calls of the HTTP client to servers that misbehave",
     )
+    parser.add_argument(
+        "--successors",
+        action="store_true",
+        help="with --executors: next lives under other ids at the same addresses, and "
+        "registries and lists of machines that lag",
+    )
     options = parser.parse_args(arguments)
+    if options.successors and not options.executors:
+        parser.error("--successors needs --executors")
     folder = options.folder or Path(tempfile.mkdtemp(prefix="guavapin-soak-"))
     print(f"logs go to {folder}")
 
@@ -55,7 +67,9 @@
         if options.calls:
             return run_calls(seed, length_ms, seed_folder)
         if options.executors:
-            return run_executors(seed, length_ms, options.hosts, seed_folder)
+            return run_executors(
+                seed, length_ms, options.hosts, seed_folder, options.successors
+            )
         run = run_planned_work if options.planned else run_soak
         return run(seed, length_ms, options.hosts, seed_folder)
 
@@ -101,14 +115,15 @@
 
 
 def _print_executors(result: ExecutorResult) -> None:
-    faults = {fault.kind.name for fault in result.plan.faults}
+    kinds = [fault.kind.name for fault in result.plan.faults]
+    kinds += [fault.kind.name for fault in result.successions]
     counts = ", ".join(
         f"{result.kinds.get(kind, 0)} {kind}"
-        for kind in ("start", "done", "lapsed", "killed", "suspended")
+        for kind in KINDS + (SUCCESSION_KINDS if result.successions else ())
     )
     print(
         f"seed {result.seed}: longest lease {result.plan.max_lease_ms} ms, "
-        f"{len(result.plan.faults)} faults ({', '.join(sorted(faults))}), "
+        f"{len(kinds)} faults ({', '.join(sorted(set(kinds)))}), "
         f"{result.accepted} jobs accepted, {counts}: "
         f"{'FAILED' if result.violations else 'ok'}",
         flush=True,
--- a/src/guavapin_soak/executor_deployment.py
+++ b/src/guavapin_soak/executor_deployment.py
@@ -20,13 +20,16 @@
 from guavapin_soak.entry_process import entry_ports
 from guavapin_soak.executor_host import SERVICE
 from guavapin_soak.executor_host import ExecutorHost
+from guavapin_soak.executor_host import HostControls
 from guavapin_soak.executor_host import HostSetup
 from guavapin_soak.executor_host import Registry
 from guavapin_soak.executor_plan import ExecutorFaultKind
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
 from guavapin_soak.proxy import SetLink
+from guavapin_soak.proxy import SetTarget
 from guavapin_standins.ports import free_ports
+from guavapin_standins.process_platform import ListMachine
 from guavapin_standins.process_platform import ProcessPlatformTask
 from guavapin_standins.resident_platform import PutItem
 from guavapin_standins.resident_platform import RemoveItem
@@ -109,7 +112,7 @@
             ExecutorHost(
                 HostSetup(executor_id, port, folder, plan.max_lease_ms, traits),
                 f"127.0.0.1:{link.port}",
-                self._link_setter(link.name),
+                self._controls(link.name),
                 registry,
             )
             for executor_id, port, traits, link in zip(
@@ -153,7 +156,7 @@
         for entry in self.entries:
             entry.end()
         for executor in self.executors:
-            executor.kill()
+            executor.end_all()
         self._kernel.stop()
 
     def _host_steps(self, fault: ExecutorFault, target: int) -> list[Step]:
@@ -196,8 +199,12 @@
             Step(fault.at_ms + fault.for_ms, recover),
         ]
 
-    def _link_setter(self, link: str) -> Callable[[LinkMode], object]:
-        return lambda mode: self._ask(link, SetLink(mode))
+    def _controls(self, link: str) -> HostControls:
+        return HostControls(
+            lambda mode: self._ask(link, SetLink(mode)),
+            lambda port: self._ask(link, SetTarget(port)),
+            lambda row: self._ask(self._platform, ListMachine(row)),
+        )
 
     def _put(self, key: str, value: bytes) -> None:
         self._ask(self._platform, PutItem(key, value))
--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -13,7 +13,10 @@
 
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.run_overlaps import LifeEvent
+from guavapin_standins.executor_process import STOP_LINE
 from guavapin_standins.executor_process import monotonic_ms
+from guavapin_standins.ports import free_ports
+from guavapin_standins.process_platform import ListedMachine
 from guavapin_standins.resident_platform import MACHINE_CAPACITY
 
 if TYPE_CHECKING:
@@ -30,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSetup:
-    """What a host is: its id, its port, its folder, its longest lease, its clock."""
+    """What a host is: first id and port, folder, longest lease, and clock."""
 
     executor_id: str
     port: int
@@ -47,26 +50,61 @@
     remove: Callable[[str], object]
 
 
+@dataclass(frozen=True, slots=True)
+class HostControls:
+    """Changes the mode and the target of a host's link, and the list of machines."""
+
+    set_link: Callable[[LinkMode], object]
+    set_target: Callable[[int], object]
+    list_machine: Callable[[ListedMachine], object]
+
+
+class FormerLife:
+    """The process of an executor that is stopping while its successor is up."""
+
+    def __init__(self, executor_id: str, process: subprocess.Popen[bytes]) -> None:
+        self.executor_id = executor_id
+        self._process = process
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process has not ended."""
+        if self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def end(self) -> None:
+        """Kill the process, and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self._process.wait()
+        if self._process.stdin is not None:
+            self._process.stdin.close()
+
+
 class ExecutorHost:
-    """Starts, signals and ends one executor by its process id.
+    """Starts, signals and ends the executors of one machine by their process ids.
 
-    `set_link` changes the mode of its link, to whose `address` schedulers connect.
-    Only the thread that injects faults calls the methods.
+    The machine has one executor at a time, at whose `address`, that of the link,
+    schedulers connect. Only the thread that injects faults calls the methods.
     """
 
     def __init__(
         self,
         setup: HostSetup,
         address: str,
-        set_link: Callable[[LinkMode], object],
+        controls: HostControls,
         registry: Registry,
     ) -> None:
         self.executor_id = setup.executor_id
+        self.machine = f"m-{setup.executor_id}"
         self.own_events: list[LifeEvent] = []
         self._setup = setup
         self._address = address
-        self._set_link = set_link
+        self._controls = controls
         self._registry = registry
+        self._ids = [setup.executor_id]
+        self._port = setup.port
+        self._formers: list[FormerLife] = []
+        # Time until which the registry keeps the entry of a former life.
+        self._former_entries: dict[str, int] = {}
         self._link_modes: list[LinkMode] = []
         self._store_cuts = 0
         self._stops = 0
@@ -76,11 +114,15 @@
         self._is_registered = False
         self.process = self._start(setup.traits.first_ms)
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the process is up and not suspended."""
+        return self.process.poll() is None and not self._stops
+
     @property
     def is_reachable(self) -> bool:
         """Whether the process is up and no fault of a link or a suspension is on."""
-        is_up = self.process.poll() is None
-        return is_up and not self._stops and not self._link_modes
+        return self.is_up and not self._link_modes
 
     def kill(self) -> None:
         """Kill the process; a suspended one as well."""
@@ -99,6 +141,71 @@
             self.process = self._start(0)
             self._register_from_ms = monotonic_ms() + lag_ms
 
+    def begin_stop(self) -> bool:
+        """Let the executor stop; return False if it is not up."""
+        if not self.is_up or self.process.stdin is None:
+            return False
+        self.process.stdin.write(f"{STOP_LINE}\n".encode())
+        self.process.stdin.flush()
+        self._note("told to stop")
+        return True
+
+    def start_successor(self, lag_ms: int, is_entry_kept: bool) -> FormerLife:
+        """Start the next life, which has another id, at the same address.
+
+        It registers after `lag_ms`; the entry of the former one is removed now, or when
+        it has not been renewed in time. New connections lead to the next life.
+        """
+        former = FormerLife(self.executor_id, self.process)
+        self._formers.append(former)
+        if self._is_registered:
+            until_ms = self._renewed_ms + ENTRY_TIMEOUT_MS if is_entry_kept else 0
+            self._former_entries[self.executor_id] = until_ms
+        self._is_registered = False
+        self._last_entry = ""
+        self._stops = 0
+        self.executor_id = f"{self._ids[0]}-{len(self._ids)}"
+        self._ids.append(self.executor_id)
+        (self._port,) = free_ports(1)
+        self._controls.set_target(self._port)
+        self._note("succeeds", former.executor_id)
+        self.process = self._start(0)
+        self._register_from_ms = monotonic_ms() + lag_ms
+        return former
+
+    def end_former(self, former: FormerLife) -> None:
+        """End the process of a former life."""
+        self._formers.remove(former)
+        former.end()
+        self._note("killed", executor_id=former.executor_id)
+        self._note("former life ended", former.executor_id)
+
+    def end_all(self) -> None:
+        """End the processes of all lives."""
+        self.kill()
+        for former in [*self._formers]:
+            self.end_former(former)
+
+    def signal_former(self, former: FormerLife, number: signal.Signals) -> None:
+        """Suspend or wake the process of a former life."""
+        former.signal(number)
+        self._note("former life signalled", f"{former.executor_id} {number.name}")
+
+    def list_as(self, state: str, executor_id: str, is_left_out: bool = False) -> None:
+        """Change what the list of machines shows of this machine."""
+        row = ListedMachine(self.machine, state, executor_id, is_left_out)
+        self._controls.list_machine(row)
+        shown = "left out" if is_left_out else f"{state} {executor_id}"
+        self._note("listed", shown.strip())
+
+    def drop_entry(self, for_ms: int) -> None:
+        """Remove the entry, which is written again after `for_ms`."""
+        self._register_from_ms = max(self._register_from_ms, monotonic_ms() + for_ms)
+        if self._is_registered:
+            self._is_registered = False
+            self._registry.remove(f"servers/{self.executor_id}")
+            self._note("entry removed", f"for {for_ms} ms")
+
     def suspend(self) -> None:
         """Suspend the process until as many calls of `wake`."""
         if self.process.poll() is None:
@@ -133,12 +240,15 @@
         An entry that is not renewed in time is removed.
         """
         now_ms = monotonic_ms()
+        for former_id, until_ms in [*self._former_entries.items()]:
+            if now_ms > until_ms:
+                del self._former_entries[former_id]
+                self._registry.remove(f"servers/{former_id}")
         key = f"servers/{self.executor_id}"
         path = self._setup.folder / f"{self.executor_id}.entry"
-        is_up = self.process.poll() is None and not self._stops
         text = last_line(path.read_text()) if path.exists() else ""
         is_due = now_ms >= self._register_from_ms and not self._store_cuts
-        if is_up and is_due and text != self._last_entry:
+        if self.is_up and is_due and text != self._last_entry:
             self._last_entry = text
             self._renewed_ms = now_ms
             self._is_registered = True
@@ -150,10 +260,17 @@
 
     def events(self) -> list[LifeEvent]:
         """Return what the executor has written and what was done to it."""
-        path = self._setup.folder / f"{self.executor_id}.life"
+        lives = [row for executor_id in self._ids for row in self._read(executor_id)]
+        return [*lives, *self.own_events]
+
+    def life_events(self) -> list[LifeEvent]:
+        """Return what the present executor has written."""
+        return self._read(self.executor_id)
+
+    def _read(self, executor_id: str) -> list[LifeEvent]:
+        path = self._setup.folder / f"{executor_id}.life"
         rows = [] if not path.exists() else path.read_text().splitlines()
-        own = [_read_event(self.executor_id, row) for row in rows if row.endswith("}")]
-        return [*own, *self.own_events]
+        return [_read_event(executor_id, row) for row in rows if row.endswith("}")]
 
     def _complete_entry(self, written: dict[str, Any]) -> bytes:
         entry = {
@@ -164,30 +281,30 @@
             "slots": 8,
             "state": "ready",
             "capacity": MACHINE_CAPACITY,
-            "labels": ["a", f"r-{self.executor_id}"],
+            "labels": ["a", f"r-{self._setup.executor_id}"],
             **written,
         }
         return json.dumps(entry).encode()
 
     def _apply_link(self) -> None:
         mode = self._link_modes[-1] if self._link_modes else LinkMode.OPEN
-        self._set_link(mode)
+        self._controls.set_link(mode)
         self._note("link", mode.value)
 
-    def _note(self, kind: str, detail: str = "") -> None:
-        row = LifeEvent(monotonic_ms(), self.executor_id, kind, "", detail)
-        self.own_events.append(row)
+    def _note(self, kind: str, detail: str = "", executor_id: str = "") -> None:
+        name = executor_id or self.executor_id
+        self.own_events.append(LifeEvent(monotonic_ms(), name, kind, "", detail))
 
     def _start(self, first_clock_ms: int) -> subprocess.Popen[bytes]:
         setup = self._setup
-        arguments = ["--id", setup.executor_id, "--service", SERVICE]
-        arguments += ["--port", str(setup.port), "--folder", str(setup.folder)]
+        arguments = ["--id", self.executor_id, "--service", SERVICE]
+        arguments += ["--port", str(self._port), "--folder", str(setup.folder)]
         arguments += ["--max-lease-ms", str(setup.max_lease_ms)]
         arguments += ["--first-clock-ms", str(first_clock_ms)]
         arguments += ["--slow-share", str(setup.traits.slow_share)]
         if setup.traits.stands_still:
             arguments.append("--stands-still")
-        with (setup.folder / f"{setup.executor_id}.log").open("ab") as out:
+        with (setup.folder / f"{self.executor_id}.log").open("ab") as out:
             return subprocess.Popen(
                 [
                     sys.executable,
@@ -214,4 +331,5 @@
 def _read_event(executor_id: str, text: str) -> LifeEvent:
     row = json.loads(text)
     at_ms, kind, task = row.pop("at"), row.pop("kind"), row.pop("task", "")
-    return LifeEvent(at_ms, executor_id, kind, task, json.dumps(row))
+    attempt = row.pop("attempt", 0)
+    return LifeEvent(at_ms, executor_id, kind, task, json.dumps(row), attempt)
--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -9,21 +9,26 @@
 
 from guavapin_soak.executor_deployment import ExecutorDeployment
 from guavapin_soak.executor_host import count_kinds
-from guavapin_soak.executor_plan import ExecutorFaultKind
 from guavapin_soak.executor_plan import plan_executors
-from guavapin_soak.idle_restart import IdleRestart
-from guavapin_soak.idle_restart import choose_idle
+from guavapin_soak.fault_schedule import FaultSchedule
+from guavapin_soak.long_work import OPEN_JOBS
 from guavapin_soak.long_work import LongWorkCaller
+from guavapin_soak.run_overlaps import actions_before
 from guavapin_soak.run_overlaps import events_around
 from guavapin_soak.run_overlaps import find_overlaps
+from guavapin_soak.succession_plan import SuccessionPlan
+from guavapin_soak.succession_plan import plan_other_faults
+from guavapin_soak.succession_plan import plan_successions
 from guavapin_standins.executor_process import monotonic_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from pathlib import Path
 
     from guavapin_soak.executor_plan import ExecutorPlan
     from guavapin_soak.run_overlaps import LifeEvent
     from guavapin_soak.run_overlaps import Overlap
+    from guavapin_soak.succession_plan import SuccessionFault
 
 # Enough executors for the work while a few are cut off, so that a lost run can start
 # again at once. The others are full.
@@ -37,6 +42,13 @@
 
 TICK_S = 0.02
 
+# Time before a second run for which the sentence about it names what was done.
+ACTIONS_MS = 6_000
+
+# Open jobs beside next lives under other ids. They leave three executors' room, for the
+# runs that are lost with those.
+SUCCESSION_JOBS = 5
+
 # Time before an overlap from which its report has the events of both executors.
 REPORTED_MS = 25_000
 
@@ -53,17 +65,28 @@
     accepted: int
     kinds: dict[str, int]
     violations: tuple[str, ...]
+    successions: tuple[SuccessionFault, ...] = ()
 
 
 def run_executors(
-    seed: int, length_ms: int, hosts: int, folder: Path
+    seed: int, length_ms: int, hosts: int, folder: Path, has_successions: bool = False
 ) -> ExecutorResult:
-    """Run one seed; write process logs, and events on failure, to `folder`."""
-    plan = plan_executors(seed, length_ms, EXECUTORS, hosts)
+    """Run one seed; write process logs, and events on failure, to `folder`.
+
+    With `has_successions`, executors also come back under other ids.
+    """
+    if has_successions:
+        plan = plan_other_faults(seed, length_ms, EXECUTORS, hosts)
+        successions = plan_successions(seed, length_ms, EXECUTORS)
+    else:
+        plan = plan_executors(seed, length_ms, EXECUTORS, hosts)
+        successions = SuccessionPlan()
     deployment = ExecutorDeployment(folder, hosts, plan)
     try:
         ports = [entry.ports.front for entry in deployment.entries]
-        caller, bursts = (LongWorkCaller(seed, number, ports) for number in (1, 2))
+        open_jobs = SUCCESSION_JOBS if has_successions else OPEN_JOBS
+        caller = LongWorkCaller(seed, 1, ports, open_jobs)
+        bursts = LongWorkCaller(seed, 2, ports)
         stop = threading.Event()
         with ThreadPoolExecutor(2) as executor:
             futs = [
@@ -71,7 +94,8 @@
                 executor.submit(bursts.run_bursts, stop),
             ]
             try:
-                _apply(deployment, plan, length_ms, bursts)
+                schedule = FaultSchedule(deployment, plan, successions, bursts)
+                _play(deployment, schedule, length_ms)
             finally:
                 stop.set()
             for fut in futs:
@@ -88,69 +112,48 @@
         for number, row in enumerate(plan.clocks)
         if row.stands_still and (executor_id := f"i-{number}") in suspended
     }
-    found = (*(_sentence(row, still) for row in overlaps), *own_ends)
+    found = (*(_sentence(row, events, still) for row in overlaps), *own_ends)
     if found:
-        _write_events(folder, plan, events, overlaps)
+        faults = (*plan.clocks, *plan.faults, *successions.faults)
+        _write_events(folder, faults, events, overlaps)
     return ExecutorResult(
         seed,
         plan,
         caller.accepted + bursts.accepted,
         dict(count_kinds(events)),
         tuple(found),
+        successions.faults,
     )
 
 
-def _apply(
-    deployment: ExecutorDeployment,
-    plan: ExecutorPlan,
-    length_ms: int,
-    bursts: LongWorkCaller,
+def _play(
+    deployment: ExecutorDeployment, schedule: FaultSchedule, length_ms: int
 ) -> None:
-    """Apply each step at its time, and renew the entries of executors meanwhile."""
-    idle_kind = ExecutorFaultKind.RESTART_IDLE
-    at_idle = [fault for fault in plan.faults if fault.kind is idle_kind]
-    # Steps of one fault that are due at the same time keep their order.
-    waiting = sorted(
-        (
-            step
-            for fault in plan.faults
-            if fault.kind is not idle_kind
-            for step in deployment.steps(fault)
-        ),
-        key=lambda step: step.at_ms,
-    )
-    restarts: list[IdleRestart] = []
+    """Apply each fault at its time, and renew the entries of executors meanwhile."""
     began_ms = monotonic_ms() + STARTUP_MS
     pause = threading.Event()
     while (now_ms := monotonic_ms()) < began_ms + length_ms + WATCHED_MS:
-        while waiting and began_ms + waiting[0].at_ms <= now_ms:
-            waiting.pop(0).apply()
-        while at_idle and began_ms + at_idle[0].at_ms <= now_ms:
-            fault = at_idle.pop(0)
-            hosts = deployment.executors
-            restarts += [
-                IdleRestart(host, fault, bursts.request_burst, now_ms)
-                for host in choose_idle(hosts, fault.targets, fault.count, now_ms)
-            ]
-        for restart in restarts:
-            restart.tick(now_ms)
-        restarts = [restart for restart in restarts if not restart.is_over]
+        schedule.tick(began_ms, now_ms)
         deployment.renew_entries()
         pause.wait(TICK_S)
 
 
-def _sentence(overlap: Overlap, still_clocks: set[str]) -> str:
-    """Return the sentence of an overlap; it names clocks that have stood still."""
+def _sentence(overlap: Overlap, events: list[LifeEvent], still_clocks: set[str]) -> str:
+    """Return the sentence of an overlap, what was done before, and still clocks."""
     hosts = {overlap.first.executor, overlap.second.executor} & still_clocks
     names = ", ".join(sorted(hosts))
     note = f"; the clock of {names} stands still while suspended" if names else ""
-    return overlap.describe() + note
+    before = actions_before(overlap, events, ACTIONS_MS)
+    return f"{overlap.describe()}{note}; before: {before}"
 
 
 def _write_events(
-    folder: Path, plan: ExecutorPlan, events: list[LifeEvent], overlaps: list[Overlap]
+    folder: Path,
+    plan: Iterable[object],
+    events: list[LifeEvent],
+    overlaps: list[Overlap],
 ) -> None:
-    lines = [str(row) for row in (*plan.clocks, *plan.faults)]
+    lines = [str(row) for row in plan]
     for overlap in overlaps:
         lines += ["", overlap.describe()]
         lines += map(str, events_around(overlap, events, REPORTED_MS))
--- a/src/guavapin_soak/long_work.py
+++ b/src/guavapin_soak/long_work.py
@@ -51,8 +51,11 @@
 class LongWorkCaller:
     """Keeps the executors busy until `stop` is set; `accepted` counts its jobs."""
 
-    def __init__(self, seed: int, number: int, ports: list[int]) -> None:
+    def __init__(
+        self, seed: int, number: int, ports: list[int], open_jobs: int = OPEN_JOBS
+    ) -> None:
         self.accepted = 0
+        self._open_jobs = open_jobs
         self._number = number
         self._rng = random.Random(f"{seed}.{number}.work")
         self._ports = ports
@@ -78,7 +81,7 @@
             while not self._submit(job) and not stop.wait(POLL_INTERVAL_S):
                 pass
         while not stop.wait(POLL_INTERVAL_S):
-            if len(self._open) < OPEN_JOBS:
+            if len(self._open) < self._open_jobs:
                 job = self._draw(JOB_SUBTASKS, self._rng.randint(*WORK_MS), False)
                 if self._submit(job):
                     self._open.append(job.job_id)
--- a/src/guavapin_soak/proxy.py
+++ b/src/guavapin_soak/proxy.py
@@ -23,6 +23,11 @@
 # platform's store takes.
 LINK_DELAY_MS = 80
 
+# Delay of starts on a link that delays no other order; shorter than the time in which
+# an order must be answered.
+START_DELAY_MS = 300
+_START = b"POST /guavapin/run-start"
+
 # Linger option that makes `close` send a reset instead of an orderly end.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -32,6 +37,7 @@
 
     OPEN = "open"
     DELAYED = "delayed"
+    STARTS_DELAYED = "starts delayed"
     ONE_WAY = "one way"
     CUT = "cut"
     HELD_BACK = "held back"
@@ -46,6 +52,13 @@
     mode: LinkMode
 
 
+@dataclass(frozen=True, slots=True)
+class SetTarget:
+    """As a `Call`: lead new connections to `port`; open ones stay as they are."""
+
+    port: int
+
+
 @dataclass(frozen=True, slots=True)
 class SilenceConnections:
     """As a `Call`: drop all data of the open connections without closing them."""
@@ -82,6 +95,8 @@
         self.unsent = bytearray()
         self.is_silent = False
         self.is_closed = False
+        # Number of pieces of data to this socket that are delayed.
+        self.delayed = 0
 
 
 class ProxyTask:
@@ -115,7 +130,11 @@
         """Handle a test control, or delayed data that is due."""
         match message:
             case _DelayedData(endpoint=endpoint, data=data):
+                endpoint.delayed -= 1
                 self._write(endpoint, data)
+            case Call(body=SetTarget(port=port), fut=fut):
+                self._target = port
+                fut.set_result(Ok(None))
             case Call(body=SetLink(mode=mode), fut=fut):
                 self._mode = mode
                 self._watch_listener()
@@ -199,11 +218,23 @@
             endpoint.is_silent = True
         if endpoint.is_silent:
             return
-        if self._mode is LinkMode.DELAYED:
-            self._context.set_timer(LINK_DELAY_MS, _DelayedData(endpoint.peer, data))
+        delay_ms = self._delay_ms(endpoint, data)
+        if delay_ms:
+            endpoint.peer.delayed += 1
+            self._context.set_timer(delay_ms, _DelayedData(endpoint.peer, data))
         else:
             self._write(endpoint.peer, data)
 
+    def _delay_ms(self, endpoint: _Endpoint, data: bytes) -> int:
+        if self._mode is LinkMode.DELAYED:
+            return LINK_DELAY_MS
+        if self._mode is not LinkMode.STARTS_DELAYED:
+            return 0
+        assert endpoint.peer is not None
+        # The rest of a start follows its delayed head.
+        is_start = data.startswith(_START) or endpoint.peer.delayed
+        return START_DELAY_MS if is_start else 0
+
     def _hold_back(self, endpoint: _Endpoint, data: bytes) -> None:
         assert endpoint.peer is not None
         self._held.append(_HeldData(endpoint.peer, data))
--- a/src/guavapin_soak/run_overlaps.py
+++ b/src/guavapin_soak/run_overlaps.py
@@ -13,7 +13,25 @@
 # Time after its waking in which a suspended executor lets its runs lapse.
 WAKE_MS = 100
 
-RUN_ENDS = frozenset(("done", "lapsed", "stopped"))
+RUN_ENDS = frozenset(("done", "lapsed", "stopped", "gone"))
+
+# What a report of an overlap tells of the time before it: what was done to an executor,
+# and what it has written about its own life.
+REPORTED_KINDS = frozenset(
+    (
+        "up",
+        "killed",
+        "suspended",
+        "woken",
+        "told to stop",
+        "succeeds",
+        "former life signalled",
+        "former life ended",
+        "listed",
+        "entry removed",
+        "link",
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +48,7 @@
     kind: str
     task: str = ""
     detail: str = ""
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +60,7 @@
     start_ms: int
     end_ms: int
     end_kind: str
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,26 +85,28 @@
         start_ms = self.parts[0][0]
         return (
             f"{self.first.task}: two runs at once for {self.length_ms} ms from "
-            f"{start_ms} ms, on {runs}"
+            f"{start_ms} ms, on {runs}; attempt {self.first.attempt} began "
+            f"{self.second.start_ms - self.first.start_ms} ms before attempt "
+            f"{self.second.attempt}"
         )
 
 
 def run_spans(events: Iterable[LifeEvent], until_ms: int) -> list[RunSpan]:
     """Return the runs of all executors; a run at work at the end ends at `until_ms`."""
     spans: list[RunSpan] = []
-    running: dict[tuple[str, str], int] = {}
+    running: dict[tuple[str, str], LifeEvent] = {}
     for event in sorted(events, key=_event_time):
         key = (event.executor, event.task)
         if event.kind == "start":
-            running[key] = event.at_ms
+            running[key] = event
         elif event.kind in RUN_ENDS and key in running:
-            spans.append(_span(key, running.pop(key), event.at_ms, event.kind))
+            spans.append(_span(running.pop(key), event.at_ms, event.kind))
         elif event.kind == "killed":
             lost = [row for row in running if row[0] == event.executor]
             for row in lost:
-                spans.append(_span(row, running.pop(row), event.at_ms, "killed"))
-    for key, start_ms in running.items():
-        spans.append(_span(key, start_ms, until_ms, "running"))
+                spans.append(_span(running.pop(row), event.at_ms, "killed"))
+    for start in running.values():
+        spans.append(_span(start, until_ms, "running"))
     return spans
 
 
@@ -138,6 +160,28 @@
     ]
 
 
+def actions_before(
+    overlap: Overlap, events: Iterable[LifeEvent], before_ms: int
+) -> str:
+    """Return what was done to both executors in `before_ms` before the later start.
+
+    Times are relative to that start.
+    """
+    start_ms = overlap.second.start_ms
+    rows = events_around(overlap, events, before_ms)
+    texts = []
+    for span in (overlap.first, overlap.second):
+        actions = ", ".join(
+            f"{event.kind} {event.detail}".strip() + f" {event.at_ms - start_ms} ms"
+            for event in rows
+            if event.executor == span.executor
+            and event.kind in REPORTED_KINDS
+            and start_ms - before_ms <= event.at_ms <= start_ms
+        )
+        texts.append(f"{span.executor}: {actions or 'nothing'}")
+    return "; ".join(texts)
+
+
 def _common_parts(
     first: RunSpan, second: RunSpan, stops: dict[str, list[tuple[int, int]]]
 ) -> tuple[tuple[int, int], ...]:
@@ -159,9 +203,8 @@
         yield max(start_ms, min(to_ms, end_ms)), end_ms
 
 
-def _span(key: tuple[str, str], start_ms: int, end_ms: int, kind: str) -> RunSpan:
-    executor, task = key
-    return RunSpan(task, executor, start_ms, end_ms, kind)
+def _span(start: LifeEvent, end_ms: int, kind: str) -> RunSpan:
+    return RunSpan(start.task, start.executor, start.at_ms, end_ms, kind, start.attempt)
 
 
 def _event_time(event: LifeEvent) -> int:
--- a/src/guavapin_standins/executor_process.py
+++ b/src/guavapin_standins/executor_process.py
@@ -2,8 +2,9 @@
 
 Each line of the file is a JSON object with the machine's monotonic time ``at`` in ms,
 ``kind`` and the clock of the executor. The entries for the registry go to a second
-file; whoever started the process brings the last one to the store. The process ends
-when its standard input ends.
+file; whoever started the process brings the last one to the store. After the line
+``stop`` on its standard input, an executor's runs have ended, and it still answers over
+the connections that it has. The process ends when its standard input ends.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from guavapin.kernel import Call
 from guavapin.kernel import Kernel
 from guavapin.kernel import Ok
 from guavapin.kernel import SystemClock
@@ -42,6 +44,9 @@
 PERCENT_MS = 200
 WORK_MS = 250
 
+# Line on the standard input that lets an executor stop.
+STOP_LINE = "stop"
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorFiles:
@@ -51,6 +56,11 @@
     entry: Path
 
 
+@dataclass(frozen=True, slots=True)
+class BeginStop:
+    """As a `Call`: end all runs and refuse starts from now on."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Tick:
     """Timer: advance the executor and answer pending calls."""
@@ -80,6 +90,7 @@
         self._pending: list[_PendingHold] = []
         self._entry_count = 0
         self._next_entry_ms = 0
+        self._is_stopping = False
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Open the files and write the first line of the life."""
@@ -97,17 +108,26 @@
 
     def handle(self, message: object) -> None:
         """Handle a request or the timer."""
-        if isinstance(message, _Tick):
-            self._tick()
-        elif not self.handle_front_message(message):
-            raise InvariantError(f"{self.name}: unexpected {message!r}")
+        match message:
+            case _Tick():
+                self._tick()
+            case Call(body=BeginStop(), fut=fut):
+                self._begin_stop()
+                fut.set_result(Ok(None))
+            case _:
+                if not self.handle_front_message(message):
+                    raise InvariantError(f"{self.name}: unexpected {message!r}")
 
     def handle_request(self, req: WholeRequest) -> None:
         """Carry out a scheduler's call; answer a hold at the end of its wait."""
         path = req.target.partition("?")[0]
         if req.header(b"x-expect-instance") != self._executor.executor_id:
+            self._write("other life", expected=req.header(b"x-expect-instance"))
             self._reply(req.request_id, 421, {})
             return
+        if self._is_stopping and path.endswith("/run-start"):
+            self._reply(req.request_id, 503, {})
+            return
         body = json.loads(req.body)
         now_ms = monotonic_ms()
         clock_ms = self._clock.at(now_ms)
@@ -130,6 +150,12 @@
         else:
             self._reply(req.request_id, status, answer)
 
+    def _begin_stop(self) -> None:
+        self._is_stopping = True
+        self._executor.leave(self._clock.at(monotonic_ms()))
+        self._write_runs()
+        self._write("stopping")
+
     def _tick(self) -> None:
         now_ms = monotonic_ms()
         clock_ms = self._clock.at(now_ms)
@@ -143,7 +169,7 @@
             answer = self._call("/hold", row.body, clock_ms)
             self._reply(row.request_id, *answer)
         self._write_runs()
-        if now_ms >= self._next_entry_ms:
+        if now_ms >= self._next_entry_ms and not self._is_stopping:
             self._next_entry_ms = now_ms + ENTRY_INTERVAL_MS
             self._write_entry(clock_ms)
         self._context.set_timer(TICK_MS, _Tick())
@@ -160,7 +186,7 @@
     def _write_runs(self) -> None:
         for event in self._executor.log:
             if event.kind != "confirmed":
-                self._write(event.kind, task=event.task)
+                self._write(event.kind, task=event.task, attempt=event.attempt)
         self._executor.log.clear()
 
     def _write(self, kind: str, **fields: Any) -> None:
@@ -226,7 +252,9 @@
     outcome = kernel.start()
     if not isinstance(outcome, Ok):
         raise InvariantError(f"the executor did not start: {outcome}")
-    sys.stdin.read()
+    for line in sys.stdin:
+        if line.strip() == STOP_LINE:
+            kernel.ask(task.name, BeginStop())
     kernel.stop()
 
 
--- a/src/guavapin_standins/process_platform.py
+++ b/src/guavapin_standins/process_platform.py
@@ -2,33 +2,68 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 
+from guavapin.kernel import Call
+from guavapin.kernel.outcome import Ok
 from guavapin_standins.resident_platform import MACHINE_CAPACITY
 from guavapin_standins.resident_platform import ResidentPlatformTask
 
 
+@dataclass(frozen=True, slots=True)
+class ListedMachine:
+    """What the list of machines shows of one; `executor_id` may be empty."""
+
+    machine: str
+    state: str
+    executor_id: str
+    is_left_out: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ListMachine:
+    """As a `Call`: replace what the list shows of a machine."""
+
+    shown: ListedMachine
+
+
 class ProcessPlatformTask(ResidentPlatformTask):
-    """Service ``resident_platform``, whose list of machines names all `executors`.
+    """Service ``resident_platform``, whose list of machines shows what it was told.
 
-    An executor keeps its id when it starts again, and its machine stays up.
+    At first, the machine of each of the `executors` is up.
     """
 
     def __init__(self, pool: str, executors: tuple[str, ...]) -> None:
         super().__init__((), ("",))
         self._pool = pool
-        self._listed = executors
+        self._shown = {
+            row.machine: row
+            for row in (
+                ListedMachine(f"m-{executor}", "up", executor) for executor in executors
+            )
+        }
+
+    def handle(self, message: object) -> None:
+        """Handle a change of the list, or what the platform handles."""
+        match message:
+            case Call(body=ListMachine(shown=shown), fut=fut):
+                self._shown[shown.machine] = shown
+                fut.set_result(Ok(None))
+            case _:
+                super().handle(message)
 
     def _list_machines(self, now_ms: int) -> list[dict[str, Any]]:
         return [
             {
-                "machine": f"m-{executor}",
+                "machine": row.machine,
                 "pool": self._pool,
-                "state": "up",
+                "state": row.state,
                 "zone": "z",
-                "labels": ["a", f"r-{executor}"],
+                "labels": ["a", f"r-{row.machine.removeprefix('m-')}"],
                 "capacity": MACHINE_CAPACITY,
-                "id": executor,
+                "id": row.executor_id or None,
             }
-            for executor in self._listed
+            for row in self._shown.values()
+            if not row.is_left_out
         ]
--- a/src/guavapin_standins/resident_executor.py
+++ b/src/guavapin_standins/resident_executor.py
@@ -24,6 +24,7 @@
     kind: str
     task: str
     at_ms: int
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +65,8 @@
     def leave(self, now_ms: int) -> None:
         """End all runs without reporting their ends, as a removed host does."""
         for task in [*self.running]:
-            del self.running[task]
-            self.log.append(RunEvent("gone", task, now_ms))
+            run = self.running.pop(task)
+            self.log.append(RunEvent("gone", task, now_ms, run.attempt))
 
     def call(
         self, path: str, body: dict[str, Any], now_ms: int
@@ -116,7 +117,7 @@
             if spec.startswith(WORK_SPEC):
                 work_ms = int(spec.removeprefix(WORK_SPEC))
             self.running[task] = RunningTask(attempt, now_ms + work_ms)
-            self.log.append(RunEvent("start", task, now_ms))
+            self.log.append(RunEvent("start", task, now_ms, attempt))
         return 200, {"clock-ms": now_ms}
 
     def _end(self, task: str, end_kind: str, now_ms: int) -> None:
@@ -126,4 +127,4 @@
         )
         self.watermarks["number"] += 1
         self.ended.append([self.watermarks["number"], task, run.attempt, end_kind, ""])
-        self.log.append(RunEvent(end_kind, task, now_ms))
+        self.log.append(RunEvent(end_kind, task, now_ms, run.attempt))
--- a/tests/soak/test_executor_run.py
+++ b/tests/soak/test_executor_run.py
@@ -12,6 +12,7 @@
     from pathlib import Path
 
 SEED = 1
+SUCCESSION_SEED = 1
 LENGTH_MS = 8_000
 
 
@@ -33,3 +34,15 @@
     assert result.accepted > 0
     assert result.kinds["start"] > result.accepted
     assert result.violations == ()
+
+
+def test_next_lives_under_other_ids_cause_no_two_runs(tmp_path: Path) -> None:
+    # Guards against an answer of a former life, an old list of machines or a removed
+    # entry that ends the runs of an executor that is up.
+    result = run_executors(
+        SUCCESSION_SEED, LENGTH_MS, 2, tmp_path, has_successions=True
+    )
+    # Otherwise nothing was judged.
+    assert result.kinds["succeeds"] > 0
+    assert result.kinds["start"] > result.accepted
+    assert result.violations == ()
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -13,6 +13,7 @@
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
 from guavapin_soak.proxy import SetLink
+from guavapin_soak.proxy import SetTarget
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -46,6 +47,10 @@
         """Change the mode of the link."""
         self._kernel.ask("link", SetLink(mode)).result(TIMEOUT_S)
 
+    def set_target(self, port: int) -> None:
+        """Lead new connections to another port."""
+        self._kernel.ask("link", SetTarget(port)).result(TIMEOUT_S)
+
     def stop(self) -> None:
         """Close the sockets of both."""
         self.listener.close()
@@ -117,3 +122,36 @@
     # The proxy serves on.
     with pytest.raises(ConnectionResetError), link.connect() as caller:
         caller.recv(100)
+
+
+def test_new_connections_lead_to_the_new_target(link: Link) -> None:
+    # Guards against a next life that is never reached while the former one answers.
+    with socket.create_server(("127.0.0.1", 0)) as following:
+        following.settimeout(TIMEOUT_S)
+        with link.connect() as first, link.accept() as former:
+            link.set_target(following.getsockname()[1])
+            with link.connect() as second, following.accept()[0] as present:
+                first.sendall(b"to the former")
+                second.sendall(b"to the present")
+                assert former.recv(100) == b"to the former"
+                assert present.recv(100) == b"to the present"
+
+
+def test_only_starts_are_delayed(link: Link) -> None:
+    # Guards against polls that wait with the starts, so that none can overtake one.
+    link.set_mode(LinkMode.STARTS_DELAYED)
+    with (
+        link.connect() as start,
+        link.accept() as started,
+        link.connect() as poll,
+        link.accept() as polled,
+    ):
+        start.sendall(b"POST /guavapin/run-start HTTP/1.1")
+        start.sendall(b"the rest")
+        poll.sendall(b"POST /guavapin/hold HTTP/1.1")
+        assert polled.recv(100).startswith(b"POST /guavapin/hold")
+        started.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            started.recv(100)
+        started.settimeout(TIMEOUT_S)
+        assert started.recv(100).startswith(b"POST /guavapin/run-start")
--- a/tests/soak/test_run_overlaps.py
+++ b/tests/soak/test_run_overlaps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from guavapin_soak.run_overlaps import LifeEvent
+from guavapin_soak.run_overlaps import actions_before
 from guavapin_soak.run_overlaps import events_around
 from guavapin_soak.run_overlaps import find_overlaps
 
@@ -12,7 +13,7 @@
 
 def event(at_ms: int, executor: str, kind: str) -> LifeEvent:
     """Return an event; starts and ends are those of `TASK`."""
-    is_run = kind in ("start", "done", "lapsed", "stopped")
+    is_run = kind in ("start", "done", "lapsed", "stopped", "gone")
     return LifeEvent(at_ms, executor, kind, TASK if is_run else "")
 
 
@@ -107,3 +108,25 @@
     around = [row.at_ms for row in events_around(overlap, rows, 1_000)]
     assert around == [5_000, 7_000, 8_000]
     assert "two runs at once for 1000 ms" in overlap.describe()
+
+
+def test_a_run_ends_when_its_executor_begins_to_stop() -> None:
+    # Guards against runs of a former life that count beside those of the next one.
+    assert not lengths(
+        event(0, "a", "start"), event(500, "a", "gone"), event(500, "a-1", "start")
+    )
+
+
+def test_the_report_says_which_attempt_began_first_and_what_was_done_before() -> None:
+    # Guards against a report from which an attempt that arrives late can't be told.
+    rows = (
+        LifeEvent(100, "a-1", "killed"),
+        LifeEvent(5_400, "a-1", "listed", detail="down"),
+        LifeEvent(5_900, "b", "start", TASK, attempt=2_002),
+        LifeEvent(6_000, "a-1", "start", TASK, attempt=2_001),
+        LifeEvent(6_500, "a-1", "stopped", TASK),
+    )
+    (overlap,) = find_overlaps(rows, END_MS)
+    assert "attempt 2002 began 100 ms before attempt 2001" in overlap.describe()
+    before = actions_before(overlap, rows, 2_000)
+    assert before == "b: nothing; a-1: listed down -600 ms"
