Submit work right before the list of machines shows a former state

Work is submitted up to 400 ms before the list shows the former state again, starts on a next life are delayed for 2 to 8 s, and former lives answer for up to 6 s.

--- a/src/guavapin_soak/succession.py
+++ b/src/guavapin_soak/succession.py
@@ -25,15 +25,16 @@
 # has to come up; otherwise the fault ends.
 STAGE_TIMEOUT_MS = 4_000
 
-
 # A list that lags by this much or more names the former life until it names the next.
 OMITTED_END_LAG_MS = 2_000
 
+# Time for which the list shows the next life before a reading that is older.
+LIST_RIGHT_MS = 1_000
+
 
 class _Stage(Enum):
     STOPPING = "stopping"
     STARTING = "starting"
-    UP = "up"
     OVER = "over"
 
 
@@ -128,7 +129,8 @@
             steps.insert(0, (0, fault.listed_state, named))
         if fault.repeats_list_ms:
             # A later reading may be older.
-            stale_ms = fault.list_lag_ms + 800
+            stale_ms = fault.list_lag_ms + LIST_RIGHT_MS
+            self._at(now_ms + stale_ms - fault.work_lead_ms, self._submit_work)
             steps.append((stale_ms, fault.listed_state, named))
             steps.append((stale_ms + fault.repeats_list_ms, "up", executor_id))
         for delay_ms, state, shown in steps:
--- a/src/guavapin_soak/succession_plan.py
+++ b/src/guavapin_soak/succession_plan.py
@@ -43,7 +43,7 @@
 ROLL_PAUSE_MS = (500, 6_000)
 
 # Time for which a former life goes on answering over its connections.
-LINGER_MS = (200, 4_000)
+LINGER_MS = (200, 6_000)
 
 # Time by which the list of machines lags behind.
 LIST_LAG_MS = (0, 3_000)
@@ -55,6 +55,10 @@
 # Time from the next life's first line to new work, which goes to the least loaded.
 WORK_DELAY_MS = (0, 1_500)
 
+# Time from the submission of work to a list that shows the former state again; its
+# delayed starts are under way then.
+WORK_LEAD_MS = (0, 400)
+
 
 # Weight of each kind among those that a run draws.
 _WEIGHTS = {
@@ -67,8 +71,8 @@
 }
 
 _DURATIONS_MS = {
-    SuccessionKind.SUCCEED: (1_000, 5_000),
-    SuccessionKind.CRASH: (1_000, 5_000),
+    SuccessionKind.SUCCEED: (2_000, 8_000),
+    SuccessionKind.CRASH: (2_000, 8_000),
     SuccessionKind.LIST_STATE: (700, 3_000),
     SuccessionKind.LIST_WITHOUT: (700, 3_000),
     SuccessionKind.ENTRY_REMOVED: (50, 1_500),
@@ -84,7 +88,8 @@
     `delays_starts` is set. The former one answers for `linger_ms` and is suspended for
     the middle half of it if `suspends_former` is set. `list_lag_ms` and `entry_lag_ms`
     are the times by which the list of machines and the next life's entry lag.
-    `repeats_list_ms` is the time for which the list then shows the former state again.
+    `repeats_list_ms` is the time for which the list then shows the former state again,
+    beside new work that was submitted `work_lead_ms` before.
     `listed_state` is the state that the list shows meanwhile.
     """
 
@@ -98,6 +103,7 @@
     entry_lag_ms: int
     work_delay_ms: int
     repeats_list_ms: int = 0
+    work_lead_ms: int = 0
     delays_starts: bool = False
     suspends_former: bool = False
     keeps_entry: bool = False
@@ -154,6 +160,7 @@
         rng.randint(*ENTRY_LAG_MS),
         rng.randint(*WORK_DELAY_MS),
         rng.choice((0, 800, 1_500)),
+        rng.randint(*WORK_LEAD_MS),
         rng.random() < 0.6,
         rng.random() < 0.3,
         rng.random() < 0.6,
