Show an executor as down in the list while a start is on its way

LIST_AT_START delays the starts on an executor's link and lets the list of machines show it as down from the moment at which the link holds one. Half of the runs have fewer faults, so that second attempts find undisturbed executors, and rolls of the entry hosts are further apart. A next life is noticed without parsing its whole file at each tick.

--- a/src/guavapin_soak/executor_deployment.py
+++ b/src/guavapin_soak/executor_deployment.py
@@ -24,6 +24,7 @@
 from guavapin_soak.executor_host import HostSetup
 from guavapin_soak.executor_host import Registry
 from guavapin_soak.executor_plan import ExecutorFaultKind
+from guavapin_soak.proxy import CountStarts
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.proxy import ProxyTask
 from guavapin_soak.proxy import SetLink
@@ -203,6 +204,7 @@
         return HostControls(
             lambda mode: self._ask(link, SetLink(mode)),
             lambda port: self._ask(link, SetTarget(port)),
+            lambda: self._ask(link, CountStarts()),
             lambda row: self._ask(self._platform, ListMachine(row)),
         )
 
--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -52,10 +52,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HostControls:
-    """Changes the mode and the target of a host's link, and the list of machines."""
+    """Changes a host's link and the list of machines, and counts delayed starts."""
 
     set_link: Callable[[LinkMode], object]
     set_target: Callable[[int], object]
+    count_starts: Callable[[], int]
     list_machine: Callable[[ListedMachine], object]
 
 
@@ -191,6 +192,10 @@
         former.signal(number)
         self._note("former life signalled", f"{former.executor_id} {number.name}")
 
+    def count_delayed_starts(self) -> int:
+        """Return how many starts the link has delayed so far."""
+        return self._controls.count_starts()
+
     def list_as(self, state: str, executor_id: str, is_left_out: bool = False) -> None:
         """Change what the list of machines shows of this machine."""
         row = ListedMachine(self.machine, state, executor_id, is_left_out)
@@ -263,9 +268,10 @@
         lives = [row for executor_id in self._ids for row in self._read(executor_id)]
         return [*lives, *self.own_events]
 
-    def life_events(self) -> list[LifeEvent]:
-        """Return what the present executor has written."""
-        return self._read(self.executor_id)
+    def has_written(self, kind: str) -> bool:
+        """Return whether the present executor has written an event of a kind."""
+        path = self._setup.folder / f"{self.executor_id}.life"
+        return path.exists() and f'"kind": "{kind}"' in path.read_text()
 
     def _read(self, executor_id: str) -> list[LifeEvent]:
         path = self._setup.folder / f"{executor_id}.life"
--- a/src/guavapin_soak/fault_schedule.py
+++ b/src/guavapin_soak/fault_schedule.py
@@ -7,6 +7,7 @@
 from guavapin_soak.executor_plan import ExecutorFaultKind
 from guavapin_soak.idle_restart import IdleRestart
 from guavapin_soak.idle_restart import choose_idle
+from guavapin_soak.list_at_start import ListAtStart
 from guavapin_soak.rolling_stop import RollingStop
 from guavapin_soak.succession import FalseEvidence
 from guavapin_soak.succession import Succession
@@ -88,5 +89,8 @@
             current = Succession(host, fault, burst, now_ms)
             self._succeeding[host.machine] = current
             self._active.append(current)
+        elif fault.kind is SuccessionKind.LIST_AT_START:
+            burst = self._bursts.request_burst
+            self._active.append(ListAtStart(host, fault, burst, now_ms))
         else:
             self._active.append(FalseEvidence(host, fault, now_ms))
--- a/src/guavapin_soak/proxy.py
+++ b/src/guavapin_soak/proxy.py
@@ -59,6 +59,11 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class CountStarts:
+    """As a `Call`: the reply is the number of starts that were delayed so far."""
+
+
 @dataclass(frozen=True, slots=True)
 class SilenceConnections:
     """As a `Call`: drop all data of the open connections without closing them."""
@@ -109,6 +114,7 @@
         self._mode = LinkMode.OPEN
         self._endpoints: set[_Endpoint] = set()
         self._held: list[_HeldData] = []
+        self._delayed_starts = 0
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Open the listener and set `port` to its port."""
@@ -141,6 +147,8 @@
                 if mode is not LinkMode.HELD_BACK:
                     self._release()
                 fut.set_result(Ok(None))
+            case Call(body=CountStarts(), fut=fut):
+                fut.set_result(self._delayed_starts)
             case Call(body=SilenceConnections(), fut=fut):
                 for endpoint in self._endpoints:
                     endpoint.is_silent = True
@@ -232,8 +240,9 @@
             return 0
         assert endpoint.peer is not None
         # The rest of a start follows its delayed head.
-        is_start = data.startswith(_START) or endpoint.peer.delayed
-        return START_DELAY_MS if is_start else 0
+        is_start = data.startswith(_START)
+        self._delayed_starts += is_start
+        return START_DELAY_MS if is_start or endpoint.peer.delayed else 0
 
     def _hold_back(self, endpoint: _Endpoint, data: bytes) -> None:
         assert endpoint.peer is not None
--- a/src/guavapin_soak/succession.py
+++ b/src/guavapin_soak/succession.py
@@ -87,11 +87,11 @@
                 self._host.kill()
                 self._host.start_again(0)
                 self._stage = _Stage.OVER
-            case _Stage.STOPPING if self._has_written("stopping"):
+            case _Stage.STOPPING if self._host.has_written("stopping"):
                 self._start_next(now_ms)
             case _Stage.STARTING if is_late:
                 self._stage = _Stage.OVER
-            case _Stage.STARTING if self._has_written("up"):
+            case _Stage.STARTING if self._host.has_written("up"):
                 self._stage = _Stage.OVER
                 self._follow(now_ms)
 
@@ -140,9 +140,6 @@
         self._actions.append(_Action(at_ms, apply))
         self._actions.sort(key=_action_time)
 
-    def _has_written(self, kind: str) -> bool:
-        return any(event.kind == kind for event in self._host.life_events())
-
 
 class FalseEvidence:
     """One executor that the registry or the list of machines shows otherwise, or whose
--- a/src/guavapin_soak/succession_plan.py
+++ b/src/guavapin_soak/succession_plan.py
@@ -27,20 +27,27 @@
     LIST_WITHOUT = "left out of the list of machines"
     ENTRY_REMOVED = "entry removed for a moment"
     STARTS_DELAYED = "starts delayed on the link"
+    LIST_AT_START = "listed in another state while a start is under way"
 
 
-INTERVAL_MS = (300, 1_800)
+# Time between the starts of two faults in a run with many and in one with few. Few
+# leave executors undisturbed, on which lost runs start again at once.
+INTERVALS_MS = ((300, 1_800), (1_500, 4_000))
 
 # Share of the runs whose list of machines is right. Otherwise a wrong list would hide
 # what the answers of former lives cause.
 RIGHT_LIST_SHARE = 0.4
-LIST_KINDS = (SuccessionKind.LIST_STATE, SuccessionKind.LIST_WITHOUT)
+LIST_KINDS = (
+    SuccessionKind.LIST_STATE,
+    SuccessionKind.LIST_WITHOUT,
+    SuccessionKind.LIST_AT_START,
+)
 
 # Share of the runs that have the faults of `plan_executors` as well.
 OTHER_FAULTS_SHARE = 0.4
 
 # Time from the end of one roll of the entry hosts to the next one.
-ROLL_PAUSE_MS = (500, 6_000)
+ROLL_PAUSE_MS = (2_000, 12_000)
 
 # Time for which a former life goes on answering over its connections.
 LINGER_MS = (200, 6_000)
@@ -68,15 +75,17 @@
     SuccessionKind.LIST_WITHOUT: 1,
     SuccessionKind.ENTRY_REMOVED: 1,
     SuccessionKind.STARTS_DELAYED: 2,
+    SuccessionKind.LIST_AT_START: 3,
 }
 
 _DURATIONS_MS = {
-    SuccessionKind.SUCCEED: (2_000, 8_000),
-    SuccessionKind.CRASH: (2_000, 8_000),
+    SuccessionKind.SUCCEED: (1_000, 5_000),
+    SuccessionKind.CRASH: (1_000, 5_000),
     SuccessionKind.LIST_STATE: (700, 3_000),
     SuccessionKind.LIST_WITHOUT: (700, 3_000),
     SuccessionKind.ENTRY_REMOVED: (50, 1_500),
     SuccessionKind.STARTS_DELAYED: (1_000, 5_000),
+    SuccessionKind.LIST_AT_START: (2_000, 5_000),
 }
 
 
@@ -84,13 +93,13 @@
 class SuccessionFault:
     """A fault on `targets` at `at_ms` that lasts `for_ms`.
 
-    For a next life, `for_ms` is the time for which starts on it are delayed, if
-    `delays_starts` is set. The former one answers for `linger_ms` and is suspended for
-    the middle half of it if `suspends_former` is set. `list_lag_ms` and `entry_lag_ms`
-    are the times by which the list of machines and the next life's entry lag.
-    `repeats_list_ms` is the time for which the list then shows the former state again,
-    beside new work that was submitted `work_lead_ms` before.
-    `listed_state` is the state that the list shows meanwhile.
+    `LIST_AT_START` awaits a start for `for_ms`. For a next life, this is the time for
+    which starts on it are delayed, if `delays_starts` is set. The former one answers
+    for `linger_ms` and is suspended for the middle half of it if `suspends_former` is
+    set. `list_lag_ms` and `entry_lag_ms` are the times by which the list of machines
+    and the next life's entry lag. `repeats_list_ms` is the time for which the list then
+    shows the former state again, beside new work that was submitted `work_lead_ms`
+    before. `listed_state` is the state that the list shows meanwhile.
     """
 
     at_ms: int
@@ -123,14 +132,15 @@
     rng = random.Random(f"{seed}.successions")
     is_list_right = rng.random() < RIGHT_LIST_SHARE
     faults = []
-    at_ms = rng.randint(*INTERVAL_MS)
+    interval_ms = rng.choice(INTERVALS_MS)
+    at_ms = rng.randint(*interval_ms)
     while at_ms < length_ms:
         fault = _draw(rng, at_ms, executors)
         if not is_list_right:
             faults.append(fault)
         elif fault.kind not in LIST_KINDS:
             faults.append(replace(fault, list_lag_ms=0, repeats_list_ms=0))
-        at_ms += rng.randint(*INTERVAL_MS)
+        at_ms += rng.randint(*interval_ms)
     # A pause before each roll; more are not needed, as a roll takes seconds.
     pauses = tuple(rng.randint(*ROLL_PAUSE_MS) for _ in range(length_ms // 2_000))
     return SuccessionPlan(tuple(faults), pauses)
@@ -149,6 +159,9 @@
 def _draw(rng: random.Random, at_ms: int, executors: int) -> SuccessionFault:
     (kind,) = rng.choices([*_WEIGHTS], [*_WEIGHTS.values()])
     size = rng.choice((1, 1, 2, 3))
+    if kind is SuccessionKind.LIST_AT_START:
+        # The next attempt needs an executor whose link is open.
+        size = 1
     return SuccessionFault(
         at_ms,
         rng.randint(*_DURATIONS_MS[kind]),
