--- a/src/guavapin_soak/succession.py
+++ b/src/guavapin_soak/succession.py
@@ -21,8 +21,8 @@
     from guavapin_soak.executor_host import FormerLife
     from guavapin_soak.succession_plan import SuccessionFault
 
-# Time in which an executor that was told to stop has to end its runs, and the next life
-# has to come up; otherwise the fault ends.
+# Time in which an executor that was told to stop has to end its runs, or else starts
+# again, and after which a next life that has not come up is started if it has ended.
 STAGE_TIMEOUT_MS = 4_000
 
 # A list that lags by this much or more names the former life until it names the next.
@@ -89,11 +89,14 @@
                 self._stage = _Stage.OVER
             case _Stage.STOPPING if self._host.has_written("stopping"):
                 self._start_next(now_ms)
-            case _Stage.STARTING if is_late:
-                self._stage = _Stage.OVER
             case _Stage.STARTING if self._host.has_written("up"):
                 self._stage = _Stage.OVER
                 self._follow(now_ms)
+            case _Stage.STARTING if is_late:
+                # Another fault has killed the process, or it starts slowly. The list
+                # must show it in the end.
+                self._host.start_again(0)
+                self._stage_ms = now_ms
 
     def _start_next(self, now_ms: int) -> None:
         fault, host = self._fault, self._host
