--- a/tests/soak/test_executor_run.py
+++ b/tests/soak/test_executor_run.py
@@ -12,7 +12,7 @@
     from pathlib import Path
 
 SEED = 1
-SUCCESSION_SEED = 3
+SUCCESSION_SEED = 712
 LENGTH_MS = 8_000
 
 
