Give former lives and false evidence of the soak modules of their own

House style: one class a module. A stop that was given up before, and was written late, no longer counts as the next one: the next life would have begun while the former one had runs.

--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from guavapin_soak.former_life import FormerLife
 from guavapin_soak.proxy import LinkMode
 from guavapin_soak.run_overlaps import LifeEvent
 from guavapin_standins.executor_process import STOP_LINE
@@ -60,26 +61,6 @@
     list_machine: Callable[[ListedMachine], object]
 
 
-class FormerLife:
-    """The process of an executor that is stopping while its successor is up."""
-
-    def __init__(self, executor_id: str, process: subprocess.Popen[bytes]) -> None:
-        self.executor_id = executor_id
-        self._process = process
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal if the process has not ended."""
-        if self._process.poll() is None:
-            self._process.send_signal(number)
-
-    def end(self) -> None:
-        """Kill the process, and wait for its end."""
-        self.signal(signal.SIGKILL)
-        self._process.wait()
-        if self._process.stdin is not None:
-            self._process.stdin.close()
-
-
 class ExecutorHost:
     """Starts, signals and ends the executors of one machine by their process ids.
 
@@ -268,10 +249,11 @@
         lives = [row for executor_id in self._ids for row in self._read(executor_id)]
         return [*lives, *self.own_events]
 
-    def has_written(self, kind: str) -> bool:
-        """Return whether the present executor has written an event of a kind."""
+    def count_written(self, kind: str) -> int:
+        """Return how many events of a kind the present executor has written."""
         path = self._setup.folder / f"{self.executor_id}.life"
-        return path.exists() and f'"kind": "{kind}"' in path.read_text()
+        text = path.read_text() if path.exists() else ""
+        return text.count(f'"kind": "{kind}"')
 
     def _read(self, executor_id: str) -> list[LifeEvent]:
         path = self._setup.folder / f"{executor_id}.life"
--- a/src/guavapin_soak/fault_schedule.py
+++ b/src/guavapin_soak/fault_schedule.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 from guavapin_soak.executor_plan import ExecutorFaultKind
+from guavapin_soak.false_evidence import FalseEvidence
 from guavapin_soak.idle_restart import IdleRestart
 from guavapin_soak.idle_restart import choose_idle
 from guavapin_soak.list_at_start import ListAtStart
 from guavapin_soak.rolling_stop import RollingStop
-from guavapin_soak.succession import FalseEvidence
 from guavapin_soak.succession import Succession
 from guavapin_soak.succession_plan import SuccessionKind
 
--- a/src/guavapin_soak/succession.py
+++ b/src/guavapin_soak/succession.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from guavapin_soak.executor_host import ExecutorHost
-    from guavapin_soak.executor_host import FormerLife
+    from guavapin_soak.former_life import FormerLife
     from guavapin_soak.succession_plan import SuccessionFault
 
 # Time in which an executor that was told to stop has to end its runs, or else starts
@@ -59,6 +59,8 @@
         self._submit_work = submit_work
         self._stage, self._stage_ms = _Stage.STOPPING, now_ms
         self._process = host.process
+        # A stop that was given up before may have been written.
+        self._former_stops = host.count_written("stopping")
         self._actions: list[_Action] = []
         if fault.kind is SuccessionKind.CRASH:
             host.kill()
@@ -87,9 +89,11 @@
                 self._host.kill()
                 self._host.start_again(0)
                 self._stage = _Stage.OVER
-            case _Stage.STOPPING if self._host.has_written("stopping"):
+            case _Stage.STOPPING if (
+                self._host.count_written("stopping") > self._former_stops
+            ):
                 self._start_next(now_ms)
-            case _Stage.STARTING if self._host.has_written("up"):
+            case _Stage.STARTING if self._host.count_written("up"):
                 self._stage = _Stage.OVER
                 self._follow(now_ms)
             case _Stage.STARTING if is_late:
@@ -144,43 +148,6 @@
         self._actions.sort(key=_action_time)
 
 
-class FalseEvidence:
-    """One executor that the registry or the list of machines shows otherwise, or whose
-    starts are delayed.
-    """
-
-    def __init__(self, host: ExecutorHost, fault: SuccessionFault, now_ms: int) -> None:
-        self._host = host
-        self._fault = fault
-        self._end_ms = now_ms + fault.for_ms
-        self._executor_id = host.executor_id
-        self.is_over = False
-        named = host.executor_id if fault.names_executor else ""
-        match fault.kind:
-            case SuccessionKind.LIST_STATE:
-                host.list_as(fault.listed_state, named)
-            case SuccessionKind.LIST_WITHOUT:
-                host.list_as("up", host.executor_id, is_left_out=True)
-            case SuccessionKind.ENTRY_REMOVED:
-                host.drop_entry(fault.for_ms)
-            case SuccessionKind.STARTS_DELAYED:
-                host.begin_link(LinkMode.STARTS_DELAYED, True)
-
-    def tick(self, now_ms: int) -> None:
-        """Undo the fault when it is due."""
-        if self.is_over or now_ms < self._end_ms:
-            return
-        self.is_over = True
-        is_listing = self._fault.kind in (
-            SuccessionKind.LIST_STATE,
-            SuccessionKind.LIST_WITHOUT,
-        )
-        if self._fault.kind is SuccessionKind.STARTS_DELAYED:
-            self._host.end_link(LinkMode.STARTS_DELAYED, True)
-        elif is_listing and self._host.executor_id == self._executor_id:
-            self._host.list_as("up", self._executor_id)
-
-
 def _listing(
     host: ExecutorHost, executor_id: str, state: str, shown: str
 ) -> Callable[[], None]:
