Pass the time of a list on in the model's patches of doubts

Cause: `HostTable.doubt` takes the time at which a list was requested since the model's entry for ends of other lives was written, so that both patches raised a TypeError, which the model reports as ENDED and not as TWICE.

Change: the patches pass further arguments on.

--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -172,11 +172,11 @@
 def _end_hosts_at_once(patch: pytest.MonkeyPatch, signs: frozenset[Sign]) -> None:
     doubt = HostTable.doubt
 
-    def handle(hosts, host, sign) -> None:
+    def handle(hosts, host, sign, *times) -> None:
         if sign in signs:
             hosts.end_incarnation(host, sign.value)
         else:
-            doubt(hosts, host, sign)
+            doubt(hosts, host, sign, *times)
 
     patch.setattr(HostTable, "doubt", handle)
 
