Give up unanswered starts once another executor has the address

With another executor at the address no later life under the id listens there, so all runs are given up. After a list of machines such a start is kept as before. The test failed before: one of two subtasks started elsewhere.

--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -249,11 +249,11 @@
         """Remove a host whose executor has ended, as a sign shows.
 
         A start of a predecessor without an answer may reach a later life under the same
-        id, so it is kept, and its host.
+        id, so it is kept, and its host, unless another executor has the address.
         """
         runs = [*host.runs.values()]
         ended = runs
-        if not host.has_answered:
+        if not host.has_answered and sign is not Sign.OTHER_LIFE:
             ended = [run for run in runs if run.phase is not RunPhase.UNSETTLED]
         if len(ended) == len(runs):
             self.end_incarnation(host, sign.value)
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -70,6 +70,8 @@
     is_reachable: bool = True
     # Unset if nobody listens at the address, so that connections are refused.
     is_listening: bool = True
+    # Set if another executor listens there, which refuses its orders.
+    is_replaced: bool = False
     percent: int = 0
     stop_duration_ms: int = 0
     stopping: dict = field(default_factory=dict)
@@ -258,7 +260,9 @@
         order = action.context.order
         if isinstance(order, Start):
             self.starts.append((order.subtask, action.context.executor_id))
-        if executor is not None and not executor.is_listening:
+        if executor is not None and executor.is_replaced:
+            outcome = Refusal(RefusalKind.OTHER_LIFE)
+        elif executor is not None and not executor.is_listening:
             outcome = NoAnswer(False, "refused", is_refused=True)
         elif executor is None or not executor.is_reachable:
             outcome = NoAnswer(True, "silent")
--- a/tests/scheduling/test_handover.py
+++ b/tests/scheduling/test_handover.py
@@ -107,7 +107,14 @@
 
 @pytest.mark.parametrize(
     ("doubt", "starts"),
-    [("", 2), ("unlisted", 0), ("renewed", 0), ("unsettled", 1), ("silent", 0)],
+    [
+        ("", 2),
+        ("unlisted", 0),
+        ("renewed", 0),
+        ("unsettled", 1),
+        ("silent", 0),
+        ("unsettled, address of another", 2),
+    ],
 )
 def test_runs_on_a_machine_that_went_down_at_a_takeover_start_elsewhere(
     sim: Simulation, doubt: str, starts: int
@@ -120,7 +127,7 @@
     record = replace(
         handed[silent],
         runs=tuple(
-            replace(run, is_settled=doubt != "unsettled" or index > 0)
+            replace(run, is_settled="unsettled" not in doubt or index > 0)
             for index, run in enumerate(handed[silent].runs)
         ),
         is_listed=handed[silent].is_listed and doubt != "unlisted",
@@ -132,6 +139,7 @@
     gone = sim.executors[silent]
     # A list alone may be out of date, so it counts only if nobody listens there either.
     gone.is_listening = doubt in ("renewed", "silent")
+    gone.is_replaced = "another" in doubt
     if doubt == "renewed":
         sim.scheduler.hosts.register(gone.registration())
     sim.starts.clear()
