--- a/src/guavapin/http/client.py
+++ b/src/guavapin/http/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import hashlib
 import logging
 from collections import Counter
 from dataclasses import dataclass
@@ -22,6 +23,7 @@
 from guavapin.http.messages import Unanswered
 from guavapin.http.multi_driver import MultiDriver
 from guavapin.http.multi_driver import MultiTimer
+from guavapin.http.transfer import SHORT_HEAD
 from guavapin.http.transfer import HttpRequest
 from guavapin.http.transfer import Transfer
 from guavapin.http.transfer import prepare
@@ -132,18 +134,24 @@
             self._reconnects_left[call.address] -= 1
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         headers = tuple(f"{name}: {value}" for name, value in call.headers)
+        host = call.address
+        if call.receiver:
+            # libcurl shares connections by the host of the URL.
+            host = f"r{hashlib.sha256(call.receiver.encode()).hexdigest()[:40]}"
+            headers = (f"Host: {call.address}", *headers)
         prepared = prepare(
             curl,
             transfer,
             HttpRequest(
                 method=call.method,
-                url=f"http://{call.address}{call.path}",
+                url=f"http://{host}{call.path}",
                 headers=("Expect:", "Accept:", "User-Agent:", *headers),
                 body=call.body,
                 timeout_ms=max(call.timeout_ms, 1),
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 uses_new_connection=is_reconnect or call.uses_new_connection,
-                resets_connection=call.not_after_ms > 0,
+                resets_connection=call.resets_connection or call.not_after_ms > 0,
+                connects_to=call.address if call.receiver else "",
             ),
         )
         if isinstance(prepared, Refused):
@@ -185,7 +193,9 @@
         transfer.release()
         call = transfer.owner
         outcome: CallOutcome
-        if code == 0:
+        if code == 0 and not transfer.is_head_complete:
+            outcome = Unanswered(True, SHORT_HEAD)
+        elif code == 0:
             status = curl.getinfo(pycurl.RESPONSE_CODE)
             outcome = Answered(status, bytes(transfer.body))
             self._reconnects_left.pop(call.address, None)
--- a/src/guavapin/http/transfer.py
+++ b/src/guavapin/http/transfer.py
@@ -41,6 +41,9 @@
 # delivery must be prevented. It also applies while the process is suspended.
 UNACKNOWLEDGED_TIMEOUT_MS = 1_000
 
+# Reason of the failure of a call whose answer ended before the end of its head.
+SHORT_HEAD = "the answer ended within its head"
+
 # `struct linger` that makes closing a socket send a reset and drop unsent data.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -49,7 +52,8 @@
 class HttpRequest:
     """A call to another process; `timeout_ms` limits the whole call.
 
-    With `aborts_stalled` the call ends earlier if its answer stalls. With
+    `connects_to` is the address to connect to instead of the host of the URL, "" for
+    that host. With `aborts_stalled` the call ends earlier if its answer stalls. With
     `resets_connection` a new connection is reset instead of closed when it ends.
     """
 
@@ -62,6 +66,7 @@
     uses_new_connection: bool = False
     aborts_stalled: bool = False
     resets_connection: bool = False
+    connects_to: str = ""
 
 
 class Transfer(Generic[T]):
@@ -86,6 +91,8 @@
         self._on_long = on_long
         self._may_transmit = may_transmit
         self.transmissions = 0
+        # libcurl reports success if a connection is closed within the head.
+        self.is_head_complete = False
         self.revision = b""
         self.body = bytearray()
         # Whether the transfer ended because the answer exceeds `MAX_ANSWER_BYTES`.
@@ -110,7 +117,12 @@
         return int(pycurl.PREREQFUNC_OK)
 
     def on_header(self, line: bytes) -> None:
-        """Record the value of the ``x-revision`` header."""
+        """Record the end of the head and the value of the ``x-revision`` header."""
+        if line.startswith(b"HTTP/"):
+            # An interim answer has a head of its own.
+            self.is_head_complete = False
+        elif not line.strip():
+            self.is_head_complete = True
         name, _, value = line.partition(b":")
         if name.lower() == b"x-revision":
             self.revision = value.strip()
@@ -164,6 +176,9 @@
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.TIMEOUT_MS, req.timeout_ms)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, req.connect_timeout_ms)
+    if req.connects_to:
+        # Two empty fields stand for any host and port of the URL.
+        curl.setopt(pycurl.CONNECT_TO, [f"::{req.connects_to}"])
     if req.uses_new_connection:
         curl.setopt(pycurl.FRESH_CONNECT, 1)
     if req.aborts_stalled:
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -91,7 +91,7 @@
         load = TermLoad(term, self.hosts, self._rules, self.learned_times, self._work)
         rules = (
             self.organisation_admission,
-            UnservableRule(self.hosts.machine_shapes),
+            UnservableRule(self.hosts.unknown_runs.machine_shapes),
             BacklogRule(load),
         )
         self.jobs = JobTable(term, self, rules)
@@ -147,7 +147,7 @@
         now_ms = self.term.now_ms
         self._demand.update(self.steps, self.term.table)
         demands = self._demand.demands(
-            self.hosts.unresolved_pools(),
+            self.hosts.unknown_runs.unresolved_pools(),
             lambda pool: self.arrivals.cpu_millis(pool, now_ms),
             self.run_times.expected_queue_ms,
             now_ms,
@@ -356,14 +356,16 @@
         capacities = dict(
             zip((row[0] for row in listed.pools), listed.capacities, strict=False)
         )
-        self.hosts.apply_listed_pools(dict(listed.pools), capacities, listed.off)
+        self.hosts.apply_listed_pools(
+            dict(listed.pools), capacities, listed.off, listed.requested_ms
+        )
         for sign, executor_ids in (
             (Sign.NOT_LISTED, listed.ended),
             (Sign.MISSING, listed.missing),
         ):
             for executor_id in executor_ids:
-                self.hosts.handle_unlisted(executor_id, sign)
-        self.hosts.apply_list_age(listed.requested_ms)
+                self.hosts.handle_unlisted(executor_id, sign, listed.requested_ms)
+        self.hosts.apply_list_age()
         self._needs_dispatch = True
 
     def apply_advice(self, reply: AdviceReply) -> None:
