--- a/tests/model/test_waiting.py
+++ b/tests/model/test_waiting.py
@@ -15,6 +15,7 @@
 from guavapin.jobs.organisations import Organisation
 from guavapin.jobs.queues import Pool
 from guavapin.jobs.queues import Queue
+from guavapin.scheduling.host_table import HostTable
 from guavapin.scheduling.organisation_usage import NOTHING
 from guavapin.scheduling.unknown_runs import UnknownRuns
 from tests.model.world import World
@@ -224,6 +225,8 @@
         return capacity
 
     patch.setattr(UnknownRuns, "_unseen_capacity", add_up)
+    # Asked over a new connection, they would be removed at once.
+    patch.setattr(HostTable, "doubt", lambda *_: None)
 
 
 def delay_restarts_for_a_minute(patch: pytest.MonkeyPatch) -> None:
