--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -776,13 +776,14 @@
 
     async def close(self) -> None:
         """End all processes that were started."""
+        # Nothing is started again from now on.
+        for task in [*self.tasks]:
+            task.cancel()
         for resident in self.residents:
             if resident.is_alive:
                 resident.process.send_signal(signal.SIGCONT)
                 resident.process.kill()
                 await resident.process.wait()
-        for task in [*self.tasks]:
-            task.cancel()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     async def bring_up(self, machine: Machine) -> Executor:
