Wait for silent executors of the former service of a queue

Cause: a successor holds inherited jobs up while an executor of their pool is silent, and looked the pool up in the table in force. It judged the starts of a predecessor by a configuration that was not in force when they were made.

The progress record of a job now names the pools on which it may run. A subtask starts in a pool only once the stored record names it, and an inherited job waits for the silent executors of all pools that its record names. An executor counts for the pool of its entry and for that of the list of machines; before the first list, all inherited jobs wait. Operators are told which executors a job waits for.

Why it works: the record holds what a predecessor did, whatever table was in force, and is written before it is done. A job whose service stays needs no further write.

--- a/src/guavapin/scheduling/describe.py
+++ b/src/guavapin/scheduling/describe.py
@@ -170,8 +170,10 @@
 ) -> str:
     if not any(step.waiting and step.is_open for step in steps):
         return "nothing waits"
-    if job_run.is_inherited and pool in scheduler.hosts.unknown_runs.unresolved_pools():
-        return "hosts of the pool have not answered this scheduler yet"
+    for step_run in job_run.steps.values():
+        is_waiting = step_run.is_open and step_run.waiting
+        if is_waiting and (reason := scheduler.pool_gate.reason(step_run)):
+            return reason
     if held := cap_reason(scheduler, job_run):
         return held
     now_ms = scheduler.term.now_ms
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -23,9 +23,11 @@
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.placement import HostPreference
+    from guavapin.scheduling.pool_gate import PoolGate
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.room_index import PoolRoom
     from guavapin.scheduling.term import Term
+    from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
 
 # Steps of a pool that are searched for one that only an avoided host can take.
@@ -40,12 +42,14 @@
         term: Term,
         hosts: HostTable,
         rules: QueueRules,
+        gate: PoolGate,
         preference: HostPreference = NO_PREFERENCE,
     ) -> None:
         self._term = term
         self._hosts = hosts
         self._rules = rules
-        self.starter = Starter(term, hosts, rules, preference)
+        self._gate = gate
+        self.starter = Starter(term, hosts, rules, gate, preference)
         self._caps = self.starter.caps
         self.shares = OrganisationShares(
             term, hosts.usage, lambda: hosts.by_id.values()
@@ -75,12 +79,6 @@
         )
         return (step_run for _, step_run in candidates)
 
-    def is_held_up(self, step_run: StepRun) -> bool:
-        """Return whether a step waits for hosts that have not listed their runs."""
-        pool = self._rules.pool_of(step_run)
-        is_unresolved = pool in self._hosts.unknown_runs.unresolved_pools()
-        return _is_held_up(step_run, is_unresolved)
-
     def dispatch(self) -> None:
         """Start the waiting subtasks that fit on a host, in order of position."""
         self._caps.end_holds()
@@ -96,17 +94,17 @@
         self._hosts.room.refresh(self._term.now_ms)
         if self._term.table.organisations:
             self.shares.begin_dispatch()
-        unresolved = self._hosts.unknown_runs.unresolved_pools()
+        unresolved = self._gate.unresolved()
         for pool in self._waiting.pools():
             room = self._hosts.room.pool(pool)
             if len(room):
-                self._dispatch_pool(pool, room, pool in unresolved)
+                self._dispatch_pool(pool, room, unresolved)
 
     def _waiting_for_a_host(
         self, pool: str, only_long_running: bool
     ) -> Iterator[StepRun]:
         """Return the first steps of a pool that only wait for a host, in order."""
-        is_unresolved = pool in self._hosts.unknown_runs.unresolved_pools()
+        unresolved = self._gate.unresolved()
         steps: Iterator[StepRun] = iter(self._waiting.long_running_in(pool))
         if not only_long_running:
             self._caps.begin_pool()
@@ -115,11 +113,13 @@
             )
             steps = (row for _, row in islice(candidates, MAX_SEARCHED_STEPS))
         for step_run in steps:
-            is_held_up = _is_held_up(step_run, is_unresolved)
+            is_held_up = self._gate.is_held_up(step_run, unresolved)
             if not is_held_up and not self._caps.is_held(step_run):
                 yield step_run
 
-    def _dispatch_pool(self, pool: str, room: PoolRoom, is_unresolved: bool) -> None:
+    def _dispatch_pool(
+        self, pool: str, room: PoolRoom, unresolved: UnresolvedExecutors
+    ) -> None:
         if self._term.table.organisations:
             self.shares.begin_pool(pool, self._waiting.organisations(pool))
         self._caps.begin_pool()
@@ -133,7 +133,7 @@
             self._caps.skips_ahead,
         ):
             step = step_run.step
-            if _is_held_up(step_run, is_unresolved):
+            if self._gate.is_held_up(step_run, unresolved):
                 continue
             if step.reserved.cpu_millis > room.max_free_cpu and self._rules.needs_room(
                 step_run
@@ -149,8 +149,3 @@
                 self._caps.count_refusal(need_class, step_run)
         for step_run in started:
             self._waiting.discard(step_run)
-
-
-def _is_held_up(step_run: StepRun, is_unresolved: bool) -> bool:
-    is_inherited = step_run.job_run.is_inherited
-    return is_inherited and is_unresolved and not step_run.step.allows_copies
--- a/src/guavapin/scheduling/job_run.py
+++ b/src/guavapin/scheduling/job_run.py
@@ -9,8 +9,10 @@
 from guavapin.jobs.model import Subtask
 from guavapin.scheduling.record import Progress
 from guavapin.scheduling.record import StepProgress
+from guavapin.scheduling.run_pools import RunPools
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from guavapin.jobs.model import Job
@@ -192,6 +194,7 @@
         self.visible_state = JobState.QUEUED
         self.accepted_ms = now_ms
         self.is_inherited = is_inherited
+        self.run_pools = RunPools.of(job.service)
         self.steps: dict[StepKey, StepRun] = {}
         self.done_steps: set[StepKey] = set()
         # Numbers of the steps that have not opened, by occurrences that are due, and
@@ -281,6 +284,8 @@
         """Restore the state and the steps from stored progress."""
         self.state = self.visible_state = progress.state
         self.ended_wall_ms = progress.ended_ms
+        if progress.run_pools:
+            self.run_pools = RunPools.of(*progress.run_pools)
         for (occurrence, number), stored in progress.steps:
             key = (occurrence, number)
             step_run = self.step_run(key)
@@ -296,6 +301,18 @@
             if step_run.is_done:
                 self.done_steps.add(key)
 
+    def runs(self) -> Iterator[Run]:
+        """Yield the known runs of the job, wanted or not."""
+        for step_run in self.steps.values():
+            for runs in step_run.runs.values():
+                yield from runs
+
+    def add_run_pool(self, pool: str, in_use: frozenset[str]) -> None:
+        """Add a pool on which subtasks are to start, and drop those not `in_use`."""
+        self.run_pools = self.run_pools.add(pool, in_use)
+        for step_run in self.steps.values():
+            step_run.version += 1
+
     @property
     def has_runs(self) -> bool:
         """Whether a run of the job is known, wanted or not."""
@@ -304,12 +321,7 @@
     @property
     def has_wanted_runs(self) -> bool:
         """Whether a run of the job is known that is not being stopped."""
-        return any(
-            run.is_wanted
-            for step_run in self.steps.values()
-            for runs in step_run.runs.values()
-            for run in runs
-        )
+        return any(run.is_wanted for run in self.runs())
 
     def _running(self, may_have_unseen_runs: bool) -> Resources:
         """Return the needs of all runs, and of those that a predecessor may have begun.
@@ -317,10 +329,8 @@
         Of a subtask that allows copies, a predecessor may have begun two.
         """
         total = Resources()
-        for step_run in self.steps.values():
-            for runs in step_run.runs.values():
-                for run in runs:
-                    total = total.plus(run.need)
+        for run in self.runs():
+            total = total.plus(run.need)
         if not (self.is_inherited and may_have_unseen_runs):
             return total
         for occurrence in range(self.job.occurrences):
@@ -351,6 +361,8 @@
                     steps.append((key, stored))
         job = self.job
         queue = job.queue if job.organisation else ""
+        pools = self.run_pools.names
+        is_named = not self.state.is_final and pools != {job.service}
         return Progress(
             self.state,
             tuple(steps),
@@ -358,6 +370,7 @@
             job.organisation,
             queue,
             running,
+            tuple(sorted(pools)) if is_named else (),
         )
 
 
--- a/src/guavapin/scheduling/pool_demand.py
+++ b/src/guavapin/scheduling/pool_demand.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Protocol
 from typing import TypeVar
 
 from sortedcontainers import SortedList
@@ -17,23 +18,27 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
 
     from guavapin.jobs.queues import QueueTable
     from guavapin.scheduling.job_run import JobRun
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
 Key = TypeVar("Key")
 
 
 @dataclass(frozen=True, slots=True)
 class SumKey:
-    """Steps that are summed up together: those of a pool, inherited or not."""
+    """Steps that are summed up together: those of a pool with the same `run_pools`.
+
+    These are the pools on which a predecessor may have started them, none for a job
+    that is not inherited.
+    """
 
     pool: str
-    is_inherited: bool
+    run_pools: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,15 +106,27 @@
                 self.accepted_ms.remove(step.accepted_ms)
 
 
+class PoolRules(Protocol):
+    """Rules of the queue table for the pools of a job."""
+
+    def pool_of_job(self, job_run: JobRun) -> str:
+        """Return the pool on which a job starts its subtasks."""
+        ...
+
+    def run_pools_of(self, job_run: JobRun) -> frozenset[str]:
+        """Return the pools on whose hosts a predecessor may have started a job."""
+        ...
+
+
 class DemandTable:
-    """Demand of the open steps of a term; `pool_of` tells the pool of a job.
+    """Demand of the open steps of a term, by the pools that `rules` gives for jobs.
 
     `update` compares the version of each open step with that of its last demand, so
     that only changed steps and their jobs are computed again.
     """
 
-    def __init__(self, pool_of: Callable[[JobRun], str]) -> None:
-        self._pool_of = pool_of
+    def __init__(self, rules: PoolRules) -> None:
+        self._rules = rules
         self._table: QueueTable | None = None
         self._steps: dict[StepRun, StepDemand] = {}
         self._jobs: dict[JobRun, JobDemand] = {}
@@ -136,21 +153,20 @@
 
     def demands(
         self,
-        unresolved: Iterable[str],
+        unresolved: UnresolvedExecutors,
         arriving_cpu: Callable[[str], int],
         expected_ms: Callable[[str, int], int],
         now_ms: int,
     ) -> Iterator[PoolDemand]:
         """Yield the demand of each pool with open steps.
 
-        Inherited jobs of `unresolved` pools may not start yet, so that more machines
-        would not help them. `expected_ms` returns the expected run time of a subtask by
-        its queue and estimate.
+        Inherited jobs that may run on `unresolved` executors may not start yet, so that
+        more machines would not help them. `expected_ms` returns the expected run time
+        of a subtask by its queue and estimate.
         """
-        unresolved = set(unresolved)
         by_pool: dict[str, list[_Sum]] = {}
         for key, total in self._sums.items():
-            is_held_up = key.is_inherited and key.pool in unresolved
+            is_held_up = bool(key.run_pools) and unresolved.concern(key.run_pools)
             if total.step_count and not is_held_up:
                 by_pool.setdefault(key.pool, []).append(total)
         for pool, sums in by_pool.items():
@@ -183,7 +199,7 @@
         need, held, waiting = step.reserved, len(step_run.runs), len(step_run.waiting)
         return StepDemand(
             version=step_run.version,
-            key=SumKey(self._pool_of(job_run), job_run.is_inherited),
+            key=self._key_of(job_run),
             queue=job_run.job.queue,
             estimate_ms=step.estimate_ms,
             accepted_ms=job_run.accepted_ms,
@@ -211,10 +227,14 @@
         if former is not None:
             self._sums[former.key].following_cpu -= former.following_cpu
         if any(step_run in self._steps for step_run in job_run.steps.values()):
-            key = SumKey(self._pool_of(job_run), job_run.is_inherited)
-            demand = JobDemand(key, _following_cpu(job_run))
+            demand = JobDemand(self._key_of(job_run), _following_cpu(job_run))
             self._jobs[job_run] = demand
-            self._sums[key].following_cpu += demand.following_cpu
+            total = self._sums.setdefault(demand.key, _Sum())
+            total.following_cpu += demand.following_cpu
+
+    def _key_of(self, job_run: JobRun) -> SumKey:
+        pools = self._rules.run_pools_of(job_run) if job_run.is_inherited else ()
+        return SumKey(self._rules.pool_of_job(job_run), frozenset(pools))
 
 
 def _count(counter: Counter[Key], key: Key, change: int) -> None:
--- a/src/guavapin/scheduling/queue_rules.py
+++ b/src/guavapin/scheduling/queue_rules.py
@@ -39,6 +39,14 @@
         queue = self._term.table.queue(job.queue)
         return queue.service if queue is not None else job.service
 
+    def run_pools_of(self, job_run: JobRun) -> frozenset[str]:
+        """Return the pools on whose hosts a predecessor may have started a job.
+
+        The present pool is among them although the record names each pool before its
+        first start: a process of an earlier build does not write that.
+        """
+        return job_run.run_pools.names | {self.pool_of_job(job_run)}
+
     def allowed_for_ms(self, job: Job) -> float:
         """Return the objective of a job that is not open, by its estimates, in ms."""
         return self.allowed_ms(JobRun(job, self._term.now_ms, is_inherited=False))
--- a/src/guavapin/scheduling/record.py
+++ b/src/guavapin/scheduling/record.py
@@ -49,7 +49,8 @@
     `ended_ms` is wall time, 0 while the job is open. `organisation` and `queue` are
     those of a job with an organisation, since only the progress is kept of a job that
     has ended. `running` has the needs of its runs that had not ended by then; they
-    count for the cap of the organisation.
+    count for the cap of the organisation. `run_pools` are the pools on which subtasks
+    of an open job may run; it is empty for the service in the record of the job alone.
     """
 
     state: JobState
@@ -58,6 +59,7 @@
     organisation: str = ""
     queue: str = ""
     running: Resources = _NOTHING
+    run_pools: tuple[str, ...] = ()
 
 
 class _Step(msgspec.Struct, omit_defaults=True):
@@ -75,6 +77,7 @@
     organisation: str = ""
     queue: str = ""
     running: tuple[int, int, int] = (0, 0, 0)
+    run_pools: list[str] = []
 
 
 def encode_job(job: Job) -> bytes:
@@ -119,6 +122,7 @@
                 progress.running.memory_mb,
                 progress.running.gpus,
             ),
+            list(progress.run_pools),
         )
     )
 
@@ -143,6 +147,7 @@
             stored.organisation,
             stored.queue,
             Resources(*(max(amount, 0) for amount in stored.running)),
+            tuple(stored.run_pools),
         )
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -28,11 +28,13 @@
 from guavapin.scheduling.neighbour_preference import NeighbourPreference
 from guavapin.scheduling.organisation_admission import OrganisationAdmission
 from guavapin.scheduling.pool_demand import DemandTable
+from guavapin.scheduling.pool_gate import PoolGate
 from guavapin.scheduling.pool_load import TermLoad
 from guavapin.scheduling.pool_load import open_work
 from guavapin.scheduling.pool_load import subtask_work
 from guavapin.scheduling.queue_rules import QueueRules
 from guavapin.scheduling.run import LostRun
+from guavapin.scheduling.run_pools import RunPoolsStored
 from guavapin.scheduling.run_supervisor import RunSupervisor
 from guavapin.scheduling.run_times import RunTimes
 from guavapin.scheduling.tickets import apply_advice
@@ -103,11 +105,14 @@
         self.steps: dict[StepRun, None] = {}
         self.interference = InterferenceEvidence(self.step_of)
         self.preference = NeighbourPreference(term, self.interference.table)
-        self._dispatcher = Dispatcher(term, self.hosts, self._rules, self.preference)
+        self.pool_gate = PoolGate(self.hosts, self._rules, self.jobs)
+        self._dispatcher = Dispatcher(
+            term, self.hosts, self._rules, self.pool_gate, self.preference
+        )
         self.cap_rule: CapRule = self._dispatcher.starter.caps
         self._supervisor = RunSupervisor(term, self.hosts, self, self.preference)
         self.held_work = HeldWork(self)
-        self._demand = DemandTable(self.pool_of)
+        self._demand = DemandTable(self._rules)
         self._turns = TurnQueue()
         self._opened_count = 0
         self._repeating: dict[str, JobRun] = {}
@@ -147,7 +152,7 @@
         now_ms = self.term.now_ms
         self._demand.update(self.steps, self.term.table)
         demands = self._demand.demands(
-            self.hosts.unknown_runs.unresolved_pools(),
+            self.pool_gate.unresolved(),
             lambda pool: self.arrivals.cpu_millis(pool, now_ms),
             self.run_times.expected_queue_ms,
             now_ms,
@@ -387,6 +392,11 @@
                 host.advance_confirmed()
         elif isinstance(tag, RemovalStored):
             self._is_start_allowed = self._needs_dispatch = True
+        elif isinstance(tag, RunPoolsStored):
+            job_run = self.jobs.by_id.get(tag.job_id)
+            if job_run is not None:
+                job_run.run_pools = job_run.run_pools.confirm(tag.version)
+                self._needs_dispatch = True
         else:
             self.jobs.handle_durable(tag)
 
--- a/src/guavapin/scheduling/starter.py
+++ b/src/guavapin/scheduling/starter.py
@@ -21,6 +21,7 @@
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.placement import HostPreference
+    from guavapin.scheduling.pool_gate import PoolGate
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.term import Term
 
@@ -36,8 +37,10 @@
         term: Term,
         hosts: HostTable,
         rules: QueueRules,
+        gate: PoolGate,
         preference: HostPreference = NO_PREFERENCE,
     ) -> None:
+        self._gate = gate
         self._preference = preference
         self._term = term
         self._hosts = hosts
@@ -50,7 +53,7 @@
         Return False if one of them fits on no host of the pool. The result is always
         True for a gang, and for a queue that needs advice, since then only the hosts
         with a ticket are searched. It is True too if the cap of the organisation holds
-        the rest.
+        the rest, or if the record of the job has to name the pool first.
         """
         now_ms = self._term.now_ms
         advice = self._rules.terms_of(step_run.job_run).advice
@@ -74,6 +77,8 @@
             host = choose_host(step_run, room, rack, self._preference)
             if host is None:
                 return room is not pool_room
+            if not self._gate.may_start(step_run):
+                return True
             self._start(step_run, index, host)
             pool_room.update(host, now_ms)
             if room is not pool_room:
@@ -111,7 +116,7 @@
         now_ms = self._term.now_ms
         hosts = [host for host in hosts if host.health.takes_gang(now_ms)]
         chosen = choose_hosts_for_gang(step_run, hosts, self._preference)
-        if chosen is None:
+        if chosen is None or not self._gate.may_start(step_run):
             return []
         attempt = self._term.next_attempt(
             max(step_run.last_attempt.values(), default=0)
--- a/src/guavapin/scheduling/unknown_runs.py
+++ b/src/guavapin/scheduling/unknown_runs.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from guavapin.scheduling.organisation_usage import NOTHING
 from guavapin.scheduling.term import MAX_UNCONFIRMED_MS
+from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 from guavapin.scheduling.unservable import shapes_of_fleet
 
 if TYPE_CHECKING:
@@ -39,9 +41,9 @@
         self._listed_capacities: dict[str, Resources] = {}
         # Capacities of the other machines in that list, None if they are not known.
         self.off_capacities: tuple[Resources, ...] | None = None
-        # Pools with hosts whose runs are not known, by whether `resolve_by_ms` has
-        # passed; empty after a change that may affect them.
-        self._unresolved: dict[bool, set[str]] = {}
+        # Executors whose runs are not known, by whether `resolve_by_ms` has passed;
+        # empty after a change that may affect them.
+        self._unresolved: dict[bool, UnresolvedExecutors] = {}
         # Executors whose hosts were removed after they had answered.
         self._answered_ids: set[str] = set()
         # Hosts that have answered, but have never listed all ends of their runs.
@@ -93,8 +95,8 @@
             self._answered_ids.add(host.executor_id)
         self.mark_changed()
 
-    def unresolved_pools(self) -> set[str]:
-        """Return the pools in which a host may have runs that are not known here.
+    def unresolved(self) -> UnresolvedExecutors:
+        """Return the executors that may have runs which are not known here.
 
         A host that is cut off from the store loses its registration while its runs
         continue; only the platform's list of machines still shows it.
@@ -102,29 +104,46 @@
         term = self._term
         is_late = term.now_ms >= term.resolve_by_ms
         if not is_late:
-            return self._pools_of_unknown_runs(is_late)
-        hiding = {host.pool for host in self._partly_known if self.may_hide_ends(host)}
+            return self._with_unknown_runs(is_late)
+        hiding = {
+            host.executor_id: self._possible_pools(host)
+            for host in self._partly_known
+            if self.may_hide_ends(host)
+        }
         if term.now_ms >= term.resolve_restarts_by_ms:
-            return hiding
-        return hiding | self._pools_of_unknown_runs(is_late)
+            return UnresolvedExecutors(hiding)
+        unknown = self._with_unknown_runs(is_late)
+        if not hiding:
+            return unknown
+        return replace(
+            unknown, pools_by_executor={**unknown.pools_by_executor, **hiding}
+        )
 
-    def _pools_of_unknown_runs(self, is_late: bool) -> set[str]:
+    def _with_unknown_runs(self, is_late: bool) -> UnresolvedExecutors:
         if self._listed_pools is None:
-            return {pool.name for pool in self._term.table.pools}
-        pools = self._unresolved.get(is_late)
-        if pools is None:
+            return UnresolvedExecutors(are_all_listed=False)
+        unresolved = self._unresolved.get(is_late)
+        if unresolved is None:
             answered = self._answered_ids if is_late else frozenset()
             pools = {
-                host.pool
+                host.executor_id: self._possible_pools(host)
                 for host in self._hosts.values()
                 if not (is_late and host in self._partly_known)
                 and not self.are_runs_known(host)
                 and self._may_be_up(host)
-            } | {
-                self._listed_pools[name] for name in self._unseen_executors() - answered
             }
-            self._unresolved[is_late] = pools
-        return pools
+            for executor_id in self._unseen_executors() - answered:
+                pools[executor_id] = frozenset((self._listed_pools[executor_id],))
+            unresolved = self._unresolved[is_late] = UnresolvedExecutors(pools)
+        return unresolved
+
+    def _possible_pools(self, host: Host) -> frozenset[str]:
+        """Return the pools that the entry of an executor and the last list name.
+
+        Either of the two may be out of date after a move of its machine.
+        """
+        listed = (self._listed_pools or {}).get(host.executor_id, host.pool)
+        return frozenset((host.pool, listed))
 
     def _unseen_executors(self) -> frozenset[str]:
         """Return the listed executors without a registration.
--- a/src/guavapin/scheduling/where.py
+++ b/src/guavapin/scheduling/where.py
@@ -140,8 +140,8 @@
 
     For example, the cap of its organisation.
     """
-    if scheduler.dispatcher.is_held_up(step_run):
-        return "hosts of the pool have not answered this scheduler yet"
+    if reason := scheduler.pool_gate.reason(step_run):
+        return reason
     if not scheduler.is_start_allowed:
         return "the record of the previous scheduler is not removed yet"
     if scheduler.cap_rule.is_held(step_run):
--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -83,7 +83,6 @@
     An order extends its lease to `max_lease_ms` from the arrival at most.
     """
 
-    pool: str = "pool"
     machine: str = ""
     reaches_store: bool = True
     registered_ms: int = 0
@@ -320,6 +319,11 @@
             self._take_down(name)
             self._world.schedule(TIMES.move_ms, self._bring_up, name, pool)
 
+    def replace(self, name: str, pool: str) -> None:
+        """Bring a machine up in a pool at once, before the first event."""
+        self._take_down(name)
+        self._bring_up(name, pool)
+
     def handle(self, node: Node, service: str, message: Any) -> None:
         """Handle an order for an executor or a machine."""
         if isinstance(message, HostOrder):
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -24,6 +24,7 @@
 from guavapin.scheduling.task import SchedulerTask
 from guavapin.scheduling.term_loader import TermLoader
 from guavapin.scheduling.unknown_runs import UnknownRuns
+from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 from tests.model.cancellations import CANCEL_MS
 from tests.model.cancellations import STABLE_MS
 from tests.model.executors import Fleet
@@ -63,7 +64,8 @@
 
 
 def start_inherited_jobs_at_once(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(UnknownRuns, "unresolved_pools", lambda hosts: set())
+    nothing = UnresolvedExecutors()
+    patch.setattr(UnknownRuns, "unresolved", lambda hosts: nothing)
 
 
 def forget_starts_without_an_answer(patch: pytest.MonkeyPatch) -> None:
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -380,6 +380,8 @@
         # Tables with the times at which they came into force, for the caps.
         self.tables = [(self.clock.now_ms(), table)]
         self.submissions: dict[str, Submission] = {}
+        # Returns the service of the queue at the host to which a job is submitted.
+        self.submitted_service: Callable[[], str] = lambda: QUEUE.service
         self._events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self._number = 0
         self.has_faults = True
@@ -527,7 +529,7 @@
         steps = (Step(count, need, 600),)
         if self.rng.random() < 0.5:
             steps += (Step(self.rng.randint(1, 3), need, 600, after=(0,)),)
-        job = Job(job_id, QUEUE.key, "pool", "spec", steps)
+        job = Job(job_id, QUEUE.key, self.submitted_service(), "spec", steps)
         if self.table.organisations:
             owner = self.rng.choice(self.table.organisations)
             job = replace(job, organisation=owner.name)
--- a/tests/scheduling/plain_demand.py
+++ b/tests/scheduling/plain_demand.py
@@ -82,13 +82,14 @@
     now_ms = scheduler.term.now_ms
     tallies: dict[str, _Tally] = {}
     seen: set[str] = set()
-    unresolved = scheduler.hosts.unknown_runs.unresolved_pools()
+    unresolved = scheduler.hosts.unknown_runs.unresolved()
     for step_run in scheduler.steps:
         job_run = step_run.job_run
         if job_run.state.is_final or step_run.is_done:
             continue
         pool = scheduler.pool_of(job_run)
-        if job_run.is_inherited and pool in unresolved:
+        run_pools = scheduler.rules.run_pools_of(job_run)
+        if job_run.is_inherited and unresolved.concern(run_pools):
             # The job may not start yet, so more machines would not help it.
             continue
         tally = tallies.setdefault(pool, _Tally())
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -15,16 +15,21 @@
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.pool_gate import PoolGate
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.term import Term
+    from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
 
 class PlainDispatcher:
     """Same interface as `Dispatcher`; queues must not need advice."""
 
-    def __init__(self, term: Term, hosts: HostTable, rules: QueueRules) -> None:
+    def __init__(
+        self, term: Term, hosts: HostTable, rules: QueueRules, gate: PoolGate
+    ) -> None:
         self._term, self._hosts, self._rules = term, hosts, rules
-        self._starter = Starter(term, hosts, rules)
+        self._gate = gate
+        self._starter = Starter(term, hosts, rules, gate)
         self._steps: set[StepRun] = set()
         self._avoided = AvoidedHosts(term, hosts)
 
@@ -34,17 +39,20 @@
     def discard(self, step_run: StepRun) -> None:
         self._steps.discard(step_run)
 
-    def is_held_up(self, step_run: StepRun, unresolved: set[str] | None = None) -> bool:
+    def is_held_up(
+        self, step_run: StepRun, unresolved: UnresolvedExecutors | None = None
+    ) -> bool:
         if unresolved is None:
-            unresolved = self._hosts.unknown_runs.unresolved_pools()
-        is_unresolved = self._rules.pool_of(step_run) in unresolved
-        is_inherited = step_run.job_run.is_inherited
+            unresolved = self._hosts.unknown_runs.unresolved()
+        job_run = step_run.job_run
+        is_unresolved = unresolved.concern(self._rules.run_pools_of(job_run))
+        is_inherited = job_run.is_inherited
         return is_inherited and is_unresolved and not step_run.step.allows_copies
 
     def dispatch(self) -> None:
         now_ms = self._term.now_ms
         self._starter.caps.begin_dispatch()
-        unresolved = self._hosts.unknown_runs.unresolved_pools()
+        unresolved = self._hosts.unknown_runs.unresolved()
         self._hosts.room.refresh(now_ms)
         self._avoided.permit_trials(self._waiting_for_a_host)
         for step_run in sorted(self._steps, key=self._rules.position):
@@ -83,7 +91,7 @@
             # A host on trial takes one subtask.
             usable = [host for host in hosts if host.is_usable(self._term.now_ms)]
             host = _choose_host(step_run, usable, rack)
-            if host is None:
+            if host is None or not self._gate.may_start(step_run):
                 return
             self._starter._start(step_run, index, host)
             if is_coupled:
--- a/tests/scheduling/simulation.py
+++ b/tests/scheduling/simulation.py
@@ -78,12 +78,13 @@
     max_listed_ends: int = 500
     # Tickets that starts need, if any does.
     valid_tickets: set = field(default_factory=set)
+    pool: str = "pool"
 
     def registration(self, capacity: Resources = HOST_CAPACITY) -> Registration:
         return Registration(
             self.executor_id,
             self.born_ms,
-            "pool",
+            self.pool,
             f"{self.executor_id}:1",
             "z",
             False,
@@ -155,10 +156,16 @@
 
     Entries are stored at once; while `is_store_down` is set, they are lost. Orders to
     an unreachable executor are kept in `undelivered`. The store refuses the entries for
-    which `is_refused` returns True.
+    which `is_refused` returns True. A term begins under `table`.
     """
 
-    def __init__(self, executors: list[FakeExecutor], token: int = 5) -> None:
+    def __init__(
+        self,
+        executors: list[FakeExecutor],
+        token: int = 5,
+        table: QueueTable = TABLE,
+    ) -> None:
+        self.table = table
         self.executors = {executor.executor_id: executor for executor in executors}
         self.now_ms = 1_000
         self.stored: dict[str, bytes] = {}
@@ -174,7 +181,7 @@
 
     def take_over(self, token: int) -> None:
         """Begin a new term, with a new scheduler that loads what is stored."""
-        term = Term(token, self.times(), TABLE, self.now_ms)
+        term = Term(token, self.times(), self.table, self.now_ms)
         self.scheduler = Scheduler(term)
         self._update_time()
         self.scheduler.hosts.replace_registrations(
@@ -192,7 +199,7 @@
 
     def list_machines(self) -> None:
         """Deliver the platform's list of machines."""
-        pools = tuple((name, "pool") for name in self.executors)
+        pools = tuple((name, row.pool) for name, row in self.executors.items())
         self._update_time()
         self.scheduler.apply_machines(MachinesListed(pools, requested_ms=self.now_ms))
         self.run()
--- a/tests/scheduling/test_dispatcher.py
+++ b/tests/scheduling/test_dispatcher.py
@@ -80,7 +80,9 @@
     sim.scheduler.term.table = TABLE
     if is_plain:
         scheduler = sim.scheduler
-        plain = PlainDispatcher(scheduler.term, scheduler.hosts, scheduler._rules)
+        plain = PlainDispatcher(
+            scheduler.term, scheduler.hosts, scheduler._rules, scheduler.pool_gate
+        )
         scheduler._dispatcher = plain
     pools = tuple((row.executor_id, POOLS[row.number % 2]) for row in executors)
     sim.scheduler.apply_machines(MachinesListed(pools))
