Apply the operator's edits of a maintenance wave

Cause: each later value of a known wave was dropped, and an order was repeated after a refusal that is final.

A later value now replaces the wave, a removed wave is dropped, and an order that the platform refuses because the wave does not have the machine ends once the operator's wave agrees. A status of done is written on condition that the wave still has the revision that was judged.

--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -13,6 +13,7 @@
 from guavapin.machines.model import MachineState
 from guavapin.machines.model import MaintainMachine
 from guavapin.machines.model import MoveMachine
+from guavapin.machines.model import OrderRefusal
 from guavapin.machines.pool_size import target_pool_size
 from guavapin.machines.predecessor_orders import PredecessorOrders
 from guavapin.machines.waves import WaveTracker
@@ -166,7 +167,10 @@
         )
 
     def add_wave(self, wave: MaintenanceWave, now_ms: int) -> bool:
-        """Add a maintenance wave of the operator; return whether it is new."""
+        """Add a maintenance wave of the operator, or apply a new value of it.
+
+        Return whether the wave is new.
+        """
         return self.waves.add(wave, now_ms)
 
     def record_status_write(self, wave: int, is_done: bool, is_written: bool) -> None:
@@ -189,14 +193,30 @@
         self._unconfirmed_moves.pop(order.machine, None)
 
     def record_failed_order(
-        self, order: MoveMachine | MaintainMachine, is_fenced: bool, now_ms: int
+        self,
+        order: MoveMachine | MaintainMachine,
+        refusal: OrderRefusal | None,
+        now_ms: int,
     ) -> None:
-        """Record that an order was refused or got no answer, so that it is repeated.
+        """Record that an order was refused, or got no answer if `refusal` is None.
 
-        A machine whose order was refused by the fence gets no new order in this term.
+        It is repeated, except for maintenance that the platform refuses because the
+        wave does not have the machine, once the operator's wave agrees: until then, the
+        two may differ in age. An order without an answer is repeated until it has one,
+        since it may still be carried out. A machine whose order was refused by the
+        fence gets no new order in this term.
         """
-        if is_fenced:
+        if refusal is OrderRefusal.FENCED:
             self._fenced_machines.add(order.machine)
+        if (
+            isinstance(order, MaintainMachine)
+            and refusal is OrderRefusal.NOT_IN_WAVE
+            and not self.waves.includes(order.wave, order.machine)
+        ):
+            self.waves.cancel_order(order.wave, order.machine)
+            self._orders.pop(order.machine, None)
+            self._executor_at_order.pop(order.machine, None)
+            return
         pool = self._pool_of(order.machine)
         until_ms = now_ms + ORDER_RETRY_MS
         self._orders[order.machine] = _OpenOrder(order, pool, until_ms)
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -26,7 +26,6 @@
 from guavapin.machines.model import MaintainMachine
 from guavapin.machines.model import MoveMachine
 from guavapin.machines.model import OrderDone
-from guavapin.machines.model import OrderRefusal
 from guavapin.machines.model import OrderRefused
 from guavapin.machines.model import Validity
 from guavapin.machines.order_record import ORDERED_KEY
@@ -162,6 +161,8 @@
         self._list_requested_ms = 0
         self._cordoned: CordonHosts = CordonHosts(frozenset())
         self._status_writes: dict[int, tuple[int, bool]] = {}
+        # Key and revision of each wave that the planner knows.
+        self._wave_items: dict[int, kv.KeyRevision] = {}
 
     def start(self, context: TaskContext) -> Outcome[None]:
         """Wait for a term."""
@@ -197,7 +198,7 @@
                 if prefix == MAINTAINED_PREFIX:
                     self._handle_maintained(items)
                 else:
-                    self._handle_waves(items)
+                    self._handle_waves(items, isinstance(message, PrefixListed))
             case kv.Reply(request_id=request_id, outcome=outcome):
                 if request_id == self._record_request_id:
                     self._handle_record_reply(outcome)
@@ -346,7 +347,7 @@
         unrecorded, self._unrecorded = self._unrecorded, []
         if self._planner is not None:
             for order in unrecorded:
-                self._planner.record_failed_order(order, False, now_ms)
+                self._planner.record_failed_order(order, None, now_ms)
 
     def _end_term(self) -> None:
         if self._planner is not None:
@@ -357,6 +358,7 @@
         self._unrecorded.clear()
         self._abort_calls()
         self._status_writes.clear()
+        self._wave_items.clear()
         self._listed_ms = 0
         self._cordoned = CordonHosts(frozenset())
 
@@ -390,8 +392,8 @@
             # been carried out before, so it is read at once.
             self._listed_ms = 0
         else:
-            is_fenced = outcome == OrderRefused(OrderRefusal.FENCED)
-            self._planner.record_failed_order(order, is_fenced, now_ms)
+            refusal = outcome.kind if isinstance(outcome, OrderRefused) else None
+            self._planner.record_failed_order(order, refusal, now_ms)
 
     def _handle_page(self, outcome: MachineOutcome, now_ms: int) -> None:
         assert self._planner is not None
@@ -445,19 +447,41 @@
                 log.info("machine changed", extra=extra)
         self._listed_machines = listed
 
-    def _handle_waves(self, items: tuple[kv.Item, ...]) -> None:
+    def _handle_waves(self, items: tuple[kv.Item, ...], is_complete: bool) -> None:
+        """Apply the operator's waves; a complete list names all that there are."""
         if self._planner is None:
             return
-        now_ms = self._context.clock.now_ms()
+        if is_complete:
+            listed = {item.key for item in items}
+            for number in self._planner.waves.numbers:
+                if self._wave_items[number].key not in listed:
+                    self._remove_wave(number)
         for item in items:
-            wave = (
-                self._wave_codec.decode(item.value) if item.value is not None else None
-            )
-            if wave is not None:
-                if self._planner.add_wave(wave, now_ms):
-                    self._record_due(wave)
-            elif item.value is not None:
-                log.error("wave cannot be read", extra={"key": item.key})
+            if item.value is not None:
+                self._apply_wave(self._planner, item, item.value)
+                continue
+            for number in self._planner.waves.numbers:
+                if self._wave_items[number].key == item.key:
+                    self._remove_wave(number)
+
+    def _apply_wave(self, planner: Planner, item: kv.Item, value: bytes) -> None:
+        """Add a wave, or apply its new value; one that cannot be read is left as is."""
+        wave = self._wave_codec.decode(value)
+        if wave is None:
+            log.error("wave cannot be read", extra={"key": item.key})
+            return
+        former = self._wave_items.get(wave.number)
+        self._wave_items[wave.number] = kv.KeyRevision(item.key, item.revision)
+        if planner.add_wave(wave, self._context.clock.now_ms()):
+            self._record_due(wave)
+        elif former is not None and former.revision != item.revision:
+            extra = {"wave": wave.number, "machines": len(wave.machines)}
+            log.info("wave changed", extra=extra | {"cap": wave.max_at_once})
+
+    def _remove_wave(self, number: int) -> None:
+        if self._planner is not None:
+            log.info("wave removed", extra={"wave": number})
+            self._planner.waves.remove(number)
 
     def _handle_maintained(self, items: tuple[kv.Item, ...]) -> None:
         # The listing is needed once: later changes are writes of this process.
@@ -504,13 +528,18 @@
         )
 
     def _write_status(self, wave: int, is_done: bool) -> None:
+        """Write the status of a wave; done only for the value that was judged.
+
+        The operator may add a machine at the same time.
+        """
         log.info("wave status", extra={"wave": wave, "done": is_done})
         self._request_id += 1
         self._status_writes[self._request_id] = (wave, is_done)
         key = self._wave_codec.status_key(wave)
         value = self._wave_codec.encode_status(is_done)
+        expected = (self._wave_items[wave],) if is_done else ()
         request = kv.Transact(
-            self.name, self._request_id, (), (kv.KeyValue(key, value),)
+            self.name, self._request_id, expected, (kv.KeyValue(key, value),)
         )
         self._context.send("platform", request)
 
--- a/src/guavapin/machines/waves.py
+++ b/src/guavapin/machines/waves.py
@@ -62,6 +62,16 @@
         down |= set(listed_down) & set(self.wave.machines)
         return self.wave.max_at_once - len(down)
 
+    def replace(self, wave: MaintenanceWave) -> None:
+        """Apply a new value of the wave, which counts from its first reading.
+
+        A wave with a machine whose maintenance has not started is not done any more.
+        """
+        self._due_ms += wave.duration_ms - self.wave.duration_ms
+        self.wave = wave
+        if self.is_done_stored and not self.started.keys() >= set(wave.machines):
+            self.is_done_stored = self.is_running_stored = False
+
     def limit_due(self, due_ms: int) -> None:
         """Set the time at which the wave is due, if it is before the known one."""
         self._due_ms = min(self._due_ms, due_ms)
@@ -90,8 +100,11 @@
         self._due_ms: dict[int, int] = {}
 
     def add(self, wave: MaintenanceWave, now_ms: int) -> bool:
-        """Add a wave; return False and change nothing if its number is known."""
-        if wave.number in self._waves:
+        """Add a wave, or apply a new value of a known one; return whether it is new."""
+        known = self._waves.get(wave.number)
+        if known is not None:
+            if known.wave != wave:
+                known.replace(wave)
             return False
         progress = WaveProgress(wave, self._times, now_ms)
         self._waves[wave.number] = progress
@@ -101,6 +114,22 @@
             progress.limit_due(self._due_ms[wave.number])
         return True
 
+    def remove(self, number: int) -> None:
+        """Remove a wave; maintenance that started counts if it is added again."""
+        wave = self._waves.pop(number, None)
+        if wave is not None:
+            self._maintained.setdefault(number, set()).update(wave.started)
+
+    @property
+    def numbers(self) -> frozenset[int]:
+        """The numbers of the known waves."""
+        return frozenset(self._waves)
+
+    def includes(self, number: int, machine: str) -> bool:
+        """Return whether a wave is known and has a machine at present."""
+        wave = self._waves.get(number)
+        return wave is not None and machine in wave.wave.machines
+
     def limit_due(self, number: int, due_ms: int) -> None:
         """Set the time at which a wave is due that an earlier scheduler has read.
 
@@ -131,6 +160,12 @@
         if wave is not None:
             wave.ordered.add(machine)
 
+    def cancel_order(self, number: int, machine: str) -> None:
+        """Record that an order has had no effect and is not repeated."""
+        wave = self._waves.get(number)
+        if wave is not None:
+            wave.ordered.discard(machine)
+
     def record_start(self, number: int, machine: str, now_ms: int) -> None:
         """Record that the maintenance of a machine started; a repeat has no effect."""
         wave = self._waves.get(number)
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -14,6 +14,7 @@
 from guavapin.machines.model import MaintainMachine
 from guavapin.machines.model import MaintenanceWave
 from guavapin.machines.model import MoveMachine
+from guavapin.machines.model import OrderRefusal
 from guavapin.machines.order_record import RecordedOrders
 from guavapin.machines.planner import Planner
 from guavapin.machines.planner import UnlistedExecutors
@@ -236,9 +237,10 @@
     demand = PoolDemand("b", waiting_cpu=1_000, oldest_waiting_ms=500)
     report = load(demands=(demand,))
     planner.plan(report, TABLE, BEGIN_MS)
-    planner.record_failed_order(MoveMachine("m", "b", "", 3), False, BEGIN_MS)
+    planner.record_failed_order(MoveMachine("m", "b", "", 3), None, BEGIN_MS)
     assert planner.plan(report, TABLE, BEGIN_MS + 600).moves == (("m", "b"),)
-    planner.record_failed_order(MoveMachine("m", "b", "", 3), True, BEGIN_MS + 700)
+    fenced = OrderRefusal.FENCED
+    planner.record_failed_order(MoveMachine("m", "b", "", 3), fenced, BEGIN_MS + 700)
     assert planner.plan(report, TABLE, BEGIN_MS + 9_000).moves == ()
 
 
@@ -254,7 +256,8 @@
     while not plan.maintenance:
         begin_ms += 500
         plan = planner.plan(report, TABLE, begin_ms)
-    planner.record_failed_order(MaintainMachine("m", 1, "", 3), True, begin_ms)
+    order = MaintainMachine("m", 1, "", 3)
+    planner.record_failed_order(order, OrderRefusal.FENCED, begin_ms)
     for delay_ms in range(500, 10_000, 500):
         plan = planner.plan(report, TABLE, begin_ms + delay_ms)
         assert not plan.maintenance
@@ -382,3 +385,86 @@
     plan = planner.plan(load(*hosts), TABLE, BEGIN_MS + 100)
     assert plan.maintenance == ()
     assert plan.cordon.executor_ids == {f"i-{name}" for name in names[1:]}
+
+
+def edited_wave(*edits: tuple[str, ...], cap: int = 2) -> Planner:
+    """Return a planner whose wave has been given these machines in turn."""
+    planner = Planner(TIMES, 0)
+    planner.update_machines(tuple(machine(name, "a") for name in ("m1", "m2")), 0)
+    for names in edits:
+        planner.add_wave(MaintenanceWave(1, names, 60_000, cap), 0)
+    return planner
+
+
+IDLE = load(
+    host("m1", "a"), host("m2", "a"), demands=(PoolDemand("a", held_cpu=32_000),)
+)
+
+
+def test_a_machine_that_is_taken_out_of_a_wave_is_not_maintained() -> None:
+    # Guards against the maintenance of machines that the operator has taken out of a
+    # wave (review/7): a later value of a known wave was ignored.
+    plan = edited_wave(("m1", "m2"), ("m2",)).plan(IDLE, TABLE, BEGIN_MS)
+    assert plan.maintenance == (("m2", 1),)
+
+
+def test_an_order_that_the_edited_wave_rules_out_ends() -> None:
+    # Guards against an order that is refused and repeated without end, while its
+    # machine is cordoned and takes no work (review/7).
+    planner = edited_wave(("m1",))
+    order = MaintainMachine("m1", 1, "", 3)
+    assert planner.plan(IDLE, TABLE, BEGIN_MS).maintenance == (("m1", 1),)
+    refusal = OrderRefusal.NOT_IN_WAVE
+    # The platform has the new value of the wave before this process.
+    planner.record_failed_order(order, refusal, BEGIN_MS + 10)
+    again_ms = BEGIN_MS + 600
+    assert planner.plan(IDLE, TABLE, again_ms).maintenance == (("m1", 1),)
+    planner.add_wave(MaintenanceWave(1, ("m2",), 60_000, 1), again_ms)
+    planner.record_failed_order(order, refusal, again_ms + 10)
+    for delay_ms in (20, 3_000):
+        plan = planner.plan(IDLE, TABLE, again_ms + delay_ms)
+        assert ("m1", 1) not in plan.maintenance
+        assert "i-m1" not in plan.cordon.executor_ids
+
+
+def test_an_order_without_an_answer_goes_on_after_an_edit() -> None:
+    # Guards against work that starts on a machine which an earlier order may still take
+    # down.
+    planner = edited_wave(("m1",))
+    planner.plan(IDLE, TABLE, BEGIN_MS)
+    planner.add_wave(MaintenanceWave(1, (), 60_000, 1), BEGIN_MS)
+    order = MaintainMachine("m1", 1, "", 3)
+    planner.record_failed_order(order, None, BEGIN_MS + 1_500)
+    plan = planner.plan(IDLE, TABLE, BEGIN_MS + 2_100)
+    assert plan.maintenance == (("m1", 1),)
+    assert "i-m1" in plan.cordon.executor_ids
+
+
+def test_a_wave_to_which_a_machine_is_added_is_not_done() -> None:
+    # Guards against a wave that is said to be done (MIXED) while a machine that the
+    # operator has added has not begun its maintenance.
+    planner = edited_wave(("m1",))
+    planner.waves.record_start(1, "m1", 0)
+    assert planner.plan(IDLE, TABLE, BEGIN_MS).statuses == ((1, True),)
+    planner.record_status_write(1, is_done=True, is_written=True)
+    planner.add_wave(MaintenanceWave(1, ("m1", "m2"), 60_000, 1), BEGIN_MS)
+    plan = planner.plan(IDLE, TABLE, BEGIN_MS + 100)
+    assert plan.statuses == ((1, False),)
+    planner.record_status_write(1, is_done=False, is_written=True)
+    plan = planner.plan(IDLE, TABLE, BEGIN_MS + TIMES.maintenance_ms + 1_000)
+    assert plan.maintenance == (("m2", 1),)
+
+
+def test_a_lowered_cap_is_in_force_at_once() -> None:
+    # Guards against more machines down at a time than the operator allows now.
+    planner = edited_wave(("m1", "m2"))
+    planner.add_wave(MaintenanceWave(1, ("m1", "m2"), 60_000, 1), 0)
+    assert len(planner.plan(IDLE, TABLE, BEGIN_MS).maintenance) == 1
+
+
+def test_a_removed_wave_maintains_no_machine() -> None:
+    # Guards against maintenance, and a status, of a wave that the operator has removed.
+    planner = edited_wave(("m1", "m2"))
+    planner.waves.remove(1)
+    plan = planner.plan(IDLE, TABLE, BEGIN_MS)
+    assert not plan.maintenance and not plan.statuses
--- a/tests/machines/test_task.py
+++ b/tests/machines/test_task.py
@@ -14,6 +14,7 @@
 from guavapin.http.messages import Unanswered
 from guavapin.kernel.harness import TaskHarness
 from guavapin.keyvalue import messages as kv
+from guavapin.keyvalue.follower import PrefixChanged
 from guavapin.keyvalue.follower import PrefixListed
 from guavapin.machines.model import ListMachines
 from guavapin.machines.model import MachinePage
@@ -301,3 +302,29 @@
     key = f"status/wave/{number}"
     statuses = [put.value for put, _ in rig.written if put.key == key]
     assert statuses == [b"running", b"done"]
+
+
+def test_a_wave_is_done_only_in_the_value_that_was_judged(rig: Rig) -> None:
+    # Guards against a wave that is said to be done (MIXED) although the operator has
+    # added a machine at the same time.
+    item = kv.Item("op/wave/4", b"1", 3)
+    rig.task.handle(PrefixListed(WaveCodec.prefix, (item,)))
+    maintained = kv.Item(f"{MAINTAINED_PREFIX}4/m", b"1", 4)
+    rig.task.handle(PrefixListed(MAINTAINED_PREFIX, (maintained,)))
+    rig.advance(200, host("m", "a", runs=1))
+    statuses = [row for row in rig.written if row[0].key == "status/wave/4"]
+    assert [put.value for put, _ in statuses] == [b"done"]
+    assert statuses[0][1] == (kv.KeyRevision("op/wave/4", 3),)
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+def test_a_wave_that_the_operator_removes_is_dropped(rig: Rig, is_listed: bool) -> None:
+    # Guards against machines that are drained for a wave which does not exist any more.
+    item = kv.Item("op/wave/4", b"1", 3)
+    rig.task.handle(PrefixListed(WaveCodec.prefix, (item,)))
+    rig.advance(200, host("m", "a", runs=1))
+    assert rig.cordons[-1].executor_ids == {"i-m"}
+    removal = PrefixChanged(WaveCodec.prefix, (kv.Item("op/wave/4", None, 5),))
+    rig.task.handle(PrefixListed(WaveCodec.prefix, ()) if is_listed else removal)
+    rig.advance(200, host("m", "a", runs=1))
+    assert rig.cordons[-1].executor_ids == frozenset()
