Watch the manifest without a wait after a failed call

Cause: after a failure, the follower of the manifest watched with its whole wait of 2 s again, so that a loss late in the outage was noticed 2.9 s after it. The delay before the next call, up to 0.5 s, came on top.

The first watch of the manifest after a failure does not wait, and the delay counts from when the failed call was sent.

--- a/src/guavapin/keyvalue/follower.py
+++ b/src/guavapin/keyvalue/follower.py
@@ -20,8 +20,9 @@
 
 PLATFORM = "platform"
 
-# The delay after a failed call doubles from the minimum to the maximum. A store that
-# recovers is detected within half a second, at a cost of two calls a second.
+# The delay after a failed call doubles from the minimum to the maximum, counted from
+# when the call was sent. A store that recovers is detected half a second or one call
+# without an answer later, at a cost of two calls a second.
 MIN_RETRY_DELAY_MS = 100
 MAX_RETRY_DELAY_MS = 500
 
@@ -145,6 +146,7 @@
         self._is_confirming = is_confirming
         self._is_prompt = is_prompt
         self._sent_ms = 0
+        self._called_ms = 0
         self._follow_id = 0
         self._request_id = 0
         self._revision = -1
@@ -206,9 +208,10 @@
 
     def _call(self) -> None:
         self._request_id += 1
+        self._called_ms = self._context.clock.now_ms()
         if self._revision >= 0 or not self._listed_items:
             # Further pages of a list prove no more than the first one.
-            self._sent_ms = self._context.clock.now_ms()
+            self._sent_ms = self._called_ms
         request: kv.PlatformRequest
         if self._revision < 0:
             after = self._listed_items[-1].key if self._listed_items else ""
@@ -299,7 +302,8 @@
         self._retry_delay_ms = min(
             max(self._retry_delay_ms * 2, MIN_RETRY_DELAY_MS), MAX_RETRY_DELAY_MS
         )
-        self._schedule_call(self._retry_delay_ms)
+        elapsed_ms = self._context.clock.now_ms() - self._called_ms
+        self._schedule_call(max(self._retry_delay_ms - elapsed_ms, 0))
 
     def _record_success(self) -> None:
         self._report_reachability(True)
--- a/src/guavapin/resident.py
+++ b/src/guavapin/resident.py
@@ -89,6 +89,7 @@
 
 # Time for which the store holds a watch open. A dead connection is detected after this
 # plus `STORE_TIMEOUT_MS`, within the three seconds for which its silence is excused.
+# The next watch of the table does not wait: a second lost one would exceed them.
 WATCH_WAIT_MS = 2_000
 
 # Minimum interval between reads of registry changes, since executors renew their
@@ -188,7 +189,7 @@
             is_eager=True,
             observer="reach",
             is_confirming=True,
-            is_prompt=revoke_ms > 0,
+            is_prompt=True,
         ),
         PrefixFollower(
             "follow_duty", DUTY_KEY, ("roster",), WATCH_WAIT_MS, is_eager=True
