--- a/src/guavapin_soak/__main__.py
+++ b/src/guavapin_soak/__main__.py
@@ -54,9 +54,14 @@
         help="with --executors: next lives under other ids at the same addresses, and "
         "registries and lists of machines that lag",
     )
+    parser.add_argument(
+        "--services",
+        action="store_true",
+        help="with --executors: the route changes between two services",
+    )
     options = parser.parse_args(arguments)
-    if options.successors and not options.executors:
-        parser.error("--successors needs --executors")
+    if (options.successors or options.services) and not options.executors:
+        parser.error("--successors and --services need --executors")
     folder = options.folder or Path(tempfile.mkdtemp(prefix="guavapin-soak-"))
     print(f"logs go to {folder}")
 
@@ -68,7 +73,12 @@
             return run_calls(seed, length_ms, seed_folder)
         if options.executors:
             return run_executors(
-                seed, length_ms, options.hosts, seed_folder, options.successors
+                seed,
+                length_ms,
+                options.hosts,
+                seed_folder,
+                options.successors,
+                options.services,
             )
         run = run_planned_work if options.planned else run_soak
         return run(seed, length_ms, options.hosts, seed_folder)
@@ -124,6 +134,7 @@
     print(
         f"seed {result.seed}: longest lease {result.plan.max_lease_ms} ms, "
         f"{len(kinds)} faults ({', '.join(sorted(set(kinds)))}), "
+        f"{result.service_changes} changes of the service, "
         f"{result.accepted} jobs accepted, {counts}: "
         f"{'FAILED' if result.violations else 'ok'}",
         flush=True,
--- a/src/guavapin_soak/executor_deployment.py
+++ b/src/guavapin_soak/executor_deployment.py
@@ -37,6 +37,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from pathlib import Path
 
     from guavapin_soak.executor_plan import ExecutorFault
@@ -45,21 +46,30 @@
 
 ASK_TIMEOUT_S = 5.0
 
-CONFIGURATION = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "r",
-            "host": HOST,
-            "prefix": PREFIX,
-            "service": SERVICE,
-            "attempts": 1_000,
-            "stretch": 1.6,
-            "latency-slo-ms": 600,
-        }
-    ],
-    "services": [{"name": SERVICE}],
-}
+# Service of every second executor in a run whose route changes its service.
+OTHER_SERVICE = "other"
+
+
+def configuration(
+    version: int, service: str, services: Iterable[str]
+) -> dict[str, Any]:
+    """Return a manifest with these services, one of which is that of the route."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r",
+                "host": HOST,
+                "prefix": PREFIX,
+                "service": service,
+                "attempts": 1_000,
+                "stretch": 1.6,
+                "latency-slo-ms": 600,
+            }
+        ],
+        "services": [{"name": name} for name in services],
+    }
+
 
 _LINK_MODES = {
     ExecutorFaultKind.CUT: LinkMode.CUT,
@@ -85,9 +95,20 @@
 
 
 class ExecutorDeployment:
-    """Entry hosts and executors of a run; only one thread injects faults."""
+    """Entry hosts and executors of a run; only one thread injects faults.
+
+    With `has_two_services`, every second executor is one of `OTHER_SERVICE`.
+    """
 
-    def __init__(self, folder: Path, hosts: int, plan: ExecutorPlan) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        hosts: int,
+        plan: ExecutorPlan,
+        has_two_services: bool = False,
+    ) -> None:
+        self._services = (SERVICE, OTHER_SERVICE) if has_two_services else (SERVICE,)
+        self._version = 0
         self.clock = SystemClock()
         self._kernel = Kernel(self.clock)
         ids = tuple(f"i-{number}" for number in range(len(plan.clocks)))
@@ -107,19 +128,29 @@
         outcome = self._kernel.start()
         if not isinstance(outcome, Ok):
             raise InvariantError(f"the stand-ins did not start: {outcome}")
-        self._put("op/config", json.dumps(CONFIGURATION).encode())
+        self.change_service()
         registry = Registry(self._put, self._remove)
         self.executors = [
             ExecutorHost(
-                HostSetup(executor_id, port, folder, plan.max_lease_ms, traits),
+                HostSetup(
+                    executor_id,
+                    port,
+                    folder,
+                    plan.max_lease_ms,
+                    traits,
+                    self._services[number % len(self._services)],
+                ),
                 f"127.0.0.1:{link.port}",
                 self._controls(link.name),
                 registry,
             )
-            for executor_id, port, traits, link in zip(
-                ids, executor_ports, plan.clocks, links, strict=True
+            for number, (executor_id, port, traits, link) in enumerate(
+                zip(ids, executor_ports, plan.clocks, links, strict=True)
             )
         ]
+        if has_two_services:
+            for executor in self.executors:
+                executor.list_as("up", executor.executor_id)
         self.entries = [
             EntryProcess(
                 folder,
@@ -139,6 +170,13 @@
             step for target in fault.targets for step in self._host_steps(fault, target)
         ]
 
+    def change_service(self) -> None:
+        """Give the route the next service, or the first one at the start."""
+        service = self._services[self._version % len(self._services)]
+        self._version += 1
+        manifest = configuration(self._version, service, self._services)
+        self._put("op/config", json.dumps(manifest).encode())
+
     def renew_entries(self) -> None:
         """Bring the entries of all executors to the registry."""
         for executor in self.executors:
--- a/src/guavapin_soak/executor_host.py
+++ b/src/guavapin_soak/executor_host.py
@@ -34,13 +34,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSetup:
-    """What a host is: first id and port, folder, longest lease, and clock."""
+    """What a host is: first id and port, folder, longest lease, clock and service."""
 
     executor_id: str
     port: int
     folder: Path
     max_lease_ms: int
     traits: ClockTraits
+    service: str = SERVICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,7 +180,9 @@
 
     def list_as(self, state: str, executor_id: str, is_left_out: bool = False) -> None:
         """Change what the list of machines shows of this machine."""
-        row = ListedMachine(self.machine, state, executor_id, is_left_out)
+        row = ListedMachine(
+            self.machine, state, executor_id, is_left_out, self._setup.service
+        )
         self._controls.list_machine(row)
         shown = "left out" if is_left_out else f"{state} {executor_id}"
         self._note("listed", shown.strip())
@@ -262,7 +265,7 @@
 
     def _complete_entry(self, written: dict[str, Any]) -> bytes:
         entry = {
-            "service": SERVICE,
+            "service": self._setup.service,
             "address": self._address,
             "zone": "z",
             "version": "v1",
@@ -285,7 +288,7 @@
 
     def _start(self, first_clock_ms: int) -> subprocess.Popen[bytes]:
         setup = self._setup
-        arguments = ["--id", self.executor_id, "--service", SERVICE]
+        arguments = ["--id", self.executor_id, "--service", setup.service]
         arguments += ["--port", str(self._port), "--folder", str(setup.folder)]
         arguments += ["--max-lease-ms", str(setup.max_lease_ms)]
         arguments += ["--first-clock-ms", str(first_clock_ms)]
--- a/src/guavapin_soak/executor_run.py
+++ b/src/guavapin_soak/executor_run.py
@@ -16,6 +16,7 @@
 from guavapin_soak.run_overlaps import actions_before
 from guavapin_soak.run_overlaps import events_around
 from guavapin_soak.run_overlaps import find_overlaps
+from guavapin_soak.service_plan import plan_service_changes
 from guavapin_soak.succession_plan import SuccessionPlan
 from guavapin_soak.succession_plan import plan_other_faults
 from guavapin_soak.succession_plan import plan_successions
@@ -49,6 +50,10 @@
 # runs that are lost with those.
 SUCCESSION_JOBS = 5
 
+# Open jobs beside changes of the service, so that each service has room for what is
+# lost on the other one.
+SERVICE_JOBS = 1
+
 # Time before an overlap from which its report has the events of both executors.
 REPORTED_MS = 25_000
 
@@ -66,14 +71,21 @@
     kinds: dict[str, int]
     violations: tuple[str, ...]
     successions: tuple[SuccessionFault, ...] = ()
+    service_changes: int = 0
 
 
 def run_executors(
-    seed: int, length_ms: int, hosts: int, folder: Path, has_successions: bool = False
+    seed: int,
+    length_ms: int,
+    hosts: int,
+    folder: Path,
+    has_successions: bool = False,
+    has_service_changes: bool = False,
 ) -> ExecutorResult:
     """Run one seed; write process logs, and events on failure, to `folder`.
 
-    With `has_successions`, executors also come back under other ids.
+    With `has_successions`, executors also come back under other ids. With
+    `has_service_changes`, the route changes between two services.
     """
     if has_successions:
         plan = plan_other_faults(seed, length_ms, EXECUTORS, hosts)
@@ -81,10 +93,15 @@
     else:
         plan = plan_executors(seed, length_ms, EXECUTORS, hosts)
         successions = SuccessionPlan()
-    deployment = ExecutorDeployment(folder, hosts, plan)
+    changes_ms: tuple[int, ...] = ()
+    if has_service_changes:
+        changes_ms = plan_service_changes(seed, length_ms)
+    deployment = ExecutorDeployment(folder, hosts, plan, has_service_changes)
     try:
         ports = [entry.ports.front for entry in deployment.entries]
         open_jobs = SUCCESSION_JOBS if has_successions else OPEN_JOBS
+        if has_service_changes:
+            open_jobs = SERVICE_JOBS
         caller = LongWorkCaller(seed, 1, ports, open_jobs)
         bursts = LongWorkCaller(seed, 2, ports)
         stop = threading.Event()
@@ -94,7 +111,9 @@
                 executor.submit(bursts.run_bursts, stop),
             ]
             try:
-                schedule = FaultSchedule(deployment, plan, successions, bursts)
+                schedule = FaultSchedule(
+                    deployment, plan, successions, bursts, changes_ms
+                )
                 _play(deployment, schedule, length_ms)
             finally:
                 stop.set()
@@ -123,6 +142,7 @@
         dict(count_kinds(events)),
         tuple(found),
         successions.faults,
+        len(changes_ms),
     )
 
 
--- a/src/guavapin_soak/fault_schedule.py
+++ b/src/guavapin_soak/fault_schedule.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from guavapin_soak.executor_deployment import Step
 from guavapin_soak.executor_plan import ExecutorFaultKind
 from guavapin_soak.false_evidence import FalseEvidence
 from guavapin_soak.idle_restart import IdleRestart
@@ -33,20 +34,22 @@
         plan: ExecutorPlan,
         successions: SuccessionPlan,
         bursts: LongWorkCaller,
+        service_changes_ms: tuple[int, ...] = (),
     ) -> None:
         self._deployment = deployment
         self._bursts = bursts
         idle_kind = ExecutorFaultKind.RESTART_IDLE
         # Steps of one fault that are due at the same time keep their order.
-        self._steps = sorted(
-            (
-                step
-                for fault in plan.faults
-                if fault.kind is not idle_kind
-                for step in deployment.steps(fault)
-            ),
-            key=lambda step: step.at_ms,
-        )
+        steps = [
+            step
+            for fault in plan.faults
+            if fault.kind is not idle_kind
+            for step in deployment.steps(fault)
+        ]
+        steps += [
+            Step(at_ms, deployment.change_service) for at_ms in service_changes_ms
+        ]
+        self._steps = sorted(steps, key=lambda step: step.at_ms)
         self._at_idle = [fault for fault in plan.faults if fault.kind is idle_kind]
         self._successions = [*successions.faults]
         self._roll_pauses_ms = successions.roll_pauses_ms
--- a/src/guavapin_standins/process_platform.py
+++ b/src/guavapin_standins/process_platform.py
@@ -13,12 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedMachine:
-    """What the list of machines shows of one; `executor_id` may be empty."""
+    """What the list of machines shows of one; `executor_id` may be empty.
+
+    Its pool is that of the platform if `pool` is empty.
+    """
 
     machine: str
     state: str
     executor_id: str
     is_left_out: bool = False
+    pool: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +61,7 @@
         return [
             {
                 "machine": row.machine,
-                "pool": self._pool,
+                "pool": row.pool or self._pool,
                 "state": row.state,
                 "zone": "z",
                 "labels": ["a", f"r-{row.machine.removeprefix('m-')}"],
--- a/tests/soak/test_executor_run.py
+++ b/tests/soak/test_executor_run.py
@@ -13,6 +13,7 @@
 
 SEED = 1
 SUCCESSION_SEED = 712
+SERVICE_SEED = 5201
 LENGTH_MS = 8_000
 
 
@@ -46,3 +47,15 @@
     assert result.kinds["succeeds"] > 0
     assert result.kinds["start"] > result.accepted
     assert result.violations == ()
+
+
+def test_changes_of_the_service_cause_no_two_runs(tmp_path: Path) -> None:
+    # Guards against a successor that starts subtasks on the new service while they run
+    # on a silent executor of the former one.
+    result = run_executors(
+        SERVICE_SEED, LENGTH_MS, 2, tmp_path, has_service_changes=True
+    )
+    # Otherwise nothing was judged.
+    assert result.service_changes > 0
+    assert result.kinds["start"] > result.accepted
+    assert result.violations == ()
