Reopen a wave that is edited while its status is written

If the operator added a machine to a wave after the store had taken the status of done, and the edit was read before the answer to that write, the wave stayed done in this term and the machine was not maintained (MIXED).

The answer now counts for the value of the wave that was judged. If another one is in force, the status is written anew.

Evidence: test_an_edit_before_the_answer_to_a_status_reopens_the_wave fails without the change.

--- a/src/guavapin/machines/waves.py
+++ b/src/guavapin/machines/waves.py
@@ -33,6 +33,8 @@
         self.is_running_stored = False
         self.is_done_stored = False
         self.is_status_pending = False
+        # Value of the wave for which the last status was written.
+        self.judged = wave
         self._times = times
         self._due_ms = now_ms + wave.duration_ms
 
@@ -175,10 +177,15 @@
     def record_status_write(self, number: int, is_done: bool, is_written: bool) -> None:
         """Record whether the store accepted a status, so that a failure is retried."""
         wave = self._waves.get(number)
-        if wave is not None:
-            wave.is_status_pending = False
-            wave.is_running_stored |= is_written
-            wave.is_done_stored |= is_written and is_done
+        if wave is None:
+            return
+        wave.is_status_pending = False
+        if is_written and is_done and wave.judged != wave.wave:
+            # The operator has changed the wave meanwhile, so that it may be running.
+            wave.is_running_stored = False
+            return
+        wave.is_running_stored |= is_written
+        wave.is_done_stored |= is_written and is_done
 
     def statuses(self, existing: Collection[str]) -> tuple[tuple[int, bool], ...]:
         """Return the statuses to write, as pairs of wave and whether it is done."""
@@ -189,5 +196,6 @@
             is_done = bool(existing) and not wave.remaining(existing)
             if is_done or not wave.is_running_stored:
                 wave.is_status_pending = True
+                wave.judged = wave.wave
                 due.append((number, is_done))
         return tuple(due)
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -468,3 +468,14 @@
     planner.waves.remove(1)
     plan = planner.plan(IDLE, TABLE, BEGIN_MS)
     assert not plan.maintenance and not plan.statuses
+
+
+def test_an_edit_before_the_answer_to_a_status_reopens_the_wave() -> None:
+    # Guards against a wave that stays done (MIXED) since the operator's edit was read
+    # between the write of its status and the answer.
+    planner = edited_wave(("m1",))
+    planner.waves.record_start(1, "m1", 0)
+    assert planner.plan(IDLE, TABLE, BEGIN_MS).statuses == ((1, True),)
+    planner.add_wave(MaintenanceWave(1, ("m1", "m2"), 60_000, 1), BEGIN_MS)
+    planner.record_status_write(1, is_done=True, is_written=True)
+    assert planner.plan(IDLE, TABLE, BEGIN_MS + 100).statuses == ((1, False),)
