Move StepRun out of job_run.py into a module of its own

Only moved, no line of behaviour changed; the other changes are the imports and the names that two patches in tests use.

--- a/src/guavapin/scheduling/avoided_hosts.py
+++ b/src/guavapin/scheduling/avoided_hosts.py
@@ -18,7 +18,7 @@
 
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 # Time for which work may have no host but avoided ones before one of these is tried.
--- a/src/guavapin/scheduling/cap_gate.py
+++ b/src/guavapin/scheduling/cap_gate.py
@@ -19,7 +19,7 @@
     from guavapin.jobs.model import Step
     from guavapin.jobs.organisations import Organisation
     from guavapin.scheduling.host_table import HostTable
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 # Width of a class of needs, in thousandths of a core, and the number of such classes
--- a/src/guavapin/scheduling/cap_rule.py
+++ b/src/guavapin/scheduling/cap_rule.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 if TYPE_CHECKING:
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
 
 
 class CapRule(Protocol):
--- a/src/guavapin/scheduling/describe.py
+++ b/src/guavapin/scheduling/describe.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from guavapin.scheduling.interference import InterferenceTable
     from guavapin.scheduling.job_run import JobRun
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
+    from guavapin.scheduling.step_run import StepRun
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/guavapin/scheduling/dispatcher.py
+++ b/src/guavapin/scheduling/dispatcher.py
@@ -21,11 +21,11 @@
     from collections.abc import Iterator
 
     from guavapin.scheduling.host_table import HostTable
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.placement import HostPreference
     from guavapin.scheduling.pool_gate import PoolGate
     from guavapin.scheduling.queue_rules import QueueRules
     from guavapin.scheduling.room_index import PoolRoom
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
     from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
--- a/src/guavapin/scheduling/held_work.py
+++ b/src/guavapin/scheduling/held_work.py
@@ -22,8 +22,8 @@
 
     from guavapin.jobs.model import Resources
     from guavapin.scheduling.host import Host
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
+    from guavapin.scheduling.step_run import StepRun
 
 # Time without a run after which work counts as held, how often its need has to fit into
 # its pool for that, and the share of the cap that its organisation may have in use.
--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -20,7 +20,7 @@
     from guavapin.scheduling.handover import HandedRun
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 _NO_RESOURCES = Resources()
--- a/src/guavapin/scheduling/interference_evidence.py
+++ b/src/guavapin/scheduling/interference_evidence.py
@@ -20,8 +20,8 @@
     from collections.abc import Callable
 
     from guavapin.scheduling.host import Host
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.run import Run
+    from guavapin.scheduling.step_run import StepRun
 
 # Interval between two samples of one host. A load covers the last half second.
 SAMPLE_INTERVAL_MS = 500
--- a/src/guavapin/scheduling/lateness.py
+++ b/src/guavapin/scheduling/lateness.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
 
 # Multiple of its objective after which a late job gets a turn: it precedes other work
 # of its priority once. Up to three times its objective, a job is of use to its caller.
--- a/src/guavapin/scheduling/neighbour_preference.py
+++ b/src/guavapin/scheduling/neighbour_preference.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.interference import InterferenceTable
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 # Time for which a filler that was moved avoids the host that it left. The load of a
--- a/src/guavapin/scheduling/placement.py
+++ b/src/guavapin/scheduling/placement.py
@@ -12,8 +12,8 @@
 
     from guavapin.jobs.model import Step
     from guavapin.scheduling.host import Host
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.room_index import PoolRoom
+    from guavapin.scheduling.step_run import StepRun
 
 
 # Hosts with room among which a preference chooses. A start must not go through all
--- a/src/guavapin/scheduling/pool_demand.py
+++ b/src/guavapin/scheduling/pool_demand.py
@@ -23,7 +23,7 @@
 
     from guavapin.jobs.queues import QueueTable
     from guavapin.scheduling.job_run import JobRun
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
 Key = TypeVar("Key")
--- a/src/guavapin/scheduling/pool_gate.py
+++ b/src/guavapin/scheduling/pool_gate.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import JobRun
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.queue_rules import QueueRules
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
 log = logging.getLogger("guavapin.scheduling.pools")
--- a/src/guavapin/scheduling/queue_rules.py
+++ b/src/guavapin/scheduling/queue_rules.py
@@ -16,7 +16,7 @@
     from guavapin.jobs.model import Job
     from guavapin.jobs.organisations import Organisation
     from guavapin.jobs.terms import QueueTerms
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 
--- a/src/guavapin/scheduling/run_supervisor.py
+++ b/src/guavapin/scheduling/run_supervisor.py
@@ -21,10 +21,10 @@
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
     from guavapin.scheduling.job_run import JobRun
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.neighbour_preference import NeighbourPreference
     from guavapin.scheduling.run import Run
     from guavapin.scheduling.run_times import RunTimes
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 log = logging.getLogger("guavapin.scheduling")
--- a/src/guavapin/scheduling/run_times.py
+++ b/src/guavapin/scheduling/run_times.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from guavapin.jobs.model import Job
     from guavapin.jobs.model import Step
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
 
 # Weight of the newest run in the mean. Callers' estimates are off by up to nine tenths,
 # so a mean of ended runs is needed. The weight is low because the work of a queue
--- a/src/guavapin/scheduling/scheduler.py
+++ b/src/guavapin/scheduling/scheduler.py
@@ -52,12 +52,12 @@
     from guavapin.scheduling.handover import HandedHost
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.job_run import JobRun
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.messages import AdviceReply
     from guavapin.scheduling.messages import MachinesListed
     from guavapin.scheduling.messages import PoolDemand
     from guavapin.scheduling.organisation_share import OrganisationShares
     from guavapin.scheduling.run import Run
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
 
 _NO_RESOURCES = Resources()
--- a/src/guavapin/scheduling/supervision.py
+++ b/src/guavapin/scheduling/supervision.py
@@ -14,8 +14,8 @@
     from collections.abc import Iterable
 
     from guavapin.scheduling.host import Host
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.run import Run
+    from guavapin.scheduling.step_run import StepRun
 
 # A run whose percentage does not change for this long has stalled. The time is longer
 # for a run whose percentage is expected to change more slowly.
--- a/src/guavapin/scheduling/tickets.py
+++ b/src/guavapin/scheduling/tickets.py
@@ -15,8 +15,8 @@
     from guavapin.executors.model import Start
     from guavapin.jobs.terms import AdviceTerms
     from guavapin.scheduling.host import Host
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.messages import AdviceReply
+    from guavapin.scheduling.step_run import StepRun
 
 # Hosts in one request. The adviser takes time for each host and serves one request
 # after the other.
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -22,7 +22,7 @@
 
     from guavapin.jobs.organisations import Organisation
     from guavapin.scheduling.cap_gate import NeedClass
-    from guavapin.scheduling.job_run import StepRun
+    from guavapin.scheduling.step_run import StepRun
 
 
 class Position(NamedTuple):
--- a/src/guavapin/scheduling/where.py
+++ b/src/guavapin/scheduling/where.py
@@ -19,8 +19,8 @@
 
     from guavapin.jobs.model import Job
     from guavapin.scheduling.host import Host
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
+    from guavapin.scheduling.step_run import StepRun
 
 # Steps of a job that are explained; the others wait for the same pool.
 MAX_STEPS = 8
--- a/tests/model/test_queries.py
+++ b/tests/model/test_queries.py
@@ -9,8 +9,8 @@
 import pytest
 
 from guavapin.intake import fallback as store_fallback
-from guavapin.scheduling.job_run import StepRun
 from guavapin.scheduling.job_table import JobTable
+from guavapin.scheduling.step_run import StepRun
 from tests.model.queries import DEADLINE_MS
 from tests.model.queries import MAX_RETRIES
 from tests.model.queries import RETRY_MS
--- a/tests/model/test_waiting.py
+++ b/tests/model/test_waiting.py
@@ -230,8 +230,8 @@
 
 
 def delay_restarts_for_a_minute(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr("guavapin.scheduling.job_run.RESTART_DELAY_MS", 60_000)
-    patch.setattr("guavapin.scheduling.job_run.MAX_RESTART_DELAY_MS", 60_000)
+    patch.setattr("guavapin.scheduling.step_run.RESTART_DELAY_MS", 60_000)
+    patch.setattr("guavapin.scheduling.step_run.MAX_RESTART_DELAY_MS", 60_000)
 
 
 @pytest.mark.parametrize(
--- a/tests/scheduling/plain_demand.py
+++ b/tests/scheduling/plain_demand.py
@@ -8,8 +8,8 @@
 
 if TYPE_CHECKING:
     from guavapin.scheduling.job_run import JobRun
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.scheduler import Scheduler
+    from guavapin.scheduling.step_run import StepRun
 
 
 class _Tally:
--- a/tests/scheduling/plain_dispatcher.py
+++ b/tests/scheduling/plain_dispatcher.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
-    from guavapin.scheduling.job_run import StepRun
     from guavapin.scheduling.pool_gate import PoolGate
     from guavapin.scheduling.queue_rules import QueueRules
+    from guavapin.scheduling.step_run import StepRun
     from guavapin.scheduling.term import Term
     from guavapin.scheduling.unresolved_executors import UnresolvedExecutors
 
