Count the open maintenance of a predecessor against the cap of its wave

Cause: a successor knew from the stored record which machines had been ordered, but not which of them to maintenance.

Change: the record names each wave and machine whose maintenance was ordered and is not known to be carried out. The successor counts these machines as down, gives them no work and orders them first.

--- a/src/guavapin/machines/model.py
+++ b/src/guavapin/machines/model.py
@@ -49,6 +49,14 @@
     max_at_once: int
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class WaveMachine:
+    """Machine as a part of the maintenance wave with this number."""
+
+    wave: int
+    machine: str
+
+
 @dataclass(frozen=True, slots=True)
 class ListMachines:
     """Query for a page of the list of machines; `page` is "" for the first page."""
--- a/src/guavapin/machines/order_record.py
+++ b/src/guavapin/machines/order_record.py
@@ -11,22 +11,29 @@
 from dataclasses import dataclass
 
 from guavapin.keyvalue import messages as kv
+from guavapin.machines.model import WaveMachine
 
 ORDERED_KEY = "machines/ordered"
 
 # Minimum interval between two writes that only remove or settle recorded machines.
 PRUNE_INTERVAL_MS = 1_000
 
+# Maximum time by which the platform carries out an order after the call has ended
+# without an answer. An order whose answer was lost may take effect 2 to 12 s later.
+MAX_ORDER_DELAY_MS = 12_000
+
 
 @dataclass(frozen=True, slots=True)
 class RecordedOrders:
     """Machines that were ordered, and those that their orders may not have taken down.
 
-    The latter are `unsettled`.
+    The latter are `unsettled`. The maintenance of each of `open_maintenance` was
+    ordered, and is not known to have been carried out; it may still begin.
     """
 
     machines: frozenset[str] = frozenset()
     unsettled: frozenset[str] = frozenset()
+    open_maintenance: frozenset[WaveMachine] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,9 +50,10 @@
     A machine is recorded before it is ordered, and for `separation_ms` after its last
     order has ended. Until an order was carried out, the machine is recorded as
     unsettled: a refused order does not take it down, so that the time since it came up
-    does not bound the age of the order. Every write expects the duty's key at the
-    revision of the term, so the record does not change any more once a successor has
-    read it.
+    does not bound the age of the order. Maintenance is recorded as open
+    until an order for it was carried out, or the last one is too old for that.
+    Every write expects the duty's key at the revision of the term, so the record does
+    not change any more once a successor has read it.
     """
 
     def __init__(self, fence: kv.KeyRevision, separation_ms: int) -> None:
@@ -59,6 +67,8 @@
         # Number of orders that were sent for each unsettled machine. The platform
         # reports a repeated order as carried out if an earlier one was.
         self._sent_orders: Counter[str] = Counter()
+        # Time after which no order that was sent can begin the maintenance any more.
+        self._open_maintenance_until_ms: dict[WaveMachine, int] = {}
         self._stored = RecordedOrders()
         self._in_flight: RecordWrite | None = None
         self._must_resend = False
@@ -76,12 +86,21 @@
         self._unsettled = set(orders.unsettled)
         self._sent_orders = Counter(orders.unsettled)
         self._ordered_until_ms = dict.fromkeys(orders.machines, now_ms)
+        self._open_maintenance_until_ms = dict.fromkeys(
+            orders.open_maintenance, now_ms + MAX_ORDER_DELAY_MS
+        )
+
+    def add(self, machine: str, until_ms: int, wave: int | None = None) -> None:
+        """Add an order for a machine that ends at `until_ms` at the latest.
 
-    def add(self, machine: str, until_ms: int) -> None:
-        """Add an order for a machine that ends at `until_ms` at the latest."""
+        It is an order to maintenance if `wave` is a number, otherwise one to move.
+        """
         known_ms = self._ordered_until_ms.get(machine, until_ms)
         self._ordered_until_ms[machine] = max(known_ms, until_ms)
         self._unsettled.add(machine)
+        if wave is not None:
+            item = WaveMachine(wave, machine)
+            self._open_maintenance_until_ms[item] = until_ms + MAX_ORDER_DELAY_MS
 
     def count_sent(self, machine: str) -> None:
         """Count an order for a machine that is sent now."""
@@ -93,10 +112,27 @@
             self._unsettled.discard(machine)
             del self._sent_orders[machine]
 
-    def covers(self, machine: str) -> bool:
-        """Return whether a machine is recorded as unsettled, and stays so."""
-        is_kept = self._in_flight is None or machine in self._in_flight.orders.unsettled
-        return machine in self._stored.unsettled and is_kept
+    def close_maintenance(self, wave: int, machine: str) -> None:
+        """Apply that the maintenance of a machine was carried out.
+
+        Further orders for it have no effect.
+        """
+        self._open_maintenance_until_ms.pop(WaveMachine(wave, machine), None)
+
+    def covers(self, machine: str, wave: int | None = None) -> bool:
+        """Return whether an order is recorded, and stays so.
+
+        The record then has the machine as unsettled. For an order to maintenance in
+        `wave`, it also has that maintenance as open.
+        """
+        records = [self._stored]
+        if self._in_flight is not None:
+            records.append(self._in_flight.orders)
+        return all(
+            machine in orders.unsettled
+            and (wave is None or WaveMachine(wave, machine) in orders.open_maintenance)
+            for orders in records
+        )
 
     def next_write(self, now_ms: int) -> RecordWrite | None:
         """Return the write that is due, None if there is none or one is in flight."""
@@ -109,13 +145,26 @@
             for machine, until_ms in self._ordered_until_ms.items()
             if until_ms >= oldest_ms
         }
+        self._open_maintenance_until_ms = {
+            item: until_ms
+            for item, until_ms in self._open_maintenance_until_ms.items()
+            if until_ms >= now_ms
+        }
         machines = frozenset(self._ordered_until_ms)
         self._unsettled &= machines
         for machine in self._sent_orders.keys() - machines:
             del self._sent_orders[machine]
-        orders = RecordedOrders(machines, frozenset(self._unsettled))
+        orders = RecordedOrders(
+            machines,
+            frozenset(self._unsettled),
+            frozenset(self._open_maintenance_until_ms),
+        )
         stored = self._stored
-        is_prune = machines <= stored.machines and orders.unsettled <= stored.unsettled
+        is_prune = (
+            machines <= stored.machines
+            and orders.unsettled <= stored.unsettled
+            and orders.open_maintenance <= stored.open_maintenance
+        )
         is_prune_due = now_ms - self._written_ms >= PRUNE_INTERVAL_MS
         if orders == stored or (is_prune and not is_prune_due):
             return None
--- a/src/guavapin/machines/planner.py
+++ b/src/guavapin/machines/planner.py
@@ -251,42 +251,30 @@
 
         The third value has the machines to drain whose wave cannot wait for their work.
         """
-        maintenance: dict[str, int] = {}
+        maintenance = self._repeat_maintenance(now_ms)
         draining: set[str] = set()
         urgent: set[str] = set()
-        for name, open_order in [*self._orders.items()]:
-            order = open_order.order
-            if not isinstance(order, MaintainMachine) or now_ms < open_order.until_ms:
-                continue
-            if name in self._fenced_machines or name not in self._machines:
-                del self._orders[name]
-            else:
-                maintenance[name] = order.wave
-        for name in maintenance:
-            # The order is repeated until an answer arrives.
-            retry_ms = now_ms + ORDER_RETRY_MS * 4
-            self._orders[name] = replace(self._orders[name], until_ms=retry_ms)
+        may_order = now_ms >= self._waves_start_ms
         listed_down = [
             machine.name
             for machine in self._machines.values()
             if machine.state is MachineState.IN_MAINTENANCE
         ]
         for wave in self.waves.open_waves():
-            allowed = wave.disruptions_allowed(
-                self._machines.keys(), listed_down, now_ms
+            # The list shows maintenance that began at the last moment after its lag.
+            ordered_before = self._predecessor_orders.machines_ordered_for(
+                wave.wave.number, now_ms - LIST_LAG_MS
+            )
+            down = wave.machines_down(
+                self._machines.keys(), listed_down, ordered_before, now_ms
             )
-            may_order = now_ms >= self._waves_start_ms
-            due = [
-                machine
-                for name in wave.remaining(self._machines.keys())
-                if (machine := self._machines[name]).state is MachineState.UP
-                and name not in self._orders
-                and name not in self._fenced_machines
-                and self._predecessor_orders.has_separation_passed(name, self._now_ms)
-            ]
-            due.sort(key=lambda machine: self._disruption_cost(machine, hosts))
+            remaining = wave.remaining(self._machines.keys())
+            # Work that started there would be ended by the order.
+            draining |= ordered_before & set(remaining)
+            due = self._machines_due(remaining, down, hosts)
             is_urgent = wave.is_urgent(len(due), now_ms)
-            start_count = max(allowed, 0)
+            due_names = {machine.name for machine in due}
+            start_count = wave.orders_allowed(down, due_names)
             # Long-running subtasks leave a host one at a time, each after the previous
             # one runs elsewhere, so draining starts before the wave allows the machine
             # to go down.
@@ -308,6 +296,48 @@
                         urgent.add(machine.name)
         return maintenance, draining, urgent
 
+    def _machines_due(
+        self, remaining: list[str], down: set[str], hosts: dict[str, HostLoad]
+    ) -> list[Machine]:
+        """Return the `remaining` machines of a wave that may be ordered, in that order.
+
+        A machine of `down`, which counts as down already, comes first: its order takes
+        down no further machine, and an earlier order for it can no longer do so.
+        """
+        due = [
+            machine
+            for name in remaining
+            if (machine := self._machines[name]).state is MachineState.UP
+            and name not in self._orders
+            and name not in self._fenced_machines
+            and self._predecessor_orders.has_separation_passed(name, self._now_ms)
+        ]
+        return sorted(
+            due,
+            key=lambda machine: (
+                machine.name not in down,
+                self._disruption_cost(machine, hosts),
+            ),
+        )
+
+    def _repeat_maintenance(self, now_ms: int) -> dict[str, int]:
+        """Return the wave of each machine whose order to maintenance is to be repeated.
+
+        The order is repeated until an answer arrives.
+        """
+        maintenance: dict[str, int] = {}
+        for name, open_order in [*self._orders.items()]:
+            order = open_order.order
+            if not isinstance(order, MaintainMachine) or now_ms < open_order.until_ms:
+                continue
+            if name in self._fenced_machines or name not in self._machines:
+                del self._orders[name]
+                continue
+            maintenance[name] = order.wave
+            retry_ms = now_ms + ORDER_RETRY_MS * 4
+            self._orders[name] = replace(open_order, until_ms=retry_ms)
+        return maintenance
+
     def _is_drained(self, machine: Machine, host: HostLoad | None) -> bool:
         """Return whether it is certain that nothing runs on a machine.
 
--- a/src/guavapin/machines/predecessor_orders.py
+++ b/src/guavapin/machines/predecessor_orders.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from guavapin.machines.model import MachineState
+from guavapin.machines.order_record import MAX_ORDER_DELAY_MS
 
 if TYPE_CHECKING:
     from guavapin.machines.model import Machine
@@ -23,6 +24,9 @@
     after the whole time every machine may be ordered, whenever it came up. Machines
     that are not in `recorded`, the record of the previous holder, need no separation;
     None stands for all machines.
+
+    Maintenance that is recorded as open may begin until the last order for it can no
+    longer be carried out, whatever this holder does meanwhile.
     """
 
     def __init__(
@@ -30,6 +34,7 @@
     ) -> None:
         self._recorded = recorded
         self._all_separated_ms = begin_ms + times.order_separation_ms
+        self._maintenance_until_ms = begin_ms + MAX_ORDER_DELAY_MS
         shortest_ms = min(times.move_ms, times.maintenance_ms)
         self._min_uptime_ms = max(times.order_separation_ms - shortest_ms, 0)
         self._up_since_ms: dict[str, int] = {}
@@ -57,6 +62,16 @@
             elif not is_same or name not in self._up_since_ms:
                 self._up_since_ms[name] = now_ms
 
+    def machines_ordered_for(self, wave: int, now_ms: int) -> frozenset[str]:
+        """Return the machines whose maintenance in a wave may still begin."""
+        if self._recorded is None or now_ms >= self._maintenance_until_ms:
+            return frozenset()
+        return frozenset(
+            item.machine
+            for item in self._recorded.open_maintenance
+            if item.wave == wave
+        )
+
     def has_separation_passed(self, name: str, now_ms: int) -> bool:
         """Return whether another holder's last order is long enough ago."""
         is_recorded = self._recorded is None or name in self._recorded.machines
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -283,6 +283,7 @@
             "token": self._token,
             "recorded": len(orders.machines),
             "unsettled": len(orders.unsettled),
+            "open_maintenance": len(orders.open_maintenance),
         }
         log.info("orders of the predecessor read", extra=extra)
         self._record.load(orders, revision, now_ms)
@@ -327,8 +328,9 @@
             self._drop_unrecorded(now_ms)
         unrecorded, self._unrecorded = self._unrecorded, []
         for order in unrecorded:
-            self._record.add(order.machine, now_ms + CALL_TIMEOUT_MS)
-            if self._record.covers(order.machine):
+            wave = order.wave if isinstance(order, MaintainMachine) else None
+            self._record.add(order.machine, now_ms + CALL_TIMEOUT_MS, wave)
+            if self._record.covers(order.machine, wave):
                 self._record.count_sent(order.machine)
                 self._send_order(order)
             else:
@@ -387,6 +389,8 @@
             if self._record is not None:
                 self._record.settle(order.machine)
             if isinstance(order, MaintainMachine):
+                if self._record is not None:
+                    self._record.close_maintenance(order.wave, order.machine)
                 self._record_maintained(order)
             # Only a new list shows whether the order ended the present executor or had
             # been carried out before, so it is read at once.
--- a/src/guavapin/machines/waves.py
+++ b/src/guavapin/machines/waves.py
@@ -46,23 +46,38 @@
             if name not in self.started and name in existing
         ]
 
-    def disruptions_allowed(
-        self, existing: Collection[str], listed_down: Collection[str], now_ms: int
-    ) -> int:
-        """Return how many more machines of the wave may go down now.
+    def machines_down(
+        self,
+        existing: Collection[str],
+        listed_down: Collection[str],
+        ordered_before: Collection[str],
+        now_ms: int,
+    ) -> set[str]:
+        """Return the machines of the wave that may be down for maintenance now.
 
         `listed_down` are the machines that the platform lists as in maintenance, which
         an earlier scheduler may have ordered. Machines with an unanswered order count
-        as down too, unless the machine no longer exists.
+        as down too, unless the machine no longer exists: those that were ordered in
+        this term, and `ordered_before` it.
         """
         down = {
             name
             for name, started_ms in self.started.items()
             if started_ms and now_ms < started_ms + self._downtime_ms
         }
-        down |= (self.ordered - self.started.keys()) & set(existing)
+        unanswered = self.ordered | (set(ordered_before) & set(self.wave.machines))
+        down |= (unanswered - self.started.keys()) & set(existing)
         down |= set(listed_down) & set(self.wave.machines)
-        return self.wave.max_at_once - len(down)
+        return down
+
+    def orders_allowed(self, down: set[str], due: set[str]) -> int:
+        """Return how many machines of `due` may be ordered, those of `down` first.
+
+        The order for a machine that counts as down takes down no further one, unless
+        more machines than the cap may go down already.
+        """
+        further = self.wave.max_at_once - len(down)
+        return further + len(down & due) if further >= 0 else 0
 
     def replace(self, wave: MaintenanceWave) -> None:
         """Apply a new value of the wave, which counts from its first reading.
--- a/tests/machines/test_order_record.py
+++ b/tests/machines/test_order_record.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from guavapin.keyvalue import messages as kv
+from guavapin.machines.model import WaveMachine
+from guavapin.machines.order_record import MAX_ORDER_DELAY_MS
 from guavapin.machines.order_record import ORDERED_KEY
 from guavapin.machines.order_record import PRUNE_INTERVAL_MS
 from guavapin.machines.order_record import OrderRecord
@@ -82,6 +84,44 @@
     assert record.covers("m")
 
 
+def test_maintenance_stays_open_as_long_as_its_order_may_be_carried_out() -> None:
+    # Guards against a third holder that takes down a machine of a wave beside that of
+    # the first holder, whose order is carried out late.
+    record = OrderRecord(FENCE, SEPARATION_MS)
+    item = WaveMachine(1, "m")
+    record.load(RecordedOrders(M, M, frozenset({item})), 4, 0)
+    write = record.next_write(MAX_ORDER_DELAY_MS)
+    assert write is not None and write.orders.machines == frozenset()
+    assert write.orders.open_maintenance == {item}
+    record.apply_written(5)
+    last = record.next_write(MAX_ORDER_DELAY_MS + PRUNE_INTERVAL_MS)
+    assert last is not None and last.orders == RecordedOrders()
+
+
+def test_maintenance_that_was_carried_out_is_not_open() -> None:
+    # Guards against a successor whose wave waits for an order without effect.
+    record = loaded()
+    record.add("m", 1_500, wave=1)
+    record.next_write(0)
+    record.apply_written(5)
+    record.close_maintenance(1, "m")
+    write = record.next_write(PRUNE_INTERVAL_MS)
+    assert write is not None and write.orders.open_maintenance == frozenset()
+
+
+def test_an_order_to_maintenance_is_covered_only_once_it_is_recorded_as_such() -> None:
+    # Guards against maintenance that a successor takes for a move of the machine.
+    record = loaded()
+    record.add("m", 1_500)
+    record.next_write(0)
+    record.apply_written(5)
+    record.add("m", 1_500, wave=1)
+    assert record.covers("m") and not record.covers("m", wave=1)
+    record.next_write(0)
+    record.apply_written(6)
+    assert record.covers("m", wave=1) and not record.covers("m", wave=2)
+
+
 def test_a_machine_that_is_being_removed_is_not_covered() -> None:
     # Guards against an order for a machine that leaves the record meanwhile.
     record = loaded("m", now_ms=0)
--- a/tests/machines/test_planner.py
+++ b/tests/machines/test_planner.py
@@ -15,7 +15,10 @@
 from guavapin.machines.model import MaintenanceWave
 from guavapin.machines.model import MoveMachine
 from guavapin.machines.model import OrderRefusal
+from guavapin.machines.model import WaveMachine
+from guavapin.machines.order_record import MAX_ORDER_DELAY_MS
 from guavapin.machines.order_record import RecordedOrders
+from guavapin.machines.planner import LIST_LAG_MS
 from guavapin.machines.planner import Planner
 from guavapin.machines.planner import UnlistedExecutors
 from guavapin.scheduling.messages import FleetLoad
@@ -306,6 +309,67 @@
     assert planner.plan(report, TABLE, begin_ms).maintenance == (("m1", 1),)
 
 
+def planner_after_orders(*ordered: str, cap: int = 1) -> Planner:
+    """Return a planner whose predecessor may still take down some of wave 1."""
+    names = ("m1", "m2", "m3")
+    items = frozenset(WaveMachine(1, name) for name in ordered)
+    machines = frozenset(ordered)
+    planner = Planner(TIMES, 0, RecordedOrders(machines, machines, items))
+    planner.update_machines(tuple(machine(name, "a") for name in names), 0)
+    planner.add_wave(MaintenanceWave(1, names, 40_000, cap), 0)
+    return planner
+
+
+def test_the_unanswered_order_of_a_predecessor_is_repeated_first() -> None:
+    # Guards against the fault of review/9 (LIMIT): the order of a killed scheduler was
+    # carried out 5.5 s later, while another machine of the wave was down.
+    planner = planner_after_orders("m3")
+    report = load(host("m1", "a"), host("m2", "a"), host("m3", "a"))
+    assert planner.plan(report, TABLE, BEGIN_MS).maintenance == (("m3", 1),)
+    done_ms = BEGIN_MS + 100
+    assert planner.plan(report, TABLE, done_ms).maintenance == ()
+    planner.record_completed_order(MaintainMachine("m3", 1, "", 3), done_ms)
+    assert planner.plan(report, TABLE, done_ms + TIMES.maintenance_ms).maintenance == ()
+    planner.update_machines(
+        tuple(machine(name, "a") for name in ("m1", "m2", "m3")), 7_000
+    )
+    assert planner.plan(report, TABLE, 7_000).maintenance == (("m1", 1),)
+
+
+def test_a_wave_waits_while_a_busy_machine_may_go_down_by_an_earlier_order() -> None:
+    # Guards against more machines down than the cap, and against new work on a host
+    # whose maintenance may begin at any moment.
+    planner = planner_after_orders("m3")
+    report = load(host("m1", "a"), host("m2", "a"), host("m3", "a", runs=1))
+    end_ms = MAX_ORDER_DELAY_MS + LIST_LAG_MS
+    for now_ms in range(0, end_ms, 500):
+        plan = planner.plan(report, TABLE, now_ms)
+        assert plan.maintenance == ()
+        assert "i-m3" in plan.cordon.executor_ids
+    plan = planner.plan(report, TABLE, end_ms)
+    assert plan.maintenance == (("m1", 1),)
+    assert "i-m3" not in plan.cordon.executor_ids
+
+
+def test_earlier_orders_beyond_the_cap_are_not_repeated() -> None:
+    # Guards against an order whose machine is down when that for another one is
+    # carried out: the cap may have been lowered since.
+    planner = planner_after_orders("m1", "m3")
+    report = load(host("m1", "a"), host("m2", "a"), host("m3", "a"))
+    assert planner.plan(report, TABLE, BEGIN_MS).maintenance == ()
+    raised = planner_after_orders("m1", "m3", cap=2)
+    plan = raised.plan(report, TABLE, BEGIN_MS)
+    assert plan.maintenance == (("m1", 1), ("m3", 1))
+
+
+def test_an_earlier_order_of_another_wave_does_not_count() -> None:
+    # Guards against waves that wait for each other: a cap counts its own wave only.
+    planner = planner_after_orders("m3")
+    planner.add_wave(MaintenanceWave(2, ("m2", "m3"), 40_000, 1), 0)
+    report = load(host("m1", "a"), host("m2", "a"), host("m3", "a", runs=1))
+    assert planner.plan(report, TABLE, BEGIN_MS).maintenance == (("m2", 2),)
+
+
 def test_a_pool_whose_only_machine_is_drained_gets_another() -> None:
     # Guards against the fault of gagnon-jobs incident inc-20ae: no other machine could
     # run the long-running work, so its machine missed the end of the wave.
--- a/tests/machines/test_record_codec.py
+++ b/tests/machines/test_record_codec.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from guavapin.machines.model import WaveMachine
 from guavapin.machines.order_record import RecordedOrders
 from guavapin.machines.record_codec import decode_due
 from guavapin.machines.record_codec import decode_ordered
@@ -28,6 +29,8 @@
 def test_recorded_orders_are_decoded_as_they_were_encoded() -> None:
     # Guards against a refused order that a successor takes for one carried out, and
     # against a record of an earlier build that cannot be read.
-    orders = RecordedOrders(frozenset({"m", "n"}), frozenset({"n"}))
+    items = frozenset({WaveMachine(2, "n"), WaveMachine(1, "o")})
+    orders = RecordedOrders(frozenset({"m", "n"}), frozenset({"n"}), items)
     assert decode_ordered(encode_ordered(orders)) == orders
     assert decode_ordered(b'["m"]') == RecordedOrders(frozenset({"m"}))
+    assert decode_ordered(b'{"machines":["m"]}') == RecordedOrders(frozenset({"m"}))
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -85,7 +85,7 @@
 def order_machines_without_a_lease(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(MachinesTask, "_lease_left_ms", lambda task, now_ms: CALL_TIMEOUT_MS)
     # A machine is not recorded without the store, so the record hides this fault.
-    patch.setattr(OrderRecord, "covers", lambda record, machine: True)
+    patch.setattr(OrderRecord, "covers", lambda record, machine, wave=None: True)
 
 
 def keep_machine_orders_in_flight(patch: pytest.MonkeyPatch) -> None:
