Settle an ordered machine only once a list shows that it went down

Cause: an order that the platform answers as carried out counted as the one that took its machine down.

Change: an answer settles a machine only together with a list that was requested after it and shows the machine as not up.

--- a/src/guavapin/machines/order_record.py
+++ b/src/guavapin/machines/order_record.py
@@ -9,10 +9,14 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from guavapin.keyvalue import messages as kv
 from guavapin.machines.model import WaveMachine
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 ORDERED_KEY = "machines/ordered"
 
 # Minimum interval between two writes that only remove or settle recorded machines.
@@ -48,9 +52,10 @@
     """Record of one term; a state machine without input or output.
 
     A machine is recorded before it is ordered, and for `separation_ms` after its last
-    order has ended. Until an order was carried out, the machine is recorded as
-    unsettled: a refused order does not take it down, so that the time since it came up
-    does not bound the age of the order. Maintenance is recorded as open
+    order has ended. Until a list shows that an order took the machine down, it is
+    recorded as unsettled: a refused order does not take it down, nor does one that the
+    platform answers as carried out because an earlier one was, so that the time since
+    it came up does not bound the age of the order. Maintenance is recorded as open
     until an order for it was carried out, or the last one is too old for that.
     Every write expects the duty's key at the revision of the term, so the record does
     not change any more once a successor has read it.
@@ -67,6 +72,13 @@
         # Number of orders that were sent for each unsettled machine. The platform
         # reports a repeated order as carried out if an earlier one was.
         self._sent_orders: Counter[str] = Counter()
+        # Machines that an order of the predecessor may still take down.
+        self._earlier_unsettled: frozenset[str] = frozenset()
+        self._earlier_until_ms = 0
+        # Machines whose only order was answered as carried out, and those of them whose
+        # answer came before the present list was requested.
+        self._answered: set[str] = set()
+        self._answered_before_list: frozenset[str] = frozenset()
         # Time after which no order that was sent can begin the maintenance any more.
         self._open_maintenance_until_ms: dict[WaveMachine, int] = {}
         self._stored = RecordedOrders()
@@ -84,7 +96,8 @@
         self._is_loaded = True
         self._stored, self._revision = orders, revision
         self._unsettled = set(orders.unsettled)
-        self._sent_orders = Counter(orders.unsettled)
+        self._earlier_unsettled = orders.unsettled
+        self._earlier_until_ms = now_ms + MAX_ORDER_DELAY_MS
         self._ordered_until_ms = dict.fromkeys(orders.machines, now_ms)
         self._open_maintenance_until_ms = dict.fromkeys(
             orders.open_maintenance, now_ms + MAX_ORDER_DELAY_MS
@@ -105,10 +118,28 @@
     def count_sent(self, machine: str) -> None:
         """Count an order for a machine that is sent now."""
         self._sent_orders[machine] += 1
+        self._answered.discard(machine)
 
     def settle(self, machine: str) -> None:
-        """Apply that the only order that was sent for a machine was carried out."""
-        if self._sent_orders[machine] == 1:
+        """Apply that an order for a machine was answered as carried out.
+
+        The machine stays unsettled until a list shows that its only order took it down.
+        """
+        is_only = machine not in self._earlier_unsettled
+        if self._sent_orders[machine] == 1 and is_only:
+            self._answered.add(machine)
+
+    def begin_list(self) -> None:
+        """Apply that a list of the machines is requested."""
+        self._answered_before_list = frozenset(self._answered)
+
+    def apply_list(self, down: Collection[str]) -> None:
+        """Apply the requested list, in which the machines of `down` are not up.
+
+        A machine is ordered only while it is up, so its order has taken it down.
+        """
+        for machine in self._answered & self._answered_before_list & set(down):
+            self._answered.discard(machine)
             self._unsettled.discard(machine)
             del self._sent_orders[machine]
 
@@ -152,8 +183,11 @@
         }
         machines = frozenset(self._ordered_until_ms)
         self._unsettled &= machines
+        self._answered &= machines
         for machine in self._sent_orders.keys() - machines:
             del self._sent_orders[machine]
+        if now_ms >= self._earlier_until_ms:
+            self._earlier_unsettled = frozenset()
         orders = RecordedOrders(
             machines,
             frozenset(self._unsettled),
--- a/src/guavapin/machines/task.py
+++ b/src/guavapin/machines/task.py
@@ -243,6 +243,8 @@
     def _list_machines(self) -> None:
         self._is_listing = True
         self._list_requested_ms = self._context.clock.now_ms()
+        if self._record is not None:
+            self._record.begin_list()
         self._pages = []
         self._send_order(ListMachines())
 
@@ -414,6 +416,14 @@
         self._listed_ms = now_ms
         self._log_changes()
         unlisted = self._planner.update_machines(tuple(self._pages), now_ms)
+        if self._record is not None:
+            self._record.apply_list(
+                {
+                    machine.name
+                    for machine in self._pages
+                    if machine.state is not MachineState.UP
+                }
+            )
         working = [
             machine
             for machine in self._pages
--- a/tests/machines/test_order_record.py
+++ b/tests/machines/test_order_record.py
@@ -49,7 +49,7 @@
     assert write is not None and write.orders.machines == {"old", "m"}
 
 
-def test_a_machine_is_settled_once_its_only_order_was_carried_out() -> None:
+def test_a_machine_is_settled_once_its_only_order_took_it_down() -> None:
     # Guards against a successor that takes a refused order for one that took its
     # machine down, or the answer to a repeated order for that to the last one.
     record = loaded()
@@ -61,6 +61,8 @@
     record.add("done", 1_500)
     record.settle("done")
     record.settle("repeated")
+    record.begin_list()
+    record.apply_list({"done", "refused", "repeated"})
     assert record.next_write(PRUNE_INTERVAL_MS - 1) is None
     write = record.next_write(PRUNE_INTERVAL_MS)
     assert write is not None
@@ -84,6 +86,46 @@
     assert record.covers("m")
 
 
+def order_and_answer(record: OrderRecord, now_ms: int) -> None:
+    record.add("m", now_ms + 1_500)
+    record.next_write(now_ms)
+    record.apply_written(5)
+    record.count_sent("m")
+    record.settle("m")
+
+
+def test_a_machine_is_settled_only_by_a_list_from_after_the_answer() -> None:
+    # Guards against a successor that orders a machine too early, because a list from
+    # before its order showed it as down by an earlier one.
+    record = loaded()
+    record.begin_list()
+    order_and_answer(record, 0)
+    record.apply_list(M)
+    assert record.next_write(PRUNE_INTERVAL_MS) is None and record.covers("m")
+    record.begin_list()
+    record.apply_list(frozenset())
+    assert record.next_write(PRUNE_INTERVAL_MS) is None and record.covers("m")
+    record.begin_list()
+    record.apply_list(M)
+    write = record.next_write(PRUNE_INTERVAL_MS)
+    assert write is not None and write.orders == RecordedOrders(M)
+
+
+def test_a_machine_that_an_earlier_order_may_take_down_is_not_settled() -> None:
+    # Guards against a successor that orders a machine too early: a late order of an
+    # earlier holder took it down, and the answer to the last order reports that.
+    record = OrderRecord(FENCE, SEPARATION_MS)
+    record.load(RecordedOrders(M, M), 4, 0)
+    later_ms = MAX_ORDER_DELAY_MS - PRUNE_INTERVAL_MS
+    record.next_write(later_ms - PRUNE_INTERVAL_MS)
+    record.apply_written(5)
+    order_and_answer(record, later_ms)
+    record.begin_list()
+    record.apply_list(M)
+    assert record.next_write(later_ms + PRUNE_INTERVAL_MS) is None
+    assert record.covers("m")
+
+
 def test_maintenance_stays_open_as_long_as_its_order_may_be_carried_out() -> None:
     # Guards against a third holder that takes down a machine of a wave beside that of
     # the first holder, whose order is carried out late.
--- a/tests/model/test_mended_faults.py
+++ b/tests/model/test_mended_faults.py
@@ -198,7 +198,7 @@
     (start_inherited_jobs_at_once, "TWICE", 0),
     (forget_starts_without_an_answer, "TWICE", 60),
     (order_machines_without_a_lease, "ONE", 75),
-    (keep_machine_orders_in_flight, "ONE", 43),
+    (keep_machine_orders_in_flight, "ONE", 5),
     (keep_the_runs_of_an_earlier_handover, "TWICE", 60),
     (hand_over_no_unstored_ends, "TWICE", 24),
 )
