Play maintenance waves, edits and late orders in the model

It now plays waves whose machines and caps change, orders that are carried out up to 12 s late, and statuses, beside kills and cut-off stores, and checks LIMIT.

--- a/tests/model/executors.py
+++ b/tests/model/executors.py
@@ -10,6 +10,8 @@
 from typing import Any
 from typing import Protocol
 
+import msgspec
+
 from guavapin.executors.model import EndKind
 from guavapin.executors.model import HostAnswer
 from guavapin.executors.model import HostOrder
@@ -27,6 +29,8 @@
 from guavapin.machines.model import Machine
 from guavapin.machines.model import MachinePage
 from guavapin.machines.model import MachineState
+from guavapin.machines.model import MaintainMachine
+from guavapin.machines.model import MaintenanceWave
 from guavapin.machines.model import OrderDone
 from guavapin.machines.model import OrderRefusal
 from guavapin.machines.model import OrderRefused
@@ -48,12 +52,19 @@
     from guavapin.jobs.model import Step
     from guavapin.jobs.model import Subtask
     from guavapin.machines.model import Validity
+    from tests.model.waves import Waves
     from tests.model.world import Node
     from tests.model.world import World
 
 LOST_SHARE = 0.03
 STEP_MS = 20
 
+# Time after which an order that got no answer is carried out.
+LATE_ORDER_MS = (2_000, 12_000)
+
+# State of a machine in the model's row of it.
+MACHINE_STATES = (MachineState.UP, MachineState.MOVING, MachineState.IN_MAINTENANCE)
+
 # Time of silence after which the store removes an entry of the registry.
 REGISTRATION_TTL_MS = 4_500
 
@@ -116,12 +127,18 @@
 
 
 class WaveCodec:
-    """No waves are planned."""
+    """Stores waves as they are."""
 
     prefix = "op/wave/"
 
-    def decode(self, value: bytes) -> None:
-        return None
+    def decode(self, value: bytes) -> MaintenanceWave:
+        return msgspec.json.decode(value, type=MaintenanceWave)
+
+    def status_key(self, wave: int) -> str:
+        return f"status/wave/{wave}"
+
+    def encode_status(self, is_done: bool) -> bytes:
+        return b"done" if is_done else b"running"
 
 
 class Paths(Protocol):
@@ -188,6 +205,8 @@
         self.mute: set[str] = set()
         # Number of moves of machines to another pool.
         self.moves = 0
+        # Maintenance, and orders for machines that are carried out late; None without.
+        self.waves: Waves | None = None
         self.executors: dict[str, ModelExecutor] = {}
         self.machines: dict[str, tuple[str, str, int]] = {}
         # Time, holder and machine of each order.
@@ -576,11 +595,23 @@
         if is_held:
             # The call waits in its connection for the end of a partition.
             delay_ms = world.rng.randint(1, 8_000)
-        world.schedule(delay_ms, self._arrive_call, node, call)
+        is_order = not isinstance(call.order, ListMachines)
+        if self.waves is not None and is_order and self.waves.is_late(call.order):
+            world.disturb()
+            world.schedule(delay_ms, self._accept_late, node, call)
+        else:
+            world.schedule(delay_ms, self._arrive_call, node, call)
         world.schedule(
             call.validity.timeout_ms, self._end_call, node, call, OrderUnanswered(True)
         )
 
+    def _accept_late(self, node: Node, call: ModelCall) -> None:
+        """Accept an order that is carried out later, if it arrives at all."""
+        if (node.name, call.request_id) in self._in_flight:
+            self._check_order(call.order)
+            delay_ms = self._world.rng.randint(*LATE_ORDER_MS)
+            self._world.schedule(delay_ms, self._carry_out, call.order, True)
+
     def _arrive_call(self, node: Node, call: ModelCall) -> None:
         key = (node.name, call.request_id)
         if key not in self._in_flight:
@@ -592,9 +623,17 @@
             node.deliver("machines", PeerReply(call.request_id, outcome))
 
     def _order_machine(self, order: Any) -> Any:
-        world, now_ms = self._world, self._world.clock.now_ms()
         if isinstance(order, ListMachines):
             return self.paths.list_machines()
+        self._check_order(order)
+        return self._carry_out(order)
+
+    def _check_order(self, order: Any) -> None:
+        """Check that an order that arrives is not too close to that of another holder.
+
+        The token counts from then on.
+        """
+        world, now_ms = self._world, self._world.clock.now_ms()
         self.machine_orders.append((now_ms, order.holder, order.machine))
         token, holder, ordered_ms = self._machine_tokens.get(order.machine, (0, "", 0))
         detail = f"{order.machine} by {order.holder} {order.token} after {holder}"
@@ -603,24 +642,40 @@
         if holder not in ("", order.holder) and now_ms - ordered_ms < 3_000:
             world.report("ONE", f"{detail} within {now_ms - ordered_ms} ms")
         self._machine_tokens[order.machine] = (order.token, order.holder, now_ms)
+
+    def _carry_out(self, order: Any, is_late: bool = False) -> Any:
+        """Carry out an order, unless one with a higher token came before a late one."""
+        if is_late and order.token < self._machine_tokens[order.machine][0]:
+            return OrderRefused(OrderRefusal.FENCED)
         pool, executor_id, is_down = self.machines[order.machine]
         is_off = pool in self.standby_pools
-        if is_down or not (executor_id or is_off):
+        is_up = not is_down and bool(executor_id or is_off)
+        if isinstance(order, MaintainMachine) and self.waves is not None:
+            return self.waves.maintain(order, is_up, is_late)
+        if not is_up:
             return OrderRefused(OrderRefusal.BUSY)
         if pool != order.pool:
             self.moves += 1
             self._take_down(order.machine)
             self.machines[order.machine] = (order.pool, "", 1)
-            world.schedule(TIMES.move_ms, self._bring_up, order.machine, order.pool)
+            delay_ms = TIMES.move_ms
+            self._world.schedule(delay_ms, self._bring_up, order.machine, order.pool)
         return OrderDone()
 
+    def begin_maintenance(self, name: str) -> None:
+        """Take a machine down; it comes up again in its pool."""
+        self._take_down(name)
+        pool, _, _ = self.machines[name]
+        self.machines[name] = (pool, "", 2)
+        self._world.schedule(TIMES.maintenance_ms, self._bring_up, name, pool)
+
     def list_machines(self) -> tuple[Machine, ...]:
         """Return all machines in their present state."""
         return tuple(map(self._machine, self.machines))
 
     def _machine(self, name: str) -> Machine:
         pool, executor_id, is_down = self.machines[name]
-        state = MachineState.MOVING if is_down else MachineState.UP
+        state = MACHINE_STATES[is_down]
         return Machine(name, pool, state, "z", "r1", HOST_CAPACITY, executor_id)
 
     def _entry(self, executor: ModelExecutor) -> dict[str, Any]:
