Keep a leaving peer leaving until it is silent

Cause of a part of it: heartbeats of a process that stops were ignored, so it counted as gone after 5 s, and the next heartbeat made it alive again. And the notice of leaving was sent once: a process that had just started, as the next one in a series of replacements has, never got it.

Change: a leaving peer keeps its state for as long as its heartbeats arrive, and the notice is repeated with each heartbeat. The messages are unchanged, so that processes of earlier builds understand them.

Evidence: both tests are new and fail without the change.

--- a/src/guavapin/peers/membership.py
+++ b/src/guavapin/peers/membership.py
@@ -83,7 +83,8 @@
     """Return the state after a heartbeat; a stale or malformed one changes nothing.
 
     A heartbeat of a lower incarnation is stale unless the peer is gone: a process that
-    restarts after its wall clock was set back must be able to return.
+    restarts after its wall clock was set back must be able to return. A peer that has
+    announced its leaving stays so for as long as its heartbeats arrive.
     """
     record = state.peers.get(sender)
     known = "" if record is None else record.address.address
@@ -95,13 +96,14 @@
     if old is not None and _is_stale(old, heartbeat):
         return state
     address = PeerAddress(sender, heartbeat.zone, heartbeat.address)
+    is_leaving = old is not None and _is_leaving(old, heartbeat.incarnation)
     member = Member(
         name=sender,
         zone=heartbeat.zone,
         seat=heartbeat.seat,
         address=heartbeat.address,
         incarnation=heartbeat.incarnation,
-        status=MemberStatus.ALIVE,
+        status=MemberStatus.LEAVING if is_leaving else MemberStatus.ALIVE,
         generation=heartbeat.generation,
         fleet_revision=heartbeat.fleet_revision,
     )
@@ -243,11 +245,14 @@
 def _is_stale(member: Member, heartbeat: Heartbeat) -> bool:
     if member.status is MemberStatus.GONE:
         return False
-    if member.status is MemberStatus.LEAVING:
-        return heartbeat.incarnation <= member.incarnation
     return heartbeat.incarnation < member.incarnation
 
 
+def _is_leaving(member: Member, incarnation: int) -> bool:
+    is_same = member.incarnation == incarnation
+    return is_same and member.status is MemberStatus.LEAVING
+
+
 def _status_after(status: MemberStatus, silence_ms: int) -> MemberStatus:
     if silence_ms >= GONE_TIMEOUT_MS:
         return MemberStatus.GONE
--- a/src/guavapin/peers/task.py
+++ b/src/guavapin/peers/task.py
@@ -178,7 +178,7 @@
             self.counters["redials"] += 1
         self._connect()
         for name in self._state.peers:
-            self._send((name,), self._heartbeat_for(name))
+            self._send_heartbeat(name)
         self._ticks += 1
         if self._ticks % KNOWN_PEERS_INTERVAL_TICKS == 1:
             self._informed_peers.clear()
@@ -194,6 +194,15 @@
         members = membership.members_of(self._state)
         return PeersStatus(members, dict(self.counters))
 
+    def _send_heartbeat(self, name: str) -> None:
+        """Send a heartbeat, and again the notice of leaving once it was announced.
+
+        A peer that has connected since, or has lost the notice, learns of it only so.
+        """
+        self._send((name,), self._heartbeat_for(name))
+        if self._is_leaving:
+            self._send((name,), Leaving(self._incarnation))
+
     def _heartbeat_for(self, name: str) -> Heartbeat:
         return Heartbeat(
             incarnation=self._incarnation,
@@ -314,7 +323,7 @@
         if not is_new or not membership.has_recent_heartbeat(self._state, sender):
             return
         self._connect()
-        self._send((sender,), self._heartbeat_for(sender))
+        self._send_heartbeat(sender)
         self._send_known_peers()
 
     def _publish_members(self) -> None:
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -61,6 +61,19 @@
     assert status_of(state) is MemberStatus.ALIVE
 
 
+def test_leaving_peer_is_not_alive_again_after_a_long_stop(state):
+    # Guards against requests for a process that has closed its listener: its heartbeats
+    # went on, it counted as gone after 5 s, and so as returned.
+    state = membership.on_heartbeat(state, "b", HEARTBEAT, 0)
+    state = membership.on_leaving(state, "b", 10)
+    for now_ms in range(0, 8_000, 500):
+        state = membership.on_tick(state, now_ms)
+        state = membership.on_heartbeat(state, "b", HEARTBEAT, now_ms)
+        assert status_of(state) is MemberStatus.LEAVING
+    state = membership.on_tick(state, 13_000)
+    assert status_of(state) is MemberStatus.GONE
+
+
 def test_peer_whose_connection_went_silent_is_redialled(state):
     # Heartbeats of the peer arrive, but the peer reports that it receives none.
     unacknowledged = dataclasses.replace(HEARTBEAT, hears_you=False)
--- a/tests/peers/test_task.py
+++ b/tests/peers/test_task.py
@@ -17,6 +17,7 @@
 from guavapin.kernel import SystemClock
 from guavapin.kernel import TaskContext
 from guavapin.peers.config import PeersConfig
+from guavapin.peers.messages import AnnounceLeaving
 from guavapin.peers.messages import ChunkAnswer
 from guavapin.peers.messages import MemberStatus
 from guavapin.peers.messages import PeerAddress
@@ -84,9 +85,12 @@
         assert isinstance(status, PeersStatus)
         return status
 
+    def status_by_name(self) -> dict[str, MemberStatus]:
+        return {item.name: item.status for item in self.status().members}
+
     def alive(self) -> set[str]:
-        members = self.status().members
-        return {item.name for item in members if item.status is MemberStatus.ALIVE}
+        statuses = self.status_by_name()
+        return {name for name in statuses if statuses[name] is MemberStatus.ALIVE}
 
 
 class SilentRelay:
@@ -186,6 +190,17 @@
     assert time.monotonic() - start < 1.0
 
 
+def test_leaving_peer_is_reported_to_a_process_that_starts_later(nodes):
+    # Guards against loans of slots from a process that stops: its notice was sent
+    # before the next process of another seat had started.
+    a, b, _ = connected(nodes)
+    b.kernel.deliver("peers", AnnounceLeaving())
+    wait_until(lambda: "b" not in a.alive())
+    late = Node("late", "east", (PeerAddress("b", "east", b.task.address),))
+    wait_until(lambda: late.status_by_name().get("b") is MemberStatus.LEAVING)
+    late.kernel.stop()
+
+
 def test_malformed_and_oversized_messages_are_dropped(nodes):
     a, b, _ = connected(nodes)
     with pynng.Push0() as socket:
