Use no slot of a seat once it is released

Not reproduced here as a whole.

Cause: a stopping process refuses loans only until it has released its seat. In the 1.5 s until its end it lent slots again, while the next process of the seat uses its whole share at once. A probe in progress did not count as a slot in use either, and probes began after the release.

Change: from the request to release the seat on, the process neither lends nor probes, and the slot of a probe in progress is waited for.

--- a/src/guavapin/serving/exchange_messages.py
+++ b/src/guavapin/serving/exchange_messages.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AwaitLoansReturned:
-    """Stop lending, sent as a `Call`.
+    """Stop lending and probing for good, sent as a `Call`.
 
-    The reply is sent once no slot is lent or in use for a cancelled attempt.
+    The reply is sent once no slot is lent or in use, also for a cancelled attempt.
     """
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -91,6 +91,8 @@
         self._trial_ticks: dict[str, int] = {}
         self._ticks = 0
         self._loan_waiters: list[Future[Any]] = []
+        # Set once the seat is to be released: its next process uses the whole share.
+        self._is_releasing = False
         self._context: TaskContext
         self._router: ExchangeRouter
         self._flow: RequestFlow
@@ -161,6 +163,7 @@
                 for name in self._router.pools:
                     self._flow.dispatch(name)
             case Call(AwaitLoansReturned(), fut):
+                self._is_releasing = True
                 self._loan_waiters.append(fut)
             case ReportSupply(reply_to):
                 supply = SupplyReported(self._router.supply())
@@ -274,7 +277,7 @@
 
     def _on_loan(self, message: LoanRequest | LoanGrant | LoanReturn) -> None:
         pool = self._router.pool_of_host(message.upstream)
-        if pool is None or (self._loan_waiters and isinstance(message, LoanRequest)):
+        if pool is None or (self._is_releasing and isinstance(message, LoanRequest)):
             return
         has_waiting = bool(len(self._router.queues[pool.name].waiting))
         now_ms = self._context.now_ms()
@@ -300,8 +303,13 @@
             if len(self._router.queues[name].waiting):
                 self._flow.dispatch(name)
                 self._request_loans(name)
-        is_in_use = self._flow.attempts.closing or self._router.lent_slots(now_ms)
-        if self._loan_waiters and not is_in_use:
+        self._answer_loan_waiters(now_ms)
+
+    def _answer_loan_waiters(self, now_ms: int) -> None:
+        """Answer `AwaitLoansReturned` once no slot of this seat is in use."""
+        attempts = self._flow.attempts
+        is_in_use = len(attempts) or attempts.closing or self._router.lent_slots(now_ms)
+        if not is_in_use:
             for fut in self._loan_waiters:
                 fut.set_result(Ok(None))
             self._loan_waiters.clear()
@@ -324,7 +332,7 @@
             self._peers.send_to_seat(message)
 
     def _probe(self, pool_name: str) -> None:
-        if not self._router.pools[pool_name].due_trials:
+        if self._is_releasing or not self._router.pools[pool_name].due_trials:
             self._trial_ticks.pop(pool_name, None)
             return
         ticks = self._trial_ticks.get(pool_name, 0) + 1
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections import deque
+from concurrent.futures import Future
 from dataclasses import replace
 from typing import Any
 
@@ -16,6 +17,7 @@
 from guavapin.peers.messages import SendToAll
 from guavapin.peers.messages import SendToPeer
 from guavapin.peers.messages import SendToZone
+from guavapin.serving.exchange_messages import AwaitLoansReturned
 from guavapin.serving.exchange_messages import GetSupply
 from guavapin.serving.exchange_relay import SupplyReport
 from guavapin.serving.exchange_relay import decode_relay
@@ -227,6 +229,56 @@
     assert len(started) + 1 == 8
 
 
+def release(rig: Rig) -> Future[Any]:
+    fut: Future[Any] = Future()
+    rig.task.handle(Call(AwaitLoansReturned(), fut))
+    return fut
+
+
+def test_released_seat_lends_no_slot() -> None:
+    """Guards against more requests than slots: the next process of a released seat uses
+    its whole share at once, beside a loan that its predecessor gave meanwhile."""
+    objects = make_objects(hosts=1, slots=8, seats=2)
+    rigs = [
+        Rig(objects, seat=seat, incarnation=seat + 1, peers_service="peers")
+        for seat in range(2)
+    ]
+    connect(rigs)
+    fut = release(rigs[1])
+    rigs[1].harness.advance(250)
+    assert fut.done()
+    for request_id in range(1, 13):
+        rigs[0].request(request_id)
+    started = rigs[0].pop_sent(StartAttempt)
+    for _ in range(20):
+        for rig in rigs:
+            rig.harness.advance(250)
+        deliver(rigs)
+        deliver(rigs)
+        started += rigs[0].pop_sent(StartAttempt)
+    assert len(started) == 4
+
+
+def test_seat_is_not_released_beside_a_probe() -> None:
+    """Guards against more requests than slots: the slot of a probe in progress counts,
+    and no probe begins after the release."""
+    rig = Rig(make_objects(hosts=2, slots=4))
+    for request_id in range(1, 40):
+        rig.request(request_id, "POST")
+        for start in rig.pop_sent(StartAttempt):
+            ok = start.address != "h0:80"
+            rig.answer(start.attempt_id, status=200 if ok else 500)
+    rig.harness.advance(3_900)
+    probe = rig.start_one()
+    fut = release(rig)
+    rig.harness.advance(250)
+    assert not fut.done()
+    rig.end(probe.attempt_id, AttemptResult.BROKEN)
+    rig.harness.advance(60_000)
+    assert fut.done()
+    assert rig.pop_sent(StartAttempt) == []
+
+
 def test_zone_short_of_slots_forwards_a_request_once() -> None:
     """Guards against requests that wait while another zone is idle, and against a
     request that is forwarded twice."""
