Forward no request to a process that is leaving

Not reproduced here as a whole.

Cause: the reports of free slots of a leaving process were dropped once, when its state changed. It goes on reporting until its end, for up to 7 s after it has closed its listener. Another zone that is short of slots forwards requests there; each one that fails spends from the budget of retries, and once that is spent, the caller gets a refusal.

Change: a report counts only if its sender is alive.

Evidence: the test is new and fails without the change.

--- a/src/guavapin/serving/exchange_peers.py
+++ b/src/guavapin/serving/exchange_peers.py
@@ -42,6 +42,7 @@
         self._context = context
         self._settings = settings
         self._names_by_seat: dict[int, str] = {}
+        self._live_names: frozenset[str] = frozenset()
         self._reports: dict[str, tuple[SupplyReport, int]] = {}
         if settings.peers_service:
             self._send(SubscribePeerMessages(TOPIC, (Relay,)))
@@ -54,21 +55,28 @@
 
     def on_membership(self, message: MembershipChanged) -> None:
         """Update the live seats and drop the reports of peers that are not live."""
-        live = [m for m in message.members if m.status is MemberStatus.ALIVE]
         zone = self._settings.zone
+        live = [m for m in message.members if m.status is MemberStatus.ALIVE]
         self._names_by_seat = {
             member.seat: member.name for member in live if member.zone == zone
         }
-        names = {m.name for m in live}
-        self._reports = {k: v for k, v in self._reports.items() if k in names}
+        self._live_names = frozenset(member.name for member in live)
+        self._reports = {
+            name: report
+            for name, report in self._reports.items()
+            if name in self._live_names
+        }
 
     def decode(self, message: PeerMessage) -> RelayMessage | None:
-        """Return the message of another `exchanges` task, None for other relays."""
+        """Return the message of another `exchanges` task, None for other relays.
+
+        A process that leaves still reports its free slots, but takes no more requests.
+        """
         relay = message.message
         if not isinstance(relay, Relay) or relay.topic != TOPIC:
             return None
         decoded = decode_relay(relay)
-        if isinstance(decoded, SupplyReport):
+        if isinstance(decoded, SupplyReport) and message.sender in self._live_names:
             self._reports[message.sender] = (decoded, self._context.now_ms())
         return decoded
 
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -301,6 +301,20 @@
     assert rig.pop_sent(AnswerHead) == []
 
 
+def test_no_request_is_forwarded_to_a_process_that_leaves() -> None:
+    """Guards against refusals because of a process that has closed its listener: its
+    reports of free slots went on."""
+    rig = Rig(make_objects(hosts=1, slots=1), peers_service="peers")
+    member = Member("b1", "b", 0, "", 1, MemberStatus.LEAVING)
+    rig.task.handle(MembershipChanged((member,)))
+    report = SupplyReport("b", "10.0.0.9:80", {"p": 5})
+    rig.task.handle(PeerMessage("b1", encode_relay(report)))
+    rig.request(1)
+    assert rig.start_one().address == "h0:80"
+    rig.request(2)
+    assert rig.pop_sent(StartAttempt) == []
+
+
 def test_free_slots_are_reported_to_other_zones() -> None:
     """Guards against zones without information about the slots of other zones."""
     rig = Rig(
