Return borrowed slots to a process that is leaving

Cause: messages about loans went to processes that are alive only, so a return to one that leaves was dropped. It waits for the end of the loan, up to 47 s, before it can release its seat; past its stop timeout the next process of the seat uses no own slot for 55 s. Until now that was rare, since a leaving process counted as alive again after 5 s of a stop.

Change: returns and grants reach a leaving process too, requests do not.

Evidence: the test is new and fails without the change.

--- a/src/guavapin/serving/exchange_peers.py
+++ b/src/guavapin/serving/exchange_peers.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from guavapin.limits.slots import LoanRequest
 from guavapin.peers.messages import MembershipChanged
 from guavapin.peers.messages import MemberStatus
 from guavapin.peers.messages import PeerMessage
@@ -42,6 +43,7 @@
         self._context = context
         self._settings = settings
         self._names_by_seat: dict[int, str] = {}
+        self._leaving_by_seat: dict[int, str] = {}
         self._live_names: frozenset[str] = frozenset()
         self._reports: dict[str, tuple[SupplyReport, int]] = {}
         if settings.peers_service:
@@ -56,11 +58,17 @@
     def on_membership(self, message: MembershipChanged) -> None:
         """Update the live seats and drop the reports of peers that are not live."""
         zone = self._settings.zone
-        live = [m for m in message.members if m.status is MemberStatus.ALIVE]
-        self._names_by_seat = {
-            member.seat: member.name for member in live if member.zone == zone
-        }
-        self._live_names = frozenset(member.name for member in live)
+        self._names_by_seat, self._leaving_by_seat = (
+            {
+                member.seat: member.name
+                for member in message.members
+                if member.zone == zone and member.status is status
+            }
+            for status in (MemberStatus.ALIVE, MemberStatus.LEAVING)
+        )
+        self._live_names = frozenset(
+            m.name for m in message.members if m.status is MemberStatus.ALIVE
+        )
         self._reports = {
             name: report
             for name, report in self._reports.items()
@@ -81,8 +89,13 @@
         return decoded
 
     def send_to_seat(self, item: SendToSeat) -> None:
-        """Send a message to the live process that holds a seat of the own zone."""
+        """Send a message to the process that holds a seat of the own zone.
+
+        A process that leaves lends no slot, and waits for the slots that it has lent.
+        """
         name = self._names_by_seat.get(item.seat)
+        if name is None and not isinstance(item.message, LoanRequest):
+            name = self._leaving_by_seat.get(item.seat)
         if name is not None:
             self._send(SendToPeer(name, encode_relay(item.message)))
 
--- a/tests/serving/test_exchange_admission.py
+++ b/tests/serving/test_exchange_admission.py
@@ -259,6 +259,38 @@
     assert len(started) == 4
 
 
+def test_leaving_process_gets_its_slots_back() -> None:
+    """Guards against a stop that waits for the end of a loan, up to 47 s, because the
+    borrower returns nothing to a process that leaves."""
+    objects = make_objects(hosts=1, slots=8, seats=2)
+    rigs = [
+        Rig(objects, seat=seat, incarnation=seat + 1, peers_service="peers")
+        for seat in range(2)
+    ]
+    connect(rigs)
+    for request_id in range(1, 7):
+        rigs[0].request(request_id)
+    started = rigs[0].pop_sent(StartAttempt)
+    for _ in range(4):
+        rigs[0].harness.advance(250)
+        deliver(rigs)
+        deliver(rigs)
+        started += rigs[0].pop_sent(StartAttempt)
+    assert len(started) == 6
+    leaving = Member("e1", "a", 1, "", 1, MemberStatus.LEAVING)
+    rigs[0].task.handle(MembershipChanged((leaving,)))
+    fut = release(rigs[1])
+    rigs[1].harness.advance(250)
+    assert not fut.done()
+    for start in started:
+        rigs[0].answer(start.attempt_id)
+    for _ in range(6):
+        rigs[0].harness.advance(250)
+        deliver(rigs)
+        rigs[1].harness.advance(250)
+    assert fut.done()
+
+
 def test_seat_is_not_released_beside_a_probe() -> None:
     """Guards against more requests than slots: the slot of a probe in progress counts,
     and no probe begins after the release."""
