Serve a failed forward in the own zone without the retry budget

Not reproduced here as a whole.

Cause: a request that another zone did not take, as its entry host had ended or was full, is queued in its own zone, which spent from the retry budget. The budget bounds the load of repetitions on the upstreams, and such a request has cost none of them anything. Once it was used up, requests were refused that the own zone could serve.

Change: a forwarded attempt that has not run is repeated without the budget.

Evidence: the test is new; without the change it has refusals, with it all 41 requests are answered.

--- a/src/guavapin/retries/policy.py
+++ b/src/guavapin/retries/policy.py
@@ -24,12 +24,14 @@
     """Result of an attempt; `status` is 0 when no response head arrived.
 
     `is_refused_not_run` is set only if a trusted peer entry host refused the request
-    as not run.
+    as not run. `was_forwarded` is set if the attempt went to such a host instead of an
+    upstream.
     """
 
     result: AttemptResult
     status: int = 0
     is_refused_not_run: bool = False
+    was_forwarded: bool = False
 
 
 def is_idempotent(method: str, service: Service) -> bool:
@@ -45,6 +47,14 @@
     return attempt.result is AttemptResult.NOT_SENT or attempt.is_refused_not_run
 
 
+def spends_budget(attempt: EndedAttempt) -> bool:
+    """Return whether another attempt adds to the load that the retry budget bounds.
+
+    A request that was forwarded and has not run has cost no upstream anything.
+    """
+    return not (attempt.was_forwarded and has_not_run(attempt))
+
+
 def may_repeat(
     attempt: EndedAttempt,
     is_idempotent_request: bool,
--- a/src/guavapin/serving/exchange_flow.py
+++ b/src/guavapin/serving/exchange_flow.py
@@ -9,6 +9,7 @@
 
 from guavapin.kernel import Refused
 from guavapin.retries.backoff import delay_ms
+from guavapin.retries.policy import spends_budget
 from guavapin.routing.picker import PickRequest
 from guavapin.serving import exchange as state_machine
 from guavapin.serving.exchange import Phase
@@ -160,7 +161,8 @@
         end_ms = self._context.now_ms() + delay + exchange.request.expectation.run_ms
         if end_ms > exchange.request.deadline_ms:
             return False
-        if not self._router.services[exchange.request.service.name].spend_retry():
+        service = self._router.services[exchange.request.service.name]
+        if spends_budget(ended) and not service.spend_retry():
             self.counts["retries_over_budget"] += 1
             return False
         self.counts["retries"] += 1
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -206,6 +206,7 @@
             AttemptResult.COMPLETE,
             event.status,
             is_refused_not_run=is_peer and is_not_run_refusal(event.headers),
+            was_forwarded=is_peer,
         )
         if not self._flow.try_retry(exchange, ended):
             return False
@@ -238,7 +239,8 @@
         if exchange is None:
             self._flow.dispatch(attempt.pool)
             return
-        ended = EndedAttempt(event.result, status)
+        is_peer = attempt.placement is None
+        ended = EndedAttempt(event.result, status, was_forwarded=is_peer)
         if self._flow.try_retry(exchange, ended):
             self._flow.dispatch(attempt.pool)
             return
--- a/tests/serving/test_exchange_retries.py
+++ b/tests/serving/test_exchange_retries.py
@@ -2,6 +2,12 @@
 
 import pytest
 
+from guavapin.peers.messages import Member
+from guavapin.peers.messages import MembershipChanged
+from guavapin.peers.messages import MemberStatus
+from guavapin.peers.messages import PeerMessage
+from guavapin.serving.exchange_relay import SupplyReport
+from guavapin.serving.exchange_relay import encode_relay
 from guavapin.serving.messages import AnswerBody
 from guavapin.serving.messages import AnswerBroken
 from guavapin.serving.messages import AnswerHead
@@ -32,6 +38,30 @@
     assert [head.status for head in rig.pop_sent(AnswerHead)] == [200]
 
 
+def test_failed_forward_is_served_in_the_own_zone_without_a_budget() -> None:
+    """Guards against refusals because of an entry host that has just ended, while the
+    own zone can serve the requests."""
+    rig = Rig(make_objects(hosts=1, slots=1), peers_service="peers")
+    member = Member("b1", "b", 0, "", 1, MemberStatus.ALIVE)
+    rig.task.handle(MembershipChanged((member,)))
+    rig.request(1)
+    running = rig.start_one()
+    report = SupplyReport("b", "10.0.0.9:80", {"p": 100})
+    rig.task.handle(PeerMessage("b1", encode_relay(report)))
+    for request_id in range(2, 42):
+        rig.request(request_id)
+    forwarded = rig.pop_sent(StartAttempt)
+    assert len(forwarded) == 40
+    for start in forwarded:
+        rig.end(start.attempt_id, AttemptResult.NOT_SENT)
+    assert rig.refusals() == []
+    rig.answer(running.attempt_id)
+    for _ in range(40):
+        rig.harness.advance(100)
+        rig.answer(rig.start_one().attempt_id)
+    assert len(rig.pop_sent(AnswerHead)) == 41
+
+
 def test_status_503_is_retried_without_reaching_the_caller() -> None:
     """Guards against a caller that sees the error of a leaving upstream."""
     rig = Rig(make_objects())
