Forward nothing more to an entry host that could not be reached

Cause: the report of free slots of a process that has crashed counts for 2 s, in which each forward to it fails and has to be repeated in the own zone.

Change: a forward that was not sent drops the report of its process; the next report counts again.

Evidence: the test is new and fails without the change.

--- a/src/guavapin/serving/exchange_peers.py
+++ b/src/guavapin/serving/exchange_peers.py
@@ -138,5 +138,13 @@
             )
         return tuple(by_zone.values())
 
+    def drop_report(self, address: str) -> None:
+        """Drop the report of a process that could not be reached at its address."""
+        self._reports = {
+            name: (report, received_ms)
+            for name, (report, received_ms) in self._reports.items()
+            if report.address != address
+        }
+
     def _send(self, message: object) -> None:
         self._context.send(self._settings.peers_service, message)
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -241,6 +241,9 @@
             return
         is_peer = attempt.placement is None
         ended = EndedAttempt(event.result, status, was_forwarded=is_peer)
+        if is_peer and event.result is AttemptResult.NOT_SENT:
+            self._peers.drop_report(exchange.host)
+            self._router.invalidate_reports()
         if self._flow.try_retry(exchange, ended):
             self._flow.dispatch(attempt.pool)
             return
--- a/tests/serving/test_exchange_retries.py
+++ b/tests/serving/test_exchange_retries.py
@@ -62,6 +62,26 @@
     assert len(rig.pop_sent(AnswerHead)) == 41
 
 
+def test_entry_host_that_cannot_be_reached_gets_no_more_requests() -> None:
+    """Guards against forwards to a process that has crashed, for up to 2 s after its
+    last report of free slots."""
+    rig = Rig(make_objects(hosts=1, slots=1), peers_service="peers")
+    member = Member("b1", "b", 0, "", 1, MemberStatus.ALIVE)
+    rig.task.handle(MembershipChanged((member,)))
+    report = PeerMessage("b1", encode_relay(SupplyReport("b", "h:80", {"p": 100})))
+    rig.task.handle(report)
+    rig.request(1)
+    rig.request(2)
+    _, forwarded = rig.pop_sent(StartAttempt)
+    assert forwarded.address == "h:80"
+    rig.end(forwarded.attempt_id, AttemptResult.NOT_SENT)
+    rig.request(3)
+    assert rig.pop_sent(StartAttempt) == []
+    rig.task.handle(report)
+    rig.request(4)
+    assert rig.start_one().address == "h:80"
+
+
 def test_status_503_is_retried_without_reaching_the_caller() -> None:
     """Guards against a caller that sees the error of a leaving upstream."""
     rig = Rig(make_objects())
