Hold the runs of an executor whose entry is away after a handover

Cause: the record of the runs that a stopping scheduler hands over named the executor and its runs, but was skipped if the successor had no entry of it: without one it did not know where to ask.

Change: the record also has the address, pool, zone and capacity of each executor with runs. The successor adds the host without an entry, so that nothing starts there, and asks it. The first list without it raises a doubt as for others: a refused connection ends it, its answer keeps its runs.

Evidence: two tests of test_handover.py are new; the first fails in both cases without the change, the second without the exception for starts.

--- a/src/guavapin/scheduling/handover.py
+++ b/src/guavapin/scheduling/handover.py
@@ -14,7 +14,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from guavapin.jobs.model import Resources
     from guavapin.jobs.model import Subtask
+    from guavapin.scheduling.host import Host
     from guavapin.scheduling.host_table import HostTable
 
 HANDOVER_PREFIX = "handover/"
@@ -35,18 +37,30 @@
     is_wanted: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class HandedEntry:
+    """What a successor needs of the entry of an executor that the registry has lost."""
+
+    address: str
+    pool: str
+    zone: str
+    capacity: Resources
+
+
 @dataclass(frozen=True, slots=True)
 class HandedHost:
     """All that may run on one incarnation of an executor.
 
     `is_listed` is set if the last list of machines named the executor. A later list
-    without it shows that the executor has ended.
+    without it shows that the executor has ended. `entry` is None without runs, and in
+    the records of earlier builds.
     """
 
     executor_id: str
     born_ms: int
     runs: tuple[HandedRun, ...]
     is_listed: bool = False
+    entry: HandedEntry | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,20 +76,23 @@
     none.
     """
     return tuple(
-        HandedHost(
-            host.executor_id,
-            host.born_ms,
-            tuple(
-                HandedRun(run.subtask, run.attempt, run.is_settled, run.is_wanted)
-                for run in host.runs.values()
-                if run.key not in host.waiting_starts
-            )
-            + tuple(
-                HandedRun(subtask, attempt, is_wanted=False)
-                for subtask, attempt in host.unstored_ends.values()
-            ),
-            hosts.unknown_runs.is_listed(host),
-        )
+        _collect(host, hosts.unknown_runs.is_listed(host))
         for host in hosts.by_id.values()
         if hosts.unknown_runs.are_runs_known(host)
     )
+
+
+def _collect(host: Host, is_listed: bool) -> HandedHost:
+    runs = tuple(
+        HandedRun(run.subtask, run.attempt, run.is_settled, run.is_wanted)
+        for run in host.runs.values()
+        if run.key not in host.waiting_starts
+    ) + tuple(
+        HandedRun(subtask, attempt, is_wanted=False)
+        for subtask, attempt in host.unstored_ends.values()
+    )
+    entry = None
+    if runs:
+        known = host.registration
+        entry = HandedEntry(known.address, known.service, known.zone, known.capacity)
+    return HandedHost(host.executor_id, host.born_ms, runs, is_listed, entry)
--- a/src/guavapin/scheduling/handover_codec.py
+++ b/src/guavapin/scheduling/handover_codec.py
@@ -4,20 +4,26 @@
 
 import msgspec
 
+from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Subtask
+from guavapin.scheduling.handover import HandedEntry
 from guavapin.scheduling.handover import HandedHost
 from guavapin.scheduling.handover import HandedRun
 
 # Job, occurrence, step, index, attempt, and whether the run is settled and wanted.
 _RunRow = tuple[str, int, int, int, int, bool, bool]
 
+# Address, pool, zone, thousandths of a core, megabytes and accelerators.
+_EntryRow = tuple[str, str, str, int, int, int]
+
 
 class _HostRow(msgspec.Struct, array_like=True):
     executor_id: str
     born_ms: int
     runs: list[_RunRow]
-    # Not in the records of earlier builds.
+    # Not in the records of earlier builds, which ignore them.
     is_listed: bool = False
+    entry: _EntryRow | None = None
 
 
 _DECODER = msgspec.json.Decoder(list[_HostRow])
@@ -36,7 +42,11 @@
         return None
     return tuple(
         HandedHost(
-            row.executor_id, row.born_ms, tuple(map(_run, row.runs)), row.is_listed
+            row.executor_id,
+            row.born_ms,
+            tuple(map(_run, row.runs)),
+            row.is_listed,
+            _entry(row.entry) if row.entry is not None else None,
         )
         for row in rows
     )
@@ -55,7 +65,25 @@
         )
         for run in host.runs
     ]
-    return _HostRow(host.executor_id, host.born_ms, runs, host.is_listed)
+    entry = _entry_row(host.entry) if host.entry is not None else None
+    return _HostRow(host.executor_id, host.born_ms, runs, host.is_listed, entry)
+
+
+def _entry_row(entry: HandedEntry) -> _EntryRow:
+    capacity = entry.capacity
+    return (
+        entry.address,
+        entry.pool,
+        entry.zone,
+        capacity.cpu_millis,
+        capacity.memory_mb,
+        capacity.gpus,
+    )
+
+
+def _entry(row: _EntryRow) -> HandedEntry:
+    address, pool, zone, *capacity = row
+    return HandedEntry(address, pool, zone, Resources(*capacity))
 
 
 def _run(row: _RunRow) -> HandedRun:
--- a/src/guavapin/scheduling/host.py
+++ b/src/guavapin/scheduling/host.py
@@ -52,6 +52,8 @@
         # the registry may still name it.
         self.former_born_ms = 0
         self.is_registered = True
+        # Unset for a host that was handed over and has had no entry in this term.
+        self.has_had_entry = True
         self.known_ms = now_ms
         # Time at which its registration was last written again in this term, 0 if it
         # was not.
@@ -192,7 +194,7 @@
             span_ms = registration.clock_ms - self._first_renewal_clock_ms
             self.renewal_span_ms = max(self.renewal_span_ms, span_ms)
         self.registration = registration
-        self.is_registered = True
+        self.is_registered = self.has_had_entry = True
         self.renewed_ms = now_ms
         self.free = registration.capacity.minus(self.used)
         self._on_change(self)
--- a/src/guavapin/scheduling/host_table.py
+++ b/src/guavapin/scheduling/host_table.py
@@ -164,6 +164,17 @@
         host.update_registration(registration, self._term.now_ms)
         self.unknown_runs.mark_changed()
 
+    def add_unregistered(self, registration: Registration) -> Host:
+        """Add the host of an executor that may be up although it has no entry now.
+
+        Nothing starts there until it has one.
+        """
+        self.register(registration)
+        host = self.by_id[registration.executor_id]
+        host.has_had_entry = False
+        host.unregister()
+        return host
+
     def _new_lease(self, registration: Registration) -> HostLease:
         """Return the lease of a host that is added.
 
@@ -249,11 +260,13 @@
         """Remove a host whose executor has ended, as a sign shows.
 
         A start of a predecessor without an answer may reach a later life under the same
-        id, so it is kept, and its host, unless another executor has the address.
+        id, so it is kept, and its host, unless another executor has the address. One
+        without an entry has no later life, and each handover would keep it anew.
         """
         runs = [*host.runs.values()]
         ended = runs
-        if not host.has_answered and sign is not Sign.OTHER_LIFE:
+        may_return = host.has_had_entry and not host.has_answered
+        if may_return and sign is not Sign.OTHER_LIFE:
             ended = [run for run in runs if run.phase is not RunPhase.UNSETTLED]
         if len(ended) == len(runs):
             self.end_incarnation(host, sign.value)
--- a/src/guavapin/scheduling/inherited_runs.py
+++ b/src/guavapin/scheduling/inherited_runs.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from guavapin.executors.model import Registration
 from guavapin.jobs.model import Resources
 from guavapin.scheduling.host_lease import SETTLED_LIFE_MS
 from guavapin.scheduling.run import Run
@@ -16,6 +17,7 @@
 
     from guavapin.executors.model import RunningRow
     from guavapin.jobs.model import Subtask
+    from guavapin.scheduling.handover import HandedEntry
     from guavapin.scheduling.handover import HandedHost
     from guavapin.scheduling.handover import HandedRun
     from guavapin.scheduling.host import Host
@@ -74,12 +76,20 @@
             self._hosts.stop(run)
 
     def reserve(self, handed_hosts: Iterable[HandedHost]) -> None:
-        """Reserve what a predecessor handed over on hosts of the same incarnation."""
+        """Reserve what a predecessor handed over on hosts of the same incarnation.
+
+        An executor whose entry the registry has lost may still run it.
+        """
         for handed in handed_hosts:
             host = self._hosts.by_id.get(handed.executor_id)
+            is_listed = handed.is_listed
+            if host is None and handed.entry is not None:
+                host = self._hosts.add_unregistered(_registration(handed, handed.entry))
+                # The first list of machines without it is a sign that it has ended.
+                is_listed = True
             if host is None or not host.born_ms or host.born_ms != handed.born_ms:
                 continue
-            self._hosts.unknown_runs.mark_handed_over(host, handed.is_listed)
+            self._hosts.unknown_runs.mark_handed_over(host, is_listed)
             for row in handed.runs:
                 self._reserve_run(host, row)
 
@@ -127,3 +137,19 @@
         life_ms = self._term.wall_ms - host.born_ms if host.born_ms else 0
         host.lease.assume(life_ms > SETTLED_LIFE_MS, self._term.now_ms)
         return run
+
+
+def _registration(handed: HandedHost, entry: HandedEntry) -> Registration:
+    """Return the entry of an executor as far as it was handed over."""
+    return Registration(
+        handed.executor_id,
+        handed.born_ms,
+        entry.pool,
+        entry.address,
+        entry.zone,
+        is_draining=False,
+        capacity=entry.capacity,
+        labels=(),
+        rack="",
+        clock_ms=0,
+    )
--- a/tests/scheduling/test_handover.py
+++ b/tests/scheduling/test_handover.py
@@ -7,9 +7,11 @@
 import pytest
 
 from guavapin.executors.model import EndKind
+from guavapin.jobs.model import Resources
 from guavapin.jobs.model import Step
 from guavapin.jobs.model import Subtask
 from guavapin.scheduling.handover import HANDOVER_KEY
+from guavapin.scheduling.handover import HandedEntry
 from guavapin.scheduling.handover import HandedHost
 from guavapin.scheduling.handover import HandedRun
 from guavapin.scheduling.handover import collect_hosts
@@ -17,6 +19,7 @@
 from guavapin.scheduling.handover_codec import encode_handover
 from guavapin.scheduling.messages import MachinesListed
 from guavapin.scheduling.messages import StoreEntry
+from guavapin.scheduling.run import RunPhase
 from tests.scheduling.simulation import SMALL
 from tests.scheduling.simulation import FakeExecutor
 from tests.scheduling.simulation import Simulation
@@ -215,6 +218,53 @@
     assert jobs_started(sim) == [OTHER_JOB]
 
 
+@pytest.mark.parametrize(("is_reachable", "steps"), [(True, 60), (False, 400)])
+def test_runs_of_an_executor_without_an_entry_are_not_started_again(
+    sim: Simulation, is_reachable: bool, steps: int
+) -> None:
+    # Guards against second runs: the registry had lost the entry of an executor that
+    # was up, and the first list of machines showed its machine as down.
+    silent = sim.running()[0][1]
+    handed = encode_handover(collect_hosts(sim.scheduler.hosts))
+    executor = sim.executors.pop(silent)
+    sim.take_over(9)
+    sim.scheduler.apply_handover(decode_handover(handed))
+    sim.list_machines()
+    sim.executors[silent] = executor
+    executor.is_reachable = is_reachable
+    sim.starts.clear()
+    sim.advance(1_500)
+    assert sim.starts == []
+    sim.list_machines()
+    for _ in range(steps):
+        sim.advance(50)
+        subtasks = [subtask for subtask, _ in sim.running()]
+        assert len(subtasks) == len({*subtasks})
+    # One that stays silent has let its runs lapse.
+    assert bool(sim.starts) is not is_reachable
+
+
+def test_an_executor_that_has_ended_holds_no_start_without_an_answer(
+    sim: Simulation,
+) -> None:
+    # Guards against subtasks that wait for 12 s in each term of a series of stops:
+    # their start had no answer, and the executor and its entry were gone.
+    silent = sim.running()[0][1]
+    executor = sim.executors.pop(silent)
+    for run in sim.scheduler.hosts.by_id[silent].runs.values():
+        run.phase = RunPhase.UNSETTLED
+    handed_hosts = collect_hosts(sim.scheduler.hosts)
+    sim.take_over(9)
+    sim.scheduler.apply_handover(handed_hosts)
+    sim.list_machines()
+    sim.executors[silent] = executor
+    executor.is_listening = False
+    executor.running.clear()
+    sim.starts.clear()
+    sim.advance(1_000)
+    assert len(sim.starts) == 2
+
+
 def test_nothing_starts_before_the_record_is_removed(sim: Simulation) -> None:
     # Guards against a record that a later scheduler reads, although it does not hold
     # what this one has started (found by the model of takeovers, seed 0).
@@ -236,7 +286,11 @@
     # Guards against a run whose start is taken as settled or as wanted.
     subtask = Subtask("c" * 16, 1, 2, 3)
     runs = (HandedRun(subtask, 4, False, True), HandedRun(subtask, 5, True, False))
-    hosts = (HandedHost("e1", 7, runs), HandedHost("e2", 8, (), is_listed=True))
+    entry = HandedEntry("h:1", "p", "z", Resources(4_000, 512, 1))
+    hosts = (
+        HandedHost("e1", 7, runs, entry=entry),
+        HandedHost("e2", 8, (), is_listed=True),
+    )
     assert decode_handover(encode_handover(hosts)) == hosts
     assert decode_handover(b'[["e1",7,[]]]') == (HandedHost("e1", 7, ()),)
 
