Wait in the model for jobs that are accepted while it settles

Cause: a fault of the model. It waits until all accepted jobs have ended, then for the rest of the faults to settle.

Change: after settling, the model waits again for the jobs that it owes. A job that does not end within the calm time is reported as before, so no check is narrower.

--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -695,11 +695,15 @@
     def run_until_ended(self) -> None:
         """Run without faults until all owed jobs have ended, at most for `calm_ms`."""
         self.queries.begin_calm()
+        self.run(1_000)
+        self._await_ends()
+
+    def _await_ends(self) -> None:
         end_ms = self.clock.now_ms() + self.calm_ms
         while self.clock.now_ms() < end_ms and not self.violations:
-            self.run(1_000)
             if all(map(self._has_ended, self.submissions.values())):
                 return
+            self.run(1_000)
 
     def count_ended(self) -> int:
         """Count the jobs that have ended or are not owed."""
@@ -713,6 +717,8 @@
     def check_end(self) -> None:
         """Check after a calm time that every accepted job has ended."""
         self.run(SETTLE_MS)
+        # A process that was suspended may have accepted a job meanwhile.
+        self._await_ends()
         if not any(node.scheduler._scheduler for node in self.nodes):
             self.report("LOST", "no node schedules")
         for submission in self.submissions.values():
