Iterate hosts and steps in the order in which they were added

Cause: sets of hosts and of steps were iterated, in the order of their addresses: hosts whose state had changed, hosts that a list leaves out, and long-running steps of a pool.

Change: these are kept in dictionaries and lists, whose order is that of the additions. No rule depends on the order.

--- a/src/guavapin/scheduling/room_index.py
+++ b/src/guavapin/scheduling/room_index.py
@@ -93,20 +93,21 @@
     def __init__(self) -> None:
         self._pools: dict[str, PoolRoom] = {}
         self._pool_by_host: dict[Host, str] = {}
-        self._changed: set[Host] = set()
+        # Keys in the order of the changes; that of a set would differ between plays.
+        self._changed: dict[Host, None] = {}
         # Hosts that become usable by the passage of time alone.
-        self._set_aside: set[Host] = set()
+        self._set_aside: dict[Host, None] = {}
 
     def mark_changed(self, host: Host) -> None:
         """Record that a host has changed."""
-        self._changed.add(host)
+        self._changed[host] = None
 
     def pool(self, name: str) -> PoolRoom:
         """Return the usable hosts of a pool, as of the last refresh."""
         return self._pools.setdefault(name, PoolRoom())
 
     def set_aside_hosts(self) -> list[Host]:
-        """Return the hosts that were set aside at the last refresh, in any order."""
+        """Return the hosts that were set aside at the last refresh."""
         return [*self._set_aside]
 
     def refresh(self, now_ms: int) -> None:
@@ -114,7 +115,7 @@
         due = [host for host in self._set_aside if now_ms >= host.set_aside_until_ms]
         if not due and not self._changed:
             return
-        changed, self._changed = self._changed.union(due), set()
+        changed, self._changed = self._changed | dict.fromkeys(due), {}
         # A new incarnation of an executor has the same id, so the previous one is
         # removed before it is added.
         for host in changed:
@@ -126,9 +127,9 @@
 
     def _remove_if_unusable(self, host: Host, now_ms: int) -> None:
         if now_ms < host.set_aside_until_ms:
-            self._set_aside.add(host)
+            self._set_aside[host] = None
         else:
-            self._set_aside.discard(host)
+            self._set_aside.pop(host, None)
         pool = self._pool_by_host.get(host)
         if pool is not None and (pool != host.pool or not host.is_usable(now_ms)):
             self._pools[pool].remove(host.executor_id)
--- a/src/guavapin/scheduling/unknown_runs.py
+++ b/src/guavapin/scheduling/unknown_runs.py
@@ -54,7 +54,7 @@
         listed_pools: dict[str, str],
         capacities: dict[str, Resources],
         off: tuple[Resources, ...] | None,
-    ) -> set[Host]:
+    ) -> list[Host]:
         """Replace the list of machines.
 
         Returns the hosts that it does not name and on which a predecessor may have
@@ -64,13 +64,13 @@
         self._listed_pools = listed_pools
         self._listed_capacities = capacities
         self.mark_changed()
-        unlisted = {host for host in self._hosts.values() if not self.is_listed(host)}
-        self._formerly_listed &= unlisted
-        return {
+        unlisted = [host for host in self._hosts.values() if not self.is_listed(host)]
+        self._formerly_listed.intersection_update(unlisted)
+        return [
             host
             for host in unlisted
             if host in self._formerly_listed or not self._is_known(host)
-        }
+        ]
 
     def mark_changed(self) -> None:
         """Apply that a host was added or removed, or its state has changed."""
--- a/src/guavapin/scheduling/waiting_steps.py
+++ b/src/guavapin/scheduling/waiting_steps.py
@@ -97,7 +97,7 @@
             str, dict[NeedClass, SortedList[tuple[Position, StepRun]]]
         ] = {}
         self._places: dict[StepRun, _Place] = {}
-        self._long_running: set[StepRun] = set()
+        self._long_running: dict[StepRun, None] = {}
         # Step from which the search in a class goes on behind its first steps, by pool
         # and class; it may have been removed in the meantime.
         self._next_steps: dict[tuple[str, NeedClass], tuple[Position, StepRun]] = {}
@@ -121,7 +121,7 @@
         lists.setdefault(need_class, SortedList()).add((position, step_run))
         self._places[step_run] = place
         if step_run.step.is_long_running:
-            self._long_running.add(step_run)
+            self._long_running[step_run] = None
         late_after_ms = self._rules.late_after_ms(step_run)
         if late_after_ms is not None and not position.is_late:
             row = (late_after_ms, position.number, step_run)
@@ -132,7 +132,7 @@
         place = self._places.pop(step_run, None)
         if place is None:
             return
-        self._long_running.discard(step_run)
+        self._long_running.pop(step_run, None)
         steps = self._lists[place.pool][place.need_class]
         steps.remove((place.position, step_run))
         if not steps:
