Name the parts of a membership change and of an attempt's end

No behaviour changes: on_membership built two maps in one expression, and the end of an attempt compared its result with NOT_SENT twice.

Evidence: the tests of tests/serving, tests/peers and tests/retries pass.

--- a/src/guavapin/serving/exchange_peers.py
+++ b/src/guavapin/serving/exchange_peers.py
@@ -24,9 +24,11 @@
 from guavapin.serving.exchange_relay import encode_relay
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from guavapin.kernel import TaskContext
+    from guavapin.peers.messages import Member
     from guavapin.serving.exchange_messages import PoolSupply
     from guavapin.serving.exchange_relay import RelayMessage
     from guavapin.serving.exchange_relay import SendToSeat
@@ -57,18 +59,11 @@
 
     def on_membership(self, message: MembershipChanged) -> None:
         """Update the live seats and drop the reports of peers that are not live."""
-        zone = self._settings.zone
-        self._names_by_seat, self._leaving_by_seat = (
-            {
-                member.seat: member.name
-                for member in message.members
-                if member.zone == zone and member.status is status
-            }
-            for status in (MemberStatus.ALIVE, MemberStatus.LEAVING)
-        )
-        self._live_names = frozenset(
-            m.name for m in message.members if m.status is MemberStatus.ALIVE
-        )
+        live = [m for m in message.members if m.status is MemberStatus.ALIVE]
+        leaving = [m for m in message.members if m.status is MemberStatus.LEAVING]
+        self._live_names = frozenset(member.name for member in live)
+        self._names_by_seat = self._own_zone_by_seat(live)
+        self._leaving_by_seat = self._own_zone_by_seat(leaving)
         self._reports = {
             name: report
             for name, report in self._reports.items()
@@ -146,5 +141,10 @@
             if report.address != address
         }
 
+    def _own_zone_by_seat(self, members: Iterable[Member]) -> dict[int, str]:
+        """Return the names of the members of the own zone by seat."""
+        zone = self._settings.zone
+        return {member.seat: member.name for member in members if member.zone == zone}
+
     def _send(self, message: object) -> None:
         self._context.send(self._settings.peers_service, message)
--- a/src/guavapin/serving/exchanges.py
+++ b/src/guavapin/serving/exchanges.py
@@ -240,16 +240,15 @@
             self._flow.dispatch(attempt.pool)
             return
         is_peer = attempt.placement is None
-        ended = EndedAttempt(event.result, status, was_forwarded=is_peer)
-        if is_peer and event.result is AttemptResult.NOT_SENT:
+        is_sent = event.result is not AttemptResult.NOT_SENT
+        if is_peer and not is_sent:
             self._peers.drop_report(exchange.host)
             self._router.invalidate_reports()
+        ended = EndedAttempt(event.result, status, was_forwarded=is_peer)
         if self._flow.try_retry(exchange, ended):
             self._flow.dispatch(attempt.pool)
             return
-        reason = event.result.value
-        if event.result is AttemptResult.NOT_SENT:
-            reason = "upstream_unreachable"
+        reason = event.result.value if is_sent else "upstream_unreachable"
         self._flow.apply(state_machine.on_attempt_ended(exchange, ended, reason))
 
     def _on_flow_control(self, message: FlowControl) -> None:
